Serve a request end to end through separate processes

Cause: nothing stood yet.

Change: workspace, vocabulary modules, entry, control and stand-in programs. An upstream announces itself, entries and control exchange membership and settings over tarpc, a caller asks which entry to use, a streamed chat completion and a plain call are answered. A broken stream is resumed on another upstream from its offset; chunks of other attempts are dropped.

Not there yet: settings group (control serves a founding file), ledger (calls that may not be repeated are sent once, without a claim), admission, digests in place of full exchange.

--- /dev/null
+++ b/cicadastall-daemons/src/bin/cicadastall-standin.rs
@@ -0,0 +1,98 @@
+//! Program of the stand-in upstreams, for tests.
+
+use bpaf::Bpaf;
+use cicadastall_daemons::{print_line, wait_for_stop};
+use cicadastall_standins::{
+    announce::StandinPlace,
+    engine::{EnginePace, EngineStandin},
+    service::ServiceStandin,
+};
+use serde_json::json;
+use std::{net::SocketAddr, time::Duration};
+
+/// Runs one stand-in upstream.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct StandinOptions {
+    #[bpaf(external)]
+    place_options: PlaceOptions,
+    /// Address to listen on
+    #[bpaf(long, argument("ADDRESS"))]
+    listen: SocketAddr,
+    #[bpaf(external)]
+    standin_role: StandinRole,
+}
+
+#[derive(Debug, Clone, Bpaf)]
+struct PlaceOptions {
+    /// Name of the upstream
+    #[bpaf(long, argument("NAME"))]
+    name: String,
+    /// Region of the upstream
+    #[bpaf(long, argument("REGION"))]
+    region: String,
+    /// Availability zone of the upstream
+    #[bpaf(long, argument("ZONE"))]
+    zone: String,
+    /// Pool that the upstream serves
+    #[bpaf(long, argument("POOL"))]
+    pool: String,
+    /// Address of an entry to announce to; may be given several times
+    #[bpaf(long("entry"), argument("ADDRESS"))]
+    entries: Vec<SocketAddr>,
+}
+
+#[derive(Debug, Clone, Bpaf)]
+enum StandinRole {
+    /// A model engine
+    #[bpaf(command)]
+    Engine {
+        /// Model that the engine has loaded
+        #[bpaf(long, argument("MODEL"))]
+        model: String,
+        /// Time between tokens, in milliseconds
+        #[bpaf(long, argument("MS"), fallback(5))]
+        token_ms: u64,
+        /// Tokens of an answer
+        #[bpaf(long, argument("COUNT"), fallback(24))]
+        tokens: u32,
+    },
+    /// A plain service
+    #[bpaf(command)]
+    Service {
+        /// Time that a call takes, in milliseconds
+        #[bpaf(long, argument("MS"), fallback(5))]
+        call_ms: u64,
+    },
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let options = standin_options().run();
+    let place = StandinPlace {
+        name: options.place_options.name.as_str().into(),
+        region: options.place_options.region.as_str().into(),
+        zone: options.place_options.zone.as_str().into(),
+        pool: options.place_options.pool.as_str().into(),
+        entries: options.place_options.entries,
+    };
+    match options.standin_role {
+        StandinRole::Engine { model, token_ms, tokens } => {
+            let pace = EnginePace {
+                token: Duration::from_millis(token_ms),
+                answer_tokens: tokens,
+                ..EnginePace::default()
+            };
+            let model = model.as_str().into();
+            let engine = EngineStandin::start(place, options.listen, model, pace).await?;
+            print_line(&json!({ "upstream": engine.address() }))?;
+            wait_for_stop().await
+        }
+        StandinRole::Service { call_ms } => {
+            let duration = Duration::from_millis(call_ms);
+            let service = ServiceStandin::start(place, options.listen, duration).await?;
+            print_line(&json!({ "upstream": service.address() }))?;
+            wait_for_stop().await
+        }
+    }
+}
--- /dev/null
+++ b/cicadastall-daemons/src/bin/cicadastall.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the thin path lands.
+
+fn main() {}
--- /dev/null
+++ b/cicadastall-daemons/tests/common/mod.rs
@@ -0,0 +1,109 @@
+//! Processes of a small fleet on loopback, started and stopped by tests.
+
+use serde_json::{Value, json};
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// A folder of one test, removed when dropped.
+#[derive(Debug)]
+pub struct TestFolder(PathBuf);
+
+impl TestFolder {
+    pub fn new(name: &str) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir()
+            .join(format!("cicadastall-{name}-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("create the test's folder");
+        Self(folder)
+    }
+
+    pub fn write(&self, name: &str, value: &Value) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, value.to_string()).expect("write a settings file");
+        path
+    }
+}
+
+impl Drop for TestFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A started program and the line of addresses that it printed; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    pub child: Child,
+    pub line: Value,
+}
+
+impl Process {
+    pub fn start(program: &str, arguments: &[String]) -> Self {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("start a program");
+        let output = child.stdout.as_mut().expect("standard output is piped");
+        let mut text = String::new();
+        BufReader::new(output).read_line(&mut text).expect("read the line of addresses");
+        let line = serde_json::from_str(&text).expect("the line of addresses is JSON");
+        Self { child, line }
+    }
+
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.line[name].as_str().and_then(|text| text.parse().ok()).expect("an address")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub const ENTRY: &str = env!("CARGO_BIN_EXE_cicadastall-entry");
+pub const CONTROL: &str = env!("CARGO_BIN_EXE_cicadastall-control");
+pub const STANDIN: &str = env!("CARGO_BIN_EXE_cicadastall-standin");
+
+/// Settings of one instance in `region`, whose zone is `REGION-a`.
+pub fn node(instance: &str, region: &str) -> Value {
+    json!({
+        "instance": instance,
+        "region": region,
+        "zone": format!("{region}-a"),
+        "caller_listen": "127.0.0.1:0",
+        "operator_listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+    })
+}
+
+/// Arguments of a stand-in in `region`, to which its role's own are added.
+pub fn standin(name: &str, region: &str, pool: &str, entry: SocketAddr) -> Vec<String> {
+    let zone = format!("{region}-a");
+    let entry = entry.to_string();
+    [
+        "--name",
+        name,
+        "--region",
+        region,
+        "--zone",
+        &zone,
+        "--pool",
+        pool,
+        "--entry",
+        &entry,
+        "--listen",
+        "127.0.0.1:0",
+    ]
+    .map(str::to_owned)
+    .to_vec()
+}
--- /dev/null
+++ b/cicadastall-standins/src/lib.rs
@@ -0,0 +1,5 @@
+//! Stand-ins for the outside systems that cicadastall meets: model engines and plain services.
+
+pub mod announce;
+pub mod engine;
+pub mod service;
--- /dev/null
+++ b/cicadastall/src/answer.rs
@@ -0,0 +1,136 @@
+//! Answers that are not a full result: refusals, failures, and what is known of their execution.
+
+use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
+use std::{fmt, time::Duration};
+
+/// Whether a request that has no result was run by an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// No byte was sent to any upstream, or each upstream said itself that it refused.
+    No,
+    /// An upstream may have run the request.
+    Unknown,
+}
+
+/// Stable reasons for an answer without a full result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalCode {
+    /// The request could not be decoded, or lacks a required field.
+    BadRequest,
+    /// The body or the headers exceed their limit.
+    TooLarge,
+    /// The caller took too long to send its request.
+    TooSlow,
+    /// The caller has too many connections or streams.
+    TooManyStreams,
+    /// No workspace of that name is configured.
+    UnknownWorkspace,
+    /// The workspace's team has no kind of that name.
+    UnknownKind,
+    /// No path of that name exists.
+    NotFound,
+    /// The offered load exceeds what can be answered within the target.
+    Overloaded,
+    /// The workspace used up its share while others wait.
+    WorkspaceLimit,
+    /// No upstream that may run the request is reachable.
+    NoUpstream,
+    /// The request's deadline passed before it was sent to an upstream.
+    DeadlinePassed,
+    /// The home region's ledger cannot be reached.
+    HomeUnreachable,
+    /// The request may not be answered in the region that received it.
+    WrongRegion,
+    /// The request was forwarded already and may not be forwarded again.
+    AlreadyForwarded,
+    /// The request crashed upstreams and is quarantined.
+    Quarantined,
+    /// The instance is stopping.
+    Draining,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// The request needs a session and an idempotency key.
+    SessionRequired,
+    /// The session has expired or belongs to an epoch that did not survive.
+    SessionExpired,
+    /// The ledger holds as many unacknowledged replies as it may.
+    LedgerFull,
+    /// The same key is being run by another attempt.
+    InProgress,
+    /// The request was dispatched and its outcome is not known.
+    OutcomeUnknown,
+    /// An upstream failed and no further attempt is allowed.
+    UpstreamFailed,
+    /// The instance has no settings yet.
+    NotReady,
+}
+
+impl RefusalCode {
+    /// The HTTP status that carries this code.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest | Self::SessionRequired => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::UnknownWorkspace | Self::UnknownKind | Self::NotFound => StatusCode::NOT_FOUND,
+            Self::Overloaded | Self::WorkspaceLimit | Self::TooManyStreams => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
+            Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            Self::WrongRegion | Self::AlreadyForwarded => StatusCode::MISDIRECTED_REQUEST,
+            Self::Quarantined | Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::SessionExpired => StatusCode::GONE,
+            Self::InProgress => StatusCode::CONFLICT,
+            Self::OutcomeUnknown | Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
+            Self::NoUpstream
+            | Self::HomeUnreachable
+            | Self::Draining
+            | Self::LedgerFull
+            | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// An answer without a full result.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Stable reason.
+    pub code: RefusalCode,
+    /// What is known of the request's execution.
+    pub ran: Ran,
+    /// Earliest time to send the request again, in milliseconds from now; absent where sending it
+    /// again cannot help.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// Explanation for a person.
+    pub message: String,
+}
+
+impl Refusal {
+    /// A refusal of a request of which no byte was sent to an upstream.
+    pub fn not_run(code: RefusalCode, message: impl Into<String>) -> Self {
+        Self { code, ran: Ran::No, retry_after_ms: None, message: message.into() }
+    }
+
+    /// A failure after which an upstream may have run the request.
+    pub fn unknown(code: RefusalCode, message: impl Into<String>) -> Self {
+        Self { code, ran: Ran::Unknown, retry_after_ms: None, message: message.into() }
+    }
+
+    /// Adds the earliest time to send the request again.
+    pub fn retry_after(mut self, delay: Duration) -> Self {
+        self.retry_after_ms = Some(u64::try_from(delay.as_millis()).unwrap_or(u64::MAX));
+        self
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?} (ran: {:?}): {}", self.code, self.ran, self.message)
+    }
+}
+
+impl std::error::Error for Refusal {}
--- /dev/null
+++ b/cicadastall/src/decode.rs
@@ -0,0 +1,192 @@
+//! First stage of a request: its headers and body become a plan of how to serve it.
+
+use crate::{
+    answer::{Refusal, RefusalCode},
+    name::{
+        IdempotencyKey, KindName, ModelName, PoolName, RegionName, RequestId, TeamName,
+        WorkspaceName,
+    },
+    settings::{FleetSettings, PlanError, Rank},
+    wire::{
+        ACKNOWLEDGED_HEADER, CallRequest, ChatRequest, FORWARDED_HEADER, KEY_HEADER, KIND_HEADER,
+        REMAINING_HEADER, REQUEST_HEADER, SESSION_HEADER, WORKSPACE_HEADER,
+    },
+};
+use hyper::HeaderMap;
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// Longest identifier that a caller may send, in bytes.
+const MAX_NAME_BYTES: usize = 200;
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RequestBody {
+    /// A chat completion.
+    Chat(ChatRequest),
+    /// A call to a plain service.
+    Call(CallRequest),
+}
+
+/// Path by which a request arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestPath {
+    /// Chat completions.
+    Chat,
+    /// Calls to plain services.
+    Call,
+}
+
+/// How one request is to be served.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestPlan {
+    /// The request.
+    pub request: RequestId,
+    /// Team that owns the workspace and the kind.
+    pub team: TeamName,
+    /// Tenant of the caller.
+    pub workspace: WorkspaceName,
+    /// Home region of the workspace.
+    pub home: RegionName,
+    /// Share of the workspace when capacity is short.
+    pub share: f64,
+    /// Class of the request.
+    pub kind: KindName,
+    /// Priority class.
+    pub rank: Rank,
+    /// Worth of the answer.
+    pub worth: f64,
+    /// Pool that runs the kind.
+    pub pool: PoolName,
+    /// Model to run.
+    pub model: Option<ModelName>,
+    /// Regions that may answer, the home region first.
+    pub regions: SmallVec<[RegionName; 4]>,
+    /// Target for the first token.
+    pub first_token: Duration,
+    /// Time after which the request is given up, counted from its arrival here.
+    pub deadline: Duration,
+    /// Whether the request may be run more than once.
+    pub repeatable: bool,
+    /// Region whose entry forwarded the request.
+    pub forwarded_from: Option<RegionName>,
+    /// Session, for requests that may not be repeated.
+    pub session: Option<String>,
+    /// Idempotency key, for requests that may not be repeated.
+    pub key: Option<IdempotencyKey>,
+    /// Keys of replies that the caller has received.
+    pub acknowledged: SmallVec<[IdempotencyKey; 4]>,
+    /// What is asked for.
+    pub body: RequestBody,
+}
+
+/// Decodes one request under `settings`; `fresh` names it where the caller sent no name.
+pub fn decode_request(
+    path: RequestPath,
+    headers: &HeaderMap,
+    body: &[u8],
+    settings: &FleetSettings,
+    fresh: RequestId,
+) -> Result<RequestPlan, Refusal> {
+    let workspace: WorkspaceName = require_header(headers, WORKSPACE_HEADER)?.into();
+    let kind: KindName = require_header(headers, KIND_HEADER)?.into();
+    let request = scan_header(headers, REQUEST_HEADER)?.map_or(fresh, RequestId::from);
+    let forwarded_from = scan_header(headers, FORWARDED_HEADER)?.map(RegionName::from);
+    let session = scan_header(headers, SESSION_HEADER)?.map(str::to_owned);
+    let key = scan_header(headers, KEY_HEADER)?.map(IdempotencyKey::from);
+    let acknowledged = scan_keys(headers)?;
+    let remaining = scan_remaining(headers)?;
+    let plan = settings.plan_kind(&workspace, &kind).map_err(|error| match error {
+        PlanError::UnknownWorkspace => Refusal::not_run(
+            RefusalCode::UnknownWorkspace,
+            format!("no workspace is named {workspace:?}"),
+        ),
+        PlanError::UnknownKind => Refusal::not_run(
+            RefusalCode::UnknownKind,
+            format!("workspace {workspace} has no kind named {kind:?}"),
+        ),
+    })?;
+    let body = decode_body(path, body)?;
+    let model = match &body {
+        RequestBody::Chat(chat) => chat.model.clone().or_else(|| plan.kind.model.clone()),
+        RequestBody::Call(_) => None,
+    };
+    let configured = Duration::from_millis(plan.kind.deadline_ms);
+    Ok(RequestPlan {
+        request,
+        team: plan.team.clone(),
+        home: plan.workspace.home.clone(),
+        share: plan.workspace.share,
+        workspace,
+        kind,
+        rank: plan.kind.rank,
+        worth: plan.kind.worth,
+        pool: plan.kind.pool.clone(),
+        model,
+        first_token: Duration::from_millis(plan.kind.first_token_ms),
+        deadline: remaining.map_or(configured, |remaining| remaining.min(configured)),
+        repeatable: plan.kind.repeatable,
+        regions: plan.regions,
+        forwarded_from,
+        session,
+        key,
+        acknowledged,
+        body,
+    })
+}
+
+fn decode_body(path: RequestPath, body: &[u8]) -> Result<RequestBody, Refusal> {
+    let decoded = match path {
+        RequestPath::Chat => serde_json::from_slice(body).map(RequestBody::Chat),
+        RequestPath::Call => serde_json::from_slice(body).map(RequestBody::Call),
+    };
+    decoded.map_err(|error| {
+        Refusal::not_run(RefusalCode::BadRequest, format!("body is not valid: {error}"))
+    })
+}
+
+fn scan_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= MAX_NAME_BYTES => Ok(Some(text)),
+        _ => Err(Refusal::not_run(
+            RefusalCode::BadRequest,
+            format!("header {name} must be 1 to {MAX_NAME_BYTES} visible ASCII characters"),
+        )),
+    }
+}
+
+fn require_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, Refusal> {
+    scan_header(headers, name)?.ok_or_else(|| {
+        Refusal::not_run(RefusalCode::BadRequest, format!("header {name} is missing"))
+    })
+}
+
+fn scan_remaining(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    let Some(text) = scan_header(headers, REMAINING_HEADER)? else {
+        return Ok(None);
+    };
+    let remaining_ms = text.parse().map_err(|_| {
+        Refusal::not_run(
+            RefusalCode::BadRequest,
+            format!("header {REMAINING_HEADER} must be a number of milliseconds, not {text:?}"),
+        )
+    })?;
+    Ok(Some(Duration::from_millis(remaining_ms)))
+}
+
+fn scan_keys(headers: &HeaderMap) -> Result<SmallVec<[IdempotencyKey; 4]>, Refusal> {
+    let mut keys = SmallVec::new();
+    for value in headers.get_all(ACKNOWLEDGED_HEADER) {
+        let text = value.to_str().map_err(|_| {
+            Refusal::not_run(
+                RefusalCode::BadRequest,
+                format!("header {ACKNOWLEDGED_HEADER} must be visible ASCII characters"),
+            )
+        })?;
+        keys.extend(text.split(',').map(str::trim).filter(|key| !key.is_empty()).map(Into::into));
+    }
+    Ok(keys)
+}
--- /dev/null
+++ b/cicadastall/src/instance.rs
@@ -0,0 +1,179 @@
+//! What entries and control instances have in common: the control thread, membership, settings and
+//! the service for other instances.
+
+use crate::{
+    follow::{SettingsHolder, follow_settings},
+    http,
+    membership::{MembershipActor, MembershipArguments, MembershipMessage},
+    node::NodeSettings,
+    peer::{MAX_MESSAGE_BYTES, MemberExchange, PeerApi, PeerClients},
+    settings::{Revision, SettingsSnapshot},
+    table::RoutingTable,
+};
+use arc_swap::ArcSwap;
+use futures::{StreamExt, future};
+use ractor::{Actor, ActorRef, rpc::CallResult};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Json,
+};
+use tokio::{net::TcpListener, runtime::Handle, sync::oneshot, task::JoinSet, time::sleep};
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Longest time to wait for the control thread.
+pub(crate) const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// A thread of its own for control state.
+#[derive(Debug)]
+pub struct ControlThread {
+    handle: Handle,
+    _stop: oneshot::Sender<()>,
+}
+
+impl ControlThread {
+    /// Starts the thread; it ends when the value is dropped.
+    pub fn start(name: &str) -> io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let handle = runtime.handle().clone();
+        let (stop, stopped) = oneshot::channel::<()>();
+        std::thread::Builder::new().name(name.to_owned()).spawn(move || {
+            let _ = runtime.block_on(stopped);
+        })?;
+        Ok(Self { handle, _stop: stop })
+    }
+
+    /// Handle for tasks of the thread.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+}
+
+/// Service for other instances.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerServer {
+    pub(crate) membership: ActorRef<MembershipMessage>,
+    pub(crate) settings: Arc<SettingsHolder>,
+}
+
+impl PeerApi for PeerServer {
+    async fn exchange(self, _: Context, state: MemberExchange) -> MemberExchange {
+        let asked = self
+            .membership
+            .call(|reply| MembershipMessage::Exchange(state, reply), Some(CONTROL_TIMEOUT))
+            .await;
+        match asked {
+            Ok(CallResult::Success(reply)) => reply,
+            _ => MemberExchange::default(),
+        }
+    }
+
+    async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
+        self.settings.newer_than(revision)
+    }
+}
+
+/// Addresses on which an instance listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InstanceAddresses {
+    /// For callers and upstreams; none for a control instance.
+    pub caller: Option<SocketAddr>,
+    /// For operators.
+    pub operator: SocketAddr,
+    /// For other instances.
+    pub peer: SocketAddr,
+}
+
+/// Parts that entries and control instances have in common.
+pub(crate) struct InstanceCore {
+    pub(crate) addresses: InstanceAddresses,
+    pub(crate) operator: TcpListener,
+    pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) table: Arc<ArcSwap<RoutingTable>>,
+    pub(crate) membership: ActorRef<MembershipMessage>,
+    pub(crate) in_flight: Arc<AtomicU32>,
+    pub(crate) tasks: JoinSet<()>,
+}
+
+impl InstanceCore {
+    pub(crate) async fn start(
+        node: &Arc<NodeSettings>,
+        caller: Option<SocketAddr>,
+        control: &Handle,
+    ) -> io::Result<Self> {
+        let settings = Arc::new(SettingsHolder::default());
+        let table = Arc::new(ArcSwap::from_pointee(RoutingTable::default()));
+        let clients = Arc::new(PeerClients::default());
+        let in_flight = Arc::new(AtomicU32::new(0));
+        let node = Arc::clone(node);
+        let started = control.spawn({
+            let settings = Arc::clone(&settings);
+            let table = Arc::clone(&table);
+            let in_flight = Arc::clone(&in_flight);
+            async move {
+                let operator = http::bind(node.operator_listen).await?;
+                let peers = http::bind(node.peer_listen).await?;
+                let addresses = InstanceAddresses {
+                    caller,
+                    operator: operator.local_addr()?,
+                    peer: peers.local_addr()?,
+                };
+                let arguments = MembershipArguments {
+                    node: Arc::clone(&node),
+                    caller_address: caller,
+                    peer_address: addresses.peer,
+                    clients: Arc::clone(&clients),
+                    table: Arc::clone(&table),
+                    in_flight: Arc::clone(&in_flight),
+                };
+                let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
+                    .await
+                    .map_err(io::Error::other)?;
+                let server =
+                    PeerServer { membership: membership.clone(), settings: Arc::clone(&settings) };
+                let mut tasks = JoinSet::new();
+                tasks.spawn(serve_peers(peers, server));
+                tasks.spawn(follow_settings(
+                    node,
+                    Arc::clone(&settings),
+                    clients,
+                    Arc::clone(&table),
+                ));
+                Ok(Self { addresses, operator, settings, table, membership, in_flight, tasks })
+            }
+        });
+        started.await.map_err(io::Error::other)?
+    }
+}
+
+/// Answers calls of other instances on `listener` until its task is dropped.
+async fn serve_peers(listener: TcpListener, service: PeerServer) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accept of a peer failed: {error}");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        let mut codec = LengthDelimitedCodec::builder();
+        codec.max_frame_length(MAX_MESSAGE_BYTES);
+        let transport = tarpc::serde_transport::new(codec.new_framed(stream), Json::default());
+        let calls = BaseChannel::with_defaults(transport).execute(service.clone().serve());
+        tokio::spawn(calls.for_each(|call| {
+            tokio::spawn(call);
+            future::ready(())
+        }));
+    }
+}
--- /dev/null
+++ b/cicadastall/src/lib.rs
@@ -0,0 +1,38 @@
+//! cicadastall: a multi-region inference gateway for a few small instances.
+//!
+//! A request passes through the modules in this order: [`serve`] reads it, [`decode`] plans it by
+//! the [`settings`], [`route`] chooses an upstream from the [`table`], [`dispatch`] makes one
+//! attempt, [`stream`] keeps what belongs to it, and [`relay`] repeats attempts until the answer is
+//! whole. [`answer`] names what the caller gets when there is no result.
+//!
+//! ```
+//! use cicadastall::settings::FleetSettings;
+//!
+//! let tree: FleetSettings = serde_json::from_str(r#"{"regions": {}, "teams": {}}"#)?;
+//! assert!(tree.plan_kind(&"aqaba-port".into(), &"splice-review".into()).is_err());
+//! # Ok::<(), serde_json::Error>(())
+//! ```
+
+pub mod answer;
+pub mod control;
+pub mod decode;
+pub mod dispatch;
+pub mod entry;
+pub mod follow;
+pub mod http;
+pub mod instance;
+pub mod logs;
+pub mod members;
+pub mod membership;
+pub mod name;
+pub mod node;
+pub mod observe;
+pub mod peer;
+pub mod relay;
+pub mod replicated;
+pub mod route;
+pub mod serve;
+pub mod settings;
+pub mod stream;
+pub mod table;
+pub mod wire;
--- /dev/null
+++ b/cicadastall/src/node.rs
@@ -0,0 +1,143 @@
+//! Settings of one process: its name, place, addresses and limits.
+
+use crate::name::{InstanceName, RegionName, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+/// Settings that one process reads from its file at start.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name, unique in the fleet.
+    pub instance: InstanceName,
+    /// Region of the instance.
+    pub region: RegionName,
+    /// Availability zone of the instance.
+    pub zone: ZoneName,
+    /// Address for callers and upstreams; port 0 lets the system choose.
+    pub caller_listen: SocketAddr,
+    /// Address for operators.
+    pub operator_listen: SocketAddr,
+    /// Address for other instances.
+    pub peer_listen: SocketAddr,
+    /// Peer addresses of some instances, of this zone and of others.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Peer addresses of the region's control instances.
+    #[serde(default)]
+    pub control: Vec<SocketAddr>,
+    /// Members of the settings group; only a control instance has them.
+    #[serde(default)]
+    pub settings_voters: Vec<VoterSettings>,
+    /// Members of the region's ledger group.
+    #[serde(default)]
+    pub ledger_voters: Vec<VoterSettings>,
+    /// Folder for durable state; only a control instance has one.
+    #[serde(default)]
+    pub data_folder: Option<PathBuf>,
+    /// File with the fleet's settings at founding; only a control instance has one.
+    #[serde(default)]
+    pub founding_settings: Option<PathBuf>,
+    /// Limits on what callers send.
+    #[serde(default)]
+    pub limits: CallerLimits,
+    /// Longest time that a graceful stop takes, in milliseconds.
+    #[serde(default = "default_stop_bound_ms")]
+    pub stop_bound_ms: u64,
+}
+
+/// A member of a replicated group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VoterSettings {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Its peer address.
+    pub address: SocketAddr,
+}
+
+/// Limits on what one caller sends.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Most bytes of a request body.
+    pub body_bytes: usize,
+    /// Most bytes of the request's headers.
+    pub header_bytes: usize,
+    /// Longest time to send headers and body, in milliseconds.
+    pub send_ms: u64,
+    /// Most connections of the instance.
+    pub connections: usize,
+    /// Most requests in flight from one address.
+    pub streams_per_caller: usize,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 4 * 1024 * 1024,
+            header_bytes: 32 * 1024,
+            send_ms: 10_000,
+            connections: 4_096,
+            streams_per_caller: 512,
+        }
+    }
+}
+
+fn default_stop_bound_ms() -> u64 {
+    120_000
+}
+
+impl NodeSettings {
+    /// Reads the settings from the JSON file at `path`.
+    pub fn read(path: &Path) -> Result<Self, NodeError> {
+        let text = std::fs::read(path)
+            .map_err(|source| NodeError::Unreadable { path: path.into(), source })?;
+        serde_json::from_slice(&text)
+            .map_err(|source| NodeError::Invalid { path: path.into(), source })
+    }
+
+    /// Longest time that a graceful stop takes.
+    pub fn stop_bound(&self) -> Duration {
+        Duration::from_millis(self.stop_bound_ms)
+    }
+}
+
+/// Settings of a process that can't be used.
+#[derive(Debug)]
+pub enum NodeError {
+    /// The file could not be read.
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The file does not hold valid settings.
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// Cause, with line and column.
+        source: serde_json::Error,
+    },
+}
+
+impl std::fmt::Display for NodeError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreadable { path, source } => {
+                write!(formatter, "cannot read {}: {source}", path.display())
+            }
+            Self::Invalid { path, source } => {
+                write!(formatter, "invalid settings in {}: {source}", path.display())
+            }
+        }
+    }
+}
+
+impl std::error::Error for NodeError {}
--- /dev/null
+++ b/cicadastall/src/observe.rs
@@ -0,0 +1,115 @@
+//! Metrics of requests, by workspace, kind and rank.
+
+use crate::{answer::RefusalCode, decode::RequestPlan, settings::Rank};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::{fmt, time::Duration};
+
+/// Upper bounds of the histograms' buckets, in milliseconds.
+const BUCKETS_MS: [f64; 14] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 1_600.0, 5_000.0, 20_000.0,
+    60_000.0,
+];
+
+/// Metrics of one instance.
+pub struct RequestMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    queue_wait: Histogram<f64>,
+    first_token: Histogram<f64>,
+    whole_answer: Histogram<f64>,
+    outcomes: Counter<u64>,
+}
+
+impl fmt::Debug for RequestMetrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("RequestMetrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for RequestMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl RequestMetrics {
+    /// Metrics with a registry of their own.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry has no colliding metrics");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cicadastall");
+        let histogram = |name| {
+            meter.f64_histogram(name).with_unit("ms").with_boundaries(BUCKETS_MS.to_vec()).build()
+        };
+        Self {
+            queue_wait: histogram("cicadastall_queue_wait"),
+            first_token: histogram("cicadastall_first_token"),
+            whole_answer: histogram("cicadastall_whole_answer"),
+            outcomes: meter.u64_counter("cicadastall_outcomes").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Records the time that a request waited before its first attempt.
+    pub fn record_queue_wait(&self, plan: &RequestPlan, wait: Duration) {
+        self.queue_wait.record(millis(wait), &labels(plan));
+    }
+
+    /// Records the time from a request's arrival to its first token.
+    pub fn record_first_token(&self, plan: &RequestPlan, elapsed: Duration) {
+        self.first_token.record(millis(elapsed), &labels(plan));
+    }
+
+    /// Records the time from a request's arrival to the end of its answer.
+    pub fn record_whole_answer(&self, plan: &RequestPlan, elapsed: Duration) {
+        self.whole_answer.record(millis(elapsed), &labels(plan));
+        self.count_outcome(plan, "answered");
+    }
+
+    /// Counts a request that got no full result.
+    pub fn record_refusal(&self, plan: &RequestPlan, code: RefusalCode) {
+        let text = serde_json::to_value(code).ok();
+        self.count_outcome(plan, text.as_ref().and_then(|text| text.as_str()).unwrap_or("other"));
+    }
+
+    /// All metrics in the text format that scrapers read.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metrics not rendered: {error}");
+        }
+        text
+    }
+
+    fn count_outcome(&self, plan: &RequestPlan, outcome: &str) {
+        let [workspace, kind, rank] = labels(plan);
+        let outcome = KeyValue::new("outcome", outcome.to_owned());
+        self.outcomes.add(1, &[workspace, kind, rank, outcome]);
+    }
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+fn labels(plan: &RequestPlan) -> [KeyValue; 3] {
+    let rank = match plan.rank {
+        Rank::Urgent => "urgent",
+        Rank::Patient => "patient",
+    };
+    [
+        KeyValue::new("workspace", plan.workspace.to_string()),
+        KeyValue::new("kind", plan.kind.to_string()),
+        KeyValue::new("rank", rank),
+    ]
+}
--- /dev/null
+++ b/cicadastall/src/serve.rs
@@ -0,0 +1,260 @@
+//! The entry's HTTP interface for callers and upstreams.
+
+use crate::{
+    answer::{Refusal, RefusalCode},
+    decode::{RequestBody, RequestPath, RequestPlan, decode_request},
+    dispatch::{CALL_PATH, CHAT_PATH},
+    entry::EntryContext,
+    http::{AnswerBody, BodyError, event_answer, json_answer, read_body},
+    membership::MembershipMessage,
+    name::{AttemptId, RequestId},
+    relay::{AnswerSource, RelayedStream, RequestRelay},
+    stream::EventScanner,
+    table::UpstreamRecord,
+    wire::{
+        CallAnswer, CallRequest, ChatChoice, ChatChunk, ChatDelta, ChatRequest, END_MARKER,
+        ErrorBody, REGION_HEADER, REQUEST_HEADER, UPSTREAM_HEADER,
+    },
+};
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderValue, RETRY_AFTER},
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{sync::mpsc, time::Instant};
+
+/// Path of upstreams' announcements.
+pub const ANNOUNCE_PATH: &str = "/v1/announce";
+
+/// Path of the listing of entries.
+pub const ENTRIES_PATH: &str = "/v1/entries";
+
+/// Answers one request of a caller, an upstream or another entry.
+pub(crate) async fn answer_request(
+    context: Arc<EntryContext>,
+    _peer: SocketAddr,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (head, body) = request.into_parts();
+    let fresh = context.name_request();
+    let limits = &context.node().limits;
+    let bound = Duration::from_millis(limits.send_ms);
+    let body = match read_body(body, limits.body_bytes, bound).await {
+        Ok(body) => body,
+        Err(error) => return refuse(&fresh, refuse_body(error, limits.body_bytes)),
+    };
+    match (head.method, head.uri.path()) {
+        (Method::GET, ENTRIES_PATH) => list_entries(&context).await,
+        (Method::POST, ANNOUNCE_PATH) => announce(&context, &fresh, &body).await,
+        (Method::POST, CHAT_PATH) => {
+            answer_planned(context, RequestPath::Chat, &head.headers, &body, fresh).await
+        }
+        (Method::POST, CALL_PATH) => {
+            answer_planned(context, RequestPath::Call, &head.headers, &body, fresh).await
+        }
+        (method, path) => {
+            let message = format!("no such path: {method} {path}");
+            refuse(&fresh, Refusal::not_run(RefusalCode::NotFound, message))
+        }
+    }
+}
+
+async fn answer_planned(
+    context: Arc<EntryContext>,
+    path: RequestPath,
+    headers: &HeaderMap,
+    body: &[u8],
+    fresh: RequestId,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let settings = context.settings().newest();
+    if !context.settings().is_ready() {
+        let refusal = Refusal::not_run(RefusalCode::NotReady, "no settings have arrived yet");
+        return refuse(&fresh, refusal.retry_after(Duration::from_secs(1)));
+    }
+    let plan = match decode_request(path, headers, body, &settings.tree, fresh.clone()) {
+        Ok(plan) => plan,
+        Err(refusal) => return refuse(&fresh, refusal),
+    };
+    let _guard = context.count_request();
+    let request = plan.request.clone();
+    let answer = run_plan(&context, plan.clone(), arrived).await;
+    answer.unwrap_or_else(|refusal| {
+        context.metrics().record_refusal(&plan, refusal.code);
+        refuse(&request, refusal)
+    })
+}
+
+async fn run_plan(
+    context: &Arc<EntryContext>,
+    plan: RequestPlan,
+    arrived: Instant,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let relay = RequestRelay::new(Arc::clone(context), plan.clone(), arrived);
+    match &plan.body {
+        RequestBody::Call(call) => answer_call(context, relay, &plan, call, arrived).await,
+        RequestBody::Chat(chat) => {
+            let stream = relay.start_stream(chat.clone()).await?;
+            context.metrics().record_first_token(&plan, arrived.elapsed());
+            answer_chat(context, &plan, chat, stream, arrived).await
+        }
+    }
+}
+
+async fn answer_call(
+    context: &EntryContext,
+    relay: RequestRelay,
+    plan: &RequestPlan,
+    call: &CallRequest,
+    arrived: Instant,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let (source, result) = relay.run_call(call).await?;
+    context.metrics().record_whole_answer(plan, arrived.elapsed());
+    let answer = CallAnswer { attempt: AttemptId::new(plan.request.as_str()), result };
+    Ok(label_answer(json_answer(StatusCode::OK, &answer), &plan.request, &source))
+}
+
+async fn answer_chat(
+    context: &Arc<EntryContext>,
+    plan: &RequestPlan,
+    chat: &ChatRequest,
+    stream: RelayedStream,
+    arrived: Instant,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let RelayedStream { source, events } = stream;
+    if !chat.stream {
+        let chunk = collect_answer(&plan.request, events).await?;
+        context.metrics().record_whole_answer(plan, arrived.elapsed());
+        return Ok(label_answer(json_answer(StatusCode::OK, &chunk), &plan.request, &source));
+    }
+    let events = watch_end(context, plan, events, arrived);
+    Ok(label_answer(event_answer(events), &plan.request, &source))
+}
+
+/// Passes events on and records the end of the answer.
+fn watch_end(
+    context: &Arc<EntryContext>,
+    plan: &RequestPlan,
+    mut events: mpsc::Receiver<Bytes>,
+    arrived: Instant,
+) -> mpsc::Receiver<Bytes> {
+    let (sender, watched) = mpsc::channel(1);
+    let context = Arc::clone(context);
+    let plan = plan.clone();
+    tokio::spawn(async move {
+        let _guard = context.count_request();
+        let end = crate::stream::encode_event(END_MARKER.as_bytes());
+        while let Some(event) = events.recv().await {
+            let ended = event == end;
+            if sender.send(event).await.is_err() {
+                return;
+            }
+            if ended {
+                context.metrics().record_whole_answer(&plan, arrived.elapsed());
+            }
+        }
+    });
+    watched
+}
+
+/// Joins the tokens of a whole answer into one chunk.
+async fn collect_answer(
+    request: &RequestId,
+    mut events: mpsc::Receiver<Bytes>,
+) -> Result<ChatChunk, Refusal> {
+    let mut scanner = EventScanner::default();
+    let mut content = String::new();
+    while let Some(event) = events.recv().await {
+        scanner.push(&event);
+        let Ok(Some(data)) = scanner.scan_event() else { continue };
+        if data == END_MARKER {
+            let choice =
+                ChatChoice { delta: ChatDelta { content }, finish_reason: Some("stop".into()) };
+            let id = request.as_str().to_owned();
+            return Ok(ChatChunk { id, offset: 0, choices: vec![choice] });
+        }
+        if let Ok(error) = serde_json::from_slice::<ErrorBody>(&data) {
+            return Err(error.error);
+        }
+        if let Ok(chunk) = serde_json::from_slice::<ChatChunk>(&data) {
+            content.extend(chunk.choices.into_iter().map(|choice| choice.delta.content));
+        }
+    }
+    Err(Refusal::unknown(RefusalCode::UpstreamFailed, "answer ended before it was whole"))
+}
+
+async fn list_entries(context: &EntryContext) -> Response<AnswerBody> {
+    match context.ask_membership(MembershipMessage::ListEntries).await {
+        Some(listing) => json_answer(StatusCode::OK, &listing),
+        None => refuse(&context.name_request(), refuse_stopping()),
+    }
+}
+
+async fn announce(
+    context: &EntryContext,
+    request: &RequestId,
+    body: &[u8],
+) -> Response<AnswerBody> {
+    let record: UpstreamRecord = match serde_json::from_slice(body) {
+        Ok(record) => record,
+        Err(error) => {
+            let message = format!("announcement is not valid: {error}");
+            return refuse(request, Refusal::not_run(RefusalCode::BadRequest, message));
+        }
+    };
+    let asked =
+        context.ask_membership(|reply| MembershipMessage::Announce(Box::new(record), reply));
+    match asked.await {
+        Some(reply) => json_answer(StatusCode::OK, &reply),
+        None => refuse(request, refuse_stopping()),
+    }
+}
+
+fn refuse_stopping() -> Refusal {
+    Refusal::not_run(RefusalCode::Draining, "the instance is stopping")
+        .retry_after(Duration::from_secs(1))
+}
+
+fn refuse_body(error: BodyError, limit: usize) -> Refusal {
+    match error {
+        BodyError::TooLarge => {
+            Refusal::not_run(RefusalCode::TooLarge, format!("body exceeds {limit} bytes"))
+        }
+        BodyError::TooSlow => Refusal::not_run(RefusalCode::TooSlow, "body was not sent in time"),
+        BodyError::Broken => Refusal::not_run(RefusalCode::BadRequest, "body was cut off"),
+    }
+}
+
+/// The answer that carries `refusal`.
+pub(crate) fn refuse(request: &RequestId, refusal: Refusal) -> Response<AnswerBody> {
+    let status = refusal.code.status();
+    let retry_after = refusal.retry_after_ms.map(|delay| delay.div_ceil(1_000).max(1));
+    let body = ErrorBody { request: request.clone(), error: refusal };
+    let mut answer = json_answer(status, &body);
+    if let Some(seconds) = retry_after {
+        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    insert_header(&mut answer, REQUEST_HEADER, request.as_str());
+    answer
+}
+
+fn label_answer(
+    mut answer: Response<AnswerBody>,
+    request: &RequestId,
+    source: &AnswerSource,
+) -> Response<AnswerBody> {
+    insert_header(&mut answer, REQUEST_HEADER, request.as_str());
+    insert_header(&mut answer, REGION_HEADER, source.region.as_str());
+    if let Some(upstream) = &source.upstream {
+        insert_header(&mut answer, UPSTREAM_HEADER, upstream.as_str());
+    }
+    answer
+}
+
+fn insert_header(answer: &mut Response<AnswerBody>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        answer.headers_mut().insert(name, value);
+    }
+}
