Add a group of one replica, against which lanes build

Cause: ledger and settings need a group before the replication core lands. Conclusion: kept for tests and for a region with one replica without a disk.

--- a/cicadastall/src/replicated.rs
+++ b/cicadastall/src/replicated.rs
@@ -2,7 +2,11 @@
 
 use crate::name::InstanceName;
 use serde::{Serialize, de::DeserializeOwned};
-use std::{fmt, fmt::Debug, future::Future};
+use std::{
+    fmt::{self, Debug},
+    future::Future,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
 
 /// Deterministic state, changed only by commands in the order of the group's log.
 ///
@@ -73,3 +77,34 @@
 }
 
 impl std::error::Error for GroupError {}
+
+/// A group of one replica whose state lasts as long as the process.
+#[derive(Debug, Default)]
+pub struct LocalGroup<S> {
+    state: Mutex<S>,
+}
+
+impl<S: ReplicatedState> LocalGroup<S> {
+    /// A group that starts from `state`.
+    pub fn new(state: S) -> Self {
+        Self { state: Mutex::new(state) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, S> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<S: ReplicatedState> ReplicatedGroup<S> for LocalGroup<S> {
+    async fn propose(&self, command: S::Command) -> Result<S::Reply, GroupError> {
+        Ok(self.lock().apply(&command))
+    }
+
+    async fn read<T: Send>(&self, query: impl FnOnce(&S) -> T + Send) -> Result<T, GroupError> {
+        Ok(query(&self.lock()))
+    }
+
+    fn read_local<T>(&self, query: impl FnOnce(&S) -> T) -> T {
+        query(&self.lock())
+    }
+}
