Compare routing policies over a model of upstreams

Cause: the users' measures are decided by the router, and nothing measured it. Change: a pure model of an upstream (continuous batching, KV and prefix cache, priorities, preemption, crash, slow-down, late and lost reports), workloads of both users as JSON, and `cicadastall-bench compare`, which runs the library's router and retry rule over a queue of events. The router gets the shape of the prompt, and gives a ticket for each attempt. Conclusion: floods need admission; long prompts need a score that knows them.

--- /dev/null
+++ b/cicadastall-bench/src/compare/metrics.rs
@@ -0,0 +1,390 @@
+//! What is measured of a run.
+
+use crate::compare::{
+    requests::SimRequest,
+    workload::{FaultKind, FaultPlan, Workload},
+};
+use cicadastall::{answer::RefusalCode, settings::Rank};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::{collections::BTreeMap, fmt::Write as _, time::Duration};
+use tokio::time::Instant;
+
+/// Length of the buckets by which recovery is judged.
+const BUCKET: Duration = Duration::from_secs(10);
+
+/// Urgent on-time share from which service counts as normal.
+const NORMAL_SHARE: f64 = 0.95;
+
+/// Figures of one kind.
+#[derive(Debug, Clone, Serialize)]
+pub struct KindReport {
+    /// Requests of callers.
+    pub asked: u64,
+    /// Share with a whole answer.
+    pub answered: f64,
+    /// Share whose first token met the target, counted from the first asking.
+    pub on_time: f64,
+    /// First token in milliseconds, 50th percentile.
+    pub first_token_p50_ms: u64,
+    /// First token in milliseconds, 99th percentile.
+    pub first_token_p99_ms: u64,
+    /// Whole answer in milliseconds, 50th percentile.
+    pub answer_p50_ms: u64,
+    /// Whole answer in milliseconds, 99th percentile.
+    pub answer_p99_ms: u64,
+}
+
+/// Figures of the time of floods.
+#[derive(Debug, Clone, Serialize)]
+pub struct FloodReport {
+    /// Urgent on-time share of requests that do not belong to the flood.
+    pub urgent_on_time: f64,
+    /// Answers on time, counted from the last asking, in work over the fleet's capacity.
+    pub urgent_use: f64,
+    /// Patient work done over the capacity that remained after urgent work.
+    pub patient_use: f64,
+    /// Longest time without a patient answer, in seconds.
+    pub patient_gap_s: f64,
+    /// Time after the last flood until urgent service stayed normal, in seconds.
+    pub recovery_s: f64,
+}
+
+/// Figures of one policy.
+#[derive(Debug, Clone, Serialize)]
+pub struct PolicyReport {
+    /// The policy.
+    pub policy: &'static str,
+    /// Hours during which accelerators worked.
+    pub busy_hours: f64,
+    /// Share of urgent requests on time, counted from the first asking.
+    pub urgent_on_time: f64,
+    /// Worth of answers over worth of requests.
+    pub weighted_service: f64,
+    /// Share of answers from another region.
+    pub cross_region: f64,
+    /// Bytes over each link.
+    pub link_bytes: BTreeMap<String, u64>,
+    /// Prompt tokens found in prefix caches over all prompt tokens.
+    pub prefix_hits: f64,
+    /// Attempts and forwards over requests asked that were sent at all.
+    pub sends_per_request: f64,
+    /// Asks over requests.
+    pub asks_per_request: f64,
+    /// Final and intermediate refusals by reason.
+    pub refused: BTreeMap<RefusalCode, u64>,
+    /// Floods, where the workload has any.
+    pub flood: Option<FloodReport>,
+    /// Each kind.
+    pub kinds: BTreeMap<String, KindReport>,
+}
+
+#[derive(Debug)]
+struct KindCount {
+    asked: u64,
+    answered: u64,
+    on_time: u64,
+    first_token: Histogram<u64>,
+    answer: Histogram<u64>,
+}
+
+#[derive(Debug, Default)]
+struct FloodCount {
+    urgent: (u64, u64),
+    urgent_on_time_s: f64,
+    urgent_s: f64,
+    patient_s: f64,
+    last_patient: Duration,
+    patient_gap: Duration,
+}
+
+/// Counts of a run in progress.
+#[derive(Debug)]
+pub struct RunMetrics {
+    kinds: Vec<KindCount>,
+    worth: (f64, f64),
+    crossed: u64,
+    links: BTreeMap<(usize, usize), u64>,
+    prompt_tokens: (u64, u64),
+    sends: (u64, u64),
+    asks: u64,
+    refused: BTreeMap<RefusalCode, u64>,
+    busy: Duration,
+    flood: FloodCount,
+    windows: Vec<(Duration, Duration)>,
+    buckets: Vec<(u64, u64)>,
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("three digits are supported")
+}
+
+impl RunMetrics {
+    /// Counts of a run that has not begun.
+    pub fn new(workload: &Workload) -> Self {
+        let flood = |plan: &&FaultPlan| matches!(plan.fault, FaultKind::Flood { .. });
+        let windows: Vec<_> = workload
+            .faults
+            .iter()
+            .filter(flood)
+            .map(|plan| (plan.at_s, plan.at_s + plan.for_s))
+            .map(|(from, to)| (Duration::from_secs(from), Duration::from_secs(to)))
+            .collect();
+        let kinds = workload.kinds.iter().map(|_| KindCount {
+            asked: 0,
+            answered: 0,
+            on_time: 0,
+            first_token: new_histogram(),
+            answer: new_histogram(),
+        });
+        let start = windows.first().map(|window| window.0).unwrap_or_default();
+        let buckets = workload.duration_s / BUCKET.as_secs() + 1;
+        Self {
+            kinds: kinds.collect(),
+            worth: (0.0, 0.0),
+            crossed: 0,
+            links: BTreeMap::new(),
+            prompt_tokens: (0, 0),
+            sends: (0, 0),
+            asks: 0,
+            refused: BTreeMap::new(),
+            busy: Duration::ZERO,
+            flood: FloodCount { last_patient: start, ..FloodCount::default() },
+            windows,
+            buckets: vec![(0, 0); buckets as usize],
+        }
+    }
+
+    /// Counts a new request.
+    pub fn count_asked(&mut self, request: &SimRequest) {
+        self.kinds[request.kind].asked += 1;
+    }
+
+    /// Counts a refusal that a caller got.
+    pub fn count_refusal(&mut self, code: RefusalCode) {
+        *self.refused.entry(code).or_default() += 1;
+    }
+
+    /// Counts bytes on the link between two zones.
+    pub fn count_link(&mut self, from: usize, to: usize, bytes: u64) {
+        *self.links.entry((from, to)).or_default() += bytes;
+    }
+
+    /// Counts the prompt of a request whose first token came.
+    pub fn count_prefix(&mut self, on_engines: bool, tokens: u32, cached: u32) {
+        if on_engines {
+            self.prompt_tokens.0 += u64::from(tokens);
+            self.prompt_tokens.1 += u64::from(cached);
+        }
+    }
+
+    /// Counts the time that an upstream worked.
+    pub fn count_busy(&mut self, is_engine: bool, busy: Duration) {
+        if is_engine {
+            self.busy += busy;
+        }
+    }
+
+    /// Counts the end of a request, `code` being why it has no whole answer.
+    pub fn count_end(
+        &mut self,
+        workload: &Workload,
+        request: &SimRequest,
+        now: Instant,
+        at: Duration,
+        code: Option<RefusalCode>,
+    ) {
+        let load = &workload.kinds[request.kind];
+        let target = Duration::from_millis(load.first_token_ms);
+        let on_time = code.is_none() && request.first_token.is_some_and(|time| time <= target);
+        self.worth.0 += load.worth;
+        self.asks += u64::from(request.asks);
+        if request.sends > 0 {
+            self.sends.0 += 1;
+            self.sends.1 += u64::from(request.sends);
+        }
+        let count = &mut self.kinds[request.kind];
+        if code == Some(RefusalCode::DeadlinePassed) {
+            *self.refused.entry(RefusalCode::DeadlinePassed).or_default() += 1;
+        }
+        if let (None, Some(first_token)) = (code, request.first_token) {
+            count.answered += 1;
+            count.on_time += u64::from(on_time);
+            let _ = count.first_token.record(first_token.as_millis() as u64);
+            let whole = now.duration_since(request.first_asked);
+            let _ = count.answer.record(whole.as_millis() as u64);
+            self.worth.1 += load.worth;
+            self.crossed += u64::from(request.legs.len() > 1);
+        }
+        if load.on_engines {
+            self.count_flood(load.rank, request, at, code.is_none(), on_time);
+        }
+    }
+
+    fn count_flood(
+        &mut self,
+        rank: Rank,
+        request: &SimRequest,
+        at: Duration,
+        answered: bool,
+        on_time: bool,
+    ) {
+        let bucket = (at.as_secs() / BUCKET.as_secs()) as usize;
+        if rank == Rank::Urgent && !request.flood {
+            self.buckets[bucket].0 += 1;
+            self.buckets[bucket].1 += u64::from(on_time);
+        }
+        if !self.windows.iter().any(|(from, to)| (*from..*to).contains(&at)) {
+            self.flood.last_patient = at;
+            return;
+        }
+        let work_s = if answered { request.work_s } else { 0.0 };
+        let flood = &mut self.flood;
+        match rank {
+            Rank::Urgent => {
+                flood.urgent_s += work_s;
+                if request.on_time {
+                    flood.urgent_on_time_s += work_s;
+                }
+                if !request.flood {
+                    flood.urgent.0 += 1;
+                    flood.urgent.1 += u64::from(on_time);
+                }
+            }
+            Rank::Patient => {
+                flood.patient_s += work_s;
+                if answered {
+                    flood.patient_gap = flood.patient_gap.max(at.abs_diff(flood.last_patient));
+                    flood.last_patient = at;
+                }
+            }
+        }
+    }
+
+    /// All figures.
+    pub fn report(&self, workload: &Workload, policy: &'static str) -> PolicyReport {
+        let urgent = || {
+            let counts = workload.kinds.iter().zip(&self.kinds);
+            counts.filter(|(load, _)| load.rank == Rank::Urgent).map(|(_, count)| count)
+        };
+        let answered: u64 = self.kinds.iter().map(|count| count.answered).sum();
+        let asked: u64 = self.kinds.iter().map(|count| count.asked).sum();
+        let region = |zone: &usize| workload.regions[*zone].name.as_str();
+        let links = self.links.iter();
+        let kinds = workload.kinds.iter().zip(&self.kinds);
+        PolicyReport {
+            policy,
+            busy_hours: round(self.busy.as_secs_f64() / 3_600.0),
+            urgent_on_time: ratio(
+                urgent().map(|count| count.on_time).sum(),
+                urgent().map(|count| count.asked).sum(),
+            ),
+            weighted_service: round(self.worth.1 / self.worth.0),
+            cross_region: ratio(self.crossed, answered),
+            link_bytes: links
+                .map(|((from, to), bytes)| (format!("{}-{}", region(from), region(to)), *bytes))
+                .collect(),
+            prefix_hits: ratio(self.prompt_tokens.1, self.prompt_tokens.0),
+            sends_per_request: ratio(self.sends.1, self.sends.0),
+            asks_per_request: ratio(self.asks, asked),
+            refused: self.refused.clone(),
+            flood: (!self.windows.is_empty()).then(|| self.report_flood(workload)),
+            kinds: kinds.map(|(load, count)| (load.name.to_string(), count.report())).collect(),
+        }
+    }
+
+    fn report_flood(&self, workload: &Workload) -> FloodReport {
+        let length: f64 = self.windows.iter().map(|(from, to)| (*to - *from).as_secs_f64()).sum();
+        let engines: f64 =
+            workload.regions.iter().map(|load| f64::from(load.engines) * load.speed).sum();
+        let capacity = engines * length;
+        FloodReport {
+            urgent_on_time: ratio(self.flood.urgent.1, self.flood.urgent.0),
+            urgent_use: round(self.flood.urgent_on_time_s / capacity),
+            patient_use: round(self.flood.patient_s / (capacity - self.flood.urgent_s)),
+            patient_gap_s: round(self.flood.patient_gap.as_secs_f64()),
+            recovery_s: self.recovery_s(),
+        }
+    }
+
+    /// Time from the end of the last flood to the end of the last bucket that was not normal.
+    fn recovery_s(&self) -> f64 {
+        let end = self.windows.last().expect("there was a flood").1;
+        let first = (end.as_secs() / BUCKET.as_secs()) as usize;
+        let normal = |(all, on_time): &(u64, u64)| *on_time as f64 >= *all as f64 * NORMAL_SHARE;
+        let last = self.buckets[first..].iter().rposition(|bucket| !normal(bucket));
+        last.map_or(0.0, |last| (last + 1) as f64 * BUCKET.as_secs_f64())
+    }
+}
+
+impl KindCount {
+    fn report(&self) -> KindReport {
+        KindReport {
+            asked: self.asked,
+            answered: ratio(self.answered, self.asked),
+            on_time: ratio(self.on_time, self.asked),
+            first_token_p50_ms: self.first_token.value_at_quantile(0.5),
+            first_token_p99_ms: self.first_token.value_at_quantile(0.99),
+            answer_p50_ms: self.answer.value_at_quantile(0.5),
+            answer_p99_ms: self.answer.value_at_quantile(0.99),
+        }
+    }
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { round(part as f64 / whole as f64) }
+}
+
+fn round(value: f64) -> f64 {
+    (value * 10_000.0).round() / 10_000.0
+}
+
+/// The reports as a table for people.
+pub fn render_table(reports: &[PolicyReport]) -> String {
+    let mut text = String::from(
+        "policy            busy h  urgent  worth   cross   prefix  sends   asks    \
+         | flood: urgent  used    patient gap s   recover s\n",
+    );
+    for report in reports {
+        let _ = write!(
+            text,
+            "{:<16} {:>7.2}  {:.4}  {:.4}  {:.4}  {:.4}  {:.4}  {:.4}",
+            report.policy,
+            report.busy_hours,
+            report.urgent_on_time,
+            report.weighted_service,
+            report.cross_region,
+            report.prefix_hits,
+            report.sends_per_request,
+            report.asks_per_request,
+        );
+        if let Some(flood) = &report.flood {
+            let _ = write!(
+                text,
+                "  |        {:.4}  {:.4}  {:.4}  {:<6.1}  {:.0}",
+                flood.urgent_on_time,
+                flood.urgent_use,
+                flood.patient_use,
+                flood.patient_gap_s,
+                flood.recovery_s,
+            );
+        }
+        text.push('\n');
+        for (name, kind) in &report.kinds {
+            let _ = writeln!(
+                text,
+                "    {name:<20} asked {:>8} answered {:.4} on time {:.4} first token {:>5}/{:>6} \
+                 answer {:>6}/{:>6} ms",
+                kind.asked,
+                kind.answered,
+                kind.on_time,
+                kind.first_token_p50_ms,
+                kind.first_token_p99_ms,
+                kind.answer_p50_ms,
+                kind.answer_p99_ms,
+            );
+        }
+        let _ = writeln!(text, "    refused {:?} links {:?}", report.refused, report.link_bytes);
+    }
+    text
+}
--- /dev/null
+++ b/cicadastall-bench/src/compare/policies.rs
@@ -0,0 +1,23 @@
+//! The policies that are compared.
+
+use cicadastall::route::policy::{ChoiceRule, RouterPolicy};
+
+/// A policy and its name in reports.
+#[derive(Debug, Clone)]
+pub struct PolicyEntry {
+    /// Name.
+    pub name: &'static str,
+    /// The policy.
+    pub policy: RouterPolicy,
+}
+
+/// The baselines, earlier versions of the policy, and last the shipped one.
+pub fn list_policies() -> Vec<PolicyEntry> {
+    let baseline = |name, choice| PolicyEntry { name, policy: RouterPolicy { choice } };
+    vec![
+        baseline("random", ChoiceRule::Random),
+        baseline("round-robin", ChoiceRule::RoundRobin),
+        baseline("least-in-flight", ChoiceRule::LeastInFlight),
+        baseline("least-loaded", ChoiceRule::LeastLoaded),
+    ]
+}
--- /dev/null
+++ b/cicadastall-bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Load and experiments for cicadastall.
+
+pub mod compare;
--- /dev/null
+++ b/cicadastall-bench/tests/compare.rs
@@ -0,0 +1,44 @@
+//! A comparison depends on nothing but its workload and seed.
+
+use cicadastall_bench::compare::{
+    compare_policies,
+    policies::list_policies,
+    workload::{Workload, load_workload},
+};
+
+fn short_workload(text: &str) -> Workload {
+    let mut workload = load_workload(text).expect("a workload");
+    workload.duration_s = 400;
+    for plan in &mut workload.faults {
+        plan.at_s = 100;
+        plan.for_s = 100;
+    }
+    workload
+}
+
+fn compare(text: &str, seed: u64) -> String {
+    let reports = compare_policies(&short_workload(text), &list_policies(), seed);
+    serde_json::to_string(&reports).expect("encode")
+}
+
+#[test]
+fn equal_seeds_give_identical_reports() {
+    for text in [
+        include_str!("../workloads/trust-faults.json"),
+        include_str!("../workloads/kalevu-urgent-flood.json"),
+    ] {
+        let report = compare(text, 11);
+        assert_eq!(report, compare(text, 11));
+        assert_ne!(report, compare(text, 12));
+    }
+}
+
+#[test]
+fn every_workload_of_the_repository_runs() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/workloads");
+    for file in std::fs::read_dir(folder).expect("the folder of workloads") {
+        let path = file.expect("a file").path();
+        let text = std::fs::read_to_string(&path).expect("read a workload");
+        assert!(compare(&text, 1).contains("busy_hours"), "{}", path.display());
+    }
+}
--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins for the outside systems that cicadastall meets: model engines and plain services.
 
 pub mod announce;
+pub mod cache;
 pub mod engine;
+pub mod model;
 pub mod service;
--- /dev/null
+++ b/cicadastall-standins/src/model.rs
@@ -0,0 +1,323 @@
+//! A model of one upstream as seen at its interface: continuous batching with prefill and decode
+//! rates, limited KV and prefix cache, priorities, preemption, and cancelling.
+//!
+//! One prompt is prefilled at a time and shares the accelerator with the decoding batch. The model
+//! moves only when told the time, so that a day passes in seconds.
+
+use crate::cache::PrefixCache;
+use cicadastall::table::{LoadReport, UpstreamRates};
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Share of the accelerator that prefill gets while other requests decode.
+const PREFILL_SHARE: f64 = 0.5;
+
+/// Priorities below this are reported as urgent.
+const URGENT_BELOW: i32 = 5;
+
+/// Progress below which a stage counts as finished, in tokens.
+const TOKEN_EPSILON: f64 = 1e-6;
+
+/// A request as an upstream sees it.
+#[derive(Debug, Clone)]
+pub struct ModelJob {
+    /// Number of the attempt.
+    pub id: u64,
+    /// Lower numbers run first.
+    pub priority: i32,
+    /// Chained hashes of the prompt's blocks.
+    pub blocks: Arc<[u64]>,
+    /// Tokens of the prompt, and of an answer that is resumed.
+    pub prompt_tokens: u32,
+    /// Tokens still to be generated.
+    pub answer_tokens: u32,
+}
+
+/// What happened to a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobEvent {
+    /// Its prompt is processed.
+    FirstToken {
+        /// Number of the attempt.
+        id: u64,
+        /// Prompt tokens that were in the prefix cache.
+        cached_tokens: u32,
+    },
+    /// Its answer is whole.
+    Finished {
+        /// Number of the attempt.
+        id: u64,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct ActiveJob {
+    job: ModelJob,
+    order: u64,
+    prefill_left: f64,
+    answer_left: f64,
+    cached_tokens: u32,
+    started: bool,
+    announced: bool,
+}
+
+impl ActiveJob {
+    fn kv_tokens(&self) -> u64 {
+        u64::from(self.job.prompt_tokens) + u64::from(self.job.answer_tokens)
+    }
+
+    fn is_urgent(&self) -> bool {
+        self.job.priority < URGENT_BELOW
+    }
+
+    fn rank_key(&self) -> (i32, u64) {
+        (self.job.priority, self.order)
+    }
+}
+
+/// One upstream.
+#[derive(Debug, Clone)]
+pub struct EngineModel {
+    rates: UpstreamRates,
+    speed: f64,
+    clock: Instant,
+    orders: u64,
+    waiting: Vec<ActiveJob>,
+    prefilling: Option<ActiveJob>,
+    decoding: Vec<ActiveJob>,
+    cache: PrefixCache,
+    busy: Duration,
+}
+
+impl EngineModel {
+    /// An idle upstream with cold caches.
+    pub fn new(rates: UpstreamRates, now: Instant) -> Self {
+        Self {
+            rates,
+            speed: 1.0,
+            clock: now,
+            orders: 0,
+            waiting: Vec::new(),
+            prefilling: None,
+            decoding: Vec::new(),
+            cache: PrefixCache::default(),
+            busy: Duration::ZERO,
+        }
+    }
+
+    /// Rates that the upstream announces.
+    pub fn rates(&self) -> &UpstreamRates {
+        &self.rates
+    }
+
+    /// Changes the true speed, as a factor of the announced rates. Advance to the present first.
+    pub fn set_speed(&mut self, speed: f64) {
+        self.speed = speed;
+    }
+
+    /// Time during which the accelerator worked.
+    pub fn busy(&self) -> Duration {
+        self.busy
+    }
+
+    /// Whether no job runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.prefilling.is_none() && self.decoding.is_empty()
+    }
+
+    /// Adds a job. Advance to the present first.
+    pub fn submit(&mut self, job: ModelJob) {
+        self.orders += 1;
+        let active = ActiveJob {
+            order: self.orders,
+            prefill_left: 0.0,
+            answer_left: f64::from(job.answer_tokens),
+            cached_tokens: 0,
+            started: false,
+            announced: false,
+            job,
+        };
+        self.enqueue(active);
+        self.schedule();
+    }
+
+    /// Drops a job. Advance to the present first.
+    pub fn cancel(&mut self, id: u64) {
+        self.waiting.retain(|active| active.job.id != id);
+        self.decoding.retain(|active| active.job.id != id);
+        self.prefilling.take_if(|active| active.job.id == id);
+        self.schedule();
+    }
+
+    /// Loses all jobs and caches; returns the attempts that were cut off.
+    pub fn crash(&mut self) -> Vec<u64> {
+        let jobs = self.waiting.iter().chain(&self.prefilling).chain(&self.decoding);
+        let mut lost: Vec<_> = jobs.map(|active| active.job.id).collect();
+        lost.sort_unstable();
+        *self = Self { busy: self.busy, ..Self::new(self.rates.clone(), self.clock) };
+        lost
+    }
+
+    /// Forgets the prefix cache.
+    pub fn clear_cache(&mut self) {
+        self.cache.shrink(0);
+    }
+
+    /// Time of the next event, if nothing is submitted before.
+    pub fn next_event(&self) -> Option<Instant> {
+        let left = self.time_to_event()?;
+        // Rounding up keeps the event from being just ahead of the clock for ever.
+        Some(self.clock + Duration::from_secs_f64(left) + Duration::from_nanos(1))
+    }
+
+    /// Works until `now` and returns what happened, in order.
+    pub fn advance(&mut self, now: Instant) -> Vec<JobEvent> {
+        let mut events = Vec::new();
+        while self.clock < now {
+            let Some(left) = self.time_to_event() else {
+                self.clock = now;
+                break;
+            };
+            let step = Duration::from_secs_f64(left).min(now.duration_since(self.clock));
+            self.progress(step.as_secs_f64().max(left.min(1e-9)));
+            self.busy += step;
+            self.clock += step.max(Duration::from_nanos(1)).min(now.duration_since(self.clock));
+            self.finish_stages(&mut events);
+        }
+        events
+    }
+
+    /// The load report and the cache events since the last report.
+    pub fn report(&mut self) -> LoadReport {
+        let running = || self.decoding.iter().chain(&self.prefilling);
+        let queued = || self.waiting.iter().chain(&self.prefilling);
+        let tokens = |active: &ActiveJob| {
+            if active.started {
+                active.prefill_left as u64
+            } else {
+                u64::from(active.job.prompt_tokens)
+            }
+        };
+        let urgent = |active: &&ActiveJob| active.is_urgent();
+        LoadReport {
+            running: running().count() as u32,
+            queued: self.waiting.len() as u32,
+            queued_prompt_tokens: queued().map(tokens).sum(),
+            kv_used_tokens: running().map(ActiveJob::kv_tokens).sum(),
+            urgent_running: running().filter(urgent).count() as u32,
+            urgent_queued: self.waiting.iter().filter(urgent).count() as u32,
+            urgent_prompt_tokens: queued().filter(urgent).map(tokens).sum(),
+            cache: self.cache.take_batch(),
+        }
+    }
+
+    fn prefill_rate(&self) -> f64 {
+        let share = if self.decoding.is_empty() { 1.0 } else { PREFILL_SHARE };
+        self.rates.prefill_tokens_per_s * self.speed * share
+    }
+
+    /// Tokens per second of each decoding request.
+    fn decode_rate(&self) -> f64 {
+        let share = if self.prefilling.is_some() { 1.0 - PREFILL_SHARE } else { 1.0 };
+        // A small batch doesn't fill the accelerator.
+        let batch = self.decoding.len().max(self.rates.max_running as usize / 4).max(1);
+        self.rates.decode_tokens_per_s * self.speed * share / batch as f64
+    }
+
+    fn time_to_event(&self) -> Option<f64> {
+        let prefill =
+            self.prefilling.as_ref().map(|active| active.prefill_left / self.prefill_rate());
+        let shortest = self.decoding.iter().map(|active| active.answer_left).reduce(f64::min);
+        let decode = shortest.map(|left| left / self.decode_rate());
+        let left = [prefill, decode].into_iter().flatten().reduce(f64::min)?;
+        Some(left.max(0.0))
+    }
+
+    fn progress(&mut self, seconds: f64) {
+        let prefilled = seconds * self.prefill_rate();
+        let decoded = seconds * self.decode_rate();
+        if let Some(active) = &mut self.prefilling {
+            active.prefill_left -= prefilled;
+        }
+        for active in &mut self.decoding {
+            active.answer_left -= decoded;
+        }
+    }
+
+    fn finish_stages(&mut self, events: &mut Vec<JobEvent>) {
+        let mut changed = false;
+        let finished = |active: &mut ActiveJob| active.answer_left <= TOKEN_EPSILON;
+        for active in self.decoding.extract_if(.., finished) {
+            events.push(JobEvent::Finished { id: active.job.id });
+            changed = true;
+        }
+        if let Some(mut active) = self.prefilling.take_if(|a| a.prefill_left <= TOKEN_EPSILON) {
+            let (id, cached_tokens) = (active.job.id, active.cached_tokens);
+            if !active.announced {
+                events.push(JobEvent::FirstToken { id, cached_tokens });
+                active.announced = true;
+            }
+            let blocks = Arc::clone(&active.job.blocks);
+            self.decoding.push(active);
+            self.cache.store(&blocks, self.free_kv());
+            changed = true;
+        }
+        if changed {
+            self.schedule();
+        }
+    }
+
+    fn free_kv(&self) -> u64 {
+        let held: u64 =
+            self.decoding.iter().chain(&self.prefilling).map(ActiveJob::kv_tokens).sum();
+        self.rates.kv_tokens.saturating_sub(held)
+    }
+
+    fn enqueue(&mut self, active: ActiveJob) {
+        let key = active.rank_key();
+        let place = self.waiting.partition_point(|waiting| waiting.rank_key() < key);
+        self.waiting.insert(place, active);
+    }
+
+    /// Starts the first waiting job if it has room, preempting jobs of lower priority.
+    fn schedule(&mut self) {
+        let Some(head) = self.waiting.first() else { return };
+        let priority = head.job.priority;
+        let need = head.kv_tokens();
+        if self.prefilling.as_ref().is_some_and(|active| active.job.priority <= priority) {
+            return;
+        }
+        if let Some(active) = self.prefilling.take() {
+            self.enqueue(active);
+        }
+        while !self.has_room(need) {
+            let lower = |active: &ActiveJob| active.job.priority > priority;
+            let Some(place) = self.decoding.iter().rposition(lower) else { return };
+            self.preempt(place);
+        }
+        let mut active = self.waiting.remove(0);
+        if !active.started {
+            active.started = true;
+            active.cached_tokens =
+                self.cache.match_prefix(&active.job.blocks).min(active.job.prompt_tokens - 1);
+            active.prefill_left = f64::from(active.job.prompt_tokens - active.cached_tokens);
+        }
+        self.prefilling = Some(active);
+        self.cache.shrink(self.free_kv());
+    }
+
+    fn has_room(&self, need: u64) -> bool {
+        let slot = self.decoding.len() < self.rates.max_running as usize;
+        slot && (self.free_kv() >= need || self.decoding.is_empty())
+    }
+
+    /// Puts a decoding job back; its prompt and the tokens so far are prefilled again.
+    fn preempt(&mut self, place: usize) {
+        let mut active = self.decoding.remove(place);
+        let generated = f64::from(active.job.answer_tokens) - active.answer_left;
+        active.job.prompt_tokens += generated as u32;
+        active.job.answer_tokens -= generated as u32;
+        active.started = false;
+        self.enqueue(active);
+    }
+}
--- a/cicadastall/src/dispatch.rs
+++ b/cicadastall/src/dispatch.rs
@@ -5,7 +5,6 @@
     decode::RequestPlan,
     http::{HttpClient, describe_error, read_body},
     name::{AttemptId, RegionName},
-    settings::Rank,
     stream::EventScanner,
     wire::{
         ATTEMPT_HEADER, CallAnswer, CallRequest, ChatRequest, ErrorBody, FORWARDED_HEADER,
@@ -36,7 +35,12 @@
 #[derive(Debug, Clone)]
 pub enum AttemptTarget {
     /// An upstream of this zone.
-    Upstream(SocketAddr),
+    Upstream {
+        /// Address of its HTTP interface.
+        address: SocketAddr,
+        /// Priority of the request; lower numbers run first.
+        priority: i32,
+    },
     /// An entry of another zone, told that the request comes from `from`.
     Entry {
         /// Address of the entry for callers.
@@ -46,6 +50,22 @@
     },
 }
 
+impl AttemptTarget {
+    fn address(&self) -> SocketAddr {
+        match self {
+            Self::Upstream { address, .. } | Self::Entry { address, .. } => *address,
+        }
+    }
+
+    /// Priority for the upstream; another entry sets its own.
+    fn priority(&self) -> i32 {
+        match self {
+            Self::Upstream { priority, .. } => *priority,
+            Self::Entry { .. } => 0,
+        }
+    }
+}
+
 /// Why an attempt has no whole result.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AttemptError {
@@ -90,7 +110,7 @@
     let body = ChatRequest {
         model: plan.model.clone(),
         stream: true,
-        priority: priority_of(plan.rank),
+        priority: target.priority(),
         resume_from,
         ..chat.clone()
     };
@@ -149,13 +169,6 @@
     }
 }
 
-fn priority_of(rank: Rank) -> i32 {
-    match rank {
-        Rank::Urgent => 0,
-        Rank::Patient => 10,
-    }
-}
-
 fn build_request<T: serde::Serialize>(
     target: &AttemptTarget,
     plan: &RequestPlan,
@@ -164,9 +177,7 @@
     body: &T,
     remaining: Duration,
 ) -> Result<Request<Full<Bytes>>, AttemptError> {
-    let address = match target {
-        AttemptTarget::Upstream(address) | AttemptTarget::Entry { address, .. } => address,
-    };
+    let address = target.address();
     let body = serde_json::to_vec(body)
         .map_err(|error| AttemptError::Unreachable(format!("body not encoded: {error}")))?;
     let mut request = Request::post(format!("http://{address}{path}"))
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -6,7 +6,9 @@
     dispatch::{AttemptError, AttemptTarget, call_service, open_stream},
     entry::EntryContext,
     name::{AttemptId, RegionName, UpstreamName},
-    route::{RouteDecision, TriedTargets},
+    prefix::PromptShape,
+    retry::permits_attempt,
+    route::{RouteDecision, TriedTargets, UpstreamChoice, track::SendTicket},
     stream::{AnswerAssembler, StreamStep, encode_event},
     wire::{CallRequest, ChatChunk, ChatRequest, END_MARKER, ErrorBody},
 };
@@ -17,9 +19,6 @@
     time::{Instant, sleep_until, timeout_at},
 };
 
-/// Most attempts for one request.
-const MAX_ATTEMPTS: u32 = 4;
-
 /// Who gave an answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AnswerSource {
@@ -43,6 +42,7 @@
 pub(crate) struct RequestRelay {
     context: Arc<EntryContext>,
     plan: Arc<RequestPlan>,
+    shape: PromptShape,
     tried: TriedTargets,
     attempts: u32,
     deadline: Instant,
@@ -62,22 +62,13 @@
 #[derive(Debug)]
 struct AttemptSlot {
     context: Arc<EntryContext>,
-    upstream: Option<UpstreamName>,
-}
-
-impl AttemptSlot {
-    fn new(context: &Arc<EntryContext>, upstream: Option<UpstreamName>) -> Self {
-        if let Some(name) = &upstream {
-            context.router().note_sent(name);
-        }
-        Self { context: Arc::clone(context), upstream }
-    }
+    ticket: Option<SendTicket>,
 }
 
 impl Drop for AttemptSlot {
     fn drop(&mut self) {
-        if let Some(name) = &self.upstream {
-            self.context.router().note_ended(name);
+        if let Some(ticket) = &self.ticket {
+            self.context.router().note_ended(ticket);
         }
     }
 }
@@ -87,6 +78,7 @@
         let deadline = now + plan.deadline;
         Self {
             context,
+            shape: PromptShape::of(&plan.body),
             plan: Arc::new(plan),
             tried: TriedTargets::default(),
             attempts: 0,
@@ -248,19 +240,15 @@
                 return Err(self.refuse(RefusalCode::DeadlinePassed, "deadline passed"));
             }
             let table = self.context.table();
-            let decision = self.context.router().choose(&table, &self.plan, &self.tried, now);
+            let decision =
+                self.context.router().choose(&table, &self.plan, &self.shape, &self.tried, now);
             match decision {
                 RouteDecision::Wait(until) => sleep_until(until.min(self.deadline)).await,
                 RouteDecision::Refuse(mut refusal) => {
                     refusal.ran = self.ran;
                     return Err(refusal);
                 }
-                RouteDecision::Upstream(view) => {
-                    let upstream = view.record.name.clone();
-                    let target = AttemptTarget::Upstream(view.record.address);
-                    let region = view.record.region.clone();
-                    return Ok(self.number_attempt(target, region, Some(upstream)));
-                }
+                RouteDecision::Upstream(choice) => return Ok(self.open_upstream(choice, now)),
                 RouteDecision::Entry { region, zone, address } => {
                     self.tried.zones.push(zone);
                     let from = self.context.node().region.clone();
@@ -271,15 +259,23 @@
         }
     }
 
+    fn open_upstream(&mut self, choice: UpstreamChoice, now: Instant) -> OpenAttempt {
+        let record = choice.view.record;
+        let ticket = self.context.router().note_sent(&record.name, &self.plan, &self.shape, now);
+        let target = AttemptTarget::Upstream { address: record.address, priority: choice.priority };
+        self.number_attempt(target, record.region.clone(), Some(ticket))
+    }
+
     fn number_attempt(
         &mut self,
         target: AttemptTarget,
         region: RegionName,
-        upstream: Option<UpstreamName>,
+        ticket: Option<SendTicket>,
     ) -> OpenAttempt {
         self.attempts += 1;
         let id = AttemptId::new(format!("{}.{}", self.plan.request, self.attempts));
-        let slot = AttemptSlot::new(&self.context, upstream.clone());
+        let upstream = ticket.as_ref().map(|ticket| ticket.upstream.clone());
+        let slot = AttemptSlot { context: Arc::clone(&self.context), ticket };
         OpenAttempt { id, target, source: AnswerSource { region, upstream }, _slot: slot }
     }
 
@@ -296,8 +292,7 @@
         if let Some(upstream) = &attempt.source.upstream {
             self.tried.upstreams.push(upstream.clone());
         }
-        let repeatable = self.plan.repeatable || self.ran == Ran::No;
-        if !repeatable || self.attempts >= MAX_ATTEMPTS {
+        if !permits_attempt(&self.plan, self.ran, self.attempts) {
             let mut refusal = error.into_refusal();
             refusal.ran = self.ran;
             return Err(refusal);
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -1,15 +1,31 @@
 //! Choice of the upstream or region for one attempt of a request.
+//!
+//! [`filter`] names the upstreams that may run the request, [`policy`] says how to choose among
+//! them, and [`track`] keeps what the entry itself sent.
 
 use crate::{
     answer::{Refusal, RefusalCode},
     decode::RequestPlan,
     name::{RegionName, UpstreamName, ZoneName},
-    table::{RoutingTable, UpstreamState, UpstreamView},
+    prefix::PromptShape,
+    settings::Rank,
+    table::{RoutingTable, UpstreamView},
 };
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 
+pub mod filter;
+pub mod policy;
+pub mod summary;
+pub mod track;
+
+use filter::{is_untried, may_reside, serves_plan};
+use policy::{ChoiceRule, RouterPolicy};
+use track::{SendTicket, UpstreamTrack};
+
 /// Time after its last announcement at which an upstream gets no new work.
 pub const UPSTREAM_EXPIRY: Duration = Duration::from_millis(2_500);
 
@@ -37,11 +53,20 @@
     pub zones: SmallVec<[ZoneName; 4]>,
 }
 
+/// An upstream of this availability zone, and the priority to send with.
+#[derive(Debug, Clone)]
+pub struct UpstreamChoice {
+    /// The upstream.
+    pub view: UpstreamView,
+    /// Lower numbers run first.
+    pub priority: i32,
+}
+
 /// Where the next attempt goes.
 #[derive(Debug, Clone)]
 pub enum RouteDecision {
     /// To an upstream of this availability zone.
-    Upstream(UpstreamView),
+    Upstream(UpstreamChoice),
     /// To an entry of another availability zone, which must not forward it again.
     Entry {
         /// Region of the entry.
@@ -61,13 +86,22 @@
 #[derive(Debug)]
 pub struct RequestRouter {
     place: RouterPlace,
-    sent: BTreeMap<UpstreamName, u32>,
+    policy: RouterPolicy,
+    tracks: BTreeMap<UpstreamName, UpstreamTrack>,
+    rng: ChaCha8Rng,
+    sent: u64,
 }
 
 impl RequestRouter {
-    /// A router for the instance at `place`.
+    /// A router for the instance at `place` with the shipped policy.
     pub fn new(place: RouterPlace) -> Self {
-        Self { place, sent: BTreeMap::new() }
+        Self::with_policy(place, RouterPolicy::default(), rand::random())
+    }
+
+    /// A router with a policy and a seed of its own.
+    pub fn with_policy(place: RouterPlace, policy: RouterPolicy, seed: u64) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Self { place, policy, tracks: BTreeMap::new(), rng, sent: 0 }
     }
 
     /// Chooses the target of the next attempt.
@@ -75,13 +109,20 @@
         &mut self,
         table: &RoutingTable,
         plan: &RequestPlan,
+        shape: &PromptShape,
         tried: &TriedTargets,
         now: Instant,
     ) -> RouteDecision {
-        if plan.regions.contains(&self.place.region)
-            && let Some(view) = self.choose_upstream(table, plan, tried, now)
-        {
-            return RouteDecision::Upstream(view);
+        let _ = shape;
+        let candidates: SmallVec<[&UpstreamView; 16]> = table
+            .upstreams
+            .values()
+            .filter(|view| may_reside(view, plan, &self.place))
+            .filter(|view| serves_plan(view, plan, now) && is_untried(view, tried))
+            .collect();
+        if let Some(view) = self.choose_upstream(&candidates) {
+            let priority = priority_of(plan.rank);
+            return RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority });
         }
         if plan.forwarded_from.is_none()
             && let Some(decision) = self.choose_zone(table, plan, tried, now)
@@ -92,37 +133,47 @@
     }
 
     /// Notes that a request was sent to `upstream`.
-    pub fn note_sent(&mut self, upstream: &UpstreamName) {
-        *self.sent.entry(upstream.clone()).or_default() += 1;
+    pub fn note_sent(
+        &mut self,
+        upstream: &UpstreamName,
+        plan: &RequestPlan,
+        shape: &PromptShape,
+        now: Instant,
+    ) -> SendTicket {
+        self.sent += 1;
+        let _ = (plan, shape, now);
+        let track = self.tracks.entry(upstream.clone()).or_default();
+        track.note_sent(self.sent);
+        SendTicket { upstream: upstream.clone(), number: self.sent }
     }
 
-    /// Notes that an attempt on `upstream` ended.
-    pub fn note_ended(&mut self, upstream: &UpstreamName) {
-        if let Some(sent) = self.sent.get_mut(upstream) {
-            *sent = sent.saturating_sub(1);
-            if *sent == 0 {
-                self.sent.remove(upstream);
-            }
+    /// Notes that an attempt ended.
+    pub fn note_ended(&mut self, ticket: &SendTicket) {
+        if let Some(track) = self.tracks.get_mut(&ticket.upstream) {
+            track.note_ended(ticket.number);
         }
     }
 
-    fn choose_upstream(
-        &self,
-        table: &RoutingTable,
-        plan: &RequestPlan,
-        tried: &TriedTargets,
-        now: Instant,
-    ) -> Option<UpstreamView> {
-        table
-            .upstreams
-            .values()
-            .filter(|view| serves_plan(view, plan, now))
-            .filter(|view| !tried.upstreams.contains(&view.record.name))
-            .min_by_key(|view| {
-                let sent = self.sent.get(&view.record.name).copied().unwrap_or(0);
-                view.record.load.running.max(sent) + view.record.load.queued
-            })
-            .cloned()
+    fn choose_upstream<'a>(&mut self, candidates: &[&'a UpstreamView]) -> Option<&'a UpstreamView> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let own_sends = |view: &UpstreamView| {
+            self.tracks.get(&view.record.name).map_or(0, |track| track.sends.len() as u32)
+        };
+        match self.policy.choice {
+            ChoiceRule::Random => {
+                let place = self.rng.random_range(0..candidates.len());
+                Some(candidates[place])
+            }
+            ChoiceRule::RoundRobin => Some(candidates[self.sent as usize % candidates.len()]),
+            ChoiceRule::LeastInFlight => {
+                candidates.iter().copied().min_by_key(|view| own_sends(view))
+            }
+            ChoiceRule::LeastLoaded => candidates.iter().copied().min_by_key(|view| {
+                view.record.load.running.max(own_sends(view)) + view.record.load.queued
+            }),
+        }
     }
 
     fn choose_zone(
@@ -147,12 +198,12 @@
     }
 }
 
-fn serves_plan(view: &UpstreamView, plan: &RequestPlan, now: Instant) -> bool {
-    let record = &view.record;
-    record.state == UpstreamState::Serving
-        && record.pool == plan.pool
-        && plan.model.as_ref().is_none_or(|model| record.models.contains(model))
-        && now.duration_since(view.renewed_at) < UPSTREAM_EXPIRY
+/// Priority that upstreams honour; lower numbers run first.
+fn priority_of(rank: Rank) -> i32 {
+    match rank {
+        Rank::Urgent => 0,
+        Rank::Patient => 10,
+    }
 }
 
 fn refuse_unroutable(plan: &RequestPlan, region: &RegionName) -> Refusal {
@@ -165,6 +216,3 @@
     Refusal::not_run(RefusalCode::NoUpstream, format!("no upstream of pool {} is ready", plan.pool))
         .retry_after(NO_UPSTREAM_RETRY)
 }
-
-/// The router shared by the traffic threads of one entry.
-pub type SharedRouter = Arc<std::sync::Mutex<RequestRouter>>;
--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -54,6 +54,46 @@
     pub queued_prompt_tokens: u64,
     /// Tokens in the KV cache that running requests hold.
     pub kv_used_tokens: u64,
+    /// Urgent requests that run.
+    #[serde(default)]
+    pub urgent_running: u32,
+    /// Urgent requests that wait.
+    #[serde(default)]
+    pub urgent_queued: u32,
+    /// Prompt tokens of urgent requests that wait for prefill.
+    #[serde(default)]
+    pub urgent_prompt_tokens: u64,
+    /// Changes of the prefix cache since the previous report.
+    #[serde(default, skip_serializing_if = "CacheBatch::is_empty")]
+    pub cache: CacheBatch,
+}
+
+/// Consecutive changes of one upstream's prefix cache.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct CacheBatch {
+    /// Number of the first event; events are numbered without gaps within an incarnation.
+    pub first: u64,
+    /// Whether the events list the whole cache and not just its changes.
+    pub full: bool,
+    /// The changes, in order.
+    pub events: Vec<CacheEvent>,
+}
+
+impl CacheBatch {
+    /// Whether the batch says nothing.
+    pub fn is_empty(&self) -> bool {
+        !self.full && self.events.is_empty()
+    }
+}
+
+/// One change of a prefix cache; blocks are named by their chained hash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CacheEvent {
+    /// The block can be reused.
+    Stored(u64),
+    /// The block was evicted.
+    Removed(u64),
 }
 
 /// What an upstream says of itself when it announces itself or renews.
