Let instances advertise addresses, and measure what an entry adds

Change: caller_advertise, peer_advertise; all connections leave from the peer address. cicadastall-bench overhead compares an entry with calling the stand-in directly in the same run.

--- /dev/null
+++ b/cicadastall-bench/src/overhead.rs
@@ -0,0 +1,299 @@
+//! What an entry adds to a request and to a streamed token, against calling the upstream directly.
+
+use bpaf::Bpaf;
+use bytes::Bytes;
+use cicadastall::{
+    control::ControlServer,
+    dispatch::CHAT_PATH,
+    entry::EntryServer,
+    http::{HttpClient, client},
+    node::NodeSettings,
+    wire::{ChatMessage, ChatRequest, KIND_HEADER, WORKSPACE_HEADER},
+};
+use cicadastall_standins::{
+    announce::StandinPlace,
+    engine::{EnginePace, EngineStandin},
+};
+use eyre::{WrapErr, ensure};
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use serde_json::{Value, json};
+use std::{fs, net::SocketAddr, time::Duration};
+use tokio::{
+    runtime::Runtime,
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// Processor ticks per second in `/proc`.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Longest wait for the entry to know its upstream.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Options of the measurement.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct OverheadOptions {
+    /// Requests per second for the latency comparison
+    #[bpaf(long, argument("COUNT"), fallback(500))]
+    rate: u32,
+    /// Seconds for each step
+    #[bpaf(long, argument("SECONDS"), fallback(4))]
+    seconds: u32,
+    /// Open streams for the memory and token steps; may be given several times
+    #[bpaf(long("streams"), argument("COUNT"))]
+    streams: Vec<u32>,
+}
+
+/// Entry and stand-in, each on threads of its own.
+struct Bed {
+    entry: Runtime,
+    entry_address: SocketAddr,
+    engine_address: SocketAddr,
+    _control: Runtime,
+    _engine: Runtime,
+    _servers: (EntryServer, ControlServer, EngineStandin),
+}
+
+/// Runs the measurement and prints JSON.
+pub(crate) fn run(options: &OverheadOptions) -> eyre::Result<()> {
+    let bed = start_bed()?;
+    let load = Runtime::new()?;
+    load.block_on(wait_ready(bed.entry_address))?;
+    let direct = load.block_on(measure_first_token(bed.engine_address, options))?;
+    let before = entry_cpu()?;
+    let through = load.block_on(measure_first_token(bed.entry_address, options))?;
+    let requests = f64::from(options.rate * options.seconds);
+    let request_cpu_us = (entry_cpu()? - before) / requests * 1e6;
+    let streams = match options.streams.as_slice() {
+        [] => vec![1, 100, 2_000],
+        given => given.to_vec(),
+    };
+    let mut rows = Vec::new();
+    for count in streams {
+        rows.push(load.block_on(measure_streams(bed.entry_address, count, options))?);
+    }
+    let report = json!({
+        "rate": options.rate,
+        "direct_first_token_us": describe(&direct),
+        "entry_first_token_us": describe(&through),
+        "added_p50_us": through.value_at_quantile(0.5) as i64 - direct.value_at_quantile(0.5) as i64,
+        "added_p99_us": through.value_at_quantile(0.99) as i64 - direct.value_at_quantile(0.99) as i64,
+        "cpu_us_per_request": request_cpu_us,
+        "streams": rows,
+    });
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    drop(bed.entry);
+    Ok(())
+}
+
+fn start_bed() -> eyre::Result<Bed> {
+    let entry = named_runtime("entry", 2)?;
+    let control = named_runtime("entry-ctl", 1)?;
+    let engine = named_runtime("engine", 2)?;
+    let folder = std::env::temp_dir().join(format!("cicadastall-bench-{}", std::process::id()));
+    fs::create_dir_all(&folder)?;
+    let founding = folder.join("fleet.json");
+    fs::write(&founding, fleet().to_string())?;
+    let mut node = node_settings("bench-control")?;
+    node.founding_settings = Some(founding);
+    let control_server = control.block_on(ControlServer::start(node, control.handle()))?;
+    fs::remove_dir_all(&folder)?;
+    let mut node = node_settings("bench-1")?;
+    node.control = vec![control_server.addresses().peer];
+    node.seeds = node.control.clone();
+    node.limits.streams_per_caller = 10_000;
+    let server = entry.block_on(EntryServer::start(node, control.handle()))?;
+    let entry_address = server.addresses().caller.ok_or_else(|| eyre::eyre!("no address"))?;
+    let place = StandinPlace {
+        name: "bench-m1".into(),
+        region: "bench".into(),
+        zone: "bench-a".into(),
+        pool: "engines".into(),
+        entries: vec![entry_address],
+    };
+    let pace = EnginePace {
+        first_token: Duration::from_millis(1),
+        token: Duration::from_millis(46),
+        answer_tokens: 1_000_000,
+    };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let standin =
+        engine.block_on(EngineStandin::start(place, listen, "bench-model".into(), pace))?;
+    Ok(Bed {
+        entry,
+        entry_address,
+        engine_address: standin.address(),
+        _control: control,
+        _engine: engine,
+        _servers: (server, control_server, standin),
+    })
+}
+
+fn named_runtime(name: &str, threads: usize) -> eyre::Result<Runtime> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build();
+    runtime.wrap_err("cannot start a runtime")
+}
+
+fn node_settings(instance: &str) -> eyre::Result<NodeSettings> {
+    let value = json!({
+        "instance": instance,
+        "region": "bench",
+        "zone": "bench-a",
+        "caller_listen": "127.0.0.1:0",
+        "operator_listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+    });
+    Ok(serde_json::from_value(value)?)
+}
+
+fn fleet() -> Value {
+    json!({
+        "regions": { "bench": { "zones": ["bench-a"] } },
+        "teams": { "bench": {
+            "owner": "bench",
+            "pools": { "engines": { "serves": { "model_engine": { "models": ["bench-model"] } } } },
+            "kinds": { "ask": {
+                "pool": "engines", "model": "bench-model", "rank": "urgent",
+                "first_token_ms": 1600, "deadline_ms": 600000, "answered_in": "home",
+            } },
+            "workspaces": { "bench": { "home": "bench", "resides_in": ["bench"] } },
+        } },
+    })
+}
+
+fn make_request(address: SocketAddr, tokens: u32) -> eyre::Result<Request<Full<Bytes>>> {
+    let chat = ChatRequest {
+        model: Some("bench-model".into()),
+        messages: vec![ChatMessage { role: "user".into(), content: "x".repeat(200) }],
+        max_tokens: tokens,
+        stream: true,
+        priority: 0,
+        resume_from: 0,
+    };
+    let request = Request::post(format!("http://{address}{CHAT_PATH}"))
+        .header(WORKSPACE_HEADER, "bench")
+        .header(KIND_HEADER, "ask")
+        .body(Full::new(Bytes::from(serde_json::to_vec(&chat)?)))?;
+    Ok(request)
+}
+
+async fn wait_ready(entry: SocketAddr) -> eyre::Result<()> {
+    let client = client(1);
+    let deadline = Instant::now() + READY_TIMEOUT;
+    while Instant::now() < deadline {
+        if client.request(make_request(entry, 1)?).await?.status().is_success() {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    eyre::bail!("the entry was not ready within {READY_TIMEOUT:?}")
+}
+
+/// Sends requests of one token at a fixed rate; gives the time to the first token.
+async fn measure_first_token(
+    address: SocketAddr,
+    options: &OverheadOptions,
+) -> eyre::Result<Histogram<u64>> {
+    let client = client(256);
+    let mut requests = JoinSet::new();
+    let started = Instant::now();
+    for number in 0..options.rate * options.seconds {
+        let due = started + Duration::from_secs_f64(f64::from(number) / f64::from(options.rate));
+        tokio::time::sleep_until(due).await;
+        requests.spawn(time_first_token(client.clone(), make_request(address, 1)?));
+    }
+    let mut times = Histogram::new(3)?;
+    while let Some(time) = requests.join_next().await {
+        times.record(time??.as_micros() as u64)?;
+    }
+    Ok(times)
+}
+
+async fn time_first_token(
+    client: HttpClient,
+    request: Request<Full<Bytes>>,
+) -> eyre::Result<Duration> {
+    let sent = Instant::now();
+    let mut answer = client.request(request).await?;
+    ensure!(answer.status().is_success(), "refused with {}", answer.status());
+    ensure!(answer.frame().await.is_some(), "an answer without a token");
+    let elapsed = sent.elapsed();
+    while answer.frame().await.is_some() {}
+    Ok(elapsed)
+}
+
+/// Holds `count` streams open; gives the entry's processor time per token and memory per stream.
+async fn measure_streams(
+    address: SocketAddr,
+    count: u32,
+    options: &OverheadOptions,
+) -> eyre::Result<Value> {
+    let client = client(0);
+    let memory_before = resident_bytes()?;
+    let mut streams = JoinSet::new();
+    let (sender, mut tokens) = tokio::sync::watch::channel(0_u64);
+    for _ in 0..count {
+        let answer = client.request(make_request(address, u32::MAX)?).await?;
+        ensure!(answer.status().is_success(), "refused with {}", answer.status());
+        let sender = sender.clone();
+        streams.spawn(async move {
+            let mut body = answer.into_body();
+            while let Some(Ok(_)) = body.frame().await {
+                sender.send_modify(|tokens| *tokens += 1);
+            }
+        });
+    }
+    sleep(Duration::from_secs(1)).await;
+    let cpu_before = entry_cpu()?;
+    let tokens_before = *tokens.borrow_and_update();
+    sleep(Duration::from_secs(u64::from(options.seconds))).await;
+    let passed = *tokens.borrow_and_update() - tokens_before;
+    let cpu = entry_cpu()? - cpu_before;
+    let memory = resident_bytes()?.saturating_sub(memory_before);
+    streams.shutdown().await;
+    sleep(Duration::from_secs(1)).await;
+    Ok(json!({
+        "streams": count,
+        "tokens": passed,
+        "cpu_us_per_token": cpu / passed as f64 * 1e6,
+        "process_kib_per_stream_all_roles": memory as f64 / 1024.0 / f64::from(count),
+    }))
+}
+
+/// Processor time of the entry's threads so far, in seconds.
+fn entry_cpu() -> eyre::Result<f64> {
+    let mut ticks = 0.0;
+    for task in fs::read_dir("/proc/self/task")? {
+        let folder = task?.path();
+        let name = fs::read_to_string(folder.join("comm"))?;
+        if name.trim() != "entry" {
+            continue;
+        }
+        let stat = fs::read_to_string(folder.join("stat"))?;
+        let fields = stat.rsplit(')').next().unwrap_or_default();
+        let numbers: Vec<f64> =
+            fields.split_whitespace().skip(11).take(2).filter_map(|n| n.parse().ok()).collect();
+        ticks += numbers.iter().sum::<f64>();
+    }
+    Ok(ticks / TICKS_PER_S)
+}
+
+/// Resident memory of the whole process, in bytes.
+fn resident_bytes() -> eyre::Result<u64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib: u64 = line
+        .and_then(|line| line.split_whitespace().next()?.parse().ok())
+        .ok_or_else(|| eyre::eyre!("no resident size in /proc/self/status"))?;
+    Ok(kib * 1024)
+}
+
+fn describe(times: &Histogram<u64>) -> Value {
+    json!({ "p50": times.value_at_quantile(0.5), "p99": times.value_at_quantile(0.99) })
+}
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -144,8 +144,8 @@
             metrics: RequestMetrics::new(),
             membership: core.membership.clone(),
             in_flight: Arc::clone(&core.in_flight),
-            pooled: http::client(IDLE_CONNECTIONS),
-            unpooled: http::client(0),
+            pooled: http::client_from(node.source_ip(), IDLE_CONNECTIONS),
+            unpooled: http::client_from(node.source_ip(), 0),
             node: Arc::clone(&node),
         });
         let mut tasks = core.tasks;
--- a/cicadastall/src/http.rs
+++ b/cicadastall/src/http.rs
@@ -16,7 +16,13 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
-    convert::Infallible, fmt, future::Future, io, net::SocketAddr, sync::Arc, time::Duration,
+    convert::Infallible,
+    fmt,
+    future::Future,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -141,7 +147,13 @@
 
 /// A client that keeps up to `idle` connections open to each address.
 pub fn client(idle: usize) -> HttpClient {
+    client_from(None, idle)
+}
+
+/// A client that connects from `source` and keeps up to `idle` connections open to each address.
+pub fn client_from(source: Option<IpAddr>, idle: usize) -> HttpClient {
     let mut connector = HttpConnector::new();
+    connector.set_local_address(source);
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     Client::builder(TokioExecutor::new())
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -6,7 +6,7 @@
     http,
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
     node::NodeSettings,
-    peer::{MAX_MESSAGE_BYTES, MemberExchange, PeerApi, PeerClients},
+    peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
     settings::{Revision, SettingsSnapshot},
     table::RoutingTable,
 };
@@ -22,10 +22,8 @@
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
-    tokio_serde::formats::Json,
 };
 use tokio::{net::TcpListener, runtime::Handle, sync::oneshot, task::JoinSet, time::sleep};
-use tokio_util::codec::LengthDelimitedCodec;
 
 /// Longest time to wait for the control thread.
 pub(crate) const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -112,7 +110,7 @@
     ) -> io::Result<Self> {
         let settings = Arc::new(SettingsHolder::default());
         let table = Arc::new(ArcSwap::from_pointee(RoutingTable::default()));
-        let clients = Arc::new(PeerClients::default());
+        let clients = Arc::new(PeerClients::new(node.source_ip()));
         let in_flight = Arc::new(AtomicU32::new(0));
         let node = Arc::clone(node);
         let started = control.spawn({
@@ -129,8 +127,8 @@
                 };
                 let arguments = MembershipArguments {
                     node: Arc::clone(&node),
-                    caller_address: caller,
-                    peer_address: addresses.peer,
+                    caller_address: node.caller_advertise.or(caller),
+                    peer_address: node.peer_advertise.unwrap_or(addresses.peer),
                     clients: Arc::clone(&clients),
                     table: Arc::clone(&table),
                     in_flight: Arc::clone(&in_flight),
@@ -167,9 +165,7 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        let mut codec = LengthDelimitedCodec::builder();
-        codec.max_frame_length(MAX_MESSAGE_BYTES);
-        let transport = tarpc::serde_transport::new(codec.new_framed(stream), Json::default());
+        let transport = frame_messages(stream);
         let calls = BaseChannel::with_defaults(transport).execute(service.clone().serve());
         tokio::spawn(calls.for_each(|call| {
             tokio::spawn(call);
--- a/cicadastall/src/node.rs
+++ b/cicadastall/src/node.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -25,6 +25,12 @@
     pub operator_listen: SocketAddr,
     /// Address for other instances.
     pub peer_listen: SocketAddr,
+    /// Address that callers and other entries are told, where it differs from `caller_listen`.
+    #[serde(default)]
+    pub caller_advertise: Option<SocketAddr>,
+    /// Address that other instances are told, where it differs from `peer_listen`.
+    #[serde(default)]
+    pub peer_advertise: Option<SocketAddr>,
     /// Peer addresses of some instances, of this zone and of others.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -102,6 +108,11 @@
             .map_err(|source| NodeError::Invalid { path: path.into(), source })
     }
 
+    /// Address from which the instance connects to others; none leaves the choice to the system.
+    pub fn source_ip(&self) -> Option<IpAddr> {
+        Some(self.peer_listen.ip()).filter(|ip| !ip.is_unspecified())
+    }
+
     /// Longest time that a graceful stop takes.
     pub fn stop_bound(&self) -> Duration {
         Duration::from_millis(self.stop_bound_ms)
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -10,15 +10,19 @@
     fmt,
     future::Future,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
     time::{Duration, Instant as DeadlineInstant},
 };
 use tarpc::{client, context, tokio_serde::formats::Json};
-use tokio::time::timeout;
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
+use tokio_util::codec::LengthDelimitedCodec;
 
 /// Most bytes of one message.
-pub(crate) const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Bound that the transport puts on every call; calls carry bounds of their own below it.
 const TRANSPORT_DEADLINE: Duration = Duration::from_secs(3_600);
@@ -67,10 +71,16 @@
 /// Connections to other instances, opened at the first call and kept.
 #[derive(Debug, Default)]
 pub struct PeerClients {
+    source: Option<IpAddr>,
     clients: Mutex<HashMap<SocketAddr, PeerApiClient>>,
 }
 
 impl PeerClients {
+    /// Clients that connect from `source`.
+    pub fn new(source: Option<IpAddr>) -> Self {
+        Self { source, clients: Mutex::default() }
+    }
+
     /// Calls the instance at `address`; gives up after `bound`.
     pub async fn call<T, F>(
         &self,
@@ -105,9 +115,9 @@
         if let Some(client) = self.lock().get(&address) {
             return Ok(client.clone());
         }
-        let mut connect = tarpc::serde_transport::tcp::connect(address, Json::default);
-        connect.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
-        let client = PeerApiClient::new(client::Config::default(), connect.await?).spawn();
+        let stream = connect_from(self.source, address).await?;
+        let transport = frame_messages(stream);
+        let client = PeerApiClient::new(client::Config::default(), transport).spawn();
         self.lock().insert(address, client.clone());
         Ok(client)
     }
@@ -116,3 +126,31 @@
         self.clients.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
+
+/// Connection that carries calls of [`PeerApi`], from the side that answers or the one that asks.
+pub(crate) type MessageTransport<I, O> =
+    tarpc::serde_transport::Transport<TcpStream, I, O, Json<I, O>>;
+
+/// Turns a connection into one that carries messages.
+pub(crate) fn frame_messages<I, O>(stream: TcpStream) -> MessageTransport<I, O>
+where
+    I: for<'de> Deserialize<'de>,
+    O: Serialize,
+{
+    let mut codec = LengthDelimitedCodec::builder();
+    codec.max_frame_length(MAX_MESSAGE_BYTES);
+    tarpc::serde_transport::new(codec.new_framed(stream), Json::default())
+}
+
+async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Some(source) = source.filter(|source| source.is_ipv4() == address.is_ipv4()) {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
