Pass tokens on from the caller's own connection

Cause: each token crossed a relay task, a watching task and two channels in the entry, and was decoded through an untagged enum into owned strings.

Ruled out: keeping the tasks and joining tokens into larger writes; that would hold tokens back.

Change: the caller's connection polls the upstream's stream itself (StreamPassage), so a caller that hangs up drops the attempt at once; chunks are read as borrowed views and written again with the request's name.

--- a/cicadastall/src/http.rs
+++ b/cicadastall/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1 listeners and clients shared by all programs, and their graceful stop.
 
 use bytes::Bytes;
-use futures::stream::StreamExt;
+use futures::stream::{self, Stream, StreamExt};
 use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     Method, Request, Response, StatusCode,
@@ -40,9 +40,6 @@
 /// Longest time to establish a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Events that wait between an upstream and a slow caller.
-pub const STREAM_QUEUE: usize = 16;
-
 /// Limits of one listener.
 #[derive(Debug, Clone)]
 pub struct ListenerLimits {
@@ -211,11 +208,17 @@
 
 /// An answer whose body is the events sent into `events`, ended by closing the channel.
 pub fn event_answer(events: mpsc::Receiver<Bytes>) -> Response<AnswerBody> {
-    let frames = futures::stream::unfold(events, |mut events| async move {
+    let events = stream::unfold(events, |mut events| async move {
         let event = events.recv().await?;
-        Some((Ok::<_, Infallible>(Frame::data(event)), events))
+        Some((event, events))
     });
-    let mut answer = Response::new(UnsyncBoxBody::new(StreamBody::new(frames.boxed())));
+    stream_answer(events)
+}
+
+/// An answer whose body is `events`; they are dropped when the caller hangs up.
+pub fn stream_answer(events: impl Stream<Item = Bytes> + Send + 'static) -> Response<AnswerBody> {
+    let frames = events.map(|event| Ok::<_, Infallible>(Frame::data(event)));
+    let mut answer = Response::new(UnsyncBoxBody::new(StreamBody::new(frames)));
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     answer
 }
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -3,19 +3,16 @@
 use crate::{
     answer::{Ran, Refusal, RefusalCode},
     decode::RequestPlan,
-    dispatch::{AttemptError, AttemptTarget, call_service, open_stream},
+    dispatch::{AttemptError, AttemptStream, AttemptTarget, call_service, open_stream},
     entry::EntryContext,
-    name::{AttemptId, RegionName, UpstreamName},
+    name::{AttemptId, RegionName, RequestId, UpstreamName},
     route::{RouteDecision, TriedTargets},
     stream::{AnswerAssembler, StreamStep, encode_event},
-    wire::{CallRequest, ChatChunk, ChatRequest, END_MARKER, ErrorBody},
+    wire::{CallRequest, ChatRequest, ChunkView},
 };
 use bytes::Bytes;
 use std::{sync::Arc, time::Duration};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until, timeout_at},
-};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Most attempts for one request.
 const MAX_ATTEMPTS: u32 = 4;
@@ -29,13 +26,79 @@
     pub upstream: Option<UpstreamName>,
 }
 
-/// Start of a streamed answer: its source, and the events to pass on.
+/// Start of a streamed answer.
 #[derive(Debug)]
-pub struct RelayedStream {
+pub(crate) struct RelayedStream {
     /// Who gave the first token.
-    pub source: AnswerSource,
-    /// Events of the answer.
-    pub events: mpsc::Receiver<Bytes>,
+    pub(crate) source: AnswerSource,
+    /// The event of the first token.
+    pub(crate) first: Bytes,
+    /// The rest of the answer.
+    pub(crate) passage: StreamPassage,
+}
+
+/// What comes next in a streamed answer.
+#[derive(Debug)]
+pub(crate) enum RelayedStep {
+    /// The event of one token.
+    Token(Bytes),
+    /// The answer is whole.
+    End,
+}
+
+/// The part of a streamed answer that has not been passed on; dropping it cancels the attempt.
+#[derive(Debug)]
+pub(crate) struct StreamPassage {
+    relay: RequestRelay,
+    chat: ChatRequest,
+    attempt: OpenAttempt,
+    assembler: AnswerAssembler,
+    stream: AttemptStream,
+}
+
+impl StreamPassage {
+    /// Waits for the next step, resuming the answer on other upstreams where its stream breaks.
+    ///
+    /// Fails with the final answer once no further attempt is allowed; an upstream may have run
+    /// the request then.
+    pub(crate) async fn next_step(&mut self) -> Result<RelayedStep, Refusal> {
+        let read = self.relay.read_step(&mut self.stream, &mut self.assembler);
+        let mut step = match timeout_at(self.relay.deadline, read).await {
+            Ok(step) => step,
+            Err(_) => Err(AttemptError::Broken("deadline passed".to_owned())),
+        };
+        loop {
+            match step {
+                Ok(step) => return Ok(step),
+                Err(error) => {
+                    step = self
+                        .resume(error)
+                        .await
+                        .map_err(|refusal| Refusal { ran: Ran::Unknown, ..refusal })?;
+                }
+            }
+        }
+    }
+
+    async fn resume(
+        &mut self,
+        error: AttemptError,
+    ) -> Result<Result<RelayedStep, AttemptError>, Refusal> {
+        self.relay.judge_failure(&self.attempt, error)?;
+        self.attempt = self.relay.open_attempt().await?;
+        self.assembler.resume(self.attempt.id.clone());
+        let first =
+            self.relay.read_first_token(&self.attempt, &self.chat, &mut self.assembler).await;
+        Ok(first.map(|(stream, event)| {
+            self.stream = stream;
+            RelayedStep::Token(event)
+        }))
+    }
+}
+
+fn encode_chunk<'a>(request: &'a RequestId, mut chunk: ChunkView<'a>) -> Bytes {
+    chunk.id = request.as_str().into();
+    encode_event(&serde_json::to_vec(&chunk).unwrap_or_default())
 }
 
 /// Serves the attempts of one request.
@@ -127,13 +190,10 @@
             let attempt = self.open_attempt().await?;
             let mut assembler = AnswerAssembler::new(attempt.id.clone());
             match self.read_first_token(&attempt, &chat, &mut assembler).await {
-                Ok((stream, chunk)) => {
-                    let (sender, events) = mpsc::channel(crate::http::STREAM_QUEUE);
+                Ok((stream, first)) => {
                     let source = attempt.source.clone();
-                    tokio::spawn(async move {
-                        self.pass_on(chat, attempt, assembler, stream, chunk, sender).await;
-                    });
-                    return Ok(RelayedStream { source, events });
+                    let passage = StreamPassage { relay: self, chat, attempt, assembler, stream };
+                    return Ok(RelayedStream { source, first, passage });
                 }
                 Err(error) => self.judge_failure(&attempt, error)?,
             }
@@ -145,7 +205,7 @@
         attempt: &OpenAttempt,
         chat: &ChatRequest,
         assembler: &mut AnswerAssembler,
-    ) -> Result<(crate::dispatch::AttemptStream, ChatChunk), AttemptError> {
+    ) -> Result<(AttemptStream, Bytes), AttemptError> {
         let mut stream = open_stream(
             self.context.client(true),
             &attempt.target,
@@ -156,26 +216,34 @@
             self.remaining(),
         )
         .await?;
-        let chunk = self.read_token(&mut stream, assembler).await?;
-        let chunk = chunk.ok_or_else(|| AttemptError::Broken("answer without tokens".into()))?;
-        Ok((stream, chunk))
+        match timeout_at(self.deadline, self.read_step(&mut stream, assembler)).await {
+            Ok(Ok(RelayedStep::Token(event))) => Ok((stream, event)),
+            Ok(Ok(RelayedStep::End)) => {
+                Err(AttemptError::Broken("answer without tokens".to_owned()))
+            }
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(AttemptError::Broken("deadline passed".to_owned())),
+        }
     }
 
-    /// Reads the next token, or none at the end of a whole answer.
-    async fn read_token(
+    /// Reads the next token as an event for the caller, or the end of a whole answer.
+    async fn read_step(
         &self,
-        stream: &mut crate::dispatch::AttemptStream,
+        stream: &mut AttemptStream,
         assembler: &mut AnswerAssembler,
-    ) -> Result<Option<ChatChunk>, AttemptError> {
+    ) -> Result<RelayedStep, AttemptError> {
         loop {
-            let event = timeout_at(self.deadline, stream.next_event())
-                .await
-                .map_err(|_| AttemptError::Broken("deadline passed".into()))??
-                .ok_or_else(|| AttemptError::Broken("stream without end marker".into()))?;
+            let event = stream
+                .next_event()
+                .await?
+                .ok_or_else(|| AttemptError::Broken("stream without end marker".to_owned()))?;
             match assembler.accept(&event) {
-                StreamStep::Token(chunk) => return Ok(Some(chunk)),
+                StreamStep::Token(chunk) => {
+                    let event = encode_chunk(&self.plan.request, chunk);
+                    return Ok(RelayedStep::Token(event));
+                }
                 StreamStep::Skip => {}
-                StreamStep::End => return Ok(None),
+                StreamStep::End => return Ok(RelayedStep::End),
                 StreamStep::Failed(body) => return Err(AttemptError::Refused(body.error)),
                 StreamStep::Broken(fault) => {
                     return Err(AttemptError::Broken(format!("stream broken: {fault:?}")));
@@ -184,58 +252,6 @@
         }
     }
 
-    /// Passes tokens on until the answer is whole, resuming it on other upstreams.
-    async fn pass_on(
-        mut self,
-        chat: ChatRequest,
-        mut attempt: OpenAttempt,
-        mut assembler: AnswerAssembler,
-        mut stream: crate::dispatch::AttemptStream,
-        first: ChatChunk,
-        sender: mpsc::Sender<Bytes>,
-    ) {
-        let mut chunk = first;
-        loop {
-            chunk.id = self.plan.request.as_str().to_owned();
-            let event = encode_event(&serde_json::to_vec(&chunk).unwrap_or_default());
-            if sender.send(event).await.is_err() {
-                return;
-            }
-            let mut next = self.read_token(&mut stream, &mut assembler).await;
-            while let Err(error) = next {
-                if let Err(refusal) = self.judge_failure(&attempt, error) {
-                    self.send_failure(refusal, &sender).await;
-                    return;
-                }
-                attempt = match self.open_attempt().await {
-                    Ok(attempt) => attempt,
-                    Err(refusal) => return self.send_failure(refusal, &sender).await,
-                };
-                assembler.resume(attempt.id.clone());
-                next = match self.read_first_token(&attempt, &chat, &mut assembler).await {
-                    Ok((resumed, chunk)) => {
-                        stream = resumed;
-                        Ok(Some(chunk))
-                    }
-                    Err(error) => Err(error),
-                };
-            }
-            match next {
-                Ok(Some(token)) => chunk = token,
-                _ => {
-                    let _ = sender.send(encode_event(END_MARKER.as_bytes())).await;
-                    return;
-                }
-            }
-        }
-    }
-
-    async fn send_failure(&self, mut refusal: Refusal, sender: &mpsc::Sender<Bytes>) {
-        refusal.ran = Ran::Unknown;
-        let body = ErrorBody { request: self.plan.request.clone(), error: refusal };
-        let _ = sender.send(encode_event(&serde_json::to_vec(&body).unwrap_or_default())).await;
-    }
-
     fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/cicadastall/src/serve.rs
+++ b/cicadastall/src/serve.rs
@@ -4,26 +4,27 @@
     answer::{Refusal, RefusalCode},
     decode::{RequestBody, RequestPath, RequestPlan, decode_request},
     dispatch::{CALL_PATH, CHAT_PATH},
-    entry::EntryContext,
-    http::{AnswerBody, BodyError, event_answer, json_answer, read_body},
+    entry::{EntryContext, RequestGuard},
+    http::{AnswerBody, BodyError, json_answer, read_body, stream_answer},
     membership::MembershipMessage,
     name::{AttemptId, RequestId},
-    relay::{AnswerSource, RelayedStream, RequestRelay},
-    stream::EventScanner,
+    relay::{AnswerSource, RelayedStep, RelayedStream, RequestRelay, StreamPassage},
+    stream::{EventScanner, encode_event},
     table::UpstreamRecord,
     wire::{
-        CallAnswer, CallRequest, ChatChoice, ChatChunk, ChatDelta, ChatRequest, END_MARKER,
-        ErrorBody, REGION_HEADER, REQUEST_HEADER, UPSTREAM_HEADER,
+        CallAnswer, CallRequest, ChatChoice, ChatChunk, ChatDelta, ChatRequest, ChunkView,
+        END_MARKER, ErrorBody, REGION_HEADER, REQUEST_HEADER, UPSTREAM_HEADER,
     },
 };
 use bytes::Bytes;
+use futures::stream::{self, StreamExt};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
     body::Incoming,
     header::{HeaderValue, RETRY_AFTER},
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::{sync::mpsc, time::Instant};
+use tokio::time::Instant;
 
 /// Path of upstreams' announcements.
 pub const ANNOUNCE_PATH: &str = "/v1/announce";
@@ -123,66 +124,75 @@
     stream: RelayedStream,
     arrived: Instant,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let RelayedStream { source, events } = stream;
-    if !chat.stream {
-        let chunk = collect_answer(&plan.request, events).await?;
-        context.metrics().record_whole_answer(plan, arrived.elapsed());
-        return Ok(label_answer(json_answer(StatusCode::OK, &chunk), &plan.request, &source));
+    let source = stream.source;
+    let answer = ChatAnswer {
+        _guard: context.count_request(),
+        context: Arc::clone(context),
+        plan: plan.clone(),
+        arrived,
+        passage: stream.passage,
+    };
+    if chat.stream {
+        let rest = stream::unfold(Some(answer), |answer| async { answer?.next_event().await });
+        let events = stream::iter([stream.first]).chain(rest);
+        return Ok(label_answer(stream_answer(events), &plan.request, &source));
     }
-    let events = watch_end(context, plan, events, arrived);
-    Ok(label_answer(event_answer(events), &plan.request, &source))
+    let chunk = answer.collect(stream.first).await?;
+    Ok(label_answer(json_answer(StatusCode::OK, &chunk), &plan.request, &source))
 }
 
-/// Passes events on and records the end of the answer.
-fn watch_end(
-    context: &Arc<EntryContext>,
-    plan: &RequestPlan,
-    mut events: mpsc::Receiver<Bytes>,
+/// A chat completion on its way to the caller.
+#[derive(Debug)]
+struct ChatAnswer {
+    context: Arc<EntryContext>,
+    plan: RequestPlan,
     arrived: Instant,
-) -> mpsc::Receiver<Bytes> {
-    let (sender, watched) = mpsc::channel(1);
-    let context = Arc::clone(context);
-    let plan = plan.clone();
-    tokio::spawn(async move {
-        let _guard = context.count_request();
-        let end = crate::stream::encode_event(END_MARKER.as_bytes());
-        while let Some(event) = events.recv().await {
-            let ended = event == end;
-            if sender.send(event).await.is_err() {
-                return;
+    passage: StreamPassage,
+    _guard: RequestGuard,
+}
+
+impl ChatAnswer {
+    /// The next event for the caller, and the answer itself unless that event is the last.
+    async fn next_event(mut self) -> Option<(Bytes, Option<Self>)> {
+        match self.passage.next_step().await {
+            Ok(RelayedStep::Token(event)) => Some((event, Some(self))),
+            Ok(RelayedStep::End) => {
+                self.record_end();
+                Some((encode_event(END_MARKER.as_bytes()), None))
             }
-            if ended {
-                context.metrics().record_whole_answer(&plan, arrived.elapsed());
+            Err(refusal) => {
+                self.context.metrics().record_refusal(&self.plan, refusal.code);
+                let body = ErrorBody { request: self.plan.request.clone(), error: refusal };
+                Some((encode_event(&serde_json::to_vec(&body).unwrap_or_default()), None))
             }
         }
-    });
-    watched
-}
+    }
 
-/// Joins the tokens of a whole answer into one chunk.
-async fn collect_answer(
-    request: &RequestId,
-    mut events: mpsc::Receiver<Bytes>,
-) -> Result<ChatChunk, Refusal> {
-    let mut scanner = EventScanner::default();
-    let mut content = String::new();
-    while let Some(event) = events.recv().await {
-        scanner.push(&event);
-        let Ok(Some(data)) = scanner.scan_event() else { continue };
-        if data == END_MARKER {
-            let choice =
-                ChatChoice { delta: ChatDelta { content }, finish_reason: Some("stop".into()) };
-            let id = request.as_str().to_owned();
-            return Ok(ChatChunk { id, offset: 0, choices: vec![choice] });
-        }
-        if let Ok(error) = serde_json::from_slice::<ErrorBody>(&data) {
-            return Err(error.error);
-        }
-        if let Ok(chunk) = serde_json::from_slice::<ChatChunk>(&data) {
-            content.extend(chunk.choices.into_iter().map(|choice| choice.delta.content));
+    /// Joins the tokens of a whole answer into one chunk.
+    async fn collect(mut self, first: Bytes) -> Result<ChatChunk, Refusal> {
+        let mut content = scan_content(&first);
+        while let RelayedStep::Token(event) = self.passage.next_step().await? {
+            content.push_str(&scan_content(&event));
         }
+        self.record_end();
+        let choice =
+            ChatChoice { delta: ChatDelta { content }, finish_reason: Some("stop".to_owned()) };
+        let id = self.plan.request.as_str().to_owned();
+        Ok(ChatChunk { id, offset: 0, choices: vec![choice] })
     }
-    Err(Refusal::unknown(RefusalCode::UpstreamFailed, "answer ended before it was whole"))
+
+    fn record_end(&self) {
+        self.context.metrics().record_whole_answer(&self.plan, self.arrived.elapsed());
+    }
+}
+
+/// Text of the token in one event.
+fn scan_content(event: &Bytes) -> String {
+    let mut scanner = EventScanner::default();
+    scanner.push(event);
+    let Ok(Some(data)) = scanner.scan_event() else { return String::new() };
+    let Ok(chunk) = serde_json::from_slice::<ChunkView<'_>>(&data) else { return String::new() };
+    chunk.choices.into_iter().map(|choice| choice.delta.content).collect()
 }
 
 async fn list_entries(context: &EntryContext) -> Response<AnswerBody> {
--- a/cicadastall/src/stream.rs
+++ b/cicadastall/src/stream.rs
@@ -2,10 +2,9 @@
 
 use crate::{
     name::AttemptId,
-    wire::{ChatChunk, END_MARKER, ErrorBody},
+    wire::{ChunkView, END_MARKER, ErrorBody},
 };
 use bytes::{Bytes, BytesMut};
-use serde::Deserialize;
 
 /// Most bytes of one event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -64,9 +63,9 @@
 
 /// What one event means for the answer.
 #[derive(Debug, Clone, PartialEq)]
-pub enum StreamStep {
+pub enum StreamStep<'a> {
     /// The next token of the answer.
-    Token(ChatChunk),
+    Token(ChunkView<'a>),
     /// Nothing: a repeated token, or an event of another attempt.
     Skip,
     /// The answer is whole.
@@ -96,13 +95,6 @@
     finished: bool,
 }
 
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum StreamEvent {
-    Chunk(ChatChunk),
-    Error(ErrorBody),
-}
-
 impl AnswerAssembler {
     /// An assembler that expects its first token from `attempt`.
     pub fn new(attempt: AttemptId) -> Self {
@@ -120,24 +112,26 @@
     }
 
     /// Judges the data of the next event.
-    pub fn accept(&mut self, data: &[u8]) -> StreamStep {
+    pub fn accept<'a>(&mut self, data: &'a [u8]) -> StreamStep<'a> {
         if data == END_MARKER.as_bytes() {
             return match self.finished {
                 true => StreamStep::End,
                 false => StreamStep::Broken(StreamFault::EarlyEnd),
             };
         }
-        match serde_json::from_slice(data) {
-            Ok(StreamEvent::Chunk(chunk)) => self.accept_chunk(chunk),
-            Ok(StreamEvent::Error(error)) if error.request.as_str() == self.attempt.as_str() => {
+        if let Ok(chunk) = serde_json::from_slice(data) {
+            return self.accept_chunk(chunk);
+        }
+        match serde_json::from_slice::<ErrorBody>(data) {
+            Ok(error) if error.request.as_str() == self.attempt.as_str() => {
                 StreamStep::Failed(error)
             }
-            Ok(StreamEvent::Error(_)) => StreamStep::Skip,
+            Ok(_) => StreamStep::Skip,
             Err(_) => StreamStep::Broken(StreamFault::Unreadable),
         }
     }
 
-    fn accept_chunk(&mut self, chunk: ChatChunk) -> StreamStep {
+    fn accept_chunk<'a>(&mut self, chunk: ChunkView<'a>) -> StreamStep<'a> {
         if chunk.id != self.attempt.as_str() || chunk.offset < self.next_offset || self.finished {
             return StreamStep::Skip;
         }
--- a/cicadastall/src/wire.rs
+++ b/cicadastall/src/wire.rs
@@ -5,7 +5,8 @@
     name::{AttemptId, InstanceName, ModelName, RequestId, ZoneName},
 };
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use smallvec::SmallVec;
+use std::{borrow::Cow, net::SocketAddr};
 
 /// Header that names the workspace of a request.
 pub const WORKSPACE_HEADER: &str = "x-cicadastall-workspace";
@@ -97,6 +98,38 @@
     pub content: String,
 }
 
+/// A [`ChatChunk`] that borrows the text of the event it was read from.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChunkView<'a> {
+    /// Attempt that produced the chunk; the request where a caller receives it.
+    #[serde(borrow)]
+    pub id: Cow<'a, str>,
+    /// Number of tokens before this chunk.
+    pub offset: u32,
+    /// One choice, with the text of this chunk.
+    #[serde(borrow)]
+    pub choices: SmallVec<[ChoiceView<'a>; 1]>,
+}
+
+/// A [`ChatChoice`] that borrows its text.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChoiceView<'a> {
+    /// Text added by the chunk.
+    #[serde(borrow)]
+    pub delta: DeltaView<'a>,
+    /// Why generation ended, in the last chunk only.
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    pub finish_reason: Option<Cow<'a, str>>,
+}
+
+/// A [`ChatDelta`] that borrows its text.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DeltaView<'a> {
+    /// The text.
+    #[serde(borrow)]
+    pub content: Cow<'a, str>,
+}
+
 /// Body of a call to a plain service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CallRequest {
