--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -1,19 +1,25 @@
 //! Runs experiments of cicadastall from the command line.
 
+mod overhead;
+
 use bpaf::Bpaf;
 use cicadastall_bench::compare::{CompareOptions, compare_options, run_compare};
 
-/// An experiment.
-#[derive(Debug, Bpaf)]
+/// Measures cicadastall; every command prints JSON or a table and ends by itself.
+#[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 enum BenchCommand {
+    /// Processor time, latency and memory that an entry adds to requests and tokens
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::overhead_options))] overhead::OverheadOptions),
     /// Runs one workload over the shipped policy and over baselines
-    #[bpaf(command("compare"))]
+    #[bpaf(command)]
     Compare(#[bpaf(external(compare_options))] CompareOptions),
 }
 
 fn main() -> eyre::Result<()> {
     match bench_command().run() {
+        BenchCommand::Overhead(options) => overhead::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
     }
 }
