Count cached prefixes, and weigh the work that a request costs

Change: prefix.rs keeps a view of each cache from events that consecutive reports repeat; a gap beyond them makes the view unknown until a full batch. The score adds twice the time that the uncached prompt takes from others.

--- a/cicadastall-bench/src/compare/policies.rs
+++ b/cicadastall-bench/src/compare/policies.rs
@@ -13,12 +13,13 @@
 
 /// The baselines, earlier versions of the policy, and last the shipped one.
 pub fn list_policies() -> Vec<PolicyEntry> {
-    let baseline = |name, choice| PolicyEntry { name, policy: RouterPolicy { choice } };
+    let baseline = |name, choice| PolicyEntry { name, policy: RouterPolicy::baseline(choice) };
     vec![
         baseline("random", ChoiceRule::Random),
         baseline("round-robin", ChoiceRule::RoundRobin),
         baseline("least-in-flight", ChoiceRule::LeastInFlight),
         baseline("least-loaded", ChoiceRule::LeastLoaded),
         baseline("predicted", ChoiceRule::Predicted),
+        PolicyEntry { name: "prefix", policy: RouterPolicy::default() },
     ]
 }
--- a/cicadastall-standins/src/cache.rs
+++ b/cicadastall-standins/src/cache.rs
@@ -4,18 +4,21 @@
     prefix::BLOCK_TOKENS,
     table::{CacheBatch, CacheEvent},
 };
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Batches of events between two that list the whole cache.
 const FULL_BATCH_EVERY: u64 = 60;
 
+/// Newest events that every batch repeats, so that a lost report leaves no gap.
+const BATCH_EVENTS: usize = 512;
+
 /// Cached blocks, evicted by last use.
 #[derive(Debug, Clone, Default)]
 pub struct PrefixCache {
     uses: HashMap<u64, u64>,
     order: BTreeMap<u64, u64>,
     clock: u64,
-    events: Vec<CacheEvent>,
+    events: VecDeque<CacheEvent>,
     sequence: u64,
     batches: u64,
 }
@@ -24,9 +27,7 @@
     /// Tokens of the longest cached prefix of `blocks`, whose blocks become the latest used.
     pub fn match_prefix(&mut self, blocks: &[u64]) -> u32 {
         let cached = blocks.iter().take_while(|block| self.uses.contains_key(block)).count();
-        for block in &blocks[..cached] {
-            self.touch(*block);
-        }
+        self.touch_all(&blocks[..cached]);
         cached as u32 * BLOCK_TOKENS
     }
 
@@ -34,10 +35,10 @@
     pub fn store(&mut self, blocks: &[u64], capacity: u64) {
         for block in blocks {
             if !self.uses.contains_key(block) {
-                self.events.push(CacheEvent::Stored(*block));
+                self.note(CacheEvent::Stored(*block));
             }
-            self.touch(*block);
         }
+        self.touch_all(blocks);
         self.shrink(capacity);
     }
 
@@ -48,23 +49,35 @@
             && let Some((_, block)) = self.order.pop_first()
         {
             self.uses.remove(&block);
-            self.events.push(CacheEvent::Removed(block));
+            self.note(CacheEvent::Removed(block));
         }
     }
 
-    /// Takes the events since the last call; now and then a list of the whole cache.
+    /// The newest events; now and then a list of the whole cache.
     pub fn take_batch(&mut self) -> CacheBatch {
-        let first = self.sequence;
         self.batches += 1;
-        let changes = std::mem::take(&mut self.events);
-        self.sequence += changes.len() as u64;
-        if !self.batches.is_multiple_of(FULL_BATCH_EVERY) {
-            return CacheBatch { first, full: false, events: changes };
+        if self.batches.is_multiple_of(FULL_BATCH_EVERY) {
+            let blocks = self.order.values();
+            let events: Vec<_> = blocks.map(|block| CacheEvent::Stored(*block)).collect();
+            return CacheBatch { first: self.sequence, full: true, events };
+        }
+        let first = self.sequence - self.events.len() as u64;
+        CacheBatch { first, full: false, events: self.events.iter().copied().collect() }
+    }
+
+    fn note(&mut self, event: CacheEvent) {
+        self.sequence += 1;
+        self.events.push_back(event);
+        if self.events.len() > BATCH_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Makes `blocks` the latest used, so that the end of a chain is evicted before its start.
+    fn touch_all(&mut self, blocks: &[u64]) {
+        for block in blocks.iter().rev() {
+            self.touch(*block);
         }
-        let events: Vec<_> = self.order.values().map(|block| CacheEvent::Stored(*block)).collect();
-        let first = self.sequence;
-        self.sequence += events.len() as u64;
-        CacheBatch { first, full: true, events }
     }
 
     fn touch(&mut self, block: u64) {
--- a/cicadastall/src/prefix.rs
+++ b/cicadastall/src/prefix.rs
@@ -83,13 +83,21 @@
         }
         if batch.full {
             self.blocks.clear();
-        } else if self.next != Some(batch.first) {
+            self.next = Some(batch.first);
+            return self.apply(&batch.events);
+        }
+        let Some(next) = self.next.filter(|next| batch.first <= *next) else {
             self.blocks.clear();
             self.next = None;
             return;
-        }
-        self.next = Some(batch.first + batch.events.len() as u64);
-        for event in &batch.events {
+        };
+        let fresh = batch.events.get((next - batch.first) as usize..).unwrap_or_default();
+        self.next = Some(next + fresh.len() as u64);
+        self.apply(fresh);
+    }
+
+    fn apply(&mut self, events: &[CacheEvent]) {
+        for event in events {
             match event {
                 CacheEvent::Stored(block) => self.blocks.insert(*block),
                 CacheEvent::Removed(block) => self.blocks.remove(block),
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -130,6 +130,7 @@
             .filter(|view| may_reside(view, plan, &self.place))
             .filter(|view| serves_plan(view, plan, now) && is_untried(view, tried))
             .collect();
+        self.observe_caches(&candidates);
         if let Some(view) = self.choose_upstream(&candidates, plan, shape, now) {
             let priority = priority_of(plan.rank);
             return RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority });
@@ -158,11 +159,13 @@
             .upstreams
             .get(upstream)
             .map(|view| self.predict_on(view, plan, shape, now).first_token);
+        let uncached_tokens = self.uncached_tokens(upstream, shape);
         let track = self.tracks.entry(upstream.clone()).or_default();
+        track.prefix.expect_blocks(shape);
         track.sends.push(SentAttempt {
             number: self.sent,
             sent_at: now,
-            uncached_tokens: shape.tokens,
+            uncached_tokens,
             urgent: plan.rank == Rank::Urgent,
             predicted,
         });
@@ -216,6 +219,26 @@
         }
     }
 
+    fn observe_caches(&mut self, candidates: &[&UpstreamView]) {
+        if !self.policy.prefix {
+            return;
+        }
+        for view in candidates {
+            match self.tracks.get_mut(&view.record.name) {
+                Some(track) => track.observe_record(&view.record),
+                None => {
+                    let track = self.tracks.entry(view.record.name.clone()).or_default();
+                    track.observe_record(&view.record);
+                }
+            }
+        }
+    }
+
+    fn uncached_tokens(&self, upstream: &UpstreamName, shape: &PromptShape) -> u32 {
+        let track = self.tracks.get(upstream).filter(|_| self.policy.prefix);
+        shape.tokens - track.map_or(0, |track| track.prefix.cached_tokens(shape))
+    }
+
     fn predict_on(
         &self,
         view: &UpstreamView,
@@ -227,7 +250,7 @@
         let input = ScoreInput {
             shape,
             rank: plan.rank,
-            uncached_tokens: shape.tokens,
+            uncached_tokens: self.uncached_tokens(&view.record.name, shape),
             sent: track
                 .map(|track| track.sent_since(view.renewed_at, plan.rank))
                 .unwrap_or_default(),
--- a/cicadastall/src/route/policy.rs
+++ b/cicadastall/src/route/policy.rs
@@ -1,7 +1,7 @@
 //! How a router chooses; the shipped policy is the default.
 
 /// Rule by which one of the possible upstreams is chosen.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChoiceRule {
     /// Any of them.
     Random,
@@ -12,13 +12,27 @@
     /// The one with the fewest requests by its report or by this entry's count.
     LeastLoaded,
     /// The one with the lowest predicted time to first token.
-    #[default]
     Predicted,
 }
 
 /// Mechanisms that a router uses.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RouterPolicy {
     /// Rule of choice.
     pub choice: ChoiceRule,
+    /// Whether prompt tokens in an upstream's prefix cache count as done.
+    pub prefix: bool,
+}
+
+impl Default for RouterPolicy {
+    fn default() -> Self {
+        Self { prefix: true, ..Self::baseline(ChoiceRule::Predicted) }
+    }
+}
+
+impl RouterPolicy {
+    /// A rule of choice without any further mechanism.
+    pub fn baseline(choice: ChoiceRule) -> Self {
+        Self { choice, prefix: false }
+    }
 }
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -7,6 +7,9 @@
 /// Weight of the time from first token to whole answer, relative to the time to first token.
 const ANSWER_WEIGHT: f64 = 0.1;
 
+/// Weight of the work that a request costs, relative to its own time to first token.
+const COST_WEIGHT: f64 = 2.0;
+
 /// What is known of a request and an upstream beside the upstream's record.
 #[derive(Debug, Clone, Copy)]
 pub struct ScoreInput<'a> {
@@ -33,12 +36,16 @@
     pub first_token: Duration,
     /// From the first token to the whole answer.
     pub answer: Duration,
+    /// Time of the upstream that the prompt takes from other requests.
+    pub cost: Duration,
 }
 
 impl Prediction {
     /// The figure by which upstreams are compared, in seconds; lower is better.
     pub fn score(&self) -> f64 {
-        self.first_token.as_secs_f64() + ANSWER_WEIGHT * self.answer.as_secs_f64()
+        self.first_token.as_secs_f64()
+            + ANSWER_WEIGHT * self.answer.as_secs_f64()
+            + COST_WEIGHT * self.cost.as_secs_f64()
     }
 }
 
@@ -57,11 +64,17 @@
     let running = (requests - age * completions).max(0.0) + input.sent.requests;
     let excess = running + 1.0 - slots(view);
     let wait = prefill_wait.max(excess / completions);
-    let first_token = wait + f64::from(input.uncached_tokens) / prefill_rate;
+    let cost = f64::from(input.uncached_tokens) / prefill_rate;
+    let first_token = wait + cost;
     let batch = (running + 1.0).min(f64::from(rates.max_running));
     let decode_rate = rates.decode_tokens_per_s / input.pace;
     let answer = f64::from(input.shape.answer_tokens) * batch / decode_rate;
-    Prediction { wait: seconds(wait), first_token: seconds(first_token), answer: seconds(answer) }
+    Prediction {
+        wait: seconds(wait),
+        first_token: seconds(first_token),
+        answer: seconds(answer),
+        cost: seconds(cost),
+    }
 }
 
 /// Requests and prompt tokens that are served before or with a request of `rank`.
--- a/cicadastall/src/route/track.rs
+++ b/cicadastall/src/route/track.rs
@@ -1,6 +1,12 @@
-//! What one entry itself knows of an upstream: its own sends and the pace that it observed.
+//! What one entry itself knows of an upstream: its own sends, the pace that it observed, and the
+//! view of the prefix cache.
 
-use crate::{name::UpstreamName, settings::Rank};
+use crate::{
+    name::UpstreamName,
+    prefix::PrefixView,
+    settings::Rank,
+    table::{Incarnation, UpstreamRecord},
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -46,15 +52,31 @@
 pub(crate) struct UpstreamTrack {
     pub(crate) sends: Vec<SentAttempt>,
     pub(crate) pace: f64,
+    pub(crate) prefix: PrefixView,
+    seen: (Incarnation, u64),
 }
 
 impl Default for UpstreamTrack {
     fn default() -> Self {
-        Self { sends: Vec::new(), pace: 1.0 }
+        Self {
+            sends: Vec::new(),
+            pace: 1.0,
+            prefix: PrefixView::default(),
+            seen: (Incarnation::default(), 0),
+        }
     }
 }
 
 impl UpstreamTrack {
+    /// Takes the cache events of a record, once for each announcement.
+    pub(crate) fn observe_record(&mut self, record: &UpstreamRecord) {
+        let seen = (record.incarnation, record.sequence);
+        if seen != self.seen {
+            self.seen = seen;
+            self.prefix.accept_batch(record.incarnation, &record.load.cache);
+        }
+    }
+
     /// Learns the pace from an attempt whose first token came.
     pub(crate) fn note_first_token(&mut self, number: u64, now: Instant) {
         let Some(sent) = self.sends.iter_mut().find(|sent| sent.number == number) else { return };
--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -63,7 +63,7 @@
     /// Prompt tokens of urgent requests that wait for prefill.
     #[serde(default)]
     pub urgent_prompt_tokens: u64,
-    /// Changes of the prefix cache since the previous report.
+    /// The newest changes of the prefix cache; consecutive reports overlap.
     #[serde(default, skip_serializing_if = "CacheBatch::is_empty")]
     pub cache: CacheBatch,
 }
@@ -73,7 +73,7 @@
 pub struct CacheBatch {
     /// Number of the first event; events are numbered without gaps within an incarnation.
     pub first: u64,
-    /// Whether the events list the whole cache and not just its changes.
+    /// Whether the events list the whole cache as it was before event `first`.
     pub full: bool,
     /// The changes, in order.
     pub events: Vec<CacheEvent>,
