Refuse early what would miss its target, by share, with a time to come back

Ruled out: queues in the entry: engines honour priorities, so a second queue only adds a place to wait in. Change: admit.rs compares the prediction with the target, less for a workspace and kind above its share; patient work keeps 3% of the zone that runs as urgent; returns after a refusal are paced by flow and spread by a quarter.

--- a/cicadastall-bench/src/compare/metrics.rs
+++ b/cicadastall-bench/src/compare/metrics.rs
@@ -38,7 +38,7 @@
 /// Figures of the time of floods.
 #[derive(Debug, Clone, Serialize)]
 pub struct FloodReport {
-    /// Urgent on-time share of requests that do not belong to the flood.
+    /// Urgent on-time share of the workspaces that do not send the flood.
     pub urgent_on_time: f64,
     /// Answers on time, counted from the last asking, in work over the fleet's capacity.
     pub urgent_use: f64,
@@ -230,7 +230,7 @@
         on_time: bool,
     ) {
         let bucket = (at.as_secs() / BUCKET.as_secs()) as usize;
-        if rank == Rank::Urgent && !request.flood {
+        if rank == Rank::Urgent && !request.floods_workspace() {
             self.buckets[bucket].0 += 1;
             self.buckets[bucket].1 += u64::from(on_time);
         }
@@ -246,7 +246,7 @@
                 if request.on_time {
                     flood.urgent_on_time_s += work_s;
                 }
-                if !request.flood {
+                if !request.floods_workspace() {
                     flood.urgent.0 += 1;
                     flood.urgent.1 += u64::from(on_time);
                 }
--- a/cicadastall-bench/src/compare/policies.rs
+++ b/cicadastall-bench/src/compare/policies.rs
@@ -20,6 +20,17 @@
         baseline("least-in-flight", ChoiceRule::LeastInFlight),
         baseline("least-loaded", ChoiceRule::LeastLoaded),
         baseline("predicted", ChoiceRule::Predicted),
-        PolicyEntry { name: "prefix", policy: RouterPolicy::default() },
+        PolicyEntry {
+            name: "prefix",
+            policy: RouterPolicy { prefix: true, ..RouterPolicy::baseline(ChoiceRule::Predicted) },
+        },
+        PolicyEntry {
+            name: "admission",
+            policy: RouterPolicy { crowd: false, ..RouterPolicy::default() },
+        },
+        PolicyEntry {
+            name: "crowd",
+            policy: RouterPolicy { crowd: true, ..RouterPolicy::default() },
+        },
     ]
 }
--- a/cicadastall-bench/src/compare/requests.rs
+++ b/cicadastall-bench/src/compare/requests.rs
@@ -69,8 +69,6 @@
     pub home: usize,
     /// Number of its workspace.
     pub workspace: u32,
-    /// Whether it belongs to a flood.
-    pub flood: bool,
     /// Its prompt.
     pub shape: Arc<PromptShape>,
     /// Blocks of the prompt as upstreams get them.
@@ -93,6 +91,16 @@
     pub sends: u32,
 }
 
+/// Number of the workspace in each region that sends the floods.
+pub const FLOOD_WORKSPACE: u32 = 0;
+
+impl SimRequest {
+    /// Whether its workspace is one of those that send the floods.
+    pub fn floods_workspace(&self) -> bool {
+        self.workspace == FLOOD_WORKSPACE
+    }
+}
+
 /// Plan of a kind for one workspace.
 pub fn make_plan(
     workload: &Workload,
--- a/cicadastall-bench/src/compare/simulation.rs
+++ b/cicadastall-bench/src/compare/simulation.rs
@@ -6,7 +6,9 @@
     fleet::{UpstreamModel, ZoneModel, make_address, make_table, make_upstreams},
     metrics::{PolicyReport, RunMetrics},
     policies::PolicyEntry,
-    requests::{OpenAttempt, RequestLeg, SimRequest, draw_shape, forward_plan, make_plan},
+    requests::{
+        FLOOD_WORKSPACE, OpenAttempt, RequestLeg, SimRequest, draw_shape, forward_plan, make_plan,
+    },
     workload::{FaultKind, Workload},
 };
 use cicadastall::{
@@ -243,7 +245,7 @@
         let rate = self.workload.arrival_rate(load, region, at);
         if self.rng.random::<f64>() * self.workload.highest_rate(load, region) < rate {
             let workspace = self.rng.random_range(0..self.workload.workspaces_per_region);
-            self.create(kind, zone, workspace, false);
+            self.create(kind, zone, workspace);
         }
     }
 
@@ -259,13 +261,13 @@
         let load = &kinds[kind];
         let rate = times * self.workload.capacity(load) / self.workload.work_s(load);
         let zone = self.rng.random_range(0..self.zones.len());
-        self.create(kind, zone, 0, true);
+        self.create(kind, zone, FLOOD_WORKSPACE);
         if let Some(wait) = self.draw_wait(rate) {
             self.schedule(wait, Event::FloodArrive { fault });
         }
     }
 
-    fn create(&mut self, kind: usize, home: usize, workspace: u32, flood: bool) {
+    fn create(&mut self, kind: usize, home: usize, workspace: u32) {
         let load = &self.workload.kinds[kind];
         let shape = Arc::new(draw_shape(load, home, workspace, &mut self.rng));
         self.numbers += 1;
@@ -273,7 +275,6 @@
             kind,
             home,
             workspace,
-            flood,
             blocks: shape.blocks.as_slice().into(),
             shape,
             first_asked: self.now,
--- /dev/null
+++ b/cicadastall/src/admit.rs
@@ -0,0 +1,196 @@
+//! Admission: which requests are taken when not all can be answered within their targets.
+//!
+//! A request is taken if its predicted time to first token is within its limit. The limit is the
+//! target, less for a workspace and kind that has had more than its share lately, so that the
+//! others still find room. Patient work keeps a small share that runs as if it were urgent.
+//! Whatever is not taken is refused at once, with a time to come back.
+
+use crate::{
+    answer::{Refusal, RefusalCode},
+    decode::RequestPlan,
+    name::{KindName, PoolName, WorkspaceName},
+    route::score::Prediction,
+    settings::Rank,
+};
+use rand::{Rng, RngExt};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// Part of the target that a prediction may use, as predictions are late and uncertain.
+const TARGET_MARGIN: f64 = 0.8;
+
+/// Smallest part of its limit that is left to a flow far above its share.
+const LEAST_FAIRNESS: f64 = 0.25;
+
+/// Time after which work that was taken counts half.
+const USAGE_HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// Share of the capacity that patient work gets even where urgent work could use all of it.
+const PATIENT_SHARE: f64 = 0.03;
+
+/// Most work that the share of patient work saves up, in seconds of the whole zone.
+const PATIENT_SAVED_S: f64 = 1.0;
+
+/// Earliest and latest time to come back after a refusal.
+const RETURN_RANGE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(30));
+
+/// What becomes of a request that would be late.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Admission {
+    /// Sent as if it were urgent, out of the share of patient work.
+    Promote,
+    /// Answered at once.
+    Refuse(Refusal),
+}
+
+/// Capacity that the decision is about.
+#[derive(Debug, Clone, Copy)]
+pub struct ZoneCapacity {
+    /// Upstreams that may run the request.
+    pub upstreams: usize,
+    /// Entries that share them.
+    pub entries: usize,
+}
+
+impl ZoneCapacity {
+    /// Seconds of work per second that this entry may count on.
+    fn own_rate(&self) -> f64 {
+        self.upstreams as f64 / self.entries.max(1) as f64
+    }
+}
+
+#[derive(Debug, Clone)]
+struct FlowUsage {
+    share: f64,
+    work_s: f64,
+    counted_at: Instant,
+    next_return: Instant,
+}
+
+#[derive(Debug, Clone)]
+struct PatientBucket {
+    level_s: f64,
+    filled_at: Instant,
+}
+
+type FlowGroup = BTreeMap<(WorkspaceName, KindName), FlowUsage>;
+
+/// Admission state of one entry.
+#[derive(Debug, Clone, Default)]
+pub struct AdmissionGate {
+    groups: BTreeMap<(PoolName, Rank), FlowGroup>,
+    patient: BTreeMap<PoolName, PatientBucket>,
+}
+
+impl AdmissionGate {
+    /// Longest predicted time to first token with which the request is taken.
+    pub fn limit(&self, plan: &RequestPlan, now: Instant) -> Duration {
+        plan.first_token.mul_f64(TARGET_MARGIN * self.fairness(plan, now))
+    }
+
+    /// Counts the work of a request that is sent.
+    pub fn note_sent(&mut self, plan: &RequestPlan, work: Duration, now: Instant) {
+        let flow = self.flow(plan, now);
+        flow.work_s = decayed(flow, now) + work.as_secs_f64();
+        flow.counted_at = now;
+    }
+
+    /// Decides on a request whose best prediction exceeds its limit.
+    pub fn judge_late(
+        &mut self,
+        plan: &RequestPlan,
+        prediction: &Prediction,
+        capacity: ZoneCapacity,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) -> Admission {
+        let work = prediction.work();
+        if plan.rank == Rank::Patient && self.take_patient(&plan.pool, work, capacity, now) {
+            return Admission::Promote;
+        }
+        let fairness = self.fairness(plan, now);
+        let code = if fairness < 1.0 && prediction.first_token < plan.first_token {
+            RefusalCode::WorkspaceLimit
+        } else {
+            RefusalCode::Overloaded
+        };
+        let wait = prediction.first_token.as_millis();
+        let message = format!("the first token would take {wait} ms");
+        let delay = self.schedule_return(plan, work, capacity, rng, now);
+        Admission::Refuse(Refusal::not_run(code, message).retry_after(delay))
+    }
+
+    /// Part of its limit that the request's workspace and kind may use, from
+    /// [`LEAST_FAIRNESS`] to 1.
+    fn fairness(&self, plan: &RequestPlan, now: Instant) -> f64 {
+        let Some(group) = self.groups.get(&(plan.pool.clone(), plan.rank)) else { return 1.0 };
+        let Some(own) = group.get(&(plan.workspace.clone(), plan.kind.clone())) else { return 1.0 };
+        let own_usage = decayed(own, now) / own.share;
+        let usage: f64 = group.values().map(|flow| decayed(flow, now)).sum();
+        let shares: f64 = group.values().map(|flow| flow.share).sum();
+        if own_usage <= 0.0 {
+            return 1.0;
+        }
+        (usage / shares / own_usage).clamp(LEAST_FAIRNESS, 1.0)
+    }
+
+    fn flow(&mut self, plan: &RequestPlan, now: Instant) -> &mut FlowUsage {
+        let group = self.groups.entry((plan.pool.clone(), plan.rank)).or_default();
+        let key = (plan.workspace.clone(), plan.kind.clone());
+        let share = plan.share.max(f64::MIN_POSITIVE);
+        let new = FlowUsage { share, work_s: 0.0, counted_at: now, next_return: now };
+        let flow = group.entry(key).or_insert(new);
+        flow.share = share;
+        flow
+    }
+
+    /// Takes the work out of the patient share if that is not used up.
+    fn take_patient(
+        &mut self,
+        pool: &PoolName,
+        work: Duration,
+        capacity: ZoneCapacity,
+        now: Instant,
+    ) -> bool {
+        let rate = PATIENT_SHARE * capacity.own_rate();
+        let full = PATIENT_SAVED_S * capacity.own_rate();
+        let new = PatientBucket { level_s: full, filled_at: now };
+        let bucket = self.patient.entry(pool.clone()).or_insert(new);
+        let elapsed = now.saturating_duration_since(bucket.filled_at).as_secs_f64();
+        bucket.level_s = (bucket.level_s + elapsed * rate).min(full);
+        bucket.filled_at = now;
+        let taken = bucket.level_s > 0.0;
+        if taken {
+            // The level may fall below zero, so that a long request isn't shut out for ever.
+            bucket.level_s -= work.as_secs_f64();
+        }
+        taken
+    }
+
+    /// Time to come back: returns of one flow are spread at the rate at which its share of the
+    /// capacity could serve them.
+    fn schedule_return(
+        &mut self,
+        plan: &RequestPlan,
+        work: Duration,
+        capacity: ZoneCapacity,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) -> Duration {
+        let group = self.groups.get(&(plan.pool.clone(), plan.rank));
+        let flows = group.map_or(1, |group| group.len().max(1)) as f64;
+        let step = work.as_secs_f64() * flows / capacity.own_rate().max(f64::MIN_POSITIVE);
+        let flow = self.flow(plan, now);
+        let (earliest, latest) = RETURN_RANGE;
+        let next = flow.next_return.max(now + earliest);
+        let step = Duration::try_from_secs_f64(step).unwrap_or(latest).min(latest);
+        flow.next_return = (next + step).min(now + latest);
+        let delay = next.saturating_duration_since(now);
+        delay.mul_f64(rng.random_range(0.75..1.25))
+    }
+}
+
+fn decayed(flow: &FlowUsage, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(flow.counted_at).as_secs_f64();
+    flow.work_s * (-age / USAGE_HALF_LIFE.as_secs_f64()).exp2()
+}
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -13,6 +13,7 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+pub mod admit;
 pub mod answer;
 pub mod control;
 pub mod decode;
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -4,6 +4,7 @@
 //! them, and [`track`] keeps what the entry itself sent.
 
 use crate::{
+    admit::{Admission, AdmissionGate, ZoneCapacity},
     answer::{Refusal, RefusalCode},
     decode::RequestPlan,
     name::{RegionName, UpstreamName, ZoneName},
@@ -26,7 +27,7 @@
 use filter::{is_untried, may_reside, serves_plan};
 use policy::{ChoiceRule, RouterPolicy};
 use score::{Prediction, ScoreInput, predict};
-use track::{SendTicket, SentAttempt, UpstreamTrack};
+use track::{SendTicket, SentAttempt, SentLoad, UpstreamTrack};
 
 /// Time after its last announcement at which an upstream gets no new work.
 pub const UPSTREAM_EXPIRY: Duration = Duration::from_millis(2_500);
@@ -99,6 +100,7 @@
     rng: ChaCha8Rng,
     sent: u64,
     mean_answer_tokens: f64,
+    gate: AdmissionGate,
 }
 
 impl RequestRouter {
@@ -112,7 +114,8 @@
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let tracks = BTreeMap::new();
         let mean_answer_tokens = FIRST_ANSWER_MEAN;
-        Self { place, policy, tracks, rng, sent: 0, mean_answer_tokens }
+        let gate = AdmissionGate::default();
+        Self { place, policy, tracks, rng, sent: 0, mean_answer_tokens, gate }
     }
 
     /// Chooses the target of the next attempt.
@@ -131,16 +134,29 @@
             .filter(|view| serves_plan(view, plan, now) && is_untried(view, tried))
             .collect();
         self.observe_caches(&candidates);
-        if let Some(view) = self.choose_upstream(&candidates, plan, shape, now) {
-            let priority = priority_of(plan.rank);
-            return RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority });
+        let predictions = self.predict_all(table, &candidates, plan, shape, now);
+        let limit = self.gate.limit(plan, now);
+        let chosen = self.choose_upstream(&candidates, &predictions, limit);
+        if let Some(place) = chosen
+            && (!self.policy.admission || predictions[place].first_token <= limit)
+        {
+            return send_to(candidates[place], priority_of(plan.rank));
         }
         if plan.forwarded_from.is_none()
+            && (chosen.is_none() || self.policy.spill)
             && let Some(decision) = self.choose_zone(table, plan, tried, now)
         {
             return decision;
         }
-        RouteDecision::Refuse(refuse_unroutable(plan, &self.place.region))
+        let Some(place) = chosen else {
+            return RouteDecision::Refuse(refuse_unroutable(plan, &self.place.region));
+        };
+        let capacity =
+            ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
+        match self.gate.judge_late(plan, &predictions[place], capacity, &mut self.rng, now) {
+            Admission::Promote => send_to(candidates[place], priority_of(Rank::Urgent)),
+            Admission::Refuse(refusal) => RouteDecision::Refuse(refusal),
+        }
     }
 
     /// Notes that a request was sent to `upstream`.
@@ -155,10 +171,12 @@
         self.sent += 1;
         self.mean_answer_tokens +=
             ANSWER_MEAN_WEIGHT * (f64::from(shape.answer_tokens) - self.mean_answer_tokens);
-        let predicted = table
-            .upstreams
-            .get(upstream)
-            .map(|view| self.predict_on(view, plan, shape, now).first_token);
+        let prediction = table.upstreams.get(upstream).map(|view| {
+            let sent = self.sent_since(view, plan.rank);
+            self.predict_on(view, plan, shape, sent, now)
+        });
+        let work = prediction.map(|prediction| prediction.work()).unwrap_or_default();
+        self.gate.note_sent(plan, work, now);
         let uncached_tokens = self.uncached_tokens(upstream, shape);
         let track = self.tracks.entry(upstream.clone()).or_default();
         track.prefix.expect_blocks(shape);
@@ -167,7 +185,7 @@
             sent_at: now,
             uncached_tokens,
             urgent: plan.rank == Rank::Urgent,
-            predicted,
+            predicted: prediction.map(|prediction| prediction.first_token),
         });
         SendTicket { upstream: upstream.clone(), number: self.sent }
     }
@@ -186,37 +204,67 @@
         }
     }
 
-    fn choose_upstream<'a>(
+    /// Index of the chosen candidate.
+    fn choose_upstream(
         &mut self,
-        candidates: &[&'a UpstreamView],
-        plan: &RequestPlan,
-        shape: &PromptShape,
-        now: Instant,
-    ) -> Option<&'a UpstreamView> {
+        candidates: &[&UpstreamView],
+        predictions: &[Prediction],
+        limit: Duration,
+    ) -> Option<usize> {
         if candidates.is_empty() {
             return None;
         }
-        let own_sends = |view: &UpstreamView| {
-            self.tracks.get(&view.record.name).map_or(0, |track| track.sends.len() as u32)
+        let mut places = 0..candidates.len();
+        let own_sends = |place: &usize| {
+            let name = &candidates[*place].record.name;
+            self.tracks.get(name).map_or(0, |track| track.sends.len() as u32)
         };
         match self.policy.choice {
-            ChoiceRule::Random => {
-                let place = self.rng.random_range(0..candidates.len());
-                Some(candidates[place])
-            }
-            ChoiceRule::RoundRobin => Some(candidates[self.sent as usize % candidates.len()]),
-            ChoiceRule::LeastInFlight => {
-                candidates.iter().copied().min_by_key(|view| own_sends(view))
-            }
-            ChoiceRule::LeastLoaded => candidates.iter().copied().min_by_key(|view| {
-                view.record.load.running.max(own_sends(view)) + view.record.load.queued
+            ChoiceRule::Random => Some(self.rng.random_range(places)),
+            ChoiceRule::RoundRobin => places.nth(self.sent as usize % candidates.len()),
+            ChoiceRule::LeastInFlight => places.min_by_key(own_sends),
+            ChoiceRule::LeastLoaded => places.min_by_key(|place| {
+                let load = &candidates[*place].record.load;
+                load.running.max(own_sends(place)) + load.queued
             }),
-            ChoiceRule::Predicted => candidates
-                .iter()
-                .map(|view| (self.predict_on(view, plan, shape, now).score(), *view))
-                .min_by(|a, b| a.0.total_cmp(&b.0))
-                .map(|(_, view)| view),
+            ChoiceRule::Predicted => places.min_by(|a, b| {
+                let late = |place: &usize| predictions[*place].first_token > limit;
+                let score = |place: &usize| predictions[*place].score();
+                late(a).cmp(&late(b)).then(score(a).total_cmp(&score(b)))
+            }),
+        }
+    }
+
+    fn predict_all(
+        &self,
+        table: &RoutingTable,
+        candidates: &[&UpstreamView],
+        plan: &RequestPlan,
+        shape: &PromptShape,
+        now: Instant,
+    ) -> SmallVec<[Prediction; 16]> {
+        let sent = candidates.iter().map(|view| self.sent_since(view, plan.rank));
+        let sent: SmallVec<[SentLoad; 16]> = sent.collect();
+        let others = self.guess_others(table, &sent);
+        let pairs = candidates.iter().zip(sent);
+        pairs
+            .map(|(view, sent)| self.predict_on(view, plan, shape, sent.plus(others), now))
+            .collect()
+    }
+
+    /// What the other entries of the zone sent to each candidate since its report, if each sent
+    /// as much as this one and spread it evenly.
+    fn guess_others(&self, table: &RoutingTable, sent: &[SentLoad]) -> SentLoad {
+        if !self.policy.crowd || sent.is_empty() {
+            return SentLoad::default();
         }
+        let total = sent.iter().fold(SentLoad::default(), |total, load| total.plus(*load));
+        total.times(table.entries.len() as f64 / sent.len() as f64)
+    }
+
+    fn sent_since(&self, view: &UpstreamView, rank: Rank) -> SentLoad {
+        let track = self.tracks.get(&view.record.name);
+        track.map(|track| track.sent_since(view.renewed_at, rank)).unwrap_or_default()
     }
 
     fn observe_caches(&mut self, candidates: &[&UpstreamView]) {
@@ -244,6 +292,7 @@
         view: &UpstreamView,
         plan: &RequestPlan,
         shape: &PromptShape,
+        sent: SentLoad,
         now: Instant,
     ) -> Prediction {
         let track = self.tracks.get(&view.record.name);
@@ -251,9 +300,7 @@
             shape,
             rank: plan.rank,
             uncached_tokens: self.uncached_tokens(&view.record.name, shape),
-            sent: track
-                .map(|track| track.sent_since(view.renewed_at, plan.rank))
-                .unwrap_or_default(),
+            sent,
             pace: track.map_or(1.0, |track| track.pace),
             mean_answer_tokens: self.mean_answer_tokens,
         };
@@ -282,6 +329,10 @@
     }
 }
 
+fn send_to(view: &UpstreamView, priority: i32) -> RouteDecision {
+    RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority })
+}
+
 /// Priority that upstreams honour; lower numbers run first.
 fn priority_of(rank: Rank) -> i32 {
     match rank {
--- a/cicadastall/src/route/policy.rs
+++ b/cicadastall/src/route/policy.rs
@@ -22,17 +22,23 @@
     pub choice: ChoiceRule,
     /// Whether prompt tokens in an upstream's prefix cache count as done.
     pub prefix: bool,
+    /// Whether requests that would miss their target are refused at once.
+    pub admission: bool,
+    /// Whether sends of the other entries are guessed from the own ones.
+    pub crowd: bool,
+    /// Whether requests that would miss their target go to other regions.
+    pub spill: bool,
 }
 
 impl Default for RouterPolicy {
     fn default() -> Self {
-        Self { prefix: true, ..Self::baseline(ChoiceRule::Predicted) }
+        Self { prefix: true, admission: true, ..Self::baseline(ChoiceRule::Predicted) }
     }
 }
 
 impl RouterPolicy {
     /// A rule of choice without any further mechanism.
     pub fn baseline(choice: ChoiceRule) -> Self {
-        Self { choice, prefix: false }
+        Self { choice, prefix: false, admission: false, crowd: false, spill: false }
     }
 }
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -38,9 +38,16 @@
     pub answer: Duration,
     /// Time of the upstream that the prompt takes from other requests.
     pub cost: Duration,
+    /// Time of the upstream that the answer takes from other requests.
+    pub generation: Duration,
 }
 
 impl Prediction {
+    /// Time of the upstream that the whole request takes, alone on it.
+    pub fn work(&self) -> Duration {
+        self.cost + self.generation
+    }
+
     /// The figure by which upstreams are compared, in seconds; lower is better.
     pub fn score(&self) -> f64 {
         self.first_token.as_secs_f64()
@@ -74,6 +81,7 @@
         first_token: seconds(first_token),
         answer: seconds(answer),
         cost: seconds(cost),
+        generation: seconds(f64::from(input.shape.answer_tokens) / decode_rate),
     }
 }
 
--- a/cicadastall/src/route/track.rs
+++ b/cicadastall/src/route/track.rs
@@ -47,6 +47,16 @@
     pub tokens: f64,
 }
 
+impl SentLoad {
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self { requests: self.requests + other.requests, tokens: self.tokens + other.tokens }
+    }
+
+    pub(crate) fn times(self, factor: f64) -> Self {
+        Self { requests: self.requests * factor, tokens: self.tokens * factor }
+    }
+}
+
 /// Own knowledge of one upstream.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamTrack {
