Count shares only under load, let patient work wait, and follow the backlog

Change: shares count from 60% load on, in full from 90%; patient work may wait for half its deadline; the pace is learned by rank; the backlog since the report is followed send by send.

--- a/cicadastall/src/admit.rs
+++ b/cicadastall/src/admit.rs
@@ -17,7 +17,13 @@
 use tokio::time::Instant;
 
 /// Part of the target that a prediction may use, as predictions are late and uncertain.
-const TARGET_MARGIN: f64 = 0.8;
+const TARGET_MARGIN: f64 = 0.9;
+
+/// Part of its deadline for which patient work may wait; it is of use even when late.
+const PATIENT_DEADLINE_PART: f64 = 0.5;
+
+/// Loads between which shares begin to count and count in full, as parts of the capacity.
+const LOAD_RANGE: (f64, f64) = (0.6, 0.9);
 
 /// Smallest part of its limit that is left to a flow far above its share.
 const LEAST_FAIRNESS: f64 = 0.25;
@@ -84,8 +90,12 @@
 
 impl AdmissionGate {
     /// Longest predicted time to first token with which the request is taken.
-    pub fn limit(&self, plan: &RequestPlan, now: Instant) -> Duration {
-        plan.first_token.mul_f64(TARGET_MARGIN * self.fairness(plan, now))
+    pub fn limit(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> Duration {
+        let full = match plan.rank {
+            Rank::Urgent => plan.first_token.mul_f64(TARGET_MARGIN),
+            Rank::Patient => plan.first_token.max(plan.deadline.mul_f64(PATIENT_DEADLINE_PART)),
+        };
+        full.mul_f64(self.fairness(plan, capacity, now))
     }
 
     /// Counts the work of a request that is sent.
@@ -108,7 +118,7 @@
         if plan.rank == Rank::Patient && self.take_patient(&plan.pool, work, capacity, now) {
             return Admission::Promote;
         }
-        let fairness = self.fairness(plan, now);
+        let fairness = self.fairness(plan, capacity, now);
         let code = if fairness < 1.0 && prediction.first_token < plan.first_token {
             RefusalCode::WorkspaceLimit
         } else {
@@ -122,7 +132,7 @@
 
     /// Part of its limit that the request's workspace and kind may use, from
     /// [`LEAST_FAIRNESS`] to 1.
-    fn fairness(&self, plan: &RequestPlan, now: Instant) -> f64 {
+    fn fairness(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
         let Some(group) = self.groups.get(&(plan.pool.clone(), plan.rank)) else { return 1.0 };
         let Some(own) = group.get(&(plan.workspace.clone(), plan.kind.clone())) else { return 1.0 };
         let own_usage = decayed(own, now) / own.share;
@@ -131,7 +141,20 @@
         if own_usage <= 0.0 {
             return 1.0;
         }
-        (usage / shares / own_usage).clamp(LEAST_FAIRNESS, 1.0)
+        let pressure = self.pressure(plan, capacity, now);
+        let fair = (usage / shares / own_usage).clamp(LEAST_FAIRNESS, 1.0);
+        1.0 - pressure * (1.0 - fair)
+    }
+
+    /// How far shares count, from 0 to 1, by the work of the request's rank and of ranks before it.
+    fn pressure(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
+        let ranks =
+            self.groups.range((plan.pool.clone(), Rank::Urgent)..=(plan.pool.clone(), plan.rank));
+        let work_s: f64 =
+            ranks.flat_map(|(_, group)| group.values()).map(|flow| decayed(flow, now)).sum();
+        let mean_life = USAGE_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        let load = work_s / mean_life / capacity.own_rate();
+        ((load - LOAD_RANGE.0) / (LOAD_RANGE.1 - LOAD_RANGE.0)).clamp(0.0, 1.0)
     }
 
     fn flow(&mut self, plan: &RequestPlan, now: Instant) -> &mut FlowUsage {
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -26,8 +26,8 @@
 
 use filter::{is_untried, may_reside, serves_plan};
 use policy::{ChoiceRule, RouterPolicy};
-use score::{Prediction, ScoreInput, predict};
-use track::{SendTicket, SentAttempt, SentLoad, UpstreamTrack};
+use score::{OtherSends, Prediction, ScoreInput, predict};
+use track::{RecentSend, RecentSends, SendTicket, SentAttempt, UpstreamTrack};
 
 /// Time after its last announcement at which an upstream gets no new work.
 pub const UPSTREAM_EXPIRY: Duration = Duration::from_millis(2_500);
@@ -135,7 +135,9 @@
             .collect();
         self.observe_caches(&candidates);
         let predictions = self.predict_all(table, &candidates, plan, shape, now);
-        let limit = self.gate.limit(plan, now);
+        let capacity =
+            ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
+        let limit = self.gate.limit(plan, capacity, now);
         let chosen = self.choose_upstream(&candidates, &predictions, limit);
         if let Some(place) = chosen
             && (!self.policy.admission || predictions[place].first_token <= limit)
@@ -151,8 +153,6 @@
         let Some(place) = chosen else {
             return RouteDecision::Refuse(refuse_unroutable(plan, &self.place.region));
         };
-        let capacity =
-            ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
         match self.gate.judge_late(plan, &predictions[place], capacity, &mut self.rng, now) {
             Admission::Promote => send_to(candidates[place], priority_of(Rank::Urgent)),
             Admission::Refuse(refusal) => RouteDecision::Refuse(refusal),
@@ -173,7 +173,7 @@
             ANSWER_MEAN_WEIGHT * (f64::from(shape.answer_tokens) - self.mean_answer_tokens);
         let prediction = table.upstreams.get(upstream).map(|view| {
             let sent = self.sent_since(view, plan.rank);
-            self.predict_on(view, plan, shape, sent, now)
+            self.predict_on(view, plan, shape, &sent, OtherSends::default(), now)
         });
         let work = prediction.map(|prediction| prediction.work()).unwrap_or_default();
         self.gate.note_sent(plan, work, now);
@@ -244,25 +244,25 @@
         now: Instant,
     ) -> SmallVec<[Prediction; 16]> {
         let sent = candidates.iter().map(|view| self.sent_since(view, plan.rank));
-        let sent: SmallVec<[SentLoad; 16]> = sent.collect();
+        let sent: SmallVec<[RecentSends; 16]> = sent.collect();
         let others = self.guess_others(table, &sent);
-        let pairs = candidates.iter().zip(sent);
-        pairs
-            .map(|(view, sent)| self.predict_on(view, plan, shape, sent.plus(others), now))
-            .collect()
+        let pairs = candidates.iter().zip(&sent);
+        pairs.map(|(view, sent)| self.predict_on(view, plan, shape, sent, others, now)).collect()
     }
 
     /// What the other entries of the zone sent to each candidate since its report, if each sent
     /// as much as this one and spread it evenly.
-    fn guess_others(&self, table: &RoutingTable, sent: &[SentLoad]) -> SentLoad {
+    fn guess_others(&self, table: &RoutingTable, sent: &[RecentSends]) -> OtherSends {
         if !self.policy.crowd || sent.is_empty() {
-            return SentLoad::default();
+            return OtherSends::default();
         }
-        let total = sent.iter().fold(SentLoad::default(), |total, load| total.plus(*load));
-        total.times(table.entries.len() as f64 / sent.len() as f64)
+        let factor = table.entries.len() as f64 / sent.len() as f64;
+        let all = || sent.iter().flatten();
+        let tokens: f64 = all().map(|send| send.tokens).sum();
+        OtherSends { requests: all().count() as f64 * factor, tokens: tokens * factor }
     }
 
-    fn sent_since(&self, view: &UpstreamView, rank: Rank) -> SentLoad {
+    fn sent_since(&self, view: &UpstreamView, rank: Rank) -> RecentSends {
         let track = self.tracks.get(&view.record.name);
         track.map(|track| track.sent_since(view.renewed_at, rank)).unwrap_or_default()
     }
@@ -292,7 +292,8 @@
         view: &UpstreamView,
         plan: &RequestPlan,
         shape: &PromptShape,
-        sent: SentLoad,
+        sent: &[RecentSend],
+        others: OtherSends,
         now: Instant,
     ) -> Prediction {
         let track = self.tracks.get(&view.record.name);
@@ -301,7 +302,8 @@
             rank: plan.rank,
             uncached_tokens: self.uncached_tokens(&view.record.name, shape),
             sent,
-            pace: track.map_or(1.0, |track| track.pace),
+            others,
+            pace: track.map_or(1.0, |track| track.pace(plan.rank)),
             mean_answer_tokens: self.mean_answer_tokens,
         };
         predict(view, &input, now)
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -1,6 +1,6 @@
 //! Second stage of a choice: the predicted times of a request on one upstream.
 
-use crate::{prefix::PromptShape, route::track::SentLoad, settings::Rank, table::UpstreamView};
+use crate::{prefix::PromptShape, route::track::RecentSend, settings::Rank, table::UpstreamView};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -19,14 +19,25 @@
     pub rank: Rank,
     /// Prompt tokens that the upstream must process.
     pub uncached_tokens: u32,
-    /// What was sent to the upstream since its report.
-    pub sent: SentLoad,
+    /// What this entry sent to the upstream since its report, the oldest first.
+    pub sent: &'a [RecentSend],
+    /// What other entries are guessed to have sent to it since.
+    pub others: OtherSends,
     /// Observed over predicted time to first token on the upstream.
     pub pace: f64,
     /// Tokens of an answer, on average over recent requests.
     pub mean_answer_tokens: f64,
 }
 
+/// Guess of what other entries sent to one upstream since its report.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct OtherSends {
+    /// Requests.
+    pub requests: f64,
+    /// Prompt tokens that are not cached.
+    pub tokens: f64,
+}
+
 /// Predicted times of a request on one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Prediction {
@@ -58,19 +69,21 @@
 
 /// Predicts the times of a request on `view`.
 ///
-/// The load at the time of the report is reduced by what the upstream has done since by its rates,
-/// and increased by what was sent since.
+/// The load at the time of the report is followed until now: the upstream works it off by its
+/// rates, while what was sent since is added when it was sent.
 pub fn predict(view: &UpstreamView, input: &ScoreInput<'_>, now: Instant) -> Prediction {
     let rates = &view.record.rates;
     let age = now.saturating_duration_since(view.renewed_at).as_secs_f64();
     let prefill_rate = rates.prefill_tokens_per_s / input.pace;
     let completions = rates.decode_tokens_per_s / input.pace / input.mean_answer_tokens.max(1.0);
     let (requests, tokens) = reported_load(view, input.rank);
-    let left = (tokens - age * prefill_rate).max(0.0);
-    let prefill_wait = (left + input.sent.tokens) / prefill_rate;
-    let running = (requests - age * completions).max(0.0) + input.sent.requests;
+    let sent = || input.sent.iter().map(|send| send.after.as_secs_f64());
+    let prompts = sent().zip(input.sent.iter().map(|send| send.tokens));
+    let left = follow_backlog(tokens, prompts, input.others.tokens, prefill_rate, age);
+    let each = sent().map(|after| (after, 1.0));
+    let running = follow_backlog(requests, each, input.others.requests, completions, age);
     let excess = running + 1.0 - slots(view);
-    let wait = prefill_wait.max(excess / completions);
+    let wait = (left / prefill_rate).max(excess / completions);
     let cost = f64::from(input.uncached_tokens) / prefill_rate;
     let first_token = wait + cost;
     let batch = (running + 1.0).min(f64::from(rates.max_running));
@@ -85,6 +98,24 @@
     }
 }
 
+/// Backlog `age` seconds after it was `start`, worked off at `rate` per second, with `additions` at
+/// their times and `spread` added evenly over the time.
+fn follow_backlog(
+    start: f64,
+    additions: impl Iterator<Item = (f64, f64)>,
+    spread: f64,
+    rate: f64,
+    age: f64,
+) -> f64 {
+    let rate = if age > 0.0 { rate - spread / age } else { rate };
+    let (mut backlog, mut time) = (start, 0.0);
+    for (at, amount) in additions {
+        backlog = (backlog - (at - time) * rate).max(0.0) + amount;
+        time = at;
+    }
+    (backlog - (age - time) * rate).max(0.0)
+}
+
 /// Requests and prompt tokens that are served before or with a request of `rank`.
 fn reported_load(view: &UpstreamView, rank: Rank) -> (f64, f64) {
     let load = &view.record.load;
--- a/cicadastall/src/route/track.rs
+++ b/cicadastall/src/route/track.rs
@@ -7,6 +7,7 @@
     settings::Rank,
     table::{Incarnation, UpstreamRecord},
 };
+use smallvec::SmallVec;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -38,30 +39,24 @@
     pub(crate) predicted: Option<Duration>,
 }
 
-/// Requests and prompt tokens that were sent since a moment.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct SentLoad {
-    /// Requests.
-    pub requests: f64,
+/// Prompt tokens of one request, and how long after the report it was sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RecentSend {
+    /// Time from the report to the sending.
+    pub after: Duration,
     /// Prompt tokens that are not cached.
     pub tokens: f64,
 }
 
-impl SentLoad {
-    pub(crate) fn plus(self, other: Self) -> Self {
-        Self { requests: self.requests + other.requests, tokens: self.tokens + other.tokens }
-    }
-
-    pub(crate) fn times(self, factor: f64) -> Self {
-        Self { requests: self.requests * factor, tokens: self.tokens * factor }
-    }
-}
+/// Requests sent since a report, the oldest first.
+pub type RecentSends = SmallVec<[RecentSend; 4]>;
 
 /// Own knowledge of one upstream.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamTrack {
     pub(crate) sends: Vec<SentAttempt>,
-    pub(crate) pace: f64,
+    urgent_pace: f64,
+    patient_pace: f64,
     pub(crate) prefix: PrefixView,
     seen: (Incarnation, u64),
 }
@@ -70,7 +65,8 @@
     fn default() -> Self {
         Self {
             sends: Vec::new(),
-            pace: 1.0,
+            urgent_pace: 1.0,
+            patient_pace: 1.0,
             prefix: PrefixView::default(),
             seen: (Incarnation::default(), 0),
         }
@@ -93,9 +89,10 @@
         let Some(predicted) = sent.predicted.take() else { return };
         let observed = now.saturating_duration_since(sent.sent_at).as_secs_f64() + PACE_FLOOR_S;
         // The prediction holds the pace of its time already.
-        let ratio = self.pace * observed / (predicted.as_secs_f64() + PACE_FLOOR_S);
+        let pace = if sent.urgent { &mut self.urgent_pace } else { &mut self.patient_pace };
+        let ratio = *pace * observed / (predicted.as_secs_f64() + PACE_FLOOR_S);
         let ratio = ratio.clamp(PACE_RANGE.0, PACE_RANGE.1);
-        self.pace += PACE_WEIGHT * (ratio - self.pace);
+        *pace += PACE_WEIGHT * (ratio - *pace);
     }
 
     /// Notes that an attempt ended.
@@ -104,12 +101,18 @@
     }
 
     /// What was sent after `since` and is served before or with work of `rank`.
-    pub(crate) fn sent_since(&self, since: Instant, rank: Rank) -> SentLoad {
+    pub(crate) fn sent_since(&self, since: Instant, rank: Rank) -> RecentSends {
         let counts =
             |sent: &&SentAttempt| sent.sent_at > since && (sent.urgent || rank == Rank::Patient);
-        self.sends.iter().filter(counts).fold(SentLoad::default(), |load, sent| SentLoad {
-            requests: load.requests + 1.0,
-            tokens: load.tokens + f64::from(sent.uncached_tokens),
-        })
+        let recent = self.sends.iter().filter(counts).map(|sent| RecentSend {
+            after: sent.sent_at - since,
+            tokens: f64::from(sent.uncached_tokens),
+        });
+        recent.collect()
+    }
+
+    /// Observed over predicted time to first token for requests of `rank`.
+    pub(crate) fn pace(&self, rank: Rank) -> f64 {
+        if rank == Rank::Urgent { self.urgent_pace } else { self.patient_pace }
     }
 }
