--- a/cicadastall-daemons/tests/common/mod.rs
+++ b/cicadastall-daemons/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Processes of a small fleet on loopback, started and stopped by tests.
 
+#![allow(dead_code)]
+
 use serde_json::{Value, json};
 use std::{
     io::{BufRead, BufReader},
@@ -24,6 +26,10 @@
         Self(folder)
     }
 
+    pub fn path(&self) -> &std::path::Path {
+        &self.0
+    }
+
     pub fn write(&self, name: &str, value: &Value) -> PathBuf {
         let path = self.0.join(name);
         std::fs::write(&path, value.to_string()).expect("write a settings file");
--- /dev/null
+++ b/cicadastall-daemons/tests/scenario/caller.rs
@@ -0,0 +1,209 @@
+//! Callers of a scenario: they send one request and judge the answer byte for byte.
+
+use bytes::Bytes;
+use cicadastall::{
+    answer::{Ran, Refusal},
+    http::{HttpClient, read_body},
+    wire::{
+        CallAnswer, CallRequest, ChatChunk, ChatMessage, ChatRequest, END_MARKER, ErrorBody,
+        KEY_HEADER, KIND_HEADER, REGION_HEADER, REQUEST_HEADER, SESSION_HEADER, UPSTREAM_HEADER,
+        WORKSPACE_HEADER,
+    },
+};
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, Response, body::Incoming, header::RETRY_AFTER};
+use serde_json::json;
+use std::{fmt, net::SocketAddr, time::Duration};
+
+/// Longest answer that a caller reads, in bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Longest time that a caller waits for a whole answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What one caller sends.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    pub id: String,
+    pub workspace: String,
+    pub kind: String,
+    pub prompt: String,
+    pub tokens: u32,
+    pub plain: bool,
+    pub session: Option<String>,
+    pub key: Option<String>,
+}
+
+/// What one caller received.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CallerOutcome {
+    /// A whole answer to the request.
+    Whole { region: String, upstream: String, tokens: u32 },
+    /// An answer without a result, before any token.
+    Refused(Refusal, bool),
+    /// An explicit error after some tokens.
+    Broken(Refusal),
+    /// Bytes that do not belong to the request, or an end without a marker.
+    Wrong(String),
+    /// No answer at all.
+    Nothing(String),
+}
+
+impl fmt::Display for CallerOutcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Whole { region, tokens: 0, .. } => {
+                write!(formatter, "whole answer from {region}")
+            }
+            Self::Whole { region, tokens, .. } => {
+                write!(formatter, "whole answer from {region}, {tokens} tokens")
+            }
+            Self::Refused(refusal, retry) => write!(
+                formatter,
+                "refused {}, ran {}{}",
+                code(refusal),
+                ran(refusal),
+                if *retry { ", says when to come back" } else { "" }
+            ),
+            Self::Broken(refusal) => {
+                write!(formatter, "ended with {}, ran {}", code(refusal), ran(refusal))
+            }
+            Self::Wrong(what) => write!(formatter, "WRONG BYTES: {what}"),
+            Self::Nothing(cause) => write!(formatter, "no answer: {cause}"),
+        }
+    }
+}
+
+fn code(refusal: &Refusal) -> String {
+    let code = serde_json::to_value(refusal.code).expect("codes encode");
+    code.as_str().expect("codes are text").to_owned()
+}
+
+fn ran(refusal: &Refusal) -> &'static str {
+    match refusal.ran {
+        Ran::No => "no",
+        Ran::Unknown => "unknown",
+    }
+}
+
+impl CallerOutcome {
+    /// Short name by which scenarios wait for an outcome.
+    pub fn name(&self) -> String {
+        match self {
+            Self::Whole { .. } => "whole".to_owned(),
+            Self::Refused(refusal, _) | Self::Broken(refusal) => code(refusal),
+            Self::Wrong(_) => "wrong".to_owned(),
+            Self::Nothing(_) => "nothing".to_owned(),
+        }
+    }
+}
+
+/// Sends `request` to the entry at `address` and reads the whole answer.
+pub async fn send(
+    client: &HttpClient,
+    address: SocketAddr,
+    request: &CallerRequest,
+) -> CallerOutcome {
+    let answer = match client.request(build(address, request)).await {
+        Ok(answer) => answer,
+        Err(error) => return CallerOutcome::Nothing(error.to_string()),
+    };
+    judge(answer, request).await
+}
+
+fn build(address: SocketAddr, request: &CallerRequest) -> Request<Full<Bytes>> {
+    let (path, body) = match request.plain {
+        true => {
+            let call = CallRequest { arguments: json!({ "ask": request.prompt }) };
+            ("/v1/calls", serde_json::to_vec(&call))
+        }
+        false => {
+            let message = ChatMessage { role: "user".to_owned(), content: request.prompt.clone() };
+            let chat = ChatRequest {
+                model: None,
+                messages: vec![message],
+                max_tokens: request.tokens,
+                stream: true,
+                priority: 0,
+                resume_from: 0,
+            };
+            ("/v1/chat/completions", serde_json::to_vec(&chat))
+        }
+    };
+    let mut builder = Request::post(format!("http://{address}{path}"))
+        .header(WORKSPACE_HEADER, &request.workspace)
+        .header(KIND_HEADER, &request.kind)
+        .header(REQUEST_HEADER, &request.id);
+    if let Some(session) = &request.session {
+        builder = builder.header(SESSION_HEADER, session);
+    }
+    if let Some(key) = &request.key {
+        builder = builder.header(KEY_HEADER, key);
+    }
+    builder.body(Full::new(Bytes::from(body.expect("bodies encode")))).expect("a valid request")
+}
+
+async fn judge(answer: Response<Incoming>, request: &CallerRequest) -> CallerOutcome {
+    let status = answer.status();
+    let headers = answer.headers().clone();
+    let body = match read_body(answer.into_body(), ANSWER_LIMIT, ANSWER_TIMEOUT).await {
+        Ok(body) => body,
+        Err(error) => return CallerOutcome::Wrong(format!("answer cut off: {error:?}")),
+    };
+    if !status.is_success() {
+        return match serde_json::from_slice::<ErrorBody>(&body) {
+            Ok(error) => CallerOutcome::Refused(error.error, headers.contains_key(RETRY_AFTER)),
+            Err(_) => CallerOutcome::Wrong(format!("status {status} without an error body")),
+        };
+    }
+    match request.plain {
+        true => judge_result(&headers, &body, request),
+        false => judge_stream(&headers, &body, request),
+    }
+}
+
+fn judge_result(headers: &HeaderMap, body: &[u8], request: &CallerRequest) -> CallerOutcome {
+    let Ok(answer) = serde_json::from_slice::<CallAnswer>(body) else {
+        return CallerOutcome::Wrong("the answer is not a result".to_owned());
+    };
+    if answer.result["done"]["ask"] != request.prompt.as_str() {
+        return CallerOutcome::Wrong(format!("result of another request: {}", answer.result));
+    }
+    whole(headers, 0)
+}
+
+fn judge_stream(headers: &HeaderMap, body: &[u8], request: &CallerRequest) -> CallerOutcome {
+    let text = String::from_utf8_lossy(body);
+    let mut tokens = 0;
+    for data in text.split("\n\n").filter_map(|event| event.strip_prefix("data: ")) {
+        if data == END_MARKER {
+            return match tokens == request.tokens {
+                true => whole(headers, tokens),
+                false => CallerOutcome::Wrong(format!("end marker after {tokens} tokens")),
+            };
+        }
+        if let Ok(error) = serde_json::from_str::<ErrorBody>(data) {
+            return CallerOutcome::Broken(error.error);
+        }
+        let Ok(chunk) = serde_json::from_str::<ChatChunk>(data) else {
+            return CallerOutcome::Wrong(format!("unreadable event {data:?}"));
+        };
+        let expected = format!("t{tokens} ");
+        if chunk.id != request.id
+            || chunk.offset != tokens
+            || chunk.choices[0].delta.content != expected
+        {
+            return CallerOutcome::Wrong(format!("event {data} where token {tokens} was due"));
+        }
+        tokens += 1;
+    }
+    CallerOutcome::Wrong(format!("no end marker after {tokens} tokens"))
+}
+
+fn whole(headers: &HeaderMap, tokens: u32) -> CallerOutcome {
+    let text = |name| {
+        let value = headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or("?").to_owned()
+    };
+    CallerOutcome::Whole { region: text(REGION_HEADER), upstream: text(UPSTREAM_HEADER), tokens }
+}
--- /dev/null
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -0,0 +1,336 @@
+//! A fleet of real processes that a scenario starts, cuts, freezes, kills and stops.
+
+use super::{
+    caller::{CallerOutcome, CallerRequest, send},
+    link::{LinkProxy, LinkTable},
+};
+use crate::common::{CONTROL, ENTRY, Process, STANDIN, TestFolder, node, standin};
+use cicadastall::http::{HttpClient, call_json, client};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::{
+    collections::BTreeMap,
+    io::Read,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    process::Command,
+    time::Duration,
+};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+/// Longest wait for an expected outcome.
+const EVENTUALLY: Duration = Duration::from_secs(15);
+
+/// Pause between two tries of a caller that waits for an outcome.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// One instance of the system.
+#[derive(Debug)]
+struct Instance {
+    region: String,
+    ip: IpAddr,
+    program: &'static str,
+    settings: Value,
+    caller: LinkProxy,
+    peer: LinkProxy,
+    process: Option<Process>,
+}
+
+/// One stand-in.
+#[derive(Debug)]
+struct Standin {
+    arguments: Vec<String>,
+    process: Option<Process>,
+}
+
+/// All processes of one scenario.
+#[derive(Debug)]
+pub struct Fleet {
+    folder: TestFolder,
+    links: LinkTable,
+    instances: BTreeMap<String, Instance>,
+    standins: BTreeMap<String, Standin>,
+    calls: BTreeMap<String, JoinHandle<CallerOutcome>>,
+    client: HttpClient,
+}
+
+impl Fleet {
+    /// Starts a control instance and `entries` entries in each of `regions`.
+    pub async fn start(regions: &[String], entries: usize, tree: &str) -> Self {
+        let mut fleet = Self {
+            folder: TestFolder::new("scenario"),
+            links: LinkTable::default(),
+            instances: BTreeMap::new(),
+            standins: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            client: client(64),
+        };
+        let tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
+        let founding = fleet.folder.write("fleet.json", &tree);
+        for (index, region) in regions.iter().enumerate() {
+            fleet.add(&format!("{region}-control"), region, (index, 0), CONTROL).await;
+            for number in 1..=entries {
+                fleet.add(&format!("{region}-{number}"), region, (index, number), ENTRY).await;
+            }
+        }
+        let controls: Vec<_> = fleet.addresses(|instance| instance.program == CONTROL);
+        let seeds: Vec<_> = fleet.addresses(|_| true);
+        let voters: Vec<_> = controls
+            .iter()
+            .map(|(name, address)| json!({ "instance": name, "address": address }))
+            .collect();
+        let folder = fleet.folder.path();
+        for (name, instance) in &mut fleet.instances {
+            let home = |(other, _): &&(String, SocketAddr)| other.starts_with(&instance.region);
+            let own_controls: Vec<_> = controls.iter().filter(home).collect();
+            let settings = &mut instance.settings;
+            settings["seeds"] = json!(seeds.iter().map(|(_, seed)| seed).collect::<Vec<_>>());
+            settings["control"] =
+                json!(own_controls.iter().map(|(_, address)| address).collect::<Vec<_>>());
+            if instance.program == CONTROL {
+                settings["founding_settings"] = json!(founding);
+                settings["settings_voters"] = json!(voters);
+                settings["data_folder"] = json!(folder.join(name));
+                let own_voters = own_controls
+                    .iter()
+                    .map(|(name, address)| json!({ "instance": name, "address": address }));
+                settings["ledger_voters"] = json!(own_voters.collect::<Vec<_>>());
+            }
+        }
+        let names: Vec<_> = fleet.instances.keys().cloned().collect();
+        for name in names {
+            fleet.start_instance(&name);
+        }
+        fleet
+    }
+
+    async fn add(
+        &mut self,
+        name: &str,
+        region: &str,
+        place: (usize, usize),
+        program: &'static str,
+    ) {
+        let (region_index, number) = place;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 0, region_index as u8 + 1, number as u8 + 1));
+        let caller = LinkProxy::start(ip, self.links.clone()).await.expect("a proxy");
+        let peer = LinkProxy::start(ip, self.links.clone()).await.expect("a proxy");
+        let mut settings = node(name, region);
+        let listen = SocketAddr::new(ip, 0);
+        for field in ["caller_listen", "operator_listen", "peer_listen"] {
+            settings[field] = json!(listen);
+        }
+        settings["caller_advertise"] = json!(caller.address);
+        settings["peer_advertise"] = json!(peer.address);
+        let region = region.to_owned();
+        let instance = Instance { region, ip, program, settings, caller, peer, process: None };
+        self.instances.insert(name.to_owned(), instance);
+    }
+
+    fn addresses(&self, wanted: impl Fn(&Instance) -> bool) -> Vec<(String, SocketAddr)> {
+        let chosen = self.instances.iter().filter(|(_, instance)| wanted(instance));
+        chosen.map(|(name, instance)| (name.clone(), instance.peer.address)).collect()
+    }
+
+    fn start_instance(&mut self, name: &str) {
+        let instance = self.instances.get_mut(name).expect("a known instance");
+        let path = self.folder.write(&format!("{name}.json"), &instance.settings);
+        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        let process = Process::start(instance.program, &arguments);
+        instance.peer.set_target(Some(process.address("peer")));
+        if instance.program == ENTRY {
+            instance.caller.set_target(Some(process.address("caller")));
+        }
+        instance.process = Some(process);
+    }
+
+    /// Starts a stand-in with the arguments of its role; waits until its region's entries know it.
+    pub async fn start_upstream(&mut self, name: &str, region: &str, pool: &str, role: &[String]) {
+        let entries = self.entries_of(region);
+        let mut arguments = standin(name, region, pool, entries[0]);
+        for entry in &entries[1..] {
+            arguments.extend(["--entry".to_owned(), entry.to_string()]);
+        }
+        arguments.extend_from_slice(role);
+        let process = Some(Process::start(STANDIN, &arguments));
+        let upstream = Standin { arguments, process };
+        self.standins.insert(name.to_owned(), upstream);
+        let in_region = |instance: &&Instance| instance.region == region;
+        for instance in self.instances.values().filter(in_region) {
+            self.wait_listed(instance, name).await;
+        }
+    }
+
+    async fn wait_listed(&self, instance: &Instance, upstream: &str) {
+        let Some(process) = instance.process.as_ref().filter(|_| instance.program == ENTRY) else {
+            return;
+        };
+        let deadline = Instant::now() + EVENTUALLY;
+        loop {
+            let status = self.get(process.address("operator"), "/v1/status").await;
+            let listed = status["upstreams"].as_array().into_iter().flatten();
+            if listed.into_iter().any(|record| record["name"] == upstream) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{upstream} not listed within {EVENTUALLY:?}");
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn entries_of(&self, region: &str) -> Vec<SocketAddr> {
+        let in_region =
+            |instance: &&Instance| instance.region == region && instance.program == ENTRY;
+        let entries = self.instances.values().filter(in_region);
+        entries.map(|instance| instance.caller.address).collect()
+    }
+
+    /// Address of an entry for callers, or of a stand-in.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        match self.instances.get(name) {
+            Some(instance) => instance.caller.address,
+            None => self.standins[name].process.as_ref().expect("running").address("upstream"),
+        }
+    }
+
+    /// Sends one request, again and again until its outcome is `until` where that is given.
+    pub async fn call(
+        &self,
+        via: &str,
+        request: &CallerRequest,
+        until: Option<&str>,
+    ) -> CallerOutcome {
+        let address = self.address(via);
+        let deadline = Instant::now() + EVENTUALLY;
+        loop {
+            let outcome = send(&self.client, address, request).await;
+            let reached = until.is_none_or(|until| outcome.name() == until);
+            if reached || Instant::now() > deadline {
+                return outcome;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Sends one request in the background.
+    pub fn begin(&mut self, via: &str, request: CallerRequest) {
+        let client = self.client.clone();
+        let address = self.address(via);
+        let id = request.id.clone();
+        let call = tokio::spawn(async move { send(&client, address, &request).await });
+        self.calls.insert(id, call);
+    }
+
+    /// Waits for the outcome of a request in the background.
+    pub async fn finish(&mut self, id: &str) -> CallerOutcome {
+        let call = self.calls.remove(id).expect("a request in the background");
+        call.await.expect("the caller does not panic")
+    }
+
+    fn process(&mut self, name: &str) -> &mut Option<Process> {
+        match self.instances.get_mut(name) {
+            Some(instance) => &mut instance.process,
+            None => &mut self.standins.get_mut(name).expect("a known process").process,
+        }
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, name: &str) {
+        *self.process(name) = None;
+        if let Some(instance) = self.instances.get(name) {
+            instance.caller.set_target(None);
+            instance.peer.set_target(None);
+        }
+    }
+
+    /// Starts a killed or stopped process again, with the same settings.
+    pub fn restart(&mut self, name: &str) {
+        if self.instances.contains_key(name) {
+            return self.start_instance(name);
+        }
+        let standin = self.standins.get_mut(name).expect("a known process");
+        standin.process = Some(Process::start(STANDIN, &standin.arguments));
+    }
+
+    /// Removes the data of an instance that is not running.
+    pub fn lose_disk(&self, name: &str) {
+        let folder = self.folder.path().join(name);
+        std::fs::remove_dir_all(folder).expect("the instance had a data folder");
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&mut self, name: &str, signal: &str) {
+        let id = self.process(name).as_ref().expect("a running process").child.id();
+        let sent = Command::new("kill").args([signal, &id.to_string()]).status();
+        assert!(sent.expect("signal a process").success());
+    }
+
+    /// Stops a process gracefully and describes how it ended.
+    pub async fn stop(&mut self, name: &str) -> String {
+        self.signal(name, "-TERM");
+        let mut process = self.process(name).take().expect("a running process");
+        let deadline = Instant::now() + EVENTUALLY;
+        let status = loop {
+            if let Some(status) = process.child.try_wait().expect("wait for a process") {
+                break status;
+            }
+            assert!(Instant::now() < deadline, "{name} did not stop within {EVENTUALLY:?}");
+            sleep(RETRY_PAUSE).await;
+        };
+        let mut text = String::new();
+        let output = process.child.stdout.as_mut().expect("standard output is piped");
+        output.read_to_string(&mut text).expect("read the summary");
+        let summary: Value = serde_json::from_str(text.trim()).unwrap_or_default();
+        match &summary["cut_off"] {
+            Value::Null => format!("{name} stopped, {status}"),
+            cut_off => format!("{name} stopped, {status}, cut off {cut_off}"),
+        }
+    }
+
+    /// Cuts the links between two instances or regions, one way or both.
+    pub fn cut(&self, from: &str, to: &str, both: bool) {
+        for source in self.matching(from) {
+            for target in self.matching(to) {
+                self.links.cut(source, target);
+                if both {
+                    self.links.cut(target, source);
+                }
+            }
+        }
+    }
+
+    fn matching(&self, name: &str) -> Vec<IpAddr> {
+        let matches =
+            |(instance, state): &(&String, &Instance)| *instance == name || state.region == name;
+        self.instances.iter().filter(matches).map(|(_, state)| state.ip).collect()
+    }
+
+    /// Heals all links.
+    pub fn heal(&self) {
+        self.links.heal();
+    }
+
+    /// Asks a stand-in or an operator port for JSON.
+    pub async fn get(&self, address: SocketAddr, path: &str) -> Value {
+        let bound = Duration::from_secs(5);
+        let asked = call_json(&self.client, Method::GET, address, path, None::<&Value>, bound);
+        asked.await.unwrap_or_else(|error| panic!("{path}: {error}"))
+    }
+
+    /// Executions of each key at all services, as sorted lines.
+    pub async fn executions(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        for (name, standin) in &self.standins {
+            let service = standin.arguments.iter().any(|argument| argument == "service");
+            if !service || standin.process.is_none() {
+                continue;
+            }
+            let listed = self.get(self.address(name), "/v1/executions").await;
+            for (key, count) in listed.as_object().into_iter().flatten() {
+                *counts.entry(key.clone()).or_default() += count.as_u64().unwrap_or_default();
+            }
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/cicadastall-daemons/tests/scenario/mod.rs
@@ -0,0 +1,149 @@
+//! The language of scenarios: each directive acts on the fleet and prints what was seen.
+
+pub mod caller;
+pub mod fleet;
+pub mod link;
+
+use caller::CallerRequest;
+use datadriven::{TestCase, TestFile};
+use fleet::Fleet;
+use std::{fmt::Write, time::Duration};
+use tokio::runtime::Runtime;
+
+/// Settings that all scenarios found their fleet with.
+const TREE: &str = include_str!("../scenarios/fleet.json");
+
+/// Runs one scenario file.
+pub fn run_file(file: &mut TestFile) {
+    let runtime = Runtime::new().expect("a runtime");
+    let mut fleet = None;
+    file.run(|case| runtime.block_on(run_case(&mut fleet, case)));
+}
+
+async fn run_case(slot: &mut Option<Fleet>, case: &mut TestCase) -> String {
+    let directive = case.directive.clone();
+    if directive == "fleet" {
+        let regions: Vec<String> = take_list(case, "regions");
+        let entries = case.take_arg("entries").expect("entries=N");
+        *slot = Some(Fleet::start(&regions, entries, TREE).await);
+        return finish(case, "started".to_owned());
+    }
+    let fleet = slot.as_mut().expect("a scenario starts with the fleet directive");
+    let text = run_directive(fleet, &directive, case).await;
+    finish(case, text)
+}
+
+fn finish(case: &TestCase, text: String) -> String {
+    case.expect_empty().expect("every argument of the directive is known");
+    text.trim_end().to_owned() + "\n"
+}
+
+async fn run_directive(fleet: &mut Fleet, directive: &str, case: &mut TestCase) -> String {
+    match directive {
+        "upstream" => start_upstream(fleet, case).await,
+        "call" => {
+            let via: String = take(case, "via");
+            let until: Option<String> = case.try_take_arg("until").expect("text");
+            let request = take_request(case);
+            let outcome = fleet.call(&via, &request, until.as_deref()).await;
+            format!("{}: {outcome}", request.id)
+        }
+        "begin" => {
+            let via: String = take(case, "via");
+            fleet.begin(&via, take_request(case));
+            "sent".to_owned()
+        }
+        "finish" => {
+            let id: String = take(case, "id");
+            format!("{id}: {}", fleet.finish(&id).await)
+        }
+        "kill" => each(case, |name| fleet.kill(name)),
+        "restart" => each(case, |name| fleet.restart(name)),
+        "lose-disk" => each(case, |name| fleet.lose_disk(name)),
+        "freeze" => each(case, |name| fleet.signal(name, "-STOP")),
+        "wake" => each(case, |name| fleet.signal(name, "-CONT")),
+        "stop" => {
+            let name: String = take(case, "name");
+            fleet.stop(&name).await
+        }
+        "cut" => {
+            let both = !case.take_flag("one-way").expect("a flag");
+            let (from, to): (String, String) = (take(case, "from"), take(case, "to"));
+            fleet.cut(&from, &to, both);
+            "cut".to_owned()
+        }
+        "heal" => {
+            fleet.heal();
+            "healed".to_owned()
+        }
+        "wait" => {
+            let ms = case.take_arg("ms").expect("ms=N");
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            "waited".to_owned()
+        }
+        "executions" => {
+            let mut text = String::new();
+            for (key, count) in fleet.executions().await {
+                writeln!(text, "{key}: {count}").expect("writing to a string");
+            }
+            if text.is_empty() { "none".to_owned() } else { text }
+        }
+        other => panic!("unknown directive {other}"),
+    }
+}
+
+async fn start_upstream(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let name: String = take(case, "name");
+    let region: String = take(case, "region");
+    let pool: String = take(case, "pool");
+    let mut role = Vec::new();
+    if case.take_flag("engine").expect("a flag") {
+        role.extend(["engine", "--model", "splice-7b", "--tokens", "100000"].map(str::to_owned));
+        if let Some(ms) = case.try_take_arg::<String>("token-ms").expect("token-ms=N") {
+            role.extend(["--token-ms".to_owned(), ms]);
+        }
+    }
+    if case.take_flag("service").expect("a flag") {
+        role.push("service".to_owned());
+        if let Some(ms) = case.try_take_arg::<String>("call-ms").expect("call-ms=N") {
+            role.extend(["--call-ms".to_owned(), ms]);
+        }
+    }
+    fleet.start_upstream(&name, &region, &pool, &role).await;
+    "started".to_owned()
+}
+
+fn take_request(case: &mut TestCase) -> CallerRequest {
+    let kind: String = take(case, "kind");
+    let plain = matches!(kind.as_str(), "register-lookup" | "certification-entry");
+    let id: String = take(case, "id");
+    CallerRequest {
+        workspace: case
+            .try_take_arg("workspace")
+            .expect("text")
+            .unwrap_or_else(|| "aqaba-port".to_owned()),
+        prompt: case.try_take_arg("ask").expect("text").unwrap_or_else(|| id.clone()),
+        tokens: case.try_take_arg("tokens").expect("a number").unwrap_or(8),
+        session: case.try_take_arg("session").expect("text"),
+        key: case.try_take_arg("key").expect("text"),
+        kind,
+        plain,
+        id,
+    }
+}
+
+fn each(case: &mut TestCase, mut act: impl FnMut(&str)) -> String {
+    let names = take_list(case, "name");
+    for name in &names {
+        act(name);
+    }
+    "done".to_owned()
+}
+
+fn take(case: &mut TestCase, name: &str) -> String {
+    case.take_arg(name).unwrap_or_else(|error| panic!("{name}: {error}"))
+}
+
+fn take_list(case: &mut TestCase, name: &str) -> Vec<String> {
+    case.take_args(name).unwrap_or_else(|error| panic!("{name}: {error}"))
+}
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -127,7 +127,7 @@
                 };
                 let arguments = MembershipArguments {
                     node: Arc::clone(&node),
-                    caller_address: node.caller_advertise.or(caller),
+                    caller_address: caller.map(|listen| node.caller_advertise.unwrap_or(listen)),
                     peer_address: node.peer_advertise.unwrap_or(addresses.peer),
                     clients: Arc::clone(&clients),
                     table: Arc::clone(&table),
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -67,8 +67,12 @@
         self.entries.values().map(|view| &view.record)
     }
 
-    /// Takes an upstream's announcement that was made `age` ago.
+    /// Takes an upstream's announcement that was made `age` ago; upstreams of other zones are not
+    /// kept.
     pub fn accept_upstream(&mut self, record: Arc<UpstreamRecord>, age: Duration, now: Instant) {
+        if record.zone != self.own.zone || record.region != self.own.region {
+            return;
+        }
         let Some(renewed_at) = now.checked_sub(age) else { return };
         let newer = self.upstreams.get(&record.name).is_none_or(|known| {
             (known.record.incarnation, known.record.sequence)
@@ -82,9 +86,7 @@
     /// Takes what a peer knows.
     pub fn accept_exchange(&mut self, exchange: MemberExchange, now: Instant) {
         for (record, age_ms) in exchange.upstreams {
-            if record.zone == self.own.zone {
-                self.accept_upstream(record, Duration::from_millis(age_ms), now);
-            }
+            self.accept_upstream(record, Duration::from_millis(age_ms), now);
         }
         for (record, age_ms) in exchange.entries {
             self.accept_entry(record, Duration::from_millis(age_ms), now);
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -174,7 +174,9 @@
     }
 
     fn announce_reply(&self) -> AnnounceReply {
-        let entries = self.list_entries().entries.into_iter().map(|row| row.address);
+        let zone = &self.arguments.node.zone;
+        let rows = self.list_entries().entries.into_iter().filter(|row| row.zone == *zone);
+        let entries = rows.map(|row| row.address);
         AnnounceReply {
             renew_within_ms: RENEW_WITHIN.as_millis() as u64,
             entries: entries.collect(),
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -151,6 +151,7 @@
     let record = &view.record;
     record.state == UpstreamState::Serving
         && record.pool == plan.pool
+        && plan.regions.contains(&record.region)
         && plan.model.as_ref().is_none_or(|model| record.models.contains(model))
         && now.duration_since(view.renewed_at) < UPSTREAM_EXPIRY
 }
