Add a replication core without input or output

Cause: the settings group and the region's ledger need a log that survives lost instances, lost disks and partitions; LocalGroup keeps one copy in memory.

A replica is an instance plus the identity of its storage; an empty disk has a new identity and joins as a learner once the old identity is removed. A group is founded once every named instance has answered that it holds no group.

--- /dev/null
+++ b/cicadastall/src/replica.rs
@@ -0,0 +1,764 @@
+//! Replication core: election, log, snapshots, membership and reads, without input or output.
+//!
+//! The caller passes messages, ticks, proposals and finished syncs in, and performs what
+//! [`ReplicaCore::take_output`] returns. A message that acknowledges something stays inside until
+//! the writes before it are synced.
+
+use crate::{
+    name::InstanceName,
+    replica_leader::LeaderState,
+    replica_log::ReplicaLog,
+    replica_message::{
+        AppendOutcome, EntryPayload, Epoch, GroupConfiguration, HardState, JournalWrite, LogEntry,
+        LogIndex, LogPosition, ReplicaEnvelope, ReplicaId, ReplicaIdentity, ReplicaMessage,
+        ReplicaOutput, SnapshotImage, StoredReplica, Term, WriteSequence,
+    },
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+use std::{collections::VecDeque, mem, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Identity that stands for any in an address.
+pub const ANY_IDENTITY: ReplicaIdentity = ReplicaIdentity(0);
+
+/// Periods of a group; the same at all its replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplicaTiming {
+    /// Time between two heartbeats of the leader.
+    pub heartbeat: Duration,
+    /// Shortest silence of the leader after which another may be elected; the longest is twice it.
+    pub election: Duration,
+    /// Time after a heartbeat for which its sender leads for certain, once a majority has
+    /// answered; shorter than `election` by the greatest drift between clocks.
+    pub lease: Duration,
+}
+
+impl Default for ReplicaTiming {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(250),
+            election: Duration::from_millis(1_000),
+            lease: Duration::from_millis(800),
+        }
+    }
+}
+
+/// What a core is started with.
+#[derive(Debug, Clone)]
+pub struct ReplicaSettings {
+    /// Instance and identity of the storage.
+    pub own: ReplicaId,
+    /// Instances that may be members; the first one founds the group.
+    pub instances: SmallVec<[InstanceName; 3]>,
+    /// Epoch of a group founded by this replica.
+    pub founding: Epoch,
+    /// Periods.
+    pub timing: ReplicaTiming,
+    /// Most bytes of a part of a snapshot.
+    pub snapshot_part: usize,
+    /// Seed for election timeouts.
+    pub seed: u64,
+}
+
+/// Why a proposal or a read is refused at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReplicaError {
+    /// Another replica leads, or none is known to.
+    NotLeader(Option<ReplicaId>),
+    /// A majority may still be reachable, so the group is not refounded.
+    LeaderPresent,
+    /// The replica holds no state of a group.
+    NoGroup,
+}
+
+impl std::fmt::Display for ReplicaError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotLeader(Some(leader)) => write!(formatter, "not the leader; {leader} leads"),
+            Self::NotLeader(None) => formatter.write_str("not the leader, and none is known"),
+            Self::LeaderPresent => formatter.write_str("the group still has a leader"),
+            Self::NoGroup => formatter.write_str("the replica belongs to no group"),
+        }
+    }
+}
+
+impl std::error::Error for ReplicaError {}
+
+/// Part that a replica plays.
+#[derive(Debug)]
+pub(crate) enum ReplicaRole {
+    /// Belongs to no group yet.
+    Absent {
+        /// Others without a group, of which this one has heard.
+        joins: Vec<ReplicaId>,
+        /// Those of them that have heard of this one.
+        answered: Vec<ReplicaId>,
+    },
+    /// Follows a leader, if it knows one.
+    Follower { leader: Option<ReplicaId> },
+    /// Asks whether it would be elected.
+    PreCandidate { grants: SmallVec<[ReplicaId; 3]> },
+    /// Stands for election.
+    Candidate { grants: SmallVec<[ReplicaId; 3]> },
+    /// Leads.
+    Leader(LeaderState),
+}
+
+/// One replica of a group.
+#[derive(Debug)]
+pub struct ReplicaCore {
+    pub(crate) settings: ReplicaSettings,
+    pub(crate) hard: HardState,
+    pub(crate) log: ReplicaLog,
+    pub(crate) role: ReplicaRole,
+    pub(crate) commit: LogIndex,
+    pub(crate) output: ReplicaOutput,
+    pub(crate) synced: LogIndex,
+    random: ChaCha8Rng,
+    delivered: LogIndex,
+    heard: Instant,
+    pub(crate) deadline: Instant,
+    sequence: WriteSequence,
+    finished: WriteSequence,
+    unsynced: VecDeque<(WriteSequence, LogIndex)>,
+    held: VecDeque<(WriteSequence, ReplicaEnvelope)>,
+    incoming: Option<IncomingSnapshot>,
+    superseded: Option<Epoch>,
+}
+
+/// Parts of a snapshot received so far.
+#[derive(Debug)]
+struct IncomingSnapshot {
+    epoch: Epoch,
+    position: LogPosition,
+    data: Vec<u8>,
+}
+
+impl ReplicaCore {
+    /// A replica that starts at `now` from what its storage holds.
+    pub fn new(settings: ReplicaSettings, stored: StoredReplica, now: Instant) -> Self {
+        let log = ReplicaLog::new(stored.snapshot, stored.entries);
+        let role = match stored.hard.epoch {
+            Epoch(0) => ReplicaRole::Absent { joins: Vec::new(), answered: Vec::new() },
+            _ => ReplicaRole::Follower { leader: None },
+        };
+        let mut core = Self {
+            hard: stored.hard,
+            role,
+            commit: log.base(),
+            delivered: log.base(),
+            synced: log.last().index,
+            log,
+            output: ReplicaOutput::default(),
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            // A vote given before the restart may have renewed a lease.
+            heard: now,
+            deadline: now,
+            sequence: WriteSequence(0),
+            finished: WriteSequence(0),
+            unsynced: VecDeque::new(),
+            held: VecDeque::new(),
+            incoming: None,
+            superseded: None,
+            settings,
+        };
+        if !core.is_absent() {
+            core.reset_deadline(now);
+        }
+        core
+    }
+
+    /// This replica.
+    pub fn own(&self) -> &ReplicaId {
+        &self.settings.own
+    }
+
+    /// Epoch of the group, or 0 if the replica belongs to none.
+    pub fn epoch(&self) -> Epoch {
+        self.hard.epoch
+    }
+
+    /// Newest term that the replica has seen.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Whether the replica leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, ReplicaRole::Leader(_))
+    }
+
+    /// Whether the replica belongs to no group.
+    pub fn is_absent(&self) -> bool {
+        matches!(self.role, ReplicaRole::Absent { .. })
+    }
+
+    /// The leader, as far as the replica knows.
+    pub fn leader(&self) -> Option<&ReplicaId> {
+        match &self.role {
+            ReplicaRole::Leader(_) => Some(&self.settings.own),
+            ReplicaRole::Follower { leader } => leader.as_ref(),
+            _ => None,
+        }
+    }
+
+    /// Last entry known to be committed.
+    pub fn commit(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Members by the newest entry.
+    pub fn configuration(&self) -> &GroupConfiguration {
+        self.log.configuration()
+    }
+
+    /// The log.
+    pub fn log(&self) -> &ReplicaLog {
+        &self.log
+    }
+
+    /// Newer epoch under which the group was refounded without this replica.
+    pub fn superseded(&self) -> Option<Epoch> {
+        self.superseded
+    }
+
+    /// Takes everything that the caller has to do.
+    pub fn take_output(&mut self, now: Instant) -> ReplicaOutput {
+        self.send_entries(now);
+        self.deliver();
+        if !self.output.writes.is_empty() {
+            self.unsynced.push_back((self.sequence, self.log.last().index));
+        }
+        self.output.sequence = self.sequence;
+        mem::take(&mut self.output)
+    }
+
+    /// Reports that the writes up to `sequence` are synced.
+    pub fn mark_synced(&mut self, sequence: WriteSequence, now: Instant) {
+        self.finished = self.finished.max(sequence);
+        while let Some((_, index)) = self.unsynced.pop_front_if(|(first, _)| *first <= sequence) {
+            self.synced = index;
+        }
+        while let Some((_, envelope)) = self.held.pop_front_if(|(first, _)| *first <= sequence) {
+            self.output.messages.push(envelope);
+        }
+        self.advance_commit(now);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        match &self.role {
+            ReplicaRole::Absent { .. } => self.seek_group(now),
+            ReplicaRole::Leader(_) => self.tick_leader(now),
+            _ if now >= self.deadline => self.start_pre_vote(now),
+            _ => {}
+        }
+    }
+
+    /// Takes a message in.
+    pub fn receive(&mut self, envelope: ReplicaEnvelope, now: Instant) {
+        let own = &self.settings.own;
+        let addressed = [own.identity, ANY_IDENTITY].contains(&envelope.to.identity);
+        if !addressed || envelope.to.instance != own.instance || envelope.from == *own {
+            return;
+        }
+        let ReplicaEnvelope { epoch, from, message, .. } = envelope;
+        match message {
+            ReplicaMessage::Join { heard } => return self.on_join(from, heard, now),
+            ReplicaMessage::Found { configuration } => {
+                return self.on_found(epoch, from, configuration, now);
+            }
+            ReplicaMessage::Snapshot { term, .. } if self.is_absent() => {
+                self.hard.term = self.hard.term.max(term);
+            }
+            _ if self.is_absent() => return,
+            _ if epoch != self.hard.epoch => {
+                self.superseded = self.superseded.max((epoch > self.hard.epoch).then_some(epoch));
+                return;
+            }
+            _ => {}
+        }
+        self.receive_member(epoch, from, message, now);
+    }
+
+    fn receive_member(
+        &mut self,
+        epoch: Epoch,
+        from: ReplicaId,
+        message: ReplicaMessage,
+        now: Instant,
+    ) {
+        match message {
+            ReplicaMessage::PreVote { term, last } => self.on_pre_vote(from, term, last, now),
+            ReplicaMessage::PreVoteReply { term, granted } => {
+                self.on_pre_vote_reply(from, term, granted, now);
+            }
+            ReplicaMessage::Vote { term, last } => self.on_vote(from, term, last, now),
+            ReplicaMessage::VoteReply { term, granted } => {
+                self.on_vote_reply(from, term, granted, now);
+            }
+            ReplicaMessage::Append { term, round, previous, commit, entries } => {
+                let Some(outcome) = self.accept_leader(&from, term, now).then(|| {
+                    let outcome = self.append_entries(previous, entries);
+                    if let AppendOutcome::Matched(matched) = outcome {
+                        self.commit = self.commit.max(commit.min(matched));
+                    }
+                    outcome
+                }) else {
+                    return self.reply_stale(from, round);
+                };
+                self.reply_append(from, round, outcome);
+            }
+            ReplicaMessage::Snapshot {
+                term,
+                round,
+                position,
+                configuration,
+                offset,
+                total,
+                data,
+            } => {
+                if !self.accept_leader(&from, term, now) {
+                    return self.reply_stale(from, round);
+                }
+                let part = SnapshotPart { epoch, position, configuration, offset, total };
+                let outcome = self.accept_snapshot(part, &data, now);
+                self.reply_append(from, round, outcome);
+            }
+            ReplicaMessage::AppendReply { term, round, outcome } => {
+                self.on_append_reply(from, term, round, outcome, now);
+            }
+            ReplicaMessage::Join { .. } | ReplicaMessage::Found { .. } => {}
+        }
+    }
+
+    /// Sends a message at once.
+    pub(crate) fn send(&mut self, to: ReplicaId, message: ReplicaMessage) {
+        let envelope = self.address(to, message);
+        self.output.messages.push(envelope);
+    }
+
+    /// Sends a message once all writes asked for so far are synced.
+    pub(crate) fn send_synced(&mut self, to: ReplicaId, message: ReplicaMessage) {
+        if self.finished == self.sequence {
+            return self.send(to, message);
+        }
+        let envelope = self.address(to, message);
+        self.held.push_back((self.sequence, envelope));
+    }
+
+    fn address(&self, to: ReplicaId, message: ReplicaMessage) -> ReplicaEnvelope {
+        let joined = self.incoming.as_ref().filter(|_| self.is_absent());
+        let epoch = joined.map_or(self.hard.epoch, |incoming| incoming.epoch);
+        ReplicaEnvelope { epoch, from: self.settings.own.clone(), to, message }
+    }
+
+    /// Asks the caller for a change of storage.
+    pub(crate) fn write(&mut self, write: JournalWrite) {
+        if self.output.writes.is_empty() {
+            self.sequence = self.sequence.next();
+        }
+        self.output.writes.push(write);
+    }
+
+    pub(crate) fn write_hard(&mut self) {
+        self.write(JournalWrite::Hard(self.hard.clone()));
+    }
+
+    pub(crate) fn append_own(&mut self, payload: EntryPayload) -> LogPosition {
+        let index = self.log.last().index.next();
+        let position = LogPosition { term: self.hard.term, index };
+        let entry = LogEntry { position, payload };
+        self.write(JournalWrite::Append(vec![entry.clone()]));
+        self.log.append([entry]);
+        position
+    }
+
+    pub(crate) fn reset_deadline(&mut self, now: Instant) {
+        let shortest = self.settings.timing.election;
+        let extra = self.random.random_range(0..=shortest.as_micros() as u64);
+        self.deadline = now + shortest + Duration::from_micros(extra);
+    }
+
+    /// Gives up any other role in favour of a follower's, in `term` or the present one.
+    pub(crate) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>, now: Instant) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.write_hard();
+        }
+        let previous = mem::replace(&mut self.role, ReplicaRole::Follower { leader });
+        if let ReplicaRole::Leader(state) = previous {
+            let lost = state.reads.into_iter().map(|read| (read.ticket, None));
+            self.output.reads.extend(lost);
+        }
+        self.reset_deadline(now);
+    }
+
+    fn deliver(&mut self) {
+        // An entry that others have committed may be lost here until it is synced.
+        let limit = self.commit.min(self.synced);
+        if limit > self.delivered {
+            let entries = self.log.range(self.delivered.next(), limit);
+            self.output.committed.extend_from_slice(entries);
+            self.delivered = limit;
+        }
+    }
+}
+
+/// Joining and founding.
+impl ReplicaCore {
+    fn seek_group(&mut self, now: Instant) {
+        if now < self.deadline {
+            return;
+        }
+        self.deadline = now + self.settings.timing.heartbeat;
+        let ReplicaRole::Absent { joins, .. } = &self.role else { return };
+        let joins = joins.clone();
+        let own = self.settings.own.instance.clone();
+        let others: Vec<_> =
+            self.settings.instances.iter().filter(|name| **name != own).cloned().collect();
+        for instance in others {
+            let heard = joins.iter().find(|join| join.instance == instance);
+            let heard = heard.map(|join| join.identity);
+            let to = ReplicaId { instance, identity: ANY_IDENTITY };
+            self.send(to, ReplicaMessage::Join { heard });
+        }
+        self.found_alone(now);
+    }
+
+    fn found_alone(&mut self, now: Instant) {
+        let settings = &self.settings;
+        if settings.instances.as_slice() == [settings.own.instance.clone()] {
+            self.found(Vec::new(), now);
+        }
+    }
+
+    /// A replica without a group remembers who else has none; the first of the instances founds
+    /// the group once all others have answered it.
+    fn on_join(&mut self, from: ReplicaId, heard: Option<ReplicaIdentity>, now: Instant) {
+        if !self.settings.instances.contains(&from.instance) {
+            return;
+        }
+        let own = self.settings.own.clone();
+        let ReplicaRole::Absent { joins, answered } = &mut self.role else {
+            return self.consider_member(from, now);
+        };
+        for known in [&mut *joins, &mut *answered] {
+            known.retain(|join| join.instance != from.instance);
+        }
+        joins.push(from.clone());
+        // An answer to this identity was sent by a replica that belonged to no group since.
+        if heard == Some(own.identity) {
+            answered.push(from);
+        }
+        let founder = self.settings.instances.first() == Some(&own.instance);
+        if founder && answered.len() + 1 == self.settings.instances.len() {
+            let others = answered.clone();
+            self.found(others, now);
+        }
+    }
+
+    fn found(&mut self, others: Vec<ReplicaId>, now: Instant) {
+        let mut configuration = GroupConfiguration::default();
+        configuration.voters.push(self.settings.own.clone());
+        configuration.voters.extend(others);
+        self.adopt_founding(self.settings.founding, configuration, now);
+        self.deadline = now;
+    }
+
+    fn on_found(
+        &mut self,
+        epoch: Epoch,
+        from: ReplicaId,
+        configuration: GroupConfiguration,
+        now: Instant,
+    ) {
+        // A replica that never held an entry has acknowledged none.
+        let unused = self.log.last() == LogPosition::default() && epoch > self.hard.epoch;
+        let named = configuration.is_voter(&self.settings.own) && configuration.is_voter(&from);
+        if unused && named {
+            self.adopt_founding(epoch, configuration, now);
+        }
+    }
+
+    fn adopt_founding(&mut self, epoch: Epoch, configuration: GroupConfiguration, now: Instant) {
+        self.hard = HardState { epoch, term: Term(0), vote: None };
+        let snapshot = SnapshotImage { configuration, ..SnapshotImage::default() };
+        self.log = ReplicaLog::new(Arc::new(snapshot), Vec::new());
+        self.write_all();
+        self.become_follower(Term(0), None, now);
+    }
+
+    /// Founds the group anew, under `epoch`, with this replica as its only member.
+    ///
+    /// All entries of its log stay; accepted entries that only lost replicas held are lost. It is
+    /// refused while a leader is known.
+    pub fn refound(&mut self, epoch: Epoch, now: Instant) -> Result<(), ReplicaError> {
+        if self.is_absent() {
+            return Err(ReplicaError::NoGroup);
+        }
+        if self.leader().is_some() && now < self.heard + self.settings.timing.election {
+            return Err(ReplicaError::LeaderPresent);
+        }
+        self.become_follower(self.hard.term.next(), None, now);
+        self.hard.epoch = epoch.max(self.hard.epoch.next());
+        self.write_hard();
+        let mut configuration = GroupConfiguration::default();
+        configuration.voters.push(self.settings.own.clone());
+        self.append_own(EntryPayload::Configuration(configuration));
+        self.deadline = now;
+        Ok(())
+    }
+}
+
+/// Election.
+impl ReplicaCore {
+    fn other_voters(&self) -> SmallVec<[ReplicaId; 3]> {
+        let voters = &self.log.configuration().voters;
+        voters.iter().filter(|voter| **voter != self.settings.own).cloned().collect()
+    }
+
+    fn is_quorum(&self, grants: &[ReplicaId]) -> bool {
+        let configuration = self.log.configuration();
+        let counted = grants.iter().filter(|replica| configuration.is_voter(replica)).count();
+        counted >= configuration.quorum()
+    }
+
+    fn start_pre_vote(&mut self, now: Instant) {
+        self.reset_deadline(now);
+        if !self.log.configuration().is_voter(&self.settings.own) {
+            self.role = ReplicaRole::Follower { leader: None };
+            return;
+        }
+        let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
+        self.role = ReplicaRole::PreCandidate { grants: grants.clone() };
+        if self.is_quorum(&grants) {
+            return self.start_vote(now);
+        }
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            if last == LogPosition::default() {
+                let configuration = self.log.configuration().clone();
+                self.send_synced(voter.clone(), ReplicaMessage::Found { configuration });
+            }
+            self.send(voter, ReplicaMessage::PreVote { term: self.hard.term.next(), last });
+        }
+    }
+
+    fn start_vote(&mut self, now: Instant) {
+        self.hard.term = self.hard.term.next();
+        self.hard.vote = Some(self.settings.own.clone());
+        self.write_hard();
+        self.reset_deadline(now);
+        let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
+        self.role = ReplicaRole::Candidate { grants: grants.clone() };
+        if self.is_quorum(&grants) {
+            return self.become_leader(now);
+        }
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            self.send_synced(voter, ReplicaMessage::Vote { term: self.hard.term, last });
+        }
+    }
+
+    /// Whether a leader may still hold a lease that this replica's answer renewed.
+    fn is_lease_possible(&self, now: Instant) -> bool {
+        self.is_leader() || now < self.heard + self.settings.timing.election
+    }
+
+    fn on_pre_vote(&mut self, from: ReplicaId, term: Term, last: LogPosition, now: Instant) {
+        if self.is_leader() && !self.log.configuration().is_member(&from) {
+            self.consider_member(from.clone(), now);
+        }
+        let newer = term > self.hard.term && last >= self.log.last();
+        let granted = newer && !self.is_lease_possible(now);
+        let term = if granted { term } else { self.hard.term };
+        self.send_synced(from, ReplicaMessage::PreVoteReply { term, granted });
+    }
+
+    fn on_pre_vote_reply(&mut self, from: ReplicaId, term: Term, granted: bool, now: Instant) {
+        if !granted {
+            if term > self.hard.term {
+                self.become_follower(term, None, now);
+            }
+            return;
+        }
+        let ReplicaRole::PreCandidate { grants } = &mut self.role else { return };
+        if term != self.hard.term.next() || grants.contains(&from) {
+            return;
+        }
+        grants.push(from);
+        let grants = grants.clone();
+        if self.is_quorum(&grants) {
+            self.start_vote(now);
+        }
+    }
+
+    fn on_vote(&mut self, from: ReplicaId, term: Term, last: LogPosition, now: Instant) {
+        if self.is_lease_possible(now) {
+            return;
+        }
+        if term > self.hard.term {
+            self.become_follower(term, None, now);
+        }
+        let free = self.hard.vote.as_ref().is_none_or(|vote| *vote == from);
+        let granted = term == self.hard.term && free && last >= self.log.last();
+        if granted && self.hard.vote.is_none() {
+            self.hard.vote = Some(from.clone());
+            self.write_hard();
+            self.reset_deadline(now);
+        }
+        self.send_synced(from, ReplicaMessage::VoteReply { term: self.hard.term, granted });
+    }
+
+    fn on_vote_reply(&mut self, from: ReplicaId, term: Term, granted: bool, now: Instant) {
+        if term > self.hard.term {
+            return self.become_follower(term, None, now);
+        }
+        let ReplicaRole::Candidate { grants } = &mut self.role else { return };
+        if !granted || term < self.hard.term || grants.contains(&from) {
+            return;
+        }
+        grants.push(from);
+        let grants = grants.clone();
+        if self.is_quorum(&grants) {
+            self.become_leader(now);
+        }
+    }
+}
+
+/// Where a part of a snapshot belongs.
+#[derive(Debug)]
+struct SnapshotPart {
+    epoch: Epoch,
+    position: LogPosition,
+    configuration: GroupConfiguration,
+    offset: u64,
+    total: u64,
+}
+
+/// Following.
+impl ReplicaCore {
+    /// Takes `from` as the leader of `term`, unless a newer term is known.
+    fn accept_leader(&mut self, from: &ReplicaId, term: Term, now: Instant) -> bool {
+        if term < self.hard.term {
+            return false;
+        }
+        if !self.is_absent() {
+            self.become_follower(term, Some(from.clone()), now);
+        }
+        self.heard = now;
+        true
+    }
+
+    fn append_entries(&mut self, previous: LogPosition, entries: Vec<LogEntry>) -> AppendOutcome {
+        if previous.index > self.log.last().index {
+            return AppendOutcome::Missing(self.log.last().index);
+        }
+        if previous.index > self.commit && self.log.term_at(previous.index) != Some(previous.term) {
+            return AppendOutcome::Missing(self.commit.max(previous.index.previous()));
+        }
+        let end = previous.index.0 + entries.len() as u64;
+        let known = |entry: &LogEntry| {
+            let LogPosition { term, index } = entry.position;
+            // Committed entries are equal everywhere.
+            index <= self.commit || self.log.term_at(index) == Some(term)
+        };
+        let fresh: Vec<_> = entries.into_iter().skip_while(known).collect();
+        if let Some(first) = fresh.first() {
+            let from = first.position.index;
+            if from <= self.log.last().index {
+                self.truncate(from);
+            }
+            self.write(JournalWrite::Append(fresh.clone()));
+            self.log.append(fresh);
+        }
+        AppendOutcome::Matched(LogIndex(end))
+    }
+
+    fn truncate(&mut self, from: LogIndex) {
+        self.log.truncate(from);
+        self.write(JournalWrite::Truncate(from));
+        let last = from.previous();
+        self.synced = self.synced.min(last);
+        for (_, index) in &mut self.unsynced {
+            *index = last.min(*index);
+        }
+    }
+
+    fn accept_snapshot(&mut self, part: SnapshotPart, data: &str, now: Instant) -> AppendOutcome {
+        let SnapshotPart { epoch, position, configuration, offset, total } = part;
+        let held = !self.is_absent() && self.log.term_at(position.index) == Some(position.term);
+        if held || (!self.is_absent() && position.index <= self.commit) {
+            self.commit = self.commit.max(position.index);
+            return AppendOutcome::Matched(position.index);
+        }
+        let same =
+            |incoming: &IncomingSnapshot| incoming.epoch == epoch && incoming.position == position;
+        if !self.incoming.as_ref().is_some_and(same) {
+            self.incoming = Some(IncomingSnapshot { epoch, position, data: Vec::new() });
+        }
+        let Some(incoming) = &mut self.incoming else { return AppendOutcome::SnapshotFrom(0) };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend(data.chars().map(|byte| byte as u8));
+        }
+        let received = incoming.data.len() as u64;
+        if received < total {
+            return AppendOutcome::SnapshotFrom(received);
+        }
+        let data = mem::take(&mut incoming.data).into();
+        self.incoming = None;
+        self.install(epoch, SnapshotImage { position, configuration, data }, now);
+        AppendOutcome::Matched(position.index)
+    }
+
+    fn install(&mut self, epoch: Epoch, snapshot: SnapshotImage, now: Instant) {
+        let snapshot = Arc::new(snapshot);
+        let index = snapshot.position.index;
+        self.output.committed.clear();
+        self.output.restored = Some(Arc::clone(&snapshot));
+        self.log = ReplicaLog::new(snapshot, Vec::new());
+        self.commit = index;
+        self.delivered = index;
+        self.synced = index;
+        for (_, unsynced) in &mut self.unsynced {
+            *unsynced = index;
+        }
+        self.hard.epoch = epoch;
+        self.write_all();
+        if self.is_absent() {
+            self.role = ReplicaRole::Follower { leader: None };
+            self.reset_deadline(now);
+        }
+    }
+
+    /// Replaces the applied entries up to `index` by `data`, the encoded state after them.
+    pub fn compact(&mut self, index: LogIndex, data: Vec<u8>) {
+        if index <= self.log.base() || index > self.delivered {
+            return;
+        }
+        self.log.compact(index, data);
+        self.write_all();
+    }
+
+    fn write_all(&mut self) {
+        let stored = StoredReplica {
+            hard: self.hard.clone(),
+            snapshot: Arc::clone(self.log.snapshot()),
+            entries: self.log.range(LogIndex(0), self.log.last().index).to_vec(),
+        };
+        self.write(JournalWrite::Replace(Box::new(stored)));
+    }
+
+    fn reply_append(&mut self, to: ReplicaId, round: u64, outcome: AppendOutcome) {
+        let term = self.hard.term;
+        self.send_synced(to, ReplicaMessage::AppendReply { term, round, outcome });
+    }
+
+    fn reply_stale(&mut self, to: ReplicaId, round: u64) {
+        self.reply_append(to, round, AppendOutcome::Missing(self.commit));
+    }
+}
--- /dev/null
+++ b/cicadastall/src/replica_leader.rs
@@ -0,0 +1,371 @@
+//! The leader's part of the replication core: progress of followers, commit, reads, membership.
+
+use crate::{
+    replica::{ReplicaCore, ReplicaError, ReplicaRole, ReplicaTiming},
+    replica_message::{
+        AppendOutcome, EntryPayload, GroupConfiguration, LogEntry, LogIndex, LogPosition,
+        ReadTicket, ReplicaId, ReplicaMessage, Term,
+    },
+};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Most entries of one message.
+const MAX_APPEND_ENTRIES: usize = 1_024;
+
+/// Bytes of commands after which a message takes no further entry.
+const MAX_APPEND_BYTES: usize = 1024 * 1024;
+
+/// What the leader knows of one other member.
+#[derive(Debug)]
+struct PeerProgress {
+    replica: ReplicaId,
+    /// Next entry to send.
+    next: LogIndex,
+    /// Last entry that the member has synced.
+    matched: LogIndex,
+    /// `matched` at the last heartbeat.
+    matched_before: LogIndex,
+    /// Newest message that the member has answered.
+    round: u64,
+    /// Time of its last answer.
+    heard: Instant,
+    /// Bytes of the snapshot that it holds, while it needs one.
+    snapshot: Option<u64>,
+}
+
+/// A read that waits until a majority has confirmed the leader.
+#[derive(Debug)]
+pub(crate) struct PendingRead {
+    pub(crate) ticket: ReadTicket,
+    index: LogIndex,
+    round: u64,
+}
+
+/// State that a replica has only while it leads.
+#[derive(Debug)]
+pub(crate) struct LeaderState {
+    pub(crate) reads: Vec<PendingRead>,
+    peers: Vec<PeerProgress>,
+    /// First entry of the leader's term.
+    start: LogIndex,
+    /// Time from which rounds count, in microseconds.
+    origin: Instant,
+    round: u64,
+    heartbeat: Instant,
+    joining: Vec<(ReplicaId, Instant)>,
+}
+
+impl LeaderState {
+    /// The greatest value that a majority of voters reaches.
+    fn reached<T: Ord>(
+        &self,
+        configuration: &GroupConfiguration,
+        own: T,
+        value: impl Fn(&PeerProgress) -> T,
+    ) -> Option<T> {
+        let voters = self.peers.iter().filter(|peer| configuration.is_voter(&peer.replica));
+        let mut values: Vec<T> = voters.map(value).collect();
+        values.push(own);
+        values.sort_by(|a, b| b.cmp(a));
+        values.into_iter().nth(configuration.quorum() - 1)
+    }
+
+    fn next_round(&mut self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.origin).as_micros() as u64;
+        self.round = elapsed.max(self.round + 1);
+        self.round
+    }
+
+    /// Whether no other replica can lead at `now`.
+    fn holds_lease(
+        &self,
+        configuration: &GroupConfiguration,
+        timing: &ReplicaTiming,
+        now: Instant,
+    ) -> bool {
+        let confirmed = self.reached(configuration, u64::MAX, |peer| peer.round);
+        match confirmed {
+            None | Some(0) => false,
+            Some(u64::MAX) => true,
+            Some(round) => now < self.origin + Duration::from_micros(round) + timing.lease,
+        }
+    }
+
+    fn peer(&mut self, replica: &ReplicaId) -> Option<&mut PeerProgress> {
+        self.peers.iter_mut().find(|peer| peer.replica == *replica)
+    }
+}
+
+impl ReplicaCore {
+    pub(crate) fn become_leader(&mut self, now: Instant) {
+        let last = self.log.last().index;
+        let state = LeaderState {
+            reads: Vec::new(),
+            peers: Vec::new(),
+            start: last.next(),
+            origin: now,
+            round: 0,
+            heartbeat: now + self.settings.timing.heartbeat,
+            joining: Vec::new(),
+        };
+        self.role = ReplicaRole::Leader(state);
+        self.refresh_peers(None, now);
+        self.append_own(EntryPayload::Empty);
+        self.send_heartbeats(now);
+        self.advance_commit(now);
+    }
+
+    /// Proposes a command; it is committed when it comes out at the returned position.
+    pub fn propose(&mut self, command: Arc<str>) -> Result<LogPosition, ReplicaError> {
+        if !self.is_leader() {
+            return Err(ReplicaError::NotLeader(self.leader().cloned()));
+        }
+        Ok(self.append_own(EntryPayload::Command(command)))
+    }
+
+    /// Starts a linearizable read; the outcome comes with the output under `ticket`.
+    pub fn read(&mut self, ticket: ReadTicket, now: Instant) -> Result<(), ReplicaError> {
+        let leader = self.leader().cloned();
+        let ReplicaRole::Leader(state) = &mut self.role else {
+            return Err(ReplicaError::NotLeader(leader));
+        };
+        let index = self.commit.max(state.start);
+        if state.holds_lease(self.log.configuration(), &self.settings.timing, now) {
+            self.output.reads.push((ticket, Some(index)));
+            return Ok(());
+        }
+        let round = state.round + 1;
+        state.reads.push(PendingRead { ticket, index, round });
+        self.send_heartbeats(now);
+        Ok(())
+    }
+
+    /// Whether the replica leads and no other replica can at `now`.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        let ReplicaRole::Leader(state) = &self.role else { return false };
+        state.holds_lease(self.log.configuration(), &self.settings.timing, now)
+    }
+
+    pub(crate) fn tick_leader(&mut self, now: Instant) {
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        let heard = state.reached(self.log.configuration(), now, |peer| peer.heard);
+        if heard.is_none_or(|heard| now >= heard + self.settings.timing.election) {
+            return self.become_follower(self.hard.term, None, now);
+        }
+        if now >= state.heartbeat {
+            state.heartbeat = now + self.settings.timing.heartbeat;
+            for peer in &mut state.peers {
+                if peer.matched == peer.matched_before {
+                    peer.next = peer.matched.next();
+                }
+                peer.matched_before = peer.matched;
+            }
+            self.send_heartbeats(now);
+        }
+        self.advance_membership(now);
+    }
+
+    /// Sends entries that followers were not sent yet.
+    pub(crate) fn send_entries(&mut self, now: Instant) {
+        let ReplicaRole::Leader(state) = &self.role else { return };
+        let last = self.log.last().index;
+        let behind = state.peers.iter().filter(|peer| peer.next <= last && peer.snapshot.is_none());
+        let behind: Vec<_> = behind.map(|peer| peer.replica.clone()).collect();
+        for replica in behind {
+            self.send_append(&replica, now);
+        }
+    }
+
+    fn send_heartbeats(&mut self, now: Instant) {
+        let ReplicaRole::Leader(state) = &self.role else { return };
+        let replicas: Vec<_> = state.peers.iter().map(|peer| peer.replica.clone()).collect();
+        for replica in replicas {
+            self.send_append(&replica, now);
+        }
+    }
+
+    fn send_append(&mut self, to: &ReplicaId, now: Instant) {
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        let round = state.next_round(now);
+        let Some(peer) = state.peer(to) else { return };
+        let index = peer.next.previous();
+        let previous = self.log.term_at(index).filter(|_| peer.snapshot.is_none());
+        let term = self.hard.term;
+        let Some(previous) = previous.map(|term| LogPosition { term, index }) else {
+            let offset = *peer.snapshot.get_or_insert(0);
+            return self.send_snapshot(to, round, offset);
+        };
+        let entries = choose_entries(self.log.range(peer.next, self.log.last().index));
+        if let Some(entry) = entries.last() {
+            peer.next = entry.position.index.next();
+        }
+        let commit = self.commit;
+        let message = ReplicaMessage::Append { term, round, previous, commit, entries };
+        self.send(to.clone(), message);
+    }
+
+    fn send_snapshot(&mut self, to: &ReplicaId, round: u64, offset: u64) {
+        let snapshot = Arc::clone(self.log.snapshot());
+        let total = snapshot.data.len();
+        let start = (offset as usize).min(total);
+        let end = total.min(start + self.settings.snapshot_part);
+        let message = ReplicaMessage::Snapshot {
+            term: self.hard.term,
+            round,
+            position: snapshot.position,
+            configuration: snapshot.configuration.clone(),
+            offset: start as u64,
+            total: total as u64,
+            data: snapshot.data[start..end].iter().map(|byte| *byte as char).collect(),
+        };
+        self.send(to.clone(), message);
+    }
+
+    pub(crate) fn on_append_reply(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        round: u64,
+        outcome: AppendOutcome,
+        now: Instant,
+    ) {
+        if term > self.hard.term {
+            return self.become_follower(term, None, now);
+        }
+        let last = self.log.last().index;
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        let Some(peer) = state.peer(&from).filter(|_| term == self.hard.term) else { return };
+        peer.heard = now;
+        peer.round = peer.round.max(round);
+        match outcome {
+            AppendOutcome::Matched(index) => {
+                peer.matched = peer.matched.max(index);
+                peer.next = peer.next.max(index.next());
+                peer.snapshot = None;
+            }
+            AppendOutcome::Missing(index) => {
+                peer.next = index.next().min(peer.next).max(peer.matched.next());
+                peer.snapshot = None;
+            }
+            AppendOutcome::SnapshotFrom(offset) => peer.snapshot = Some(offset),
+        }
+        if peer.snapshot.is_some() || peer.next <= last {
+            self.send_append(&from, now);
+        }
+        self.confirm_reads();
+        self.advance_commit(now);
+    }
+
+    fn confirm_reads(&mut self) {
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        let confirmed = state.reached(self.log.configuration(), u64::MAX, |peer| peer.round);
+        let Some(confirmed) = confirmed else { return };
+        let ready = state.reads.extract_if(.., |read| read.round <= confirmed);
+        self.output.reads.extend(ready.map(|read| (read.ticket, Some(read.index))));
+    }
+
+    /// Commits what a majority has synced, if the newest of it is of the leader's own term.
+    pub(crate) fn advance_commit(&mut self, now: Instant) {
+        let ReplicaRole::Leader(state) = &self.role else { return };
+        let matched = state.reached(self.log.configuration(), self.synced, |peer| peer.matched);
+        let Some(matched) = matched.filter(|index| *index > self.commit) else { return };
+        if self.log.term_at(matched) != Some(self.hard.term) {
+            return;
+        }
+        self.commit = matched;
+        self.advance_membership(now);
+    }
+}
+
+/// Membership, changed by one voter at a time.
+impl ReplicaCore {
+    /// Notes a replica that is not a member, or a member that has no state yet.
+    pub(crate) fn consider_member(&mut self, replica: ReplicaId, now: Instant) {
+        let allowed = self.settings.instances.contains(&replica.instance);
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        if let Some(peer) = state.peer(&replica) {
+            peer.snapshot.get_or_insert(0);
+        } else if allowed && replica != self.settings.own {
+            state.joining.retain(|(joining, _)| joining.instance != replica.instance);
+            state.joining.push((replica, now));
+        }
+    }
+
+    /// Starts the next change of members, unless one is under way.
+    fn advance_membership(&mut self, now: Instant) {
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        let election = self.settings.timing.election;
+        state.joining.retain(|(_, asked)| now < *asked + election);
+        if self.commit < state.start || self.log.configuration_index() > self.commit {
+            return;
+        }
+        let configuration = self.log.configuration().clone();
+        let commit = self.commit;
+        let is_active = |peer: &PeerProgress| now < peer.heard + election;
+        let caught_up = configuration.learners.iter().find(|learner| {
+            state
+                .peers
+                .iter()
+                .any(|peer| peer.replica == **learner && peer.matched >= commit && is_active(peer))
+        });
+        if let Some(learner) = caught_up {
+            return self.change_members(configuration.with_voter(learner.clone()), now);
+        }
+        let Some((joining, _)) = state.joining.first().cloned() else { return };
+        let previous = configuration.members().find(|member| member.instance == joining.instance);
+        let Some(previous) = previous.cloned() else {
+            state.joining.remove(0);
+            return self.change_members(configuration.with_learner(joining), now);
+        };
+        let answers = state.peers.iter().any(|peer| peer.replica == previous && is_active(peer));
+        if previous == self.settings.own || previous == joining || answers {
+            state.joining.remove(0);
+            return;
+        }
+        self.change_members(configuration.without(&previous), now);
+    }
+
+    fn change_members(&mut self, configuration: GroupConfiguration, now: Instant) {
+        let previous = self.log.configuration().clone();
+        self.append_own(EntryPayload::Configuration(configuration));
+        self.refresh_peers(Some(&previous), now);
+    }
+
+    /// Tracks exactly the other members; those that joined after `previous` start from a snapshot.
+    fn refresh_peers(&mut self, previous: Option<&GroupConfiguration>, now: Instant) {
+        let next = self.log.last().index.next();
+        let configuration = self.log.configuration();
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        state.peers.retain(|peer| configuration.is_member(&peer.replica));
+        for replica in configuration.members() {
+            let known = state.peers.iter().any(|peer| peer.replica == *replica);
+            if known || *replica == self.settings.own {
+                continue;
+            }
+            state.peers.push(PeerProgress {
+                replica: replica.clone(),
+                next,
+                matched: LogIndex(0),
+                matched_before: LogIndex(0),
+                round: 0,
+                heard: now,
+                snapshot: previous.is_some().then_some(0),
+            });
+        }
+        state.peers.sort_by_key(|peer| Reverse(peer.replica.clone()));
+    }
+}
+
+/// The first of `entries`, as many as one message may hold.
+fn choose_entries(entries: &[LogEntry]) -> Vec<LogEntry> {
+    let mut bytes = 0;
+    let fits = |entry: &&LogEntry| {
+        let fits = bytes < MAX_APPEND_BYTES;
+        if let EntryPayload::Command(command) = &entry.payload {
+            bytes += command.len();
+        }
+        fits
+    };
+    entries.iter().take(MAX_APPEND_ENTRIES).take_while(fits).cloned().collect()
+}
