--- a/cicadastall/src/http.rs
+++ b/cicadastall/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1 listeners and clients shared by all programs, and their graceful stop.
 
 use bytes::Bytes;
-use futures::stream::StreamExt;
+use futures::stream::{self, Stream, StreamExt};
 use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     Method, Request, Response, StatusCode,
@@ -16,7 +16,13 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
-    convert::Infallible, fmt, future::Future, io, net::SocketAddr, sync::Arc, time::Duration,
+    convert::Infallible,
+    fmt,
+    future::Future,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -34,9 +40,6 @@
 /// Longest time to establish a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Events that wait between an upstream and a slow caller.
-pub const STREAM_QUEUE: usize = 16;
-
 /// Limits of one listener.
 #[derive(Debug, Clone)]
 pub struct ListenerLimits {
@@ -141,7 +144,13 @@
 
 /// A client that keeps up to `idle` connections open to each address.
 pub fn client(idle: usize) -> HttpClient {
+    client_from(None, idle)
+}
+
+/// A client that connects from `source` and keeps up to `idle` connections open to each address.
+pub fn client_from(source: Option<IpAddr>, idle: usize) -> HttpClient {
     let mut connector = HttpConnector::new();
+    connector.set_local_address(source);
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     Client::builder(TokioExecutor::new())
@@ -199,11 +208,17 @@
 
 /// An answer whose body is the events sent into `events`, ended by closing the channel.
 pub fn event_answer(events: mpsc::Receiver<Bytes>) -> Response<AnswerBody> {
-    let frames = futures::stream::unfold(events, |mut events| async move {
+    let events = stream::unfold(events, |mut events| async move {
         let event = events.recv().await?;
-        Some((Ok::<_, Infallible>(Frame::data(event)), events))
+        Some((event, events))
     });
-    let mut answer = Response::new(UnsyncBoxBody::new(StreamBody::new(frames.boxed())));
+    stream_answer(events)
+}
+
+/// An answer whose body is `events`; they are dropped when the caller hangs up.
+pub fn stream_answer(events: impl Stream<Item = Bytes> + Send + 'static) -> Response<AnswerBody> {
+    let frames = events.map(|event| Ok::<_, Infallible>(Frame::data(event)));
+    let mut answer = Response::new(UnsyncBoxBody::new(StreamBody::new(frames)));
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     answer
 }
