--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     follow::SettingsHolder,
+    group::GroupHost,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
     membership::MembershipMessage,
@@ -18,6 +19,7 @@
 pub struct ControlServer {
     addresses: InstanceAddresses,
     membership: ActorRef<MembershipMessage>,
+    groups: GroupHost,
     stop: watch::Sender<bool>,
     _tasks: JoinSet<()>,
 }
@@ -47,7 +49,13 @@
             http::serve(core.operator, ListenerLimits::default(), stopped, handler),
             control,
         );
-        Ok(Self { addresses: core.addresses, membership: core.membership, stop, _tasks: tasks })
+        Ok(Self {
+            addresses: core.addresses,
+            membership: core.membership,
+            groups: core.groups,
+            stop,
+            _tasks: tasks,
+        })
     }
 
     /// Addresses on which the instance listens.
@@ -55,6 +63,11 @@
         self.addresses
     }
 
+    /// Starts replicas of the instance.
+    pub fn groups(&self) -> &GroupHost {
+        &self.groups
+    }
+
     /// Stops the instance.
     pub async fn stop(self) {
         let _ = self.stop.send(true);
--- /dev/null
+++ b/cicadastall/src/group.rs
@@ -0,0 +1,458 @@
+//! A replica of a group as its users see it: proposals, reads and status.
+
+use crate::{
+    group_actor::{
+        GroupActor, GroupArguments, GroupMessage, GroupStatus, ProposalReply, ReadReply,
+    },
+    group_transport::{GroupEndpoint, GroupRegistry, GroupSenders},
+    journal::{JournalError, JournalWriter, create_identity},
+    name::{GroupName, InstanceName},
+    node::{NodeSettings, VoterSettings},
+    peer::{PeerClients, PeerError},
+    replica::{ReplicaCore, ReplicaError, ReplicaSettings, ReplicaTiming},
+    replica_message::{Epoch, LogIndex, ReplicaEnvelope, ReplicaId, StoredReplica},
+    replicated::{GroupError, ReplicatedGroup, ReplicatedState},
+};
+use futures::future::BoxFuture;
+use ractor::{Actor, ActorRef};
+use rand::RngExt;
+use std::{
+    collections::HashMap,
+    fmt,
+    marker::PhantomData,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, PoisonError, RwLock},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::{
+    sync::{oneshot, watch},
+    time::{Instant, sleep, timeout_at},
+};
+
+/// Longest time to look for a leader before a proposal or a read is refused.
+const LEADER_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Pause before another replica is asked to lead.
+const LEADER_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time that another instance takes over a proposal or a read.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest time to wait until a replica that stops has released its folder.
+const LOCK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause before the folder is tried again.
+const LOCK_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bytes of a part of a snapshot.
+const SNAPSHOT_PART_BYTES: usize = 256 * 1024;
+
+/// What a replica is started with.
+#[derive(Debug, Clone)]
+pub struct GroupSettings {
+    /// Name of the group.
+    pub group: GroupName,
+    /// Instance that runs the replica.
+    pub own: InstanceName,
+    /// Instances that may be members, this one among them; the first founds the group.
+    pub voters: Vec<VoterSettings>,
+    /// Folder for the journal; without one the replica loses its identity when it stops.
+    pub folder: Option<PathBuf>,
+    /// Periods.
+    pub timing: ReplicaTiming,
+}
+
+/// Starts the replicas of one instance.
+#[derive(Debug, Clone)]
+pub struct GroupHost {
+    node: Arc<NodeSettings>,
+    clients: Arc<PeerClients>,
+    registry: Arc<GroupRegistry>,
+}
+
+impl GroupHost {
+    /// A host without replicas.
+    pub fn new(node: Arc<NodeSettings>, clients: Arc<PeerClients>) -> Self {
+        Self { node, clients, registry: Arc::new(GroupRegistry::default()) }
+    }
+
+    /// Replicas that other instances can reach.
+    pub fn registry(&self) -> &Arc<GroupRegistry> {
+        &self.registry
+    }
+
+    /// Starts the instance's replica of the settings group on the runtime of the caller.
+    pub async fn start_settings<S: ReplicatedState>(
+        &self,
+        initial: S,
+    ) -> Result<GroupHandle<S>, GroupStartError> {
+        self.start(GroupName::from("settings"), self.node.settings_voters.clone(), initial).await
+    }
+
+    /// Starts the instance's replica of its region's ledger group on the runtime of the caller.
+    pub async fn start_ledger<S: ReplicatedState>(
+        &self,
+        initial: S,
+    ) -> Result<GroupHandle<S>, GroupStartError> {
+        let group = GroupName::new(format!("ledger-{}", self.node.region));
+        self.start(group, self.node.ledger_voters.clone(), initial).await
+    }
+
+    async fn start<S: ReplicatedState>(
+        &self,
+        group: GroupName,
+        voters: Vec<VoterSettings>,
+        initial: S,
+    ) -> Result<GroupHandle<S>, GroupStartError> {
+        let settings = GroupSettings {
+            group,
+            own: self.node.instance.clone(),
+            voters,
+            folder: self.node.data_folder.clone(),
+            timing: ReplicaTiming::default(),
+        };
+        let registry = Arc::clone(&self.registry);
+        GroupHandle::start(settings, initial, Arc::clone(&self.clients), registry).await
+    }
+}
+
+/// Why a replica can't be started.
+#[derive(Debug)]
+pub enum GroupStartError {
+    /// Its storage can't be used.
+    Journal(JournalError),
+    /// Its snapshot can't be decoded.
+    Snapshot(serde_json::Error),
+    /// Its tasks can't be started.
+    Spawn(String),
+}
+
+impl fmt::Display for GroupStartError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Journal(error) => write!(formatter, "journal: {error}"),
+            Self::Snapshot(error) => write!(formatter, "snapshot cannot be decoded: {error}"),
+            Self::Spawn(cause) => write!(formatter, "replica cannot be started: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for GroupStartError {}
+
+impl From<JournalError> for GroupStartError {
+    fn from(error: JournalError) -> Self {
+        Self::Journal(error)
+    }
+}
+
+impl From<GroupStartError> for std::io::Error {
+    fn from(error: GroupStartError) -> Self {
+        Self::other(error)
+    }
+}
+
+/// A replica of a group; clones share it. It stops when the last clone is dropped or stopped.
+#[derive(Debug)]
+pub struct GroupHandle<S: ReplicatedState> {
+    shared: Arc<GroupShared<S>>,
+}
+
+impl<S: ReplicatedState> Clone for GroupHandle<S> {
+    fn clone(&self) -> Self {
+        Self { shared: Arc::clone(&self.shared) }
+    }
+}
+
+struct GroupShared<S: ReplicatedState> {
+    settings: GroupSettings,
+    addresses: HashMap<InstanceName, SocketAddr>,
+    clients: Arc<PeerClients>,
+    registry: Arc<GroupRegistry>,
+    actor: ActorRef<GroupMessage<S>>,
+    state: Arc<RwLock<S>>,
+    status: watch::Receiver<GroupStatus>,
+}
+
+impl<S: ReplicatedState> fmt::Debug for GroupShared<S> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let status = self.status.borrow();
+        let mut shown = formatter.debug_struct("GroupShared");
+        shown.field("group", &self.settings.group).field("status", &*status).finish()
+    }
+}
+
+/// Endpoint of a replica in the registry; it does not keep the replica alive.
+#[derive(Debug)]
+struct LocalEndpoint<S: ReplicatedState>(ActorRef<GroupMessage<S>>);
+
+impl<S: ReplicatedState> GroupEndpoint for LocalEndpoint<S> {
+    fn deliver(&self, envelopes: Vec<ReplicaEnvelope>) {
+        let _ = self.0.cast(GroupMessage::Receive(envelopes));
+    }
+
+    fn propose_encoded(&self, command: Arc<str>) -> BoxFuture<'_, Result<Arc<str>, GroupError>> {
+        Box::pin(async {
+            let reply = propose_here(&self.0, command).await?;
+            let encoded = serde_json::to_string(&reply).map_err(|_| GroupError::OutcomeUnknown)?;
+            Ok(encoded.into())
+        })
+    }
+
+    fn read_index(&self) -> BoxFuture<'_, Result<LogIndex, GroupError>> {
+        Box::pin(read_here(&self.0))
+    }
+}
+
+async fn propose_here<S: ReplicatedState>(
+    actor: &ActorRef<GroupMessage<S>>,
+    command: Arc<str>,
+) -> Result<S::Reply, GroupError> {
+    let (reply, replied): (ProposalReply<S>, _) = oneshot::channel();
+    actor.cast(GroupMessage::Propose(command, reply)).map_err(|_| GroupError::Stopped)?;
+    // A replica that stops with the command in its queue may have logged it.
+    replied.await.unwrap_or(Err(GroupError::OutcomeUnknown))
+}
+
+async fn read_here<S: ReplicatedState>(
+    actor: &ActorRef<GroupMessage<S>>,
+) -> Result<LogIndex, GroupError> {
+    let (reply, replied): (ReadReply, _) = oneshot::channel();
+    actor.cast(GroupMessage::Read(reply)).map_err(|_| GroupError::Stopped)?;
+    replied.await.unwrap_or(Err(GroupError::Stopped))
+}
+
+impl<S: ReplicatedState> GroupHandle<S> {
+    /// Starts a replica on the runtime of the caller, which is the control thread's.
+    ///
+    /// `initial` is the state at the group's founding, the same at all replicas.
+    pub async fn start(
+        settings: GroupSettings,
+        initial: S,
+        clients: Arc<PeerClients>,
+        registry: Arc<GroupRegistry>,
+    ) -> Result<Self, GroupStartError> {
+        let (writer, identity, stored) = open_storage(&settings).await?;
+        let state = match stored.snapshot.data.as_ref() {
+            [] => initial,
+            data => S::restore(data).map_err(GroupStartError::Snapshot)?,
+        };
+        let state = Arc::new(RwLock::new(state));
+        let own = ReplicaId { instance: settings.own.clone(), identity };
+        let replica = ReplicaSettings {
+            own,
+            instances: settings.voters.iter().map(|voter| voter.instance.clone()).collect(),
+            founding: Epoch(wall_clock_ms()),
+            timing: settings.timing,
+            snapshot_part: SNAPSHOT_PART_BYTES,
+            seed: rand::rng().random(),
+        };
+        let addresses = settings.voters.iter().filter(|voter| voter.instance != settings.own);
+        let addresses: HashMap<_, _> =
+            addresses.map(|voter| (voter.instance.clone(), voter.address)).collect();
+        let (status, published) = watch::channel(GroupStatus::default());
+        let arguments = GroupArguments {
+            core: ReplicaCore::new(replica, stored, Instant::now()),
+            writer,
+            state: Arc::clone(&state),
+            status,
+            senders: GroupSenders::start(&settings.group, &addresses, &clients),
+            name: format!("journal {}", settings.group),
+        };
+        let (actor, _) = Actor::spawn(None, GroupActor(PhantomData), arguments)
+            .await
+            .map_err(|error| GroupStartError::Spawn(error.to_string()))?;
+        registry.register(settings.group.clone(), Arc::new(LocalEndpoint(actor.clone())));
+        let status = published;
+        let shared = GroupShared { settings, addresses, clients, registry, actor, state, status };
+        Ok(Self { shared: Arc::new(shared) })
+    }
+
+    /// What the replica knows of its group.
+    pub fn status(&self) -> GroupStatus {
+        self.shared.status.borrow().clone()
+    }
+
+    /// Follows the status; also a sign that entries have been applied.
+    pub fn watch(&self) -> watch::Receiver<GroupStatus> {
+        self.shared.status.clone()
+    }
+
+    /// Founds the group anew with this replica as its only member; gives the new epoch.
+    ///
+    /// Accepted commands that only lost replicas held are lost, so `accept_loss` must say that this
+    /// is intended. Refused while a leader is known.
+    pub async fn refound(&self, accept_loss: bool) -> Result<Epoch, RefoundError> {
+        if !accept_loss {
+            return Err(RefoundError::LossNotAccepted);
+        }
+        let epoch = Epoch(wall_clock_ms());
+        let (reply, replied) = oneshot::channel();
+        let sent = self.shared.actor.cast(GroupMessage::Refound(epoch, reply));
+        sent.map_err(|_| RefoundError::Stopped)?;
+        replied.await.map_err(|_| RefoundError::Stopped)?.map_err(RefoundError::Replica)?;
+        Ok(epoch.max(self.status().epoch))
+    }
+
+    /// Stops the replica; others can no longer reach it.
+    pub fn stop(&self) {
+        self.shared.stop();
+    }
+
+    async fn propose_encoded(&self, command: Arc<str>) -> Result<S::Reply, GroupError> {
+        let deadline = Instant::now() + LEADER_TIMEOUT;
+        loop {
+            let refused = match propose_here(&self.shared.actor, Arc::clone(&command)).await {
+                Err(GroupError::NotLeader { leader }) => leader,
+                outcome => return outcome,
+            };
+            let forwarded = match refused.and_then(|leader| self.address(&leader)) {
+                Some(address) => self.forward(address, Arc::clone(&command)).await,
+                None => Err(GroupError::NotLeader { leader: None }),
+            };
+            match forwarded {
+                Err(GroupError::NotLeader { .. } | GroupError::NoQuorum) => {}
+                outcome => return outcome,
+            }
+            self.wait_for_leader(deadline).await?;
+        }
+    }
+
+    async fn forward(
+        &self,
+        address: SocketAddr,
+        command: Arc<str>,
+    ) -> Result<S::Reply, GroupError> {
+        let group = self.shared.settings.group.clone();
+        let call = self.shared.clients.call(address, FORWARD_TIMEOUT, async |client, context| {
+            client.group_propose(context, group, command).await
+        });
+        match call.await {
+            Ok(reply) => serde_json::from_str(&reply?).map_err(|_| GroupError::OutcomeUnknown),
+            Err(PeerError::Unreachable(_)) => Err(GroupError::NotLeader { leader: None }),
+            Err(PeerError::NoReply(_)) => Err(GroupError::OutcomeUnknown),
+        }
+    }
+
+    /// Last entry that a linearizable read must see, by the leader wherever it is.
+    async fn find_read_index(&self) -> Result<LogIndex, GroupError> {
+        let deadline = Instant::now() + LEADER_TIMEOUT;
+        loop {
+            let refused = match read_here(&self.shared.actor).await {
+                Err(GroupError::NotLeader { leader }) => leader,
+                outcome => return outcome,
+            };
+            if let Some(address) = refused.and_then(|leader| self.address(&leader)) {
+                let group = self.shared.settings.group.clone();
+                let clients = &self.shared.clients;
+                let call = clients.call(address, FORWARD_TIMEOUT, async |client, context| {
+                    client.group_read_index(context, group).await
+                });
+                if let Ok(Ok(index)) = call.await {
+                    return Ok(index);
+                }
+            }
+            self.wait_for_leader(deadline).await?;
+        }
+    }
+
+    async fn wait_for_leader(&self, deadline: Instant) -> Result<(), GroupError> {
+        if Instant::now() >= deadline {
+            return Err(GroupError::NoQuorum);
+        }
+        sleep(LEADER_PAUSE).await;
+        Ok(())
+    }
+
+    async fn wait_applied(&self, index: LogIndex) -> Result<(), GroupError> {
+        let mut status = self.shared.status.clone();
+        let applied = status.wait_for(|status| status.applied >= index);
+        match timeout_at(Instant::now() + LEADER_TIMEOUT, applied).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) => Err(GroupError::Stopped),
+            Err(_) => Err(GroupError::NoQuorum),
+        }
+    }
+
+    fn address(&self, instance: &InstanceName) -> Option<SocketAddr> {
+        self.shared.addresses.get(instance).copied()
+    }
+}
+
+impl<S: ReplicatedState> ReplicatedGroup<S> for GroupHandle<S> {
+    async fn propose(&self, command: S::Command) -> Result<S::Reply, GroupError> {
+        let command = serde_json::to_string(&command).map_err(|_| GroupError::Stopped)?;
+        self.propose_encoded(command.into()).await
+    }
+
+    async fn read<T: Send>(&self, query: impl FnOnce(&S) -> T + Send) -> Result<T, GroupError> {
+        let index = self.find_read_index().await?;
+        self.wait_applied(index).await?;
+        Ok(self.read_local(query))
+    }
+
+    fn read_local<T>(&self, query: impl FnOnce(&S) -> T) -> T {
+        query(&self.shared.state.read().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl<S: ReplicatedState> GroupShared<S> {
+    fn stop(&self) {
+        self.registry.remove(&self.settings.group);
+        self.actor.stop(None);
+    }
+}
+
+impl<S: ReplicatedState> Drop for GroupShared<S> {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Why a group is not founded anew.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RefoundError {
+    /// The caller did not accept that commands may be lost.
+    LossNotAccepted,
+    /// The replica refuses.
+    Replica(ReplicaError),
+    /// The replica has stopped.
+    Stopped,
+}
+
+impl fmt::Display for RefoundError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::LossNotAccepted => formatter.write_str(
+                "accepted changes that only lost replicas held would be lost; say that you accept",
+            ),
+            Self::Replica(error) => error.fmt(formatter),
+            Self::Stopped => formatter.write_str("the replica has stopped"),
+        }
+    }
+}
+
+impl std::error::Error for RefoundError {}
+
+/// Milliseconds of the wall clock, only to tell epochs apart.
+fn wall_clock_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+type OpenedStorage =
+    (Option<JournalWriter>, crate::replica_message::ReplicaIdentity, StoredReplica);
+
+async fn open_storage(settings: &GroupSettings) -> Result<OpenedStorage, JournalError> {
+    let Some(folder) = &settings.folder else {
+        return Ok((None, create_identity(), StoredReplica::default()));
+    };
+    let folder = folder.join(settings.group.as_str());
+    let deadline = Instant::now() + LOCK_TIMEOUT;
+    loop {
+        match JournalWriter::open(&folder) {
+            Err(JournalError::Locked(_)) if Instant::now() < deadline => sleep(LOCK_PAUSE).await,
+            Err(error) => return Err(error),
+            Ok(opened) => return Ok((Some(opened.writer), opened.identity, opened.stored)),
+        }
+    }
+}
--- /dev/null
+++ b/cicadastall/src/group_actor.rs
@@ -0,0 +1,329 @@
+//! Actor that ties one replica's core to its journal, its state and the transport.
+
+use crate::{
+    group_transport::GroupSenders,
+    journal::{JournalError, JournalWriter},
+    replica::{ReplicaCore, ReplicaError},
+    replica_message::{
+        EntryPayload, Epoch, GroupConfiguration, JournalWrite, LogEntry, LogIndex, ReadTicket,
+        ReplicaEnvelope, ReplicaId, ReplicaOutput, SnapshotImage, Term, WriteSequence,
+    },
+    replicated::{GroupError, ReplicatedState},
+};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    marker::PhantomData,
+    sync::{Arc, PoisonError, RwLock, mpsc as journal_queue},
+    time::Duration,
+};
+use tokio::{
+    sync::{oneshot, watch},
+    time::Instant,
+};
+
+/// Time between two ticks of the core.
+const TICK_PERIOD: Duration = Duration::from_millis(25);
+
+/// Entries after which the state is written as a snapshot.
+const SNAPSHOT_ENTRIES: u64 = 4_096;
+
+/// Reply to a proposal.
+pub(crate) type ProposalReply<S> =
+    oneshot::Sender<Result<<S as ReplicatedState>::Reply, GroupError>>;
+
+/// Reply to a linearizable read: the last entry that it must see.
+pub(crate) type ReadReply = oneshot::Sender<Result<LogIndex, GroupError>>;
+
+/// Messages to the actor.
+pub(crate) enum GroupMessage<S: ReplicatedState> {
+    Receive(Vec<ReplicaEnvelope>),
+    Propose(Arc<str>, ProposalReply<S>),
+    Read(ReadReply),
+    Synced(WriteSequence),
+    Failed(JournalError),
+    Tick,
+    /// Performs what the messages before it asked for, all at once.
+    Flush,
+    Refound(Epoch, oneshot::Sender<Result<(), ReplicaError>>),
+}
+
+/// What a replica knows of its group.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupStatus {
+    /// Founding of the group; 0 while the replica belongs to none.
+    pub epoch: Epoch,
+    /// Newest term seen.
+    pub term: Term,
+    /// The leader, if known.
+    pub leader: Option<ReplicaId>,
+    /// Whether this replica leads.
+    pub leads: bool,
+    /// Members.
+    pub configuration: GroupConfiguration,
+    /// Last entry known to be committed.
+    pub commit: LogIndex,
+    /// Last entry that the state includes.
+    pub applied: LogIndex,
+    /// Newer epoch under which the group was refounded without this replica.
+    pub superseded: Option<Epoch>,
+    /// Why the replica has stopped.
+    pub failure: Option<String>,
+}
+
+/// What the actor is started with.
+pub(crate) struct GroupArguments<S> {
+    pub(crate) core: ReplicaCore,
+    pub(crate) writer: Option<JournalWriter>,
+    pub(crate) state: Arc<RwLock<S>>,
+    pub(crate) status: watch::Sender<GroupStatus>,
+    pub(crate) senders: GroupSenders,
+    pub(crate) name: String,
+}
+
+/// Owner of one replica.
+pub(crate) struct GroupActor<S>(pub(crate) PhantomData<fn(S)>);
+
+/// A batch of writes on its way to the journal's thread.
+type JournalBatch = (WriteSequence, Vec<JournalWrite>);
+
+/// State of the actor.
+pub(crate) struct GroupState<S: ReplicatedState> {
+    core: ReplicaCore,
+    journal: Option<journal_queue::Sender<JournalBatch>>,
+    state: Arc<RwLock<S>>,
+    status: watch::Sender<GroupStatus>,
+    senders: GroupSenders,
+    proposals: BTreeMap<LogIndex, (Term, ProposalReply<S>)>,
+    reads: HashMap<ReadTicket, ReadReply>,
+    tickets: ReadTicket,
+    applied: LogIndex,
+    flushing: bool,
+}
+
+impl<S: ReplicatedState> Actor for GroupActor<S> {
+    type Msg = GroupMessage<S>;
+    type State = GroupState<S>;
+    type Arguments = GroupArguments<S>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Self::Msg>,
+        arguments: Self::Arguments,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        let GroupArguments { core, writer, state, status, senders, name } = arguments;
+        let journal = writer.map(|writer| start_journal(name, writer, myself.clone()));
+        myself.send_interval(TICK_PERIOD, || GroupMessage::Tick);
+        let applied = core.log().base();
+        Ok(GroupState {
+            core,
+            journal: journal.transpose()?,
+            state,
+            status,
+            senders,
+            proposals: BTreeMap::new(),
+            reads: HashMap::new(),
+            tickets: ReadTicket(0),
+            applied,
+            flushing: false,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Self::Msg>,
+        message: Self::Msg,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        let now = Instant::now();
+        match message {
+            GroupMessage::Receive(envelopes) => {
+                envelopes.into_iter().for_each(|envelope| state.core.receive(envelope, now));
+            }
+            GroupMessage::Propose(command, reply) => state.propose(command, reply),
+            GroupMessage::Read(reply) => state.read(reply, now),
+            GroupMessage::Synced(sequence) => state.core.mark_synced(sequence, now),
+            GroupMessage::Failed(error) => return Err(state.fail(&error)),
+            GroupMessage::Tick => state.core.tick(now),
+            GroupMessage::Refound(epoch, reply) => {
+                let _ = reply.send(state.core.refound(epoch, now));
+            }
+            GroupMessage::Flush => {
+                state.flushing = false;
+                return state.flush(now).map_err(|error| state.fail(&error));
+            }
+        }
+        if !std::mem::replace(&mut state.flushing, true) {
+            let _ = myself.cast(GroupMessage::Flush);
+        }
+        Ok(())
+    }
+}
+
+/// Runs the journal on a thread of its own, since a sync blocks; batches that queue up meanwhile
+/// are synced together.
+fn start_journal<S: ReplicatedState>(
+    name: String,
+    mut writer: JournalWriter,
+    actor: ActorRef<GroupMessage<S>>,
+) -> io::Result<journal_queue::Sender<JournalBatch>> {
+    let (sender, receiver) = journal_queue::channel::<JournalBatch>();
+    std::thread::Builder::new().name(name).spawn(move || {
+        while let Ok((mut sequence, mut writes)) = receiver.recv() {
+            for (later, more) in receiver.try_iter() {
+                sequence = later;
+                writes.extend(more);
+            }
+            let message = match writer.write(&writes) {
+                Ok(()) => GroupMessage::Synced(sequence),
+                Err(error) => GroupMessage::Failed(error),
+            };
+            if actor.cast(message).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(sender)
+}
+
+impl<S: ReplicatedState> GroupState<S> {
+    fn propose(&mut self, command: Arc<str>, reply: ProposalReply<S>) {
+        match self.core.propose(command) {
+            Ok(position) => {
+                self.proposals.insert(position.index, (position.term, reply));
+            }
+            Err(error) => {
+                let _ = reply.send(Err(error.into()));
+            }
+        }
+    }
+
+    fn read(&mut self, reply: ReadReply, now: Instant) {
+        self.tickets = self.tickets.next();
+        match self.core.read(self.tickets, now) {
+            Ok(()) => {
+                self.reads.insert(self.tickets, reply);
+            }
+            Err(error) => {
+                let _ = reply.send(Err(error.into()));
+            }
+        }
+    }
+
+    fn flush(&mut self, now: Instant) -> Result<(), JournalError> {
+        loop {
+            let output = self.core.take_output(now);
+            let sequence = output.sequence;
+            let writes = !output.writes.is_empty();
+            self.perform(output)?;
+            if !writes || self.journal.is_some() {
+                break;
+            }
+            self.core.mark_synced(sequence, now);
+        }
+        if !self.core.is_leader() {
+            self.drop_proposals();
+        }
+        self.publish();
+        Ok(())
+    }
+
+    fn perform(&mut self, output: ReplicaOutput) -> Result<(), JournalError> {
+        if let Some(journal) = self.journal.as_ref().filter(|_| !output.writes.is_empty()) {
+            let sent = journal.send((output.sequence, output.writes));
+            sent.map_err(|_| JournalError::Poisoned)?;
+        }
+        output.messages.into_iter().for_each(|envelope| self.senders.send(envelope));
+        if let Some(snapshot) = output.restored {
+            self.restore(&snapshot);
+        }
+        output.committed.into_iter().for_each(|entry| self.apply(entry));
+        for (ticket, index) in output.reads {
+            let Some(reply) = self.reads.remove(&ticket) else { continue };
+            let _ = reply.send(index.ok_or(GroupError::NoQuorum));
+        }
+        if self.applied.0 >= self.core.log().base().0 + SNAPSHOT_ENTRIES {
+            let data = self.state.read().unwrap_or_else(PoisonError::into_inner).snapshot();
+            self.core.compact(self.applied, data);
+        }
+        Ok(())
+    }
+
+    fn restore(&mut self, snapshot: &SnapshotImage) {
+        if !snapshot.data.is_empty() {
+            match S::restore(&snapshot.data) {
+                Ok(state) => *self.state.write().unwrap_or_else(PoisonError::into_inner) = state,
+                Err(error) => log::error!("snapshot of a group cannot be decoded: {error}"),
+            }
+        }
+        self.applied = snapshot.position.index;
+    }
+
+    fn apply(&mut self, entry: LogEntry) {
+        let LogEntry { position, payload } = entry;
+        let reply = match payload {
+            EntryPayload::Command(command) => match serde_json::from_str(&command) {
+                Ok(command) => {
+                    let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+                    Some(state.apply(&command))
+                }
+                Err(error) => {
+                    log::error!("command {} cannot be decoded: {error}", position.index);
+                    None
+                }
+            },
+            EntryPayload::Empty | EntryPayload::Configuration(_) => None,
+        };
+        self.applied = position.index;
+        let Some((term, proposal)) = self.proposals.remove(&position.index) else { return };
+        let reply = reply.filter(|_| term == position.term).ok_or(GroupError::OutcomeUnknown);
+        let _ = proposal.send(reply);
+    }
+
+    /// A replica that no longer leads does not learn which of its proposals are committed.
+    fn drop_proposals(&mut self) {
+        for (_, (_, reply)) in std::mem::take(&mut self.proposals) {
+            let _ = reply.send(Err(GroupError::OutcomeUnknown));
+        }
+    }
+
+    fn publish(&self) {
+        let status = GroupStatus {
+            epoch: self.core.epoch(),
+            term: self.core.term(),
+            leader: self.core.leader().cloned(),
+            leads: self.core.is_leader(),
+            configuration: self.core.configuration().clone(),
+            commit: self.core.commit(),
+            applied: self.applied,
+            superseded: self.core.superseded(),
+            failure: None,
+        };
+        self.status.send_if_modified(|published| {
+            let changed = *published != status;
+            *published = status;
+            changed
+        });
+    }
+
+    fn fail(&mut self, error: &JournalError) -> ActorProcessingErr {
+        log::error!("a replica stops, as its journal failed: {error}");
+        self.status.send_modify(|status| status.failure = Some(error.to_string()));
+        self.drop_proposals();
+        self.reads.clear();
+        ActorProcessingErr::from(error.to_string())
+    }
+}
+
+impl From<ReplicaError> for GroupError {
+    fn from(error: ReplicaError) -> Self {
+        match error {
+            ReplicaError::NotLeader(leader) => {
+                Self::NotLeader { leader: leader.map(|leader| leader.instance) }
+            }
+            ReplicaError::LeaderPresent | ReplicaError::NoGroup => Self::NotLeader { leader: None },
+        }
+    }
+}
--- /dev/null
+++ b/cicadastall/src/group_transport.rs
@@ -0,0 +1,155 @@
+//! Transport of groups' messages between instances.
+
+use crate::{
+    name::{GroupName, InstanceName},
+    peer::PeerClients,
+    replica_message::{LogIndex, ReplicaEnvelope},
+    replicated::GroupError,
+};
+use futures::future::BoxFuture;
+use std::{
+    collections::HashMap,
+    fmt::Debug,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+    task::JoinSet,
+};
+
+/// Messages that wait for one receiver; further ones are dropped, as the network may do.
+const QUEUED_MESSAGES: usize = 1_024;
+
+/// Calls under way to one receiver, so that a long round trip does not hold messages back.
+const CALLS_UNDER_WAY: usize = 8;
+
+/// Most messages of one call.
+const MESSAGES_PER_CALL: usize = 64;
+
+/// Longest time to wait for the receipt of messages.
+const DELIVER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A replica of one group, whatever its state.
+pub trait GroupEndpoint: Debug + Send + Sync {
+    /// Takes messages in.
+    fn deliver(&self, envelopes: Vec<ReplicaEnvelope>);
+
+    /// Proposes an encoded command here and gives the encoded reply.
+    fn propose_encoded(&self, command: Arc<str>) -> BoxFuture<'_, Result<Arc<str>, GroupError>>;
+
+    /// Last entry that a linearizable read must see.
+    fn read_index(&self) -> BoxFuture<'_, Result<LogIndex, GroupError>>;
+}
+
+/// The replicas that run in one instance.
+#[derive(Debug, Default)]
+pub struct GroupRegistry {
+    endpoints: Mutex<HashMap<GroupName, Arc<dyn GroupEndpoint>>>,
+}
+
+impl GroupRegistry {
+    /// Lets other instances reach `endpoint`.
+    pub fn register(&self, group: GroupName, endpoint: Arc<dyn GroupEndpoint>) {
+        self.lock().insert(group, endpoint);
+    }
+
+    /// Cuts the replica of `group` off.
+    pub fn remove(&self, group: &GroupName) {
+        self.lock().remove(group);
+    }
+
+    /// Passes messages on, if the instance runs a replica of `group`.
+    pub fn deliver(&self, group: &GroupName, envelopes: Vec<ReplicaEnvelope>) {
+        if let Some(endpoint) = self.find(group) {
+            endpoint.deliver(envelopes);
+        }
+    }
+
+    /// Proposes an encoded command to the replica of `group`.
+    pub async fn propose(
+        &self,
+        group: &GroupName,
+        command: Arc<str>,
+    ) -> Result<Arc<str>, GroupError> {
+        let endpoint = self.find(group).ok_or(GroupError::NotLeader { leader: None })?;
+        endpoint.propose_encoded(command).await
+    }
+
+    /// Asks the replica of `group` for the last entry that a linearizable read must see.
+    pub async fn read_index(&self, group: &GroupName) -> Result<LogIndex, GroupError> {
+        let endpoint = self.find(group).ok_or(GroupError::NotLeader { leader: None })?;
+        endpoint.read_index().await
+    }
+
+    fn find(&self, group: &GroupName) -> Option<Arc<dyn GroupEndpoint>> {
+        self.lock().get(group).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<GroupName, Arc<dyn GroupEndpoint>>> {
+        self.endpoints.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Queues of messages to the other members of one group.
+#[derive(Debug)]
+pub(crate) struct GroupSenders {
+    queues: HashMap<InstanceName, mpsc::Sender<ReplicaEnvelope>>,
+}
+
+impl GroupSenders {
+    /// Starts one task for each receiver; they end when this value is dropped.
+    pub(crate) fn start(
+        group: &GroupName,
+        addresses: &HashMap<InstanceName, SocketAddr>,
+        clients: &Arc<PeerClients>,
+    ) -> Self {
+        let start = |(instance, address): (&InstanceName, &SocketAddr)| {
+            let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
+            tokio::spawn(send_queued(group.clone(), *address, Arc::clone(clients), receiver));
+            (instance.clone(), sender)
+        };
+        Self { queues: addresses.iter().map(start).collect() }
+    }
+
+    pub(crate) fn send(&self, envelope: ReplicaEnvelope) {
+        if let Some(queue) = self.queues.get(&envelope.to.instance) {
+            let _ = queue.try_send(envelope);
+        }
+    }
+}
+
+async fn send_queued(
+    group: GroupName,
+    address: SocketAddr,
+    clients: Arc<PeerClients>,
+    mut queue: mpsc::Receiver<ReplicaEnvelope>,
+) {
+    let permits = Arc::new(Semaphore::new(CALLS_UNDER_WAY));
+    let mut calls = JoinSet::new();
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+        let mut envelopes = Vec::new();
+        if queue.recv_many(&mut envelopes, MESSAGES_PER_CALL).await == 0 {
+            return;
+        }
+        while calls.try_join_next().is_some() {}
+        calls.spawn(deliver(group.clone(), address, Arc::clone(&clients), envelopes, permit));
+    }
+}
+
+async fn deliver(
+    group: GroupName,
+    address: SocketAddr,
+    clients: Arc<PeerClients>,
+    envelopes: Vec<ReplicaEnvelope>,
+    _permit: OwnedSemaphorePermit,
+) {
+    let call = clients.call(address, DELIVER_TIMEOUT, async |client, context| {
+        client.group_deliver(context, group, envelopes).await
+    });
+    if let Err(error) = call.await {
+        log::debug!("group messages to {address} are lost: {error}");
+    }
+}
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -3,10 +3,15 @@
 
 use crate::{
     follow::{SettingsHolder, follow_settings},
+    group::GroupHost,
+    group_transport::GroupRegistry,
     http,
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
+    name::GroupName,
     node::NodeSettings,
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
+    replica_message::{LogIndex, ReplicaEnvelope},
+    replicated::GroupError,
     settings::{Revision, SettingsSnapshot},
     table::RoutingTable,
 };
@@ -59,14 +64,16 @@
 /// Service for other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
-    pub(crate) membership: ActorRef<MembershipMessage>,
+    /// None where only groups are served.
+    pub(crate) membership: Option<ActorRef<MembershipMessage>>,
     pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) groups: Arc<GroupRegistry>,
 }
 
 impl PeerApi for PeerServer {
     async fn exchange(self, _: Context, state: MemberExchange) -> MemberExchange {
-        let asked = self
-            .membership
+        let Some(membership) = self.membership else { return MemberExchange::default() };
+        let asked = membership
             .call(|reply| MembershipMessage::Exchange(state, reply), Some(CONTROL_TIMEOUT))
             .await;
         match asked {
@@ -78,6 +85,23 @@
     async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
         self.settings.newer_than(revision)
     }
+
+    async fn group_deliver(self, _: Context, group: GroupName, envelopes: Vec<ReplicaEnvelope>) {
+        self.groups.deliver(&group, envelopes);
+    }
+
+    async fn group_propose(
+        self,
+        _: Context,
+        group: GroupName,
+        command: Arc<str>,
+    ) -> Result<Arc<str>, GroupError> {
+        self.groups.propose(&group, command).await
+    }
+
+    async fn group_read_index(self, _: Context, group: GroupName) -> Result<LogIndex, GroupError> {
+        self.groups.read_index(&group).await
+    }
 }
 
 /// Addresses on which an instance listens.
@@ -99,6 +123,7 @@
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) in_flight: Arc<AtomicU32>,
+    pub(crate) groups: GroupHost,
     pub(crate) tasks: JoinSet<()>,
 }
 
@@ -120,6 +145,7 @@
             async move {
                 let operator = http::bind(node.operator_listen).await?;
                 let peers = http::bind(node.peer_listen).await?;
+                let groups = GroupHost::new(Arc::clone(&node), Arc::clone(&clients));
                 let addresses = InstanceAddresses {
                     caller,
                     operator: operator.local_addr()?,
@@ -136,8 +162,11 @@
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
-                let server =
-                    PeerServer { membership: membership.clone(), settings: Arc::clone(&settings) };
+                let server = PeerServer {
+                    membership: Some(membership.clone()),
+                    settings: Arc::clone(&settings),
+                    groups: Arc::clone(groups.registry()),
+                };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
                 tasks.spawn(follow_settings(
@@ -146,15 +175,32 @@
                     clients,
                     Arc::clone(&table),
                 ));
-                Ok(Self { addresses, operator, settings, table, membership, in_flight, tasks })
+                Ok(Self {
+                    addresses,
+                    operator,
+                    settings,
+                    table,
+                    membership,
+                    in_flight,
+                    groups,
+                    tasks,
+                })
             }
         });
         started.await.map_err(io::Error::other)?
     }
 }
 
+/// Answers calls to the replicas in `groups`, without membership and settings, until its task is
+/// dropped.
+pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
+    let settings = Arc::new(SettingsHolder::default());
+    serve_peers(listener, PeerServer { membership: None, settings, groups }).await;
+}
+
 /// Answers calls of other instances on `listener` until its task is dropped.
 async fn serve_peers(listener: TcpListener, service: PeerServer) {
+    let mut connections = JoinSet::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -167,7 +213,8 @@
         let _ = stream.set_nodelay(true);
         let transport = frame_messages(stream);
         let calls = BaseChannel::with_defaults(transport).execute(service.clone().serve());
-        tokio::spawn(calls.for_each(|call| {
+        while connections.try_join_next().is_some() {}
+        connections.spawn(calls.for_each(|call| {
             tokio::spawn(call);
             future::ready(())
         }));
--- /dev/null
+++ b/cicadastall/src/journal.rs
@@ -0,0 +1,420 @@
+//! Durable storage of one replica: identity, snapshot and log in one folder.
+//!
+//! The log is a sequence of frames, one for each synced batch of writes. Only the last frame can be
+//! incomplete after a loss of power; it is cut off. Any other damage is refused.
+
+use crate::replica_message::{
+    HardState, JournalWrite, LogEntry, LogIndex, LogPosition, ReplicaIdentity, SnapshotImage,
+    StoredReplica,
+};
+use rand::RngExt;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{
+    fmt,
+    fs::{self, File, OpenOptions, TryLockError},
+    io::{self, Seek, SeekFrom, Write},
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+const IDENTITY_FILE: &str = "identity";
+const SNAPSHOT_FILE: &str = "snapshot";
+const LOG_FILE: &str = "log";
+const LOCK_FILE: &str = "lock";
+
+/// Bytes before the content of a frame: length, checksum of the content, checksum of these two.
+const HEADER_BYTES: usize = 12;
+
+/// Unit in which a disk writes; a sector that was never written reads as zeros.
+const SECTOR_BYTES: usize = 512;
+
+/// Why a replica's storage can't be used.
+#[derive(Debug)]
+pub enum JournalError {
+    /// A file could not be read, written or synced.
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// Another process uses the folder.
+    Locked(PathBuf),
+    /// A part that was synced is damaged.
+    Corrupt {
+        /// The file.
+        path: PathBuf,
+        /// Byte at which the damaged part starts.
+        offset: u64,
+        /// What is wrong.
+        cause: String,
+    },
+    /// A file that must be there is missing.
+    Missing(PathBuf),
+    /// The log starts after the end of the snapshot.
+    Gap {
+        /// Last entry of the snapshot.
+        snapshot: LogIndex,
+        /// Entry after which the log starts.
+        base: LogIndex,
+    },
+    /// An earlier write failed, so that the files' content is not known.
+    Poisoned,
+}
+
+impl fmt::Display for JournalError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io { path, source } => write!(formatter, "{}: {source}", path.display()),
+            Self::Locked(path) => {
+                write!(formatter, "{} is used by another process", path.display())
+            }
+            Self::Corrupt { path, offset, cause } => {
+                write!(formatter, "{} is corrupt at byte {offset}: {cause}", path.display())
+            }
+            Self::Missing(path) => write!(formatter, "{} is missing", path.display()),
+            Self::Gap { snapshot, base } => {
+                write!(formatter, "entries {snapshot} to {base} are in neither snapshot nor log")
+            }
+            Self::Poisoned => formatter.write_str("an earlier write failed"),
+        }
+    }
+}
+
+impl std::error::Error for JournalError {}
+
+/// One change of the log file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum JournalRecord {
+    Base(LogPosition),
+    Hard(HardState),
+    Truncate(LogIndex),
+    Entry(LogEntry),
+}
+
+/// Head of the snapshot file; the encoded state follows as a frame of its own.
+#[derive(Debug, Serialize, Deserialize)]
+struct SnapshotHead {
+    position: LogPosition,
+    configuration: crate::replica_message::GroupConfiguration,
+}
+
+/// A replica's storage as it was found or created.
+#[derive(Debug)]
+pub struct OpenedJournal {
+    /// For further writes.
+    pub writer: JournalWriter,
+    /// Identity of the storage.
+    pub identity: ReplicaIdentity,
+    /// What it holds.
+    pub stored: StoredReplica,
+    /// Bytes of an incomplete last write that were cut off.
+    pub cut_bytes: u64,
+}
+
+/// Writer of one replica's storage.
+#[derive(Debug)]
+pub struct JournalWriter {
+    folder: PathBuf,
+    log: File,
+    poisoned: bool,
+    _lock: File,
+}
+
+impl JournalWriter {
+    /// Opens the storage in `folder`, or creates one with a new identity if it is empty.
+    pub fn open(folder: &Path) -> Result<OpenedJournal, JournalError> {
+        fs::create_dir_all(folder).map_err(|source| io_error(folder, source))?;
+        let lock = lock_folder(folder)?;
+        let identity = match read_identity(folder)? {
+            Some(identity) => identity,
+            None => create(folder)?,
+        };
+        let path = folder.join(LOG_FILE);
+        let bytes = read_file(&path)?.ok_or_else(|| JournalError::Missing(path.clone()))?;
+        let (records, valid) = read_log(&path, &bytes)?;
+        let stored = combine(&path, records, read_snapshot(folder)?)?;
+        let mut log = open_log(&path)?;
+        let cut_bytes = bytes.len() as u64 - valid;
+        if cut_bytes > 0 {
+            log::warn!(cut_bytes; "cut an incomplete write off {}", path.display());
+            log.set_len(valid).map_err(|source| io_error(&path, source))?;
+            log.sync_all().map_err(|source| io_error(&path, source))?;
+        }
+        log.seek(SeekFrom::End(0)).map_err(|source| io_error(&path, source))?;
+        let writer = Self { folder: folder.to_owned(), log, poisoned: false, _lock: lock };
+        Ok(OpenedJournal { writer, identity, stored, cut_bytes })
+    }
+
+    /// Makes `writes` durable; after an error every further write is refused.
+    pub fn write(&mut self, writes: &[JournalWrite]) -> Result<(), JournalError> {
+        if std::mem::replace(&mut self.poisoned, true) {
+            return Err(JournalError::Poisoned);
+        }
+        let last = writes.iter().rposition(|write| matches!(write, JournalWrite::Replace(_)));
+        if let Some(JournalWrite::Replace(stored)) = last.map(|last| &writes[last]) {
+            self.replace(stored)?;
+        }
+        let rest = &writes[last.map_or(0, |last| last + 1)..];
+        if !rest.is_empty() {
+            self.append(&rest.iter().flat_map(make_records).collect::<Vec<_>>())?;
+        }
+        self.poisoned = false;
+        Ok(())
+    }
+
+    fn append(&mut self, records: &[JournalRecord]) -> Result<(), JournalError> {
+        let frame = encode(records);
+        let written = self.log.write_all(&frame).and_then(|()| self.log.sync_data());
+        written.map_err(|source| io_error(&self.folder.join(LOG_FILE), source))
+    }
+
+    /// Writes the snapshot before the log that starts after it.
+    fn replace(&mut self, stored: &StoredReplica) -> Result<(), JournalError> {
+        write_snapshot(&self.folder, &stored.snapshot)?;
+        write_log(&self.folder, stored)?;
+        let path = self.folder.join(LOG_FILE);
+        self.log = open_log(&path)?;
+        self.log.seek(SeekFrom::End(0)).map_err(|source| io_error(&path, source))?;
+        Ok(())
+    }
+}
+
+fn make_records(write: &JournalWrite) -> Vec<JournalRecord> {
+    match write {
+        JournalWrite::Hard(hard) => vec![JournalRecord::Hard(hard.clone())],
+        JournalWrite::Truncate(from) => vec![JournalRecord::Truncate(*from)],
+        JournalWrite::Append(entries) => {
+            entries.iter().cloned().map(JournalRecord::Entry).collect()
+        }
+        JournalWrite::Replace(_) => Vec::new(),
+    }
+}
+
+fn io_error(path: &Path, source: io::Error) -> JournalError {
+    JournalError::Io { path: path.to_owned(), source }
+}
+
+fn corrupt(path: &Path, offset: u64, cause: impl Into<String>) -> JournalError {
+    JournalError::Corrupt { path: path.to_owned(), offset, cause: cause.into() }
+}
+
+fn lock_folder(folder: &Path) -> Result<File, JournalError> {
+    let path = folder.join(LOCK_FILE);
+    let lock = File::create(&path).map_err(|source| io_error(&path, source))?;
+    match lock.try_lock() {
+        Ok(()) => Ok(lock),
+        Err(TryLockError::WouldBlock) => Err(JournalError::Locked(folder.to_owned())),
+        Err(TryLockError::Error(source)) => Err(io_error(&path, source)),
+    }
+}
+
+fn read_file(path: &Path) -> Result<Option<Vec<u8>>, JournalError> {
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(source) => Err(io_error(path, source)),
+    }
+}
+
+fn open_log(path: &Path) -> Result<File, JournalError> {
+    OpenOptions::new().read(true).write(true).open(path).map_err(|source| io_error(path, source))
+}
+
+/// Replaces a file by a synced one with `bytes`, in one step.
+fn replace_file(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), JournalError> {
+    let path = folder.join(name);
+    let fresh = folder.join(format!("{name}.new"));
+    let write = || {
+        let mut file = File::create(&fresh)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&fresh, &path)?;
+        File::open(folder)?.sync_all()
+    };
+    write().map_err(|source| io_error(&path, source))
+}
+
+fn create(folder: &Path) -> Result<ReplicaIdentity, JournalError> {
+    let path = folder.join(LOG_FILE);
+    let pristine = match read_file(&path)? {
+        None => !folder.join(SNAPSHOT_FILE).exists(),
+        Some(bytes) => bytes == make_log(&StoredReplica::default()),
+    };
+    if !pristine {
+        return Err(JournalError::Missing(folder.join(IDENTITY_FILE)));
+    }
+    // The log comes first, so that an identity without a log is a loss.
+    write_log(folder, &StoredReplica::default())?;
+    let identity = create_identity();
+    replace_file(folder, IDENTITY_FILE, &encode(&identity))?;
+    Ok(identity)
+}
+
+/// An identity for storage that starts empty.
+pub fn create_identity() -> ReplicaIdentity {
+    ReplicaIdentity(rand::rng().random_range(1..=u64::MAX))
+}
+
+fn read_identity(folder: &Path) -> Result<Option<ReplicaIdentity>, JournalError> {
+    let path = folder.join(IDENTITY_FILE);
+    let Some(bytes) = read_file(&path)? else { return Ok(None) };
+    match read_frame(&bytes) {
+        FrameRead::Whole { content, .. } => decode(&path, 0, content).map(Some),
+        _ => Err(corrupt(&path, 0, "checksum differs")),
+    }
+}
+
+fn write_snapshot(folder: &Path, snapshot: &SnapshotImage) -> Result<(), JournalError> {
+    let SnapshotImage { position, configuration, data } = snapshot;
+    let head = SnapshotHead { position: *position, configuration: configuration.clone() };
+    let mut bytes = encode(&head);
+    bytes.extend(frame(data));
+    replace_file(folder, SNAPSHOT_FILE, &bytes)
+}
+
+fn read_snapshot(folder: &Path) -> Result<SnapshotImage, JournalError> {
+    let path = folder.join(SNAPSHOT_FILE);
+    let Some(bytes) = read_file(&path)? else { return Ok(SnapshotImage::default()) };
+    let FrameRead::Whole { content, rest } = read_frame(&bytes) else {
+        return Err(corrupt(&path, 0, "checksum of the head differs"));
+    };
+    let head: SnapshotHead = decode(&path, 0, content)?;
+    let offset = bytes.len() - rest.len();
+    let FrameRead::Whole { content, .. } = read_frame(rest) else {
+        return Err(corrupt(&path, offset as u64, "checksum of the state differs"));
+    };
+    let SnapshotHead { position, configuration } = head;
+    Ok(SnapshotImage { position, configuration, data: content.to_vec().into() })
+}
+
+fn make_log(stored: &StoredReplica) -> Vec<u8> {
+    let mut records = vec![
+        JournalRecord::Base(stored.snapshot.position),
+        JournalRecord::Hard(stored.hard.clone()),
+    ];
+    records.extend(stored.entries.iter().cloned().map(JournalRecord::Entry));
+    encode(&records)
+}
+
+fn write_log(folder: &Path, stored: &StoredReplica) -> Result<(), JournalError> {
+    replace_file(folder, LOG_FILE, &make_log(stored))
+}
+
+/// Reads all whole frames; returns their records and the bytes that they take.
+fn read_log(path: &Path, bytes: &[u8]) -> Result<(Vec<JournalRecord>, u64), JournalError> {
+    let mut records = Vec::new();
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let offset = (bytes.len() - rest.len()) as u64;
+        match read_frame(rest) {
+            FrameRead::Whole { content, rest: after } => {
+                records.extend(decode::<Vec<JournalRecord>>(path, offset, content)?);
+                rest = after;
+            }
+            FrameRead::Incomplete if offset > 0 => return Ok((records, offset)),
+            // A whole last frame with a wrong checksum was synced, unless a sector is missing.
+            FrameRead::Damaged if offset > 0 && is_torn(rest, offset as usize) => {
+                return Ok((records, offset));
+            }
+            _ => return Err(corrupt(path, offset, "checksum differs")),
+        }
+    }
+    Ok((records, bytes.len() as u64))
+}
+
+/// Whether damaged `bytes` at `offset` of a file can be a last write of which a sector is missing.
+fn is_torn(bytes: &[u8], offset: usize) -> bool {
+    let later_frame = (1..bytes.len())
+        .any(|start| matches!(read_frame(&bytes[start..]), FrameRead::Whole { .. }));
+    let first = SECTOR_BYTES - offset % SECTOR_BYTES;
+    let (head, sectors) = bytes.split_at(first.min(bytes.len()));
+    let is_missing = |sector: &[u8]| !sector.is_empty() && sector.iter().all(|byte| *byte == 0);
+    !later_frame && (is_missing(head) || sectors.chunks(SECTOR_BYTES).any(is_missing))
+}
+
+fn combine(
+    path: &Path,
+    records: Vec<JournalRecord>,
+    snapshot: SnapshotImage,
+) -> Result<StoredReplica, JournalError> {
+    let mut base = LogPosition::default();
+    let mut stored = StoredReplica::default();
+    for record in records {
+        match record {
+            JournalRecord::Base(position) => base = position,
+            JournalRecord::Hard(hard) => stored.hard = hard,
+            JournalRecord::Truncate(from) => stored.apply(&JournalWrite::Truncate(from)),
+            JournalRecord::Entry(entry) => {
+                let last = stored.entries.last().map_or(base, |last| last.position);
+                if entry.position.index != last.index.next() {
+                    return Err(corrupt(path, 0, format!("no entry after {}", last.index)));
+                }
+                stored.entries.push(entry);
+            }
+        }
+    }
+    if base.index > snapshot.position.index {
+        return Err(JournalError::Gap { snapshot: snapshot.position.index, base: base.index });
+    }
+    // A replica that was stopped while it joined has a snapshot but no group.
+    if stored.hard.epoch.0 == 0 {
+        return Ok(StoredReplica { hard: stored.hard, ..StoredReplica::default() });
+    }
+    // A log older than the snapshot continues it only if it holds the snapshot's last entry.
+    let position = snapshot.position;
+    let joins = base == position || stored.entries.iter().any(|entry| entry.position == position);
+    stored.entries.retain(|entry| joins && entry.position.index > position.index);
+    stored.snapshot = Arc::new(snapshot);
+    Ok(stored)
+}
+
+/// What the start of some bytes holds.
+enum FrameRead<'a> {
+    Whole {
+        content: &'a [u8],
+        rest: &'a [u8],
+    },
+    /// The bytes end before the frame.
+    Incomplete,
+    Damaged,
+}
+
+fn frame(content: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + content.len());
+    bytes.extend((content.len() as u32).to_le_bytes());
+    bytes.extend(crc32fast::hash(content).to_le_bytes());
+    bytes.extend(crc32fast::hash(&bytes).to_le_bytes());
+    bytes.extend(content);
+    bytes
+}
+
+fn read_frame(bytes: &[u8]) -> FrameRead<'_> {
+    let Some((header, rest)) = bytes.split_at_checked(HEADER_BYTES) else {
+        return FrameRead::Incomplete;
+    };
+    let number = |at: usize| {
+        u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]])
+    };
+    if crc32fast::hash(&header[..8]) != number(8) {
+        return FrameRead::Damaged;
+    }
+    match rest.split_at_checked(number(0) as usize) {
+        None => FrameRead::Incomplete,
+        Some((content, _)) if crc32fast::hash(content) != number(4) => FrameRead::Damaged,
+        Some((content, rest)) => FrameRead::Whole { content, rest },
+    }
+}
+
+fn encode<T: Serialize + ?Sized>(content: &T) -> Vec<u8> {
+    // The records have string keys only and no failing serializers.
+    frame(&serde_json::to_vec(content).unwrap_or_default())
+}
+
+fn decode<T: DeserializeOwned>(
+    path: &Path,
+    offset: u64,
+    content: &[u8],
+) -> Result<T, JournalError> {
+    serde_json::from_slice(content).map_err(|error| corrupt(path, offset, error.to_string()))
+}
--- a/cicadastall/src/name.rs
+++ b/cicadastall/src/name.rs
@@ -67,6 +67,8 @@
     AttemptId;
     /// An idempotency key, chosen by the caller within a session.
     IdempotencyKey;
+    /// A replicated group: the fleet's settings or the ledger of one region.
+    GroupName;
     /// An identifier under which an operator resends one change of settings.
     OperationId;
 }
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,6 +1,9 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    name::GroupName,
+    replica_message::{LogIndex, ReplicaEnvelope},
+    replicated::GroupError,
     settings::{Revision, SettingsSnapshot},
     table::{EntryRecord, UpstreamRecord, ZoneDigest},
 };
@@ -46,6 +49,15 @@
 
     /// The newest settings, or none if they are not newer than `revision`.
     async fn settings_after(revision: Revision) -> Option<Arc<SettingsSnapshot>>;
+
+    /// Passes messages to the receiver's replica of `group`.
+    async fn group_deliver(group: GroupName, envelopes: Vec<ReplicaEnvelope>);
+
+    /// Proposes an encoded command if the receiver leads `group`; gives the encoded reply.
+    async fn group_propose(group: GroupName, command: Arc<str>) -> Result<Arc<str>, GroupError>;
+
+    /// Last entry that a linearizable read must see, if the receiver leads `group`.
+    async fn group_read_index(group: GroupName) -> Result<LogIndex, GroupError>;
 }
 
 /// Why a call to another instance has no reply.
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -500,7 +500,8 @@
         if self.is_absent() {
             return Err(ReplicaError::NoGroup);
         }
-        if self.leader().is_some() && now < self.heard + self.settings.timing.election {
+        let heard = self.leader().is_some() && now < self.heard + self.settings.timing.election;
+        if self.is_leader() || heard {
             return Err(ReplicaError::LeaderPresent);
         }
         self.become_follower(self.hard.term.next(), None, now);
--- /dev/null
+++ b/cicadastall/tests/groups/mod.rs
@@ -0,0 +1,141 @@
+//! Groups of replicas that talk over loopback connections.
+
+use cicadastall::{
+    group::{GroupHandle, GroupSettings, GroupStartError},
+    group_transport::GroupRegistry,
+    instance::serve_groups,
+    name::{GroupName, InstanceName},
+    node::VoterSettings,
+    peer::PeerClients,
+    replica::ReplicaTiming,
+    replicated::{GroupError, ReplicatedGroup, ReplicatedState},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+
+/// A list of texts.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct TextList(pub Vec<String>);
+
+impl ReplicatedState for TextList {
+    type Command = String;
+    type Reply = usize;
+
+    fn apply(&mut self, command: &String) -> usize {
+        self.0.push(command.clone());
+        self.0.len()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    fn restore(snapshot: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(snapshot)
+    }
+}
+
+/// A replica with its connections.
+pub struct Member {
+    pub handle: GroupHandle<TextList>,
+    server: JoinHandle<()>,
+}
+
+impl Member {
+    /// Stops the replica and closes its address.
+    pub async fn stop(self) {
+        self.handle.stop();
+        self.server.abort();
+        let _ = self.server.await;
+    }
+}
+
+/// Addresses and folders of a group.
+pub struct TestGroup {
+    pub voters: Vec<VoterSettings>,
+    folder: Option<PathBuf>,
+}
+
+impl TestGroup {
+    /// A group of `size`; with a folder named `name` its replicas are durable.
+    pub async fn new(size: usize, name: Option<&str>) -> Self {
+        let folder = name.map(|name| Path::new(env!("CARGO_TARGET_TMPDIR")).join(name));
+        if let Some(folder) = &folder {
+            let _ = std::fs::remove_dir_all(folder);
+        }
+        let mut voters = Vec::new();
+        for index in 0..size {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+            let address: SocketAddr = listener.local_addr().expect("address");
+            let instance = InstanceName::new(format!("control-{index}"));
+            voters.push(VoterSettings { instance, address });
+        }
+        Self { voters, folder }
+    }
+
+    pub fn folder(&self, index: usize) -> Option<PathBuf> {
+        self.folder.as_ref().map(|folder| folder.join(index.to_string()))
+    }
+
+    /// Starts the replica of the given index.
+    pub async fn start(&self, index: usize) -> Result<Member, GroupStartError> {
+        let registry = Arc::new(GroupRegistry::default());
+        let listener = bind(self.voters[index].address).await;
+        let server = tokio::spawn(serve_groups(listener, Arc::clone(&registry)));
+        let settings = GroupSettings {
+            group: GroupName::from("settings"),
+            own: self.voters[index].instance.clone(),
+            voters: self.voters.clone(),
+            folder: self.folder(index),
+            timing: ReplicaTiming::default(),
+        };
+        let clients = Arc::new(PeerClients::default());
+        let handle = GroupHandle::start(settings, TextList::default(), clients, registry).await?;
+        Ok(Member { handle, server })
+    }
+
+    pub async fn start_all(&self) -> Vec<Member> {
+        let mut members = Vec::new();
+        for index in 0..self.voters.len() {
+            members.push(self.start(index).await.expect("start"));
+        }
+        members
+    }
+}
+
+async fn bind(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// Proposes until the command is accepted, for groups that are being founded or repaired.
+pub async fn propose(member: &Member, text: &str) -> usize {
+    loop {
+        match member.handle.propose(text.to_owned()).await {
+            Ok(length) => return length,
+            Err(GroupError::NoQuorum | GroupError::NotLeader { .. }) => {}
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+/// Waits until `met` holds.
+pub async fn wait_until(what: &str, met: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if met() {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("not met within 20 s: {what}");
+}
--- /dev/null
+++ b/cicadastall/tests/replica_groups.rs
@@ -0,0 +1,95 @@
+//! Groups of replicas over loopback connections, with and without disks.
+
+mod groups;
+
+use cicadastall::{
+    group::RefoundError,
+    replica::ReplicaError,
+    replicated::{GroupError, ReplicatedGroup},
+};
+use groups::{Member, TestGroup, propose, wait_until};
+
+fn leader(members: &[Member]) -> Option<usize> {
+    members.iter().position(|member| member.handle.status().leads)
+}
+
+async fn read(member: &Member) -> Result<Vec<String>, GroupError> {
+    member.handle.read(|list| list.0.clone()).await
+}
+
+#[tokio::test]
+async fn three_replicas_commit_what_any_of_them_proposes() {
+    let group = TestGroup::new(3, Some("commit")).await;
+    let members = group.start_all().await;
+    for (index, member) in members.iter().enumerate() {
+        assert_eq!(propose(member, &format!("from {index}")).await, index + 1);
+    }
+    for member in &members {
+        assert_eq!(read(member).await, Ok(vec!["from 0".into(), "from 1".into(), "from 2".into()]));
+    }
+}
+
+#[tokio::test]
+async fn a_group_of_one_founds_itself() {
+    let group = TestGroup::new(1, None).await;
+    let members = group.start_all().await;
+    assert_eq!(propose(&members[0], "alone").await, 1);
+}
+
+#[tokio::test]
+async fn a_group_survives_the_restart_of_all_replicas_after_hundreds_of_changes() {
+    let group = TestGroup::new(3, Some("restart")).await;
+    let members = group.start_all().await;
+    for index in 0..500 {
+        propose(&members[0], &index.to_string()).await;
+    }
+    for member in members {
+        member.stop().await;
+    }
+    let members = group.start_all().await;
+    assert_eq!(propose(&members[1], "after").await, 501);
+    assert_eq!(read(&members[2]).await.map(|list| list.len()), Ok(501));
+}
+
+#[tokio::test]
+async fn an_empty_disk_under_the_old_name_is_taken_in_as_another_replica() {
+    let group = TestGroup::new(3, Some("empty-disk")).await;
+    let mut members = group.start_all().await;
+    propose(&members[0], "before").await;
+    let lost = (leader(&members).expect("leader") + 1) % 3;
+    let old = members[lost].handle.status().configuration;
+    members.remove(lost).stop().await;
+    std::fs::remove_dir_all(group.folder(lost).expect("folder")).expect("remove");
+    members.insert(lost, group.start(lost).await.expect("start"));
+    let replaced = || {
+        let now = members[lost].handle.status().configuration;
+        now.voters.len() == 3 && now.learners.is_empty() && now != old
+    };
+    wait_until("the empty disk's replica votes", replaced).await;
+    assert_eq!(read(&members[lost]).await, Ok(vec!["before".into()]));
+    // The group now stands the loss of another replica.
+    members.remove((lost + 1) % 3).stop().await;
+    assert_eq!(propose(&members[0], "after").await, 2);
+}
+
+#[tokio::test]
+async fn one_of_three_accepts_nothing_until_it_is_refounded() {
+    let group = TestGroup::new(3, None).await;
+    let mut members = group.start_all().await;
+    propose(&members[0], "before").await;
+    let kept = members.remove(leader(&members).expect("leader"));
+    assert_eq!(
+        kept.handle.refound(true).await,
+        Err(RefoundError::Replica(ReplicaError::LeaderPresent))
+    );
+    for member in members {
+        member.stop().await;
+    }
+    wait_until("the leader steps down", || !kept.handle.status().leads).await;
+    assert_eq!(kept.handle.propose("lost".into()).await, Err(GroupError::NoQuorum));
+    assert_eq!(read(&kept).await, Err(GroupError::NoQuorum));
+    assert_eq!(kept.handle.refound(false).await, Err(RefoundError::LossNotAccepted));
+    let before = kept.handle.status().epoch;
+    assert!(kept.handle.refound(true).await.expect("refound") > before);
+    assert_eq!(propose(&kept, "after").await, 2);
+}
