Check a tree of settings and report all faults at once

Cause: serde stops at its first error, drops duplicate keys in silence and knows no references, so an operator would mend a tree fault by fault and never hear of some. Change: JSON is read into a document that keeps duplicate keys; a table of shapes finds unknown fields, wrong types and ranges; a second walk finds names that refer to nothing, workspaces and pools of two teams, zones of two regions, homes outside their residency and kinds with nowhere to be answered. Each fault has path, finding, what is allowed and a near name. Ruled out: cycles of reference need no check, as teams refer to regions and kinds to pools only.

--- /dev/null
+++ b/cicadastall/src/check.rs
@@ -0,0 +1,233 @@
+//! Validation of a settings tree from JSON text; reports all faults at once.
+
+use crate::{
+    document::JsonNode,
+    fault::{FaultKind, FaultList, SettingsFault, ValuePath},
+    settings::FleetSettings,
+    shape::{self, ValueShape},
+};
+use serde::de::DeserializeOwned;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Reads a whole tree; gives every fault if there is any.
+pub fn check_settings(text: &[u8]) -> Result<FleetSettings, Vec<SettingsFault>> {
+    let document = read_document(text)?;
+    let mut faults = FaultList::default();
+    shape::FLEET.check(&document, &ValuePath::root(), &mut faults);
+    check_references(&document, &mut faults);
+    finish(text, faults)
+}
+
+/// Reads the subtree of one team; references are left to the check of the whole tree.
+pub fn check_team<T: DeserializeOwned>(team: &str, text: &[u8]) -> Result<T, Vec<SettingsFault>> {
+    check_part(text, &shape::TEAM, &ValuePath::root().key("teams").key(team))
+}
+
+/// Reads the regions' subtree; references are left to the check of the whole tree.
+pub fn check_regions<T: DeserializeOwned>(text: &[u8]) -> Result<T, Vec<SettingsFault>> {
+    check_part(text, &shape::REGIONS, &ValuePath::root().key("regions"))
+}
+
+fn check_part<T: DeserializeOwned>(
+    text: &[u8],
+    shape: &ValueShape,
+    path: &ValuePath,
+) -> Result<T, Vec<SettingsFault>> {
+    let document = read_document(text)?;
+    let mut faults = FaultList::default();
+    shape.check(&document, path, &mut faults);
+    finish(text, faults)
+}
+
+fn finish<T: DeserializeOwned>(
+    text: &[u8],
+    mut faults: FaultList,
+) -> Result<T, Vec<SettingsFault>> {
+    if !faults.0.is_empty() {
+        return Err(faults.0);
+    }
+    serde_json::from_slice(text).map_err(|error| {
+        faults.add(&ValuePath::root(), FaultKind::WrongType, error.to_string(), "settings");
+        faults.0
+    })
+}
+
+fn read_document(text: &[u8]) -> Result<JsonNode, Vec<SettingsFault>> {
+    serde_json::from_slice(text).map_err(|error| {
+        let mut faults = FaultList::default();
+        faults.add(&ValuePath::root(), FaultKind::Syntax, error.to_string(), "JSON text");
+        faults.0
+    })
+}
+
+/// Names that the tree defines once for all teams.
+#[derive(Debug, Default)]
+struct NameOwners<'a> {
+    workspaces: BTreeMap<&'a str, &'a str>,
+    pools: BTreeMap<&'a str, &'a str>,
+}
+
+fn check_references(document: &JsonNode, faults: &mut FaultList) {
+    let regions = document.field("regions").map(check_zones(faults)).unwrap_or_default();
+    let teams = document.field("teams").map(JsonNode::fields).unwrap_or_default();
+    let mut owners = NameOwners::default();
+    let path = ValuePath::root().key("teams");
+    for (team, subtree) in teams {
+        let path = path.key(team);
+        let checker = TeamChecker { subtree, regions: &regions, path };
+        checker.check_owners(team, &mut owners, faults);
+        checker.check_kinds(faults);
+        checker.check_workspaces(faults);
+    }
+}
+
+/// Checks that each zone belongs to one region, and lists the regions.
+fn check_zones(faults: &mut FaultList) -> impl FnOnce(&JsonNode) -> BTreeSet<&str> {
+    move |regions| {
+        let mut owners = BTreeMap::new();
+        for (region, settings) in regions.fields() {
+            let path = ValuePath::root().key("regions").key(region).key("zones");
+            let zones = settings.field("zones").map(JsonNode::elements).unwrap_or_default();
+            for (index, zone) in zones.iter().enumerate() {
+                let Some(zone) = zone.text() else { continue };
+                let owner = *owners.entry(zone).or_insert(region);
+                if owner != region {
+                    add_taken(&path.index(index), zone, "region", owner, faults);
+                }
+            }
+        }
+        regions.fields().iter().map(|(region, _)| region.as_str()).collect()
+    }
+}
+
+fn add_taken(path: &ValuePath, name: &str, what: &str, owner: &str, faults: &mut FaultList) {
+    let found = format!("{name:?}, which {what} {owner:?} has too");
+    faults.add(path, FaultKind::NotUnique, found, "a name that is unique in the fleet");
+}
+
+struct TeamChecker<'a> {
+    subtree: &'a JsonNode,
+    regions: &'a BTreeSet<&'a str>,
+    path: ValuePath,
+}
+
+impl<'a> TeamChecker<'a> {
+    fn section(&self, name: &str) -> &'a [(String, JsonNode)] {
+        self.subtree.field(name).map(JsonNode::fields).unwrap_or_default()
+    }
+
+    /// Checks that no other team has the same workspace or pool: callers and upstreams name them
+    /// without their team.
+    fn check_owners(&self, team: &'a str, owners: &mut NameOwners<'a>, faults: &mut FaultList) {
+        for (section, owners) in
+            [("workspaces", &mut owners.workspaces), ("pools", &mut owners.pools)]
+        {
+            for (name, _) in self.section(section) {
+                let owner = *owners.entry(name).or_insert(team);
+                if owner != team {
+                    let path = self.path.key(section).key(name);
+                    add_taken(&path, name, "team", owner, faults);
+                }
+            }
+        }
+    }
+
+    fn check_kinds(&self, faults: &mut FaultList) {
+        for (name, kind) in self.section("kinds") {
+            let path = self.path.key("kinds").key(name);
+            self.check_pool(kind, &path, faults);
+            check_deadline(kind, &path, faults);
+            let listed = kind.field("answered_in").and_then(|place| place.field("regions"));
+            if let Some(listed) = listed {
+                self.check_regions(listed, &path.key("answered_in").key("regions"), faults);
+            }
+            for (workspace, settings) in self.section("workspaces") {
+                self.check_answered(kind, workspace, settings, &path, faults);
+            }
+        }
+    }
+
+    fn check_pool(&self, kind: &JsonNode, path: &ValuePath, faults: &mut FaultList) {
+        let Some(name) = kind.field("pool").and_then(JsonNode::text) else { return };
+        let pools = self.section("pools");
+        let Some((_, pool)) = pools.iter().find(|(pool, _)| pool == name) else {
+            let known = pools.iter().map(|(pool, _)| pool.as_str());
+            let path = path.key("pool");
+            return faults.add_unknown(&path, FaultKind::UnknownReference, name, known);
+        };
+        let Some(model) = kind.field("model").and_then(JsonNode::text) else { return };
+        let engine = pool.field("serves").and_then(|serves| serves.field("model_engine"));
+        let models = engine.and_then(|engine| engine.field("models"));
+        let mut known = models.map(JsonNode::elements).unwrap_or_default().iter();
+        if known.clone().all(|known| known.text() != Some(model)) {
+            let known = known.by_ref().filter_map(JsonNode::text);
+            faults.add_unknown(&path.key("model"), FaultKind::UnknownReference, model, known);
+        }
+    }
+
+    fn check_answered(
+        &self,
+        kind: &JsonNode,
+        workspace: &str,
+        settings: &JsonNode,
+        path: &ValuePath,
+        faults: &mut FaultList,
+    ) {
+        let place = kind.field("answered_in");
+        let Some(listed) = place.and_then(|place| place.field("regions")) else { return };
+        let Some(resides) = settings.field("resides_in") else { return };
+        let resides: BTreeSet<_> = resides.elements().iter().filter_map(JsonNode::text).collect();
+        let mut listed = listed.elements().iter().filter_map(JsonNode::text);
+        if !listed.any(|region| resides.contains(region)) {
+            let found = format!("no region where data of workspace {workspace:?} may reside");
+            let allowed = resides.into_iter().collect::<Vec<_>>().join(", ");
+            faults.add(&path.key("answered_in"), FaultKind::NowhereAnswered, found, allowed);
+        }
+    }
+
+    fn check_workspaces(&self, faults: &mut FaultList) {
+        for (name, workspace) in self.section("workspaces") {
+            let path = self.path.key("workspaces").key(name);
+            let resides = workspace.field("resides_in");
+            if let Some(resides) = resides {
+                self.check_regions(resides, &path.key("resides_in"), faults);
+            }
+            let Some(home) = workspace.field("home") else { continue };
+            self.check_region(home, &path.key("home"), faults);
+            let resides = resides.map(JsonNode::elements).unwrap_or_default();
+            if home.text().is_some() && !resides.contains(home) {
+                let regions: Vec<_> = resides.iter().filter_map(JsonNode::text).collect();
+                let (path, allowed) = (path.key("home"), regions.join(", "));
+                faults.add(&path, FaultKind::HomeNotResident, home.describe(), allowed);
+            }
+        }
+    }
+
+    fn check_regions(&self, list: &JsonNode, path: &ValuePath, faults: &mut FaultList) {
+        for (index, region) in list.elements().iter().enumerate() {
+            self.check_region(region, &path.index(index), faults);
+        }
+    }
+
+    fn check_region(&self, region: &JsonNode, path: &ValuePath, faults: &mut FaultList) {
+        if let Some(region) = region.text()
+            && !self.regions.contains(region)
+        {
+            let known = self.regions.iter().copied();
+            faults.add_unknown(path, FaultKind::UnknownReference, region, known);
+        }
+    }
+}
+
+fn check_deadline(kind: &JsonNode, path: &ValuePath, faults: &mut FaultList) {
+    let number = |name| match kind.field(name) {
+        Some(JsonNode::Number(number)) => number.as_u64(),
+        _ => None,
+    };
+    if let (Some(target), Some(deadline)) = (number("first_token_ms"), number("deadline_ms"))
+        && deadline < target
+    {
+        let allowed = format!("at least first_token_ms, {target}");
+        faults.add(&path.key("deadline_ms"), FaultKind::OutOfRange, deadline.to_string(), allowed);
+    }
+}
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -14,10 +14,13 @@
 //! ```
 
 pub mod answer;
+pub mod check;
 pub mod control;
 pub mod decode;
 pub mod dispatch;
+pub mod document;
 pub mod entry;
+pub mod fault;
 pub mod follow;
 pub mod http;
 pub mod instance;
@@ -33,6 +36,7 @@
 pub mod route;
 pub mod serve;
 pub mod settings;
+mod shape;
 pub mod stream;
 pub mod table;
 pub mod wire;
