Keep the settings as a deterministic state with one subtree a team

Cause: operators race each other under equal numbers and resend after lost answers; a team must change its own part without touching another's. Change: SettingsState applies changes of one subtree that carry the expected version, an operation id, operator and time. A version is the revision that last changed the subtree. A resend gets the first result; the same id with other content is refused; a change that breaks the whole tree is refused with all faults; the loser of a race learns the winner and the difference. Operation ids are kept up to 1,024 and 4 MiB, history up to 4,096 revisions and 16 MiB. Updates carry the subtrees that changed since a reader's revision. Why expiry of an id can't make a second change: the accepted change raised the version above the expected one, versions only grow, and a removed team keeps the version of its removal. Ruled out: a hash in place of the remembered content, as the standard library's is not stable between releases; numbers that change when written and read again are refused by the checker, so that a resend compares equal after restart.

--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -6,7 +6,7 @@
     instance::{InstanceAddresses, InstanceCore},
     membership::MembershipMessage,
     node::NodeSettings,
-    settings::{FleetSettings, Revision, SettingsSnapshot},
+    settings::{FleetSettings, SettingsSnapshot},
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use ractor::ActorRef;
@@ -36,7 +36,7 @@
         if let Some(path) = &node.founding_settings {
             let text = std::fs::read(path)?;
             let tree: FleetSettings = serde_json::from_slice(&text).map_err(io::Error::other)?;
-            core.settings.accept(Arc::new(SettingsSnapshot { revision: Revision(1), tree }));
+            core.settings.accept(Arc::new(SettingsSnapshot::founded(tree)));
         }
         let (stop, stopped) = watch::channel(false);
         let mut tasks = core.tasks;
--- a/cicadastall/src/fault.rs
+++ b/cicadastall/src/fault.rs
@@ -85,6 +85,12 @@
     }
 }
 
+impl fmt::Display for ValuePath {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
 /// Collects faults.
 #[derive(Debug, Default)]
 pub(crate) struct FaultList(pub(crate) Vec<SettingsFault>);
--- a/cicadastall/src/follow.rs
+++ b/cicadastall/src/follow.rs
@@ -3,7 +3,7 @@
 use crate::{
     node::NodeSettings,
     peer::PeerClients,
-    settings::{FleetSettings, Revision, SettingsSnapshot},
+    settings::{Revision, SettingsSnapshot},
     table::RoutingTable,
 };
 use arc_swap::ArcSwap;
@@ -25,7 +25,7 @@
 
 impl Default for SettingsHolder {
     fn default() -> Self {
-        let empty = SettingsSnapshot { revision: Revision(0), tree: FleetSettings::default() };
+        let empty = SettingsSnapshot::default();
         Self { newest: ArcSwap::from_pointee(empty) }
     }
 }
--- a/cicadastall/src/settings.rs
+++ b/cicadastall/src/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of the fleet: a tree with one subtree for each team, and one for the platform.
 
-use crate::name::{KindName, ModelName, PoolName, RegionName, TeamName, WorkspaceName, ZoneName};
+use crate::{
+    name::{KindName, ModelName, PoolName, RegionName, TeamName, WorkspaceName, ZoneName},
+    subtree::SubtreeVersions,
+};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
@@ -161,6 +164,9 @@
     pub revision: Revision,
     /// The whole tree.
     pub tree: FleetSettings,
+    /// Revision at which each subtree changed last.
+    #[serde(default)]
+    pub versions: SubtreeVersions,
 }
 
 /// A kind as one workspace may use it.
--- /dev/null
+++ b/cicadastall/src/settings_state.rs
@@ -0,0 +1,261 @@
+//! Replicated state of the settings: the newest revision, its history, and the operations that
+//! operators may send again.
+
+use crate::{
+    check::check_settings,
+    difference::{ValueDifference, list_differences},
+    fault::SettingsFault,
+    name::OperationId,
+    replicated::ReplicatedState,
+    settings::{FleetSettings, Revision, SettingsSnapshot},
+    subtree::{SubtreeContent, SubtreeName},
+};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Most revisions of the history.
+const HISTORY_REVISIONS: usize = 4_096;
+
+/// Most bytes of the history's contents.
+const HISTORY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Most operations that are remembered.
+const REMEMBERED_OPERATIONS: usize = 1_024;
+
+/// Most bytes of the remembered operations.
+const REMEMBERED_BYTES: usize = 4 * 1024 * 1024;
+
+/// A change of one subtree.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SettingsChange {
+    /// Identifier under which the operator may send the change again.
+    pub operation: OperationId,
+    /// Who asks for the change.
+    pub operator: String,
+    /// When it was asked for, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Version of the subtree that the operator saw; 0 if the subtree did not exist.
+    pub expected: Revision,
+    /// New content of the subtree.
+    pub content: SubtreeContent,
+}
+
+impl SettingsChange {
+    /// Whether `other` asks for the same, at whatever time.
+    fn is_resend_of(&self, other: &Self) -> bool {
+        self.operator == other.operator
+            && self.expected == other.expected
+            && self.content == other.content
+    }
+}
+
+/// Command of the settings group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SettingsCommand {
+    /// Sets the first revision; without effect where there is one already.
+    Found(FleetSettings),
+    /// Changes one subtree.
+    Change(SettingsChange),
+}
+
+/// Who made a revision, and when.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RevisionAuthor {
+    /// The revision.
+    pub revision: Revision,
+    /// Operation that made it.
+    pub operation: OperationId,
+    /// Operator who asked for it.
+    pub operator: String,
+    /// When it was asked for, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+}
+
+/// One revision of the history, as the subtree that it changed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RevisionRecord {
+    /// Who made the revision.
+    #[serde(flatten)]
+    pub author: RevisionAuthor,
+    /// Version of the subtree before.
+    pub previous: Revision,
+    /// Content of the subtree since.
+    pub content: SubtreeContent,
+}
+
+/// Result of a command.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "result")]
+pub enum ChangeReply {
+    /// The change was accepted.
+    Accepted {
+        /// Revision that it made, which is the subtree's version from now on.
+        revision: Revision,
+    },
+    /// The subtree's version is not the expected one; nothing was changed.
+    Conflict {
+        /// Version of the subtree.
+        version: Revision,
+        /// Who made that version; none if the history does not reach back to it.
+        winner: Option<RevisionAuthor>,
+        /// Where the refused content differs from the one in force.
+        difference: Vec<ValueDifference>,
+    },
+    /// The operation id belongs to another change; nothing was changed.
+    OperationReused {
+        /// Operator of the first change.
+        operator: String,
+        /// When the first change was asked for, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
+    /// The whole tree would not be valid; nothing was changed.
+    Invalid {
+        /// All faults.
+        faults: Vec<SettingsFault>,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct RememberedOperation {
+    change: SettingsChange,
+    reply: ChangeReply,
+}
+
+/// The newest items whose number and bytes stay within bounds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct BoundedLog<T> {
+    items: VecDeque<(T, usize)>,
+    bytes: usize,
+}
+
+impl<T> Default for BoundedLog<T> {
+    fn default() -> Self {
+        Self { items: VecDeque::new(), bytes: 0 }
+    }
+}
+
+impl<T: Serialize> BoundedLog<T> {
+    fn push(&mut self, item: T, most_items: usize, most_bytes: usize) {
+        let bytes = serde_json::to_vec(&item).map_or(0, |encoded| encoded.len());
+        self.items.push_back((item, bytes));
+        self.bytes += bytes;
+        while self.items.len() > most_items || self.bytes > most_bytes {
+            let Some((_, bytes)) = self.items.pop_front() else { break };
+            self.bytes -= bytes;
+        }
+    }
+
+    fn iter(&self) -> impl DoubleEndedIterator<Item = &T> {
+        self.items.iter().map(|(item, _)| item)
+    }
+}
+
+/// State of the settings group.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct SettingsState {
+    newest: SettingsSnapshot,
+    history: BoundedLog<RevisionRecord>,
+    operations: BoundedLog<RememberedOperation>,
+}
+
+impl SettingsState {
+    /// The newest settings; revision 0 before the first.
+    pub fn newest(&self) -> &SettingsSnapshot {
+        &self.newest
+    }
+
+    /// Revisions after `after`, the newest first, of one subtree or of all.
+    pub fn history(
+        &self,
+        subtree: Option<&SubtreeName>,
+        after: Revision,
+    ) -> impl Iterator<Item = &RevisionRecord> {
+        self.history
+            .iter()
+            .rev()
+            .take_while(move |record| record.author.revision > after)
+            .filter(move |record| subtree.is_none_or(|name| record.content.name() == *name))
+    }
+
+    fn found(&mut self, tree: &FleetSettings) -> ChangeReply {
+        if self.newest.revision == Revision(0) {
+            self.newest = SettingsSnapshot::founded(tree.clone());
+        }
+        ChangeReply::Accepted { revision: self.newest.revision }
+    }
+
+    fn change(&mut self, change: &SettingsChange) -> ChangeReply {
+        let first = self.operations.iter().find(|first| first.change.operation == change.operation);
+        if let Some(RememberedOperation { change: first, reply }) = first {
+            if change.is_resend_of(first) {
+                return reply.clone();
+            }
+            let operator = first.operator.clone();
+            return ChangeReply::OperationReused { operator, at_ms: first.at_ms };
+        }
+        let reply = self.decide(change);
+        let operation = RememberedOperation { change: change.clone(), reply: reply.clone() };
+        self.operations.push(operation, REMEMBERED_OPERATIONS, REMEMBERED_BYTES);
+        reply
+    }
+
+    /// Applies a change that is not remembered.
+    ///
+    /// A change that was accepted before and is forgotten since can't be accepted again: it raised
+    /// the subtree's version above the expected one, and versions never come back.
+    fn decide(&mut self, change: &SettingsChange) -> ChangeReply {
+        let previous = self.newest.version(&change.content.name());
+        if previous != change.expected {
+            return self.refuse_conflict(change, previous);
+        }
+        let revision = Revision(self.newest.revision.0 + 1);
+        let mut candidate = self.newest.clone();
+        candidate.replace(revision, change.content.clone());
+        candidate.revision = revision;
+        let text = serde_json::to_vec(&candidate.tree).unwrap_or_default();
+        if let Err(faults) = check_settings(&text) {
+            return ChangeReply::Invalid { faults };
+        }
+        self.newest = candidate;
+        let author = RevisionAuthor {
+            revision,
+            operation: change.operation.clone(),
+            operator: change.operator.clone(),
+            at_ms: change.at_ms,
+        };
+        let record = RevisionRecord { author, previous, content: change.content.clone() };
+        self.history.push(record, HISTORY_REVISIONS, HISTORY_BYTES);
+        ChangeReply::Accepted { revision }
+    }
+
+    fn refuse_conflict(&self, change: &SettingsChange, version: Revision) -> ChangeReply {
+        let made = self.history.iter().rev().find(|record| record.author.revision == version);
+        let in_force = self.newest.subtree(&change.content.name());
+        ChangeReply::Conflict {
+            version,
+            winner: made.map(|record| record.author.clone()),
+            difference: list_differences(&in_force.to_value(), &change.content.to_value()),
+        }
+    }
+}
+
+impl ReplicatedState for SettingsState {
+    type Command = SettingsCommand;
+    type Reply = ChangeReply;
+
+    fn apply(&mut self, command: &SettingsCommand) -> ChangeReply {
+        match command {
+            SettingsCommand::Found(tree) => self.found(tree),
+            SettingsCommand::Change(change) => self.change(change),
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    fn restore(snapshot: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(snapshot)
+    }
+}
--- a/cicadastall/src/shape.rs
+++ b/cicadastall/src/shape.rs
@@ -4,6 +4,7 @@
     document::JsonNode,
     fault::{FaultKind, FaultList, ValuePath},
 };
+use serde_json::Number;
 use std::collections::BTreeSet;
 
 /// Longest name, in bytes; names travel in HTTP headers.
@@ -134,8 +135,12 @@
                 }
             }
             (Self::Decimal { above, most }, JsonNode::Number(number)) => {
-                if number.as_f64().is_none_or(|number| !(number > *above && number <= *most)) {
+                let fits = |number: f64| number > *above && number <= *most;
+                if !number.as_f64().is_some_and(fits) {
                     faults.add(path, FaultKind::OutOfRange, node.describe(), self.describe());
+                } else if !survives_encoding(number) {
+                    let allowed = "a number of at most 15 digits";
+                    faults.add(path, FaultKind::OutOfRange, node.describe(), allowed);
                 }
             }
             (Self::Names, JsonNode::List(elements)) => check_names(elements, path, faults),
@@ -186,6 +191,12 @@
     }
 }
 
+/// Whether the number is the same after it was written and read again, as in a log of changes.
+fn survives_encoding(number: &Number) -> bool {
+    let again: Option<f64> = serde_json::from_str(&number.to_string()).ok();
+    again == number.as_f64()
+}
+
 fn check_text(text: &str, path: &ValuePath, faults: &mut FaultList) {
     if text.is_empty() || text.len() > MAX_TEXT_BYTES {
         let found = format!("{} bytes", text.len());
