Host the settings on control instances and spread changes as updates

Cause: instances asked control for the whole tree four times a second each; an operator had no way to change settings, and nobody knew where a change was in force. Change: the control instance hosts ReplicatedGroup<SettingsState>, with commands and queries over HTTP (PUT/GET/DELETE of regions or teams/NAME with if-match, operation and operator headers; history). Only the first two entries of a zone ask control; the others ask a peer, once a second. Control pushes a committed change to one such entry a zone, which passes it on to its zone and answers for it. The operator's answer lists the regions in force and the silent ones with their silence. An entry that starts asks control, seeds and its zone before it is ready, for at most 3 s, and status says complete or partial. Status says since when an instance is cut off. Ruled out: a whole tree for readers that are far behind; the changed subtrees by version suffice from any revision, without a ring of deltas.

--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -6,7 +6,12 @@
     instance::{InstanceAddresses, InstanceCore},
     membership::MembershipMessage,
     node::NodeSettings,
-    settings::{FleetSettings, SettingsSnapshot},
+    replicated::{LocalGroup, ReplicatedGroup},
+    settings::FleetSettings,
+    settings_command::{answer_change, parse_subtree},
+    settings_host::{SettingsHost, read_founding},
+    settings_query::answer_query,
+    settings_state::SettingsState,
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use ractor::ActorRef;
@@ -14,6 +19,9 @@
 use std::{fmt, io, sync::Arc};
 use tokio::{runtime::Handle, sync::watch, task::JoinSet};
 
+/// Path of the settings.
+pub const SETTINGS_PATH: &str = "/v1/settings";
+
 /// A running control instance.
 pub struct ControlServer {
     addresses: InstanceAddresses,
@@ -33,16 +41,17 @@
     pub async fn start(node: NodeSettings, control: &Handle) -> io::Result<Self> {
         let node = Arc::new(node);
         let core = InstanceCore::start(&node, None, control).await?;
-        if let Some(path) = &node.founding_settings {
-            let text = std::fs::read(path)?;
-            let tree: FleetSettings = serde_json::from_slice(&text).map_err(io::Error::other)?;
-            core.settings.accept(Arc::new(SettingsSnapshot::founded(tree)));
-        }
-        let (stop, stopped) = watch::channel(false);
+        let founding = node.founding_settings.as_deref().map(read_founding).transpose()?;
+        let group = Arc::new(LocalGroup::new(SettingsState::default()));
+        let host = SettingsHost::new(group, Arc::clone(&core.follower), Arc::clone(&node));
+        let host = Arc::new(host);
         let mut tasks = core.tasks;
+        spawn_host(&mut tasks, control, &host, founding);
+        let (stop, stopped) = watch::channel(false);
         let settings = Arc::clone(&core.settings);
-        let handler =
-            move |_, request| answer_operator(Arc::clone(&node), Arc::clone(&settings), request);
+        let handler = move |_, request| {
+            answer_operator(Arc::clone(&node), Arc::clone(&settings), Arc::clone(&host), request)
+        };
         tasks.spawn_on(
             http::serve(core.operator, ListenerLimits::default(), stopped, handler),
             control,
@@ -62,23 +71,66 @@
     }
 }
 
-async fn answer_operator(
+/// Runs the host's tasks on `control`.
+fn spawn_host<G: ReplicatedGroup<SettingsState>>(
+    tasks: &mut JoinSet<()>,
+    control: &Handle,
+    host: &Arc<SettingsHost<G>>,
+    founding: Option<FleetSettings>,
+) {
+    let runner = Arc::clone(host);
+    tasks.spawn_on(async move { runner.feed().await }, control);
+    let runner = Arc::clone(host);
+    tasks.spawn_on(async move { runner.confirm().await }, control);
+    let runner = Arc::clone(host);
+    tasks.spawn_on(async move { runner.push().await }, control);
+    let Some(tree) = founding else { return };
+    let runner = Arc::clone(host);
+    let found = async move {
+        if let Err(error) = runner.found(tree).await {
+            log::error!("settings not founded: {error}");
+        }
+    };
+    tasks.spawn_on(found, control);
+}
+
+async fn answer_operator<G: ReplicatedGroup<SettingsState>>(
     node: Arc<NodeSettings>,
     settings: Arc<SettingsHolder>,
+    host: Arc<SettingsHost<G>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    match (request.method(), request.uri().path()) {
+    let path = request.uri().path().to_owned();
+    if let Some(path) = path.strip_prefix(SETTINGS_PATH) {
+        return answer_settings(&host, path, request).await;
+    }
+    match (request.method(), path.as_str()) {
         (&Method::GET, "/healthz") => text_answer(StatusCode::OK, "ok\n"),
-        (&Method::GET, "/v1/settings") => json_answer(StatusCode::OK, &*settings.newest()),
         (&Method::GET, "/v1/status") => {
             let status = json!({
                 "instance": node.instance,
                 "region": node.region,
                 "zone": node.zone,
-                "revision": settings.newest().revision,
+                "revision": settings.revision(),
+                "settings": settings.status(),
             });
             json_answer(StatusCode::OK, &status)
         }
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
+
+async fn answer_settings<G: ReplicatedGroup<SettingsState>>(
+    host: &SettingsHost<G>,
+    path: &str,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    match *request.method() {
+        Method::GET => answer_query(host, path, request.uri().query().unwrap_or_default()).await,
+        Method::PUT | Method::DELETE => match parse_subtree(path.trim_start_matches('/')) {
+            Some(subtree) => answer_change(host, subtree, request).await,
+            None => text_answer(StatusCode::NOT_FOUND, "no such subtree\n"),
+        },
+        _ => text_answer(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or DELETE\n"),
+    }
+}
--- a/cicadastall/src/follow.rs
+++ b/cicadastall/src/follow.rs
@@ -1,32 +1,73 @@
-//! Keeps the settings of one instance up to date from its region's control instances and its peers.
+//! The settings that one instance holds, and since when they are known to be the newest.
 
 use crate::{
-    node::NodeSettings,
-    peer::PeerClients,
     settings::{Revision, SettingsSnapshot},
-    table::RoutingTable,
+    subtree::SettingsUpdate,
 };
 use arc_swap::ArcSwap;
-use rand::seq::IndexedRandom;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
-use tokio::time::sleep;
+use serde::{Deserialize, Serialize};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout},
+};
 
-/// Time between two questions for newer settings.
-const FOLLOW_PERIOD: Duration = Duration::from_millis(250);
+/// Time without confirmation after which an instance counts as cut off from the settings group.
+const CUT_OFF_AFTER: Duration = Duration::from_secs(5);
 
-/// Longest time to wait for settings.
-const FOLLOW_TIMEOUT: Duration = Duration::from_secs(2);
+/// How an instance got its first settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StartState {
+    /// It still asks control instances and peers.
+    Asking,
+    /// It holds the newest of all that it was to ask.
+    Complete,
+    /// Some did not answer within the bound; it holds the newest of those that did.
+    Partial,
+}
+
+/// What `status` says of the settings of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderStatus {
+    /// Revision in force.
+    pub revision: Revision,
+    /// How the instance got its first settings.
+    pub start: StartState,
+    /// Time since the settings group confirmed the revision as the newest, in milliseconds.
+    pub confirmed_age_ms: Option<u64>,
+    /// Since when the instance is cut off from the settings group, in milliseconds since the Unix
+    /// epoch; none while it is not.
+    pub cut_off_since_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct HolderClock {
+    started: Instant,
+    confirmed: Option<Instant>,
+}
 
 /// Newest settings of one instance, which never go back to an older revision.
 #[derive(Debug)]
 pub struct SettingsHolder {
     newest: ArcSwap<SettingsSnapshot>,
+    revisions: watch::Sender<Revision>,
+    start: watch::Sender<StartState>,
+    clock: Mutex<HolderClock>,
 }
 
 impl Default for SettingsHolder {
     fn default() -> Self {
-        let empty = SettingsSnapshot::default();
-        Self { newest: ArcSwap::from_pointee(empty) }
+        let clock = HolderClock { started: Instant::now(), confirmed: None };
+        Self {
+            newest: ArcSwap::default(),
+            revisions: watch::Sender::new(Revision(0)),
+            start: watch::Sender::new(StartState::Asking),
+            clock: Mutex::new(clock),
+        }
     }
 }
 
@@ -36,15 +77,14 @@
         self.newest.load_full()
     }
 
-    /// Whether any settings have arrived.
-    pub fn is_ready(&self) -> bool {
-        self.newest.load().revision > Revision(0)
+    /// Revision of the newest settings.
+    pub fn revision(&self) -> Revision {
+        self.newest.load().revision
     }
 
-    /// The newest settings, or none if they are not newer than `revision`.
-    pub fn newer_than(&self, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
-        let newest = self.newest();
-        (newest.revision > revision).then_some(newest)
+    /// Whether the instance has settings that it may serve by.
+    pub fn is_ready(&self) -> bool {
+        self.revision() > Revision(0) && *self.start.borrow() != StartState::Asking
     }
 
     /// Takes `snapshot` if it is newer; returns whether it was.
@@ -53,37 +93,89 @@
             let newer = snapshot.revision > current.revision;
             Arc::clone(if newer { &snapshot } else { current })
         });
-        snapshot.revision > previous.revision
+        self.announce(previous.revision)
+    }
+
+    /// Applies `update` if it is newer and leads on from what is held; returns whether it did.
+    pub fn apply_update(&self, update: &SettingsUpdate) -> bool {
+        let previous = self.newest.rcu(|current| {
+            let mut next = SettingsSnapshot::clone(current);
+            if next.apply_update(update) { Arc::new(next) } else { Arc::clone(current) }
+        });
+        self.announce(previous.revision)
+    }
+
+    fn announce(&self, previous: Revision) -> bool {
+        let revision = self.revision();
+        self.revisions.send_if_modified(|known| {
+            let newer = revision > *known;
+            *known = revision.max(*known);
+            newer
+        });
+        if revision > previous {
+            log::info!(revision = revision.0; "settings in force");
+        }
+        revision > previous
+    }
+
+    /// Revisions as they come into force.
+    pub fn watch(&self) -> watch::Receiver<Revision> {
+        self.revisions.subscribe()
+    }
+
+    /// Waits at most `bound` until `revision` or a newer one is in force; returns whether it is.
+    pub async fn wait_for(&self, revision: Revision, bound: Duration) -> bool {
+        let mut revisions = self.watch();
+        let reached = revisions.wait_for(|known| *known >= revision);
+        timeout(bound, reached).await.is_ok()
+    }
+
+    /// Ends the start with `state`.
+    pub fn finish_start(&self, state: StartState) {
+        self.start.send_replace(state);
+    }
+
+    /// Waits until the start has ended.
+    pub async fn wait_started(&self) {
+        let _ = self.start.subscribe().wait_for(|state| *state != StartState::Asking).await;
+    }
+
+    /// Notes that the group confirmed the held revision as the newest `age` ago.
+    pub fn confirm(&self, age: Duration) {
+        let at = Instant::now().checked_sub(age);
+        let mut clock = self.lock();
+        clock.confirmed = clock.confirmed.max(at);
+    }
+
+    /// Time since the group confirmed the held revision as the newest.
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        self.lock().confirmed.map(|at| at.elapsed())
     }
-}
 
-/// Asks control instances and peers for newer settings, until its task is dropped.
-pub async fn follow_settings(
-    node: Arc<NodeSettings>,
-    holder: Arc<SettingsHolder>,
-    clients: Arc<PeerClients>,
-    table: Arc<ArcSwap<RoutingTable>>,
-) {
-    loop {
-        for address in choose_sources(&node, &table) {
-            let revision = holder.newest().revision;
-            let call = clients.call(address, FOLLOW_TIMEOUT, async |client, context| {
-                client.settings_after(context, revision).await
-            });
-            if let Ok(Some(snapshot)) = call.await {
-                let revision = snapshot.revision.0;
-                if holder.accept(snapshot) {
-                    log::info!(revision; "settings in force");
-                }
-            }
+    /// What `status` says of the settings.
+    pub fn status(&self) -> HolderStatus {
+        let revision = self.revision();
+        let clock = self.lock();
+        let silent = clock.confirmed.unwrap_or(clock.started).elapsed();
+        HolderStatus {
+            revision,
+            start: *self.start.borrow(),
+            confirmed_age_ms: clock.confirmed.map(|at| millis(at.elapsed())),
+            cut_off_since_ms: (silent >= CUT_OFF_AFTER).then(|| unix_ms() - millis(silent)),
         }
-        sleep(FOLLOW_PERIOD).await;
     }
+
+    fn lock(&self) -> MutexGuard<'_, HolderClock> {
+        self.clock.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whole milliseconds of `duration`.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn choose_sources(node: &NodeSettings, table: &ArcSwap<RoutingTable>) -> Vec<SocketAddr> {
-    let peers: Vec<_> = table.load().entries.values().map(|record| record.peer_address).collect();
-    let mut sources = node.control.clone();
-    sources.extend(peers.choose(&mut rand::rng()));
-    sources
+/// Milliseconds since the Unix epoch.
+pub(crate) fn unix_ms() -> u64 {
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
 }
--- /dev/null
+++ b/cicadastall/src/follower.rs
@@ -0,0 +1,261 @@
+//! Follows the settings: asks control instances and peers, and passes updates on within the zone.
+
+use crate::{
+    follow::{SettingsHolder, StartState, millis},
+    followers::FollowerTable,
+    name::InstanceName,
+    node::NodeSettings,
+    peer::PeerClients,
+    settings_peer::{
+        FollowReply, FollowRequest, FollowerPlace, PushRequest, SilentInstance, ZoneReport,
+    },
+    subtree::SettingsUpdate,
+    table::RoutingTable,
+};
+use arc_swap::ArcSwap;
+use futures::future::join_all;
+use rand::seq::IndexedRandom;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, timeout},
+};
+
+/// Time between two questions for newer settings.
+const FOLLOW_PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest time to wait for the answer to a question.
+const FOLLOW_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time to ask control instances and peers before the instance serves with what it has.
+const START_BOUND: Duration = Duration::from_secs(3);
+
+/// Time between two rounds of questions at the start; membership learns of peers meanwhile.
+const START_PAUSE: Duration = Duration::from_millis(300);
+
+/// Rounds of questions that a start takes at least.
+const START_ROUNDS: u32 = 2;
+
+/// Instances of a zone that ask control instances; the others ask them.
+const ZONE_DELEGATES: usize = 2;
+
+/// Time without confirmation after which an instance asks control instances itself.
+const UNCONFIRMED_AFTER: Duration = Duration::from_secs(3);
+
+/// Longest time to wait until an instance confirms a pushed update.
+pub(crate) const PUSH_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Longest time that an instance takes to catch up after an update that does not lead on from
+/// what it holds.
+const CATCH_UP_BOUND: Duration = Duration::from_millis(400);
+
+/// One instance's part in the distribution of settings.
+#[derive(Debug)]
+pub struct SettingsFollower {
+    node: Arc<NodeSettings>,
+    place: FollowerPlace,
+    holder: Arc<SettingsHolder>,
+    clients: Arc<PeerClients>,
+    table: Arc<ArcSwap<RoutingTable>>,
+    followers: Mutex<FollowerTable>,
+    wake: Notify,
+}
+
+impl SettingsFollower {
+    /// A follower whose address for other instances is `address`.
+    pub fn new(
+        node: Arc<NodeSettings>,
+        address: SocketAddr,
+        holder: Arc<SettingsHolder>,
+        clients: Arc<PeerClients>,
+        table: Arc<ArcSwap<RoutingTable>>,
+    ) -> Self {
+        let place = FollowerPlace {
+            instance: node.instance.clone(),
+            region: node.region.clone(),
+            zone: node.zone.clone(),
+            address,
+        };
+        let followers = Mutex::default();
+        Self { node, place, holder, clients, table, followers, wake: Notify::new() }
+    }
+
+    /// The settings that the instance holds.
+    pub fn holder(&self) -> &Arc<SettingsHolder> {
+        &self.holder
+    }
+
+    /// Asks control instances and peers for newer settings, until its task is dropped.
+    pub async fn run(&self) {
+        self.start().await;
+        loop {
+            let _ = timeout(FOLLOW_PERIOD, self.wake.notified()).await;
+            let known = self.holder.revision();
+            let asks_control = self.asks_control();
+            let sources = if asks_control { self.node.control.clone() } else { Vec::new() };
+            join_all(sources.into_iter().chain(self.choose_peer()).map(|source| self.ask(source)))
+                .await;
+            if asks_control && let Some(update) = self.holder.newest().changes_after(known) {
+                self.spread(&update).await;
+            }
+        }
+    }
+
+    /// Takes the newest settings among control instances, seeds and the zone's peers, or what can
+    /// be had of them within a bound.
+    async fn start(&self) {
+        let mut state = StartState::Partial;
+        let rounds = async {
+            for round in 1.. {
+                let sources = self.start_sources();
+                let answered = join_all(sources.iter().map(|source| self.ask(*source))).await;
+                let complete = answered.into_iter().all(|answered| answered);
+                if complete && (round >= START_ROUNDS || sources.is_empty()) {
+                    break;
+                }
+                sleep(START_PAUSE).await;
+            }
+        };
+        if timeout(START_BOUND, rounds).await.is_ok() {
+            state = StartState::Complete;
+        }
+        self.holder.finish_start(state);
+    }
+
+    fn start_sources(&self) -> Vec<SocketAddr> {
+        let mut sources = self.node.control.clone();
+        sources.extend(&self.node.seeds);
+        sources.extend(self.zone_peers().into_iter().map(|(_, address)| address));
+        sources.sort();
+        sources.dedup();
+        sources.retain(|source| *source != self.place.address);
+        sources
+    }
+
+    /// Asks one instance; returns whether it answered.
+    async fn ask(&self, source: SocketAddr) -> bool {
+        let is_control = self.node.control.contains(&source);
+        let request = FollowRequest {
+            revision: self.holder.revision(),
+            follower: is_control.then(|| self.place.clone()),
+        };
+        let call = self.clients.call(source, FOLLOW_TIMEOUT, async |client, context| {
+            client.settings_after(context, request).await
+        });
+        let Ok(reply) = call.await else { return false };
+        if let Some(update) = &reply.update {
+            self.holder.apply_update(update);
+        }
+        if let Some(age) = reply.confirmed_age_ms {
+            self.holder.confirm(Duration::from_millis(age));
+        }
+        true
+    }
+
+    /// Whether this instance asks control instances: the first few of a zone do, and any that has
+    /// no confirmed settings.
+    fn asks_control(&self) -> bool {
+        let confirmed = self.holder.confirmed_age();
+        let peers = self.zone_peers();
+        let before = peers.iter().filter(|(name, _)| *name < self.place.instance).count();
+        before < ZONE_DELEGATES || confirmed.is_none_or(|age| age > UNCONFIRMED_AFTER)
+    }
+
+    fn choose_peer(&self) -> Option<SocketAddr> {
+        self.zone_peers().choose(&mut rand::rng()).map(|(_, address)| *address)
+    }
+
+    fn zone_peers(&self) -> Vec<(InstanceName, SocketAddr)> {
+        let table = self.table.load();
+        let own = &self.place;
+        let peers = table
+            .entries
+            .values()
+            .filter(|record| record.zone == own.zone && record.instance != own.instance);
+        peers.map(|record| (record.instance.clone(), record.peer_address)).collect()
+    }
+
+    /// Answers a question for newer settings.
+    pub(crate) fn answer(&self, request: FollowRequest) -> FollowReply {
+        if let Some(follower) = request.follower {
+            let mut followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
+            followers.note(follower, Instant::now());
+        }
+        FollowReply {
+            update: self.holder.newest().changes_after(request.revision),
+            confirmed_age_ms: self.holder.confirmed_age().map(millis),
+        }
+    }
+
+    /// Applies a pushed update, and passes it on if asked to.
+    pub(crate) async fn accept_push(&self, push: PushRequest) -> ZoneReport {
+        self.holder.apply_update(&push.update);
+        let behind = self.holder.revision() < push.update.revision;
+        if behind {
+            self.wake.notify_one();
+        }
+        let mut report = if push.spread { self.spread(&push.update).await } else { self.report() };
+        let bound = if behind { CATCH_UP_BOUND } else { Duration::ZERO };
+        if self.holder.wait_for(push.update.revision, bound).await {
+            report.in_force += 1;
+        } else {
+            let instance = self.place.instance.clone();
+            report.silent.push(SilentInstance { instance, silent_ms: Some(0) });
+        }
+        report
+    }
+
+    /// Pushes an update to the others of the zone and counts where it is in force.
+    async fn spread(&self, update: &SettingsUpdate) -> ZoneReport {
+        let pushes = self.zone_peers().into_iter().map(|(instance, address)| async move {
+            (
+                instance,
+                self.push(address, PushRequest { update: update.clone(), spread: false }).await,
+            )
+        });
+        let mut report = self.report();
+        for (instance, reply) in join_all(pushes).await {
+            match reply {
+                Some(reply) if reply.in_force > 0 => report.in_force += 1,
+                _ => report.silent.push(SilentInstance { instance, silent_ms: None }),
+            }
+        }
+        report
+    }
+
+    fn report(&self) -> ZoneReport {
+        let FollowerPlace { region, zone, .. } = self.place.clone();
+        ZoneReport { region, zone, in_force: 0, silent: Vec::new() }
+    }
+
+    async fn push(&self, address: SocketAddr, push: PushRequest) -> Option<ZoneReport> {
+        let bound = if push.spread { PUSH_TIMEOUT * 2 } else { PUSH_TIMEOUT };
+        let call = self.clients.call(address, bound, async |client, context| {
+            client.settings_push(context, push).await
+        });
+        call.await.ok()
+    }
+
+    /// Pushes an update to one follower of each zone that asks this control instance, and reports
+    /// where it is in force.
+    pub(crate) async fn push_to_zones(&self, update: &SettingsUpdate) -> Vec<ZoneReport> {
+        let targets = {
+            let followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
+            followers.targets(Instant::now())
+        };
+        let pushes = targets.into_iter().map(|zone| async move {
+            for address in zone.addresses {
+                let push = PushRequest { update: update.clone(), spread: true };
+                if let Some(report) = self.push(address, push).await {
+                    return report;
+                }
+            }
+            zone.silent
+        });
+        join_all(pushes).await
+    }
+}
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -2,12 +2,13 @@
 //! the service for other instances.
 
 use crate::{
-    follow::{SettingsHolder, follow_settings},
+    follow::SettingsHolder,
+    follower::SettingsFollower,
     http,
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
     node::NodeSettings,
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
-    settings::{Revision, SettingsSnapshot},
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::RoutingTable,
 };
 use arc_swap::ArcSwap;
@@ -60,7 +61,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
     pub(crate) membership: ActorRef<MembershipMessage>,
-    pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) settings: Arc<SettingsFollower>,
 }
 
 impl PeerApi for PeerServer {
@@ -75,8 +76,12 @@
         }
     }
 
-    async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
-        self.settings.newer_than(revision)
+    async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
+        self.settings.answer(request)
+    }
+
+    async fn settings_push(self, _: Context, push: PushRequest) -> ZoneReport {
+        self.settings.accept_push(push).await
     }
 }
 
@@ -96,6 +101,7 @@
     pub(crate) addresses: InstanceAddresses,
     pub(crate) operator: TcpListener,
     pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) follower: Arc<SettingsFollower>,
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) in_flight: Arc<AtomicU32>,
@@ -136,17 +142,29 @@
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
-                let server =
-                    PeerServer { membership: membership.clone(), settings: Arc::clone(&settings) };
-                let mut tasks = JoinSet::new();
-                tasks.spawn(serve_peers(peers, server));
-                tasks.spawn(follow_settings(
-                    node,
+                let follower = Arc::new(SettingsFollower::new(
+                    Arc::clone(&node),
+                    node.peer_advertise.unwrap_or(addresses.peer),
                     Arc::clone(&settings),
                     clients,
                     Arc::clone(&table),
                 ));
-                Ok(Self { addresses, operator, settings, table, membership, in_flight, tasks })
+                let server =
+                    PeerServer { membership: membership.clone(), settings: Arc::clone(&follower) };
+                let mut tasks = JoinSet::new();
+                tasks.spawn(serve_peers(peers, server));
+                let follows = Arc::clone(&follower);
+                tasks.spawn(async move { follows.run().await });
+                Ok(Self {
+                    addresses,
+                    operator,
+                    settings,
+                    follower,
+                    table,
+                    membership,
+                    in_flight,
+                    tasks,
+                })
             }
         });
         started.await.map_err(io::Error::other)?
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,7 +1,7 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
-    settings::{Revision, SettingsSnapshot},
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::{EntryRecord, UpstreamRecord, ZoneDigest},
 };
 use serde::{Deserialize, Serialize};
@@ -44,8 +44,11 @@
     /// Exchanges membership state; the reply holds what the receiver knows.
     async fn exchange(state: MemberExchange) -> MemberExchange;
 
-    /// The newest settings, or none if they are not newer than `revision`.
-    async fn settings_after(revision: Revision) -> Option<Arc<SettingsSnapshot>>;
+    /// Everything in the settings that changed after the asker's revision.
+    async fn settings_after(request: FollowRequest) -> FollowReply;
+
+    /// Applies an update of the settings.
+    async fn settings_push(push: PushRequest) -> ZoneReport;
 }
 
 /// Why a call to another instance has no reply.
--- /dev/null
+++ b/cicadastall/src/settings_command.rs
@@ -0,0 +1,213 @@
+//! Operators' changes of the settings over HTTP.
+
+use crate::{
+    check::{check_regions, check_team},
+    fault::SettingsFault,
+    follow::unix_ms,
+    http::{AnswerBody, json_answer, read_body},
+    name::{OperationId, TeamName},
+    replicated::{GroupError, ReplicatedGroup},
+    settings::Revision,
+    settings_host::{RevisionReach, SettingsHost},
+    settings_state::{ChangeReply, SettingsChange, SettingsCommand, SettingsState},
+    subtree::{SubtreeContent, SubtreeName},
+};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header::IF_MATCH};
+use serde::{Deserialize, Serialize};
+use std::{fmt, time::Duration};
+
+/// Header with the identifier under which a change may be sent again.
+pub const OPERATION_HEADER: &str = "x-cicadastall-operation";
+
+/// Header with the operator's name.
+pub const OPERATOR_HEADER: &str = "x-cicadastall-operator";
+
+/// Most bytes of a subtree.
+const MAX_SUBTREE_BYTES: usize = 512 * 1024;
+
+/// Longest time to send a subtree.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest identifier or operator's name, in bytes.
+const MAX_HEADER_BYTES: usize = 200;
+
+/// Answer to an operator's change.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChangeAnswer {
+    /// What became of the change.
+    #[serde(flatten)]
+    pub reply: ChangeReply,
+    /// Where the change is in force; only for an accepted one.
+    #[serde(flatten)]
+    pub reach: Option<RevisionReach>,
+}
+
+/// Why a change has no result.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CommandError {
+    /// A header is absent or not valid.
+    BadHeader {
+        /// Name of the header.
+        header: &'static str,
+        /// What it must hold.
+        allowed: &'static str,
+    },
+    /// The body could not be read.
+    BadBody,
+    /// The subtree has faults.
+    Faults(Vec<SettingsFault>),
+    /// The regions can't be removed.
+    NotRemovable,
+    /// The group gave no reply.
+    Group(GroupError),
+}
+
+impl From<GroupError> for CommandError {
+    fn from(error: GroupError) -> Self {
+        Self::Group(error)
+    }
+}
+
+impl From<Vec<SettingsFault>> for CommandError {
+    fn from(faults: Vec<SettingsFault>) -> Self {
+        Self::Faults(faults)
+    }
+}
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BadHeader { header, allowed } => {
+                write!(formatter, "header {header} must hold {allowed}")
+            }
+            Self::BadBody => write!(
+                formatter,
+                "body must be at most {MAX_SUBTREE_BYTES} bytes, sent within {BODY_TIMEOUT:?}"
+            ),
+            Self::Faults(faults) => write!(formatter, "{} faults", faults.len()),
+            Self::NotRemovable => formatter.write_str("the regions can't be removed"),
+            Self::Group(GroupError::OutcomeUnknown) => formatter.write_str(
+                "the change may or may not be accepted; send it again with the same operation id",
+            ),
+            Self::Group(error) => write!(formatter, "the change was not accepted: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for CommandError {}
+
+impl CommandError {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::BadHeader { .. } | Self::BadBody | Self::NotRemovable => StatusCode::BAD_REQUEST,
+            Self::Faults(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Group(GroupError::OutcomeUnknown) => StatusCode::GATEWAY_TIMEOUT,
+            Self::Group(_) => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// Body of an answer to a command or query that failed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailureAnswer {
+    /// Explanation for a person.
+    pub error: String,
+}
+
+/// Answers a change of `subtree`.
+pub(crate) async fn answer_change<G: ReplicatedGroup<SettingsState>>(
+    host: &SettingsHost<G>,
+    subtree: SubtreeName,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    match run_change(host, subtree, request).await {
+        Ok(answer) => json_answer(reply_status(&answer.reply), &answer),
+        Err(CommandError::Faults(faults)) => {
+            let answer = ChangeAnswer { reply: ChangeReply::Invalid { faults }, reach: None };
+            json_answer(reply_status(&answer.reply), &answer)
+        }
+        Err(error) => json_answer(error.status(), &FailureAnswer { error: error.to_string() }),
+    }
+}
+
+fn reply_status(reply: &ChangeReply) -> StatusCode {
+    match reply {
+        ChangeReply::Accepted { .. } => StatusCode::OK,
+        ChangeReply::Conflict { .. } => StatusCode::CONFLICT,
+        ChangeReply::OperationReused { .. } | ChangeReply::Invalid { .. } => {
+            StatusCode::UNPROCESSABLE_ENTITY
+        }
+    }
+}
+
+async fn run_change<G: ReplicatedGroup<SettingsState>>(
+    host: &SettingsHost<G>,
+    subtree: SubtreeName,
+    request: Request<Incoming>,
+) -> Result<ChangeAnswer, CommandError> {
+    let (head, body) = request.into_parts();
+    let expected = require_header(&head.headers, IF_MATCH.as_str(), "the version you saw")?;
+    let expected = expected.trim_matches('"').parse().map_err(|_| CommandError::BadHeader {
+        header: "if-match",
+        allowed: "the version you saw, a whole number",
+    })?;
+    let operation = require_header(&head.headers, OPERATION_HEADER, "an operation id")?;
+    let operator = require_header(&head.headers, OPERATOR_HEADER, "your name")?;
+    let content = if head.method == Method::DELETE {
+        remove_subtree(subtree)?
+    } else {
+        let read = read_body(body, MAX_SUBTREE_BYTES, BODY_TIMEOUT);
+        decode_subtree(subtree, &read.await.map_err(|_| CommandError::BadBody)?)?
+    };
+    let change = SettingsChange {
+        operation: OperationId::from(operation),
+        operator: operator.to_owned(),
+        at_ms: unix_ms(),
+        expected: Revision(expected),
+        content,
+    };
+    let reply = host.group().propose(SettingsCommand::Change(change)).await?;
+    let reach = match &reply {
+        ChangeReply::Accepted { revision } => Some(host.reach(*revision).await),
+        _ => None,
+    };
+    Ok(ChangeAnswer { reply, reach })
+}
+
+fn remove_subtree(subtree: SubtreeName) -> Result<SubtreeContent, CommandError> {
+    match subtree {
+        SubtreeName::Team(team) => Ok(SubtreeContent::Removed(team)),
+        SubtreeName::Regions => Err(CommandError::NotRemovable),
+    }
+}
+
+fn decode_subtree(subtree: SubtreeName, body: &[u8]) -> Result<SubtreeContent, CommandError> {
+    Ok(match subtree {
+        SubtreeName::Regions => SubtreeContent::Regions(check_regions(body)?),
+        SubtreeName::Team(team) => {
+            let settings = check_team(team.as_str(), body)?;
+            SubtreeContent::Team(team, settings)
+        }
+    })
+}
+
+fn require_header<'a>(
+    headers: &'a HeaderMap,
+    header: &'static str,
+    allowed: &'static str,
+) -> Result<&'a str, CommandError> {
+    let text = headers.get(header).and_then(|value| value.to_str().ok());
+    text.filter(|text| !text.is_empty() && text.len() <= MAX_HEADER_BYTES)
+        .ok_or(CommandError::BadHeader { header, allowed })
+}
+
+/// The subtree that the path below `/v1/settings/` names.
+pub(crate) fn parse_subtree(path: &str) -> Option<SubtreeName> {
+    match path.split_once('/') {
+        None if path == "regions" => Some(SubtreeName::Regions),
+        Some(("teams", team)) if !team.is_empty() && !team.contains('/') => {
+            Some(SubtreeName::Team(TeamName::from(team)))
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/cicadastall/tests/settings_spread.rs
@@ -0,0 +1,331 @@
+//! Distribution of settings to entries: everywhere at once, never back, and through partitions.
+
+mod settings_common;
+
+use cicadastall::{
+    control::ControlServer,
+    entry::EntryServer,
+    follow::{HolderStatus, StartState},
+    http::{CallError, HttpClient, call_json, client},
+    node::NodeSettings,
+    settings::{FleetSettings, Revision, TeamSettings},
+    settings_command::{ChangeAnswer, OPERATION_HEADER, OPERATOR_HEADER},
+    settings_state::ChangeReply,
+};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use serde_json::{Value, json};
+use settings_common::{owned_by, trust};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    runtime::Handle,
+    sync::watch,
+    time::{Instant, sleep},
+};
+
+const REGIONS: [&str; 3] = ["aqaba", "amman", "irbid"];
+const PATIENCE: Duration = Duration::from_secs(15);
+
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+fn write_founding(tree: &FleetSettings) -> PathBuf {
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let name = format!("cicadastall-spread-{}-{number}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, serde_json::to_vec(tree).expect("encode")).expect("write a file");
+    path
+}
+
+fn node(
+    instance: &str,
+    region: &str,
+    control: &[SocketAddr],
+    seeds: &[SocketAddr],
+) -> NodeSettings {
+    let node = json!({
+        "instance": instance,
+        "region": region,
+        "zone": format!("{region}-a"),
+        "caller_listen": "127.0.0.1:0",
+        "operator_listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+        "control": control,
+        "seeds": seeds,
+    });
+    serde_json::from_value(node).expect("node settings")
+}
+
+async fn start_control(name: &str) -> ControlServer {
+    let founding = write_founding(&trust());
+    let mut node = node(name, "aqaba", &[], &[]);
+    node.founding_settings = Some(founding.clone());
+    let control = ControlServer::start(node, &Handle::current()).await.expect("a control instance");
+    let _ = std::fs::remove_file(founding);
+    control
+}
+
+async fn start_entry(node: NodeSettings) -> EntryServer {
+    EntryServer::start(node, &Handle::current()).await.expect("an entry")
+}
+
+async fn start_entries(control: SocketAddr) -> Vec<EntryServer> {
+    let mut entries = Vec::new();
+    for region in REGIONS {
+        entries
+            .push(start_entry(node(&format!("{region}-1"), region, &[control], &[control])).await);
+    }
+    for entry in &entries {
+        wait_for(entry.addresses().operator, |status| status.start != StartState::Asking).await;
+        wait_revision(entry.addresses().operator, 1).await;
+    }
+    entries
+}
+
+async fn get(client: &HttpClient, address: SocketAddr, path: &str) -> Result<Value, CallError> {
+    let bound = Duration::from_secs(3);
+    call_json(client, Method::GET, address, path, None::<&Value>, bound).await
+}
+
+async fn status(operator: SocketAddr) -> HolderStatus {
+    let status = get(&client(1), operator, "/v1/status").await.expect("a status");
+    serde_json::from_value(status["settings"].clone()).expect("a status of the settings")
+}
+
+async fn wait_for(operator: SocketAddr, reached: impl Fn(&HolderStatus) -> bool) -> HolderStatus {
+    let start = Instant::now();
+    loop {
+        let status = status(operator).await;
+        if reached(&status) {
+            return status;
+        }
+        assert!(start.elapsed() < PATIENCE, "not reached: {status:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn wait_revision(operator: SocketAddr, revision: u64) -> HolderStatus {
+    wait_for(operator, |status| status.revision >= Revision(revision)).await
+}
+
+async fn put(
+    control: SocketAddr,
+    operation: &str,
+    operator: &str,
+    expected: u64,
+    team: &TeamSettings,
+) -> (StatusCode, ChangeAnswer) {
+    let body = serde_json::to_vec(team).expect("encode");
+    let request = Request::put(format!("http://{control}/v1/settings/teams/trust"))
+        .header("if-match", expected)
+        .header(OPERATION_HEADER, operation)
+        .header(OPERATOR_HEADER, operator)
+        .body(Full::from(body))
+        .expect("a request");
+    let answer = client(1).request(request).await.expect("an answer");
+    let status = answer.status();
+    let bytes = answer.into_body().collect().await.expect("a body").to_bytes();
+    (status, serde_json::from_slice(&bytes).expect("an answer to a change"))
+}
+
+/// Changes the Trust's owner `count` times, from version `expected` on.
+async fn put_many(control: SocketAddr, expected: u64, count: u64) {
+    for version in expected..expected + count {
+        let (status, answer) = put(
+            control,
+            &format!("op-{version}"),
+            "layla",
+            version,
+            &owned_by(&format!("{version}")),
+        )
+        .await;
+        assert_eq!(status, StatusCode::OK, "{answer:?}");
+    }
+}
+
+/// A TCP link that can be cut and mended.
+struct CutLink {
+    address: SocketAddr,
+    open: watch::Sender<bool>,
+}
+
+impl CutLink {
+    async fn to(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let (open, opened) = watch::channel(true);
+        tokio::spawn(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let mut opened = opened.clone();
+                tokio::spawn(async move {
+                    let copied = async {
+                        let mut far = TcpStream::connect(target).await?;
+                        copy_bidirectional(&mut near, &mut far).await
+                    };
+                    tokio::select! {
+                        _ = copied => {}
+                        _ = opened.wait_for(|open| !*open) => {}
+                    }
+                });
+            }
+        });
+        Self { address, open }
+    }
+
+    fn set_open(&self, open: bool) {
+        self.open.send_replace(open);
+    }
+}
+
+#[tokio::test]
+async fn a_change_is_in_force_everywhere_when_the_operator_is_answered() {
+    let control = start_control("aqaba-control").await;
+    let entries = start_entries(control.addresses().peer).await;
+    sleep(Duration::from_millis(1_200)).await;
+    let asked = Instant::now();
+    let operator = control.addresses().operator;
+    let (status_code, answer) = put(operator, "op-1", "layla", 1, &owned_by("layla")).await;
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+    assert_eq!(status_code, StatusCode::OK, "{answer:?}");
+    let reach = answer.reach.expect("where it is in force");
+    let mut regions: Vec<_> = reach.in_force.iter().map(|region| region.as_str()).collect();
+    regions.sort_unstable();
+    assert_eq!(regions, ["amman", "aqaba", "irbid"], "{reach:?}");
+    for entry in &entries {
+        assert_eq!(status(entry.addresses().operator).await.revision, Revision(2));
+    }
+}
+
+#[tokio::test]
+async fn a_lost_answer_and_a_race_are_told_over_http() {
+    let control = start_control("aqaba-control").await;
+    let operator = control.addresses().operator;
+    wait_revision(operator, 1).await;
+    let (_, first) = put(operator, "op-1", "layla", 1, &owned_by("layla")).await;
+    let (_, again) = put(operator, "op-1", "layla", 1, &owned_by("layla")).await;
+    assert_eq!(first.reply, again.reply);
+    let (status, reused) = put(operator, "op-1", "layla", 1, &owned_by("other")).await;
+    assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert!(matches!(reused.reply, ChangeReply::OperationReused { .. }), "{reused:?}");
+    let mut races = Vec::new();
+    for number in 0..8 {
+        races.push(tokio::spawn(async move {
+            let name = format!("racer-{number}");
+            put(operator, &name, &name, 2, &owned_by(&name)).await
+        }));
+    }
+    let mut won = 0;
+    for race in races {
+        let (status, answer) = race.await.expect("a race");
+        won += u32::from(status == StatusCode::OK);
+        if let ChangeReply::Conflict { winner, difference, .. } = answer.reply {
+            assert!(winner.expect("a winner").operator.starts_with("racer-"));
+            assert_eq!(difference.len(), 1);
+        }
+    }
+    assert_eq!(won, 1);
+    let history = get(&client(1), operator, "/v1/settings/history").await.expect("a history");
+    assert_eq!(history["revisions"].as_array().map(Vec::len), Some(2));
+}
+
+#[tokio::test]
+async fn a_cut_off_region_is_named_goes_on_and_catches_up() {
+    let control = start_control("aqaba-control").await;
+    let (peer, operator) = (control.addresses().peer, control.addresses().operator);
+    let to_control = CutLink::to(peer).await;
+    let mut settings = node("irbid-1", "irbid", &[to_control.address], &[]);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    settings.peer_listen = listener.local_addr().expect("an address");
+    drop(listener);
+    let to_entry = CutLink::to(settings.peer_listen).await;
+    settings.peer_advertise = Some(to_entry.address);
+    let entry = start_entry(settings).await;
+    let entry_operator = entry.addresses().operator;
+    wait_revision(entry_operator, 1).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let (_, answer) = put(operator, "op-1", "layla", 1, &owned_by("before")).await;
+    let reach = answer.reach.expect("where it is in force");
+    assert!(reach.in_force.contains(&"irbid".into()), "{reach:?}");
+
+    to_control.set_open(false);
+    to_entry.set_open(false);
+    sleep(Duration::from_millis(1_000)).await;
+    let (_, answer) = put(operator, "op-2", "layla", 2, &owned_by("during")).await;
+    let reach = answer.reach.expect("where it is in force");
+    let silent = reach.unconfirmed.iter().find(|silent| silent.region.as_str() == "irbid");
+    let silent = silent.unwrap_or_else(|| panic!("irbid is not named: {reach:?}"));
+    assert!(silent.silent_ms >= 1_000, "{silent:?}");
+    assert_eq!(silent.instances, ["irbid-1".into()]);
+    let cut = wait_for(entry_operator, |status| status.cut_off_since_ms.is_some()).await;
+    assert_eq!(cut.revision, Revision(2));
+
+    to_control.set_open(true);
+    to_entry.set_open(true);
+    let mended = Instant::now();
+    wait_revision(entry_operator, 3).await;
+    wait_for(entry_operator, |status| status.cut_off_since_ms.is_none()).await;
+    assert!(mended.elapsed() < Duration::from_secs(4), "{:?}", mended.elapsed());
+}
+
+#[tokio::test]
+async fn a_lagging_control_does_not_take_an_entry_back() {
+    let newest = start_control("aqaba-control").await;
+    let lagging = start_control("aqaba-lagging").await;
+    put_many_when_founded(&newest, 4).await;
+    let first = start_entry(node("aqaba-1", "aqaba", &[newest.addresses().peer], &[])).await;
+    wait_revision(first.addresses().operator, 5).await;
+
+    let seeds = [first.addresses().peer];
+    let restarted =
+        start_entry(node("aqaba-2", "aqaba", &[lagging.addresses().peer], &seeds)).await;
+    let operator = restarted.addresses().operator;
+    let ready = wait_for(operator, |status| status.start != StartState::Asking).await;
+    assert_eq!((ready.start, ready.revision), (StartState::Complete, Revision(5)));
+    put_many(lagging.addresses().operator, 1, 2).await;
+    for _ in 0..30 {
+        assert_eq!(status(operator).await.revision, Revision(5));
+        let tree = first.addresses();
+        assert_eq!(status(tree.operator).await.revision, Revision(5));
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn put_many_when_founded(control: &ControlServer, count: u64) {
+    wait_revision(control.addresses().operator, 1).await;
+    put_many(control.addresses().operator, 1, count).await;
+}
+
+#[tokio::test]
+async fn an_entry_that_starts_cut_off_serves_what_its_zone_has_and_says_so() {
+    let control = start_control("aqaba-control").await;
+    put_many_when_founded(&control, 3).await;
+    let first = start_entry(node("aqaba-1", "aqaba", &[control.addresses().peer], &[])).await;
+    wait_revision(first.addresses().operator, 4).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let dead = listener.local_addr().expect("an address");
+    drop(listener);
+    let started = Instant::now();
+    let second = start_entry(node("aqaba-2", "aqaba", &[dead], &[first.addresses().peer])).await;
+    let operator = second.addresses().operator;
+    let ready = wait_for(operator, |status| status.start != StartState::Asking).await;
+    assert_eq!((ready.start, ready.revision), (StartState::Partial, Revision(4)));
+    assert!(started.elapsed() < Duration::from_secs(6), "{:?}", started.elapsed());
+}
+
+#[tokio::test]
+async fn an_entry_catches_up_after_hundreds_of_changes() {
+    let control = start_control("aqaba-control").await;
+    let first = start_entry(node("aqaba-1", "aqaba", &[control.addresses().peer], &[])).await;
+    put_many_when_founded(&control, 300).await;
+    wait_revision(first.addresses().operator, 301).await;
+    let second = start_entry(node("aqaba-2", "aqaba", &[control.addresses().peer], &[])).await;
+    let ready =
+        wait_for(second.addresses().operator, |status| status.start != StartState::Asking).await;
+    assert_eq!(ready.revision, Revision(301));
+}
--- a/cicadastall/tests/settings_state.rs
+++ b/cicadastall/tests/settings_state.rs
@@ -5,16 +5,67 @@
 use cicadastall::{
     fault::FaultKind,
     replicated::{LocalGroup, ReplicatedGroup, ReplicatedState},
-    settings::{Revision, SettingsSnapshot},
-    settings_state::{ChangeReply, SettingsCommand, SettingsState},
+    settings::{Revision, SettingsSnapshot, TeamSettings},
+    settings_state::{ChangeReply, SettingsChange, SettingsCommand, SettingsState},
     subtree::{SubtreeContent, SubtreeName},
 };
 use quickcheck::{Gen, QuickCheck};
-use settings_common::{
-    accepted, apply, change, empty_team, founded, owned_by, put, restarted, trust, version,
-};
+use settings_common::{owned_by, trust};
 use std::sync::Arc;
 
+/// A state founded with the Trust's settings.
+fn founded() -> SettingsState {
+    let mut state = SettingsState::default();
+    state.apply(&SettingsCommand::Found(trust()));
+    state
+}
+
+/// A subtree without pools, kinds and workspaces.
+fn empty_team(owner: &str) -> TeamSettings {
+    TeamSettings {
+        owner: owner.into(),
+        pools: Default::default(),
+        kinds: Default::default(),
+        workspaces: Default::default(),
+    }
+}
+
+fn put(team: &str, settings: TeamSettings) -> SubtreeContent {
+    SubtreeContent::Team(team.into(), settings)
+}
+
+fn change(
+    operation: &str,
+    operator: &str,
+    expected: u64,
+    content: SubtreeContent,
+) -> SettingsChange {
+    SettingsChange {
+        operation: operation.into(),
+        operator: operator.into(),
+        at_ms: 1_000,
+        expected: Revision(expected),
+        content,
+    }
+}
+
+fn apply(state: &mut SettingsState, change: &SettingsChange) -> ChangeReply {
+    state.apply(&SettingsCommand::Change(change.clone()))
+}
+
+fn accepted(revision: u64) -> ChangeReply {
+    ChangeReply::Accepted { revision: Revision(revision) }
+}
+
+fn version(state: &SettingsState, team: &str) -> Revision {
+    state.newest().version(&SubtreeName::Team(team.into()))
+}
+
+/// The state as a replica holds it after a restart from its snapshot.
+fn restarted(state: &SettingsState) -> SettingsState {
+    SettingsState::restore(&state.snapshot()).expect("a snapshot")
+}
+
 #[test]
 fn one_of_two_equal_changes_wins_and_the_other_learns_who() {
     let mut state = founded();
@@ -198,6 +249,17 @@
     assert!(state.snapshot().len() < 2_000_000, "{} bytes", state.snapshot().len());
 }
 
+#[test]
+fn an_update_that_does_not_lead_on_is_refused() {
+    let mut state = founded();
+    let mut behind = state.newest().clone();
+    apply(&mut state, &change("op-1", "omar", 0, put("works", empty_team("office"))));
+    apply(&mut state, &change("op-2", "layla", 1, put("trust", owned_by("layla"))));
+    let update = state.newest().changes_after(Revision(2)).expect("an update");
+    assert!(!behind.apply_update(&update));
+    assert_eq!(behind.revision, Revision(1));
+}
+
 #[test]
 fn updates_from_any_revision_lead_to_the_same_settings() {
     fn property(steps: Vec<(u8, u8, bool)>) -> bool {
