Give operators a command line, and a demonstration in one process

Cause: operators had no way to check, read or change settings but raw HTTP, and a newcomer no command that shows the whole path. POST /v1/drain takes an entry out of the listing of entries. Control instances ask each other where a revision is in force. Not there: no instance answers /v1/explain yet, so explain prints the refusal and exits with 5.

--- a/cicadastall-daemons/src/bin/cicadastall.rs
+++ b/cicadastall-daemons/src/bin/cicadastall.rs
@@ -1,3 +1,82 @@
-//! Placeholder until the thin path lands.
+//! The operators' command line.
 
-fn main() {}
+use bpaf::Bpaf;
+use cicadastall_daemons::{
+    demo::{self, DemoOptions, demo_options},
+    exit::CommandOutcome,
+    settings_cli::{self, CheckOptions, SettingsOptions, check_options, settings_options},
+    status_cli::{
+        self, DrainOptions, ExplainOptions, StatusOptions, drain_options, explain_options,
+        status_options,
+    },
+};
+use std::process::ExitCode;
+
+/// Operates a fleet of cicadastall.
+///
+///
+/// Exit codes: 0 done, 1 failed, 2 faults in settings, 3 conflict with another change, 4 operation
+/// id used for another change, 5 refused or not reachable, 6 outcome unknown, 7 accepted but not
+/// confirmed by every region.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum OperatorCommand {
+    /// Check a file with settings and list all its faults
+    ///
+    ///
+    /// Example: cicadastall check examples/trust.json
+    #[bpaf(command)]
+    Check(#[bpaf(external(check_options))] CheckOptions),
+    /// Read and change the settings of a fleet
+    ///
+    ///
+    /// Example: cicadastall settings get --control 127.0.0.1:7101
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings_options))] SettingsOptions),
+    /// Show the status of instances
+    ///
+    ///
+    /// Example: cicadastall status 127.0.0.1:7101 127.0.0.1:7102
+    #[bpaf(command)]
+    Status(#[bpaf(external(status_options))] StatusOptions),
+    /// Explain a request or an upstream
+    ///
+    ///
+    /// Example: cicadastall explain --entry 127.0.0.1:7102 --upstream aqaba-m1
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
+    /// Let an entry take no new callers
+    ///
+    ///
+    /// Example: cicadastall drain 127.0.0.1:7102
+    #[bpaf(command)]
+    Drain(#[bpaf(external(drain_options))] DrainOptions),
+    /// Run the whole path in one process, with three regions in miniature
+    ///
+    ///
+    /// Example: cicadastall demo
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo_options))] DemoOptions),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(operator_command().run()).await {
+        Ok(outcome) => outcome.into(),
+        Err(error) => {
+            eprintln!("{error:#}");
+            CommandOutcome::Failed.into()
+        }
+    }
+}
+
+async fn run(command: OperatorCommand) -> eyre::Result<CommandOutcome> {
+    match command {
+        OperatorCommand::Check(options) => settings_cli::check(&options),
+        OperatorCommand::Settings(options) => settings_cli::run(&options).await,
+        OperatorCommand::Status(options) => status_cli::status(&options).await,
+        OperatorCommand::Explain(options) => status_cli::explain(&options).await,
+        OperatorCommand::Drain(options) => status_cli::drain(&options).await,
+        OperatorCommand::Demo(options) => demo::run(&options).await,
+    }
+}
--- /dev/null
+++ b/cicadastall-daemons/src/demo.rs
@@ -0,0 +1,372 @@
+//! The whole path inside one process: three regions in miniature with stand-ins behind them.
+
+use crate::{
+    exit::CommandOutcome,
+    print::{print_json, print_table},
+};
+use bpaf::Bpaf;
+use bytes::Bytes;
+use cicadastall::{
+    control::ControlServer,
+    entry::EntryServer,
+    http::{HttpClient, client},
+    instance::ControlThread,
+    node::NodeSettings,
+    settings::FleetSettings,
+    wire::{
+        CallAnswer, CallRequest, ChatChunk, ChatMessage, ChatRequest, KEY_HEADER, KIND_HEADER,
+        REGION_HEADER, SESSION_HEADER, UPSTREAM_HEADER, WORKSPACE_HEADER,
+    },
+};
+use cicadastall_standins::{
+    announce::StandinPlace,
+    engine::{EnginePace, EngineStandin},
+    service::ServiceStandin,
+};
+use eyre::{WrapErr, bail, eyre};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, body::Incoming};
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use tokio::time::{Instant, sleep, timeout};
+
+/// The Trust's settings.
+const TRUST: &str = include_str!("../../examples/trust.json");
+
+/// Longest time until the fleet serves every kind.
+const START_BOUND: Duration = Duration::from_secs(20);
+
+/// Pause between two attempts while the fleet starts.
+const START_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time for one answer.
+const ANSWER_BOUND: Duration = Duration::from_secs(30);
+
+/// Runs a fleet in miniature.
+#[derive(Debug, Clone, Bpaf)]
+pub struct DemoOptions {
+    /// Print JSON
+    #[bpaf(long, switch)]
+    json: bool,
+}
+
+/// One request of the demonstration.
+#[derive(Debug, Clone, Copy)]
+struct DemoRequest {
+    region: &'static str,
+    workspace: &'static str,
+    kind: &'static str,
+    text: &'static str,
+}
+
+const REQUESTS: [DemoRequest; 4] = [
+    DemoRequest {
+        region: "aqaba",
+        workspace: "aqaba-port",
+        kind: "splice-review",
+        text: "Log of a failed eye splice: strand 2 slipped at tuck 3 under 40 kN.",
+    },
+    DemoRequest {
+        region: "amman",
+        workspace: "amman-workshop",
+        kind: "tuck-query",
+        text: "How many tucks for 24 mm polyester?",
+    },
+    DemoRequest {
+        region: "aqaba",
+        workspace: "aqaba-port",
+        kind: "certification-entry",
+        text: "S-17 passed the eye splice test",
+    },
+    DemoRequest {
+        region: "irbid",
+        workspace: "irbid-workshop",
+        kind: "register-lookup",
+        text: "S-17",
+    },
+];
+
+/// What one request got.
+#[derive(Debug, Clone, Serialize)]
+struct DemoAnswer {
+    kind: String,
+    workspace: String,
+    answer: String,
+    region: String,
+    upstream: String,
+    first_token_ms: f64,
+    whole_ms: f64,
+}
+
+/// A running fleet in miniature.
+struct DemoFleet {
+    control: ControlServer,
+    entries: Vec<(String, EntryServer)>,
+    engines: Vec<EngineStandin>,
+    services: Vec<ServiceStandin>,
+    _thread: ControlThread,
+}
+
+/// Runs `demo`.
+pub async fn run(options: &DemoOptions) -> eyre::Result<CommandOutcome> {
+    let tree: FleetSettings = serde_json::from_str(TRUST).wrap_err("the embedded settings")?;
+    let founding = write_founding()?;
+    let started = start_fleet(&tree, &founding).await;
+    let _ = std::fs::remove_file(&founding);
+    let fleet = started?;
+    let mut answers = Vec::new();
+    for request in &REQUESTS {
+        answers.push(run_request(&fleet, &tree, request).await?);
+    }
+    print_answers(&answers, options.json)?;
+    stop_fleet(fleet).await?;
+    Ok(CommandOutcome::Done)
+}
+
+fn write_founding() -> eyre::Result<PathBuf> {
+    let name =
+        format!("cicadastall-demo-{}-{:08x}.json", std::process::id(), rand::random::<u32>());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, TRUST).wrap_err("cannot write the demonstration's settings")?;
+    Ok(path)
+}
+
+async fn start_fleet(tree: &FleetSettings, founding: &std::path::Path) -> eyre::Result<DemoFleet> {
+    let thread = ControlThread::start("control")?;
+    let mut node = make_node("demo-control", "aqaba", &[])?;
+    node.founding_settings = Some(founding.to_owned());
+    let control = ControlServer::start(node, thread.handle()).await?;
+    let peer = control.addresses().peer;
+    let mut fleet = DemoFleet {
+        control,
+        entries: Vec::new(),
+        engines: Vec::new(),
+        services: Vec::new(),
+        _thread: thread,
+    };
+    for region in tree.regions.keys() {
+        let region = region.as_str();
+        let node = make_node(&format!("{region}-entry"), region, &[peer])?;
+        let entry = EntryServer::start(node, fleet._thread.handle()).await?;
+        let address = entry.addresses().caller.ok_or_else(|| eyre!("an entry without callers"))?;
+        fleet.entries.push((region.to_owned(), entry));
+        start_standins(&mut fleet, region, address).await?;
+    }
+    Ok(fleet)
+}
+
+fn make_node(instance: &str, region: &str, control: &[SocketAddr]) -> eyre::Result<NodeSettings> {
+    let node = json!({
+        "instance": instance,
+        "region": region,
+        "zone": format!("{region}-a"),
+        "caller_listen": "127.0.0.1:0",
+        "operator_listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0",
+        "control": control,
+        "seeds": control,
+    });
+    Ok(serde_json::from_value(node)?)
+}
+
+async fn start_standins(
+    fleet: &mut DemoFleet,
+    region: &str,
+    entry: SocketAddr,
+) -> eyre::Result<()> {
+    let place = |name: &str, pool: &str| StandinPlace {
+        name: format!("{region}-{name}").as_str().into(),
+        region: region.into(),
+        zone: format!("{region}-a").as_str().into(),
+        pool: pool.into(),
+        entries: vec![entry],
+    };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let pace = EnginePace { answer_tokens: 8, ..EnginePace::default() };
+    let engine = EngineStandin::start(place("model", "verdicts"), listen, "splice-7b".into(), pace);
+    fleet.engines.push(engine.await?);
+    let call = Duration::from_millis(5);
+    let service = ServiceStandin::start(place("register", "registers"), listen, call);
+    fleet.services.push(service.await?);
+    Ok(())
+}
+
+async fn run_request(
+    fleet: &DemoFleet,
+    tree: &FleetSettings,
+    request: &DemoRequest,
+) -> eyre::Result<DemoAnswer> {
+    let entry = fleet.entries.iter().find(|(region, _)| region == request.region);
+    let (_, entry) = entry.ok_or_else(|| eyre!("no entry in {}", request.region))?;
+    let address = entry.addresses().caller.ok_or_else(|| eyre!("an entry without callers"))?;
+    let plan = tree
+        .plan_kind(&request.workspace.into(), &request.kind.into())
+        .map_err(|error| eyre!("{}: {error:?}", request.kind))?;
+    let client = client(1);
+    let started = Instant::now();
+    loop {
+        let sent = send_request(
+            &client,
+            address,
+            request,
+            plan.kind.model.is_some(),
+            plan.kind.repeatable,
+        );
+        match timeout(ANSWER_BOUND, sent).await? {
+            Ok(answer) => return Ok(answer),
+            Err(error) if started.elapsed() > START_BOUND => return Err(error),
+            Err(_) => sleep(START_PAUSE).await,
+        }
+    }
+}
+
+async fn send_request(
+    client: &HttpClient,
+    entry: SocketAddr,
+    request: &DemoRequest,
+    chat: bool,
+    repeatable: bool,
+) -> eyre::Result<DemoAnswer> {
+    let (path, body) = encode_body(chat, request.text)?;
+    let mut builder = Request::post(format!("http://{entry}{path}"))
+        .header(WORKSPACE_HEADER, request.workspace)
+        .header(KIND_HEADER, request.kind);
+    if !repeatable {
+        builder = builder.header(KEY_HEADER, "demo-1");
+        if let Some(session) = open_session(client, entry, request).await {
+            builder = builder.header(SESSION_HEADER, session);
+        }
+    }
+    let sent = Instant::now();
+    let answer = client.request(builder.body(Full::new(body))?).await?;
+    if !answer.status().is_success() {
+        let status = answer.status();
+        let body = answer.into_body().collect().await?.to_bytes();
+        bail!("{} refused with {status}: {}", request.kind, String::from_utf8_lossy(&body));
+    }
+    read_answer(request, chat, answer, sent).await
+}
+
+fn encode_body(chat: bool, text: &str) -> eyre::Result<(&'static str, Bytes)> {
+    if !chat {
+        let call = CallRequest { arguments: json!({ "entry": text }) };
+        return Ok(("/v1/calls", serde_json::to_vec(&call)?.into()));
+    }
+    let chat = ChatRequest {
+        model: None,
+        messages: vec![ChatMessage { role: "user".into(), content: text.to_owned() }],
+        max_tokens: 64,
+        stream: true,
+        priority: 0,
+        resume_from: 0,
+    };
+    Ok(("/v1/chat/completions", serde_json::to_vec(&chat)?.into()))
+}
+
+/// Opens a session for a request that may not be repeated; none if the entry issues none.
+async fn open_session(
+    client: &HttpClient,
+    entry: SocketAddr,
+    request: &DemoRequest,
+) -> Option<String> {
+    let built = Request::post(format!("http://{entry}/v1/sessions"))
+        .header(WORKSPACE_HEADER, request.workspace)
+        .header(KIND_HEADER, request.kind)
+        .body(Full::default())
+        .ok()?;
+    let answer = client.request(built).await.ok()?;
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    let reply: Value = serde_json::from_slice(&body).ok()?;
+    reply["session"].as_str().map(str::to_owned)
+}
+
+async fn read_answer(
+    request: &DemoRequest,
+    chat: bool,
+    answer: Response<Incoming>,
+    sent: Instant,
+) -> eyre::Result<DemoAnswer> {
+    let header = |name: &str| {
+        let value = answer.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or("-").to_owned()
+    };
+    let (region, upstream) = (header(REGION_HEADER), header(UPSTREAM_HEADER));
+    let mut body = answer.into_body();
+    let mut text = Vec::new();
+    let mut first_token = None;
+    while let Some(frame) = body.frame().await {
+        first_token.get_or_insert_with(|| sent.elapsed());
+        if let Ok(data) = frame?.into_data() {
+            text.extend_from_slice(&data);
+        }
+    }
+    let whole = sent.elapsed();
+    let text = String::from_utf8(text)?;
+    Ok(DemoAnswer {
+        kind: request.kind.to_owned(),
+        workspace: request.workspace.to_owned(),
+        answer: if chat { join_tokens(&text)? } else { decode_call(&text)? },
+        region,
+        upstream,
+        first_token_ms: millis(first_token.unwrap_or(whole)),
+        whole_ms: millis(whole),
+    })
+}
+
+fn join_tokens(events: &str) -> eyre::Result<String> {
+    let mut answer = String::new();
+    for event in events.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if event == cicadastall::wire::END_MARKER {
+            return Ok(answer.trim().to_owned());
+        }
+        let chunk: ChatChunk = serde_json::from_str(event).wrap_err("a broken stream")?;
+        answer.extend(chunk.choices.into_iter().map(|choice| choice.delta.content));
+    }
+    bail!("the answer has no end marker")
+}
+
+fn decode_call(text: &str) -> eyre::Result<String> {
+    let answer: CallAnswer = serde_json::from_str(text)?;
+    Ok(answer.result.to_string())
+}
+
+fn millis(duration: Duration) -> f64 {
+    (duration.as_secs_f64() * 10_000.0).round() / 10.0
+}
+
+fn print_answers(answers: &[DemoAnswer], json: bool) -> eyre::Result<()> {
+    if json {
+        return Ok(print_json(&answers)?);
+    }
+    let rows: Vec<_> = answers
+        .iter()
+        .map(|answer| {
+            [
+                answer.kind.clone(),
+                answer.workspace.clone(),
+                answer.region.clone(),
+                answer.upstream.clone(),
+                answer.first_token_ms.to_string(),
+                answer.whole_ms.to_string(),
+                answer.answer.clone(),
+            ]
+        })
+        .collect();
+    let titles =
+        ["KIND", "WORKSPACE", "REGION", "UPSTREAM", "FIRST TOKEN MS", "WHOLE MS", "ANSWER"];
+    Ok(print_table(titles, &rows)?)
+}
+
+async fn stop_fleet(fleet: DemoFleet) -> eyre::Result<()> {
+    for (region, entry) in fleet.entries {
+        let summary = entry.stop().await;
+        if summary.cut_off > 0 {
+            bail!("{region}: {} requests were cut off", summary.cut_off);
+        }
+    }
+    fleet.control.stop().await;
+    drop(fleet.engines);
+    drop(fleet.services);
+    Ok(())
+}
--- /dev/null
+++ b/cicadastall-daemons/src/exit.rs
@@ -0,0 +1,30 @@
+//! Exit codes of the operators' command line.
+
+use std::process::ExitCode;
+
+/// Outcome of a command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CommandOutcome {
+    /// Code 0: done.
+    Done,
+    /// Code 1: bad arguments, or a file or answer that can't be read.
+    Failed,
+    /// Code 2: the settings have faults; nothing was changed.
+    Faults,
+    /// Code 3: another change came first; nothing was changed.
+    Conflict,
+    /// Code 4: the operation id belongs to another change; nothing was changed.
+    OperationReused,
+    /// Code 5: no instance that was asked could do it; nothing was changed.
+    Refused,
+    /// Code 6: the change may or may not be accepted; send it again with the same operation id.
+    Unknown,
+    /// Code 7: accepted, but not confirmed by every region.
+    Unconfirmed,
+}
+
+impl From<CommandOutcome> for ExitCode {
+    fn from(outcome: CommandOutcome) -> Self {
+        Self::from(outcome as u8)
+    }
+}
--- a/cicadastall-daemons/src/lib.rs
+++ b/cicadastall-daemons/src/lib.rs
@@ -1,5 +1,12 @@
 //! Start-up that the programs share: logs, settings, signals and the line with their addresses.
 
+pub mod demo;
+pub mod exit;
+pub mod operator;
+pub mod print;
+pub mod settings_cli;
+pub mod status_cli;
+
 use cicadastall::{
     instance::InstanceAddresses,
     logs,
--- /dev/null
+++ b/cicadastall-daemons/src/status_cli.rs
@@ -0,0 +1,165 @@
+//! Commands of the operators' command line that ask single instances.
+
+use crate::{
+    exit::CommandOutcome,
+    operator::{OperatorClient, OperatorRequest},
+    print::{print_json, print_table},
+};
+use bpaf::Bpaf;
+use futures::future::join_all;
+use hyper::Method;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+/// Asks instances for their status.
+#[derive(Debug, Clone, Bpaf)]
+pub struct StatusOptions {
+    /// Print JSON
+    #[bpaf(long, switch)]
+    json: bool,
+    /// Operator addresses of instances
+    #[bpaf(positional("ADDRESS"), some("at least one ADDRESS is needed"))]
+    instances: Vec<SocketAddr>,
+}
+
+/// Asks an entry why it did what it did.
+#[derive(Debug, Clone, Bpaf)]
+pub struct ExplainOptions {
+    /// Operator address of the entry
+    #[bpaf(long, argument("ADDRESS"))]
+    entry: SocketAddr,
+    #[bpaf(external)]
+    explain_subject: ExplainSubject,
+}
+
+/// What is to be explained.
+#[derive(Debug, Clone, Bpaf)]
+pub enum ExplainSubject {
+    /// A request.
+    Request {
+        /// A request, by the name in its answer
+        #[bpaf(long, argument("REQUEST"))]
+        request: String,
+    },
+    /// An upstream.
+    Upstream {
+        /// An upstream
+        #[bpaf(long, argument("UPSTREAM"))]
+        upstream: String,
+    },
+}
+
+/// Tells an entry to take no new callers.
+#[derive(Debug, Clone, Bpaf)]
+pub struct DrainOptions {
+    /// Operator address of the entry
+    #[bpaf(positional("ADDRESS"))]
+    entry: SocketAddr,
+}
+
+/// Runs `status`.
+pub async fn status(options: &StatusOptions) -> eyre::Result<CommandOutcome> {
+    let client = OperatorClient::default();
+    let asked = options.instances.iter().map(|address| client.get::<Value>(*address, "/v1/status"));
+    let answers = join_all(asked).await;
+    let silent = answers.iter().any(Result::is_err);
+    let answers: Vec<_> = options
+        .instances
+        .iter()
+        .zip(answers)
+        .map(|(address, answer)| match answer {
+            Ok(status) => json!({ "address": address, "status": status }),
+            Err(error) => json!({ "address": address, "error": error.to_string() }),
+        })
+        .collect();
+    if options.json {
+        print_json(&answers)?;
+    } else {
+        let rows: Vec<_> = answers.iter().map(describe).collect();
+        let titles = [
+            "INSTANCE",
+            "REGION",
+            "ZONE",
+            "REVISION",
+            "START",
+            "CONFIRMED",
+            "CUT OFF SINCE",
+            "IN FLIGHT",
+        ];
+        print_table(titles, &rows)?;
+    }
+    Ok(if silent { CommandOutcome::Refused } else { CommandOutcome::Done })
+}
+
+fn describe(answer: &Value) -> [String; 8] {
+    let cell = |pointer: &str| match answer.pointer(pointer) {
+        None | Some(Value::Null) => "-".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(value) => value.to_string(),
+    };
+    if let Some(error) = answer["error"].as_str() {
+        let address = cell("/address");
+        return [
+            format!("{address}: {error}"),
+            "-".into(),
+            "-".into(),
+            "-".into(),
+            "-".into(),
+            "-".into(),
+            "-".into(),
+            "-".into(),
+        ];
+    }
+    let confirmed = match answer.pointer("/status/settings/confirmed_age_ms") {
+        Some(Value::Number(age)) => format!("{age} ms ago"),
+        _ => "never".to_owned(),
+    };
+    [
+        cell("/status/instance"),
+        cell("/status/region"),
+        cell("/status/zone"),
+        cell("/status/revision"),
+        cell("/status/settings/start"),
+        confirmed,
+        cell("/status/settings/cut_off_since_ms"),
+        cell("/status/in_flight"),
+    ]
+}
+
+/// Runs `explain`.
+pub async fn explain(options: &ExplainOptions) -> eyre::Result<CommandOutcome> {
+    let path = match &options.explain_subject {
+        ExplainSubject::Request { request } => format!("/v1/explain?request={request}"),
+        ExplainSubject::Upstream { upstream } => format!("/v1/explain?upstream={upstream}"),
+    };
+    print_answer(options.entry, OperatorRequest::get(path)).await
+}
+
+/// Runs `drain`.
+pub async fn drain(options: &DrainOptions) -> eyre::Result<CommandOutcome> {
+    let request = OperatorRequest { method: Method::POST, ..OperatorRequest::get("/v1/drain") };
+    print_answer(options.entry, request).await
+}
+
+async fn print_answer(
+    address: SocketAddr,
+    request: OperatorRequest,
+) -> eyre::Result<CommandOutcome> {
+    let client = OperatorClient::default();
+    let (status, body) = match client.send(address, &request).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            eprintln!("{address}: {error}");
+            return Ok(CommandOutcome::Refused);
+        }
+    };
+    if !status.is_success() {
+        eprintln!("{address}: {status}: {}", body.trim());
+        return Ok(CommandOutcome::Refused);
+    }
+    match serde_json::from_str::<Value>(&body) {
+        Ok(answer) => print_json(&answer)?,
+        Err(_) => println!("{}", body.trim()),
+    }
+    Ok(CommandOutcome::Done)
+}
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -84,6 +84,8 @@
     tasks.spawn_on(async move { runner.confirm().await }, control);
     let runner = Arc::clone(host);
     tasks.spawn_on(async move { runner.push().await }, control);
+    let runner = Arc::clone(host);
+    tasks.spawn_on(async move { runner.hear_members().await }, control);
     let Some(tree) = founding else { return };
     let runner = Arc::clone(host);
     let found = async move {
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -198,6 +198,11 @@
             text_answer(StatusCode::SERVICE_UNAVAILABLE, "no settings yet\n")
         }
         (&Method::GET, "/metrics") => text_answer(StatusCode::OK, context.metrics.render()),
+        (&Method::POST, "/v1/drain") => {
+            let drained = MembershipMessage::SetState(EntryState::Draining);
+            let _ = context.membership.cast(drained);
+            text_answer(StatusCode::OK, "no new callers are sent here\n")
+        }
         (&Method::GET, "/v1/status") => json_answer(StatusCode::OK, &describe_entry(&context)),
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
--- a/cicadastall/src/follower.rs
+++ b/cicadastall/src/follower.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     follow::{SettingsHolder, StartState, millis},
-    followers::FollowerTable,
+    followers::{FollowerTable, ZoneTargets},
     name::InstanceName,
     node::NodeSettings,
     peer::PeerClients,
+    settings::Revision,
     settings_peer::{
         FollowReply, FollowRequest, FollowerPlace, PushRequest, SilentInstance, ZoneReport,
     },
@@ -21,7 +22,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::Notify,
+    sync::{Notify, watch},
     time::{Instant, sleep, timeout},
 };
 
@@ -47,12 +48,15 @@
 const UNCONFIRMED_AFTER: Duration = Duration::from_secs(3);
 
 /// Longest time to wait until an instance confirms a pushed update.
-pub(crate) const PUSH_TIMEOUT: Duration = Duration::from_millis(600);
+const PUSH_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Longest time that an instance takes to catch up after an update that does not lead on from
 /// what it holds.
 const CATCH_UP_BOUND: Duration = Duration::from_millis(400);
 
+/// Longest time to wait until a change is in force.
+const IN_FORCE_BOUND: Duration = Duration::from_millis(1_800);
+
 /// One instance's part in the distribution of settings.
 #[derive(Debug)]
 pub struct SettingsFollower {
@@ -62,9 +66,17 @@
     clients: Arc<PeerClients>,
     table: Arc<ArcSwap<RoutingTable>>,
     followers: Mutex<FollowerTable>,
+    spread: watch::Sender<SpreadReport>,
     wake: Notify,
 }
 
+/// Where the newest pushed revision is in force in the zones that follow this instance.
+#[derive(Debug, Clone, Default)]
+struct SpreadReport {
+    revision: Revision,
+    zones: Vec<ZoneReport>,
+}
+
 impl SettingsFollower {
     /// A follower whose address for other instances is `address`.
     pub fn new(
@@ -80,8 +92,16 @@
             zone: node.zone.clone(),
             address,
         };
-        let followers = Mutex::default();
-        Self { node, place, holder, clients, table, followers, wake: Notify::new() }
+        Self {
+            node,
+            place,
+            holder,
+            clients,
+            table,
+            followers: Mutex::default(),
+            spread: watch::Sender::new(SpreadReport::default()),
+            wake: Notify::new(),
+        }
     }
 
     /// The settings that the instance holds.
@@ -240,22 +260,49 @@
         call.await.ok()
     }
 
-    /// Pushes an update to one follower of each zone that asks this control instance, and reports
-    /// where it is in force.
-    pub(crate) async fn push_to_zones(&self, update: &SettingsUpdate) -> Vec<ZoneReport> {
+    /// Pushes an update to one follower of each zone that asks this control instance.
+    pub(crate) async fn push_to_zones(&self, update: &SettingsUpdate) {
         let targets = {
             let followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
             followers.targets(Instant::now())
         };
-        let pushes = targets.into_iter().map(|zone| async move {
-            for address in zone.addresses {
-                let push = PushRequest { update: update.clone(), spread: true };
-                if let Some(report) = self.push(address, push).await {
-                    return report;
-                }
+        let zones = join_all(targets.into_iter().map(|zone| self.push_to_zone(zone, update))).await;
+        self.spread.send_replace(SpreadReport { revision: update.revision, zones });
+    }
+
+    async fn push_to_zone(&self, zone: ZoneTargets, update: &SettingsUpdate) -> ZoneReport {
+        for address in zone.addresses {
+            let push = PushRequest { update: update.clone(), spread: true };
+            if let Some(report) = self.push(address, push).await {
+                return report;
             }
-            zone.silent
+        }
+        zone.silent
+    }
+
+    /// Where `revision` is in force: first in this instance itself, then in the zones that follow
+    /// it. Waits for their answers, but not for long.
+    pub(crate) async fn report_zones(&self, revision: Revision) -> Vec<ZoneReport> {
+        let mut spread = self.spread.subscribe();
+        let reached = spread.wait_for(|report| report.revision >= revision);
+        let zones = match timeout(IN_FORCE_BOUND, reached).await {
+            Ok(Ok(report)) => report.zones.clone(),
+            _ => Vec::new(),
+        };
+        let mut own = self.report();
+        own.in_force = u32::from(self.holder.revision() >= revision);
+        std::iter::once(own).chain(zones).collect()
+    }
+
+    /// Asks another control instance where `revision` is in force; empty if it does not answer.
+    pub(crate) async fn ask_zones(
+        &self,
+        address: SocketAddr,
+        revision: Revision,
+    ) -> Vec<ZoneReport> {
+        let call = self.clients.call(address, IN_FORCE_BOUND * 2, async |client, context| {
+            client.settings_confirm(context, revision).await
         });
-        join_all(pushes).await
+        call.await.unwrap_or_default()
     }
 }
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -8,6 +8,7 @@
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
     node::NodeSettings,
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
+    settings::Revision,
     settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::RoutingTable,
 };
@@ -83,6 +84,10 @@
     async fn settings_push(self, _: Context, push: PushRequest) -> ZoneReport {
         self.settings.accept_push(push).await
     }
+
+    async fn settings_confirm(self, _: Context, revision: Revision) -> Vec<ZoneReport> {
+        self.settings.report_zones(revision).await
+    }
 }
 
 /// Addresses on which an instance listens.
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    settings::Revision,
     settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::{EntryRecord, UpstreamRecord, ZoneDigest},
 };
@@ -49,6 +50,9 @@
 
     /// Applies an update of the settings.
     async fn settings_push(push: PushRequest) -> ZoneReport;
+
+    /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
+    async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
 }
 
 /// Why a call to another instance has no reply.
--- a/cicadastall/src/settings_host.rs
+++ b/cicadastall/src/settings_host.rs
@@ -12,6 +12,7 @@
     settings_peer::ZoneReport,
     settings_state::{SettingsCommand, SettingsState},
 };
+use futures::future::join_all;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -20,10 +21,7 @@
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
-use tokio::{
-    sync::watch,
-    time::{Instant, sleep},
-};
+use tokio::time::{Instant, sleep};
 
 /// Time between two looks for newly committed changes.
 const FEED_PERIOD: Duration = Duration::from_millis(20);
@@ -31,8 +29,8 @@
 /// Time between two confirmations by the group that no newer settings exist.
 const CONFIRM_PERIOD: Duration = Duration::from_secs(1);
 
-/// Longest time to wait until a change is in force, before the operator is answered.
-const IN_FORCE_BOUND: Duration = Duration::from_millis(2_000);
+/// Time between two calls to the group's other members.
+const HEAR_PERIOD: Duration = Duration::from_secs(5);
 
 /// Why the fleet's first settings can't be used.
 #[derive(Debug)]
@@ -69,13 +67,6 @@
     check_settings(&text).map_err(FoundingError::Invalid)
 }
 
-/// Where a revision is in force, as far as this instance's followers confirmed it.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct SpreadReport {
-    revision: Revision,
-    zones: Vec<ZoneReport>,
-}
-
 /// A region in which a change is not known to be in force everywhere.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SilentRegion {
@@ -103,7 +94,6 @@
     group: Arc<G>,
     follower: Arc<SettingsFollower>,
     node: Arc<NodeSettings>,
-    spread: watch::Sender<SpreadReport>,
     heard: Mutex<BTreeMap<RegionName, Instant>>,
     started: Instant,
 }
@@ -111,14 +101,7 @@
 impl<G: ReplicatedGroup<SettingsState>> SettingsHost<G> {
     /// A host of `group` whose changes go to the followers of `follower`.
     pub fn new(group: Arc<G>, follower: Arc<SettingsFollower>, node: Arc<NodeSettings>) -> Self {
-        Self {
-            group,
-            follower,
-            node,
-            spread: watch::Sender::new(SpreadReport::default()),
-            heard: Mutex::default(),
-            started: Instant::now(),
-        }
+        Self { group, follower, node, heard: Mutex::default(), started: Instant::now() }
     }
 
     /// The group.
@@ -190,34 +173,36 @@
         while revisions.changed().await.is_ok() {
             let Some(update) = holder.newest().changes_after(pushed) else { continue };
             pushed = update.revision;
-            let zones = self.follower.push_to_zones(&update).await;
-            self.note_heard(&zones);
-            self.spread.send_replace(SpreadReport { revision: pushed, zones });
+            self.follower.push_to_zones(&update).await;
         }
     }
 
-    fn note_heard(&self, zones: &[ZoneReport]) {
-        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        for zone in zones.iter().filter(|zone| zone.in_force > 0) {
-            heard.insert(zone.region.clone(), Instant::now());
+    /// Hears of the group's other members again and again, until its task is dropped.
+    pub async fn hear_members(&self) {
+        loop {
+            self.ask_members(Revision(0)).await;
+            sleep(HEAR_PERIOD).await;
         }
     }
 
-    /// Where `revision` is in force among this instance's followers; waits for their answers, but
-    /// not for long.
-    pub async fn zone_reports(&self, revision: Revision) -> Vec<ZoneReport> {
-        let mut spread = self.spread.subscribe();
-        let reached = spread.wait_for(|report| report.revision >= revision);
-        match tokio::time::timeout(IN_FORCE_BOUND, reached).await {
-            Ok(Ok(report)) => report.zones.clone(),
-            _ => Vec::new(),
+    /// Asks the group's other members where `revision` is in force in their regions.
+    async fn ask_members(&self, revision: Revision) -> Vec<ZoneReport> {
+        let own = &self.node.instance;
+        let others = self.node.settings_voters.iter().filter(|voter| voter.instance != *own);
+        let asked = others.map(|voter| self.follower.ask_zones(voter.address, revision));
+        let answers = join_all(asked).await;
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        for zone in answers.iter().filter_map(|zones| zones.first()) {
+            heard.insert(zone.region.clone(), Instant::now());
         }
+        answers.into_iter().flatten().collect()
     }
 
     /// Where `revision` is in force, as the operator is told.
     pub async fn reach(&self, revision: Revision) -> RevisionReach {
-        let mut zones = self.zone_reports(revision).await;
-        zones.push(self.own_report(revision));
+        let asked =
+            futures::join!(self.follower.report_zones(revision), self.ask_members(revision),);
+        let zones = [asked.0, asked.1].concat();
         let tree = self.follower.holder().newest();
         let regions = tree.tree.regions.keys();
         let mut reach = RevisionReach { in_force: Vec::new(), unconfirmed: Vec::new() };
@@ -235,12 +220,6 @@
         reach
     }
 
-    fn own_report(&self, revision: Revision) -> ZoneReport {
-        let in_force = u32::from(self.follower.holder().revision() >= revision);
-        let (region, zone) = (self.node.region.clone(), self.node.zone.clone());
-        ZoneReport { region, zone, in_force, silent: Vec::new() }
-    }
-
     fn describe_silent(&self, region: &RegionName, reports: &[&ZoneReport]) -> SilentRegion {
         let silent = reports.iter().flat_map(|zone| &zone.silent);
         let longest = silent.clone().filter_map(|instance| instance.silent_ms).max();
