--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -2,7 +2,8 @@
 //! the service for other instances.
 
 use crate::{
-    follow::{SettingsHolder, follow_settings},
+    follow::SettingsHolder,
+    follower::SettingsFollower,
     group::GroupHost,
     group_transport::GroupRegistry,
     http,
@@ -12,7 +13,8 @@
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
     replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
-    settings::{Revision, SettingsSnapshot},
+    settings::Revision,
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::RoutingTable,
 };
 use arc_swap::ArcSwap;
@@ -66,7 +68,8 @@
 pub(crate) struct PeerServer {
     /// None where only groups are served.
     pub(crate) membership: Option<ActorRef<MembershipMessage>>,
-    pub(crate) settings: Arc<SettingsHolder>,
+    /// None where only groups are served.
+    pub(crate) settings: Option<Arc<SettingsFollower>>,
     pub(crate) groups: Arc<GroupRegistry>,
 }
 
@@ -82,8 +85,19 @@
         }
     }
 
-    async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
-        self.settings.newer_than(revision)
+    async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
+        self.settings.map(|settings| settings.answer(request)).unwrap_or_default()
+    }
+
+    async fn settings_push(self, _: Context, push: PushRequest) -> Option<ZoneReport> {
+        Some(self.settings?.accept_push(push).await)
+    }
+
+    async fn settings_confirm(self, _: Context, revision: Revision) -> Vec<ZoneReport> {
+        match self.settings {
+            Some(settings) => settings.report_zones(revision).await,
+            None => Vec::new(),
+        }
     }
 
     async fn group_deliver(self, _: Context, group: GroupName, envelopes: Vec<ReplicaEnvelope>) {
@@ -120,6 +134,7 @@
     pub(crate) addresses: InstanceAddresses,
     pub(crate) operator: TcpListener,
     pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) follower: Arc<SettingsFollower>,
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) in_flight: Arc<AtomicU32>,
@@ -162,23 +177,27 @@
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
+                let follower = Arc::new(SettingsFollower::new(
+                    Arc::clone(&node),
+                    node.peer_advertise.unwrap_or(addresses.peer),
+                    Arc::clone(&settings),
+                    clients,
+                    Arc::clone(&table),
+                ));
                 let server = PeerServer {
                     membership: Some(membership.clone()),
-                    settings: Arc::clone(&settings),
+                    settings: Some(Arc::clone(&follower)),
                     groups: Arc::clone(groups.registry()),
                 };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
-                tasks.spawn(follow_settings(
-                    node,
-                    Arc::clone(&settings),
-                    clients,
-                    Arc::clone(&table),
-                ));
+                let follows = Arc::clone(&follower);
+                tasks.spawn(async move { follows.run().await });
                 Ok(Self {
                     addresses,
                     operator,
                     settings,
+                    follower,
                     table,
                     membership,
                     in_flight,
@@ -194,8 +213,7 @@
 /// Answers calls to the replicas in `groups`, without membership and settings, until its task is
 /// dropped.
 pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
-    let settings = Arc::new(SettingsHolder::default());
-    serve_peers(listener, PeerServer { membership: None, settings, groups }).await;
+    serve_peers(listener, PeerServer { membership: None, settings: None, groups }).await;
 }
 
 /// Answers calls of other instances on `listener` until its task is dropped.
