--- /dev/null
+++ b/cicadastall-daemons/tests/at_most_once.rs
@@ -0,0 +1,334 @@
+//! A booking runs at most once, whatever fails, and callers are told the truth about it.
+
+mod bookings;
+mod common;
+
+use bookings::{
+    BookingFleet, CLAIM_BOUND, ELSEWHERE, FIRST, Hold, OUTCOME_BOUND, SECOND, Told, measure,
+};
+use cicadastall::{
+    claim::{ClaimError, ClaimOutcome},
+    ledger::{LedgerLimits, command::LedgerRefusal},
+};
+use serde_json::json;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const IN_PROGRESS: &str = "in_progress ran=unknown";
+const UNKNOWN: &str = "outcome_unknown ran=unknown";
+const CUT_OFF: &str = "home_unreachable ran=no";
+
+async fn fleet(name: &str) -> BookingFleet {
+    BookingFleet::start(name, LedgerLimits::default()).await
+}
+
+fn booked() -> Told {
+    Told::Result(json!({ "done": {} }))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed_before_its_claim() {
+    let mut fleet = fleet("killed-before-claim").await;
+    let session = fleet.session(FIRST).await;
+    fleet.ledger.hold(Hold::BeforeClaim);
+    let first = fleet.start_booking(FIRST, &session, "k");
+    fleet.ledger.wait_reached().await;
+    fleet.kill(FIRST);
+    assert_eq!(first.await.expect("a caller"), Told::Nothing);
+    fleet.ledger.discard();
+    assert_eq!(fleet.resend(SECOND, &session, "k").await, booked());
+    assert_eq!(fleet.executions("k"), 1);
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed_between_claim_and_dispatch() {
+    let mut fleet = fleet("killed-after-claim").await;
+    let session = fleet.session(FIRST).await;
+    fleet.ledger.hold(Hold::BeforeDispatch);
+    let first = fleet.start_booking(FIRST, &session, "k");
+    fleet.ledger.wait_reached().await;
+    fleet.kill(FIRST);
+    assert_eq!(first.await.expect("a caller"), Told::Nothing);
+    fleet.ledger.discard();
+    assert_eq!(fleet.resend(SECOND, &session, "k").await.code(), IN_PROGRESS);
+    assert_eq!(fleet.resend_until_settled(SECOND, &session, "k").await, booked());
+    assert_eq!(fleet.executions("k"), 1);
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed_between_the_mark_and_the_first_byte() {
+    let mut fleet = fleet("killed-after-mark").await;
+    let session = fleet.session(FIRST).await;
+    fleet.ledger.hold(Hold::AfterDispatch);
+    let first = fleet.start_booking(FIRST, &session, "k");
+    fleet.ledger.wait_reached().await;
+    fleet.kill(FIRST);
+    assert_eq!(first.await.expect("a caller"), Told::Nothing);
+    fleet.ledger.open();
+    assert_eq!(fleet.resend(SECOND, &session, "k").await.code(), IN_PROGRESS);
+    sleep(OUTCOME_BOUND).await;
+    for entry in [SECOND, ELSEWHERE] {
+        let told = fleet.resend_until_settled(entry, &session, "k").await;
+        assert_eq!(told.code(), UNKNOWN);
+    }
+    assert_eq!(fleet.executions("k"), 0);
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed_between_dispatch_and_answer() {
+    let mut fleet = fleet("killed-after-dispatch").await;
+    let session = fleet.session(FIRST).await;
+    let arguments = json!({ "order": "fault:silent" });
+    let (first, ()) = tokio::join!(fleet.book(FIRST, &session, "k", arguments), async {
+        while fleet.executions("k") == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        fleet.signal(FIRST, "KILL");
+    });
+    assert_eq!(first, Told::Nothing);
+    fleet.kill(FIRST);
+    let arguments = json!({ "order": "fault:silent" });
+    let second = fleet.book(SECOND, &session, "k", arguments.clone()).await;
+    assert_eq!(second.code(), IN_PROGRESS);
+    sleep(OUTCOME_BOUND).await;
+    assert_eq!(fleet.book(SECOND, &session, "k", arguments).await.code(), UNKNOWN);
+    assert_eq!(fleet.executions("k"), 1);
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed_after_the_result_was_recorded_or_answered() {
+    let mut fleet = fleet("killed-after-result").await;
+    let session = fleet.session(FIRST).await;
+    assert_eq!(fleet.book(FIRST, &session, "answered", json!({})).await, booked());
+    fleet.ledger.hold(Hold::AfterComplete);
+    let first = fleet.start_booking(FIRST, &session, "recorded");
+    fleet.ledger.wait_reached().await;
+    fleet.kill(FIRST);
+    assert_eq!(first.await.expect("a caller"), Told::Nothing);
+    fleet.ledger.open();
+    for key in ["answered", "recorded"] {
+        for entry in [SECOND, ELSEWHERE] {
+            let told = fleet.resend_until_settled(entry, &session, key).await;
+            assert_eq!(told, booked(), "{key}");
+        }
+        assert_eq!(fleet.executions(key), 1);
+    }
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_hangs_up_while_its_booking_runs() {
+    let fleet = fleet("hung-up").await;
+    let session = fleet.session(FIRST).await;
+    fleet.ledger.hold(Hold::AfterDispatch);
+    let first = fleet.start_booking(FIRST, &session, "k");
+    fleet.ledger.wait_reached().await;
+    first.abort();
+    sleep(Duration::from_millis(100)).await;
+    fleet.ledger.open();
+    assert_eq!(fleet.resend_until_settled(SECOND, &session, "k").await, booked());
+    assert_eq!(fleet.executions("k"), 1);
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_booking_sent_through_three_entries_at_the_same_moment() {
+    let fleet = fleet("three-entries").await;
+    let session = fleet.session(ELSEWHERE).await;
+    for round in 0..20 {
+        let key = format!("k{round}");
+        let (first, second, elsewhere) = tokio::join!(
+            fleet.book(FIRST, &session, &key, json!({})),
+            fleet.book(SECOND, &session, &key, json!({})),
+            fleet.book(ELSEWHERE, &session, &key, json!({})),
+        );
+        for told in [&first, &second, &elsewhere] {
+            assert!(*told == booked() || told.code() == IN_PROGRESS, "{told:?}");
+        }
+        assert!([first, second, elsewhere].contains(&booked()), "nobody got the result");
+        assert_eq!(fleet.resend(ELSEWHERE, &session, &key).await, booked());
+        assert_eq!(fleet.executions(&key), 1);
+    }
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_holder_of_a_claim_wakes_after_another_booked() {
+    let fleet = fleet("frozen-claim").await;
+    let session = fleet.session(FIRST).await;
+    fleet.ledger.hold(Hold::AfterClaim);
+    let first = fleet.start_booking(FIRST, &session, "k");
+    fleet.ledger.wait_reached().await;
+    fleet.signal(FIRST, "STOP");
+    fleet.ledger.open();
+    assert_eq!(fleet.resend(SECOND, &session, "k").await.code(), IN_PROGRESS);
+    sleep(CLAIM_BOUND).await;
+    assert_eq!(fleet.resend(SECOND, &session, "k").await, booked());
+    fleet.signal(FIRST, "CONT");
+    let woken = first.await.expect("a caller");
+    assert!(matches!(&woken, Told::Refusal { .. }), "{woken:?}");
+    assert_ne!(woken.code(), CUT_OFF);
+    assert_eq!(fleet.executions("k"), 1);
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_holder_of_a_mark_wakes_after_another_was_told_unknown() {
+    let fleet = fleet("frozen-mark").await;
+    let session = fleet.session(FIRST).await;
+    fleet.ledger.hold(Hold::AfterDispatch);
+    let first = fleet.start_booking(FIRST, &session, "k");
+    fleet.ledger.wait_reached().await;
+    fleet.signal(FIRST, "STOP");
+    fleet.ledger.open();
+    sleep(OUTCOME_BOUND).await;
+    assert_eq!(fleet.resend(SECOND, &session, "k").await.code(), UNKNOWN);
+    fleet.signal(FIRST, "CONT");
+    let woken = first.await.expect("a caller");
+    assert!(matches!(&woken, Told::Refusal { .. }), "{woken:?}");
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(fleet.executions("k"), 0, "dispatched after another was told unknown");
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn task_that_pauses_with_a_claim_may_not_dispatch_after_a_takeover() {
+    let fleet = fleet("paused-claim").await;
+    let session = fleet.session(FIRST).await;
+    let Ok(ClaimOutcome::Held(paused)) = fleet.claim(&session, "k", "paused").await else {
+        panic!("the first claim is granted");
+    };
+    sleep(CLAIM_BOUND).await;
+    assert_eq!(fleet.resend(SECOND, &session, "k").await, booked());
+    let marked = paused.mark_dispatched(&fleet.ledger_client(), Duration::from_secs(60)).await;
+    let error = marked.expect_err("a claim that was taken over is closed");
+    assert_eq!(error, ClaimError::Refused(LedgerRefusal::ClaimClosed));
+    assert_eq!(fleet.executions("k"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn mark_that_is_confirmed_after_the_deadline_is_given_back() {
+    let fleet = fleet("late-mark").await;
+    let session = fleet.session(FIRST).await;
+    let Ok(ClaimOutcome::Held(holder)) = fleet.claim(&session, "k", "late").await else {
+        panic!("the first claim is granted");
+    };
+    fleet.ledger.hold(Hold::AfterDispatch);
+    let client = fleet.ledger_client();
+    let (marked, ()) =
+        tokio::join!(holder.mark_dispatched(&client, Duration::from_millis(300)), async {
+            sleep(Duration::from_millis(500)).await;
+            fleet.ledger.open();
+        });
+    assert!(marked.is_err(), "dispatched after its deadline");
+    assert_eq!(fleet.resend(SECOND, &session, "k").await, booked());
+    assert_eq!(fleet.executions("k"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ledger_isolated_in_silence_then_lost_then_founded_again() {
+    let mut fleet = fleet("ledger-lost").await;
+    let session = fleet.session(FIRST).await;
+    assert_eq!(fleet.book(FIRST, &session, "before", json!({})).await, booked());
+    fleet.ledger.hold(Hold::BeforeClaim);
+    for entry in [FIRST, SECOND, ELSEWHERE] {
+        let (told, elapsed) = measure(fleet.book(entry, &session, "silent", json!({}))).await;
+        assert_eq!(told.code(), CUT_OFF);
+        assert!(matches!(told, Told::Refusal { retry_after: true, .. }));
+        assert!(elapsed < Duration::from_millis(1_400), "refused after {elapsed:?}");
+    }
+    assert_eq!(fleet.executions("silent"), 0);
+
+    fleet.stop_control().await;
+    let (told, elapsed) = measure(fleet.book(FIRST, &session, "lost", json!({}))).await;
+    assert_eq!(told.code(), CUT_OFF);
+    assert!(elapsed < Duration::from_millis(1_400), "refused after {elapsed:?}");
+
+    fleet.restart_control().await;
+    for key in ["before", "silent", "lost", "new"] {
+        let told = fleet.resend(SECOND, &session, key).await;
+        assert_eq!(told.code(), UNKNOWN, "{key}");
+    }
+    assert_eq!(fleet.executions("before"), 1);
+    let session = fleet.session(ELSEWHERE).await;
+    assert_eq!(fleet.book(ELSEWHERE, &session, "after", json!({})).await, booked());
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn region_cut_off_from_the_home_refuses_at_once_and_the_home_still_books() {
+    let mut fleet = fleet("cut-off").await;
+    let session = fleet.session(FIRST).await;
+    fleet.signal(ELSEWHERE, "STOP");
+    assert_eq!(fleet.book(FIRST, &session, "at-home", json!({})).await, booked());
+    fleet.signal(ELSEWHERE, "CONT");
+    fleet.kill(FIRST);
+    fleet.kill(SECOND);
+    let (told, elapsed) = measure(fleet.book(ELSEWHERE, &session, "cut-off", json!({}))).await;
+    assert_eq!(told.code(), CUT_OFF);
+    assert!(matches!(told, Told::Refusal { retry_after: true, .. }));
+    assert!(elapsed < Duration::from_millis(1_400), "refused after {elapsed:?}");
+    let told = fleet.resend(ELSEWHERE, &session, "at-home").await;
+    assert_eq!(told.code(), "home_unreachable ran=unknown");
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn service_that_books_and_answers_wrongly_or_not_at_all() {
+    let fleet = fleet("wrong-answers").await;
+    let session = fleet.session(FIRST).await;
+    for fault in ["silent", "late", "crossed", "truncated", "repeated"] {
+        let arguments = json!({ "order": format!("fault:{fault}") });
+        let told = fleet.book(FIRST, &session, fault, arguments.clone()).await;
+        assert_eq!(told.code(), "upstream_failed ran=unknown", "{fault}");
+        assert_eq!(fleet.executions(fault), 1);
+    }
+    sleep(OUTCOME_BOUND).await;
+    for fault in ["silent", "late", "crossed", "truncated", "repeated"] {
+        let arguments = json!({ "order": format!("fault:{fault}") });
+        let told = fleet.book(ELSEWHERE, &session, fault, arguments).await;
+        assert_eq!(told.code(), UNKNOWN, "{fault}");
+        assert_eq!(fleet.executions(fault), 1);
+    }
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_the_ledger_refuses() {
+    let limits = LedgerLimits { replies: 5, ..LedgerLimits::default() };
+    let fleet = BookingFleet::start("refused", limits).await;
+    let session = fleet.session(FIRST).await;
+    assert_eq!(fleet.book(FIRST, &session, "a", json!({})).await, booked());
+    let other = fleet.book(SECOND, &session, "a", json!({ "trucks": 3 })).await;
+    assert_eq!(other.code(), "key_reused ran=unknown");
+    assert_eq!(fleet.book(FIRST, &session, "b", json!({})).await, booked());
+    let full = fleet.book(ELSEWHERE, &session, "c", json!({})).await;
+    assert_eq!(full.code(), "ledger_full ran=no");
+    assert!(matches!(full, Told::Refusal { retry_after: true, .. }));
+    assert_eq!(fleet.resend(ELSEWHERE, &session, "a").await, booked());
+    let absent = fleet.book(FIRST, "none", "d", json!({})).await;
+    assert_eq!(absent.code(), "session_required ran=no");
+    assert_eq!(fleet.executions("c"), 0);
+    assert_eq!(fleet.executions("a"), 1);
+    fleet.audit();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn expired_session() {
+    let limits = LedgerLimits { session_ms: 1_000, ..LedgerLimits::default() };
+    let fleet = BookingFleet::start("expired", limits).await;
+    let session = fleet.session(FIRST).await;
+    assert_eq!(fleet.book(FIRST, &session, "a", json!({})).await, booked());
+    sleep(Duration::from_millis(1_100)).await;
+    for key in ["a", "new"] {
+        let told = fleet.resend(ELSEWHERE, &session, key).await;
+        assert_eq!(told.code(), "session_expired ran=unknown");
+    }
+    assert_eq!(fleet.executions("a"), 1);
+    assert_eq!(fleet.executions("new"), 0);
+    fleet.audit();
+}
--- /dev/null
+++ b/cicadastall-daemons/tests/bookings/mod.rs
@@ -0,0 +1,436 @@
+//! A small fleet that books: entries as processes, and a ledger that tests hold up at a stage.
+
+use crate::common::{ENTRY, Process, TestFolder, node};
+use bytes::Bytes;
+use cicadastall::{
+    answer::{Ran, Refusal},
+    claim::{ClaimError, ClaimHolder, ClaimOutcome, LedgerClient, PlannedKey},
+    control::ControlServer,
+    decode::{RequestPath, decode_request},
+    http::client,
+    instance::ControlThread,
+    ledger::{
+        LedgerLimits, LedgerState,
+        command::{LedgerChange, LedgerReply},
+    },
+    ledger_host::{LedgerHost, LedgerService},
+    node::NodeSettings,
+    peer::PeerClients,
+    replicated::{GroupError, LocalGroup},
+    wire::{
+        CallAnswer, CallRequest, ErrorBody, KEY_HEADER, KIND_HEADER, RESENT_HEADER, SESSION_HEADER,
+        SessionReply, WORKSPACE_HEADER,
+    },
+};
+use cicadastall_standins::{announce::StandinPlace, service::ServiceStandin};
+use futures::{FutureExt, future::BoxFuture};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode, header::RETRY_AFTER};
+use serde_json::{Value, json};
+use std::{
+    net::SocketAddr,
+    process::Command,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+/// Deadline of a booking.
+pub const DEADLINE: Duration = Duration::from_millis(1_500);
+
+/// Time after which the outcome of a lost booking is unknown.
+pub const OUTCOME_BOUND: Duration = Duration::from_millis(3_600);
+
+/// Time after which a claim without a mark may be taken over.
+pub const CLAIM_BOUND: Duration = Duration::from_millis(3_100);
+
+/// Where the ledger holds a change up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hold {
+    Nowhere,
+    BeforeClaim,
+    AfterClaim,
+    BeforeDispatch,
+    AfterDispatch,
+    AfterComplete,
+    /// Nowhere, and what is held up never arrives.
+    Discard,
+}
+
+/// A ledger whose changes can be held up.
+#[derive(Debug)]
+pub struct HeldLedger {
+    host: LedgerHost<LocalGroup<LedgerState>>,
+    hold: watch::Sender<Hold>,
+    reached: watch::Sender<bool>,
+}
+
+impl HeldLedger {
+    fn new(limits: LedgerLimits) -> Self {
+        let state = LedgerState::new("viti-west".into(), limits);
+        Self {
+            host: LedgerHost::new(LocalGroup::new(state)),
+            hold: watch::Sender::new(Hold::Nowhere),
+            reached: watch::Sender::new(false),
+        }
+    }
+
+    /// Holds the next changes up at `hold`.
+    pub fn hold(&self, hold: Hold) {
+        self.reached.send_replace(false);
+        self.hold.send_replace(hold);
+    }
+
+    /// Waits until a change is held up.
+    pub async fn wait_reached(&self) {
+        let mut reached = self.reached.subscribe();
+        let waited = timeout(Duration::from_secs(5), reached.wait_for(|reached| *reached)).await;
+        waited.expect("a change is held up within 5 s").expect("the ledger lives");
+    }
+
+    /// Lets the changes go on.
+    pub fn open(&self) {
+        self.hold.send_replace(Hold::Nowhere);
+    }
+
+    /// Loses the changes that are held up.
+    pub fn discard(&self) {
+        self.hold.send_replace(Hold::Discard);
+    }
+
+    async fn pass(&self, stage: Hold, matches: bool) -> Result<(), GroupError> {
+        let mut hold = self.hold.subscribe();
+        if !matches || *hold.borrow() != stage {
+            return Ok(());
+        }
+        self.reached.send_replace(true);
+        match hold.wait_for(|hold| *hold != stage).await.as_deref() {
+            Ok(Hold::Discard) => Err(GroupError::Stopped),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl LedgerService for HeldLedger {
+    fn change(&self, change: LedgerChange) -> BoxFuture<'_, Result<LedgerReply, GroupError>> {
+        async move {
+            let claim = matches!(change, LedgerChange::Claim(_));
+            let dispatch = matches!(change, LedgerChange::Dispatch { .. });
+            let complete = matches!(change, LedgerChange::Complete { .. });
+            self.pass(Hold::BeforeClaim, claim).await?;
+            self.pass(Hold::BeforeDispatch, dispatch).await?;
+            let reply = self.host.change(change).await?;
+            self.pass(Hold::AfterClaim, claim).await?;
+            self.pass(Hold::AfterDispatch, dispatch).await?;
+            self.pass(Hold::AfterComplete, complete).await?;
+            Ok(reply)
+        }
+        .boxed()
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Told {
+    Result(Value),
+    Refusal { refusal: Refusal, retry_after: bool },
+    Nothing,
+}
+
+impl Told {
+    /// The code and what is known of the execution, as the caller reads them.
+    pub fn code(&self) -> String {
+        match self {
+            Self::Result(_) => "result".into(),
+            Self::Refusal { refusal, .. } => {
+                let code = serde_json::to_value(refusal.code).expect("a code");
+                let ran = serde_json::to_value(refusal.ran).expect("a word");
+                format!("{} ran={}", code.as_str().unwrap(), ran.as_str().unwrap())
+            }
+            Self::Nothing => "nothing".into(),
+        }
+    }
+}
+
+/// Two entries at home, one in another region, and the service that books.
+pub struct BookingFleet {
+    pub ledger: Arc<HeldLedger>,
+    pub entries: Vec<Process>,
+    pub service: Arc<ServiceStandin>,
+    control: Option<ControlServer>,
+    control_node: NodeSettings,
+    thread: ControlThread,
+    _folder: TestFolder,
+}
+
+/// Names of the entries: two at home, one elsewhere.
+pub const FIRST: usize = 0;
+pub const SECOND: usize = 1;
+pub const ELSEWHERE: usize = 2;
+
+fn fleet_settings() -> Value {
+    json!({
+        "regions": {
+            "viti-west": { "zones": ["viti-west-a"] },
+            "vanua-north": { "zones": ["vanua-north-a"] },
+        },
+        "teams": { "grazing": {
+            "owner": "herd office",
+            "pools": { "bookings": { "serves": "plain_service" } },
+            "kinds": { "muster-booking": {
+                "pool": "bookings", "rank": "urgent", "first_token_ms": 300,
+                "deadline_ms": DEADLINE.as_millis() as u64,
+                "answered_in": "home", "repeatable": false,
+            } },
+            "workspaces": {
+                "ba-delta": { "home": "viti-west", "resides_in": ["viti-west"] },
+                "macuata": { "home": "vanua-north", "resides_in": ["vanua-north"] },
+            },
+        } },
+    })
+}
+
+impl BookingFleet {
+    pub async fn start(name: &str, limits: LedgerLimits) -> Self {
+        let folder = TestFolder::new(name);
+        let thread = ControlThread::start("test-control").expect("a thread");
+        let mut settings = node("viti-west-control", "viti-west");
+        settings["founding_settings"] = json!(folder.write("fleet.json", &fleet_settings()));
+        let mut control_node: NodeSettings = serde_json::from_value(settings).expect("settings");
+        let ledger = Arc::new(HeldLedger::new(limits));
+        let service = Arc::clone(&ledger) as Arc<dyn LedgerService>;
+        let control = ControlServer::start_with(control_node.clone(), service, thread.handle())
+            .await
+            .expect("a control instance");
+        control_node.peer_listen = control.addresses().peer;
+        let peer = control.addresses().peer;
+        let mut entries = Vec::new();
+        for (name, region) in
+            [("viti-west-1", "viti-west"), ("viti-west-2", "viti-west"), ("vanua-1", "vanua-north")]
+        {
+            let mut settings = node(name, region);
+            settings["control"] = json!([peer]);
+            settings["seeds"] = json!([peer]);
+            let path = folder.write(&format!("{name}.json"), &settings);
+            entries.push(Process::start(ENTRY, &["--settings".into(), path.display().to_string()]));
+        }
+        let place = StandinPlace {
+            name: "viti-west-b1".into(),
+            region: "viti-west".into(),
+            zone: "viti-west-a".into(),
+            pool: "bookings".into(),
+            entries: vec![entries[FIRST].address("caller"), entries[SECOND].address("caller")],
+        };
+        let listen = "127.0.0.1:0".parse().expect("an address");
+        let service = ServiceStandin::start(place, listen, Duration::from_millis(20)).await;
+        let fleet = Self {
+            ledger,
+            entries,
+            service: Arc::new(service.expect("a service")),
+            control: Some(control),
+            control_node,
+            thread,
+            _folder: folder,
+        };
+        for entry in [FIRST, SECOND, ELSEWHERE] {
+            fleet.book_until_served(entry).await;
+        }
+        fleet
+    }
+
+    async fn book_until_served(&self, entry: usize) {
+        let key = format!("warm-{entry}");
+        for _ in 0..200 {
+            if let Some(session) = self.try_session(entry).await
+                && let Told::Result(_) = self.book(entry, &session, &key, json!({})).await
+            {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("entry {entry} booked nothing within 10 s");
+    }
+
+    pub fn address(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].address("caller")
+    }
+
+    pub async fn session(&self, entry: usize) -> String {
+        self.try_session(entry).await.expect("a session")
+    }
+
+    async fn try_session(&self, entry: usize) -> Option<String> {
+        let request = Request::post(format!("http://{}/v1/sessions", self.address(entry)))
+            .header(WORKSPACE_HEADER, "ba-delta")
+            .body(Full::new(Bytes::new()))
+            .expect("a request");
+        let answer = client(0).request(request).await.ok()?;
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice::<SessionReply>(&body).ok().map(|reply| reply.session)
+    }
+
+    /// Sends a booking for the first time.
+    pub async fn book(&self, entry: usize, session: &str, key: &str, arguments: Value) -> Told {
+        let address = self.address(entry);
+        send_booking(address, &self.service, session, key, arguments, false).await
+    }
+
+    /// Sends a booking again.
+    pub async fn resend(&self, entry: usize, session: &str, key: &str) -> Told {
+        let address = self.address(entry);
+        send_booking(address, &self.service, session, key, json!({}), true).await
+    }
+
+    /// Sends a booking again, as told by `Retry-After`, until it is settled.
+    pub async fn resend_until_settled(&self, entry: usize, session: &str, key: &str) -> Told {
+        for _ in 0..75 {
+            let told = self.resend(entry, session, key).await;
+            let settled = match &told {
+                Told::Refusal { retry_after, .. } => !retry_after,
+                _ => true,
+            };
+            if settled {
+                return told;
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+        panic!("{key} was not settled within 15 s");
+    }
+
+    /// Sends a booking while the test goes on.
+    pub fn start_booking(
+        &self,
+        entry: usize,
+        session: &str,
+        key: &str,
+    ) -> tokio::task::JoinHandle<Told> {
+        let (address, service) = (self.address(entry), Arc::clone(&self.service));
+        let (session, key) = (session.to_owned(), key.to_owned());
+        tokio::spawn(async move {
+            send_booking(address, &service, &session, &key, json!({}), false).await
+        })
+    }
+
+    /// A task of an entry that claims `key` for `holder`, without the rest of the entry.
+    pub async fn claim(
+        &self,
+        session: &str,
+        key: &str,
+        holder: &str,
+    ) -> Result<ClaimOutcome, ClaimError> {
+        let request = Request::post("/v1/calls")
+            .header(WORKSPACE_HEADER, "ba-delta")
+            .header(KIND_HEADER, "muster-booking")
+            .header(SESSION_HEADER, session)
+            .header(KEY_HEADER, key)
+            .body(())
+            .expect("a request");
+        let tree = serde_json::from_value(fleet_settings()).expect("settings");
+        let body = br#"{"arguments":{}}"#;
+        let plan =
+            decode_request(RequestPath::Call, request.headers(), body, &tree, "request".into())
+                .expect("a plan");
+        let call = CallRequest { arguments: json!({}) };
+        let planned = PlannedKey::read(&plan, &call).expect("a key");
+        ClaimHolder::claim(&self.ledger_client(), &planned, &plan, holder.into()).await
+    }
+
+    /// A client of the ledger's host.
+    pub fn ledger_client(&self) -> LedgerClient {
+        LedgerClient::new(vec![self.control_node.peer_listen], PeerClients::new(None))
+    }
+
+    pub fn executions(&self, key: &str) -> u32 {
+        executions(&self.service, key)
+    }
+
+    pub fn kill(&mut self, entry: usize) {
+        self.entries[entry].child.kill().expect("kill an entry");
+        self.entries[entry].child.wait().expect("the entry ends");
+    }
+
+    pub fn signal(&self, entry: usize, signal: &str) {
+        let process = self.entries[entry].child.id().to_string();
+        let status = Command::new("kill").args(["-s", signal, &process]).status();
+        assert!(status.expect("send a signal").success());
+    }
+
+    /// Stops the control instance with everything that it keeps.
+    pub async fn stop_control(&mut self) {
+        self.control.take().expect("a control instance").stop().await;
+    }
+
+    /// Starts the control instance again, with nothing of its former state.
+    pub async fn restart_control(&mut self) {
+        self.ledger = Arc::new(HeldLedger::new(LedgerLimits::default()));
+        for _ in 0..100 {
+            let service = Arc::clone(&self.ledger) as Arc<dyn LedgerService>;
+            let node = self.control_node.clone();
+            match ControlServer::start_with(node, service, self.thread.handle()).await {
+                Ok(control) => return self.control = Some(control),
+                Err(_) => sleep(Duration::from_millis(20)).await,
+            }
+        }
+        panic!("the control instance did not start again within 2 s");
+    }
+
+    /// Checks that no key ran twice.
+    pub fn audit(&self) {
+        for (key, count) in self.service.executions() {
+            assert!(count <= 1, "{key} ran {count} times");
+        }
+    }
+}
+
+fn executions(service: &ServiceStandin, key: &str) -> u32 {
+    service.executions().get(key).copied().unwrap_or(0)
+}
+
+/// Sends a booking; checks that whoever is told that it did not run is told the truth.
+async fn send_booking(
+    address: SocketAddr,
+    service: &ServiceStandin,
+    session: &str,
+    key: &str,
+    arguments: Value,
+    resent: bool,
+) -> Told {
+    let body = serde_json::to_vec(&CallRequest { arguments }).expect("encode");
+    let mut request = Request::post(format!("http://{address}/v1/calls"))
+        .header(WORKSPACE_HEADER, "ba-delta")
+        .header(KIND_HEADER, "muster-booking")
+        .header(SESSION_HEADER, session)
+        .header(KEY_HEADER, key);
+    if resent {
+        request = request.header(RESENT_HEADER, "true");
+    }
+    let request = request.body(Full::new(Bytes::from(body))).expect("a request");
+    let Ok(answer) = client(0).request(request).await else {
+        return Told::Nothing;
+    };
+    let success = answer.status() == StatusCode::OK;
+    let retry_after = answer.headers().contains_key(RETRY_AFTER);
+    let Ok(body) = answer.into_body().collect().await else {
+        return Told::Nothing;
+    };
+    let body = body.to_bytes();
+    if success {
+        let answer: CallAnswer = serde_json::from_slice(&body).expect("a result");
+        return Told::Result(answer.result);
+    }
+    let refusal = serde_json::from_slice::<ErrorBody>(&body).expect("a refusal").error;
+    if refusal.ran == Ran::No {
+        assert_eq!(executions(service, key), 0, "told that {key} did not run: {refusal}");
+    }
+    Told::Refusal { refusal, retry_after }
+}
+
+/// Time that `work` takes.
+pub async fn measure<T>(work: impl Future<Output = T>) -> (T, Duration) {
+    let started = Instant::now();
+    let result = work.await;
+    (result, started.elapsed())
+}
--- a/cicadastall-daemons/tests/common/mod.rs
+++ b/cicadastall-daemons/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Processes of a small fleet on loopback, started and stopped by tests.
 
+#![allow(dead_code)] // each test file uses a part of this module
+
 use serde_json::{Value, json};
 use std::{
     io::{BufRead, BufReader},
--- a/cicadastall-standins/src/engine.rs
+++ b/cicadastall-standins/src/engine.rs
@@ -1,11 +1,15 @@
 //! A stand-in model engine: streams numbered tokens at a fixed pace over HTTP.
 
-use crate::announce::{StandinPlace, announce, make_record};
+use crate::{
+    announce::{StandinPlace, announce, make_record},
+    fault::StandinFault,
+    service::CRASH_STATUS,
+};
 use bytes::Bytes;
 use cicadastall::{
     dispatch::CHAT_PATH,
     http::{AnswerBody, ListenerLimits, bind, event_answer, read_body, serve, text_answer},
-    name::ModelName,
+    name::{ModelName, UpstreamName},
     stream::encode_event,
     table::{LoadReport, UpstreamRates},
     wire::{ATTEMPT_HEADER, ChatChoice, ChatChunk, ChatDelta, ChatRequest, END_MARKER},
@@ -53,10 +57,27 @@
     }
 }
 
+/// Counters of one engine.
+#[derive(Debug, Default)]
+struct EngineCounters {
+    running: AtomicU32,
+    finished: AtomicU32,
+    cancelled: AtomicU32,
+}
+
+/// What the requests of one engine share.
+#[derive(Debug)]
+struct EngineState {
+    name: UpstreamName,
+    pace: EnginePace,
+    counters: EngineCounters,
+}
+
 /// A running stand-in engine; it stops when dropped.
 #[derive(Debug)]
 pub struct EngineStandin {
     address: SocketAddr,
+    state: Arc<EngineState>,
     _stop: watch::Sender<bool>,
     _tasks: JoinSet<()>,
 }
@@ -71,7 +92,6 @@
     ) -> io::Result<Self> {
         let listener = bind(listen).await?;
         let address = listener.local_addr()?;
-        let running = Arc::new(AtomicU32::new(0));
         let rates = UpstreamRates {
             prefill_tokens_per_s: 8_000.0,
             decode_tokens_per_s: 1.0 / pace.token.as_secs_f64().max(0.001),
@@ -81,27 +101,36 @@
         let record = make_record(&place, address, Some(model), rates);
         let (stop, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
-        let counter = Arc::clone(&running);
-        let handler = move |_, request| answer(pace.clone(), Arc::clone(&counter), request);
+        let name = place.name.clone();
+        let state = Arc::new(EngineState { name, pace, counters: EngineCounters::default() });
+        let shared = Arc::clone(&state);
+        let handler = move |_, request| answer(Arc::clone(&shared), request);
         tasks.spawn(serve(listener, ListenerLimits::default(), stopped, handler));
+        let shared = Arc::clone(&state);
         tasks.spawn(announce(record, place.entries, move |record| {
-            record.load =
-                LoadReport { running: running.load(Ordering::Relaxed), ..LoadReport::default() };
+            let running = shared.counters.running.load(Ordering::Relaxed);
+            record.load = LoadReport { running, ..LoadReport::default() };
         }));
-        Ok(Self { address, _stop: stop, _tasks: tasks })
+        Ok(Self { address, state, _stop: stop, _tasks: tasks })
     }
 
     /// Address of the engine's HTTP interface.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Answers that were sent to their end.
+    pub fn finished(&self) -> u32 {
+        self.state.counters.finished.load(Ordering::Relaxed)
+    }
+
+    /// Answers whose receiver went away before their end.
+    pub fn cancelled(&self) -> u32 {
+        self.state.counters.cancelled.load(Ordering::Relaxed)
+    }
 }
 
-async fn answer(
-    pace: EnginePace,
-    running: Arc<AtomicU32>,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+async fn answer(state: Arc<EngineState>, request: Request<Incoming>) -> Response<AnswerBody> {
     if request.method() != Method::POST || request.uri().path() != CHAT_PATH {
         return text_answer(StatusCode::NOT_FOUND, "no such path\n");
     }
@@ -115,34 +144,93 @@
     let Ok(chat) = serde_json::from_slice::<ChatRequest>(&body) else {
         return text_answer(StatusCode::BAD_REQUEST, "not a chat request\n");
     };
+    let text = chat.messages.last().map_or("", |message| &message.content);
+    let fault = StandinFault::scan(text, &state.name);
     let (sender, events) = mpsc::channel(1);
+    let generator = TokenGenerator { attempt, fault, sender };
     tokio::spawn(async move {
+        let EngineCounters { running, finished, cancelled } = &state.counters;
         running.fetch_add(1, Ordering::Relaxed);
-        generate(pace, attempt, chat, sender).await;
+        let ended = match generator.generate(&state.pace, &chat).await {
+            Ok(()) => finished,
+            Err(ReceiverGone) => cancelled,
+        };
+        ended.fetch_add(1, Ordering::Relaxed);
         running.fetch_sub(1, Ordering::Relaxed);
     });
     event_answer(events)
 }
 
-async fn generate(
-    pace: EnginePace,
+/// The receiver of an answer closed its connection.
+#[derive(Debug)]
+struct ReceiverGone;
+
+/// Sends the tokens of one answer, with the faults that were ordered.
+#[derive(Debug)]
+struct TokenGenerator {
     attempt: String,
-    chat: ChatRequest,
+    fault: Option<StandinFault>,
     sender: mpsc::Sender<Bytes>,
-) {
-    let total = pace.answer_tokens.min(chat.max_tokens).max(1);
-    sleep(pace.first_token).await;
-    for offset in chat.resume_from..total {
-        let choice = ChatChoice {
-            delta: ChatDelta { content: format!("t{offset} ") },
-            finish_reason: (offset + 1 == total).then(|| "stop".to_owned()),
-        };
-        let chunk = ChatChunk { id: attempt.clone(), offset, choices: vec![choice] };
-        let event = encode_event(&serde_json::to_vec(&chunk).unwrap_or_default());
-        if sender.send(event).await.is_err() {
-            return;
+}
+
+impl TokenGenerator {
+    async fn generate(&self, pace: &EnginePace, chat: &ChatRequest) -> Result<(), ReceiverGone> {
+        let total = pace.answer_tokens.min(chat.max_tokens).max(1);
+        sleep(pace.first_token).await;
+        if self.fault == Some(StandinFault::Crash) {
+            std::process::exit(CRASH_STATUS);
+        }
+        for offset in chat.resume_from..total {
+            if offset == total / 2 && !self.pass_middle().await? {
+                return Ok(());
+            }
+            self.send_token(offset, total).await?;
+            sleep(pace.token).await;
+        }
+        self.send(encode_event(END_MARKER.as_bytes())).await
+    }
+
+    /// Does what the fault orders in the middle of an answer; returns whether the answer goes on.
+    async fn pass_middle(&self) -> Result<bool, ReceiverGone> {
+        match self.fault {
+            Some(StandinFault::Silent) => {
+                self.sender.closed().await;
+                Err(ReceiverGone)
+            }
+            Some(StandinFault::Truncated) => Ok(false),
+            Some(StandinFault::EarlyEnd) => {
+                self.send(encode_event(END_MARKER.as_bytes())).await?;
+                Ok(false)
+            }
+            _ => Ok(true),
         }
-        sleep(pace.token).await;
     }
-    let _ = sender.send(encode_event(END_MARKER.as_bytes())).await;
+
+    async fn send_token(&self, offset: u32, total: u32) -> Result<(), ReceiverGone> {
+        let finish = (offset + 1 == total).then(|| "stop".to_owned());
+        let token = encode_token(&self.attempt, offset, format!("t{offset} "), finish.clone());
+        match self.fault {
+            Some(StandinFault::Late) => {
+                let earlier = format!("{}0", self.attempt);
+                self.send(encode_token(&earlier, offset, "wrong ".into(), finish)).await?;
+            }
+            Some(StandinFault::Crossed) => {
+                self.send(encode_token("another.1", offset, "wrong ".into(), finish)).await?;
+            }
+            Some(StandinFault::Repeated) => self.send(token.clone()).await?,
+            Some(StandinFault::Gap) if offset == total / 2 => return Ok(()),
+            _ => {}
+        }
+        self.send(token).await
+    }
+
+    async fn send(&self, event: Bytes) -> Result<(), ReceiverGone> {
+        self.sender.send(event).await.map_err(|_| ReceiverGone)
+    }
+}
+
+fn encode_token(id: &str, offset: u32, content: String, finish: Option<String>) -> Bytes {
+    let choice = ChatChoice { delta: ChatDelta { content }, finish_reason: finish };
+    let chunk = ChatChunk { id: id.to_owned(), offset, choices: vec![choice] };
+    encode_event(&serde_json::to_vec(&chunk).unwrap_or_default())
 }
--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod announce;
 pub mod engine;
+pub mod fault;
 pub mod service;
--- a/cicadastall-standins/src/service.rs
+++ b/cicadastall-standins/src/service.rs
@@ -1,10 +1,13 @@
 //! A stand-in plain service: answers calls and counts the executions of each key.
 
-use crate::announce::{StandinPlace, announce, make_record};
+use crate::{
+    announce::{StandinPlace, announce, make_record},
+    fault::StandinFault,
+};
 use cicadastall::{
     dispatch::CALL_PATH,
     http::{AnswerBody, ListenerLimits, bind, json_answer, read_body, serve, text_answer},
-    name::{AttemptId, IdempotencyKey},
+    name::{AttemptId, IdempotencyKey, UpstreamName},
     table::UpstreamRates,
     wire::{ATTEMPT_HEADER, CallAnswer, CallRequest, KEY_HEADER},
 };
@@ -25,9 +28,20 @@
 /// Most bytes of a request.
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
 
+/// Exit status of a stand-in that a request crashes.
+pub(crate) const CRASH_STATUS: i32 = 70;
+
 /// Longest time to receive a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What the calls of one service share.
+#[derive(Debug)]
+struct ServiceState {
+    name: UpstreamName,
+    duration: Duration,
+    executions: ExecutionCounts,
+}
+
 /// Executions of each key.
 type ExecutionCounts = Arc<Mutex<BTreeMap<IdempotencyKey, u32>>>;
 
@@ -57,10 +71,14 @@
         };
         let record = make_record(&place, address, None, rates);
         let executions = ExecutionCounts::default();
-        let counts = Arc::clone(&executions);
+        let state = Arc::new(ServiceState {
+            name: place.name.clone(),
+            duration,
+            executions: Arc::clone(&executions),
+        });
         let (stop, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
-        let handler = move |_, request| answer(duration, Arc::clone(&counts), request);
+        let handler = move |_, request| answer(Arc::clone(&state), request);
         tasks.spawn(serve(listener, ListenerLimits::default(), stopped, handler));
         tasks.spawn(announce(record, place.entries, |_| {}));
         Ok(Self { address, executions, _stop: stop, _tasks: tasks })
@@ -77,39 +95,57 @@
     }
 }
 
-async fn answer(
-    duration: Duration,
-    executions: ExecutionCounts,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+async fn answer(state: Arc<ServiceState>, request: Request<Incoming>) -> Response<AnswerBody> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, EXECUTIONS_PATH) => {
-            let counts = executions.lock().unwrap_or_else(PoisonError::into_inner);
+            let counts = state.executions.lock().unwrap_or_else(PoisonError::into_inner);
             json_answer(StatusCode::OK, &*counts)
         }
-        (&Method::POST, CALL_PATH) => run_call(duration, executions, request).await,
+        (&Method::POST, CALL_PATH) => run_call(&state, request).await,
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
-async fn run_call(
-    duration: Duration,
-    executions: ExecutionCounts,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+async fn run_call(state: &ServiceState, request: Request<Incoming>) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
     let body = read_body(body, BODY_LIMIT, BODY_TIMEOUT).await.unwrap_or_default();
     let Ok(call) = serde_json::from_slice::<CallRequest>(&body) else {
         return text_answer(StatusCode::BAD_REQUEST, "not a call\n");
     };
-    sleep(duration).await;
+    sleep(state.duration).await;
     if let Some(key) = scan_text(&head.headers, KEY_HEADER) {
-        let mut counts = executions.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts = state.executions.lock().unwrap_or_else(PoisonError::into_inner);
         *counts.entry(IdempotencyKey::from(key)).or_default() += 1;
     }
-    let attempt = AttemptId::from(scan_text(&head.headers, ATTEMPT_HEADER).unwrap_or_default());
-    let result = json!({ "done": call.arguments });
-    json_answer(StatusCode::OK, &CallAnswer { attempt, result })
+    let attempt = scan_text(&head.headers, ATTEMPT_HEADER).unwrap_or_default();
+    let fault = StandinFault::scan(&call.arguments.to_string().replace('"', " "), &state.name);
+    answer_call(attempt, call, fault).await
+}
+
+async fn answer_call(
+    attempt: &str,
+    call: CallRequest,
+    fault: Option<StandinFault>,
+) -> Response<AnswerBody> {
+    let mut answer =
+        CallAnswer { attempt: AttemptId::new(attempt), result: json!({ "done": call.arguments }) };
+    match fault {
+        None => {}
+        Some(StandinFault::Silent) => std::future::pending().await,
+        Some(StandinFault::Late) => answer.attempt = AttemptId::new(format!("{attempt}0")),
+        Some(StandinFault::Crossed) => answer.attempt = AttemptId::new("another.1"),
+        Some(StandinFault::Crash) => std::process::exit(CRASH_STATUS),
+        Some(StandinFault::Repeated) => {
+            let text = serde_json::to_string(&answer).unwrap_or_default();
+            return text_answer(StatusCode::OK, format!("{text}{text}"));
+        }
+        Some(_) => {
+            let mut text = serde_json::to_string(&answer).unwrap_or_default();
+            text.truncate(text.len() / 2);
+            return text_answer(StatusCode::OK, text);
+        }
+    }
+    json_answer(StatusCode::OK, &answer)
 }
 
 fn scan_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/cicadastall/src/answer.rs
+++ b/cicadastall/src/answer.rs
@@ -62,6 +62,8 @@
     InProgress,
     /// The request was dispatched and its outcome is not known.
     OutcomeUnknown,
+    /// The request was run, and its reply was acknowledged or was too large to keep.
+    ReplyDropped,
     /// An upstream failed and no further attempt is allowed.
     UpstreamFailed,
     /// The instance has no settings yet.
@@ -69,6 +71,11 @@
 }
 
 impl RefusalCode {
+    /// Whether the cause lies with one instance or zone, so that another may still answer.
+    pub fn is_local(self) -> bool {
+        matches!(self, Self::NoUpstream | Self::Draining | Self::NotReady | Self::Overloaded)
+    }
+
     /// The HTTP status that carries this code.
     pub fn status(self) -> StatusCode {
         match self {
@@ -82,7 +89,7 @@
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             Self::WrongRegion | Self::AlreadyForwarded => StatusCode::MISDIRECTED_REQUEST,
             Self::Quarantined | Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::SessionExpired => StatusCode::GONE,
+            Self::SessionExpired | Self::ReplyDropped => StatusCode::GONE,
             Self::InProgress => StatusCode::CONFLICT,
             Self::OutcomeUnknown | Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::NoUpstream
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -4,8 +4,11 @@
     follow::SettingsHolder,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
+    ledger::{LedgerLimits, LedgerState},
+    ledger_host::{LedgerHost, LedgerService},
     membership::MembershipMessage,
     node::NodeSettings,
+    replicated::LocalGroup,
     settings::{FleetSettings, Revision, SettingsSnapshot},
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
@@ -31,8 +34,19 @@
 impl ControlServer {
     /// Starts a control instance on `control`.
     pub async fn start(node: NodeSettings, control: &Handle) -> io::Result<Self> {
+        let ledger = LedgerState::new(node.region.clone(), LedgerLimits::default());
+        let ledger = LedgerHost::new(LocalGroup::new(ledger));
+        Self::start_with(node, Arc::new(ledger), control).await
+    }
+
+    /// Starts a control instance that hosts `ledger`.
+    pub async fn start_with(
+        node: NodeSettings,
+        ledger: Arc<dyn LedgerService>,
+        control: &Handle,
+    ) -> io::Result<Self> {
         let node = Arc::new(node);
-        let core = InstanceCore::start(&node, None, control).await?;
+        let core = InstanceCore::start(&node, None, Some(ledger), control).await?;
         if let Some(path) = &node.founding_settings {
             let text = std::fs::read(path)?;
             let tree: FleetSettings = serde_json::from_slice(&text).map_err(io::Error::other)?;
--- a/cicadastall/src/decode.rs
+++ b/cicadastall/src/decode.rs
@@ -9,7 +9,7 @@
     settings::{FleetSettings, PlanError, Rank},
     wire::{
         ACKNOWLEDGED_HEADER, CallRequest, ChatRequest, FORWARDED_HEADER, KEY_HEADER, KIND_HEADER,
-        REMAINING_HEADER, REQUEST_HEADER, SESSION_HEADER, WORKSPACE_HEADER,
+        REMAINING_HEADER, REQUEST_HEADER, RESENT_HEADER, SESSION_HEADER, WORKSPACE_HEADER,
     },
 };
 use hyper::HeaderMap;
@@ -74,6 +74,8 @@
     pub session: Option<String>,
     /// Idempotency key, for requests that may not be repeated.
     pub key: Option<IdempotencyKey>,
+    /// Whether the caller says that it sent the request before.
+    pub resent: bool,
     /// Keys of replies that the caller has received.
     pub acknowledged: SmallVec<[IdempotencyKey; 4]>,
     /// What is asked for.
@@ -112,6 +114,10 @@
         RequestBody::Call(_) => None,
     };
     let configured = Duration::from_millis(plan.kind.deadline_ms);
+    let mut regions = plan.regions;
+    if !plan.kind.repeatable {
+        regions.retain(|region| *region == plan.workspace.home);
+    }
     Ok(RequestPlan {
         request,
         team: plan.team.clone(),
@@ -126,10 +132,11 @@
         first_token: Duration::from_millis(plan.kind.first_token_ms),
         deadline: remaining.map_or(configured, |remaining| remaining.min(configured)),
         repeatable: plan.kind.repeatable,
-        regions: plan.regions,
+        regions,
         forwarded_from,
         session,
         key,
+        resent: headers.contains_key(RESENT_HEADER),
         acknowledged,
         body,
     })
@@ -145,7 +152,10 @@
     })
 }
 
-fn scan_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+pub(crate) fn scan_header<'a>(
+    headers: &'a HeaderMap,
+    name: &str,
+) -> Result<Option<&'a str>, Refusal> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
@@ -158,7 +168,7 @@
     }
 }
 
-fn require_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, Refusal> {
+pub(crate) fn require_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, Refusal> {
     scan_header(headers, name)?.ok_or_else(|| {
         Refusal::not_run(RefusalCode::BadRequest, format!("header {name} is missing"))
     })
--- a/cicadastall/src/dispatch.rs
+++ b/cicadastall/src/dispatch.rs
@@ -8,9 +8,9 @@
     settings::Rank,
     stream::EventScanner,
     wire::{
-        ATTEMPT_HEADER, CallAnswer, CallRequest, ChatRequest, ErrorBody, FORWARDED_HEADER,
-        KEY_HEADER, KIND_HEADER, REFUSED_HEADER, REMAINING_HEADER, REQUEST_HEADER,
-        WORKSPACE_HEADER,
+        ACKNOWLEDGED_HEADER, ATTEMPT_HEADER, CallAnswer, CallRequest, ChatRequest, ErrorBody,
+        FORWARDED_HEADER, KEY_HEADER, KIND_HEADER, REFUSED_HEADER, REMAINING_HEADER,
+        REQUEST_HEADER, RESENT_HEADER, SESSION_HEADER, WORKSPACE_HEADER,
     },
 };
 use bytes::Bytes;
@@ -19,6 +19,7 @@
     Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_TYPE, RETRY_AFTER},
+    http::request::Builder,
 };
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::timeout;
@@ -182,12 +183,27 @@
             .header(REQUEST_HEADER, attempt.as_str())
             .header(FORWARDED_HEADER, from.as_str())
             .header(REMAINING_HEADER, remaining.as_millis().to_string());
+        request = add_session(request, plan);
     }
     request
         .body(Full::new(Bytes::from(body)))
         .map_err(|error| AttemptError::Unreachable(format!("request not built: {error}")))
 }
 
+/// Adds what the ledger of the home region needs to know.
+fn add_session(mut request: Builder, plan: &RequestPlan) -> Builder {
+    if let Some(session) = &plan.session {
+        request = request.header(SESSION_HEADER, session);
+    }
+    if plan.resent {
+        request = request.header(RESENT_HEADER, "true");
+    }
+    for key in &plan.acknowledged {
+        request = request.header(ACKNOWLEDGED_HEADER, key.as_str());
+    }
+    request
+}
+
 async fn send(
     client: &HttpClient,
     request: Request<Full<Bytes>>,
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry instance: its shared state, its threads, and its start and stop.
 
 use crate::{
+    claim::LedgerClient,
     follow::SettingsHolder,
     http::{self, AnswerBody, HttpClient, ListenerLimits, json_answer, text_answer},
     instance::{CONTROL_TIMEOUT, InstanceAddresses, InstanceCore},
@@ -8,6 +9,7 @@
     name::RequestId,
     node::NodeSettings,
     observe::RequestMetrics,
+    peer::PeerClients,
     route::{RequestRouter, RouterPlace},
     serve::answer_request,
     table::{EntryState, RoutingTable},
@@ -42,6 +44,7 @@
     router: Mutex<RequestRouter>,
     metrics: RequestMetrics,
     membership: ActorRef<MembershipMessage>,
+    ledger: LedgerClient,
     in_flight: Arc<AtomicU32>,
     pooled: HttpClient,
     unpooled: HttpClient,
@@ -74,6 +77,11 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The ledger of this region.
+    pub(crate) fn ledger(&self) -> &LedgerClient {
+        &self.ledger
+    }
+
     pub(crate) fn metrics(&self) -> &RequestMetrics {
         &self.metrics
     }
@@ -135,7 +143,8 @@
     pub async fn start(node: NodeSettings, control: &Handle) -> io::Result<Self> {
         let node = Arc::new(node);
         let caller_listener = http::bind(node.caller_listen).await?;
-        let core = InstanceCore::start(&node, Some(caller_listener.local_addr()?), control).await?;
+        let address = caller_listener.local_addr()?;
+        let core = InstanceCore::start(&node, Some(address), None, control).await?;
         let place = RouterPlace { region: node.region.clone(), zone: node.zone.clone() };
         let context = Arc::new(EntryContext {
             settings: Arc::clone(&core.settings),
@@ -143,6 +152,7 @@
             router: Mutex::new(RequestRouter::new(place)),
             metrics: RequestMetrics::new(),
             membership: core.membership.clone(),
+            ledger: LedgerClient::new(node.control.clone(), PeerClients::new(node.source_ip())),
             in_flight: Arc::clone(&core.in_flight),
             pooled: http::client_from(node.source_ip(), IDLE_CONNECTIONS),
             unpooled: http::client_from(node.source_ip(), 0),
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -4,9 +4,12 @@
 use crate::{
     follow::{SettingsHolder, follow_settings},
     http,
+    ledger::command::{LedgerChange, LedgerReply},
+    ledger_host::LedgerService,
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
     node::NodeSettings,
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
+    replicated::GroupError,
     settings::{Revision, SettingsSnapshot},
     table::RoutingTable,
 };
@@ -61,6 +64,7 @@
 pub(crate) struct PeerServer {
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) ledger: Option<Arc<dyn LedgerService>>,
 }
 
 impl PeerApi for PeerServer {
@@ -78,6 +82,17 @@
     async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
         self.settings.newer_than(revision)
     }
+
+    async fn change_ledger(
+        self,
+        _: Context,
+        change: LedgerChange,
+    ) -> Result<LedgerReply, GroupError> {
+        match self.ledger {
+            Some(ledger) => ledger.change(change).await,
+            None => Err(GroupError::NotLeader { leader: None }),
+        }
+    }
 }
 
 /// Addresses on which an instance listens.
@@ -106,6 +121,7 @@
     pub(crate) async fn start(
         node: &Arc<NodeSettings>,
         caller: Option<SocketAddr>,
+        ledger: Option<Arc<dyn LedgerService>>,
         control: &Handle,
     ) -> io::Result<Self> {
         let settings = Arc::new(SettingsHolder::default());
@@ -136,8 +152,11 @@
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
-                let server =
-                    PeerServer { membership: membership.clone(), settings: Arc::clone(&settings) };
+                let server = PeerServer {
+                    membership: membership.clone(),
+                    settings: Arc::clone(&settings),
+                    ledger,
+                };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
                 tasks.spawn(follow_settings(
--- /dev/null
+++ b/cicadastall/src/ledger.rs
@@ -0,0 +1,424 @@
+//! The ledger of one region: which requests that may not be repeated were dispatched, and their
+//! replies.
+//!
+//! A key goes from claimed over dispatched to done. Only the holder of the claim may mark it as
+//! dispatched, and only the mark allows the first byte to an upstream. A claim that lapses before
+//! its mark may be taken over, since its holder's mark is then refused; a key that was marked is
+//! never claimed again.
+
+pub mod command;
+pub mod session;
+
+use crate::{
+    ledger::{
+        command::{
+            ClaimNumber, HeldKey, KeyClaim, LedgerChange, LedgerCommand, LedgerRefusal, LedgerReply,
+        },
+        session::{LedgerEpoch, SessionId, SessionKey},
+    },
+    name::{IdempotencyKey, RegionName, WorkspaceName},
+    replicated::ReplicatedState,
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// Bounds of one region's ledger.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LedgerLimits {
+    /// Most sessions.
+    pub sessions: usize,
+    /// Most keys, whatever their state.
+    pub keys: usize,
+    /// Most keys of one session.
+    pub session_keys: usize,
+    /// Most stored replies and claims that may lead to one.
+    pub replies: usize,
+    /// Most bytes of one stored reply; a longer one reaches its caller but not a resend.
+    pub reply_bytes: usize,
+    /// Lifetime of a session, in milliseconds.
+    pub session_ms: u64,
+}
+
+impl Default for LedgerLimits {
+    fn default() -> Self {
+        Self {
+            sessions: 100_000,
+            keys: 1_000_000,
+            session_keys: 10_000,
+            replies: 50_000,
+            reply_bytes: 16 * 1024,
+            session_ms: 3_600_000,
+        }
+    }
+}
+
+/// What is known of one key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum KeyStage {
+    Claimed { claim: ClaimNumber, holder: Arc<str>, until_ms: u64 },
+    Dispatched { claim: ClaimNumber, until_ms: u64 },
+    Done { claim: ClaimNumber, reply: Arc<str> },
+    Dropped,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct KeyRecord {
+    digest: u64,
+    stage: KeyStage,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct SessionRecord {
+    workspace: WorkspaceName,
+    keys: BTreeMap<IdempotencyKey, KeyRecord>,
+}
+
+impl SessionRecord {
+    /// Keys that hold a reply, or may come to hold one.
+    fn replies(&self) -> usize {
+        self.keys.values().filter(|record| record.stage != KeyStage::Dropped).count()
+    }
+}
+
+/// State of a region's ledger.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "LedgerImage", into = "LedgerImage")]
+pub struct LedgerState {
+    region: RegionName,
+    limits: LedgerLimits,
+    epoch: Option<LedgerEpoch>,
+    clock_ms: u64,
+    next_serial: u64,
+    sessions: BTreeMap<SessionKey, SessionRecord>,
+    keys: usize,
+    replies: usize,
+}
+
+/// A snapshot; JSON allows only text as the key of a map.
+#[derive(Serialize, Deserialize)]
+struct LedgerImage {
+    region: RegionName,
+    limits: LedgerLimits,
+    epoch: Option<LedgerEpoch>,
+    clock_ms: u64,
+    next_serial: u64,
+    sessions: Vec<(SessionKey, SessionRecord)>,
+}
+
+impl From<LedgerImage> for LedgerState {
+    fn from(image: LedgerImage) -> Self {
+        let sessions: BTreeMap<_, _> = image.sessions.into_iter().collect();
+        Self {
+            region: image.region,
+            limits: image.limits,
+            epoch: image.epoch,
+            clock_ms: image.clock_ms,
+            next_serial: image.next_serial,
+            keys: sessions.values().map(|session| session.keys.len()).sum(),
+            replies: sessions.values().map(SessionRecord::replies).sum(),
+            sessions,
+        }
+    }
+}
+
+impl From<LedgerState> for LedgerImage {
+    fn from(state: LedgerState) -> Self {
+        Self {
+            region: state.region,
+            limits: state.limits,
+            epoch: state.epoch,
+            clock_ms: state.clock_ms,
+            next_serial: state.next_serial,
+            sessions: state.sessions.into_iter().collect(),
+        }
+    }
+}
+
+/// Sizes of a ledger at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct LedgerSizes {
+    /// Sessions that have not expired.
+    pub sessions: usize,
+    /// Keys, whatever their state.
+    pub keys: usize,
+    /// Stored replies and claims that may lead to one.
+    pub replies: usize,
+    /// Bytes of the stored replies.
+    pub reply_bytes: usize,
+}
+
+/// Queries.
+impl LedgerState {
+    /// The epoch, or none before the first founding.
+    pub fn epoch(&self) -> Option<LedgerEpoch> {
+        self.epoch
+    }
+
+    /// Sizes of what is stored.
+    pub fn sizes(&self) -> LedgerSizes {
+        let stored = self.sessions.values().flat_map(|session| session.keys.values());
+        let reply_bytes = stored.map(|record| match &record.stage {
+            KeyStage::Done { reply, .. } => reply.len(),
+            _ => 0,
+        });
+        LedgerSizes {
+            sessions: self.sessions.len(),
+            keys: self.keys,
+            replies: self.replies,
+            reply_bytes: reply_bytes.sum(),
+        }
+    }
+}
+
+/// Changes.
+impl LedgerState {
+    /// An empty ledger without an epoch.
+    pub fn new(region: RegionName, limits: LedgerLimits) -> Self {
+        Self {
+            region,
+            limits,
+            epoch: None,
+            clock_ms: 0,
+            next_serial: 1,
+            sessions: BTreeMap::new(),
+            keys: 0,
+            replies: 0,
+        }
+    }
+
+    /// Founds the ledger again on what survived the loss of its majority.
+    ///
+    /// Claims and dispatches of the lost epoch may have gone further than what survived, so none
+    /// of its keys is ever run again.
+    pub fn refound(mut self, epoch: LedgerEpoch) -> Self {
+        self.epoch = Some(epoch);
+        for record in self.sessions.values_mut().flat_map(|session| session.keys.values_mut()) {
+            if let KeyStage::Claimed { claim, .. } = record.stage {
+                record.stage = KeyStage::Dispatched { claim, until_ms: 0 };
+            }
+        }
+        self
+    }
+
+    fn expire_sessions(&mut self, at_ms: u64) {
+        self.clock_ms = self.clock_ms.max(at_ms);
+        while let Some(first) = self.sessions.first_entry() {
+            if first.key().expires_ms > self.clock_ms {
+                return;
+            }
+            let session = first.remove();
+            self.keys -= session.keys.len();
+            self.replies -= session.replies();
+        }
+    }
+
+    fn found(&mut self, epoch: LedgerEpoch) -> LedgerReply {
+        self.epoch.get_or_insert(epoch);
+        LedgerReply::Accepted
+    }
+
+    fn open_session(&mut self, workspace: &WorkspaceName) -> Result<LedgerReply, LedgerRefusal> {
+        let epoch = self.epoch.ok_or(LedgerRefusal::NotFounded)?;
+        if self.sessions.len() >= self.limits.sessions {
+            return Err(LedgerRefusal::Full);
+        }
+        let expires_ms = self.clock_ms + self.limits.session_ms;
+        let key = SessionKey { expires_ms, epoch, serial: self.take_serial() };
+        let session = SessionRecord { workspace: workspace.clone(), keys: BTreeMap::new() };
+        self.sessions.insert(key, session);
+        Ok(LedgerReply::Session(SessionId { region: self.region.clone(), key }))
+    }
+
+    fn take_serial(&mut self) -> u64 {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        serial
+    }
+
+    fn claim(&mut self, claim: &KeyClaim) -> Result<LedgerReply, LedgerRefusal> {
+        let epoch = self.epoch.ok_or(LedgerRefusal::NotFounded)?;
+        let SessionId { region, key: session_key } = &claim.session;
+        if *region != self.region {
+            return Err(LedgerRefusal::ForeignSession);
+        }
+        if session_key.expires_ms <= self.clock_ms {
+            return Err(LedgerRefusal::SessionExpired);
+        }
+        let survived = session_key.epoch == epoch;
+        let Some(session) = self.sessions.get_mut(session_key) else {
+            return Err(LedgerRefusal::EpochLost);
+        };
+        if session.workspace != claim.workspace {
+            return Err(LedgerRefusal::ForeignSession);
+        }
+        self.replies -= drop_replies(session, &claim.acknowledged);
+        match session.keys.get(&claim.key) {
+            Some(record) => {
+                if let Some(reply) = judge_known(record, claim, self.clock_ms)? {
+                    return Ok(reply);
+                }
+            }
+            None if !survived => return Err(LedgerRefusal::EpochLost),
+            None => self.reserve_key(session_key)?,
+        }
+        Ok(self.grant(claim))
+    }
+
+    /// Counts a key that is new to the ledger, unless a bound is reached.
+    fn reserve_key(&mut self, session: &SessionKey) -> Result<(), LedgerRefusal> {
+        let of_session = self.sessions.get(session).map_or(0, |session| session.keys.len());
+        let full = self.keys >= self.limits.keys
+            || self.replies >= self.limits.replies
+            || of_session >= self.limits.session_keys;
+        if full {
+            return Err(LedgerRefusal::Full);
+        }
+        self.keys += 1;
+        self.replies += 1;
+        Ok(())
+    }
+
+    fn grant(&mut self, claim: &KeyClaim) -> LedgerReply {
+        let number = ClaimNumber(self.take_serial());
+        let until_ms = self.clock_ms + claim.lease_ms;
+        let holder = Arc::clone(&claim.holder);
+        let stage = KeyStage::Claimed { claim: number, holder, until_ms };
+        if let Some(session) = self.sessions.get_mut(&claim.session.key) {
+            let record = KeyRecord { digest: claim.digest, stage };
+            session.keys.insert(claim.key.clone(), record);
+        }
+        LedgerReply::Granted(number)
+    }
+
+    fn find_held(&mut self, held: &HeldKey) -> Result<&mut KeyRecord, LedgerRefusal> {
+        if held.session.region != self.region {
+            return Err(LedgerRefusal::ForeignSession);
+        }
+        let session = self.sessions.get_mut(&held.session.key);
+        session
+            .and_then(|session| session.keys.get_mut(&held.key))
+            .ok_or(LedgerRefusal::ClaimClosed)
+    }
+
+    fn dispatch(&mut self, held: &HeldKey, run_ms: u64) -> Result<LedgerReply, LedgerRefusal> {
+        let clock_ms = self.clock_ms;
+        let record = self.find_held(held)?;
+        match &record.stage {
+            KeyStage::Claimed { claim, until_ms, .. }
+                if *claim == held.claim && *until_ms > clock_ms =>
+            {
+                let until_ms = clock_ms + run_ms;
+                record.stage = KeyStage::Dispatched { claim: held.claim, until_ms };
+                Ok(LedgerReply::Accepted)
+            }
+            KeyStage::Dispatched { claim, until_ms }
+                if *claim == held.claim && *until_ms > clock_ms =>
+            {
+                Ok(LedgerReply::Accepted)
+            }
+            _ => Err(LedgerRefusal::ClaimClosed),
+        }
+    }
+
+    fn release(&mut self, held: &HeldKey) -> Result<LedgerReply, LedgerRefusal> {
+        match &self.find_held(held)?.stage {
+            KeyStage::Claimed { claim, .. } | KeyStage::Dispatched { claim, .. }
+                if *claim == held.claim => {}
+            _ => return Err(LedgerRefusal::ClaimClosed),
+        }
+        if let Some(session) = self.sessions.get_mut(&held.session.key) {
+            session.keys.remove(&held.key);
+            self.keys -= 1;
+            self.replies -= 1;
+        }
+        Ok(LedgerReply::Accepted)
+    }
+
+    fn complete(&mut self, held: &HeldKey, reply: &Arc<str>) -> Result<LedgerReply, LedgerRefusal> {
+        let fits = reply.len() <= self.limits.reply_bytes;
+        let record = self.find_held(held)?;
+        match &record.stage {
+            KeyStage::Dispatched { claim, .. } if *claim == held.claim => {}
+            KeyStage::Done { claim, .. } if *claim == held.claim => {
+                return Ok(LedgerReply::Accepted);
+            }
+            _ => return Err(LedgerRefusal::ClaimClosed),
+        }
+        if fits {
+            record.stage = KeyStage::Done { claim: held.claim, reply: Arc::clone(reply) };
+        } else {
+            record.stage = KeyStage::Dropped;
+            self.replies -= 1;
+        }
+        Ok(LedgerReply::Accepted)
+    }
+}
+
+/// Drops the stored replies of `acknowledged` and returns how many there were.
+///
+/// The keys stay until the session expires, so that a late copy of a request is not run.
+fn drop_replies(session: &mut SessionRecord, acknowledged: &[IdempotencyKey]) -> usize {
+    let mut dropped = 0;
+    for key in acknowledged {
+        let Some(record) = session.keys.get_mut(key) else { continue };
+        if matches!(record.stage, KeyStage::Done { .. }) {
+            record.stage = KeyStage::Dropped;
+            dropped += 1;
+        }
+    }
+    dropped
+}
+
+/// The reply to a claim of a known key, or none if the claim may be granted.
+fn judge_known(
+    record: &KeyRecord,
+    wanted: &KeyClaim,
+    clock_ms: u64,
+) -> Result<Option<LedgerReply>, LedgerRefusal> {
+    if record.digest != wanted.digest {
+        return Err(LedgerRefusal::KeyReused);
+    }
+    match &record.stage {
+        KeyStage::Claimed { claim, holder, until_ms } if *until_ms > clock_ms => {
+            if *holder == wanted.holder {
+                return Ok(Some(LedgerReply::Granted(*claim)));
+            }
+            Err(LedgerRefusal::InProgress { retry_ms: until_ms - clock_ms })
+        }
+        KeyStage::Claimed { .. } => Ok(None),
+        KeyStage::Dispatched { until_ms, .. } if *until_ms > clock_ms => {
+            Err(LedgerRefusal::InProgress { retry_ms: until_ms - clock_ms })
+        }
+        KeyStage::Dispatched { .. } => Err(LedgerRefusal::OutcomeUnknown),
+        KeyStage::Done { reply, .. } => Ok(Some(LedgerReply::Stored(Arc::clone(reply)))),
+        KeyStage::Dropped => Err(LedgerRefusal::ReplyDropped),
+    }
+}
+
+impl ReplicatedState for LedgerState {
+    type Command = LedgerCommand;
+    type Reply = LedgerReply;
+
+    fn apply(&mut self, command: &LedgerCommand) -> LedgerReply {
+        self.expire_sessions(command.at_ms);
+        let applied = match &command.change {
+            LedgerChange::Found { epoch } => Ok(self.found(*epoch)),
+            LedgerChange::OpenSession { workspace } => self.open_session(workspace),
+            LedgerChange::Claim(claim) => self.claim(claim),
+            LedgerChange::Dispatch { held, run_ms } => self.dispatch(held, *run_ms),
+            LedgerChange::Release { held } => self.release(held),
+            LedgerChange::Complete { held, reply } => self.complete(held, reply),
+        };
+        applied.unwrap_or_else(LedgerReply::Refused)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    fn restore(snapshot: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(snapshot)
+    }
+}
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -14,6 +14,8 @@
 //! ```
 
 pub mod answer;
+pub mod claim;
+pub mod clock;
 pub mod control;
 pub mod decode;
 pub mod dispatch;
@@ -21,6 +23,8 @@
 pub mod follow;
 pub mod http;
 pub mod instance;
+pub mod ledger;
+pub mod ledger_host;
 pub mod logs;
 pub mod members;
 pub mod membership;
@@ -32,6 +36,7 @@
 pub mod replicated;
 pub mod route;
 pub mod serve;
+pub mod sessions;
 pub mod settings;
 pub mod stream;
 pub mod table;
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,6 +1,8 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    ledger::command::{LedgerChange, LedgerReply},
+    replicated::GroupError,
     settings::{Revision, SettingsSnapshot},
     table::{EntryRecord, UpstreamRecord, ZoneDigest},
 };
@@ -46,6 +48,9 @@
 
     /// The newest settings, or none if they are not newer than `revision`.
     async fn settings_after(revision: Revision) -> Option<Arc<SettingsSnapshot>>;
+
+    /// Changes the region's ledger; answered by the instances that host it.
+    async fn change_ledger(change: LedgerChange) -> Result<LedgerReply, GroupError>;
 }
 
 /// Why a call to another instance has no reply.
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -1,5 +1,7 @@
 //! Serves one request: attempts in turn until the answer is whole or no further attempt is allowed.
 
+mod keyed;
+
 use crate::{
     answer::{Ran, Refusal, RefusalCode},
     decode::RequestPlan,
@@ -121,6 +123,12 @@
     _slot: AttemptSlot,
 }
 
+impl OpenAttempt {
+    fn is_local(&self) -> bool {
+        matches!(self.target, AttemptTarget::Upstream(_))
+    }
+}
+
 /// Counts an attempt as sent until it is dropped.
 #[derive(Debug)]
 struct AttemptSlot {
@@ -165,22 +173,22 @@
     ) -> Result<(AnswerSource, serde_json::Value), Refusal> {
         loop {
             let attempt = self.open_attempt().await?;
-            let client = self.context.client(self.plan.repeatable);
-            let answer = call_service(
-                client,
-                &attempt.target,
-                &self.plan,
-                call,
-                &attempt.id,
-                self.remaining(),
-            );
-            match answer.await {
+            match self.call_target(&attempt, call).await {
                 Ok(result) => return Ok((attempt.source, result)),
                 Err(error) => self.judge_failure(&attempt, error)?,
             }
         }
     }
 
+    async fn call_target(
+        &self,
+        attempt: &OpenAttempt,
+        call: &CallRequest,
+    ) -> Result<serde_json::Value, AttemptError> {
+        let client = self.context.client(self.plan.repeatable);
+        call_service(client, &attempt.target, &self.plan, call, &attempt.id, self.remaining()).await
+    }
+
     /// Starts a streamed answer; returns once its first token has arrived.
     pub(crate) async fn start_stream(
         mut self,
--- /dev/null
+++ b/cicadastall/src/relay/keyed.rs
@@ -0,0 +1,111 @@
+//! Calls that may not be repeated: dispatched by the entry that holds their key.
+
+use crate::{
+    answer::{Ran, Refusal, RefusalCode},
+    claim::{ClaimError, ClaimHolder, ClaimOutcome, Dispatched, PlannedKey},
+    dispatch::AttemptError,
+    relay::{AnswerSource, OpenAttempt, RequestRelay},
+    wire::CallRequest,
+};
+use std::sync::Arc;
+
+/// What a claimed key allows.
+#[derive(Debug)]
+enum KeyedStart {
+    /// One dispatch.
+    Dispatch(ClaimHolder<Dispatched>),
+    /// Nothing; the key was run with this result.
+    Stored(serde_json::Value),
+}
+
+impl RequestRelay {
+    /// Calls a plain service whose calls may not be repeated.
+    ///
+    /// Outlives its caller, so that a result is recorded also where the caller hangs up.
+    pub(crate) async fn run_keyed_call(
+        self,
+        call: CallRequest,
+    ) -> Result<(AnswerSource, serde_json::Value), Refusal> {
+        let planned = PlannedKey::read(&self.plan, &call)?;
+        let guard = self.context.count_request();
+        let run = tokio::spawn(async move {
+            let _guard = guard;
+            self.claim_and_call(&planned, &call).await
+        });
+        run.await.unwrap_or_else(|error| {
+            Err(Refusal::unknown(RefusalCode::OutcomeUnknown, error.to_string()))
+        })
+    }
+
+    async fn claim_and_call(
+        mut self,
+        planned: &PlannedKey,
+        call: &CallRequest,
+    ) -> Result<(AnswerSource, serde_json::Value), Refusal> {
+        let context = Arc::clone(&self.context);
+        let mut held: Option<ClaimHolder<Dispatched>> = None;
+        loop {
+            let opened = self.open_attempt().await.map_err(|refusal| self.name_cut_off(refusal));
+            let forwarded = !matches!(&opened, Ok(attempt) if attempt.is_local());
+            if forwarded && let Some(holder) = held.take() {
+                holder.release(context.ledger()).await?;
+            }
+            let attempt = opened?;
+            if attempt.is_local() && held.is_none() {
+                match self.claim_key(planned, &attempt).await? {
+                    KeyedStart::Dispatch(holder) => held = Some(holder),
+                    KeyedStart::Stored(result) => return Ok((attempt.source, result)),
+                }
+            }
+            match self.call_target(&attempt, call).await {
+                Ok(result) => {
+                    if let Some(holder) = held {
+                        holder.record_result(context.ledger(), &result).await;
+                    }
+                    return Ok((attempt.source, result));
+                }
+                Err(AttemptError::Refused(refusal))
+                    if !attempt.is_local() && !refusal.code.is_local() =>
+                {
+                    return Err(refusal);
+                }
+                Err(error) => {
+                    if let Err(refusal) = self.judge_failure(&attempt, error) {
+                        if self.ran == Ran::No
+                            && let Some(holder) = held
+                        {
+                            holder.release(context.ledger()).await?;
+                        }
+                        return Err(refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Claims the key and marks it as dispatched.
+    async fn claim_key(
+        &self,
+        planned: &PlannedKey,
+        attempt: &OpenAttempt,
+    ) -> Result<KeyedStart, ClaimError> {
+        let ledger = self.context.ledger();
+        let holder = format!("{}/{}", self.context.node().instance, attempt.id).into();
+        match ClaimHolder::claim(ledger, planned, &self.plan, holder).await? {
+            ClaimOutcome::Stored(result) => Ok(KeyedStart::Stored(result)),
+            ClaimOutcome::Held(holder) => {
+                let holder = holder.mark_dispatched(ledger, self.remaining()).await?;
+                Ok(KeyedStart::Dispatch(holder))
+            }
+        }
+    }
+
+    /// Says that the home region can't be reached where another region finds no way to it.
+    fn name_cut_off(&self, mut refusal: Refusal) -> Refusal {
+        let elsewhere = self.context.node().region != self.plan.home;
+        if elsewhere && refusal.code == RefusalCode::NoUpstream {
+            refusal.code = RefusalCode::HomeUnreachable;
+        }
+        refusal
+    }
+}
--- a/cicadastall/src/serve.rs
+++ b/cicadastall/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     answer::{Refusal, RefusalCode},
+    claim::weaken_refusal,
     decode::{RequestBody, RequestPath, RequestPlan, decode_request},
     dispatch::{CALL_PATH, CHAT_PATH},
     entry::{EntryContext, RequestGuard},
@@ -9,6 +10,7 @@
     membership::MembershipMessage,
     name::{AttemptId, RequestId},
     relay::{AnswerSource, RelayedStep, RelayedStream, RequestRelay, StreamPassage},
+    sessions::{SESSIONS_PATH, issue_session},
     stream::{EventScanner, encode_event},
     table::UpstreamRecord,
     wire::{
@@ -48,6 +50,7 @@
     };
     match (head.method, head.uri.path()) {
         (Method::GET, ENTRIES_PATH) => list_entries(&context).await,
+        (Method::POST, SESSIONS_PATH) => issue_session(&context, &head.headers, &fresh).await,
         (Method::POST, ANNOUNCE_PATH) => announce(&context, &fresh, &body).await,
         (Method::POST, CHAT_PATH) => {
             answer_planned(context, RequestPath::Chat, &head.headers, &body, fresh).await
@@ -83,6 +86,7 @@
     let request = plan.request.clone();
     let answer = run_plan(&context, plan.clone(), arrived).await;
     answer.unwrap_or_else(|refusal| {
+        let refusal = weaken_refusal(&plan, refusal, arrived.elapsed());
         context.metrics().record_refusal(&plan, refusal.code);
         refuse(&request, refusal)
     })
@@ -96,6 +100,10 @@
     let relay = RequestRelay::new(Arc::clone(context), plan.clone(), arrived);
     match &plan.body {
         RequestBody::Call(call) => answer_call(context, relay, &plan, call, arrived).await,
+        RequestBody::Chat(_) if !plan.repeatable => Err(Refusal::not_run(
+            RefusalCode::BadRequest,
+            format!("kind {} may not be repeated and takes only calls", plan.kind),
+        )),
         RequestBody::Chat(chat) => {
             let stream = relay.start_stream(chat.clone()).await?;
             context.metrics().record_first_token(&plan, arrived.elapsed());
@@ -111,7 +119,10 @@
     call: &CallRequest,
     arrived: Instant,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let (source, result) = relay.run_call(call).await?;
+    let (source, result) = match plan.repeatable {
+        true => relay.run_call(call).await?,
+        false => relay.run_keyed_call(call.clone()).await?,
+    };
     context.metrics().record_whole_answer(plan, arrived.elapsed());
     let answer = CallAnswer { attempt: AttemptId::new(plan.request.as_str()), result };
     Ok(label_answer(json_answer(StatusCode::OK, &answer), &plan.request, &source))
--- /dev/null
+++ b/cicadastall/src/sessions.rs
@@ -0,0 +1,126 @@
+//! Issues sessions: at the ledger of the home region, reached through one of its entries.
+
+use crate::{
+    answer::{Refusal, RefusalCode},
+    decode::{require_header, scan_header},
+    entry::EntryContext,
+    http::{AnswerBody, HttpClient, describe_error, json_answer, read_body},
+    name::{RegionName, RequestId, WorkspaceName},
+    route::DIGEST_EXPIRY,
+    serve::refuse,
+    settings::FleetSettings,
+    wire::{ErrorBody, FORWARDED_HEADER, SessionReply, WORKSPACE_HEADER},
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::{Instant, timeout};
+
+/// Path that issues a session.
+pub const SESSIONS_PATH: &str = "/v1/sessions";
+
+/// Longest time to wait for an entry of the home region.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time after which a caller may try again where the home region can't be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_secs(2);
+
+/// Most bytes of an answer with a session.
+const REPLY_LIMIT: usize = 64 * 1024;
+
+/// Answers a caller that asks for a session.
+pub(crate) async fn issue_session(
+    context: &EntryContext,
+    headers: &HeaderMap,
+    request: &RequestId,
+) -> Response<AnswerBody> {
+    match open_session(context, headers).await {
+        Ok(reply) => json_answer(StatusCode::OK, &reply),
+        Err(refusal) => refuse(request, refusal),
+    }
+}
+
+async fn open_session(
+    context: &EntryContext,
+    headers: &HeaderMap,
+) -> Result<SessionReply, Refusal> {
+    let workspace: WorkspaceName = require_header(headers, WORKSPACE_HEADER)?.into();
+    let settings = context.settings().newest();
+    let home = find_home(&settings.tree, &workspace).ok_or_else(|| {
+        let message = format!("no workspace is named {workspace:?}");
+        Refusal::not_run(RefusalCode::UnknownWorkspace, message)
+    })?;
+    if *home == context.node().region {
+        let session = context.ledger().open_session(&workspace).await?;
+        let expires_ms = session.key.expires_ms;
+        return Ok(SessionReply { session: session.to_string(), expires_ms });
+    }
+    if scan_header(headers, FORWARDED_HEADER)?.is_some() {
+        let message = format!("{home} is the home of {workspace}");
+        return Err(Refusal::not_run(RefusalCode::AlreadyForwarded, message));
+    }
+    forward(context, home, &workspace).await
+}
+
+fn find_home<'a>(tree: &'a FleetSettings, workspace: &WorkspaceName) -> Option<&'a RegionName> {
+    let found = tree.teams.values().find_map(|team| team.workspaces.get(workspace));
+    found.map(|workspace| &workspace.home)
+}
+
+/// Asks entries of `home` in turn.
+async fn forward(
+    context: &EntryContext,
+    home: &RegionName,
+    workspace: &WorkspaceName,
+) -> Result<SessionReply, Refusal> {
+    let mut refusal = refuse_cut_off(home);
+    for address in home_entries(context, home) {
+        let asked = ask_entry(context.client(false), address, &context.node().region, workspace);
+        match timeout(FORWARD_TIMEOUT, asked).await {
+            Ok(Ok(reply)) => return Ok(reply),
+            Ok(Err(error)) => refusal = error.unwrap_or(refusal),
+            Err(_) => {}
+        }
+    }
+    Err(refusal)
+}
+
+fn home_entries(context: &EntryContext, home: &RegionName) -> Vec<SocketAddr> {
+    let table = context.table();
+    let now = Instant::now();
+    let zones = table.zones.values().filter(|view| {
+        view.digest.region == *home && now.duration_since(view.received_at) < DIGEST_EXPIRY
+    });
+    zones.flat_map(|view| view.digest.entries.iter().copied()).collect()
+}
+
+fn refuse_cut_off(home: &RegionName) -> Refusal {
+    Refusal::not_run(RefusalCode::HomeUnreachable, format!("no entry of {home} answers"))
+        .retry_after(UNREACHABLE_RETRY)
+}
+
+/// Asks one entry; the error holds its refusal, where it gave one.
+async fn ask_entry(
+    client: &HttpClient,
+    address: SocketAddr,
+    from: &RegionName,
+    workspace: &WorkspaceName,
+) -> Result<SessionReply, Option<Refusal>> {
+    let request = Request::post(format!("http://{address}{SESSIONS_PATH}"))
+        .header(WORKSPACE_HEADER, workspace.as_str())
+        .header(FORWARDED_HEADER, from.as_str())
+        .body(Full::new(Bytes::new()))
+        .map_err(|_| None)?;
+    let answer = client.request(request).await.map_err(|error| {
+        log::info!("session not issued by {address}: {}", describe_error(&error));
+        None
+    })?;
+    let success = answer.status().is_success();
+    let body = read_body(answer.into_body(), REPLY_LIMIT, FORWARD_TIMEOUT).await;
+    let body = body.map_err(|_| None)?;
+    if success {
+        return serde_json::from_slice(&body).map_err(|_| None);
+    }
+    Err(serde_json::from_slice::<ErrorBody>(&body).ok().map(|answer| answer.error))
+}
--- a/cicadastall/src/wire.rs
+++ b/cicadastall/src/wire.rs
@@ -22,6 +22,8 @@
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Header with the keys of replies that the caller has received, separated by commas.
 pub const ACKNOWLEDGED_HEADER: &str = "x-cicadastall-acknowledged";
+/// Header that says that the caller sent the request before, perhaps through another entry.
+pub const RESENT_HEADER: &str = "x-cicadastall-resent";
 /// Header that names the region from which another entry forwarded the request.
 pub const FORWARDED_HEADER: &str = "x-cicadastall-forwarded-from";
 /// Header with the time that is left for a forwarded request, in milliseconds.
@@ -146,6 +148,15 @@
     pub result: serde_json::Value,
 }
 
+/// Answer to `POST /v1/sessions`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SessionReply {
+    /// The session, to be sent with each request that may not be repeated.
+    pub session: String,
+    /// Time at which it expires, in milliseconds since 1970.
+    pub expires_ms: u64,
+}
+
 /// Body of every answer that is not a full result, and data of the event that ends a broken stream.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ErrorBody {
--- /dev/null
+++ b/cicadastall/tests/ledger.rs
@@ -0,0 +1,340 @@
+//! The ledger under arbitrary orders of claims, freezes, lost replies, losses and restarts.
+
+use cicadastall::{
+    answer::{Ran, Refusal},
+    ledger::{
+        LedgerLimits, LedgerState,
+        command::{
+            ClaimNumber, HeldKey, KeyClaim, LedgerChange, LedgerCommand, LedgerRefusal, LedgerReply,
+        },
+        session::{LedgerEpoch, SessionId},
+    },
+    replicated::ReplicatedState,
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::BTreeMap;
+
+const LEASE_MS: u64 = 3_000;
+const RUN_MS: u64 = 5_000;
+
+/// A ledger with the clock of its test.
+#[derive(Debug)]
+struct TestLedger {
+    state: LedgerState,
+    now_ms: u64,
+}
+
+impl TestLedger {
+    fn new(limits: LedgerLimits) -> Self {
+        let mut ledger = Self { state: LedgerState::new("viti-west".into(), limits), now_ms: 0 };
+        ledger.apply(LedgerChange::Found { epoch: LedgerEpoch(1) });
+        ledger
+    }
+
+    fn apply(&mut self, change: LedgerChange) -> LedgerReply {
+        self.state.apply(&LedgerCommand { at_ms: self.now_ms, change })
+    }
+
+    fn open(&mut self) -> SessionId {
+        match self.apply(LedgerChange::OpenSession { workspace: "herd".into() }) {
+            LedgerReply::Session(session) => session,
+            reply => panic!("no session: {reply:?}"),
+        }
+    }
+
+    fn claim(&mut self, session: &SessionId, key: &str, holder: &str) -> LedgerReply {
+        self.apply(LedgerChange::Claim(make_claim(session, key, holder)))
+    }
+
+    fn run(&mut self, session: &SessionId, key: &str, reply: &str) {
+        let LedgerReply::Granted(claim) = self.claim(session, key, key) else {
+            panic!("{key} is not new");
+        };
+        let held = HeldKey { session: session.clone(), key: key.into(), claim };
+        self.apply(LedgerChange::Dispatch { held: held.clone(), run_ms: RUN_MS });
+        self.apply(LedgerChange::Complete { held, reply: reply.into() });
+    }
+}
+
+fn make_claim(session: &SessionId, key: &str, holder: &str) -> KeyClaim {
+    KeyClaim {
+        session: session.clone(),
+        workspace: "herd".into(),
+        key: key.into(),
+        digest: 7,
+        holder: holder.into(),
+        lease_ms: LEASE_MS,
+        acknowledged: Default::default(),
+    }
+}
+
+fn refused(refusal: LedgerRefusal) -> LedgerReply {
+    LedgerReply::Refused(refusal)
+}
+
+/// One step of a story.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A caller sends a key through a new entry task.
+    Send { session: u8, key: u8 },
+    /// A task takes its next step; a task that gets no step is frozen.
+    Proceed { task: u8 },
+    /// A task's reply from the ledger is lost, and it gives up.
+    LoseReply { task: u8 },
+    /// An earlier command reaches the ledger once more.
+    Repeat { command: u8 },
+    /// Time passes.
+    Wait { seconds: u8 },
+    /// The state is written and read back.
+    Restart,
+    /// A snapshot is put aside.
+    Keep,
+    /// The majority is lost; the ledger is founded again on the snapshot put aside.
+    Refound,
+    /// A caller acknowledges a key.
+    Acknowledge { session: u8, key: u8 },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let number = u8::arbitrary(random);
+        let (session, key) = (number % 2, number / 2 % 3);
+        match u8::arbitrary(random) % 24 {
+            0..=5 => Self::Send { session, key },
+            6..=14 => Self::Proceed { task: number },
+            15 => Self::LoseReply { task: number },
+            16..=17 => Self::Repeat { command: number },
+            18..=19 => Self::Wait { seconds: number % 6 },
+            20 => Self::Restart,
+            21 => Self::Keep,
+            22 => Self::Refound,
+            _ => Self::Acknowledge { session, key },
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum TaskStage {
+    Start,
+    Claimed(HeldKey),
+    MayRun(HeldKey),
+    Ran(HeldKey),
+    Over,
+}
+
+#[derive(Debug)]
+struct Story {
+    ledger: TestLedger,
+    sessions: Vec<SessionId>,
+    tasks: Vec<(usize, String, TaskStage)>,
+    commands: Vec<LedgerChange>,
+    kept: Vec<u8>,
+    executions: BTreeMap<(usize, String), u32>,
+}
+
+impl Story {
+    fn new() -> Self {
+        let limits = LedgerLimits { session_ms: 40_000, ..LedgerLimits::default() };
+        let mut ledger = TestLedger::new(limits);
+        let sessions = vec![ledger.open(), ledger.open()];
+        let kept = ledger.state.snapshot();
+        let (tasks, commands) = Default::default();
+        Self { ledger, sessions, tasks, commands, kept, executions: BTreeMap::new() }
+    }
+
+    fn apply(&mut self, change: LedgerChange) -> LedgerReply {
+        self.commands.push(change.clone());
+        self.ledger.apply(change)
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Send { session, key } => {
+                self.tasks.push((session.into(), format!("k{key}"), TaskStage::Start));
+            }
+            Step::Proceed { task } => self.proceed(task, false),
+            Step::LoseReply { task } => self.proceed(task, true),
+            Step::Repeat { command } if !self.commands.is_empty() => {
+                let index = usize::from(command) % self.commands.len();
+                let change = self.commands[index].clone();
+                self.ledger.apply(change);
+            }
+            Step::Repeat { .. } => {}
+            Step::Wait { seconds } => self.ledger.now_ms += u64::from(seconds) * 1_000,
+            Step::Restart => {
+                let snapshot = self.ledger.state.snapshot();
+                let state = LedgerState::restore(&snapshot).expect("a snapshot");
+                assert_eq!(state, self.ledger.state);
+                self.ledger.state = state;
+            }
+            Step::Keep => self.kept = self.ledger.state.snapshot(),
+            Step::Refound => {
+                let epoch = self.ledger.state.epoch().map_or(1, |epoch| epoch.0) + 1;
+                let survived = LedgerState::restore(&self.kept).expect("a snapshot");
+                self.ledger.state = survived.refound(LedgerEpoch(epoch));
+            }
+            Step::Acknowledge { session, key } => {
+                let session = self.sessions[usize::from(session)].clone();
+                let mut claim = make_claim(&session, "other", "acknowledger");
+                claim.acknowledged.push(format!("k{key}").as_str().into());
+                self.apply(LedgerChange::Claim(claim));
+            }
+        }
+    }
+
+    fn proceed(&mut self, task: u8, lose_reply: bool) {
+        if self.tasks.is_empty() {
+            return;
+        }
+        let index = usize::from(task) % self.tasks.len();
+        let (session, key, stage) = self.tasks[index].clone();
+        let next = match stage {
+            TaskStage::Start => self.start(index, session, &key),
+            TaskStage::Claimed(held) => {
+                let change = LedgerChange::Dispatch { held: held.clone(), run_ms: RUN_MS };
+                match self.apply(change) {
+                    LedgerReply::Accepted if !lose_reply => TaskStage::MayRun(held),
+                    _ => {
+                        self.apply(LedgerChange::Release { held });
+                        TaskStage::Over
+                    }
+                }
+            }
+            TaskStage::MayRun(held) if lose_reply => {
+                self.apply(LedgerChange::Release { held });
+                TaskStage::Over
+            }
+            TaskStage::MayRun(held) => {
+                *self.executions.entry((session, key.clone())).or_default() += 1;
+                TaskStage::Ran(held)
+            }
+            TaskStage::Ran(held) => {
+                let reply = format!("{session}/{key}").into();
+                self.apply(LedgerChange::Complete { held, reply });
+                TaskStage::Over
+            }
+            TaskStage::Over => TaskStage::Over,
+        };
+        self.tasks[index].2 = next;
+    }
+
+    fn start(&mut self, index: usize, session: usize, key: &str) -> TaskStage {
+        let id = self.sessions[session].clone();
+        let claim = make_claim(&id, key, &format!("task {index}"));
+        let count = self.executions.get(&(session, key.to_owned())).copied().unwrap_or(0);
+        match self.apply(LedgerChange::Claim(claim)) {
+            LedgerReply::Granted(claim) => {
+                return TaskStage::Claimed(HeldKey { session: id, key: key.into(), claim });
+            }
+            LedgerReply::Stored(reply) => {
+                assert_eq!(*reply, *format!("{session}/{key}"));
+                assert_eq!(count, 1, "a reply without an execution");
+            }
+            LedgerReply::Refused(refusal) => {
+                let refusal = Refusal::from(refusal);
+                let truthful = refusal.ran == Ran::Unknown || count == 0;
+                assert!(truthful, "told not run after an execution: {refusal}");
+            }
+            reply => panic!("unexpected reply: {reply:?}"),
+        }
+        TaskStage::Over
+    }
+}
+
+#[test]
+fn no_order_of_events_runs_a_key_twice() {
+    fn property(steps: Vec<Step>) -> bool {
+        let mut story = Story::new();
+        for step in steps {
+            story.take(step);
+        }
+        story.executions.values().all(|count| *count <= 1)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 5))
+        .tests(20_000)
+        .quickcheck(property as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_frozen_holder_may_not_dispatch_once_its_claim_was_taken_over() {
+    let mut ledger = TestLedger::new(LedgerLimits::default());
+    let session = ledger.open();
+    let LedgerReply::Granted(frozen) = ledger.claim(&session, "muster-1", "frozen") else {
+        panic!("the first claim is granted");
+    };
+    let in_progress = refused(LedgerRefusal::InProgress { retry_ms: LEASE_MS });
+    assert_eq!(ledger.claim(&session, "muster-1", "second"), in_progress);
+    ledger.now_ms += LEASE_MS;
+    let granted = ledger.claim(&session, "muster-1", "second");
+    assert_eq!(granted, LedgerReply::Granted(ClaimNumber(frozen.0 + 1)));
+    let held = HeldKey { session, key: "muster-1".into(), claim: frozen };
+    let woken = ledger.apply(LedgerChange::Dispatch { held, run_ms: RUN_MS });
+    assert_eq!(woken, refused(LedgerRefusal::ClaimClosed));
+}
+
+#[test]
+fn a_dispatched_key_whose_holder_died_stays_unknown_until_a_result_comes() {
+    let mut ledger = TestLedger::new(LedgerLimits::default());
+    let session = ledger.open();
+    let LedgerReply::Granted(claim) = ledger.claim(&session, "muster-1", "first") else {
+        panic!("the first claim is granted");
+    };
+    let held = HeldKey { session: session.clone(), key: "muster-1".into(), claim };
+    ledger.apply(LedgerChange::Dispatch { held: held.clone(), run_ms: RUN_MS });
+    ledger.now_ms += RUN_MS;
+    let unknown = refused(LedgerRefusal::OutcomeUnknown);
+    assert_eq!(ledger.claim(&session, "muster-1", "second"), unknown);
+    ledger.apply(LedgerChange::Complete { held, reply: "trucks".into() });
+    let stored = LedgerReply::Stored("trucks".into());
+    assert_eq!(ledger.claim(&session, "muster-1", "second"), stored);
+}
+
+#[test]
+fn a_full_ledger_refuses_new_keys_and_keeps_the_live_ones() {
+    let limits = LedgerLimits { keys: 3, replies: 2, ..LedgerLimits::default() };
+    let mut ledger = TestLedger::new(limits);
+    let session = ledger.open();
+    ledger.run(&session, "a", "1");
+    ledger.run(&session, "b", "2");
+    let full = refused(LedgerRefusal::Full);
+    assert_eq!(ledger.claim(&session, "c", "c"), full);
+    assert_eq!(ledger.claim(&session, "a", "again"), LedgerReply::Stored("1".into()));
+
+    let mut claim = make_claim(&session, "c", "c");
+    claim.acknowledged.push("a".into());
+    let granted = ledger.apply(LedgerChange::Claim(claim));
+    assert!(matches!(granted, LedgerReply::Granted(_)), "{granted:?}");
+    let dropped = refused(LedgerRefusal::ReplyDropped);
+    assert_eq!(ledger.claim(&session, "a", "late copy"), dropped);
+    assert_eq!(ledger.claim(&session, "d", "d"), full);
+}
+
+#[test]
+fn an_expired_or_lost_session_never_runs_a_key() {
+    let limits = LedgerLimits { session_ms: 10_000, ..LedgerLimits::default() };
+    let mut ledger = TestLedger::new(limits);
+    let session = ledger.open();
+    ledger.run(&session, "a", "1");
+    ledger.now_ms = 10_000;
+    let expired = refused(LedgerRefusal::SessionExpired);
+    assert_eq!(ledger.claim(&session, "a", "again"), expired);
+    assert_eq!(ledger.state.sizes().keys, 0);
+
+    let session = ledger.open();
+    ledger.run(&session, "a", "1");
+    ledger.state = ledger.state.clone().refound(LedgerEpoch(2));
+    assert_eq!(ledger.claim(&session, "a", "again"), LedgerReply::Stored("1".into()));
+    let lost = refused(LedgerRefusal::EpochLost);
+    assert_eq!(ledger.claim(&session, "b", "new"), lost);
+}
+
+#[test]
+fn a_key_with_another_body_is_refused() {
+    let mut ledger = TestLedger::new(LedgerLimits::default());
+    let session = ledger.open();
+    ledger.run(&session, "a", "1");
+    let claim = KeyClaim { digest: 8, ..make_claim(&session, "a", "other body") };
+    let reply = ledger.apply(LedgerChange::Claim(claim));
+    assert_eq!(reply, refused(LedgerRefusal::KeyReused));
+}
