--- a/cicadastall-daemons/tests/common/mod.rs
+++ b/cicadastall-daemons/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Processes of a small fleet on loopback, started and stopped by tests.
 
-#![allow(dead_code)]
+#![allow(dead_code)] // each test file uses a part of this module
 
 use serde_json::{Value, json};
 use std::{
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -5,6 +5,7 @@
     group::GroupHost,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
+    ledger_host::{LedgerHosting, LedgerService},
     membership::MembershipMessage,
     node::NodeSettings,
     replicated::{LocalGroup, ReplicatedGroup},
@@ -41,30 +42,39 @@
 impl ControlServer {
     /// Starts a control instance on `control`.
     pub async fn start(node: NodeSettings, control: &Handle) -> io::Result<Self> {
+        Self::start_hosting(node, LedgerHosting::Replica, control).await
+    }
+
+    /// Starts a control instance that hosts `ledger`.
+    pub async fn start_with(
+        node: NodeSettings,
+        ledger: Arc<dyn LedgerService>,
+        control: &Handle,
+    ) -> io::Result<Self> {
+        Self::start_hosting(node, LedgerHosting::Given(ledger), control).await
+    }
+
+    async fn start_hosting(
+        node: NodeSettings,
+        hosting: LedgerHosting,
+        control: &Handle,
+    ) -> io::Result<Self> {
         let node = Arc::new(node);
-        let core = InstanceCore::start(&node, None, control).await?;
-        let founding = node.founding_settings.as_deref().map(read_founding).transpose()?;
-        let group = Arc::new(LocalGroup::new(SettingsState::default()));
-        let host = SettingsHost::new(group, Arc::clone(&core.follower), Arc::clone(&node));
-        let host = Arc::new(host);
-        let mut tasks = core.tasks;
-        spawn_host(&mut tasks, control, &host, founding);
+        let core = InstanceCore::start(&node, None, hosting, control).await?;
+        let addresses = core.addresses;
+        let membership = core.membership.clone();
+        let groups = core.groups.clone();
         let (stop, stopped) = watch::channel(false);
-        let settings = Arc::clone(&core.settings);
-        let handler = move |_, request| {
-            answer_operator(Arc::clone(&node), Arc::clone(&settings), Arc::clone(&host), request)
+        let tasks = if node.settings_voters.is_empty() {
+            let group = LocalGroup::new(SettingsState::default());
+            run_settings(core, &node, group, stopped, control)?
+        } else {
+            let groups = groups.clone();
+            let started = async move { groups.start_settings(SettingsState::default()).await };
+            let group = control.spawn(started).await.map_err(io::Error::other)??;
+            run_settings(core, &node, group, stopped, control)?
         };
-        tasks.spawn_on(
-            http::serve(core.operator, ListenerLimits::default(), stopped, handler),
-            control,
-        );
-        Ok(Self {
-            addresses: core.addresses,
-            membership: core.membership,
-            groups: core.groups,
-            stop,
-            _tasks: tasks,
-        })
+        Ok(Self { addresses, membership, groups, stop, _tasks: tasks })
     }
 
     /// Addresses on which the instance listens.
@@ -84,6 +94,29 @@
     }
 }
 
+/// Hosts the settings in `group` and answers operators; gives the instance's tasks.
+fn run_settings<G: ReplicatedGroup<SettingsState>>(
+    core: InstanceCore,
+    node: &Arc<NodeSettings>,
+    group: G,
+    stopped: watch::Receiver<bool>,
+    control: &Handle,
+) -> io::Result<JoinSet<()>> {
+    let founding = node.founding_settings.as_deref().map(read_founding).transpose()?;
+    let follower = Arc::clone(&core.follower);
+    let host = Arc::new(SettingsHost::new(Arc::new(group), follower, Arc::clone(node)));
+    let mut tasks = core.tasks;
+    spawn_host(&mut tasks, control, &host, founding);
+    let settings = core.settings;
+    let node = Arc::clone(node);
+    let handler = move |_, request| {
+        answer_operator(Arc::clone(&node), Arc::clone(&settings), Arc::clone(&host), request)
+    };
+    let served = http::serve(core.operator, ListenerLimits::default(), stopped, handler);
+    tasks.spawn_on(served, control);
+    Ok(tasks)
+}
+
 /// Runs the host's tasks on `control`.
 fn spawn_host<G: ReplicatedGroup<SettingsState>>(
     tasks: &mut JoinSet<()>,
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    ledger::command::{LedgerChange, LedgerReply},
     name::GroupName,
     replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
@@ -65,6 +66,9 @@
 
     /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
     async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
+
+    /// Changes the region's ledger; answered by the instances that host it.
+    async fn change_ledger(change: LedgerChange) -> Result<LedgerReply, GroupError>;
 }
 
 /// Why a call to another instance has no reply.
