--- a/cicadastall-bench/src/compare/requests.rs
+++ b/cicadastall-bench/src/compare/requests.rs
@@ -127,6 +127,7 @@
         deadline: Duration::from_millis(kind.deadline_ms),
         repeatable: kind.repeatable,
         forwarded_from: None,
+        resent: false,
         session: None,
         key: None,
         acknowledged: Default::default(),
--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod announce;
 pub mod cache;
 pub mod engine;
+pub mod fault;
 pub mod model;
 pub mod service;
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -2,12 +2,21 @@
 //! the service for other instances.
 
 use crate::{
-    follow::{SettingsHolder, follow_settings},
+    follow::SettingsHolder,
+    follower::SettingsFollower,
+    group::GroupHost,
+    group_transport::GroupRegistry,
     http,
+    ledger::command::{LedgerChange, LedgerReply},
+    ledger_host::{LedgerHosting, LedgerService},
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
+    name::GroupName,
     node::NodeSettings,
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
-    settings::{Revision, SettingsSnapshot},
+    replica_message::{LogIndex, ReplicaEnvelope},
+    replicated::GroupError,
+    settings::Revision,
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::RoutingTable,
 };
 use arc_swap::ArcSwap;
@@ -59,14 +68,19 @@
 /// Service for other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
-    pub(crate) membership: ActorRef<MembershipMessage>,
-    pub(crate) settings: Arc<SettingsHolder>,
+    /// None where only groups are served.
+    pub(crate) membership: Option<ActorRef<MembershipMessage>>,
+    /// None where only groups are served.
+    pub(crate) settings: Option<Arc<SettingsFollower>>,
+    pub(crate) groups: Arc<GroupRegistry>,
+    /// None where no ledger is hosted.
+    pub(crate) ledger: Option<Arc<dyn LedgerService>>,
 }
 
 impl PeerApi for PeerServer {
     async fn exchange(self, _: Context, state: MemberExchange) -> MemberExchange {
-        let asked = self
-            .membership
+        let Some(membership) = self.membership else { return MemberExchange::default() };
+        let asked = membership
             .call(|reply| MembershipMessage::Exchange(state, reply), Some(CONTROL_TIMEOUT))
             .await;
         match asked {
@@ -75,8 +89,47 @@
         }
     }
 
-    async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
-        self.settings.newer_than(revision)
+    async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
+        self.settings.map(|settings| settings.answer(request)).unwrap_or_default()
+    }
+
+    async fn settings_push(self, _: Context, push: PushRequest) -> Option<ZoneReport> {
+        Some(self.settings?.accept_push(push).await)
+    }
+
+    async fn settings_confirm(self, _: Context, revision: Revision) -> Vec<ZoneReport> {
+        match self.settings {
+            Some(settings) => settings.report_zones(revision).await,
+            None => Vec::new(),
+        }
+    }
+
+    async fn group_deliver(self, _: Context, group: GroupName, envelopes: Vec<ReplicaEnvelope>) {
+        self.groups.deliver(&group, envelopes);
+    }
+
+    async fn group_propose(
+        self,
+        _: Context,
+        group: GroupName,
+        command: Arc<str>,
+    ) -> Result<Arc<str>, GroupError> {
+        self.groups.propose(&group, command).await
+    }
+
+    async fn group_read_index(self, _: Context, group: GroupName) -> Result<LogIndex, GroupError> {
+        self.groups.read_index(&group).await
+    }
+
+    async fn change_ledger(
+        self,
+        _: Context,
+        change: LedgerChange,
+    ) -> Result<LedgerReply, GroupError> {
+        match self.ledger {
+            Some(ledger) => ledger.change(change).await,
+            None => Err(GroupError::NotLeader { leader: None }),
+        }
     }
 }
 
@@ -96,9 +149,11 @@
     pub(crate) addresses: InstanceAddresses,
     pub(crate) operator: TcpListener,
     pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) follower: Arc<SettingsFollower>,
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) in_flight: Arc<AtomicU32>,
+    pub(crate) groups: GroupHost,
     pub(crate) tasks: JoinSet<()>,
 }
 
@@ -106,6 +161,7 @@
     pub(crate) async fn start(
         node: &Arc<NodeSettings>,
         caller: Option<SocketAddr>,
+        hosting: LedgerHosting,
         control: &Handle,
     ) -> io::Result<Self> {
         let settings = Arc::new(SettingsHolder::default());
@@ -120,6 +176,7 @@
             async move {
                 let operator = http::bind(node.operator_listen).await?;
                 let peers = http::bind(node.peer_listen).await?;
+                let groups = GroupHost::new(Arc::clone(&node), Arc::clone(&clients));
                 let addresses = InstanceAddresses {
                     caller,
                     operator: operator.local_addr()?,
@@ -127,7 +184,7 @@
                 };
                 let arguments = MembershipArguments {
                     node: Arc::clone(&node),
-                    caller_address: node.caller_advertise.or(caller),
+                    caller_address: caller.map(|listen| node.caller_advertise.unwrap_or(listen)),
                     peer_address: node.peer_advertise.unwrap_or(addresses.peer),
                     clients: Arc::clone(&clients),
                     table: Arc::clone(&table),
@@ -136,25 +193,50 @@
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
-                let server =
-                    PeerServer { membership: membership.clone(), settings: Arc::clone(&settings) };
-                let mut tasks = JoinSet::new();
-                tasks.spawn(serve_peers(peers, server));
-                tasks.spawn(follow_settings(
-                    node,
+                let follower = Arc::new(SettingsFollower::new(
+                    Arc::clone(&node),
+                    node.peer_advertise.unwrap_or(addresses.peer),
                     Arc::clone(&settings),
                     clients,
                     Arc::clone(&table),
                 ));
-                Ok(Self { addresses, operator, settings, table, membership, in_flight, tasks })
+                let server = PeerServer {
+                    membership: Some(membership.clone()),
+                    settings: Some(Arc::clone(&follower)),
+                    groups: Arc::clone(groups.registry()),
+                    ledger: hosting.start(&node, &groups).await?,
+                };
+                let mut tasks = JoinSet::new();
+                tasks.spawn(serve_peers(peers, server));
+                let follows = Arc::clone(&follower);
+                tasks.spawn(async move { follows.run().await });
+                Ok(Self {
+                    addresses,
+                    operator,
+                    settings,
+                    follower,
+                    table,
+                    membership,
+                    in_flight,
+                    groups,
+                    tasks,
+                })
             }
         });
         started.await.map_err(io::Error::other)?
     }
 }
 
+/// Answers calls to the replicas in `groups`, without membership and settings, until its task is
+/// dropped.
+pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
+    serve_peers(listener, PeerServer { membership: None, settings: None, groups, ledger: None })
+        .await;
+}
+
 /// Answers calls of other instances on `listener` until its task is dropped.
 async fn serve_peers(listener: TcpListener, service: PeerServer) {
+    let mut connections = JoinSet::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -167,7 +249,8 @@
         let _ = stream.set_nodelay(true);
         let transport = frame_messages(stream);
         let calls = BaseChannel::with_defaults(transport).execute(service.clone().serve());
-        tokio::spawn(calls.for_each(|call| {
+        while connections.try_join_next().is_some() {}
+        connections.spawn(calls.for_each(|call| {
             tokio::spawn(call);
             future::ready(())
         }));
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -140,7 +140,9 @@
         let limit = self.gate.limit(plan, capacity, now);
         let chosen = self.choose_upstream(&candidates, &predictions, limit);
         if let Some(place) = chosen
-            && (!self.policy.admission || predictions[place].first_token <= limit)
+            && (!self.policy.admission
+                || !tried.upstreams.is_empty()
+                || predictions[place].first_token <= limit)
         {
             return send_to(candidates[place], priority_of(plan.rank));
         }
