Send to another region what would be late here and in time there

Change: spill.rs predicts the first token in other zones from their digests (summary.rs fills the wait by rank), within a share of the link; a zone that refused or lost a forward is closed to its pool and rank for 3 s; a flow above its share keeps to its region.

--- a/cicadastall-bench/src/compare/policies.rs
+++ b/cicadastall-bench/src/compare/policies.rs
@@ -22,15 +22,13 @@
         baseline("predicted", ChoiceRule::Predicted),
         PolicyEntry {
             name: "prefix",
-            policy: RouterPolicy { prefix: true, ..RouterPolicy::baseline(ChoiceRule::Predicted) },
-        },
-        PolicyEntry {
-            name: "admission",
-            policy: RouterPolicy { crowd: false, ..RouterPolicy::default() },
-        },
-        PolicyEntry {
-            name: "crowd",
-            policy: RouterPolicy { crowd: true, ..RouterPolicy::default() },
+            policy: RouterPolicy { admission: false, spill: false, ..shipped() },
         },
+        PolicyEntry { name: "admission", policy: RouterPolicy { spill: false, ..shipped() } },
+        PolicyEntry { name: "shipped", policy: shipped() },
     ]
 }
+
+fn shipped() -> RouterPolicy {
+    RouterPolicy::default()
+}
--- a/cicadastall-bench/src/compare/simulation.rs
+++ b/cicadastall-bench/src/compare/simulation.rs
@@ -459,6 +459,8 @@
         if let Some(attempt) = leg.attempt.take() {
             leg.tried.upstreams.push(attempt.ticket.upstream.clone());
             self.zones[leg.zone].routers[leg.entry].note_ended(&attempt.ticket);
+        } else if let Some(zone) = leg.tried.zones.last() {
+            self.zones[leg.zone].routers[leg.entry].note_returned(zone, &leg.plan, self.now);
         }
         if permits_attempt(&leg.plan, leg.ran, leg.attempts) {
             return self.decide(number);
--- a/cicadastall/src/admit.rs
+++ b/cicadastall/src/admit.rs
@@ -28,6 +28,9 @@
 /// Smallest part of its limit that is left to a flow far above its share.
 const LEAST_FAIRNESS: f64 = 0.25;
 
+/// Part of its limit below which a flow keeps to its own region.
+const SPILL_FAIRNESS: f64 = 0.6;
+
 /// Time after which work that was taken counts half.
 const USAGE_HALF_LIFE: Duration = Duration::from_secs(10);
 
@@ -98,6 +101,11 @@
         full.mul_f64(self.fairness(plan, capacity, now))
     }
 
+    /// Whether the request's flow is near enough its share to use other regions.
+    pub fn permits_spill(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> bool {
+        self.fairness(plan, capacity, now) >= SPILL_FAIRNESS
+    }
+
     /// Counts the work of a request that is sent.
     pub fn note_sent(&mut self, plan: &RequestPlan, work: Duration, now: Instant) {
         let flow = self.flow(plan, now);
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -329,6 +329,8 @@
         }
         if let Some(upstream) = &attempt.source.upstream {
             self.tried.upstreams.push(upstream.clone());
+        } else if let Some(zone) = self.tried.zones.last() {
+            self.context.router().note_returned(zone, &self.plan, Instant::now());
         }
         if !permits_attempt(&self.plan, self.ran, self.attempts) {
             let mut refusal = error.into_refusal();
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -21,12 +21,14 @@
 pub mod filter;
 pub mod policy;
 pub mod score;
+pub mod spill;
 pub mod summary;
 pub mod track;
 
 use filter::{is_untried, may_reside, serves_plan};
 use policy::{ChoiceRule, RouterPolicy};
-use score::{OtherSends, Prediction, ScoreInput, predict};
+use score::{Prediction, ScoreInput, predict};
+use spill::{ForwardTrack, ZoneCandidate};
 use track::{RecentSend, RecentSends, SendTicket, SentAttempt, UpstreamTrack};
 
 /// Time after its last announcement at which an upstream gets no new work.
@@ -101,6 +103,7 @@
     sent: u64,
     mean_answer_tokens: f64,
     gate: AdmissionGate,
+    forwards: ForwardTrack,
 }
 
 impl RequestRouter {
@@ -115,7 +118,8 @@
         let tracks = BTreeMap::new();
         let mean_answer_tokens = FIRST_ANSWER_MEAN;
         let gate = AdmissionGate::default();
-        Self { place, policy, tracks, rng, sent: 0, mean_answer_tokens, gate }
+        let forwards = ForwardTrack::default();
+        Self { place, policy, tracks, rng, sent: 0, mean_answer_tokens, gate, forwards }
     }
 
     /// Chooses the target of the next attempt.
@@ -134,7 +138,7 @@
             .filter(|view| serves_plan(view, plan, now) && is_untried(view, tried))
             .collect();
         self.observe_caches(&candidates);
-        let predictions = self.predict_all(table, &candidates, plan, shape, now);
+        let predictions = self.predict_all(&candidates, plan, shape, now);
         let capacity =
             ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
         let limit = self.gate.limit(plan, capacity, now);
@@ -146,9 +150,9 @@
         {
             return send_to(candidates[place], priority_of(plan.rank));
         }
-        if plan.forwarded_from.is_none()
-            && (chosen.is_none() || self.policy.spill)
-            && let Some(decision) = self.choose_zone(table, plan, tried, now)
+        let here = chosen.map(|place| (predictions[place].first_token, limit));
+        if (here.is_none() || self.policy.spill && self.gate.permits_spill(plan, capacity, now))
+            && let Some(decision) = self.choose_zone(table, plan, shape, tried, here, now)
         {
             return decision;
         }
@@ -175,7 +179,7 @@
             ANSWER_MEAN_WEIGHT * (f64::from(shape.answer_tokens) - self.mean_answer_tokens);
         let prediction = table.upstreams.get(upstream).map(|view| {
             let sent = self.sent_since(view, plan.rank);
-            self.predict_on(view, plan, shape, &sent, OtherSends::default(), now)
+            self.predict_on(view, plan, shape, &sent, now)
         });
         let work = prediction.map(|prediction| prediction.work()).unwrap_or_default();
         self.gate.note_sent(plan, work, now);
@@ -206,6 +210,11 @@
         }
     }
 
+    /// Notes that a request forwarded to `zone` came back without a result.
+    pub fn note_returned(&mut self, zone: &ZoneName, plan: &RequestPlan, now: Instant) {
+        self.forwards.note_returned(zone, plan, now);
+    }
+
     /// Index of the chosen candidate.
     fn choose_upstream(
         &mut self,
@@ -239,29 +248,16 @@
 
     fn predict_all(
         &self,
-        table: &RoutingTable,
         candidates: &[&UpstreamView],
         plan: &RequestPlan,
         shape: &PromptShape,
         now: Instant,
     ) -> SmallVec<[Prediction; 16]> {
-        let sent = candidates.iter().map(|view| self.sent_since(view, plan.rank));
-        let sent: SmallVec<[RecentSends; 16]> = sent.collect();
-        let others = self.guess_others(table, &sent);
-        let pairs = candidates.iter().zip(&sent);
-        pairs.map(|(view, sent)| self.predict_on(view, plan, shape, sent, others, now)).collect()
-    }
-
-    /// What the other entries of the zone sent to each candidate since its report, if each sent
-    /// as much as this one and spread it evenly.
-    fn guess_others(&self, table: &RoutingTable, sent: &[RecentSends]) -> OtherSends {
-        if !self.policy.crowd || sent.is_empty() {
-            return OtherSends::default();
-        }
-        let factor = table.entries.len() as f64 / sent.len() as f64;
-        let all = || sent.iter().flatten();
-        let tokens: f64 = all().map(|send| send.tokens).sum();
-        OtherSends { requests: all().count() as f64 * factor, tokens: tokens * factor }
+        let predict = |view: &&UpstreamView| {
+            let sent = self.sent_since(view, plan.rank);
+            self.predict_on(view, plan, shape, &sent, now)
+        };
+        candidates.iter().map(predict).collect()
     }
 
     fn sent_since(&self, view: &UpstreamView, rank: Rank) -> RecentSends {
@@ -295,7 +291,6 @@
         plan: &RequestPlan,
         shape: &PromptShape,
         sent: &[RecentSend],
-        others: OtherSends,
         now: Instant,
     ) -> Prediction {
         let track = self.tracks.get(&view.record.name);
@@ -304,32 +299,36 @@
             rank: plan.rank,
             uncached_tokens: self.uncached_tokens(&view.record.name, shape),
             sent,
-            others,
             pace: track.map_or(1.0, |track| track.pace(plan.rank)),
             mean_answer_tokens: self.mean_answer_tokens,
         };
         predict(view, &input, now)
     }
 
+    /// Chooses another zone if the request can't be answered here, or if it would be late here and
+    /// in time there. `here` is the best prediction of this zone, with its limit.
     fn choose_zone(
-        &self,
+        &mut self,
         table: &RoutingTable,
         plan: &RequestPlan,
+        shape: &PromptShape,
         tried: &TriedTargets,
+        here: Option<(Duration, Duration)>,
         now: Instant,
     ) -> Option<RouteDecision> {
-        plan.regions.iter().find_map(|region| {
-            let (zone, view) = table.zones.iter().find(|(zone, view)| {
-                view.digest.region == *region
-                    && !tried.zones.contains(zone)
-                    && now.duration_since(view.received_at) < DIGEST_EXPIRY
-                    && view.digest.rows.iter().any(|row| {
-                        row.pool == plan.pool && row.model == plan.model && row.upstreams > 0
-                    })
-            })?;
-            let address = *view.digest.entries.first()?;
-            Some(RouteDecision::Entry { region: region.clone(), zone: zone.clone(), address })
-        })
+        let bound = here.map_or(Duration::MAX, |(first_token, limit)| first_token.min(limit));
+        let mut zones = self.forwards.list_zones(table, plan, shape, tried, now);
+        zones.retain(|zone| zone.first_token <= bound);
+        let best = zones.into_iter().min_by(|a, b| {
+            let home = |zone: &ZoneCandidate| zone.region != plan.home;
+            home(a).cmp(&home(b)).then(a.first_token.cmp(&b.first_token))
+        })?;
+        if !self.forwards.take_bytes(shape, now) {
+            return None;
+        }
+        self.forwards.note_forwarded(table, &best.zone, shape);
+        let address = best.entries[self.rng.random_range(0..best.entries.len())];
+        Some(RouteDecision::Entry { region: best.region, zone: best.zone, address })
     }
 }
 
--- a/cicadastall/src/route/policy.rs
+++ b/cicadastall/src/route/policy.rs
@@ -24,21 +24,19 @@
     pub prefix: bool,
     /// Whether requests that would miss their target are refused at once.
     pub admission: bool,
-    /// Whether sends of the other entries are guessed from the own ones.
-    pub crowd: bool,
     /// Whether requests that would miss their target go to other regions.
     pub spill: bool,
 }
 
 impl Default for RouterPolicy {
     fn default() -> Self {
-        Self { prefix: true, admission: true, ..Self::baseline(ChoiceRule::Predicted) }
+        Self { prefix: true, admission: true, spill: true, ..Self::baseline(ChoiceRule::Predicted) }
     }
 }
 
 impl RouterPolicy {
     /// A rule of choice without any further mechanism.
     pub fn baseline(choice: ChoiceRule) -> Self {
-        Self { choice, prefix: false, admission: false, crowd: false, spill: false }
+        Self { choice, prefix: false, admission: false, spill: false }
     }
 }
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -21,23 +21,12 @@
     pub uncached_tokens: u32,
     /// What this entry sent to the upstream since its report, the oldest first.
     pub sent: &'a [RecentSend],
-    /// What other entries are guessed to have sent to it since.
-    pub others: OtherSends,
     /// Observed over predicted time to first token on the upstream.
     pub pace: f64,
     /// Tokens of an answer, on average over recent requests.
     pub mean_answer_tokens: f64,
 }
 
-/// Guess of what other entries sent to one upstream since its report.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct OtherSends {
-    /// Requests.
-    pub requests: f64,
-    /// Prompt tokens that are not cached.
-    pub tokens: f64,
-}
-
 /// Predicted times of a request on one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Prediction {
@@ -79,9 +68,9 @@
     let (requests, tokens) = reported_load(view, input.rank);
     let sent = || input.sent.iter().map(|send| send.after.as_secs_f64());
     let prompts = sent().zip(input.sent.iter().map(|send| send.tokens));
-    let left = follow_backlog(tokens, prompts, input.others.tokens, prefill_rate, age);
+    let left = follow_backlog(tokens, prompts, prefill_rate, age);
     let each = sent().map(|after| (after, 1.0));
-    let running = follow_backlog(requests, each, input.others.requests, completions, age);
+    let running = follow_backlog(requests, each, completions, age);
     let excess = running + 1.0 - slots(view);
     let wait = (left / prefill_rate).max(excess / completions);
     let cost = f64::from(input.uncached_tokens) / prefill_rate;
@@ -99,15 +88,13 @@
 }
 
 /// Backlog `age` seconds after it was `start`, worked off at `rate` per second, with `additions` at
-/// their times and `spread` added evenly over the time.
+/// their times.
 fn follow_backlog(
     start: f64,
     additions: impl Iterator<Item = (f64, f64)>,
-    spread: f64,
     rate: f64,
     age: f64,
 ) -> f64 {
-    let rate = if age > 0.0 { rate - spread / age } else { rate };
     let (mut backlog, mut time) = (start, 0.0);
     for (at, amount) in additions {
         backlog = (backlog - (at - time) * rate).max(0.0) + amount;
--- /dev/null
+++ b/cicadastall/src/route/spill.rs
@@ -0,0 +1,150 @@
+//! Choice of another region for a request that would miss its target in its own.
+
+use crate::{
+    decode::RequestPlan,
+    name::{PoolName, RegionName, ZoneName},
+    prefix::PromptShape,
+    route::{DIGEST_EXPIRY, TriedTargets},
+    settings::Rank,
+    table::{CapacityRow, RoutingTable, ZoneView},
+};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+/// Time that forwarding adds to a first token: both ways over the link, and connecting.
+const FORWARD_TIME: Duration = Duration::from_millis(120);
+
+/// Bytes of one prompt token on a link.
+const PROMPT_TOKEN_BYTES: f64 = 4.0;
+
+/// Bytes of one streamed answer token on a link.
+const ANSWER_TOKEN_BYTES: f64 = 120.0;
+
+/// Rate at which one entry may forward to other regions, in bytes per second.
+const LINK_BYTES_PER_S: f64 = 2_000_000.0;
+
+/// Most bytes that an entry may forward at once.
+const LINK_BURST_BYTES: f64 = 4_000_000.0;
+
+/// Time for which a zone that refused or lost a forwarded request gets no more of its pool and rank.
+const CLOSED_TIME: Duration = Duration::from_secs(3);
+
+/// A zone to which a request may be forwarded.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ZoneCandidate {
+    /// Region of the zone.
+    pub region: RegionName,
+    /// The zone.
+    pub zone: ZoneName,
+    /// Caller addresses of its entries.
+    pub entries: smallvec::SmallVec<[SocketAddr; 4]>,
+    /// Predicted time to first token.
+    pub first_token: Duration,
+}
+
+/// What one entry forwarded to other regions.
+#[derive(Debug, Clone, Default)]
+pub struct ForwardTrack {
+    sent: BTreeMap<ZoneName, ZoneSends>,
+    budget: Option<(f64, Instant)>,
+    closed: BTreeMap<(ZoneName, PoolName, Rank), Instant>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct ZoneSends {
+    sequence: u64,
+    tokens: f64,
+}
+
+impl ForwardTrack {
+    /// Zones that may answer the request, by the digests and by what was forwarded since.
+    ///
+    /// The digest's own word for its region is not enough: the data must be allowed to reside
+    /// there by the plan, and a forwarded request has no candidates at all.
+    pub fn list_zones(
+        &self,
+        table: &RoutingTable,
+        plan: &RequestPlan,
+        shape: &PromptShape,
+        tried: &TriedTargets,
+        now: Instant,
+    ) -> Vec<ZoneCandidate> {
+        if plan.forwarded_from.is_some() {
+            return Vec::new();
+        }
+        let entries = table.entries.len() as f64 + 1.0;
+        let zones = table.zones.iter().filter(|(zone, view)| {
+            plan.regions.contains(&view.digest.region)
+                && view.digest.zone == **zone
+                && !tried.zones.contains(zone)
+                && now.saturating_duration_since(view.received_at) < DIGEST_EXPIRY
+                && !self.is_closed(zone, plan, now)
+        });
+        zones
+            .filter_map(|(zone, view)| {
+                let row = find_row(view, plan)?;
+                let since =
+                    self.sent.get(zone).filter(|sent| sent.sequence == view.digest.sequence);
+                let queued = since.map_or(0.0, |sent| sent.tokens) * entries;
+                let first_token = predict_zone(row, shape, queued)?;
+                Some(ZoneCandidate {
+                    region: view.digest.region.clone(),
+                    zone: zone.clone(),
+                    entries: view.digest.entries.clone(),
+                    first_token,
+                })
+            })
+            .filter(|candidate| !candidate.entries.is_empty())
+            .collect()
+    }
+
+    /// Takes the bytes of a request out of the link's share; false if that is used up.
+    pub fn take_bytes(&mut self, shape: &PromptShape, now: Instant) -> bool {
+        let bytes = f64::from(shape.tokens) * PROMPT_TOKEN_BYTES
+            + f64::from(shape.answer_tokens) * ANSWER_TOKEN_BYTES;
+        let (level, filled_at) = self.budget.unwrap_or((LINK_BURST_BYTES, now));
+        let elapsed = now.saturating_duration_since(filled_at).as_secs_f64();
+        let level = (level + elapsed * LINK_BYTES_PER_S).min(LINK_BURST_BYTES);
+        let taken = level >= bytes;
+        self.budget = Some((if taken { level - bytes } else { level }, now));
+        taken
+    }
+
+    fn is_closed(&self, zone: &ZoneName, plan: &RequestPlan, now: Instant) -> bool {
+        let key = (zone.clone(), plan.pool.clone(), plan.rank);
+        self.closed.get(&key).is_some_and(|until| now < *until)
+    }
+
+    /// Notes that a forwarded request came back from `zone` without a result.
+    pub fn note_returned(&mut self, zone: &ZoneName, plan: &RequestPlan, now: Instant) {
+        let key = (zone.clone(), plan.pool.clone(), plan.rank);
+        self.closed.insert(key, now + CLOSED_TIME);
+    }
+
+    /// Notes that a request was forwarded to `zone`.
+    pub fn note_forwarded(&mut self, table: &RoutingTable, zone: &ZoneName, shape: &PromptShape) {
+        let sequence = table.zones.get(zone).map_or(0, |view| view.digest.sequence);
+        let sent = self.sent.entry(zone.clone()).or_default();
+        if sent.sequence != sequence {
+            *sent = ZoneSends { sequence, tokens: 0.0 };
+        }
+        sent.tokens += f64::from(shape.tokens);
+    }
+}
+
+fn find_row<'a>(view: &'a ZoneView, plan: &RequestPlan) -> Option<&'a CapacityRow> {
+    view.digest.rows.iter().find(|row| {
+        row.pool == plan.pool
+            && row.model == plan.model
+            && row.rank == plan.rank
+            && row.upstreams > 0
+    })
+}
+
+/// Predicted time to first token in another zone, whose caches count as cold.
+fn predict_zone(row: &CapacityRow, shape: &PromptShape, queued_tokens: f64) -> Option<Duration> {
+    let each = row.prefill_tokens_per_s / f64::from(row.upstreams);
+    let prefill = f64::from(shape.tokens) / each + queued_tokens / row.prefill_tokens_per_s;
+    let wait = Duration::try_from_secs_f64(row.wait_ms.max(0.0) / 1_000.0).ok()?;
+    Some(FORWARD_TIME + wait + Duration::try_from_secs_f64(prefill).ok()?)
+}
--- a/cicadastall/src/route/summary.rs
+++ b/cicadastall/src/route/summary.rs
@@ -2,7 +2,11 @@
 
 use crate::{
     name::{ModelName, PoolName},
-    route::UPSTREAM_EXPIRY,
+    prefix::PromptShape,
+    route::{
+        FIRST_ANSWER_MEAN, UPSTREAM_EXPIRY,
+        score::{ScoreInput, predict},
+    },
     settings::Rank,
     table::{CapacityRow, RoutingTable, UpstreamState, UpstreamView},
 };
@@ -27,7 +31,7 @@
     }
     let ranks = [Rank::Urgent, Rank::Patient];
     let rows = groups.iter().flat_map(|(key, views)| {
-        ranks.map(|rank| summarize_group(&key.0, key.1.as_ref(), views, rank))
+        ranks.map(|rank| summarize_group(&key.0, key.1.as_ref(), views, rank, now))
     });
     rows.collect()
 }
@@ -37,14 +41,25 @@
     model: Option<&ModelName>,
     views: &[&UpstreamView],
     rank: Rank,
+    now: Instant,
 ) -> CapacityRow {
     let rates = views.iter().map(|view| view.record.rates.prefill_tokens_per_s);
+    let shape = PromptShape::default();
+    let input = ScoreInput {
+        shape: &shape,
+        rank,
+        uncached_tokens: 0,
+        sent: &[],
+        pace: 1.0,
+        mean_answer_tokens: FIRST_ANSWER_MEAN,
+    };
+    let waits = views.iter().map(|view| predict(view, &input, now).wait.as_secs_f64());
     CapacityRow {
         pool: pool.clone(),
         model: model.cloned(),
         rank,
         upstreams: views.len() as u32,
         prefill_tokens_per_s: rates.sum(),
-        wait_ms: 0.0,
+        wait_ms: waits.sum::<f64>() / views.len() as f64 * 1_000.0,
     }
 }
