Believe the settings and not a digest for a zone's region, and explain decisions

Cause: a digest that claims another region was believed, so a mistaken instance could draw data out of its regions; nobody could see why a request went where. Ruled out: checking addresses, which the settings do not hold. Change: map.rs keeps zones and link rates of the newest settings; a zone that the settings place elsewhere is no candidate, and forwarded requests use at most 5% of the link that the settings give. explain.rs keeps the latest 256 decisions with candidates, scores, filters, limit and revision, served at GET /v1/explain/REQUEST on the operator port. filter.rs names a reason for each upstream. Flows idle for 60 s no longer count among those that share. Mutations seen to fail and taken back: list_zones without map.places, and without the digest's own zone: zone_is_tried_once_and_only_where_the_settings_place_it; find_reason without the record's region, and without the plan's regions: no_target_lies_outside_the_data_s_regions.

--- a/cicadastall-bench/src/compare/simulation.rs
+++ b/cicadastall-bench/src/compare/simulation.rs
@@ -18,6 +18,7 @@
     name::RegionName,
     retry::permits_attempt,
     route::{RequestRouter, RouteDecision, RouterPlace, UpstreamChoice},
+    settings::{FleetSettings, Revision, SettingsSnapshot},
     table::{UpstreamRecord, UpstreamState, ZoneDigest, ZoneView},
 };
 use cicadastall_standins::model::{JobEvent, ModelJob};
@@ -101,7 +102,7 @@
     upstreams: Vec<UpstreamModel>,
     by_name: HashMap<cicadastall::name::UpstreamName, usize>,
     plans: HashMap<(usize, usize, u32), Rc<RequestPlan>>,
-    settings: cicadastall::settings::FleetSettings,
+    settings: FleetSettings,
     requests: HashMap<u64, SimRequest>,
     attempts: HashMap<u64, u64>,
     numbers: u64,
@@ -141,6 +142,12 @@
             workload,
             entry,
         };
+        let tree = simulation.settings.clone();
+        let snapshot =
+            SettingsSnapshot { revision: Revision(1), tree, ..SettingsSnapshot::default() };
+        for router in simulation.zones.iter_mut().flat_map(|zone| &mut zone.routers) {
+            router.note_settings(&snapshot);
+        }
         simulation.schedule_start();
         simulation
     }
--- a/cicadastall/src/admit.rs
+++ b/cicadastall/src/admit.rs
@@ -34,6 +34,9 @@
 /// Time after which work that was taken counts half.
 const USAGE_HALF_LIFE: Duration = Duration::from_secs(10);
 
+/// Time without a request after which a flow no longer counts among those that share.
+const FLOW_IDLE: Duration = Duration::from_secs(60);
+
 /// Share of the capacity that patient work gets even where urgent work could use all of it.
 const PATIENT_SHARE: f64 = 0.03;
 
@@ -82,7 +85,35 @@
     filled_at: Instant,
 }
 
-type FlowGroup = BTreeMap<(WorkspaceName, KindName), FlowUsage>;
+/// All flows of one pool and rank, with their sums.
+#[derive(Debug, Clone)]
+struct FlowGroup {
+    flows: BTreeMap<(WorkspaceName, KindName), FlowUsage>,
+    shares: f64,
+    work_s: f64,
+    counted_at: Instant,
+    pruned_at: Instant,
+}
+
+impl FlowGroup {
+    fn new(now: Instant) -> Self {
+        Self { flows: BTreeMap::new(), shares: 0.0, work_s: 0.0, counted_at: now, pruned_at: now }
+    }
+
+    fn work_s(&self, now: Instant) -> f64 {
+        decayed(self.work_s, self.counted_at, now)
+    }
+
+    fn count(&mut self, work_s: f64, now: Instant) {
+        self.work_s = self.work_s(now) + work_s;
+        self.counted_at = now;
+        if now.saturating_duration_since(self.pruned_at) > FLOW_IDLE {
+            self.pruned_at = now;
+            self.flows.retain(|_, flow| now.saturating_duration_since(flow.counted_at) < FLOW_IDLE);
+            self.shares = self.flows.values().map(|flow| flow.share).sum();
+        }
+    }
+}
 
 /// Admission state of one entry.
 #[derive(Debug, Clone, Default)]
@@ -108,9 +139,13 @@
 
     /// Counts the work of a request that is sent.
     pub fn note_sent(&mut self, plan: &RequestPlan, work: Duration, now: Instant) {
+        let work_s = work.as_secs_f64();
         let flow = self.flow(plan, now);
-        flow.work_s = decayed(flow, now) + work.as_secs_f64();
+        flow.work_s = decayed(flow.work_s, flow.counted_at, now) + work_s;
         flow.counted_at = now;
+        if let Some(group) = self.groups.get_mut(&(plan.pool.clone(), plan.rank)) {
+            group.count(work_s, now);
+        }
     }
 
     /// Decides on a request whose best prediction exceeds its limit.
@@ -142,35 +177,37 @@
     /// [`LEAST_FAIRNESS`] to 1.
     fn fairness(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
         let Some(group) = self.groups.get(&(plan.pool.clone(), plan.rank)) else { return 1.0 };
-        let Some(own) = group.get(&(plan.workspace.clone(), plan.kind.clone())) else { return 1.0 };
-        let own_usage = decayed(own, now) / own.share;
-        let usage: f64 = group.values().map(|flow| decayed(flow, now)).sum();
-        let shares: f64 = group.values().map(|flow| flow.share).sum();
+        let key = (plan.workspace.clone(), plan.kind.clone());
+        let Some(own) = group.flows.get(&key) else { return 1.0 };
+        let own_usage = decayed(own.work_s, own.counted_at, now) / own.share;
         if own_usage <= 0.0 {
             return 1.0;
         }
+        let usage = group.work_s(now) / group.shares;
         let pressure = self.pressure(plan, capacity, now);
-        let fair = (usage / shares / own_usage).clamp(LEAST_FAIRNESS, 1.0);
+        let fair = (usage / own_usage).clamp(LEAST_FAIRNESS, 1.0);
         1.0 - pressure * (1.0 - fair)
     }
 
     /// How far shares count, from 0 to 1, by the work of the request's rank and of ranks before it.
     fn pressure(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
-        let ranks =
-            self.groups.range((plan.pool.clone(), Rank::Urgent)..=(plan.pool.clone(), plan.rank));
-        let work_s: f64 =
-            ranks.flat_map(|(_, group)| group.values()).map(|flow| decayed(flow, now)).sum();
+        let urgent = (plan.pool.clone(), Rank::Urgent);
+        let own = (plan.pool.clone(), plan.rank);
+        let groups = self.groups.range(urgent..=own);
+        let work_s: f64 = groups.map(|(_, group)| group.work_s(now)).sum();
         let mean_life = USAGE_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
         let load = work_s / mean_life / capacity.own_rate();
         ((load - LOAD_RANGE.0) / (LOAD_RANGE.1 - LOAD_RANGE.0)).clamp(0.0, 1.0)
     }
 
     fn flow(&mut self, plan: &RequestPlan, now: Instant) -> &mut FlowUsage {
-        let group = self.groups.entry((plan.pool.clone(), plan.rank)).or_default();
+        let group = self.groups.entry((plan.pool.clone(), plan.rank));
+        let group = group.or_insert_with(|| FlowGroup::new(now));
         let key = (plan.workspace.clone(), plan.kind.clone());
         let share = plan.share.max(f64::MIN_POSITIVE);
-        let new = FlowUsage { share, work_s: 0.0, counted_at: now, next_return: now };
-        let flow = group.entry(key).or_insert(new);
+        let new = FlowUsage { share: 0.0, work_s: 0.0, counted_at: now, next_return: now };
+        let flow = group.flows.entry(key).or_insert(new);
+        group.shares += share - flow.share;
         flow.share = share;
         flow
     }
@@ -209,7 +246,7 @@
         now: Instant,
     ) -> Duration {
         let group = self.groups.get(&(plan.pool.clone(), plan.rank));
-        let flows = group.map_or(1, |group| group.len().max(1)) as f64;
+        let flows = group.map_or(1, |group| group.flows.len().max(1)) as f64;
         let step = work.as_secs_f64() * flows / capacity.own_rate().max(f64::MIN_POSITIVE);
         let flow = self.flow(plan, now);
         let (earliest, latest) = RETURN_RANGE;
@@ -221,7 +258,7 @@
     }
 }
 
-fn decayed(flow: &FlowUsage, now: Instant) -> f64 {
-    let age = now.saturating_duration_since(flow.counted_at).as_secs_f64();
-    flow.work_s * (-age / USAGE_HALF_LIFE.as_secs_f64()).exp2()
+fn decayed(work_s: f64, counted_at: Instant, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(counted_at).as_secs_f64();
+    work_s * (-age / USAGE_HALF_LIFE.as_secs_f64()).exp2()
 }
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -36,6 +36,9 @@
 /// Idle connections kept to each upstream.
 const IDLE_CONNECTIONS: usize = 64;
 
+/// Path at which operators ask why a request was routed as it was; the request follows.
+pub const EXPLAIN_PATH: &str = "/v1/explain/";
+
 /// State that the traffic threads of one entry share.
 #[derive(Debug)]
 pub struct EntryContext {
@@ -216,10 +219,21 @@
             text_answer(StatusCode::OK, "no new callers are sent here\n")
         }
         (&Method::GET, "/v1/status") => json_answer(StatusCode::OK, &describe_entry(&context)),
+        (&Method::GET, path) if path.starts_with(EXPLAIN_PATH) => {
+            answer_explain(&context, &path[EXPLAIN_PATH.len()..])
+        }
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
+fn answer_explain(context: &EntryContext, request: &str) -> Response<AnswerBody> {
+    let decisions = context.router().explain(request);
+    if decisions.is_empty() {
+        return text_answer(StatusCode::NOT_FOUND, "no decision on that request is kept\n");
+    }
+    json_answer(StatusCode::OK, &decisions)
+}
+
 fn describe_entry(context: &EntryContext) -> serde_json::Value {
     let table = context.table();
     json!({
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod dispatch;
 pub mod document;
 pub mod entry;
+pub mod explain;
 pub mod fault;
 pub mod follow;
 pub mod follower;
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -276,8 +276,12 @@
                 return Err(self.refuse(RefusalCode::DeadlinePassed, "deadline passed"));
             }
             let table = self.context.table();
-            let decision =
-                self.context.router().choose(&table, &self.plan, &self.shape, &self.tried, now);
+            let settings = self.context.settings().newest();
+            let decision = {
+                let mut router = self.context.router();
+                router.note_settings(&settings);
+                router.choose(&table, &self.plan, &self.shape, &self.tried, now)
+            };
             match decision {
                 RouteDecision::Wait(until) => sleep_until(until.min(self.deadline)).await,
                 RouteDecision::Refuse(mut refusal) => {
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -7,9 +7,10 @@
     admit::{Admission, AdmissionGate, ZoneCapacity},
     answer::{Refusal, RefusalCode},
     decode::RequestPlan,
+    explain::{ExplainRing, ExplainedCandidate, RouteExplanation, RouteOutcome},
     name::{RegionName, UpstreamName, ZoneName},
     prefix::PromptShape,
-    settings::Rank,
+    settings::{Rank, Revision, SettingsSnapshot},
     table::{RoutingTable, UpstreamView},
 };
 use rand::{RngExt, SeedableRng};
@@ -19,13 +20,15 @@
 use tokio::time::Instant;
 
 pub mod filter;
+pub mod map;
 pub mod policy;
 pub mod score;
 pub mod spill;
 pub mod summary;
 pub mod track;
 
-use filter::{is_untried, may_reside, serves_plan};
+use filter::{FilterReason, find_reason};
+use map::FleetMap;
 use policy::{ChoiceRule, RouterPolicy};
 use score::{Prediction, ScoreInput, predict};
 use spill::{ForwardTrack, ZoneCandidate};
@@ -93,6 +96,52 @@
     Refuse(Refusal),
 }
 
+/// Everything that one choice is made from, beside the router's own knowledge.
+#[derive(Debug, Clone, Copy)]
+struct ChoiceInput<'a> {
+    table: &'a RoutingTable,
+    plan: &'a RequestPlan,
+    shape: &'a PromptShape,
+    tried: &'a TriedTargets,
+    capacity: ZoneCapacity,
+    limit: Duration,
+    now: Instant,
+}
+
+impl ChoiceInput<'_> {
+    fn explain(
+        &self,
+        revision: Revision,
+        candidates: &[&UpstreamView],
+        predictions: &[Prediction],
+        filtered: Vec<(UpstreamName, FilterReason)>,
+    ) -> RouteExplanation {
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let pairs = candidates.iter().zip(predictions);
+        RouteExplanation {
+            request: self.plan.request.clone(),
+            workspace: self.plan.workspace.clone(),
+            kind: self.plan.kind.clone(),
+            rank: self.plan.rank,
+            revision,
+            regions: self.plan.regions.to_vec(),
+            forwarded_from: self.plan.forwarded_from.clone(),
+            limit_ms: millis(self.limit),
+            candidates: pairs
+                .map(|(view, prediction)| ExplainedCandidate {
+                    upstream: view.record.name.clone(),
+                    score: prediction.score(),
+                    first_token_ms: millis(prediction.first_token),
+                    wait_ms: millis(prediction.wait),
+                })
+                .collect(),
+            filtered,
+            outcome: RouteOutcome::Waiting,
+        }
+        .trim()
+    }
+}
+
 /// Chooses upstreams by the late load reports and by what this instance sent since.
 #[derive(Debug)]
 pub struct RequestRouter {
@@ -104,6 +153,8 @@
     mean_answer_tokens: f64,
     gate: AdmissionGate,
     forwards: ForwardTrack,
+    map: FleetMap,
+    ring: ExplainRing,
 }
 
 impl RequestRouter {
@@ -115,11 +166,18 @@
     /// A router with a policy and a seed of its own.
     pub fn with_policy(place: RouterPlace, policy: RouterPolicy, seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        let tracks = BTreeMap::new();
-        let mean_answer_tokens = FIRST_ANSWER_MEAN;
-        let gate = AdmissionGate::default();
-        let forwards = ForwardTrack::default();
-        Self { place, policy, tracks, rng, sent: 0, mean_answer_tokens, gate, forwards }
+        Self {
+            place,
+            policy,
+            tracks: BTreeMap::new(),
+            rng,
+            sent: 0,
+            mean_answer_tokens: FIRST_ANSWER_MEAN,
+            gate: AdmissionGate::default(),
+            forwards: ForwardTrack::default(),
+            map: FleetMap::default(),
+            ring: ExplainRing::default(),
+        }
     }
 
     /// Chooses the target of the next attempt.
@@ -131,28 +189,44 @@
         tried: &TriedTargets,
         now: Instant,
     ) -> RouteDecision {
-        let candidates: SmallVec<[&UpstreamView; 16]> = table
-            .upstreams
-            .values()
-            .filter(|view| may_reside(view, plan, &self.place))
-            .filter(|view| serves_plan(view, plan, now) && is_untried(view, tried))
-            .collect();
+        let mut candidates: SmallVec<[&UpstreamView; 16]> = SmallVec::new();
+        let mut filtered = Vec::new();
+        for view in table.upstreams.values() {
+            match find_reason(view, plan, &self.place, tried, now) {
+                None => candidates.push(view),
+                Some(reason) => filtered.push((view.record.name.clone(), reason)),
+            }
+        }
         self.observe_caches(&candidates);
         let predictions = self.predict_all(&candidates, plan, shape, now);
         let capacity =
             ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
         let limit = self.gate.limit(plan, capacity, now);
-        let chosen = self.choose_upstream(&candidates, &predictions, limit);
+        let choice = ChoiceInput { table, plan, shape, tried, capacity, limit, now };
+        let decision = self.decide(&choice, &candidates, &predictions);
+        let explanation = choice.explain(self.map.revision, &candidates, &predictions, filtered);
+        self.ring.push(explanation.decided(&decision));
+        decision
+    }
+
+    fn decide(
+        &mut self,
+        choice: &ChoiceInput<'_>,
+        candidates: &[&UpstreamView],
+        predictions: &[Prediction],
+    ) -> RouteDecision {
+        let ChoiceInput { plan, capacity, limit, now, .. } = *choice;
+        let chosen = self.choose_upstream(candidates, predictions, limit);
         if let Some(place) = chosen
             && (!self.policy.admission
-                || !tried.upstreams.is_empty()
+                || !choice.tried.upstreams.is_empty()
                 || predictions[place].first_token <= limit)
         {
             return send_to(candidates[place], priority_of(plan.rank));
         }
-        let here = chosen.map(|place| (predictions[place].first_token, limit));
+        let here = chosen.map(|place| predictions[place].first_token);
         if (here.is_none() || self.policy.spill && self.gate.permits_spill(plan, capacity, now))
-            && let Some(decision) = self.choose_zone(table, plan, shape, tried, here, now)
+            && let Some(decision) = self.choose_zone(choice, here)
         {
             return decision;
         }
@@ -165,6 +239,18 @@
         }
     }
 
+    /// Takes the settings against which claims of other instances are checked.
+    pub fn note_settings(&mut self, snapshot: &SettingsSnapshot) {
+        if self.map.revision != snapshot.revision {
+            self.map = FleetMap::of(snapshot);
+        }
+    }
+
+    /// The kept decisions on one request, the oldest first.
+    pub fn explain(&self, request: &str) -> Vec<RouteExplanation> {
+        self.ring.find(request)
+    }
+
     /// Notes that a request was sent to `upstream`.
     pub fn note_sent(
         &mut self,
@@ -306,24 +392,23 @@
     }
 
     /// Chooses another zone if the request can't be answered here, or if it would be late here and
-    /// in time there. `here` is the best prediction of this zone, with its limit.
+    /// in time there. `here` is the best predicted time to first token in this zone.
     fn choose_zone(
         &mut self,
-        table: &RoutingTable,
-        plan: &RequestPlan,
-        shape: &PromptShape,
-        tried: &TriedTargets,
-        here: Option<(Duration, Duration)>,
-        now: Instant,
+        choice: &ChoiceInput<'_>,
+        here: Option<Duration>,
     ) -> Option<RouteDecision> {
-        let bound = here.map_or(Duration::MAX, |(first_token, limit)| first_token.min(limit));
-        let mut zones = self.forwards.list_zones(table, plan, shape, tried, now);
+        let ChoiceInput { table, plan, shape, tried, now, .. } = *choice;
+        let bound = here.map_or(Duration::MAX, |first_token| first_token.min(choice.limit));
+        let mut zones = self.forwards.list_zones(&self.map, table, plan, shape, tried, now);
         zones.retain(|zone| zone.first_token <= bound);
         let best = zones.into_iter().min_by(|a, b| {
             let home = |zone: &ZoneCandidate| zone.region != plan.home;
             home(a).cmp(&home(b)).then(a.first_token.cmp(&b.first_token))
         })?;
-        if !self.forwards.take_bytes(shape, now) {
+        let rate = self.map.link_bytes_per_s(&best.region);
+        let entries = choice.capacity.entries;
+        if !self.forwards.take_bytes(&best.region, rate, entries, shape, now) {
             return None;
         }
         self.forwards.note_forwarded(table, &best.zone, shape);
--- a/cicadastall/src/route/filter.rs
+++ b/cicadastall/src/route/filter.rs
@@ -5,26 +5,55 @@
     route::{RouterPlace, TriedTargets, UPSTREAM_EXPIRY},
     table::{UpstreamState, UpstreamView},
 };
+use serde::Serialize;
 use tokio::time::Instant;
 
-/// Whether the upstream is in the router's own region and the data may be answered there.
+/// Why an upstream may not run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FilterReason {
+    /// The data may not be answered in this region, or the upstream is in another.
+    Residency,
+    /// It belongs to another pool.
+    Pool,
+    /// It does not have the model.
+    Model,
+    /// It takes no new work.
+    State,
+    /// It has not announced itself lately.
+    Silent,
+    /// It failed lately.
+    Quarantined,
+    /// The request failed on it.
+    Tried,
+}
+
+/// The first reason for which the upstream may not run the request.
 ///
 /// The record's own region is checked as well, because a record may have been passed on by an
 /// instance that is mistaken.
-pub fn may_reside(view: &UpstreamView, plan: &RequestPlan, place: &RouterPlace) -> bool {
-    view.record.region == place.region && plan.regions.contains(&place.region)
-}
-
-/// Whether the upstream has what the request needs and takes new work.
-pub fn serves_plan(view: &UpstreamView, plan: &RequestPlan, now: Instant) -> bool {
+pub fn find_reason(
+    view: &UpstreamView,
+    plan: &RequestPlan,
+    place: &RouterPlace,
+    tried: &TriedTargets,
+    now: Instant,
+) -> Option<FilterReason> {
     let record = &view.record;
-    record.state == UpstreamState::Serving
-        && record.pool == plan.pool
-        && plan.model.as_ref().is_none_or(|model| record.models.contains(model))
-        && now.saturating_duration_since(view.renewed_at) < UPSTREAM_EXPIRY
-}
-
-/// Whether the request was not tried on the upstream before.
-pub fn is_untried(view: &UpstreamView, tried: &TriedTargets) -> bool {
-    !tried.upstreams.contains(&view.record.name)
+    if record.region != place.region || !plan.regions.contains(&place.region) {
+        return Some(FilterReason::Residency);
+    }
+    if record.pool != plan.pool {
+        return Some(FilterReason::Pool);
+    }
+    if plan.model.as_ref().is_some_and(|model| !record.models.contains(model)) {
+        return Some(FilterReason::Model);
+    }
+    if record.state != UpstreamState::Serving {
+        return Some(FilterReason::State);
+    }
+    if now.saturating_duration_since(view.renewed_at) >= UPSTREAM_EXPIRY {
+        return Some(FilterReason::Silent);
+    }
+    tried.upstreams.contains(&record.name).then_some(FilterReason::Tried)
 }
--- a/cicadastall/src/route/spill.rs
+++ b/cicadastall/src/route/spill.rs
@@ -4,7 +4,7 @@
     decode::RequestPlan,
     name::{PoolName, RegionName, ZoneName},
     prefix::PromptShape,
-    route::{DIGEST_EXPIRY, TriedTargets},
+    route::{DIGEST_EXPIRY, TriedTargets, map::FleetMap},
     settings::Rank,
     table::{CapacityRow, RoutingTable, ZoneView},
 };
@@ -20,11 +20,11 @@
 /// Bytes of one streamed answer token on a link.
 const ANSWER_TOKEN_BYTES: f64 = 120.0;
 
-/// Rate at which one entry may forward to other regions, in bytes per second.
-const LINK_BYTES_PER_S: f64 = 2_000_000.0;
+/// Share of a link's bandwidth that forwarded requests of one zone may use.
+const LINK_SHARE: f64 = 0.05;
 
-/// Most bytes that an entry may forward at once.
-const LINK_BURST_BYTES: f64 = 4_000_000.0;
+/// Time of the share that may be used at once.
+const LINK_BURST: Duration = Duration::from_secs(2);
 
 /// Time for which a zone that refused or lost a forwarded request gets no more of its pool and rank.
 const CLOSED_TIME: Duration = Duration::from_secs(3);
@@ -46,7 +46,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ForwardTrack {
     sent: BTreeMap<ZoneName, ZoneSends>,
-    budget: Option<(f64, Instant)>,
+    budgets: BTreeMap<RegionName, (f64, Instant)>,
     closed: BTreeMap<(ZoneName, PoolName, Rank), Instant>,
 }
 
@@ -59,10 +59,11 @@
 impl ForwardTrack {
     /// Zones that may answer the request, by the digests and by what was forwarded since.
     ///
-    /// The digest's own word for its region is not enough: the data must be allowed to reside
-    /// there by the plan, and a forwarded request has no candidates at all.
+    /// The digest's own word for its region is not enough: the settings must place the zone in the
+    /// region, and the plan must permit it. A forwarded request has no candidates at all.
     pub fn list_zones(
         &self,
+        map: &FleetMap,
         table: &RoutingTable,
         plan: &RequestPlan,
         shape: &PromptShape,
@@ -76,6 +77,7 @@
         let zones = table.zones.iter().filter(|(zone, view)| {
             plan.regions.contains(&view.digest.region)
                 && view.digest.zone == **zone
+                && map.places(zone, &view.digest.region)
                 && !tried.zones.contains(zone)
                 && now.saturating_duration_since(view.received_at) < DIGEST_EXPIRY
                 && !self.is_closed(zone, plan, now)
@@ -98,15 +100,25 @@
             .collect()
     }
 
-    /// Takes the bytes of a request out of the link's share; false if that is used up.
-    pub fn take_bytes(&mut self, shape: &PromptShape, now: Instant) -> bool {
+    /// Takes the bytes of a request out of the share of the link that has `link_bytes_per_s` and
+    /// serves `entries`; false if that is used up.
+    pub fn take_bytes(
+        &mut self,
+        region: &RegionName,
+        link_bytes_per_s: f64,
+        entries: usize,
+        shape: &PromptShape,
+        now: Instant,
+    ) -> bool {
         let bytes = f64::from(shape.tokens) * PROMPT_TOKEN_BYTES
             + f64::from(shape.answer_tokens) * ANSWER_TOKEN_BYTES;
-        let (level, filled_at) = self.budget.unwrap_or((LINK_BURST_BYTES, now));
+        let rate = link_bytes_per_s * LINK_SHARE / entries.max(1) as f64;
+        let full = rate * LINK_BURST.as_secs_f64();
+        let (level, filled_at) = self.budgets.get(region).copied().unwrap_or((full, now));
         let elapsed = now.saturating_duration_since(filled_at).as_secs_f64();
-        let level = (level + elapsed * LINK_BYTES_PER_S).min(LINK_BURST_BYTES);
+        let level = (level + elapsed * rate).min(full);
         let taken = level >= bytes;
-        self.budget = Some((if taken { level - bytes } else { level }, now));
+        self.budgets.insert(region.clone(), (if taken { level - bytes } else { level }, now));
         taken
     }
 
--- a/cicadastall/tests/residency.rs
+++ b/cicadastall/tests/residency.rs
@@ -7,7 +7,10 @@
     name::{RegionName, ZoneName},
     prefix::PromptShape,
     route::{RequestRouter, RouteDecision, RouterPlace, TriedTargets, policy::RouterPolicy},
-    settings::{FleetSettings, KindSettings, Rank, Residency, TeamSettings, WorkspaceSettings},
+    settings::{
+        FleetSettings, KindSettings, Rank, RegionSettings, Residency, Revision, SettingsSnapshot,
+        TeamSettings, WorkspaceSettings,
+    },
     table::{
         CapacityRow, Incarnation, LoadReport, RoutingTable, UpstreamRates, UpstreamRecord,
         UpstreamState, UpstreamView, ZoneDigest, ZoneView,
@@ -84,11 +87,12 @@
     fn arbitrary(gen_: &mut Gen) -> Self {
         let waits = [0.0, 10.0, 5_000.0, -1.0, f64::NAN, f64::INFINITY, 1e300];
         let zone = u8::arbitrary(gen_) % 6;
+        let lies = u8::arbitrary(gen_).is_multiple_of(4);
         let misfiled = u8::arbitrary(gen_).is_multiple_of(4);
         Self {
             filed_as: if misfiled { u8::arbitrary(gen_) % 6 } else { zone },
             zone,
-            region: u8::arbitrary(gen_),
+            region: if lies { u8::arbitrary(gen_) } else { zone },
             upstreams: u8::arbitrary(gen_) % 4,
             wait_ms: *gen_.choose(&waits).expect("some"),
             age_ms: u16::arbitrary(gen_) % 4_000,
@@ -162,7 +166,11 @@
             kinds: [("tuck-query".into(), kind)].into(),
             workspaces: [("aqaba-port".into(), workspace)].into(),
         };
-        FleetSettings { regions: Default::default(), teams: [("trust".into(), team)].into() }
+        let regions = (0..4).map(|number| {
+            let zones = (0..6).filter(|zone| home_of(*zone) == region(number)).map(zone).collect();
+            (region(number), RegionSettings { zones, link_bytes_per_s: 250_000_000 })
+        });
+        FleetSettings { regions: regions.collect(), teams: [("trust".into(), team)].into() }
     }
 
     fn plan(&self) -> RequestPlan {
@@ -212,6 +220,11 @@
         let now = Instant::now() + Duration::from_secs(60);
         let place = RouterPlace { region: region(self.here), zone: "here-a".into() };
         let mut router = RequestRouter::with_policy(place, RouterPolicy::default(), self.seed);
+        router.note_settings(&SettingsSnapshot {
+            revision: Revision(1),
+            tree: self.settings(),
+            ..SettingsSnapshot::default()
+        });
         let zones = self.tried.iter().map(|number| zone(*number)).collect();
         let tried = TriedTargets { zones, ..TriedTargets::default() };
         let shape = PromptShape { tokens: 500, answer_tokens: 50, blocks: vec![1] };
@@ -223,6 +236,11 @@
     ZoneName::new(format!("zone-{}", number % 6))
 }
 
+/// Region in which the settings place a zone.
+fn home_of(zone: u8) -> RegionName {
+    region(zone % 6)
+}
+
 impl UpstreamClaim {
     fn record(&self, number: u8) -> UpstreamRecord {
         UpstreamRecord {
@@ -304,13 +322,16 @@
 }
 
 #[test]
-fn zone_is_tried_once_and_only_under_its_own_name() {
+fn zone_is_tried_once_and_only_where_the_settings_place_it() {
     check(|case| match case.decide() {
         RouteDecision::Entry { zone: chosen, region: claimed, .. } => {
             let newest = case.zones.iter().rfind(|claim| zone(claim.filed_as) == chosen);
-            newest
-                .is_some_and(|claim| zone(claim.zone) == chosen && region(claim.region) == claimed)
-                && !case.tried.iter().any(|number| zone(*number) == chosen)
+            let placed = |claim: &ZoneClaim| {
+                zone(claim.zone) == chosen
+                    && region(claim.region) == claimed
+                    && home_of(claim.zone) == claimed
+            };
+            newest.is_some_and(placed) && !case.tried.iter().any(|number| zone(*number) == chosen)
         }
         _ => true,
     });
