Bound retries and refused forwards by a budget, and rest upstreams that failed

Change: retry.rs: each first send earns 0.08 of a retry, at most 32 are saved by an entry and pool; no forward starts once the budget is used up. track.rs: a failed upstream gets no new work for 1 s, doubling to 8 s, until a first token or a restart.

--- a/cicadastall-bench/src/compare/simulation.rs
+++ b/cicadastall-bench/src/compare/simulation.rs
@@ -16,7 +16,6 @@
     decode::RequestPlan,
     dispatch::AttemptError,
     name::RegionName,
-    retry::permits_attempt,
     route::{RequestRouter, RouteDecision, RouterPlace, UpstreamChoice},
     settings::{FleetSettings, Revision, SettingsSnapshot},
     table::{UpstreamRecord, UpstreamState, ZoneDigest, ZoneView},
@@ -465,11 +464,16 @@
         }
         if let Some(attempt) = leg.attempt.take() {
             leg.tried.upstreams.push(attempt.ticket.upstream.clone());
-            self.zones[leg.zone].routers[leg.entry].note_ended(&attempt.ticket);
+            let router = &mut self.zones[leg.zone].routers[leg.entry];
+            router.note_ended(&attempt.ticket);
+            if !matches!(error, AttemptError::Refused(_)) {
+                router.note_failed(&attempt.ticket.upstream, self.now);
+            }
         } else if let Some(zone) = leg.tried.zones.last() {
             self.zones[leg.zone].routers[leg.entry].note_returned(zone, &leg.plan, self.now);
         }
-        if permits_attempt(&leg.plan, leg.ran, leg.attempts) {
+        let router = &mut self.zones[leg.zone].routers[leg.entry];
+        if router.permit_retry(&leg.plan, leg.ran, leg.attempts) {
             return self.decide(number);
         }
         let mut refusal = error.into_refusal();
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -9,7 +9,6 @@
     entry::EntryContext,
     name::{AttemptId, RegionName, RequestId, UpstreamName},
     prefix::PromptShape,
-    retry::permits_attempt,
     route::{RouteDecision, TriedTargets, UpstreamChoice, track::SendTicket},
     stream::{AnswerAssembler, StreamStep, encode_event},
     wire::{CallRequest, ChatRequest, ChunkView},
@@ -333,10 +332,13 @@
         }
         if let Some(upstream) = &attempt.source.upstream {
             self.tried.upstreams.push(upstream.clone());
+            if !matches!(error, AttemptError::Refused(_)) {
+                self.context.router().note_failed(upstream, Instant::now());
+            }
         } else if let Some(zone) = self.tried.zones.last() {
             self.context.router().note_returned(zone, &self.plan, Instant::now());
         }
-        if !permits_attempt(&self.plan, self.ran, self.attempts) {
+        if !self.context.router().permit_retry(&self.plan, self.ran, self.attempts) {
             let mut refusal = error.into_refusal();
             refusal.ran = self.ran;
             return Err(refusal);
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -5,11 +5,12 @@
 
 use crate::{
     admit::{Admission, AdmissionGate, ZoneCapacity},
-    answer::{Refusal, RefusalCode},
+    answer::{Ran, Refusal, RefusalCode},
     decode::RequestPlan,
     explain::{ExplainRing, ExplainedCandidate, RouteExplanation, RouteOutcome},
     name::{RegionName, UpstreamName, ZoneName},
     prefix::PromptShape,
+    retry::{RetryBudget, permits_attempt},
     settings::{Rank, Revision, SettingsSnapshot},
     table::{RoutingTable, UpstreamView},
 };
@@ -153,6 +154,7 @@
     mean_answer_tokens: f64,
     gate: AdmissionGate,
     forwards: ForwardTrack,
+    retries: RetryBudget,
     map: FleetMap,
     ring: ExplainRing,
 }
@@ -175,6 +177,7 @@
             mean_answer_tokens: FIRST_ANSWER_MEAN,
             gate: AdmissionGate::default(),
             forwards: ForwardTrack::default(),
+            retries: RetryBudget::default(),
             map: FleetMap::default(),
             ring: ExplainRing::default(),
         }
@@ -193,6 +196,9 @@
         let mut filtered = Vec::new();
         for view in table.upstreams.values() {
             match find_reason(view, plan, &self.place, tried, now) {
+                None if self.is_quarantined(view, now) => {
+                    filtered.push((view.record.name.clone(), FilterReason::Quarantined));
+                }
                 None => candidates.push(view),
                 Some(reason) => filtered.push((view.record.name.clone(), reason)),
             }
@@ -225,7 +231,10 @@
             return send_to(candidates[place], priority_of(plan.rank));
         }
         let here = chosen.map(|place| predictions[place].first_token);
-        if (here.is_none() || self.policy.spill && self.gate.permits_spill(plan, capacity, now))
+        let may_spill = self.policy.spill
+            && self.gate.permits_spill(plan, capacity, now)
+            && self.retries.permits_retry(&plan.pool);
+        if (here.is_none() || may_spill)
             && let Some(decision) = self.choose_zone(choice, here)
         {
             return decision;
@@ -261,6 +270,7 @@
         now: Instant,
     ) -> SendTicket {
         self.sent += 1;
+        self.retries.note_first(&plan.pool);
         self.mean_answer_tokens +=
             ANSWER_MEAN_WEIGHT * (f64::from(shape.answer_tokens) - self.mean_answer_tokens);
         let prediction = table.upstreams.get(upstream).map(|view| {
@@ -296,6 +306,21 @@
         }
     }
 
+    /// Whether the request may be attempted again; takes the attempt out of the retry budget.
+    pub fn permit_retry(&mut self, plan: &RequestPlan, ran: Ran, attempts: u32) -> bool {
+        permits_attempt(plan, ran, attempts) && self.retries.take_retry(&plan.pool)
+    }
+
+    /// Notes that an attempt failed; the upstream gets no new work for a while.
+    pub fn note_failed(&mut self, upstream: &UpstreamName, now: Instant) {
+        self.tracks.entry(upstream.clone()).or_default().note_failed(now);
+    }
+
+    fn is_quarantined(&self, view: &UpstreamView, now: Instant) -> bool {
+        let track = self.tracks.get(&view.record.name);
+        track.is_some_and(|track| track.is_quarantined(&view.record, now))
+    }
+
     /// Notes that a request forwarded to `zone` came back without a result.
     pub fn note_returned(&mut self, zone: &ZoneName, plan: &RequestPlan, now: Instant) {
         self.forwards.note_returned(zone, plan, now);
--- a/cicadastall/src/route/track.rs
+++ b/cicadastall/src/route/track.rs
@@ -20,6 +20,12 @@
 /// Time that is added to both sides of an observation, so that short times don't count too much.
 const PACE_FLOOR_S: f64 = 0.05;
 
+/// Time without new work after the first of several failures; each further one doubles it.
+const QUARANTINE_TIME: Duration = Duration::from_secs(1);
+
+/// Most doublings of the quarantine.
+const QUARANTINE_DOUBLINGS: u32 = 3;
+
 /// Names one attempt from its sending to its end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SendTicket {
@@ -59,6 +65,8 @@
     patient_pace: f64,
     pub(crate) prefix: PrefixView,
     seen: (Incarnation, u64),
+    failures: u32,
+    quarantined_until: Option<Instant>,
 }
 
 impl Default for UpstreamTrack {
@@ -69,6 +77,8 @@
             patient_pace: 1.0,
             prefix: PrefixView::default(),
             seen: (Incarnation::default(), 0),
+            failures: 0,
+            quarantined_until: None,
         }
     }
 }
@@ -83,9 +93,22 @@
         }
     }
 
+    /// Keeps new work away for a time that grows with the failures since the last first token.
+    pub(crate) fn note_failed(&mut self, now: Instant) {
+        let doublings = self.failures.min(QUARANTINE_DOUBLINGS);
+        self.failures += 1;
+        self.quarantined_until = Some(now + QUARANTINE_TIME * 2_u32.pow(doublings));
+    }
+
+    /// Whether the upstream failed lately and has not restarted since.
+    pub(crate) fn is_quarantined(&self, record: &UpstreamRecord, now: Instant) -> bool {
+        record.incarnation <= self.seen.0 && self.quarantined_until.is_some_and(|until| now < until)
+    }
+
     /// Learns the pace from an attempt whose first token came.
     pub(crate) fn note_first_token(&mut self, number: u64, now: Instant) {
         let Some(sent) = self.sends.iter_mut().find(|sent| sent.number == number) else { return };
+        self.failures = 0;
         let Some(predicted) = sent.predicted.take() else { return };
         let observed = now.saturating_duration_since(sent.sent_at).as_secs_f64() + PACE_FLOOR_S;
         // The prediction holds the pace of its time already.
