Keep half of an upstream's places free of patient work

Cause: with all places taken by patient work each urgent request preempted one, whose prompt was prefilled again, and urgent answers shared a full batch. Ruled out: a queue of patient work in the entry. Change: patient work is late, and so refused, forwarded or promoted, where it holds half of the places by report and own sends.

--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -226,7 +226,7 @@
         if let Some(place) = chosen
             && (!self.policy.admission
                 || !choice.tried.upstreams.is_empty()
-                || predictions[place].first_token <= limit)
+                || predictions[place].is_within(limit))
         {
             return send_to(candidates[place], priority_of(plan.rank));
         }
@@ -350,7 +350,7 @@
                 load.running.max(own_sends(place)) + load.queued
             }),
             ChoiceRule::Predicted => places.min_by(|a, b| {
-                let late = |place: &usize| predictions[*place].first_token > limit;
+                let late = |place: &usize| !predictions[*place].is_within(limit);
                 let score = |place: &usize| predictions[*place].score();
                 late(a).cmp(&late(b)).then(score(a).total_cmp(&score(b)))
             }),
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -10,6 +10,10 @@
 /// Weight of the work that a request costs, relative to its own time to first token.
 const COST_WEIGHT: f64 = 2.0;
 
+/// Part of an upstream's places that patient work may take, so that urgent work finds one without
+/// preempting, which costs the patient prompt again.
+const PATIENT_PLACES: f64 = 0.5;
+
 /// What is known of a request and an upstream beside the upstream's record.
 #[derive(Debug, Clone, Copy)]
 pub struct ScoreInput<'a> {
@@ -40,6 +44,8 @@
     pub cost: Duration,
     /// Time of the upstream that the answer takes from other requests.
     pub generation: Duration,
+    /// Whether patient work holds all places that it may take.
+    pub crowded: bool,
 }
 
 impl Prediction {
@@ -48,6 +54,11 @@
         self.cost + self.generation
     }
 
+    /// Whether a request with that limit may be sent.
+    pub fn is_within(&self, limit: Duration) -> bool {
+        !self.crowded && self.first_token <= limit
+    }
+
     /// The figure by which upstreams are compared, in seconds; lower is better.
     pub fn score(&self) -> f64 {
         self.first_token.as_secs_f64()
@@ -78,7 +89,9 @@
     let batch = (running + 1.0).min(f64::from(rates.max_running));
     let decode_rate = rates.decode_tokens_per_s / input.pace;
     let answer = f64::from(input.shape.answer_tokens) * batch / decode_rate;
+    let crowded = input.rank == Rank::Patient && running + 1.0 > PATIENT_PLACES * slots(view);
     Prediction {
+        crowded,
         wait: seconds(wait),
         first_token: seconds(first_token),
         answer: seconds(answer),
