--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -13,6 +13,7 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+pub mod admit;
 pub mod answer;
 pub mod check;
 pub mod claim;
@@ -42,12 +43,14 @@
 pub mod node;
 pub mod observe;
 pub mod peer;
+pub mod prefix;
 pub mod relay;
 pub mod replica;
 pub mod replica_leader;
 pub mod replica_log;
 pub mod replica_message;
 pub mod replicated;
+pub mod retry;
 pub mod route;
 pub mod serve;
 pub mod sessions;
