--- /dev/null
+++ b/cicadastall/tests/replica_core.rs
@@ -0,0 +1,112 @@
+//! Single steps of the replication core that arbitrary schedules rarely reach.
+
+use cicadastall::{
+    name::InstanceName,
+    replica::{ReplicaCore, ReplicaError, ReplicaSettings, ReplicaTiming},
+    replica_message::{
+        AppendOutcome, EntryPayload, Epoch, GroupConfiguration, HardState, LogEntry, LogIndex,
+        LogPosition, ReadTicket, ReplicaEnvelope, ReplicaId, ReplicaIdentity, ReplicaMessage,
+        SnapshotImage, StoredReplica, Term,
+    },
+};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+fn replica(name: &str) -> ReplicaId {
+    ReplicaId { instance: InstanceName::from(name), identity: ReplicaIdentity(7) }
+}
+
+fn position(term: u64, index: u64) -> LogPosition {
+    LogPosition { term: Term(term), index: LogIndex(index) }
+}
+
+/// Replica `b` of three with `entries` entries of term 2.
+fn start_core(entries: u64, now: Instant) -> ReplicaCore {
+    let voters = ["a", "b", "c"].map(replica);
+    let configuration = GroupConfiguration {
+        voters: voters.iter().cloned().collect(),
+        ..GroupConfiguration::default()
+    };
+    let entry = |index| LogEntry {
+        position: position(2, index),
+        payload: EntryPayload::Command(format!("c{index}").into()),
+    };
+    let stored = StoredReplica {
+        hard: HardState { epoch: Epoch(1), term: Term(2), vote: None },
+        snapshot: Arc::new(SnapshotImage { configuration, ..SnapshotImage::default() }),
+        entries: (1..=entries).map(entry).collect(),
+    };
+    let settings = ReplicaSettings {
+        own: replica("b"),
+        instances: voters.into_iter().map(|voter| voter.instance).collect(),
+        founding: Epoch(9),
+        timing: ReplicaTiming::default(),
+        snapshot_part: 1_024,
+        seed: 1,
+    };
+    ReplicaCore::new(settings, stored, now)
+}
+
+fn from_leader(message: ReplicaMessage) -> ReplicaEnvelope {
+    ReplicaEnvelope { epoch: Epoch(1), from: replica("a"), to: replica("b"), message }
+}
+
+fn snapshot(index: u64) -> ReplicaMessage {
+    ReplicaMessage::Snapshot {
+        term: Term(2),
+        round: 1,
+        position: position(2, index),
+        configuration: GroupConfiguration::default(),
+        offset: 0,
+        total: 1,
+        data: "x".into(),
+    }
+}
+
+#[test]
+fn a_late_snapshot_does_not_remove_acknowledged_entries() {
+    let now = Instant::now();
+    let mut core = start_core(10, now);
+    core.receive(from_leader(snapshot(7)), now);
+    let output = core.take_output(now);
+    assert_eq!(core.log().last(), position(2, 10));
+    assert!(output.restored.is_none() && output.writes.is_empty());
+    assert_eq!(core.commit(), LogIndex(7));
+}
+
+#[test]
+fn a_newer_snapshot_replaces_a_shorter_log_and_is_acknowledged_once_synced() {
+    let now = Instant::now();
+    let mut core = start_core(3, now);
+    core.receive(from_leader(snapshot(7)), now);
+    let output = core.take_output(now);
+    assert!(output.restored.is_some() && output.messages.is_empty());
+    core.mark_synced(output.sequence, now);
+    let replies = core.take_output(now).messages;
+    let outcome = AppendOutcome::Matched(LogIndex(7));
+    let reply = ReplicaMessage::AppendReply { term: Term(2), round: 1, outcome };
+    assert_eq!(replies.into_iter().map(|sent| sent.message).collect::<Vec<_>>(), [reply]);
+}
+
+#[test]
+fn a_vote_is_refused_within_the_lease_that_the_replica_may_have_renewed_before_a_restart() {
+    let now = Instant::now();
+    let timing = ReplicaTiming::default();
+    let mut core = start_core(3, now);
+    let vote = || ReplicaMessage::Vote { term: Term(3), last: position(2, 9) };
+    core.receive(from_leader(vote()), now + timing.lease);
+    assert_eq!(core.term(), Term(2));
+    core.receive(from_leader(vote()), now + timing.election);
+    assert_eq!(core.term(), Term(3));
+    let output = core.take_output(now + timing.election);
+    assert!(output.messages.is_empty(), "the vote is sent before it is synced");
+}
+
+#[test]
+fn a_follower_accepts_no_proposal_and_no_read() {
+    let now = Instant::now();
+    let mut core = start_core(3, now);
+    let refused = ReplicaError::NotLeader(None);
+    assert_eq!(core.propose("c".into()), Err(refused.clone()));
+    assert_eq!(core.read(ReadTicket(1), now), Err(refused));
+}
--- a/cicadastall/tests/schedules/mod.rs
+++ b/cicadastall/tests/schedules/mod.rs
@@ -22,7 +22,11 @@
 pub enum Action {
     Deliver(usize),
     Drop(usize),
+    /// Keeps a copy for later, which `Settle` does not deliver.
     Duplicate(usize),
+    /// Keeps the message itself for later.
+    Delay(usize),
+    DeliverLate(usize),
     Advance(u64),
     Sync(usize),
     Propose(usize),
@@ -32,8 +36,11 @@
     LoseDisk(usize),
     LoseSecondDisk(usize),
     Freeze(usize),
-    Wake(usize),
+    FreezeLeader,
+    WakeAll,
     Isolate(usize),
+    IsolateLeader,
+    CrashLeader,
     Heal,
     Compact(usize),
     Settle(u64),
@@ -42,9 +49,74 @@
 /// The schedule of `seed`.
 pub fn make_schedule(seed: u64) -> Vec<Action> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let length = random.random_range(100..300);
-    let actions = (0..length).map(|_| choose_action(&mut random));
-    [Action::Settle(80)].into_iter().chain(actions).collect()
+    let mut schedule = vec![Action::Settle(80)];
+    for _ in 0..random.random_range(3..10) {
+        match random.random_range(0..9) {
+            0 => add_stale_leader(&mut schedule, &mut random),
+            1 => add_lagging_replica(&mut schedule, &mut random),
+            2 => add_lost_leaders(&mut schedule, &mut random),
+            3 => add_returning_replica(&mut schedule, &mut random),
+            _ => add_noise(&mut schedule, &mut random),
+        }
+    }
+    schedule
+}
+
+fn add_noise(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
+    let length = random.random_range(5..50);
+    schedule.extend((0..length).map(|_| choose_action(random)));
+}
+
+/// Others elect a leader while the old one is frozen or isolated; it is then asked at once.
+fn add_stale_leader(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
+    let (cut, mend) = match random.random_range(0..2) {
+        0 => (Action::FreezeLeader, Action::WakeAll),
+        _ => (Action::IsolateLeader, Action::Heal),
+    };
+    schedule.extend([cut, Action::Settle(random.random_range(30..120))]);
+    add_proposals(schedule, random);
+    schedule.push(Action::Settle(random.random_range(1..8)));
+    schedule.extend((0..4).map(Action::Read));
+    schedule.push(mend);
+    schedule.extend((0..4).map(Action::Read));
+    schedule.extend((0..2).map(Action::Propose));
+}
+
+/// One replica misses entries, then the leader is lost.
+fn add_lagging_replica(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
+    schedule.push(Action::Isolate(random.random_range(0..1_000)));
+    add_proposals(schedule, random);
+    schedule.extend([Action::Settle(random.random_range(1..10)), Action::CrashLeader]);
+    schedule.extend([Action::Heal, Action::Settle(random.random_range(40..120))]);
+    schedule.extend((0..2).map(Action::Read));
+}
+
+/// A replica that has long heard nothing asks for votes, and the leader is isolated just then.
+fn add_returning_replica(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
+    schedule.push(Action::Isolate(random.random_range(0..1_000)));
+    schedule.extend([Action::Settle(random.random_range(60..120)), Action::Heal]);
+    schedule.push(Action::Settle(random.random_range(1..6)));
+    schedule.extend([Action::IsolateLeader, Action::Settle(random.random_range(1..10))]);
+    add_proposals(schedule, random);
+    schedule.push(Action::Settle(random.random_range(1..6)));
+    schedule.extend((0..4).map(Action::Read));
+    schedule.push(Action::Heal);
+}
+
+/// Leaders are lost one after the other, each with entries that few have.
+fn add_lost_leaders(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
+    for _ in 0..random.random_range(2..4) {
+        add_proposals(schedule, random);
+        schedule.extend((0..random.random_range(0..6)).map(|pick| Action::Deliver(pick * 7)));
+        schedule.extend((0..random.random_range(0..5)).map(Action::Sync));
+        schedule.push(Action::CrashLeader);
+        schedule.push(Action::Settle(random.random_range(40..100)));
+        schedule.push(Action::Restart(random.random_range(0..1_000)));
+    }
+}
+
+fn add_proposals(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
+    schedule.extend((0..random.random_range(1..4)).map(Action::Propose));
 }
 
 fn choose_action(random: &mut ChaCha8Rng) -> Action {
@@ -52,21 +124,26 @@
     match random.random_range(0..100) {
         0..=29 => Action::Deliver(pick),
         30..=31 => Action::Drop(pick),
-        32..=33 => Action::Duplicate(pick),
-        34..=43 => Action::Advance(random.random_range(1..400)),
-        44..=53 => Action::Sync(pick),
-        54..=63 => Action::Propose(pick),
+        32 => Action::Duplicate(pick),
+        33 => Action::Delay(pick),
+        34..=35 => Action::DeliverLate(pick),
+        36..=44 => Action::Advance(random.random_range(1..400)),
+        45..=54 => Action::Sync(pick),
+        55..=63 => Action::Propose(pick),
         64..=71 => Action::Read(pick),
-        72..=74 => Action::Crash(pick),
+        72..=73 => Action::Crash(pick),
+        74 => Action::CrashLeader,
         75..=77 => Action::Restart(pick),
         78 => Action::LoseDisk(pick),
         79 if pick < 100 => Action::LoseSecondDisk(pick),
-        80..=81 => Action::Freeze(pick),
-        82..=84 => Action::Wake(pick),
-        85..=87 => Action::Isolate(pick),
-        88..=90 => Action::Heal,
-        91..=92 => Action::Compact(pick),
-        _ => Action::Settle(random.random_range(1..60)),
+        80 => Action::Freeze(pick),
+        81 => Action::FreezeLeader,
+        82..=83 => Action::WakeAll,
+        84..=85 => Action::Isolate(pick),
+        86 => Action::IsolateLeader,
+        87..=89 => Action::Heal,
+        90..=92 => Action::Compact(pick),
+        _ => Action::Settle(random.random_range(1..80)),
     }
 }
 
@@ -106,6 +183,7 @@
     hosts: Vec<Host>,
     disks: BTreeMap<ReplicaId, StoredReplica>,
     bag: Vec<ReplicaEnvelope>,
+    late: Vec<ReplicaEnvelope>,
     start: Instant,
     elapsed: Duration,
     created: u64,
@@ -157,6 +235,7 @@
             hosts: Vec::new(),
             disks: BTreeMap::new(),
             bag: Vec::new(),
+            late: Vec::new(),
             start: Instant::now(),
             elapsed: Duration::ZERO,
             created: 0,
@@ -234,17 +313,22 @@
     pub fn perform(&mut self, action: Action) -> Checked {
         let size = self.hosts.len();
         match action {
-            Action::Deliver(pick) if !self.bag.is_empty() => {
-                let message = self.bag.swap_remove(pick % self.bag.len());
-                self.deliver(message)?;
+            Action::Deliver(pick) => {
+                if let Some(message) = take(&mut self.bag, pick) {
+                    self.deliver(message)?;
+                }
             }
-            Action::Drop(pick) if !self.bag.is_empty() => {
-                self.bag.swap_remove(pick % self.bag.len());
+            Action::DeliverLate(pick) => {
+                if let Some(message) = take(&mut self.late, pick) {
+                    self.deliver(message)?;
+                }
             }
-            Action::Duplicate(pick) if !self.bag.is_empty() => {
-                self.bag.push(self.bag[pick % self.bag.len()].clone());
+            Action::Drop(pick) => drop(take(&mut self.bag, pick)),
+            Action::Delay(pick) => self.late.extend(take(&mut self.bag, pick)),
+            Action::Duplicate(pick) => {
+                let message = self.bag.get(pick % self.bag.len().max(1));
+                self.late.extend(message.cloned());
             }
-            Action::Deliver(_) | Action::Drop(_) | Action::Duplicate(_) => {}
             Action::Advance(ms) => self.advance(ms)?,
             Action::Sync(pick) => self.sync(pick % size)?,
             Action::Propose(pick) => self.propose(self.choose_leader(pick))?,
@@ -254,8 +338,17 @@
             Action::LoseDisk(pick) => self.lose_disk(pick % size)?,
             Action::LoseSecondDisk(pick) => self.lose_any_disk(pick % size)?,
             Action::Freeze(pick) => self.hosts[pick % size].frozen = true,
-            Action::Wake(pick) => self.hosts[pick % size].frozen = false,
+            Action::FreezeLeader => {
+                let leader = self.choose_leader(0);
+                self.hosts[leader].frozen = true;
+            }
+            Action::WakeAll => self.hosts.iter_mut().for_each(|host| host.frozen = false),
             Action::Isolate(pick) => self.hosts[pick % size].isolated = true,
+            Action::IsolateLeader => {
+                let leader = self.choose_leader(0);
+                self.hosts[leader].isolated = true;
+            }
+            Action::CrashLeader => self.stop_core(self.choose_leader(0)),
             Action::Heal => self.hosts.iter_mut().for_each(|host| host.isolated = false),
             Action::Compact(pick) => self.compact(pick % size)?,
             Action::Settle(rounds) => self.settle(rounds)?,
@@ -326,14 +419,15 @@
         self.drive(host, |core, now| core.mark_synced(sequence, now))
     }
 
-    /// A replica that believes it leads, or any.
+    /// A replica that believes it leads, that of the newest term first, or any.
     fn choose_leader(&self, pick: usize) -> usize {
-        let leads = |host: &&Host| host.core.as_ref().is_some_and(ReplicaCore::is_leader);
-        let leaders: Vec<_> = self.hosts.iter().filter(leads).collect();
+        let term = |host: &usize| self.hosts[*host].core.as_ref().map(ReplicaCore::term);
+        let leads =
+            |host: &usize| self.hosts[*host].core.as_ref().is_some_and(ReplicaCore::is_leader);
+        let mut leaders: Vec<usize> = (0..self.hosts.len()).filter(leads).collect();
+        leaders.sort_by_key(|host| std::cmp::Reverse(term(host)));
         let chosen = leaders.get(pick % leaders.len().max(1));
-        let chosen =
-            chosen.and_then(|chosen| self.hosts.iter().position(|host| host.id == chosen.id));
-        chosen.unwrap_or(pick % self.hosts.len())
+        chosen.copied().unwrap_or(pick % self.hosts.len())
     }
 
     fn propose(&mut self, host: usize) -> Checked {
@@ -598,3 +692,7 @@
     let text = String::from_utf8_lossy(&snapshot.data);
     text.split_whitespace().map(str::to_owned).collect()
 }
+
+fn take<T>(items: &mut Vec<T>, pick: usize) -> Option<T> {
+    (!items.is_empty()).then(|| items.swap_remove(pick % items.len()))
+}
