--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -198,6 +198,11 @@
             text_answer(StatusCode::SERVICE_UNAVAILABLE, "no settings yet\n")
         }
         (&Method::GET, "/metrics") => text_answer(StatusCode::OK, context.metrics.render()),
+        (&Method::POST, "/v1/drain") => {
+            let drained = MembershipMessage::SetState(EntryState::Draining);
+            let _ = context.membership.cast(drained);
+            text_answer(StatusCode::OK, "no new callers are sent here\n")
+        }
         (&Method::GET, "/v1/status") => json_answer(StatusCode::OK, &describe_entry(&context)),
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
@@ -209,7 +214,8 @@
         "instance": context.node.instance,
         "region": context.node.region,
         "zone": context.node.zone,
-        "revision": context.settings.newest().revision,
+        "revision": context.settings.revision(),
+        "settings": context.settings.status(),
         "in_flight": context.in_flight.load(Ordering::Relaxed),
         "upstreams": table.upstreams.values().map(|view| view.record.as_ref()).collect::<Vec<_>>(),
         "entries": table.entries.keys().collect::<Vec<_>>(),
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -14,11 +14,17 @@
 //! ```
 
 pub mod answer;
+pub mod check;
 pub mod control;
 pub mod decode;
+pub mod difference;
 pub mod dispatch;
+pub mod document;
 pub mod entry;
+pub mod fault;
 pub mod follow;
+pub mod follower;
+mod followers;
 pub mod group;
 pub mod group_actor;
 pub mod group_transport;
@@ -41,6 +47,13 @@
 pub mod route;
 pub mod serve;
 pub mod settings;
+pub mod settings_command;
+pub mod settings_host;
+pub mod settings_peer;
+pub mod settings_query;
+pub mod settings_state;
+mod shape;
 pub mod stream;
+pub mod subtree;
 pub mod table;
 pub mod wire;
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -4,7 +4,8 @@
     name::GroupName,
     replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
-    settings::{Revision, SettingsSnapshot},
+    settings::Revision,
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::{EntryRecord, UpstreamRecord, ZoneDigest},
 };
 use serde::{Deserialize, Serialize};
@@ -47,9 +48,6 @@
     /// Exchanges membership state; the reply holds what the receiver knows.
     async fn exchange(state: MemberExchange) -> MemberExchange;
 
-    /// The newest settings, or none if they are not newer than `revision`.
-    async fn settings_after(revision: Revision) -> Option<Arc<SettingsSnapshot>>;
-
     /// Passes messages to the receiver's replica of `group`.
     async fn group_deliver(group: GroupName, envelopes: Vec<ReplicaEnvelope>);
 
@@ -58,6 +56,15 @@
 
     /// Last entry that a linearizable read must see, if the receiver leads `group`.
     async fn group_read_index(group: GroupName) -> Result<LogIndex, GroupError>;
+
+    /// Everything in the settings that changed after the asker's revision.
+    async fn settings_after(request: FollowRequest) -> FollowReply;
+
+    /// Applies an update of the settings; none if the receiver follows no settings.
+    async fn settings_push(push: PushRequest) -> Option<ZoneReport>;
+
+    /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
+    async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
 }
 
 /// Why a call to another instance has no reply.
