Let schedules send few entries at a time, and test commits of earlier terms

Cause: the mutation "commit of an earlier term" passed all schedules, as one message always held the whole tail.

Change: the greatest number of entries of a message is a setting, 2 in the schedules; a direct test of the rule.

--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -45,6 +45,9 @@
 /// Pause before the folder is tried again.
 const LOCK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Most entries of one message.
+const APPEND_ENTRIES: usize = 1_024;
+
 /// Bytes of a part of a snapshot.
 const SNAPSHOT_PART_BYTES: usize = 256 * 1024;
 
@@ -244,6 +247,7 @@
             instances: settings.voters.iter().map(|voter| voter.instance.clone()).collect(),
             founding: Epoch(wall_clock_ms()),
             timing: settings.timing,
+            append_entries: APPEND_ENTRIES,
             snapshot_part: SNAPSHOT_PART_BYTES,
             seed: rand::rng().random(),
         };
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -56,6 +56,8 @@
     pub founding: Epoch,
     /// Periods.
     pub timing: ReplicaTiming,
+    /// Most entries of one message.
+    pub append_entries: usize,
     /// Most bytes of a part of a snapshot.
     pub snapshot_part: usize,
     /// Seed for election timeouts.
--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -10,9 +10,6 @@
 use std::{cmp::Reverse, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// Most entries of one message.
-const MAX_APPEND_ENTRIES: usize = 1_024;
-
 /// Bytes of commands after which a message takes no further entry.
 const MAX_APPEND_BYTES: usize = 1024 * 1024;
 
@@ -196,7 +193,10 @@
             let offset = *peer.snapshot.get_or_insert(0);
             return self.send_snapshot(to, round, offset);
         };
-        let entries = choose_entries(self.log.range(peer.next, self.log.last().index));
+        let entries = choose_entries(
+            self.log.range(peer.next, self.log.last().index),
+            self.settings.append_entries,
+        );
         if let Some(entry) = entries.last() {
             peer.next = entry.position.index.next();
         }
@@ -357,8 +357,8 @@
     }
 }
 
-/// The first of `entries`, as many as one message may hold.
-fn choose_entries(entries: &[LogEntry]) -> Vec<LogEntry> {
+/// The first of `entries`, at most `most` and as many bytes as one message may hold.
+fn choose_entries(entries: &[LogEntry], most: usize) -> Vec<LogEntry> {
     let mut bytes = 0;
     let fits = |entry: &&LogEntry| {
         let fits = bytes < MAX_APPEND_BYTES;
@@ -367,5 +367,5 @@
         }
         fits
     };
-    entries.iter().take(MAX_APPEND_ENTRIES).take_while(fits).cloned().collect()
+    entries.iter().take(most).take_while(fits).cloned().collect()
 }
--- a/cicadastall/tests/replica_core.rs
+++ b/cicadastall/tests/replica_core.rs
@@ -41,6 +41,7 @@
         instances: voters.into_iter().map(|voter| voter.instance).collect(),
         founding: Epoch(9),
         timing: ReplicaTiming::default(),
+        append_entries: 2,
         snapshot_part: 1_024,
         seed: 1,
     };
@@ -110,3 +111,31 @@
     assert_eq!(core.propose("c".into()), Err(refused.clone()));
     assert_eq!(core.read(ReadTicket(1), now), Err(refused));
 }
+
+/// Writes what the core asks for and reports it as synced.
+fn sync(core: &mut ReplicaCore, now: Instant) {
+    let sequence = core.take_output(now).sequence;
+    core.mark_synced(sequence, now);
+}
+
+#[test]
+fn an_entry_of_an_earlier_term_is_committed_only_with_one_of_the_leader_s_own() {
+    let started = Instant::now();
+    let mut core = start_core(3, started);
+    let now = started + 2 * ReplicaTiming::default().election;
+    core.tick(now);
+    let (term, granted) = (Term(3), true);
+    core.receive(from_leader(ReplicaMessage::PreVoteReply { term, granted }), now);
+    sync(&mut core, now);
+    core.receive(from_leader(ReplicaMessage::VoteReply { term, granted }), now);
+    sync(&mut core, now);
+    assert!(core.is_leader());
+    let matched = |index| {
+        let outcome = AppendOutcome::Matched(LogIndex(index));
+        from_leader(ReplicaMessage::AppendReply { term, round: 1, outcome })
+    };
+    core.receive(matched(3), now);
+    assert_eq!(core.commit(), LogIndex(0));
+    core.receive(matched(4), now);
+    assert_eq!(core.commit(), LogIndex(4));
+}
--- a/cicadastall/tests/schedules/mod.rs
+++ b/cicadastall/tests/schedules/mod.rs
@@ -288,6 +288,7 @@
             instances: names.collect(),
             founding: Epoch(id.identity.0),
             timing: ReplicaTiming::default(),
+            append_entries: 2,
             snapshot_part: 16,
             seed: id.identity.0,
         };
