--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -15,6 +15,8 @@
 
 pub mod answer;
 pub mod check;
+pub mod claim;
+pub mod clock;
 pub mod control;
 pub mod decode;
 pub mod difference;
@@ -31,6 +33,8 @@
 pub mod http;
 pub mod instance;
 pub mod journal;
+pub mod ledger;
+pub mod ledger_host;
 pub mod logs;
 pub mod members;
 pub mod membership;
@@ -46,6 +50,7 @@
 pub mod replicated;
 pub mod route;
 pub mod serve;
+pub mod sessions;
 pub mod settings;
 pub mod settings_command;
 pub mod settings_host;
