Measure a group on loopback, and run as many fault schedules as asked

Change: cicadastall-bench group measures commits, latency and processor time of durable groups, and counts bytes through relays; cicadastall-bench schedules runs further seeds and prints a failing schedule minimised. Both use the tests' own harness files.

--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -1,6 +1,8 @@
 //! Load, experiments and slopes for cicadastall.
 
+mod group;
 mod overhead;
+mod schedules;
 
 use bpaf::Bpaf;
 
@@ -8,13 +10,21 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 enum BenchCommand {
+    /// Commits of a replicated group on loopback, and what an idle group costs
+    #[bpaf(command)]
+    Group(#[bpaf(external(group::group_options))] group::GroupOptions),
     /// Processor time, latency and memory that an entry adds to requests and tokens
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::overhead_options))] overhead::OverheadOptions),
+    /// Arbitrary schedules of faults against the replication core
+    #[bpaf(command)]
+    Schedules(#[bpaf(external(schedules::schedule_options))] schedules::ScheduleOptions),
 }
 
 fn main() -> eyre::Result<()> {
     match bench_command().run() {
+        BenchCommand::Group(options) => group::run(&options),
         BenchCommand::Overhead(options) => overhead::run(&options),
+        BenchCommand::Schedules(options) => schedules::run(&options),
     }
 }
--- a/cicadastall-bench/src/overhead.rs
+++ b/cicadastall-bench/src/overhead.rs
@@ -62,10 +62,10 @@
     let load = Runtime::new()?;
     load.block_on(wait_ready(bed.entry_address))?;
     let direct = load.block_on(measure_first_token(bed.engine_address, options))?;
-    let before = entry_cpu()?;
+    let before = thread_cpu(|name| name == "entry")?;
     let through = load.block_on(measure_first_token(bed.entry_address, options))?;
     let requests = f64::from(options.rate * options.seconds);
-    let request_cpu_us = (entry_cpu()? - before) / requests * 1e6;
+    let request_cpu_us = (thread_cpu(|name| name == "entry")? - before) / requests * 1e6;
     let streams = match options.streams.as_slice() {
         [] => vec![1, 100, 2_000],
         given => given.to_vec(),
@@ -250,11 +250,11 @@
         });
     }
     sleep(Duration::from_secs(1)).await;
-    let cpu_before = entry_cpu()?;
+    let cpu_before = thread_cpu(|name| name == "entry")?;
     let tokens_before = *tokens.borrow_and_update();
     sleep(Duration::from_secs(u64::from(options.seconds))).await;
     let passed = *tokens.borrow_and_update() - tokens_before;
-    let cpu = entry_cpu()? - cpu_before;
+    let cpu = thread_cpu(|name| name == "entry")? - cpu_before;
     let memory = resident_bytes()?.saturating_sub(memory_before);
     streams.shutdown().await;
     sleep(Duration::from_secs(1)).await;
@@ -266,13 +266,13 @@
     }))
 }
 
-/// Processor time of the entry's threads so far, in seconds.
-fn entry_cpu() -> eyre::Result<f64> {
+/// Processor time so far of the threads with such names, in seconds.
+pub(crate) fn thread_cpu(is_counted: impl Fn(&str) -> bool) -> eyre::Result<f64> {
     let mut ticks = 0.0;
     for task in fs::read_dir("/proc/self/task")? {
         let folder = task?.path();
         let name = fs::read_to_string(folder.join("comm"))?;
-        if name.trim() != "entry" {
+        if !is_counted(name.trim()) {
             continue;
         }
         let stat = fs::read_to_string(folder.join("stat"))?;
@@ -294,6 +294,6 @@
     Ok(kib * 1024)
 }
 
-fn describe(times: &Histogram<u64>) -> Value {
+pub(crate) fn describe(times: &Histogram<u64>) -> Value {
     json!({ "p50": times.value_at_quantile(0.5), "p99": times.value_at_quantile(0.99) })
 }
--- /dev/null
+++ b/cicadastall-bench/src/schedules.rs
@@ -0,0 +1,43 @@
+//! Arbitrary schedules of faults against the replication core, as many as asked for.
+
+#[path = "../../cicadastall/tests/schedules/mod.rs"]
+mod harness;
+
+use bpaf::Bpaf;
+use harness::{Coverage, make_schedule, minimise, run_schedule};
+
+/// Sizes of the groups that schedules run against.
+const SIZES: [usize; 2] = [3, 5];
+
+/// Options of the schedules.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct ScheduleOptions {
+    /// Schedules to run for each size of group
+    #[bpaf(long, argument("COUNT"), fallback(10_000))]
+    count: u64,
+    /// Seed of the first schedule; each further one has the next number
+    #[bpaf(long, argument("SEED"), fallback(0))]
+    seed: u64,
+}
+
+/// Runs the schedules; fails with the first broken promise and its minimised schedule.
+pub(crate) fn run(options: &ScheduleOptions) -> eyre::Result<()> {
+    for size in SIZES {
+        let mut total = Coverage::default();
+        for seed in options.seed..options.seed.saturating_add(options.count) {
+            let schedule = make_schedule(seed);
+            match run_schedule(size, &schedule) {
+                Ok(coverage) => total += coverage,
+                Err(fault) => {
+                    let shortest = minimise(size, schedule);
+                    let again = run_schedule(size, &shortest).err().unwrap_or_default();
+                    eyre::bail!(
+                        "{size} replicas, seed {seed}: {fault}\nminimised: {shortest:?}\n{again}"
+                    );
+                }
+            }
+        }
+        println!("{size} replicas, {} schedules hold: {total:?}", options.count);
+    }
+    Ok(())
+}
--- a/cicadastall/tests/groups/mod.rs
+++ b/cicadastall/tests/groups/mod.rs
@@ -11,12 +11,7 @@
     replicated::{GroupError, ReplicatedGroup, ReplicatedState},
 };
 use serde::{Deserialize, Serialize};
-use std::{
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
 
 /// A list of texts.
@@ -58,25 +53,28 @@
 
 /// Addresses and folders of a group.
 pub struct TestGroup {
+    /// Members at the addresses that others call.
     pub voters: Vec<VoterSettings>,
+    /// Addresses at which they listen.
+    pub listen: Vec<SocketAddr>,
     folder: Option<PathBuf>,
 }
 
 impl TestGroup {
-    /// A group of `size`; with a folder named `name` its replicas are durable.
-    pub async fn new(size: usize, name: Option<&str>) -> Self {
-        let folder = name.map(|name| Path::new(env!("CARGO_TARGET_TMPDIR")).join(name));
+    /// A group of `size`; its replicas are durable if there is a folder, which is emptied.
+    pub async fn new(size: usize, folder: Option<PathBuf>) -> Self {
         if let Some(folder) = &folder {
             let _ = std::fs::remove_dir_all(folder);
         }
-        let mut voters = Vec::new();
+        let (mut voters, mut listen) = (Vec::new(), Vec::new());
         for index in 0..size {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
             let address: SocketAddr = listener.local_addr().expect("address");
             let instance = InstanceName::new(format!("control-{index}"));
             voters.push(VoterSettings { instance, address });
+            listen.push(address);
         }
-        Self { voters, folder }
+        Self { voters, listen, folder }
     }
 
     pub fn folder(&self, index: usize) -> Option<PathBuf> {
@@ -86,7 +84,7 @@
     /// Starts the replica of the given index.
     pub async fn start(&self, index: usize) -> Result<Member, GroupStartError> {
         let registry = Arc::new(GroupRegistry::default());
-        let listener = bind(self.voters[index].address).await;
+        let listener = bind(self.listen[index]).await;
         let server = tokio::spawn(serve_groups(listener, Arc::clone(&registry)));
         let settings = GroupSettings {
             group: GroupName::from("settings"),
@@ -99,14 +97,6 @@
         let handle = GroupHandle::start(settings, TextList::default(), clients, registry).await?;
         Ok(Member { handle, server })
     }
-
-    pub async fn start_all(&self) -> Vec<Member> {
-        let mut members = Vec::new();
-        for index in 0..self.voters.len() {
-            members.push(self.start(index).await.expect("start"));
-        }
-        members
-    }
 }
 
 async fn bind(address: SocketAddr) -> TcpListener {
--- a/cicadastall/tests/replica_groups.rs
+++ b/cicadastall/tests/replica_groups.rs
@@ -8,6 +8,19 @@
     replicated::{GroupError, ReplicatedGroup},
 };
 use groups::{Member, TestGroup, propose, wait_until};
+use std::path::{Path, PathBuf};
+
+fn folder(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+async fn start_all(group: &TestGroup) -> Vec<Member> {
+    let mut members = Vec::new();
+    for index in 0..group.voters.len() {
+        members.push(group.start(index).await.expect("start"));
+    }
+    members
+}
 
 fn leader(members: &[Member]) -> Option<usize> {
     members.iter().position(|member| member.handle.status().leads)
@@ -19,8 +32,8 @@
 
 #[tokio::test]
 async fn three_replicas_commit_what_any_of_them_proposes() {
-    let group = TestGroup::new(3, Some("commit")).await;
-    let members = group.start_all().await;
+    let group = TestGroup::new(3, Some(folder("commit"))).await;
+    let members = start_all(&group).await;
     for (index, member) in members.iter().enumerate() {
         assert_eq!(propose(member, &format!("from {index}")).await, index + 1);
     }
@@ -32,29 +45,29 @@
 #[tokio::test]
 async fn a_group_of_one_founds_itself() {
     let group = TestGroup::new(1, None).await;
-    let members = group.start_all().await;
+    let members = start_all(&group).await;
     assert_eq!(propose(&members[0], "alone").await, 1);
 }
 
 #[tokio::test]
 async fn a_group_survives_the_restart_of_all_replicas_after_hundreds_of_changes() {
-    let group = TestGroup::new(3, Some("restart")).await;
-    let members = group.start_all().await;
+    let group = TestGroup::new(3, Some(folder("restart"))).await;
+    let members = start_all(&group).await;
     for index in 0..500 {
         propose(&members[0], &index.to_string()).await;
     }
     for member in members {
         member.stop().await;
     }
-    let members = group.start_all().await;
+    let members = start_all(&group).await;
     assert_eq!(propose(&members[1], "after").await, 501);
     assert_eq!(read(&members[2]).await.map(|list| list.len()), Ok(501));
 }
 
 #[tokio::test]
 async fn an_empty_disk_under_the_old_name_is_taken_in_as_another_replica() {
-    let group = TestGroup::new(3, Some("empty-disk")).await;
-    let mut members = group.start_all().await;
+    let group = TestGroup::new(3, Some(folder("empty-disk"))).await;
+    let mut members = start_all(&group).await;
     propose(&members[0], "before").await;
     let lost = (leader(&members).expect("leader") + 1) % 3;
     let old = members[lost].handle.status().configuration;
@@ -75,7 +88,7 @@
 #[tokio::test]
 async fn one_of_three_accepts_nothing_until_it_is_refounded() {
     let group = TestGroup::new(3, None).await;
-    let mut members = group.start_all().await;
+    let mut members = start_all(&group).await;
     propose(&members[0], "before").await;
     let kept = members.remove(leader(&members).expect("leader"));
     assert_eq!(
--- a/cicadastall/tests/replica_schedules.rs
+++ b/cicadastall/tests/replica_schedules.rs
@@ -12,14 +12,7 @@
     for seed in 0..SCHEDULES {
         let schedule = make_schedule(seed);
         match run_schedule(size, &schedule) {
-            Ok(coverage) => {
-                total.elections += coverage.elections;
-                total.committed += coverage.committed;
-                total.acknowledged += coverage.acknowledged;
-                total.reads += coverage.reads;
-                total.replaced += coverage.replaced;
-                total.installed += coverage.installed;
-            }
+            Ok(coverage) => total += coverage,
             Err(fault) => {
                 let shortest = minimise(size, schedule);
                 panic!("{size} replicas, seed {seed}: {fault}\nminimised: {shortest:?}");
--- a/cicadastall/tests/schedules/mod.rs
+++ b/cicadastall/tests/schedules/mod.rs
@@ -13,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::{
     collections::{BTreeMap, VecDeque},
+    ops::AddAssign,
     time::Duration,
 };
 use tokio::time::Instant;
@@ -178,6 +179,17 @@
     pub installed: usize,
 }
 
+impl AddAssign for Coverage {
+    fn add_assign(&mut self, other: Self) {
+        self.elections += other.elections;
+        self.committed += other.committed;
+        self.acknowledged += other.acknowledged;
+        self.reads += other.reads;
+        self.replaced += other.replaced;
+        self.installed += other.installed;
+    }
+}
+
 /// Replicas, messages and what has been seen of them.
 pub struct World {
     hosts: Vec<Host>,
