--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -1,6 +1,8 @@
 //! Runs experiments of cicadastall from the command line.
 
+mod group;
 mod overhead;
+mod schedules;
 
 use bpaf::Bpaf;
 use cicadastall_bench::compare::{CompareOptions, compare_options, run_compare};
@@ -9,17 +11,25 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 enum BenchCommand {
+    /// Commits of a replicated group on loopback, and what an idle group costs
+    #[bpaf(command)]
+    Group(#[bpaf(external(group::group_options))] group::GroupOptions),
     /// Processor time, latency and memory that an entry adds to requests and tokens
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::overhead_options))] overhead::OverheadOptions),
     /// Runs one workload over the shipped policy and over baselines
     #[bpaf(command)]
     Compare(#[bpaf(external(compare_options))] CompareOptions),
+    /// Arbitrary schedules of faults against the replication core
+    #[bpaf(command)]
+    Schedules(#[bpaf(external(schedules::schedule_options))] schedules::ScheduleOptions),
 }
 
 fn main() -> eyre::Result<()> {
     match bench_command().run() {
+        BenchCommand::Group(options) => group::run(&options),
         BenchCommand::Overhead(options) => overhead::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
+        BenchCommand::Schedules(options) => schedules::run(&options),
     }
 }
