--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     follow::SettingsHolder,
+    group::GroupHost,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
     membership::MembershipMessage,
@@ -26,6 +27,7 @@
 pub struct ControlServer {
     addresses: InstanceAddresses,
     membership: ActorRef<MembershipMessage>,
+    groups: GroupHost,
     stop: watch::Sender<bool>,
     _tasks: JoinSet<()>,
 }
@@ -38,13 +40,33 @@
 
 impl ControlServer {
     /// Starts a control instance on `control`.
+    ///
+    /// It hosts a replica of the settings group where the node names the group's members, and else
+    /// a group of one that lasts as long as the process.
     pub async fn start(node: NodeSettings, control: &Handle) -> io::Result<Self> {
         let node = Arc::new(node);
         let core = InstanceCore::start(&node, None, control).await?;
         let founding = node.founding_settings.as_deref().map(read_founding).transpose()?;
-        let group = Arc::new(LocalGroup::new(SettingsState::default()));
-        let host = SettingsHost::new(group, Arc::clone(&core.follower), Arc::clone(&node));
-        let host = Arc::new(host);
+        if node.settings_voters.is_empty() {
+            let group = LocalGroup::new(SettingsState::default());
+            return Ok(Self::host(core, node, group, founding, control));
+        }
+        let groups = core.groups.clone();
+        let started =
+            control.spawn(async move { groups.start_settings(SettingsState::default()).await });
+        let group = started.await.map_err(io::Error::other)??;
+        Ok(Self::host(core, node, group, founding, control))
+    }
+
+    fn host<G: ReplicatedGroup<SettingsState>>(
+        core: InstanceCore,
+        node: Arc<NodeSettings>,
+        group: G,
+        founding: Option<FleetSettings>,
+        control: &Handle,
+    ) -> Self {
+        let follower = Arc::clone(&core.follower);
+        let host = Arc::new(SettingsHost::new(Arc::new(group), follower, Arc::clone(&node)));
         let mut tasks = core.tasks;
         spawn_host(&mut tasks, control, &host, founding);
         let (stop, stopped) = watch::channel(false);
@@ -56,7 +78,13 @@
             http::serve(core.operator, ListenerLimits::default(), stopped, handler),
             control,
         );
-        Ok(Self { addresses: core.addresses, membership: core.membership, stop, _tasks: tasks })
+        Self {
+            addresses: core.addresses,
+            membership: core.membership,
+            groups: core.groups,
+            stop,
+            _tasks: tasks,
+        }
     }
 
     /// Addresses on which the instance listens.
@@ -64,6 +92,11 @@
         self.addresses
     }
 
+    /// Starts replicas of the instance.
+    pub fn groups(&self) -> &GroupHost {
+        &self.groups
+    }
+
     /// Stops the instance.
     pub async fn stop(self) {
         let _ = self.stop.send(true);
--- a/cicadastall/src/follower.rs
+++ b/cicadastall/src/follower.rs
@@ -257,7 +257,7 @@
         let call = self.clients.call(address, bound, async |client, context| {
             client.settings_push(context, push).await
         });
-        call.await.ok()
+        call.await.ok().flatten()
     }
 
     /// Pushes an update to one follower of each zone that asks this control instance.
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -4,10 +4,15 @@
 use crate::{
     follow::SettingsHolder,
     follower::SettingsFollower,
+    group::GroupHost,
+    group_transport::GroupRegistry,
     http,
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
+    name::GroupName,
     node::NodeSettings,
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
+    replica_message::{LogIndex, ReplicaEnvelope},
+    replicated::GroupError,
     settings::Revision,
     settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::RoutingTable,
@@ -61,14 +66,17 @@
 /// Service for other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
-    pub(crate) membership: ActorRef<MembershipMessage>,
-    pub(crate) settings: Arc<SettingsFollower>,
+    /// None where only groups are served.
+    pub(crate) membership: Option<ActorRef<MembershipMessage>>,
+    /// None where only groups are served.
+    pub(crate) settings: Option<Arc<SettingsFollower>>,
+    pub(crate) groups: Arc<GroupRegistry>,
 }
 
 impl PeerApi for PeerServer {
     async fn exchange(self, _: Context, state: MemberExchange) -> MemberExchange {
-        let asked = self
-            .membership
+        let Some(membership) = self.membership else { return MemberExchange::default() };
+        let asked = membership
             .call(|reply| MembershipMessage::Exchange(state, reply), Some(CONTROL_TIMEOUT))
             .await;
         match asked {
@@ -78,15 +86,41 @@
     }
 
     async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
-        self.settings.answer(request)
+        match &self.settings {
+            Some(settings) => settings.answer(request),
+            None => FollowReply::default(),
+        }
     }
 
-    async fn settings_push(self, _: Context, push: PushRequest) -> ZoneReport {
-        self.settings.accept_push(push).await
+    async fn settings_push(self, _: Context, push: PushRequest) -> Option<ZoneReport> {
+        match &self.settings {
+            Some(settings) => Some(settings.accept_push(push).await),
+            None => None,
+        }
     }
 
     async fn settings_confirm(self, _: Context, revision: Revision) -> Vec<ZoneReport> {
-        self.settings.report_zones(revision).await
+        match &self.settings {
+            Some(settings) => settings.report_zones(revision).await,
+            None => Vec::new(),
+        }
+    }
+
+    async fn group_deliver(self, _: Context, group: GroupName, envelopes: Vec<ReplicaEnvelope>) {
+        self.groups.deliver(&group, envelopes);
+    }
+
+    async fn group_propose(
+        self,
+        _: Context,
+        group: GroupName,
+        command: Arc<str>,
+    ) -> Result<Arc<str>, GroupError> {
+        self.groups.propose(&group, command).await
+    }
+
+    async fn group_read_index(self, _: Context, group: GroupName) -> Result<LogIndex, GroupError> {
+        self.groups.read_index(&group).await
     }
 }
 
@@ -110,6 +144,7 @@
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) in_flight: Arc<AtomicU32>,
+    pub(crate) groups: GroupHost,
     pub(crate) tasks: JoinSet<()>,
 }
 
@@ -131,6 +166,7 @@
             async move {
                 let operator = http::bind(node.operator_listen).await?;
                 let peers = http::bind(node.peer_listen).await?;
+                let groups = GroupHost::new(Arc::clone(&node), Arc::clone(&clients));
                 let addresses = InstanceAddresses {
                     caller,
                     operator: operator.local_addr()?,
@@ -154,8 +190,11 @@
                     clients,
                     Arc::clone(&table),
                 ));
-                let server =
-                    PeerServer { membership: membership.clone(), settings: Arc::clone(&follower) };
+                let server = PeerServer {
+                    membership: Some(membership.clone()),
+                    settings: Some(Arc::clone(&follower)),
+                    groups: Arc::clone(groups.registry()),
+                };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
                 let follows = Arc::clone(&follower);
@@ -168,6 +207,7 @@
                     table,
                     membership,
                     in_flight,
+                    groups,
                     tasks,
                 })
             }
@@ -176,8 +216,15 @@
     }
 }
 
+/// Answers calls to the replicas in `groups`, without membership and settings, until its task is
+/// dropped.
+pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
+    serve_peers(listener, PeerServer { membership: None, settings: None, groups }).await;
+}
+
 /// Answers calls of other instances on `listener` until its task is dropped.
 async fn serve_peers(listener: TcpListener, service: PeerServer) {
+    let mut connections = JoinSet::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -190,7 +237,8 @@
         let _ = stream.set_nodelay(true);
         let transport = frame_messages(stream);
         let calls = BaseChannel::with_defaults(transport).execute(service.clone().serve());
-        tokio::spawn(calls.for_each(|call| {
+        while connections.try_join_next().is_some() {}
+        connections.spawn(calls.for_each(|call| {
             tokio::spawn(call);
             future::ready(())
         }));
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,6 +1,9 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    name::GroupName,
+    replica_message::{LogIndex, ReplicaEnvelope},
+    replicated::GroupError,
     settings::Revision,
     settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::{EntryRecord, UpstreamRecord, ZoneDigest},
@@ -48,11 +51,20 @@
     /// Everything in the settings that changed after the asker's revision.
     async fn settings_after(request: FollowRequest) -> FollowReply;
 
-    /// Applies an update of the settings.
-    async fn settings_push(push: PushRequest) -> ZoneReport;
+    /// Applies an update of the settings; none where the receiver holds no settings.
+    async fn settings_push(push: PushRequest) -> Option<ZoneReport>;
 
     /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
     async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
+
+    /// Passes messages to the receiver's replica of `group`.
+    async fn group_deliver(group: GroupName, envelopes: Vec<ReplicaEnvelope>);
+
+    /// Proposes an encoded command if the receiver leads `group`; gives the encoded reply.
+    async fn group_propose(group: GroupName, command: Arc<str>) -> Result<Arc<str>, GroupError>;
+
+    /// Last entry that a linearizable read must see, if the receiver leads `group`.
+    async fn group_read_index(group: GroupName) -> Result<LogIndex, GroupError>;
 }
 
 /// Why a call to another instance has no reply.
--- a/cicadastall/src/settings_peer.rs
+++ b/cicadastall/src/settings_peer.rs
@@ -32,7 +32,7 @@
 }
 
 /// Answer to a [`FollowRequest`].
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct FollowReply {
     /// What changed; none if nothing did.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/cicadastall/tests/settings_spread.rs
+++ b/cicadastall/tests/settings_fleet/spread.rs
@@ -1,154 +1,24 @@
 //! Distribution of settings to entries: everywhere at once, never back, and through partitions.
 
-mod settings_common;
-
-use cicadastall::{
-    control::ControlServer,
-    entry::EntryServer,
-    follow::{HolderStatus, StartState},
-    http::{CallError, HttpClient, call_json, client},
-    node::NodeSettings,
-    settings::{FleetSettings, Revision, TeamSettings},
-    settings_command::{ChangeAnswer, OPERATION_HEADER, OPERATOR_HEADER},
-    settings_state::ChangeReply,
+use crate::{
+    fleet::{
+        get, node, put, put_many, put_many_when_founded, start_control, start_entries, start_entry,
+        status, wait_for, wait_revision,
+    },
+    settings_common::owned_by,
 };
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode};
-use serde_json::{Value, json};
-use settings_common::{owned_by, trust};
-use std::{
-    net::SocketAddr,
-    path::PathBuf,
-    sync::atomic::{AtomicU32, Ordering},
-    time::Duration,
+use cicadastall::{
+    follow::StartState, http::client, settings::Revision, settings_state::ChangeReply,
 };
+use hyper::StatusCode;
+use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpStream},
-    runtime::Handle,
     sync::watch,
     time::{Instant, sleep},
 };
 
-const REGIONS: [&str; 3] = ["aqaba", "amman", "irbid"];
-const PATIENCE: Duration = Duration::from_secs(15);
-
-static FILES: AtomicU32 = AtomicU32::new(0);
-
-fn write_founding(tree: &FleetSettings) -> PathBuf {
-    let number = FILES.fetch_add(1, Ordering::Relaxed);
-    let name = format!("cicadastall-spread-{}-{number}.json", std::process::id());
-    let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, serde_json::to_vec(tree).expect("encode")).expect("write a file");
-    path
-}
-
-fn node(
-    instance: &str,
-    region: &str,
-    control: &[SocketAddr],
-    seeds: &[SocketAddr],
-) -> NodeSettings {
-    let node = json!({
-        "instance": instance,
-        "region": region,
-        "zone": format!("{region}-a"),
-        "caller_listen": "127.0.0.1:0",
-        "operator_listen": "127.0.0.1:0",
-        "peer_listen": "127.0.0.1:0",
-        "control": control,
-        "seeds": seeds,
-    });
-    serde_json::from_value(node).expect("node settings")
-}
-
-async fn start_control(name: &str) -> ControlServer {
-    let founding = write_founding(&trust());
-    let mut node = node(name, "aqaba", &[], &[]);
-    node.founding_settings = Some(founding.clone());
-    let control = ControlServer::start(node, &Handle::current()).await.expect("a control instance");
-    let _ = std::fs::remove_file(founding);
-    control
-}
-
-async fn start_entry(node: NodeSettings) -> EntryServer {
-    EntryServer::start(node, &Handle::current()).await.expect("an entry")
-}
-
-async fn start_entries(control: SocketAddr) -> Vec<EntryServer> {
-    let mut entries = Vec::new();
-    for region in REGIONS {
-        entries
-            .push(start_entry(node(&format!("{region}-1"), region, &[control], &[control])).await);
-    }
-    for entry in &entries {
-        wait_for(entry.addresses().operator, |status| status.start != StartState::Asking).await;
-        wait_revision(entry.addresses().operator, 1).await;
-    }
-    entries
-}
-
-async fn get(client: &HttpClient, address: SocketAddr, path: &str) -> Result<Value, CallError> {
-    let bound = Duration::from_secs(3);
-    call_json(client, Method::GET, address, path, None::<&Value>, bound).await
-}
-
-async fn status(operator: SocketAddr) -> HolderStatus {
-    let status = get(&client(1), operator, "/v1/status").await.expect("a status");
-    serde_json::from_value(status["settings"].clone()).expect("a status of the settings")
-}
-
-async fn wait_for(operator: SocketAddr, reached: impl Fn(&HolderStatus) -> bool) -> HolderStatus {
-    let start = Instant::now();
-    loop {
-        let status = status(operator).await;
-        if reached(&status) {
-            return status;
-        }
-        assert!(start.elapsed() < PATIENCE, "not reached: {status:?}");
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
-async fn wait_revision(operator: SocketAddr, revision: u64) -> HolderStatus {
-    wait_for(operator, |status| status.revision >= Revision(revision)).await
-}
-
-async fn put(
-    control: SocketAddr,
-    operation: &str,
-    operator: &str,
-    expected: u64,
-    team: &TeamSettings,
-) -> (StatusCode, ChangeAnswer) {
-    let body = serde_json::to_vec(team).expect("encode");
-    let request = Request::put(format!("http://{control}/v1/settings/teams/trust"))
-        .header("if-match", expected)
-        .header(OPERATION_HEADER, operation)
-        .header(OPERATOR_HEADER, operator)
-        .body(Full::from(body))
-        .expect("a request");
-    let answer = client(1).request(request).await.expect("an answer");
-    let status = answer.status();
-    let bytes = answer.into_body().collect().await.expect("a body").to_bytes();
-    (status, serde_json::from_slice(&bytes).expect("an answer to a change"))
-}
-
-/// Changes the Trust's owner `count` times, from version `expected` on.
-async fn put_many(control: SocketAddr, expected: u64, count: u64) {
-    for version in expected..expected + count {
-        let (status, answer) = put(
-            control,
-            &format!("op-{version}"),
-            "layla",
-            version,
-            &owned_by(&format!("{version}")),
-        )
-        .await;
-        assert_eq!(status, StatusCode::OK, "{answer:?}");
-    }
-}
-
 /// A TCP link that can be cut and mended.
 struct CutLink {
     address: SocketAddr,
@@ -193,7 +63,7 @@
     let (status_code, answer) = put(operator, "op-1", "layla", 1, &owned_by("layla")).await;
     assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
     assert_eq!(status_code, StatusCode::OK, "{answer:?}");
-    let reach = answer.reach.expect("where it is in force");
+    let reach = answer.expect("an answer").reach.expect("where it is in force");
     let mut regions: Vec<_> = reach.in_force.iter().map(|region| region.as_str()).collect();
     regions.sort_unstable();
     assert_eq!(regions, ["amman", "aqaba", "irbid"], "{reach:?}");
@@ -209,10 +79,11 @@
     wait_revision(operator, 1).await;
     let (_, first) = put(operator, "op-1", "layla", 1, &owned_by("layla")).await;
     let (_, again) = put(operator, "op-1", "layla", 1, &owned_by("layla")).await;
-    assert_eq!(first.reply, again.reply);
+    assert_eq!(first.expect("an answer").reply, again.expect("an answer").reply);
     let (status, reused) = put(operator, "op-1", "layla", 1, &owned_by("other")).await;
     assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
-    assert!(matches!(reused.reply, ChangeReply::OperationReused { .. }), "{reused:?}");
+    let reused = reused.expect("an answer").reply;
+    assert!(matches!(reused, ChangeReply::OperationReused { .. }), "{reused:?}");
     let mut races = Vec::new();
     for number in 0..8 {
         races.push(tokio::spawn(async move {
@@ -224,7 +95,7 @@
     for race in races {
         let (status, answer) = race.await.expect("a race");
         won += u32::from(status == StatusCode::OK);
-        if let ChangeReply::Conflict { winner, difference, .. } = answer.reply {
+        if let ChangeReply::Conflict { winner, difference, .. } = answer.expect("an answer").reply {
             assert!(winner.expect("a winner").operator.starts_with("racer-"));
             assert_eq!(difference.len(), 1);
         }
@@ -250,14 +121,14 @@
     wait_revision(entry_operator, 1).await;
     sleep(Duration::from_millis(1_500)).await;
     let (_, answer) = put(operator, "op-1", "layla", 1, &owned_by("before")).await;
-    let reach = answer.reach.expect("where it is in force");
+    let reach = answer.expect("an answer").reach.expect("where it is in force");
     assert!(reach.in_force.contains(&"irbid".into()), "{reach:?}");
 
     to_control.set_open(false);
     to_entry.set_open(false);
     sleep(Duration::from_millis(1_000)).await;
     let (_, answer) = put(operator, "op-2", "layla", 2, &owned_by("during")).await;
-    let reach = answer.reach.expect("where it is in force");
+    let reach = answer.expect("an answer").reach.expect("where it is in force");
     let silent = reach.unconfirmed.iter().find(|silent| silent.region.as_str() == "irbid");
     let silent = silent.unwrap_or_else(|| panic!("irbid is not named: {reach:?}"));
     assert!(silent.silent_ms >= 1_000, "{silent:?}");
@@ -296,11 +167,6 @@
     }
 }
 
-async fn put_many_when_founded(control: &ControlServer, count: u64) {
-    wait_revision(control.addresses().operator, 1).await;
-    put_many(control.addresses().operator, 1, count).await;
-}
-
 #[tokio::test]
 async fn an_entry_that_starts_cut_off_serves_what_its_zone_has_and_says_so() {
     let control = start_control("aqaba-control").await;
