--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod announce;
 pub mod engine;
+pub mod network;
 pub mod service;
--- /dev/null
+++ b/cicadastall-standins/src/network.rs
@@ -0,0 +1,401 @@
+//! A stand-in network that carries datagrams between members inside one process, with faults.
+//!
+//! Its clock is moved by [`MemberNetwork::run`]; equal seeds give equal runs.
+
+use bytes::Bytes;
+use cicadastall::{
+    bulletin::{decode_packet, encode_packet},
+    members::MemberTable,
+    name::{ModelName, PoolName, RegionName, UpstreamName, ZoneName},
+    outbox::{OutgoingPacket, POLL_PERIOD},
+    table::{
+        EntryRecord, EntryState, Incarnation, LoadReport, UpstreamRates, UpstreamRecord,
+        UpstreamState,
+    },
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Step of the clock.
+const STEP: Duration = Duration::from_millis(5);
+
+/// Delay between two nodes of one zone.
+const ZONE_DELAY: Duration = Duration::from_millis(1);
+
+/// Delay between two zones.
+const LINK_DELAY: Duration = Duration::from_millis(30);
+
+/// Time between two announcements of an upstream.
+const RENEW_PERIOD: Duration = Duration::from_millis(500);
+
+/// Bytes of the headers of UDP and IP in each datagram.
+pub const DATAGRAM_HEADERS: u64 = 28;
+
+/// Something that reaches a node.
+#[derive(Debug, Clone)]
+enum Delivery {
+    Datagram(SocketAddr, Bytes),
+    Announcement(Box<UpstreamRecord>),
+}
+
+/// Traffic of one node.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct NodeTraffic {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes of them, headers of UDP and IP included.
+    pub sent_bytes: u64,
+    /// Datagrams received.
+    pub received: u64,
+    /// Bytes of them, headers of UDP and IP included.
+    pub received_bytes: u64,
+}
+
+#[derive(Debug)]
+struct NetworkNode {
+    members: MemberTable,
+    poll_at: Instant,
+    running: bool,
+    frozen: Option<Vec<Delivery>>,
+    traffic: NodeTraffic,
+}
+
+#[derive(Debug)]
+struct NetworkUpstream {
+    record: UpstreamRecord,
+    entries: [usize; 2],
+    announce_at: Instant,
+    running: bool,
+}
+
+/// Faults of the network.
+#[derive(Debug, Clone, Default)]
+pub struct NetworkFaults {
+    /// Share of datagrams that are lost.
+    pub loss: f64,
+    /// Share of datagrams that arrive twice.
+    pub duplicates: f64,
+    /// Pairs of nodes between which nothing passes, in that direction only.
+    pub blocked: BTreeSet<(usize, usize)>,
+}
+
+/// Members of a fleet and the network between them.
+#[derive(Debug)]
+pub struct MemberNetwork {
+    now: Instant,
+    random: ChaCha8Rng,
+    nodes: Vec<NetworkNode>,
+    upstreams: Vec<NetworkUpstream>,
+    moving: BTreeMap<(Instant, u64), (usize, Delivery)>,
+    moved: u64,
+    /// Faults, which may be changed between two runs.
+    pub faults: NetworkFaults,
+}
+
+impl MemberNetwork {
+    /// An empty network.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: Instant::now(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            upstreams: Vec::new(),
+            moving: BTreeMap::new(),
+            moved: 0,
+            faults: NetworkFaults::default(),
+        }
+    }
+
+    /// Time of the network.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Adds a node that knows the nodes `seeds`; zones are named `REGION-LETTER`.
+    pub fn add_node(&mut self, zone: &str, seeds: &[usize]) -> usize {
+        let index = self.nodes.len();
+        let record = EntryRecord {
+            instance: format!("{zone}-{index}").as_str().into(),
+            incarnation: Incarnation(1_000),
+            region: region_of(zone),
+            zone: zone.into(),
+            caller_address: Some(node_address(index, 2)),
+            peer_address: node_address(index, 1),
+            state: EntryState::Serving,
+            in_flight: 0,
+        };
+        let seeds = seeds.iter().map(|seed| node_address(*seed, 1)).collect();
+        let offset = POLL_PERIOD.mul_f64(self.random.random_range(0.0..1.0));
+        self.nodes.push(NetworkNode {
+            members: MemberTable::new(record, seeds, self.random.random()),
+            poll_at: self.now + offset,
+            running: true,
+            frozen: None,
+            traffic: NodeTraffic::default(),
+        });
+        index
+    }
+
+    /// Starts node `index` again with an empty state and the nodes `seeds`.
+    pub fn restart(&mut self, index: usize, seeds: &[usize]) {
+        let mut record = self.nodes[index].members.own().clone();
+        record.incarnation.0 += 1_000;
+        record.state = EntryState::Serving;
+        let seeds = seeds.iter().map(|seed| node_address(*seed, 1)).collect();
+        let node = &mut self.nodes[index];
+        node.members = MemberTable::new(record, seeds, self.random.random());
+        node.poll_at = self.now;
+        node.running = true;
+        node.frozen = None;
+    }
+
+    /// Adds an upstream that announces itself to two nodes of its zone.
+    pub fn add_upstream(&mut self, pool: &str, model: &str, entries: [usize; 2]) -> usize {
+        let index = self.upstreams.len();
+        let own = self.nodes[entries[0]].members.own();
+        let record = UpstreamRecord {
+            name: format!("u{index}").as_str().into(),
+            incarnation: Incarnation(1_000),
+            sequence: 0,
+            region: own.region.clone(),
+            zone: own.zone.clone(),
+            address: node_address(index, 3),
+            pool: PoolName::from(pool),
+            models: [ModelName::from(model)].into_iter().collect(),
+            state: UpstreamState::Serving,
+            rates: UpstreamRates {
+                prefill_tokens_per_s: 8_000.0,
+                decode_tokens_per_s: 1_000.0,
+                max_running: 32,
+                kv_tokens: 200_000,
+            },
+            load: LoadReport::default(),
+            checks_fencing: false,
+        };
+        let offset = RENEW_PERIOD.mul_f64(self.random.random_range(0.0..1.0));
+        let announce_at = self.now + offset;
+        self.upstreams.push(NetworkUpstream { record, entries, announce_at, running: true });
+        index
+    }
+
+    /// What node `index` knows.
+    pub fn members(&self, index: usize) -> &MemberTable {
+        &self.nodes[index].members
+    }
+
+    /// What node `index` knows, to be changed.
+    pub fn members_mut(&mut self, index: usize) -> &mut MemberTable {
+        &mut self.nodes[index].members
+    }
+
+    /// Name of upstream `index`.
+    pub fn upstream_name(&self, index: usize) -> &UpstreamName {
+        &self.upstreams[index].record.name
+    }
+
+    /// Traffic of node `index` since the last call of [`MemberNetwork::reset_traffic`].
+    pub fn traffic(&self, index: usize) -> NodeTraffic {
+        self.nodes[index].traffic
+    }
+
+    /// Counts traffic from zero again.
+    pub fn reset_traffic(&mut self) {
+        for node in &mut self.nodes {
+            node.traffic = NodeTraffic::default();
+        }
+    }
+
+    /// Ends node `index` without notice.
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index].running = false;
+    }
+
+    /// Stops node `index` as SIGSTOP does: what reaches it waits in queues.
+    pub fn freeze(&mut self, index: usize) {
+        self.nodes[index].frozen = Some(Vec::new());
+    }
+
+    /// Lets node `index` go on, with all that waits delivered at once.
+    pub fn wake(&mut self, index: usize) {
+        let waiting = self.nodes[index].frozen.take().unwrap_or_default();
+        for delivery in waiting {
+            self.deliver(index, delivery);
+        }
+    }
+
+    /// Ends upstream `index` without notice.
+    pub fn stop_upstream(&mut self, index: usize) {
+        self.upstreams[index].running = false;
+    }
+
+    /// Makes upstream `index` announce another state at once.
+    pub fn set_upstream_state(&mut self, index: usize, state: UpstreamState) {
+        let upstream = &mut self.upstreams[index];
+        upstream.record.state = state;
+        upstream.announce_at = self.now;
+    }
+
+    /// Blocks or opens both directions between the nodes of `zone` and all others.
+    pub fn cut_zone(&mut self, zone: &str, cut: bool) {
+        let of_zone = |node: &NetworkNode| node.members.own().zone.as_str() == zone;
+        let (inside, outside): (Vec<_>, Vec<_>) =
+            (0..self.nodes.len()).partition(|index| of_zone(&self.nodes[*index]));
+        for pair in inside.iter().flat_map(|a| outside.iter().map(move |b| (*a, *b))) {
+            for way in [pair, (pair.1, pair.0)] {
+                match cut {
+                    true => drop(self.faults.blocked.insert(way)),
+                    false => drop(self.faults.blocked.remove(&way)),
+                }
+            }
+        }
+    }
+
+    /// Moves the clock on by `duration`.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Moves the clock until `done`, at most by `bound`; returns the time that it took.
+    pub fn run_until(
+        &mut self,
+        bound: Duration,
+        mut done: impl FnMut(&Self) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while self.now.duration_since(start) <= bound {
+            if done(self) {
+                return Some(self.now.duration_since(start));
+            }
+            self.step();
+        }
+        None
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.announce_due();
+        while let Some(entry) = self.moving.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (index, delivery) = entry.remove();
+            self.deliver(index, delivery);
+        }
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if node.running && node.frozen.is_none() && node.poll_at <= self.now {
+                node.poll_at = self.now + POLL_PERIOD;
+                let packets = node.members.poll(self.now);
+                self.send(index, packets);
+            }
+        }
+    }
+
+    fn announce_due(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for upstream in self.upstreams.iter_mut().filter(|upstream| upstream.running) {
+            if upstream.announce_at <= now {
+                upstream.announce_at = now + RENEW_PERIOD;
+                upstream.record.sequence += 1;
+                upstream.record.load.running = self.random.random_range(0..32);
+                upstream.record.load.queued_prompt_tokens = self.random.random_range(0..20_000);
+                upstream.record.load.kv_used_tokens = self.random.random_range(0..200_000);
+                due.push((upstream.entries, upstream.record.clone()));
+            }
+        }
+        for (entries, record) in due {
+            for entry in entries {
+                self.deliver(entry, Delivery::Announcement(Box::new(record.clone())));
+            }
+        }
+    }
+
+    fn deliver(&mut self, index: usize, delivery: Delivery) {
+        let node = &mut self.nodes[index];
+        if !node.running {
+            return;
+        }
+        if let Some(waiting) = &mut node.frozen {
+            waiting.push(delivery);
+            return;
+        }
+        match delivery {
+            Delivery::Announcement(record) => drop(node.members.announce(*record, self.now)),
+            Delivery::Datagram(from, bytes) => {
+                node.traffic.received += 1;
+                node.traffic.received_bytes += bytes.len() as u64 + DATAGRAM_HEADERS;
+                if let Ok(packet) = decode_packet(&bytes) {
+                    node.members.accept(from, packet, self.now);
+                }
+                let replies = node.members.poll_replies(self.now);
+                self.send(index, replies);
+            }
+        }
+    }
+
+    fn send(&mut self, index: usize, packets: Vec<OutgoingPacket>) {
+        for OutgoingPacket { to, packet } in packets {
+            let Ok(bytes) = encode_packet(&packet) else { continue };
+            for address in to {
+                self.send_bytes(index, address, bytes.clone());
+            }
+        }
+    }
+
+    fn send_bytes(&mut self, index: usize, address: SocketAddr, bytes: Bytes) {
+        let traffic = &mut self.nodes[index].traffic;
+        traffic.sent += 1;
+        traffic.sent_bytes += bytes.len() as u64 + DATAGRAM_HEADERS;
+        let Some(target) = node_index(address).filter(|target| *target < self.nodes.len()) else {
+            return;
+        };
+        let lost = self.random.random_bool(self.faults.loss);
+        if lost || self.faults.blocked.contains(&(index, target)) {
+            return;
+        }
+        let copies = 1 + usize::from(self.random.random_bool(self.faults.duplicates));
+        let same_zone = self.zone(index) == self.zone(target);
+        let delay = if same_zone { ZONE_DELAY } else { LINK_DELAY };
+        for _ in 0..copies {
+            self.moved += 1;
+            let delivery = Delivery::Datagram(node_address(index, 1), bytes.clone());
+            self.moving.insert((self.now + delay, self.moved), (target, delivery));
+        }
+    }
+
+    fn zone(&self, index: usize) -> &ZoneName {
+        &self.nodes[index].members.own().zone
+    }
+
+    /// Datagrams that are on their way are lost.
+    pub fn drop_moving(&mut self) {
+        drop(mem::take(&mut self.moving));
+    }
+}
+
+fn region_of(zone: &str) -> RegionName {
+    zone.rsplit_once('-').map_or(zone, |(region, _)| region).into()
+}
+
+/// Address of node or upstream `index`; the port tells its interface.
+fn node_address(index: usize, port: u16) -> SocketAddr {
+    let [_, _, high, low] = (index as u32).to_be_bytes();
+    (Ipv4Addr::new(10, 0, high, low), port).into()
+}
+
+fn node_index(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(address) = address else { return None };
+    let [_, _, high, low] = address.ip().octets();
+    Some(usize::from(u16::from_be_bytes([high, low])))
+}
--- /dev/null
+++ b/cicadastall-standins/tests/membership.rs
@@ -0,0 +1,242 @@
+//! Members find each other, and lose each other, over a network with faults.
+
+use cicadastall::{
+    listing::list_entries,
+    route::UPSTREAM_EXPIRY,
+    table::{EntryState, RoutingTable, UpstreamState},
+};
+use cicadastall_standins::network::MemberNetwork;
+use std::{ops::Range, time::Duration};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A network of `nodes` in each of `zones`; all know only the first node of the first zone.
+fn network(zones: &[&str], nodes: usize, seed: u64) -> MemberNetwork {
+    let mut network = MemberNetwork::new(seed);
+    for zone in zones {
+        for _ in 0..nodes {
+            network.add_node(zone, &[0]);
+        }
+    }
+    network
+}
+
+fn knows_all(network: &MemberNetwork, nodes: Range<usize>) -> bool {
+    let count = nodes.len();
+    nodes.into_iter().all(|index| network.members(index).entries().count() == count - 1)
+}
+
+fn table(network: &MemberNetwork, node: usize) -> RoutingTable {
+    network.members(node).make_table(network.now())
+}
+
+/// Whether `node` would give new work to `upstream`.
+fn would_dispatch(network: &MemberNetwork, node: usize, upstream: usize) -> bool {
+    let table = table(network, node);
+    table.upstreams.get(network.upstream_name(upstream)).is_some_and(|view| {
+        view.record.state == UpstreamState::Serving
+            && network.now().duration_since(view.renewed_at) < UPSTREAM_EXPIRY
+    })
+}
+
+#[test]
+fn members_learn_of_each_other_from_one_seed_despite_loss() {
+    let mut network = network(&["aqaba-a", "amman-a", "irbid-a"], 9, 11);
+    network.faults.loss = 0.1;
+    network.faults.duplicates = 0.1;
+    let upstream = network.add_upstream("verdicts", "splice-7b", [9, 10]);
+    let joined = network.run_until(10 * SECOND, |network| {
+        knows_all(network, 0..9)
+            && knows_all(network, 9..18)
+            && knows_all(network, 18..27)
+            && (9..18).all(|node| would_dispatch(network, node, upstream))
+            && (0..27).all(|node| table(network, node).zones.len() == 2)
+    });
+    assert!(joined.is_some(), "not all members were known after 10 s");
+}
+
+#[test]
+fn loss_and_one_way_links_remove_no_member() {
+    let mut network = network(&["aqaba-a"], 9, 12);
+    network.run(5 * SECOND);
+    network.faults.loss = 0.05;
+    network.faults.duplicates = 0.05;
+    network.faults.blocked.insert((3, 4));
+    for second in 0..120 {
+        network.run(SECOND);
+        assert!(knows_all(&network, 0..9), "a running member was removed in second {second}");
+    }
+}
+
+#[test]
+fn failed_member_is_removed_everywhere_within_5_s_and_returns() {
+    let mut network = network(&["aqaba-a"], 9, 13);
+    network.run(5 * SECOND);
+    network.crash(5);
+    let gone = |network: &MemberNetwork| {
+        (0..9).filter(|node| *node != 5).all(|node| network.members(node).entries().count() == 7)
+    };
+    assert!(network.run_until(5 * SECOND, gone).is_some(), "the failed member is still listed");
+    network.restart(5, &[2]);
+    let back = network.run_until(5 * SECOND, |network| knows_all(network, 0..9));
+    assert!(back.is_some(), "the restarted member is not known everywhere");
+}
+
+#[test]
+fn woken_member_removes_nobody_and_is_taken_back() {
+    let mut network = network(&["aqaba-a"], 9, 14);
+    network.run(5 * SECOND);
+    network.freeze(5);
+    network.run(60 * SECOND);
+    assert!((0..5).all(|node| network.members(node).entries().count() == 7));
+    network.wake(5);
+    for _ in 0..30 {
+        network.run(SECOND / 10);
+        assert_eq!(network.members(5).entries().count(), 8, "the woken member removed others");
+    }
+    let back = network.run_until(5 * SECOND, |network| knows_all(network, 0..9));
+    assert!(back.is_some(), "the woken member is not known everywhere");
+}
+
+#[test]
+fn suspected_member_refutes() {
+    let mut network = network(&["aqaba-a"], 9, 15);
+    network.run(5 * SECOND);
+    network.freeze(5);
+    let suspected = network
+        .run_until(4 * SECOND, |network| network.members(0).entries().count() == 7)
+        .expect("a suspicion");
+    assert!(suspected < 3 * SECOND);
+    network.wake(5);
+    network.run(3 * SECOND);
+    assert!(knows_all(&network, 0..9), "the suspicion was not refuted");
+}
+
+#[test]
+fn leaving_upstream_is_known_in_the_zone_within_2_s() {
+    let mut network = network(&["aqaba-a"], 27, 16);
+    let upstream = network.add_upstream("verdicts", "splice-7b", [1, 2]);
+    network.run(8 * SECOND);
+    assert!((0..27).all(|node| would_dispatch(&network, node, upstream)));
+    network.faults.loss = 0.1;
+    network.set_upstream_state(upstream, UpstreamState::Leaving);
+    let spread = network.run_until(2 * SECOND, |network| {
+        (0..27).all(|node| !would_dispatch(network, node, upstream))
+    });
+    assert!(spread.is_some(), "some entry still uses the leaving upstream after 2 s");
+    for _ in 0..200 {
+        network.run(SECOND / 20);
+        let used = (0..27).find(|node| would_dispatch(&network, *node, upstream));
+        assert_eq!(used, None, "an entry took the leaving upstream back");
+    }
+}
+
+#[test]
+fn silent_or_drained_upstream_gets_nothing_after_3_s() {
+    let mut network = network(&["aqaba-a"], 9, 17);
+    let silent = network.add_upstream("verdicts", "splice-7b", [1, 2]);
+    let drained = network.add_upstream("verdicts", "splice-7b", [3, 4]);
+    network.run(8 * SECOND);
+    network.stop_upstream(silent);
+    let name = network.upstream_name(drained).clone();
+    assert!(network.members_mut(7).drain_upstream(&name));
+    network.run(2 * SECOND);
+    assert!((0..9).all(|node| !would_dispatch(&network, node, drained)));
+    network.run(SECOND);
+    for _ in 0..100 {
+        assert!((0..9).all(|node| !would_dispatch(&network, node, silent)));
+        assert!((0..9).all(|node| !would_dispatch(&network, node, drained)));
+        network.run(SECOND / 10);
+    }
+}
+
+#[test]
+fn cut_off_or_frozen_entry_gives_a_leaving_upstream_nothing() {
+    let mut network = network(&["aqaba-a"], 9, 18);
+    let upstream = network.add_upstream("verdicts", "splice-7b", [1, 2]);
+    network.run(8 * SECOND);
+    for other in (0..9).filter(|other| *other != 6) {
+        network.faults.blocked.insert((other, 6));
+        network.faults.blocked.insert((6, other));
+    }
+    network.freeze(1);
+    network.run(SECOND);
+    network.set_upstream_state(upstream, UpstreamState::Leaving);
+    network.run(3 * SECOND);
+    assert!(!would_dispatch(&network, 6, upstream), "the cut-off entry still uses it");
+    network.run(30 * SECOND);
+    network.stop_upstream(upstream);
+    network.wake(1);
+    for _ in 0..600 {
+        assert!(!would_dispatch(&network, 1, upstream), "the woken entry uses it");
+        network.run(SECOND / 200);
+    }
+}
+
+#[test]
+fn announcement_that_waited_in_a_queue_is_no_sign_of_life() {
+    let mut network = network(&["aqaba-a"], 3, 19);
+    let upstream = network.add_upstream("verdicts", "splice-7b", [1, 2]);
+    network.run(5 * SECOND);
+    network.freeze(1);
+    network.run(SECOND);
+    network.stop_upstream(upstream);
+    network.run(20 * SECOND);
+    network.wake(1);
+    for _ in 0..600 {
+        assert!(!would_dispatch(&network, 1, upstream), "an old announcement was trusted");
+        network.run(SECOND / 200);
+    }
+}
+
+#[test]
+fn cut_zone_vanishes_within_3_s_and_returns_without_a_stampede() {
+    let mut network = network(&["aqaba-a", "amman-a"], 9, 20);
+    network.add_upstream("verdicts", "splice-7b", [1, 2]);
+    network.run(10 * SECOND);
+    let sees = |network: &MemberNetwork, node: usize| table(network, node).zones.len();
+    assert!((0..18).all(|node| sees(&network, node) == 1));
+    network.cut_zone("aqaba-a", true);
+    network.run(3 * SECOND + SECOND / 10);
+    assert!((0..18).all(|node| sees(&network, node) == 0), "the cut zone is still used");
+    assert!(knows_all(&network, 0..9) && knows_all(&network, 9..18));
+    network.run(60 * SECOND);
+    network.cut_zone("aqaba-a", false);
+    let takers = |network: &MemberNetwork| (9..18).filter(|node| sees(network, *node) == 1).count();
+    network.run_until(20 * SECOND, |network| takers(network) > 0).expect("the zone returns");
+    network.run(SECOND / 2);
+    assert!(takers(&network) <= 4, "most entries took the zone back at once");
+    let back = network.run_until(5 * SECOND, |network| takers(network) == 9);
+    assert!(back.is_some(), "not all entries took the zone back");
+}
+
+#[test]
+fn failed_forwards_take_entries_then_the_zone_out() {
+    let mut network = network(&["aqaba-a", "amman-a"], 3, 21);
+    network.run(10 * SECOND);
+    let now = network.now();
+    let view = table(&network, 0).zones.values().next().expect("a zone").clone();
+    let zone = view.digest.zone.clone();
+    let failed = view.digest.entries[0];
+    let members = network.members_mut(0);
+    members.note_unreachable(&zone, failed, now);
+    let left = &members.make_table(now).zones[&zone].digest.entries;
+    assert!(!left.is_empty() && !left.contains(&failed));
+    members.note_unreachable(&zone, view.digest.entries[1], now);
+    assert!(members.make_table(now).zones.is_empty(), "the zone is still used");
+    network.run(6 * SECOND);
+    assert_eq!(table(&network, 0).zones.len(), 1, "the zone was not taken back");
+}
+
+#[test]
+fn draining_or_busy_entry_is_moved_off() {
+    let mut network = network(&["aqaba-a"], 3, 22);
+    network.run(5 * SECOND);
+    network.members_mut(1).set_state(EntryState::Draining);
+    network.members_mut(2).set_in_flight(200);
+    network.run(2 * SECOND);
+    let listing = list_entries(network.members(0), network.now());
+    let names: Vec<_> = listing.entries.iter().map(|row| row.instance.as_str()).collect();
+    assert_eq!(names, ["aqaba-a-0", "aqaba-a-2"]);
+    assert!(listing.entries[0].weight > 100.0 * listing.entries[1].weight);
+}
--- /dev/null
+++ b/cicadastall/src/bulletin.rs
@@ -0,0 +1,265 @@
+//! Datagrams that instances send each other about members, and the log that their rows come from.
+
+use crate::{
+    name::{InstanceName, RegionName, UpstreamName, ZoneName},
+    table::{CapacityRow, EntryRecord, Incarnation, LoadReport, UpstreamRecord},
+};
+use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::{collections::BTreeMap, io, net::SocketAddr, pin::Pin, sync::Arc};
+use tarpc::tokio_serde::{Deserializer, Serializer, formats::Bincode};
+
+/// Rows in one datagram, so that it fits into one frame of the network.
+pub(crate) const ROWS_PER_PACKET: usize = 6;
+
+/// Who sent a datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PacketSender {
+    /// The instance.
+    pub instance: InstanceName,
+    /// When its process started; a later start begins a new log.
+    pub started: Incarnation,
+    /// How often the process refuted a suspicion.
+    pub refutations: u32,
+}
+
+impl PacketSender {
+    /// Restart and refutation counter of the sender.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation(self.started.0 + u64::from(self.refutations))
+    }
+}
+
+/// One datagram between two instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemberPacket {
+    /// Who sent it.
+    pub sender: PacketSender,
+    /// What it says.
+    pub body: PacketBody,
+}
+
+/// What a datagram says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PacketBody {
+    /// News of the sender, sent to every member of its zone.
+    Bulletin(Box<MemberBulletin>),
+    /// Asks for the sender's rows after this number of the receiver's log.
+    Pull(u64),
+    /// Asks the receiver to show that it runs.
+    Probe(u32),
+    /// Asks the receiver to probe the instance at the address for the sender.
+    ProbeFor(u32, SocketAddr),
+    /// Replies to the probe of that number; names the instance that was probed.
+    Ack(u32, PacketSender),
+    /// Names instances that the receiver may not know, and addresses of some in other zones.
+    Introduce(Vec<EntryRecord>, Vec<(ZoneName, SocketAddr)>),
+    /// Asks for introductions, and introduces the sender.
+    Join(Box<EntryRecord>),
+    /// Summary of the sender's zone for another one.
+    Digest(Box<DigestPacket>),
+    /// The sender's process ends.
+    Gone,
+}
+
+/// News of one instance.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct MemberBulletin {
+    /// The rows are complete for a receiver that has the log up to this number.
+    pub since: u64,
+    /// Number of the log's newest row that the receiver has afterwards.
+    pub newest: u64,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Members of the zone that the sender knows, itself included.
+    pub members: u16,
+    /// Rows changed after `since`, in the order of their numbers.
+    pub rows: Vec<LogRow>,
+    /// Renewals since the previous bulletin.
+    pub pulses: Vec<RowPulse>,
+    /// Members that the sender suspects to have failed.
+    pub suspects: SmallVec<[(InstanceName, Incarnation); 2]>,
+}
+
+/// One row of an instance's log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LogRow {
+    /// Number of the row's last change.
+    pub number: u64,
+    /// Short name of the row within the log.
+    pub handle: u16,
+    /// Its content.
+    pub content: RowContent,
+}
+
+/// Content of a row.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum RowContent {
+    /// The instance itself.
+    Own(EntryRecord),
+    /// An upstream that announced itself here so many milliseconds ago.
+    Upstream(Arc<UpstreamRecord>, u32),
+    /// An upstream that an operator drains.
+    Drained(UpstreamName, Incarnation),
+    /// Another zone.
+    Zone(Box<ZonePlace>),
+    /// Capacity in the zone of the row with that handle.
+    Capacity(u16, CapacityRow),
+    /// The row is gone.
+    Removed,
+}
+
+/// Another zone and how to reach it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ZonePlace {
+    /// Region of the zone.
+    pub region: RegionName,
+    /// The zone.
+    pub zone: ZoneName,
+    /// Caller addresses of entries to which requests may be forwarded.
+    pub entries: SmallVec<[SocketAddr; 4]>,
+    /// Peer addresses of some instances.
+    pub contacts: SmallVec<[SocketAddr; 4]>,
+}
+
+/// Renewal of a row without a change of its content.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum RowPulse {
+    /// An upstream announced itself.
+    Upstream {
+        /// Row of the upstream.
+        handle: u16,
+        /// Number of the announcement.
+        sequence: u64,
+        /// Time since the announcement, in milliseconds.
+        age_ms: u32,
+        /// Load that it reported.
+        load: LoadReport,
+    },
+    /// A digest of another zone arrived.
+    Zone {
+        /// Row of the zone.
+        handle: u16,
+        /// Number of the digest.
+        sequence: u64,
+        /// Time since its arrival, in milliseconds.
+        age_ms: u32,
+    },
+}
+
+/// Summary of a zone on its way to another one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DigestPacket {
+    /// The summary.
+    pub digest: crate::table::ZoneDigest,
+    /// Peer addresses of some instances of the zone.
+    pub contacts: SmallVec<[SocketAddr; 4]>,
+    /// Peer address of an instance in a third zone.
+    pub elsewhere: Option<(ZoneName, SocketAddr)>,
+}
+
+/// Encodes a datagram.
+pub fn encode_packet(packet: &MemberPacket) -> io::Result<Bytes> {
+    let mut codec = Bincode::<MemberPacket, MemberPacket>::default();
+    Pin::new(&mut codec).serialize(packet)
+}
+
+/// Decodes a datagram.
+pub fn decode_packet(bytes: &[u8]) -> io::Result<MemberPacket> {
+    let mut codec = Bincode::<MemberPacket, MemberPacket>::default();
+    Pin::new(&mut codec).deserialize(&BytesMut::from(bytes))
+}
+
+/// Names a row while its content changes.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RowKey {
+    /// The instance itself.
+    Own,
+    /// An upstream.
+    Upstream(UpstreamName),
+    /// A drained upstream.
+    Drained(UpstreamName),
+    /// Another zone.
+    Zone(ZoneName),
+    /// Capacity of a pool and model in another zone.
+    Capacity(ZoneName, crate::name::PoolName, Option<crate::name::ModelName>),
+}
+
+/// Rows of one instance, each with the number of its last change.
+#[derive(Debug, Default)]
+pub struct RowLog {
+    newest: u64,
+    next_handle: u16,
+    handles: BTreeMap<RowKey, u16>,
+    rows: BTreeMap<u16, (u64, RowContent)>,
+}
+
+impl RowLog {
+    /// Number of the newest change.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
+    /// Handle of the row named `key`, if it has one.
+    pub fn handle(&self, key: &RowKey) -> Option<u16> {
+        self.handles.get(key).copied()
+    }
+
+    /// Sets the content of a row; returns its handle, and whether the content is new.
+    pub fn set(&mut self, key: RowKey, content: RowContent) -> (u16, bool) {
+        let known = self.handles.get(&key).copied();
+        if let Some(handle) = known
+            && self.rows.get(&handle).is_some_and(|(_, row)| *row == content)
+        {
+            return (handle, false);
+        }
+        let handle = known.unwrap_or_else(|| self.assign_handle(key));
+        self.newest += 1;
+        self.rows.insert(handle, (self.newest, content));
+        (handle, true)
+    }
+
+    /// Marks the row named `key` as gone.
+    pub fn remove(&mut self, key: &RowKey) {
+        if let Some(handle) = self.handles.remove(key) {
+            self.newest += 1;
+            self.rows.insert(handle, (self.newest, RowContent::Removed));
+        }
+    }
+
+    /// Names of all rows.
+    pub fn keys(&self) -> impl Iterator<Item = &RowKey> {
+        self.handles.keys()
+    }
+
+    /// Rows changed after `number`, in the order of their changes.
+    pub fn changes_since(&self, number: u64) -> Vec<LogRow> {
+        let mut rows: Vec<_> = self
+            .rows
+            .iter()
+            .filter(|(_, (changed, _))| *changed > number)
+            .map(|(handle, (changed, content))| LogRow {
+                number: *changed,
+                handle: *handle,
+                content: content.clone(),
+            })
+            .collect();
+        rows.sort_by_key(|row| row.number);
+        rows
+    }
+
+    fn assign_handle(&mut self, key: RowKey) -> u16 {
+        while self.rows.contains_key(&self.next_handle) && !self.is_removed(self.next_handle) {
+            self.next_handle = self.next_handle.wrapping_add(1);
+        }
+        let handle = self.next_handle;
+        self.next_handle = self.next_handle.wrapping_add(1);
+        self.handles.insert(key, handle);
+        handle
+    }
+
+    fn is_removed(&self, handle: u16) -> bool {
+        matches!(self.rows.get(&handle), Some((_, RowContent::Removed)))
+    }
+}
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -4,15 +4,15 @@
 use crate::{
     follow::{SettingsHolder, follow_settings},
     http,
-    membership::{MembershipActor, MembershipArguments, MembershipMessage},
+    membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_packets},
     node::NodeSettings,
-    peer::{MAX_MESSAGE_BYTES, MemberExchange, PeerApi, PeerClients},
+    peer::{MAX_MESSAGE_BYTES, PeerApi, PeerClients},
     settings::{Revision, SettingsSnapshot},
     table::RoutingTable,
 };
 use arc_swap::ArcSwap;
 use futures::{StreamExt, future};
-use ractor::{Actor, ActorRef, rpc::CallResult};
+use ractor::{Actor, ActorRef};
 use std::{
     io,
     net::SocketAddr,
@@ -24,7 +24,13 @@
     server::{BaseChannel, Channel},
     tokio_serde::formats::Json,
 };
-use tokio::{net::TcpListener, runtime::Handle, sync::oneshot, task::JoinSet, time::sleep};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    runtime::Handle,
+    sync::oneshot,
+    task::JoinSet,
+    time::sleep,
+};
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// Longest time to wait for the control thread.
@@ -33,6 +39,9 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Attempts to find a port that is free for both TCP and UDP.
+const BIND_ATTEMPTS: u32 = 16;
+
 /// A thread of its own for control state.
 #[derive(Debug)]
 pub struct ControlThread {
@@ -61,22 +70,10 @@
 /// Service for other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
-    pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) settings: Arc<SettingsHolder>,
 }
 
 impl PeerApi for PeerServer {
-    async fn exchange(self, _: Context, state: MemberExchange) -> MemberExchange {
-        let asked = self
-            .membership
-            .call(|reply| MembershipMessage::Exchange(state, reply), Some(CONTROL_TIMEOUT))
-            .await;
-        match asked {
-            Ok(CallResult::Success(reply)) => reply,
-            _ => MemberExchange::default(),
-        }
-    }
-
     async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
         self.settings.newer_than(revision)
     }
@@ -121,7 +118,8 @@
             let in_flight = Arc::clone(&in_flight);
             async move {
                 let operator = http::bind(node.operator_listen).await?;
-                let peers = http::bind(node.peer_listen).await?;
+                let (peers, socket) = bind_peers(node.peer_listen).await?;
+                let socket = Arc::new(socket);
                 let addresses = InstanceAddresses {
                     caller,
                     operator: operator.local_addr()?,
@@ -131,17 +129,17 @@
                     node: Arc::clone(&node),
                     caller_address: caller,
                     peer_address: addresses.peer,
-                    clients: Arc::clone(&clients),
+                    socket: Arc::clone(&socket),
                     table: Arc::clone(&table),
                     in_flight: Arc::clone(&in_flight),
                 };
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
-                let server =
-                    PeerServer { membership: membership.clone(), settings: Arc::clone(&settings) };
+                let server = PeerServer { settings: Arc::clone(&settings) };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
+                tasks.spawn(receive_packets(socket, membership.clone()));
                 tasks.spawn(follow_settings(
                     node,
                     Arc::clone(&settings),
@@ -155,6 +153,19 @@
     }
 }
 
+/// Binds the TCP and the UDP socket for other instances to the same address and port.
+async fn bind_peers(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let mut attempts = 0;
+    loop {
+        let listener = http::bind(address).await?;
+        match UdpSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if address.port() != 0 || attempts == BIND_ATTEMPTS => return Err(error),
+            Err(_) => attempts += 1,
+        }
+    }
+}
+
 /// Answers calls of other instances on `listener` until its task is dropped.
 async fn serve_peers(listener: TcpListener, service: PeerServer) {
     loop {
--- /dev/null
+++ b/cicadastall/src/intake.rs
@@ -0,0 +1,292 @@
+//! How membership state takes the datagrams of other instances.
+
+use crate::{
+    bulletin::{
+        DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, PacketSender, RowContent,
+        RowKey, RowPulse, ZonePlace,
+    },
+    digest::scan_digest,
+    members::{MemberTable, PeerState},
+    name::{InstanceName, ZoneName},
+    table::{CapacityRow, EntryRecord, Incarnation, UpstreamRecord, ZoneDigest},
+};
+use rand::RngExt;
+use smallvec::SmallVec;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Addresses kept for each other zone.
+const ZONE_CONTACTS: usize = 4;
+
+/// One in so many bulletins of a member that knows fewer than this one is replied to with names.
+const HELP_ODDS: u32 = 8;
+
+impl MemberTable {
+    /// Takes a datagram that arrived from `from`.
+    pub fn accept(&mut self, from: SocketAddr, packet: MemberPacket, now: Instant) {
+        self.note_time(now);
+        let MemberPacket { sender, body } = packet;
+        if !self.trusts(now) || sender.instance == self.own.instance {
+            return;
+        }
+        self.hear(&sender, now);
+        match body {
+            PacketBody::Bulletin(bulletin) => self.accept_bulletin(from, &sender, *bulletin, now),
+            PacketBody::Pull(number) => self.outbox.answer_pull(from, number),
+            PacketBody::Probe(nonce) => {
+                let ack = PacketBody::Ack(nonce, self.sender.clone());
+                self.outbox.send(from, ack);
+            }
+            PacketBody::ProbeFor(nonce, target) => self.outbox.probe_for(from, nonce, target),
+            PacketBody::Ack(nonce, subject) => self.accept_ack(nonce, subject, now),
+            PacketBody::Introduce(records, contacts) => {
+                self.accept_introduction(records, now);
+                self.accept_contacts(contacts, now);
+            }
+            PacketBody::Join(record) => self.accept_join(from, &sender, *record, now),
+            PacketBody::Digest(digest) => self.accept_digest(*digest, now),
+            PacketBody::Gone => self.remove_peer(&sender.instance),
+        }
+    }
+
+    fn hear(&mut self, sender: &PacketSender, now: Instant) {
+        if self.peers.contains_key(&sender.instance) {
+            self.probes.hear(&sender.instance, sender.incarnation(), now);
+        }
+    }
+
+    pub(crate) fn remove_peer(&mut self, instance: &InstanceName) {
+        self.probes.remove(instance);
+        self.peers.remove(instance);
+    }
+
+    fn accept_bulletin(
+        &mut self,
+        from: SocketAddr,
+        sender: &PacketSender,
+        bulletin: MemberBulletin,
+        now: Instant,
+    ) {
+        let Some(peer) = self.open_peer(from, sender, now) else { return };
+        peer.in_flight = bulletin.in_flight;
+        if bulletin.since > peer.have {
+            let have = peer.have;
+            self.outbox.send(from, PacketBody::Pull(have));
+        } else {
+            let have = peer.have;
+            peer.have = have.max(bulletin.newest);
+            for row in bulletin.rows.into_iter().filter(|row| row.number > have) {
+                self.accept_row(&sender.instance, row, now);
+            }
+            for pulse in bulletin.pulses {
+                self.accept_pulse(&sender.instance, pulse, now);
+            }
+        }
+        if usize::from(bulletin.members) < self.count_members()
+            && self.random.random_ratio(1, HELP_ODDS)
+        {
+            let introduction = self.make_introduction();
+            self.outbox.send(from, introduction);
+        }
+        for (instance, incarnation) in bulletin.suspects {
+            self.accept_suspicion(&instance, incarnation, now);
+        }
+    }
+
+    /// The state of a member of this zone; a restarted one begins anew.
+    fn open_peer(
+        &mut self,
+        from: SocketAddr,
+        sender: &PacketSender,
+        now: Instant,
+    ) -> Option<&mut PeerState> {
+        let known = self.peers.get(&sender.instance).map(|peer| peer.started);
+        if known.is_some_and(|started| started > sender.started) {
+            return None;
+        }
+        if known != Some(sender.started) {
+            self.peers.insert(sender.instance.clone(), PeerState::new(from, sender.started));
+            self.probes.hear(&sender.instance, sender.incarnation(), now);
+        }
+        self.peers.get_mut(&sender.instance)
+    }
+
+    fn accept_row(&mut self, instance: &InstanceName, row: LogRow, now: Instant) {
+        let LogRow { handle, content, .. } = row;
+        match &content {
+            RowContent::Own(record) => self.keep_record(instance, record.clone()),
+            RowContent::Upstream(record, age_ms) => {
+                if let Some(renewed_at) = now.checked_sub(millis(*age_ms)) {
+                    self.renew_upstream(Arc::clone(record), renewed_at);
+                }
+            }
+            RowContent::Drained(name, incarnation) => {
+                self.drained.insert(name.clone(), *incarnation);
+            }
+            RowContent::Zone(place) => {
+                let state = self.zones.entry(place.zone.clone()).or_default();
+                state.contacts = place.contacts.clone();
+            }
+            RowContent::Capacity(..) | RowContent::Removed => {}
+        }
+        if let Some(peer) = self.peers.get_mut(instance) {
+            match content {
+                RowContent::Removed => drop(peer.rows.remove(&handle)),
+                content => drop(peer.rows.insert(handle, content)),
+            }
+        }
+    }
+
+    fn keep_record(&mut self, instance: &InstanceName, record: EntryRecord) {
+        if let Some(peer) = self.peers.get_mut(instance)
+            && record.zone == self.own.zone
+        {
+            peer.address = record.peer_address;
+            peer.record = Some(record);
+        }
+    }
+
+    fn accept_pulse(&mut self, instance: &InstanceName, pulse: RowPulse, now: Instant) {
+        let Some(peer) = self.peers.get(instance) else { return };
+        match pulse {
+            RowPulse::Upstream { handle, sequence, age_ms, load } => {
+                let Some(RowContent::Upstream(base, _)) = peer.rows.get(&handle) else { return };
+                let record = UpstreamRecord { sequence, load, ..(**base).clone() };
+                if let Some(renewed_at) = now.checked_sub(millis(age_ms)) {
+                    self.renew_upstream(Arc::new(record), renewed_at);
+                }
+            }
+            RowPulse::Zone { handle, sequence, age_ms } => {
+                let Some(digest) = scan_digest(&peer.rows, handle, sequence) else { return };
+                if let Some(received_at) = now.checked_sub(millis(age_ms)) {
+                    self.renew_zone(Arc::new(digest), received_at, now);
+                }
+            }
+        }
+    }
+
+    fn accept_suspicion(
+        &mut self,
+        instance: &InstanceName,
+        incarnation: Incarnation,
+        now: Instant,
+    ) {
+        if *instance == self.own.instance {
+            if incarnation >= self.sender.incarnation() {
+                self.sender.refutations += 1;
+                self.outbox.hurry();
+            }
+        } else if self.probes.doubt(instance, now) {
+            self.probe_peer(instance);
+        }
+    }
+
+    fn accept_ack(&mut self, nonce: u32, subject: PacketSender, now: Instant) {
+        if subject.instance == self.own.instance {
+            return;
+        }
+        if self.peers.contains_key(&subject.instance) {
+            self.probes.hear(&subject.instance, subject.incarnation(), now);
+        }
+        self.outbox.pass_ack(nonce, subject, now);
+    }
+
+    fn accept_introduction(&mut self, records: Vec<EntryRecord>, now: Instant) {
+        for record in records {
+            if record.instance == self.own.instance {
+                continue;
+            }
+            if record.zone != self.own.zone {
+                self.keep_contact(&record.zone, record.peer_address);
+            } else if !self.peers.contains_key(&record.instance) {
+                self.join(record.peer_address, now);
+            }
+        }
+    }
+
+    fn accept_contacts(&mut self, contacts: Vec<(ZoneName, SocketAddr)>, now: Instant) {
+        for (zone, address) in contacts {
+            if zone == self.own.zone {
+                self.join(address, now);
+            } else if self.zones.get(&zone).is_none_or(|state| state.contacts.is_empty()) {
+                self.keep_contact(&zone, address);
+            }
+        }
+    }
+
+    fn accept_join(
+        &mut self,
+        from: SocketAddr,
+        sender: &PacketSender,
+        record: EntryRecord,
+        now: Instant,
+    ) {
+        let introduction = self.make_introduction();
+        self.outbox.send(from, introduction);
+        if record.zone != self.own.zone {
+            self.keep_contact(&record.zone, record.peer_address);
+            return;
+        }
+        let address = record.peer_address;
+        if let Some(peer) = self.open_peer(address, sender, now) {
+            peer.record = Some(record);
+            self.outbox.answer_pull(address, 0);
+        }
+    }
+
+    fn keep_contact(&mut self, zone: &ZoneName, address: SocketAddr) {
+        let contacts = &mut self.zones.entry(zone.clone()).or_default().contacts;
+        if !contacts.contains(&address) {
+            contacts.insert(0, address);
+            contacts.truncate(ZONE_CONTACTS);
+        }
+    }
+
+    fn accept_digest(&mut self, packet: DigestPacket, now: Instant) {
+        let DigestPacket { digest, contacts, elsewhere } = packet;
+        if digest.zone == self.own.zone {
+            return;
+        }
+        let zone = digest.zone.clone();
+        self.log_digest(&digest, &contacts);
+        self.renew_zone(Arc::new(digest), now, now);
+        if let Some(state) = self.zones.get_mut(&zone) {
+            state.direct_at = Some(now);
+            state.contacts = contacts;
+        }
+        self.accept_contacts(elsewhere.into_iter().collect(), now);
+    }
+
+    fn log_digest(&mut self, digest: &ZoneDigest, contacts: &SmallVec<[SocketAddr; 4]>) {
+        let zone = digest.zone.clone();
+        let place = ZonePlace {
+            region: digest.region.clone(),
+            zone: zone.clone(),
+            entries: digest.entries.clone(),
+            contacts: contacts.clone(),
+        };
+        let content = RowContent::Zone(Box::new(place));
+        let (handle, _) = self.log.set(RowKey::Zone(zone.clone()), content);
+        let key =
+            |row: &CapacityRow| RowKey::Capacity(zone.clone(), row.pool.clone(), row.model.clone());
+        let kept: Vec<_> = digest.rows.iter().map(key).collect();
+        let ended: Vec<_> = self
+            .log
+            .keys()
+            .filter(|key| matches!(key, RowKey::Capacity(of, ..) if *of == zone))
+            .filter(|key| !kept.contains(key))
+            .cloned()
+            .collect();
+        for key in ended {
+            self.log.remove(&key);
+        }
+        for (key, row) in kept.into_iter().zip(&digest.rows) {
+            self.log.set(key, RowContent::Capacity(handle, row.clone()));
+        }
+        self.outbox.note_zone(zone);
+    }
+}
+
+fn millis(age_ms: u32) -> Duration {
+    Duration::from_millis(u64::from(age_ms))
+}
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -14,20 +14,26 @@
 //! ```
 
 pub mod answer;
+pub mod bulletin;
 pub mod control;
 pub mod decode;
+pub mod digest;
 pub mod dispatch;
 pub mod entry;
 pub mod follow;
 pub mod http;
 pub mod instance;
+mod intake;
+pub mod listing;
 pub mod logs;
 pub mod members;
 pub mod membership;
 pub mod name;
 pub mod node;
 pub mod observe;
+pub mod outbox;
 pub mod peer;
+pub mod probes;
 pub mod relay;
 pub mod replicated;
 pub mod route;
--- /dev/null
+++ b/cicadastall/src/listing.rs
@@ -0,0 +1,68 @@
+//! Ranking of entries for callers.
+
+use crate::{
+    members::MemberTable,
+    table::{EntryRecord, EntryState},
+    wire::{EntriesReply, EntryListing},
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time for which a caller may use a listing of entries.
+pub const LISTING_LIFETIME: Duration = Duration::from_secs(2);
+
+/// An entry with more than so many times the zone's mean of requests in flight is overloaded.
+const OVERLOAD_FACTOR: f64 = 3.0;
+
+/// Requests in flight below which no entry counts as overloaded.
+const OVERLOAD_FLOOR: u32 = 32;
+
+/// Weight of entries in other zones relative to an idle one of this zone.
+const REMOTE_WEIGHT: f64 = 0.01;
+
+/// Lists the serving entries: those of the own zone by weight, then some of other zones.
+///
+/// Entries that drain, are suspected to have failed, or are overloaded while others are not, are
+/// left out.
+pub fn list_entries(members: &MemberTable, now: Instant) -> EntriesReply {
+    let own = members.own();
+    let serving = |record: &EntryRecord| record.state == EntryState::Serving;
+    let records: Vec<_> = members.entries().chain([own.clone()]).filter(serving).collect();
+    let bound = find_overload(&records);
+    let accepted = records.iter().filter(|record| f64::from(record.in_flight) <= bound);
+    let mut entries: Vec<_> = accepted.filter_map(make_listing).collect();
+    entries.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.instance.cmp(&b.instance)));
+    entries.extend(list_remote(members, now));
+    EntriesReply { entries, lifetime_ms: LISTING_LIFETIME.as_millis() as u64 }
+}
+
+/// Requests in flight above which an entry is overloaded.
+fn find_overload(records: &[EntryRecord]) -> f64 {
+    let callers = records.iter().filter(|record| record.caller_address.is_some());
+    let loads: Vec<_> = callers.map(|record| f64::from(record.in_flight)).collect();
+    let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+    (mean * OVERLOAD_FACTOR).max(f64::from(OVERLOAD_FLOOR))
+}
+
+fn make_listing(record: &EntryRecord) -> Option<EntryListing> {
+    Some(EntryListing {
+        instance: record.instance.clone(),
+        zone: record.zone.clone(),
+        address: record.caller_address?,
+        weight: 1.0 / f64::from(record.in_flight + 1),
+    })
+}
+
+fn list_remote(members: &MemberTable, now: Instant) -> Vec<EntryListing> {
+    let zones = members.make_table(now).zones;
+    let digests = zones.values().map(|view| &view.digest);
+    let rows = digests.flat_map(|digest| {
+        digest.entries.iter().map(|address| EntryListing {
+            instance: format!("{}/{address}", digest.zone).as_str().into(),
+            zone: digest.zone.clone(),
+            address: *address,
+            weight: REMOTE_WEIGHT,
+        })
+    });
+    rows.collect()
+}
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -1,48 +1,121 @@
-//! Pure membership state: which instances, upstreams and zones are known, and how old that is.
+//! Pure membership state of one instance: its zone's members and upstreams, and other zones.
+//!
+//! Every member of a zone sends its news to every other one, as a bulletin that holds what changed
+//! since the previous bulletin. [`MemberTable::accept`] takes datagrams and [`MemberTable::poll`]
+//! gives those that are due; neither does I/O nor reads a clock.
 
 use crate::{
+    bulletin::{PacketSender, RowContent, RowKey, RowLog},
     name::{InstanceName, RegionName, UpstreamName, ZoneName},
-    peer::MemberExchange,
-    settings::Rank,
+    probes::ProbeTable,
+    route::DIGEST_EXPIRY,
     table::{
-        CapacityRow, EntryRecord, EntryState, RoutingTable, UpstreamRecord, UpstreamState,
-        UpstreamView, ZoneDigest, ZoneView,
+        EntryRecord, EntryState, Incarnation, LoadReport, RoutingTable, UpstreamRecord,
+        UpstreamState, UpstreamView, ZoneDigest, ZoneView,
     },
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
-/// Time after which a silent upstream or instance is forgotten.
+/// Time after which a silent upstream or zone is forgotten.
 const MEMBER_EXPIRY: Duration = Duration::from_secs(10);
 
-/// Entries that a digest names for forwarded requests.
-const DIGEST_ENTRIES: usize = 4;
+/// Gap between two uses of the state that means that the process was stopped meanwhile.
+const PAUSE_BOUND: Duration = Duration::from_millis(600);
+
+/// Time after such a stop in which news is dropped, as it may have waited in queues all along.
+const PAUSE_DISTRUST: Duration = Duration::from_millis(300);
+
+/// Longest time after which a zone that was lost is used again; each instance draws its own.
+const HEALING_SPREAD: Duration = Duration::from_secs(3);
+
+/// Time for which an entry of another zone is not used after a request could not reach it.
+const UNREACHABLE_HOLD: Duration = Duration::from_secs(5);
 
-#[derive(Debug, Clone)]
-struct MemberView {
-    record: EntryRecord,
-    heard_at: Instant,
+/// Entries of one zone that could not be reached, after which the whole zone is held.
+const UNREACHABLE_ENTRIES: usize = 2;
+
+/// Another member of the zone, with what its bulletins said.
+#[derive(Debug)]
+pub(crate) struct PeerState {
+    pub(crate) record: Option<EntryRecord>,
+    pub(crate) address: SocketAddr,
+    pub(crate) started: Incarnation,
+    pub(crate) have: u64,
+    pub(crate) in_flight: u32,
+    pub(crate) rows: BTreeMap<u16, RowContent>,
+}
+
+impl PeerState {
+    pub(crate) fn new(address: SocketAddr, started: Incarnation) -> Self {
+        Self { record: None, address, started, have: 0, in_flight: 0, rows: BTreeMap::new() }
+    }
+}
+
+/// Another zone.
+#[derive(Debug, Default)]
+pub(crate) struct ZoneState {
+    pub(crate) view: Option<ZoneView>,
+    pub(crate) direct_at: Option<Instant>,
+    pub(crate) contacts: SmallVec<[SocketAddr; 4]>,
+    admitted_from: Option<Instant>,
+    held: BTreeMap<SocketAddr, Instant>,
 }
 
 /// Everything one instance knows of its peers and of the upstreams.
 #[derive(Debug)]
 pub struct MemberTable {
-    own: EntryRecord,
-    entries: BTreeMap<InstanceName, MemberView>,
-    upstreams: BTreeMap<UpstreamName, UpstreamView>,
-    zones: BTreeMap<ZoneName, ZoneView>,
-    digest_sequence: u64,
+    pub(crate) own: EntryRecord,
+    pub(crate) sender: PacketSender,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) peers: BTreeMap<InstanceName, PeerState>,
+    pub(crate) probes: ProbeTable,
+    pub(crate) upstreams: BTreeMap<UpstreamName, UpstreamView>,
+    pub(crate) announced: BTreeMap<UpstreamName, Instant>,
+    pub(crate) drained: BTreeMap<UpstreamName, Incarnation>,
+    pub(crate) zones: BTreeMap<ZoneName, ZoneState>,
+    pub(crate) log: RowLog,
+    pub(crate) outbox: crate::outbox::OutboxState,
+    seen_at: Option<Instant>,
+    trusted_from: Option<Instant>,
 }
 
 impl MemberTable {
-    /// A table that knows only the instance itself.
-    pub fn new(own: EntryRecord) -> Self {
+    /// A table that knows only the instance itself, and the peer addresses of some others.
+    ///
+    /// Equal values of `seed` make the same random choices.
+    pub fn new(own: EntryRecord, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        let sender = PacketSender {
+            instance: own.instance.clone(),
+            started: own.incarnation,
+            refutations: 0,
+        };
+        let mut log = RowLog::default();
+        log.set(RowKey::Own, RowContent::Own(own.clone()));
         Self {
+            seeds: seeds.into_iter().filter(|address| *address != own.peer_address).collect(),
             own,
-            entries: BTreeMap::new(),
+            sender,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            peers: BTreeMap::new(),
+            probes: ProbeTable::default(),
             upstreams: BTreeMap::new(),
+            announced: BTreeMap::new(),
+            drained: BTreeMap::new(),
             zones: BTreeMap::new(),
-            digest_sequence: 0,
+            log,
+            outbox: crate::outbox::OutboxState::default(),
+            seen_at: None,
+            trusted_from: None,
         }
     }
 
@@ -51,10 +124,16 @@
         &self.own
     }
 
+    /// Region of the instance itself.
+    pub fn region(&self) -> &RegionName {
+        &self.own.region
+    }
+
     /// Changes the readiness of the instance itself.
     pub fn set_state(&mut self, state: EntryState) {
         self.own.state = state;
-        self.own.incarnation.0 += 1;
+        self.log.set(RowKey::Own, RowContent::Own(self.own.clone()));
+        self.outbox.hurry();
     }
 
     /// Changes the load that the instance reports of itself.
@@ -62,154 +141,195 @@
         self.own.in_flight = in_flight;
     }
 
-    /// All other known instances.
-    pub fn entries(&self) -> impl Iterator<Item = &EntryRecord> {
-        self.entries.values().map(|view| &view.record)
+    /// Known instances of the zone that are not suspected, without the instance itself.
+    pub fn entries(&self) -> impl Iterator<Item = EntryRecord> {
+        self.peers.iter().filter(|(instance, _)| !self.probes.is_suspect(instance)).filter_map(
+            |(_, peer)| {
+                let record = peer.record.clone()?;
+                Some(EntryRecord { in_flight: peer.in_flight, ..record })
+            },
+        )
     }
 
-    /// Takes an upstream's announcement that was made `age` ago.
-    pub fn accept_upstream(&mut self, record: Arc<UpstreamRecord>, age: Duration, now: Instant) {
-        let Some(renewed_at) = now.checked_sub(age) else { return };
+    /// Takes the announcement of an upstream of the zone.
+    ///
+    /// Returns whether an operator has the upstream drained.
+    pub fn announce(&mut self, record: UpstreamRecord, now: Instant) -> bool {
+        self.note_time(now);
+        let drained = self.is_drained(&record);
+        if record.zone != self.own.zone || !self.trusts(now) {
+            return drained;
+        }
+        let name = record.name.clone();
+        let base = UpstreamRecord { sequence: 0, load: LoadReport::default(), ..record.clone() };
+        if !self.renew_upstream(Arc::new(record), now) {
+            return drained;
+        }
+        self.announced.insert(name.clone(), now);
+        let content = RowContent::Upstream(Arc::new(base), 0);
+        let (handle, changed) = self.log.set(RowKey::Upstream(name), content);
+        self.outbox.note_upstream(handle);
+        if changed {
+            self.outbox.hurry();
+        }
+        drained
+    }
+
+    /// Keeps a record that was announced at `renewed_at`; returns whether it is news.
+    pub(crate) fn renew_upstream(
+        &mut self,
+        record: Arc<UpstreamRecord>,
+        renewed_at: Instant,
+    ) -> bool {
         let newer = self.upstreams.get(&record.name).is_none_or(|known| {
             (known.record.incarnation, known.record.sequence)
                 < (record.incarnation, record.sequence)
         });
-        if newer && age < MEMBER_EXPIRY {
+        if newer {
             self.upstreams.insert(record.name.clone(), UpstreamView { record, renewed_at });
         }
+        newer
     }
 
-    /// Takes what a peer knows.
-    pub fn accept_exchange(&mut self, exchange: MemberExchange, now: Instant) {
-        for (record, age_ms) in exchange.upstreams {
-            if record.zone == self.own.zone {
-                self.accept_upstream(record, Duration::from_millis(age_ms), now);
-            }
-        }
-        for (record, age_ms) in exchange.entries {
-            self.accept_entry(record, Duration::from_millis(age_ms), now);
-        }
-        for (digest, age_ms) in exchange.zones {
-            self.accept_digest(digest, Duration::from_millis(age_ms), now);
-        }
+    /// Gives an upstream no new work from now on, in the whole zone, until it restarts.
+    ///
+    /// Returns whether the upstream is known.
+    pub fn drain_upstream(&mut self, name: &UpstreamName) -> bool {
+        let Some(view) = self.upstreams.get(name) else { return false };
+        let incarnation = view.record.incarnation;
+        self.drained.insert(name.clone(), incarnation);
+        let content = RowContent::Drained(name.clone(), incarnation);
+        self.log.set(RowKey::Drained(name.clone()), content);
+        self.outbox.hurry();
+        true
     }
 
-    fn accept_entry(&mut self, record: EntryRecord, age: Duration, now: Instant) {
-        let Some(heard_at) = now.checked_sub(age) else { return };
-        if record.instance == self.own.instance || age > MEMBER_EXPIRY {
-            return;
+    fn is_drained(&self, record: &UpstreamRecord) -> bool {
+        self.drained.get(&record.name).is_some_and(|drained| *drained >= record.incarnation)
+    }
+
+    /// Notes that a request could not be forwarded to the entry at `address`.
+    pub fn note_unreachable(&mut self, zone: &ZoneName, address: SocketAddr, now: Instant) {
+        if let Some(state) = self.zones.get_mut(zone) {
+            state.held.insert(address, now + UNREACHABLE_HOLD);
         }
-        let newer = self.entries.get(&record.instance).is_none_or(|known| {
-            (known.record.incarnation, known.heard_at) < (record.incarnation, heard_at)
-        });
-        if newer {
-            self.entries.insert(record.instance.clone(), MemberView { record, heard_at });
+    }
+
+    /// Notes that the state is in use at `now`, to detect that the process was stopped before.
+    pub(crate) fn note_time(&mut self, now: Instant) {
+        let paused = self.seen_at.is_some_and(|seen| now.duration_since(seen) > PAUSE_BOUND);
+        self.seen_at = Some(now);
+        if paused {
+            self.trusted_from = Some(now + PAUSE_DISTRUST);
+            self.probes.forgive(now + PAUSE_DISTRUST);
         }
     }
 
-    fn accept_digest(&mut self, digest: Arc<ZoneDigest>, age: Duration, now: Instant) {
-        let Some(received_at) = now.checked_sub(age) else { return };
-        let newer =
-            self.zones.get(&digest.zone).is_none_or(|known| known.received_at < received_at);
-        if newer && digest.zone != self.own.zone {
-            self.zones.insert(digest.zone.clone(), ZoneView { digest, received_at });
+    /// Whether news that arrives now can't have waited while the process was stopped.
+    pub(crate) fn trusts(&self, now: Instant) -> bool {
+        self.trusted_from.is_none_or(|from| now >= from)
+    }
+
+    /// Keeps a digest of another zone that arrived at `received_at`, unless a newer one is known.
+    pub(crate) fn renew_zone(
+        &mut self,
+        digest: Arc<ZoneDigest>,
+        received_at: Instant,
+        now: Instant,
+    ) {
+        let state = self.zones.entry(digest.zone.clone()).or_default();
+        let known = state.view.as_ref().map(|view| view.received_at);
+        if known.is_some_and(|known| known >= received_at) {
+            return;
         }
+        if known.is_some_and(|known| received_at.duration_since(known) > DIGEST_EXPIRY) {
+            let wait = HEALING_SPREAD.mul_f64(self.random.random_range(0.0..1.0));
+            state.admitted_from = Some(now + wait);
+        }
+        state.view = Some(ZoneView { digest, received_at });
     }
 
     /// Forgets whatever has been silent for too long.
-    pub fn expire(&mut self, now: Instant) {
+    pub(crate) fn expire(&mut self, now: Instant) {
         let fresh = |at: Instant| now.duration_since(at) < MEMBER_EXPIRY;
         self.upstreams.retain(|_, view| fresh(view.renewed_at));
-        self.entries.retain(|_, view| fresh(view.heard_at));
-        self.zones.retain(|_, view| fresh(view.received_at));
-    }
-
-    /// Everything to send to a peer.
-    pub fn make_exchange(&mut self, now: Instant) -> MemberExchange {
-        let age_ms = |at: Instant| now.duration_since(at).as_millis() as u64;
-        let digest = self.make_digest();
-        let known = self.entries.values().map(|view| (view.record.clone(), age_ms(view.heard_at)));
-        let zones =
-            self.zones.values().map(|view| (Arc::clone(&view.digest), age_ms(view.received_at)));
-        MemberExchange {
-            entries: known.chain([(self.own.clone(), 0)]).collect(),
-            upstreams: self
-                .upstreams
-                .values()
-                .map(|view| (Arc::clone(&view.record), age_ms(view.renewed_at)))
-                .collect(),
-            zones: zones.chain([(Arc::new(digest), 0)]).collect(),
+        let upstreams = &self.upstreams;
+        self.drained.retain(|name, _| upstreams.contains_key(name));
+        self.announced.retain(|_, at| fresh(*at));
+        for zone in self.zones.values_mut() {
+            zone.direct_at = zone.direct_at.filter(|at| fresh(*at));
+            zone.held.retain(|_, until| *until > now);
         }
+        self.drop_rows();
     }
 
-    fn make_digest(&mut self) -> ZoneDigest {
-        self.digest_sequence += 1;
-        let own = self.own.caller_address.filter(|_| self.own.state == EntryState::Serving);
-        let entries = own.into_iter().chain(self.zone_entries()).take(DIGEST_ENTRIES).collect();
-        let mut rows: BTreeMap<_, CapacityRow> = BTreeMap::new();
-        for view in self.upstreams.values() {
-            add_capacity(&mut rows, &view.record);
+    fn drop_rows(&mut self) {
+        let dropped: Vec<_> = self.log.keys().filter(|key| !self.keeps_row(key)).cloned().collect();
+        for key in dropped {
+            self.log.remove(&key);
         }
-        ZoneDigest {
-            region: self.own.region.clone(),
-            zone: self.own.zone.clone(),
-            sequence: self.digest_sequence,
-            entries,
-            rows: rows.into_values().collect(),
-        }
-    }
-
-    fn zone_entries(&self) -> impl Iterator<Item = SocketAddr> {
-        self.entries
-            .values()
-            .filter(|view| view.record.zone == self.own.zone)
-            .filter(|view| view.record.state == EntryState::Serving)
-            .filter_map(|view| view.record.caller_address)
     }
 
-    /// Peer addresses of all known instances.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        self.entries.values().map(|view| view.record.peer_address).collect()
+    fn keeps_row(&self, key: &RowKey) -> bool {
+        match key {
+            RowKey::Own => true,
+            RowKey::Upstream(name) => self.announced.contains_key(name),
+            RowKey::Drained(name) => self.drained.contains_key(name),
+            RowKey::Zone(zone) | RowKey::Capacity(zone, ..) => {
+                self.zones.get(zone).is_some_and(|state| state.direct_at.is_some())
+            }
+        }
     }
 
-    /// What the router may choose from.
-    pub fn make_table(&self) -> RoutingTable {
-        let own_zone = self.entries.values().filter(|view| view.record.zone == self.own.zone);
+    /// What the router may choose from at `now`.
+    pub fn make_table(&self, now: Instant) -> RoutingTable {
+        let zones = self.zones.iter();
         RoutingTable {
-            upstreams: self.upstreams.clone(),
-            entries: own_zone
-                .map(|view| (view.record.instance.clone(), view.record.clone()))
+            upstreams: self
+                .upstreams
+                .iter()
+                .map(|(name, view)| (name.clone(), self.judge_upstream(view)))
+                .collect(),
+            entries: self.entries().map(|record| (record.instance.clone(), record)).collect(),
+            zones: zones
+                .filter_map(|(zone, state)| Some((zone.clone(), judge_zone(state, now)?)))
                 .collect(),
-            zones: self.zones.clone(),
         }
     }
 
-    /// Region of the instance itself.
-    pub fn region(&self) -> &RegionName {
-        &self.own.region
+    fn judge_upstream(&self, view: &UpstreamView) -> UpstreamView {
+        if !self.is_drained(&view.record) {
+            return view.clone();
+        }
+        let record = UpstreamRecord { state: UpstreamState::Leaving, ..(*view.record).clone() };
+        UpstreamView { record: Arc::new(record), renewed_at: view.renewed_at }
     }
-}
 
-type CapacityKey = (crate::name::PoolName, Option<crate::name::ModelName>);
+    /// Members of the zone, the instance itself included.
+    pub(crate) fn count_members(&self) -> usize {
+        self.peers.len() + 1
+    }
 
-fn add_capacity(rows: &mut BTreeMap<CapacityKey, CapacityRow>, record: &UpstreamRecord) {
-    if record.state != UpstreamState::Serving {
-        return;
+    /// Names of the zone's members, the instance itself included.
+    pub(crate) fn zone_members(&self) -> BTreeSet<&InstanceName> {
+        let peers = self.peers.iter().filter(|(_, peer)| peer.record.is_some());
+        peers.map(|(instance, _)| instance).chain([&self.own.instance]).collect()
     }
-    let mut models: Vec<_> = record.models.iter().cloned().map(Some).collect();
-    if models.is_empty() {
-        models.push(None);
+}
+
+/// The zone as the router may use it, if it may.
+fn judge_zone(state: &ZoneState, now: Instant) -> Option<ZoneView> {
+    let view = state.view.as_ref()?;
+    let admitted = state.admitted_from.is_none_or(|from| now >= from);
+    let fresh = now.saturating_duration_since(view.received_at) < DIGEST_EXPIRY;
+    if !admitted || !fresh || state.held.len() >= UNREACHABLE_ENTRIES {
+        return None;
     }
-    for model in models {
-        let row = rows.entry((record.pool.clone(), model.clone())).or_insert(CapacityRow {
-            pool: record.pool.clone(),
-            model,
-            rank: Rank::Urgent,
-            upstreams: 0,
-            prefill_tokens_per_s: 0.0,
-            wait_ms: 0.0,
-        });
-        row.upstreams += 1;
-        row.prefill_tokens_per_s += record.rates.prefill_tokens_per_s;
+    if state.held.is_empty() {
+        return Some(view.clone());
     }
+    let reachable = |address: &SocketAddr| !state.held.contains_key(address);
+    let mut digest = (*view.digest).clone();
+    digest.entries.retain(|address| reachable(address));
+    Some(ZoneView { digest: Arc::new(digest), received_at: view.received_at })
 }
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -1,16 +1,17 @@
-//! Actor that owns the membership state of one instance and exchanges it with others.
+//! Actor that owns the membership state of one instance and exchanges datagrams with others.
 
 use crate::{
+    bulletin::{MemberPacket, decode_packet, encode_packet},
+    listing::list_entries,
     members::MemberTable,
-    name::ZoneName,
+    name::{UpstreamName, ZoneName},
     node::NodeSettings,
-    peer::{MemberExchange, PeerClients},
+    outbox::{OutgoingPacket, POLL_PERIOD},
     table::{EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord},
-    wire::{AnnounceReply, EntriesReply, EntryListing},
+    wire::{AnnounceReply, EntriesReply},
 };
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
-use rand::seq::IndexedRandom;
 use std::{
     net::SocketAddr,
     sync::{
@@ -19,34 +20,38 @@
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tokio::time::Instant;
-
-/// Time between two exchanges with peers.
-const EXCHANGE_PERIOD: Duration = Duration::from_millis(250);
-
-/// Longest time to wait for a peer's reply.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, sleep},
+};
 
 /// Time within which an upstream announces itself again.
 const RENEW_WITHIN: Duration = Duration::from_millis(500);
 
-/// Time for which a caller may use a listing of entries.
-const LISTING_LIFETIME: Duration = Duration::from_secs(5);
+/// Most bytes of a datagram.
+const PACKET_BYTES: usize = 65_536;
+
+/// Pause after a failed receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(10);
 
 /// Messages to the actor.
 #[derive(Debug)]
 pub enum MembershipMessage {
     /// An upstream announces itself.
     Announce(Box<UpstreamRecord>, RpcReplyPort<AnnounceReply>),
-    /// A peer sends what it knows and asks for what this instance knows.
-    Exchange(MemberExchange, RpcReplyPort<MemberExchange>),
-    /// A peer's reply.
-    Merge(MemberExchange),
+    /// A datagram arrived from another instance.
+    Packet(SocketAddr, Box<MemberPacket>),
     /// Changes the readiness of this instance.
     SetState(EntryState),
+    /// Tells the zone that this process ends.
+    Leave(RpcReplyPort<()>),
+    /// An operator drains an upstream; the reply says whether it is known.
+    DrainUpstream(UpstreamName, RpcReplyPort<bool>),
+    /// A request could not be forwarded to the entry of another zone at the address.
+    Unreachable(ZoneName, SocketAddr),
     /// Lists entries for a caller.
     ListEntries(RpcReplyPort<EntriesReply>),
-    /// Time to exchange state.
+    /// Time to send what is due.
     Tick,
 }
 
@@ -59,8 +64,8 @@
     pub caller_address: Option<SocketAddr>,
     /// Address for other instances.
     pub peer_address: SocketAddr,
-    /// Connections to other instances.
-    pub clients: Arc<PeerClients>,
+    /// Socket for datagrams, on the same address.
+    pub socket: Arc<UdpSocket>,
     /// Where the routing table is published.
     pub table: Arc<ArcSwap<RoutingTable>>,
     /// Requests in flight at this instance.
@@ -99,110 +104,115 @@
             state: EntryState::Serving,
             in_flight: 0,
         };
-        myself.send_interval(EXCHANGE_PERIOD, || MembershipMessage::Tick);
-        Ok(MembershipState { arguments, members: MemberTable::new(own) })
+        let members = MemberTable::new(own, arguments.node.seeds.clone(), rand::random());
+        myself.send_interval(POLL_PERIOD, || MembershipMessage::Tick);
+        Ok(MembershipState { arguments, members })
     }
 
     async fn handle(
         &self,
-        myself: ActorRef<Self::Msg>,
+        _: ActorRef<Self::Msg>,
         message: Self::Msg,
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
+        let now = Instant::now();
         match message {
             MembershipMessage::Announce(record, reply) => {
-                let now = Instant::now();
-                state.members.accept_upstream(Arc::from(record), Duration::ZERO, now);
-                state.publish();
-                let _ = reply.send(state.announce_reply());
+                let drain = state.members.announce(*record, now);
+                state.publish(now);
+                let _ = reply.send(state.reply_announcement(drain, now));
             }
-            MembershipMessage::Exchange(exchange, reply) => {
-                let now = Instant::now();
-                state.members.accept_exchange(exchange, now);
-                let _ = reply.send(state.members.make_exchange(now));
-                state.publish();
+            MembershipMessage::Packet(from, packet) => {
+                state.members.accept(from, *packet, now);
+                let replies = state.members.poll_replies(now);
+                state.send(replies);
             }
-            MembershipMessage::Merge(exchange) => {
-                state.members.accept_exchange(exchange, Instant::now());
-                state.publish();
+            MembershipMessage::SetState(entry_state) => {
+                state.members.set_state(entry_state);
+                state.tick(now);
+            }
+            MembershipMessage::Leave(reply) => {
+                let farewell = state.members.make_farewell();
+                state.send(vec![farewell]);
+                let _ = reply.send(());
+            }
+            MembershipMessage::DrainUpstream(name, reply) => {
+                let known = state.members.drain_upstream(&name);
+                state.tick(now);
+                let _ = reply.send(known);
+            }
+            MembershipMessage::Unreachable(zone, address) => {
+                state.members.note_unreachable(&zone, address, now);
+                state.publish(now);
             }
-            MembershipMessage::SetState(entry_state) => state.members.set_state(entry_state),
             MembershipMessage::ListEntries(reply) => {
-                let _ = reply.send(state.list_entries());
+                let _ = reply.send(list_entries(&state.members, now));
             }
-            MembershipMessage::Tick => state.tick(&myself),
+            MembershipMessage::Tick => state.tick(now),
         }
         Ok(())
     }
 }
 
 impl MembershipState {
-    fn publish(&self) {
-        self.arguments.table.store(Arc::new(self.members.make_table()));
+    fn publish(&self, now: Instant) {
+        self.arguments.table.store(Arc::new(self.members.make_table(now)));
     }
 
-    fn tick(&mut self, myself: &ActorRef<MembershipMessage>) {
-        let now = Instant::now();
+    fn tick(&mut self, now: Instant) {
         let in_flight = self.arguments.in_flight.load(Ordering::Relaxed);
         self.members.set_in_flight(in_flight);
-        self.members.expire(now);
-        self.publish();
-        for address in self.choose_peers() {
-            let exchange = self.members.make_exchange(now);
-            let clients = Arc::clone(&self.arguments.clients);
-            let myself = myself.clone();
-            tokio::spawn(async move {
-                let call = clients.call(address, EXCHANGE_TIMEOUT, async |client, context| {
-                    client.exchange(context, exchange).await
-                });
-                match call.await {
-                    Ok(reply) => drop(myself.cast(MembershipMessage::Merge(reply))),
-                    Err(error) => log::debug!("exchange with {address} failed: {error}"),
-                }
-            });
-        }
+        let packets = self.members.poll(now);
+        self.publish(now);
+        self.send(packets);
     }
 
-    fn choose_peers(&self) -> Vec<SocketAddr> {
-        let known = self.members.peer_addresses();
-        let own = self.arguments.peer_address;
-        let unknown = |address: &&SocketAddr| !known.contains(address) && **address != own;
-        let seeds = &self.arguments.node.seeds;
-        let mut peers: Vec<_> = seeds.iter().filter(unknown).copied().collect();
-        peers.extend(known.choose(&mut rand::rng()).copied());
-        peers
+    /// Sends datagrams; one that the system can't take now is lost, like any other.
+    fn send(&self, packets: Vec<OutgoingPacket>) {
+        for OutgoingPacket { to, packet } in packets {
+            let Ok(bytes) = encode_packet(&packet) else { continue };
+            for address in to {
+                if let Err(error) = self.arguments.socket.try_send_to(&bytes, address) {
+                    log::debug!("datagram to {address} not sent: {error}");
+                }
+            }
+        }
     }
 
-    fn announce_reply(&self) -> AnnounceReply {
-        let entries = self.list_entries().entries.into_iter().map(|row| row.address);
+    fn reply_announcement(&self, drain: bool, now: Instant) -> AnnounceReply {
+        let zone = &self.members.own().zone;
+        let listing = list_entries(&self.members, now).entries;
+        let rows = listing.into_iter().filter(|row| row.zone == *zone);
         AnnounceReply {
             renew_within_ms: RENEW_WITHIN.as_millis() as u64,
-            entries: entries.collect(),
+            entries: rows.map(|row| row.address).collect(),
+            drain,
         }
     }
-
-    fn list_entries(&self) -> EntriesReply {
-        let own = self.members.own();
-        let rows = self.members.entries().chain([own]).filter_map(make_listing);
-        let mut entries: Vec<_> = rows.collect();
-        entries.sort_by(|a, b| rank_listing(a, b, &own.zone));
-        EntriesReply { entries, lifetime_ms: LISTING_LIFETIME.as_millis() as u64 }
-    }
 }
 
-fn make_listing(record: &EntryRecord) -> Option<EntryListing> {
-    if record.state != EntryState::Serving {
-        return None;
+/// Passes the datagrams of other instances to `membership`, until its task is dropped.
+pub(crate) async fn receive_packets(
+    socket: Arc<UdpSocket>,
+    membership: ActorRef<MembershipMessage>,
+) {
+    let mut buffer = vec![0; PACKET_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("datagram not received: {error}");
+                sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
+        };
+        match decode_packet(&buffer[..length]) {
+            Ok(packet) => {
+                if membership.cast(MembershipMessage::Packet(from, Box::new(packet))).is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::debug!("datagram from {from} not read: {error}"),
+        }
     }
-    Some(EntryListing {
-        instance: record.instance.clone(),
-        zone: record.zone.clone(),
-        address: record.caller_address?,
-        weight: 1.0 / f64::from(record.in_flight + 1),
-    })
-}
-
-fn rank_listing(a: &EntryListing, b: &EntryListing, zone: &ZoneName) -> std::cmp::Ordering {
-    let distance = |row: &EntryListing| row.zone != *zone;
-    distance(a).cmp(&distance(b)).then(b.weight.total_cmp(&a.weight))
 }
--- /dev/null
+++ b/cicadastall/src/outbox.rs
@@ -0,0 +1,463 @@
+//! How membership state decides which datagrams are due.
+
+use crate::{
+    bulletin::{
+        DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, PacketSender,
+        ROWS_PER_PACKET, RowContent, RowKey, RowPulse,
+    },
+    digest::{choose_delegates, sum_capacity},
+    members::MemberTable,
+    name::{InstanceName, ZoneName},
+    probes::ProbeStep,
+    route::UPSTREAM_EXPIRY,
+    table::{CapacityRow, EntryRecord, EntryState, UpstreamRecord, ZoneDigest},
+};
+use rand::{RngExt, seq::IteratorRandom};
+use smallvec::SmallVec;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hash::{DefaultHasher, Hash, Hasher},
+    mem,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Time between two calls of [`MemberTable::poll`].
+pub const POLL_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time between two bulletins without urgent news.
+const BULLETIN_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Time between two digests from one delegate to one zone.
+const DIGEST_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Time between two attempts to join by a seed that is not known as a member.
+const JOIN_PERIOD: Duration = Duration::from_secs(1);
+
+/// One in so many attempts goes to seeds that are known already, to heal a split.
+const KNOWN_SEED_ODDS: u32 = 32;
+
+/// The same for a process that has just started.
+const YOUNG_SEED_ODDS: u32 = 2;
+
+/// Rounds of attempts for which a process counts as just started.
+const YOUNG_ROUNDS: u32 = 16;
+
+/// Shortest time between two attempts to join by the same address.
+const JOIN_REPEAT: Duration = Duration::from_secs(1);
+
+/// Time between two introductions of known members to a random one.
+const INTRODUCE_PERIOD: Duration = Duration::from_secs(2);
+
+/// Members that one periodic introduction names.
+const INTRODUCED: usize = 2;
+
+/// Members that the reply to a join names.
+const JOIN_INTRODUCED: usize = 8;
+
+/// Entries that a digest names for forwarded requests.
+const DIGEST_ENTRIES: usize = 4;
+
+/// Time for which the reply to a probe for another member is passed on.
+const PASS_ACK: Duration = Duration::from_secs(1);
+
+/// Datagram to some addresses.
+#[derive(Debug, Clone)]
+pub struct OutgoingPacket {
+    /// Receivers.
+    pub to: Vec<SocketAddr>,
+    /// The datagram.
+    pub packet: MemberPacket,
+}
+
+/// Datagrams that wait, and the times at which periodic ones are due.
+#[derive(Debug, Default)]
+pub(crate) struct OutboxState {
+    replies: Vec<(SocketAddr, PacketBody)>,
+    pulls: Vec<(SocketAddr, u64)>,
+    urgent: bool,
+    sent_number: u64,
+    upstream_news: BTreeSet<u16>,
+    zone_news: BTreeSet<ZoneName>,
+    bulletin_due: Option<Instant>,
+    digest_due: Option<Instant>,
+    join_due: Option<Instant>,
+    introduce_due: Option<Instant>,
+    digest_sequence: u64,
+    next_nonce: u32,
+    join_rounds: u32,
+    joined: BTreeMap<SocketAddr, Instant>,
+    passed: BTreeMap<u32, (SocketAddr, u32, Option<Instant>)>,
+}
+
+impl OutboxState {
+    /// Makes the next bulletin due at once.
+    pub(crate) fn hurry(&mut self) {
+        self.urgent = true;
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, body: PacketBody) {
+        self.replies.push((to, body));
+    }
+
+    pub(crate) fn answer_pull(&mut self, to: SocketAddr, number: u64) {
+        self.pulls.push((to, number));
+    }
+
+    pub(crate) fn note_upstream(&mut self, handle: u16) {
+        self.upstream_news.insert(handle);
+    }
+
+    pub(crate) fn note_zone(&mut self, zone: ZoneName) {
+        self.zone_news.insert(zone);
+    }
+
+    fn draw_nonce(&mut self) -> u32 {
+        self.next_nonce = self.next_nonce.wrapping_add(1);
+        self.next_nonce
+    }
+
+    /// Probes `target` for the instance at `from`.
+    pub(crate) fn probe_for(&mut self, from: SocketAddr, nonce: u32, target: SocketAddr) {
+        let own = self.draw_nonce();
+        self.passed.insert(own, (from, nonce, None));
+        self.send(target, PacketBody::Probe(own));
+    }
+
+    /// Passes the reply to such a probe on.
+    pub(crate) fn pass_ack(&mut self, nonce: u32, subject: PacketSender, now: Instant) {
+        if let Some((from, asked, _)) = self.passed.remove(&nonce) {
+            self.send(from, PacketBody::Ack(asked, subject));
+        }
+        self.forget_passed(now);
+    }
+
+    fn forget_passed(&mut self, now: Instant) {
+        for (_, _, until) in self.passed.values_mut() {
+            until.get_or_insert(now + PASS_ACK);
+        }
+        self.passed.retain(|_, (_, _, until)| until.is_none_or(|until| until > now));
+    }
+}
+
+impl MemberTable {
+    /// Takes the steps that are due and gives the datagrams to send.
+    pub fn poll(&mut self, now: Instant) -> Vec<OutgoingPacket> {
+        self.note_time(now);
+        self.expire(now);
+        self.outbox.forget_passed(now);
+        self.step_probes(now);
+        let mut packets = Vec::new();
+        self.make_bulletins(&mut packets, now);
+        if is_due(&mut self.outbox.digest_due, DIGEST_PERIOD, now) {
+            self.make_digests(&mut packets, now);
+        }
+        if is_due(&mut self.outbox.join_due, JOIN_PERIOD, now) {
+            self.join_seeds(now);
+        }
+        if is_due(&mut self.outbox.introduce_due, INTRODUCE_PERIOD, now) {
+            self.introduce_some();
+        }
+        self.take_replies(&mut packets, now);
+        packets
+    }
+
+    /// The replies that wait, without the periodic datagrams.
+    pub fn poll_replies(&mut self, now: Instant) -> Vec<OutgoingPacket> {
+        let mut packets = Vec::new();
+        self.take_replies(&mut packets, now);
+        packets
+    }
+
+    /// The datagram by which the process tells its zone that it ends.
+    pub fn make_farewell(&self) -> OutgoingPacket {
+        OutgoingPacket { to: self.peer_addresses(), packet: self.wrap(PacketBody::Gone) }
+    }
+
+    /// Peer addresses of the zone's other members.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.address).collect()
+    }
+
+    fn wrap(&self, body: PacketBody) -> MemberPacket {
+        MemberPacket { sender: self.sender.clone(), body }
+    }
+
+    fn take_replies(&mut self, packets: &mut Vec<OutgoingPacket>, now: Instant) {
+        for (to, body) in mem::take(&mut self.outbox.replies) {
+            packets.push(OutgoingPacket { to: vec![to], packet: self.wrap(body) });
+        }
+        for (to, number) in mem::take(&mut self.outbox.pulls) {
+            let news = self.split_rows(number, Vec::new(), now);
+            let bodies = news.into_iter().map(Box::new).map(PacketBody::Bulletin);
+            packets.extend(
+                bodies.map(|body| OutgoingPacket { to: vec![to], packet: self.wrap(body) }),
+            );
+        }
+    }
+
+    fn step_probes(&mut self, now: Instant) {
+        for step in self.probes.tick(now, &mut self.random) {
+            match step {
+                ProbeStep::Probe(instance) => self.probe_peer(&instance),
+                ProbeStep::AskHelpers(instance, helpers) => self.ask_helpers(&instance, &helpers),
+                ProbeStep::Suspect(instance, helpers) => {
+                    log::info!(member = instance.as_str(); "member suspected");
+                    self.outbox.hurry();
+                    self.probe_peer(&instance);
+                    self.ask_helpers(&instance, &helpers);
+                }
+                ProbeStep::Remove(instance) => {
+                    log::warn!(member = instance.as_str(); "member failed");
+                    self.remove_peer(&instance);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn probe_peer(&mut self, instance: &InstanceName) {
+        if let Some(peer) = self.peers.get(instance) {
+            let nonce = self.outbox.draw_nonce();
+            self.outbox.send(peer.address, PacketBody::Probe(nonce));
+        }
+    }
+
+    fn ask_helpers(&mut self, instance: &InstanceName, helpers: &[InstanceName]) {
+        let Some(target) = self.peers.get(instance).map(|peer| peer.address) else { return };
+        for helper in helpers.iter().filter_map(|helper| self.peers.get(helper)) {
+            let nonce = self.outbox.draw_nonce();
+            self.outbox.send(helper.address, PacketBody::ProbeFor(nonce, target));
+        }
+    }
+
+    fn make_bulletins(&mut self, packets: &mut Vec<OutgoingPacket>, now: Instant) {
+        let due = is_due(&mut self.outbox.bulletin_due, BULLETIN_PERIOD, now);
+        if !due && !self.outbox.urgent {
+            return;
+        }
+        self.outbox.urgent = false;
+        let pulses = self.make_pulses(now);
+        let sent = mem::replace(&mut self.outbox.sent_number, self.log.newest());
+        let to = self.peer_addresses();
+        for bulletin in self.split_rows(sent, pulses, now) {
+            let packet = self.wrap(PacketBody::Bulletin(Box::new(bulletin)));
+            packets.push(OutgoingPacket { to: to.clone(), packet });
+        }
+    }
+
+    /// Bulletins with the rows after `number`; pulses go into the last one.
+    fn split_rows(&self, number: u64, pulses: Vec<RowPulse>, now: Instant) -> Vec<MemberBulletin> {
+        let rows = self.log.changes_since(number);
+        let members = u16::try_from(self.count_members()).unwrap_or(u16::MAX);
+        let mut since = number;
+        let mut bulletins: Vec<_> = rows
+            .chunks(ROWS_PER_PACKET)
+            .map(|chunk| {
+                let newest = chunk.last().map_or(since, |row| row.number);
+                let rows = chunk.iter().map(|row| self.fill_row(row, now)).collect();
+                let bulletin = MemberBulletin {
+                    since,
+                    newest,
+                    in_flight: self.own.in_flight,
+                    members,
+                    rows,
+                    ..MemberBulletin::default()
+                };
+                since = newest;
+                bulletin
+            })
+            .collect();
+        if bulletins.is_empty() {
+            let in_flight = self.own.in_flight;
+            bulletins.push(MemberBulletin {
+                since,
+                newest: since,
+                in_flight,
+                members,
+                ..MemberBulletin::default()
+            });
+        }
+        if let Some(last) = bulletins.last_mut() {
+            last.pulses = pulses;
+            let suspects = self.probes.suspects();
+            last.suspects = suspects.map(|(name, number)| (name.clone(), number)).collect();
+        }
+        bulletins
+    }
+
+    /// Adds the age and load of an upstream to its row.
+    fn fill_row(&self, row: &LogRow, now: Instant) -> LogRow {
+        let mut row = row.clone();
+        if let RowContent::Upstream(base, age_ms) = &mut row.content
+            && let Some(view) = self.upstreams.get(&base.name)
+            && view.record.incarnation == base.incarnation
+        {
+            let UpstreamRecord { sequence, load, .. } = &*view.record;
+            let record =
+                UpstreamRecord { sequence: *sequence, load: load.clone(), ..(**base).clone() };
+            *base = Arc::new(record);
+            *age_ms = age_millis(view.renewed_at, now);
+        }
+        row
+    }
+
+    fn make_pulses(&mut self, now: Instant) -> Vec<RowPulse> {
+        let mut pulses = Vec::new();
+        let rows = mem::take(&mut self.outbox.upstream_news);
+        for (name, handle) in self.announced.keys().filter_map(|name| {
+            let key = RowKey::Upstream(name.clone());
+            Some((name, self.log.handle(&key).filter(|handle| rows.contains(handle))?))
+        }) {
+            if let Some(view) = self.upstreams.get(name) {
+                pulses.push(RowPulse::Upstream {
+                    handle,
+                    sequence: view.record.sequence,
+                    age_ms: age_millis(view.renewed_at, now),
+                    load: view.record.load.clone(),
+                });
+            }
+        }
+        for zone in mem::take(&mut self.outbox.zone_news) {
+            let view = self.zones.get(&zone).and_then(|state| state.view.as_ref());
+            let handle = self.log.handle(&RowKey::Zone(zone.clone()));
+            if let (Some(view), Some(handle)) = (view, handle) {
+                let sequence = view.digest.sequence;
+                let age_ms = age_millis(view.received_at, now);
+                pulses.push(RowPulse::Zone { handle, sequence, age_ms });
+            }
+        }
+        pulses
+    }
+
+    fn make_digests(&mut self, packets: &mut Vec<OutgoingPacket>, now: Instant) {
+        let targets = self.choose_targets();
+        if targets.is_empty() {
+            return;
+        }
+        self.outbox.digest_sequence += 1;
+        let rows = self.sum_upstreams(now);
+        let serving: Vec<_> = self.entries().chain([self.own.clone()]).collect();
+        for (target, to) in targets {
+            let digest = ZoneDigest {
+                region: self.own.region.clone(),
+                zone: self.own.zone.clone(),
+                sequence: self.outbox.digest_sequence,
+                entries: choose_entries(&serving, &target, |record| record.caller_address),
+                rows: rows.clone(),
+            };
+            let contacts = choose_entries(&serving, &target, |record| Some(record.peer_address));
+            let others = self.choose_contacts().into_iter().filter(|(zone, _)| *zone != target);
+            let elsewhere = others.choose(&mut self.random);
+            let packet = DigestPacket { digest, contacts, elsewhere };
+            let packet = self.wrap(PacketBody::Digest(Box::new(packet)));
+            packets.push(OutgoingPacket { to: vec![to], packet });
+        }
+    }
+
+    /// Zones to which this instance sends digests now, and an address in each.
+    fn choose_targets(&mut self) -> Vec<(ZoneName, SocketAddr)> {
+        let contacts = self.choose_contacts();
+        let zones: BTreeSet<&ZoneName> = self.zones.keys().collect();
+        let members = self.zone_members();
+        let is_delegate = |zone: &ZoneName| {
+            choose_delegates(&members, &zones, zone).contains(&&self.own.instance)
+        };
+        contacts.into_iter().filter(|(zone, _)| is_delegate(zone)).collect()
+    }
+
+    fn sum_upstreams(&self, now: Instant) -> Vec<CapacityRow> {
+        let fresh = |at: Instant| now.duration_since(at) < UPSTREAM_EXPIRY;
+        let table = self.make_table(now);
+        let upstreams = table.upstreams.values().filter(|view| fresh(view.renewed_at));
+        sum_capacity(upstreams.map(|view| view.record.as_ref()))
+    }
+
+    fn join_seeds(&mut self, now: Instant) {
+        let members = self.peer_addresses();
+        let contacts: BTreeSet<_> =
+            self.zones.values().flat_map(|state| state.contacts.iter().copied()).collect();
+        let alone = members.is_empty();
+        self.outbox.join_rounds = self.outbox.join_rounds.saturating_add(1);
+        let young = self.outbox.join_rounds < YOUNG_ROUNDS;
+        for seed in self.seeds.clone() {
+            let known = members.contains(&seed) || contacts.contains(&seed);
+            let odds = if young { YOUNG_SEED_ODDS } else { KNOWN_SEED_ODDS };
+            if alone || !known || self.random.random_ratio(1, odds) {
+                self.join(seed, now);
+            }
+        }
+    }
+
+    /// Introduces the instance itself to the one at `address`, unless that was done just now.
+    pub(crate) fn join(&mut self, address: SocketAddr, now: Instant) {
+        let joined = &mut self.outbox.joined;
+        joined.retain(|_, at| now.duration_since(*at) < JOIN_REPEAT);
+        let own = address == self.own.peer_address;
+        if !own && joined.insert(address, now).is_none() {
+            self.outbox.send(address, PacketBody::Join(Box::new(self.own.clone())));
+        }
+    }
+
+    fn introduce_some(&mut self) {
+        let known: Vec<_> = self.entries().collect();
+        let records = known.into_iter().sample(&mut self.random, INTRODUCED);
+        let contacts = self.choose_contacts().into_iter().sample(&mut self.random, 1);
+        let receiver = self.peers.values().choose(&mut self.random).map(|peer| peer.address);
+        if let Some(receiver) = receiver {
+            self.outbox.send(receiver, PacketBody::Introduce(records, contacts));
+        }
+    }
+
+    /// Names members and other zones, for an instance that joins.
+    pub(crate) fn make_introduction(&mut self) -> PacketBody {
+        let known: Vec<_> = self.entries().collect();
+        let mut records = known.into_iter().sample(&mut self.random, JOIN_INTRODUCED);
+        records.push(self.own.clone());
+        PacketBody::Introduce(records, self.choose_contacts())
+    }
+
+    /// One address in each other zone.
+    fn choose_contacts(&mut self) -> Vec<(ZoneName, SocketAddr)> {
+        let random = &mut self.random;
+        let zones = self.zones.iter();
+        zones
+            .filter_map(|(zone, state)| {
+                Some((zone.clone(), *state.contacts.iter().choose(random)?))
+            })
+            .collect()
+    }
+}
+
+/// Whether a step with `period` is due; if it is, its next time is set.
+fn is_due(due: &mut Option<Instant>, period: Duration, now: Instant) -> bool {
+    if due.is_some_and(|due| now < due) {
+        return false;
+    }
+    *due = Some(now + period);
+    true
+}
+
+fn age_millis(at: Instant, now: Instant) -> u32 {
+    u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Addresses of some serving entries; other ones for each target, so that forwarded requests of
+/// many zones spread over all entries.
+fn choose_entries(
+    entries: &[EntryRecord],
+    target: &ZoneName,
+    address: impl Fn(&EntryRecord) -> Option<SocketAddr>,
+) -> SmallVec<[SocketAddr; 4]> {
+    let serving = entries.iter().filter(|record| record.state == EntryState::Serving);
+    let mut ranked: Vec<_> = serving
+        .filter_map(|record| {
+            let mut hasher = DefaultHasher::new();
+            (&record.instance, target).hash(&mut hasher);
+            Some((hasher.finish(), address(record)?))
+        })
+        .collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    ranked.into_iter().map(|(_, address)| address).take(DIGEST_ENTRIES).collect()
+}
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,10 +1,6 @@
 //! Messages between the system's own processes, and the service that carries them.
 
-use crate::{
-    settings::{Revision, SettingsSnapshot},
-    table::{EntryRecord, UpstreamRecord, ZoneDigest},
-};
-use serde::{Deserialize, Serialize};
+use crate::settings::{Revision, SettingsSnapshot};
 use std::{
     collections::HashMap,
     fmt,
@@ -23,23 +19,9 @@
 /// Bound that the transport puts on every call; calls carry bounds of their own below it.
 const TRANSPORT_DEADLINE: Duration = Duration::from_secs(3_600);
 
-/// State of one zone as two of its members exchange it.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct MemberExchange {
-    /// Instances, with the age of each record in milliseconds.
-    pub entries: Vec<(EntryRecord, u64)>,
-    /// Upstreams, with the age of each announcement in milliseconds.
-    pub upstreams: Vec<(Arc<UpstreamRecord>, u64)>,
-    /// Digests of other zones, with the age of each in milliseconds.
-    pub zones: Vec<(Arc<ZoneDigest>, u64)>,
-}
-
 /// Service that every instance offers to the others.
 #[tarpc::service]
 pub trait PeerApi {
-    /// Exchanges membership state; the reply holds what the receiver knows.
-    async fn exchange(state: MemberExchange) -> MemberExchange;
-
     /// The newest settings, or none if they are not newer than `revision`.
     async fn settings_after(revision: Revision) -> Option<Arc<SettingsSnapshot>>;
 }
--- /dev/null
+++ b/cicadastall/src/probes.rs
@@ -0,0 +1,175 @@
+//! Failure detection within a zone: silence leads to a probe, to a suspicion, and to removal.
+
+use crate::{name::InstanceName, table::Incarnation};
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// Silence after which a member is probed; longer than the period of bulletins.
+pub const PROBE_AFTER: Duration = Duration::from_millis(1_400);
+
+/// Time for the reply to a direct probe, before others are asked to probe.
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for the reply to an indirect probe, before the member is suspected.
+const INDIRECT_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Time that a suspected member has to refute the suspicion.
+const REFUTE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Members that are asked to probe for another one.
+const HELPERS: usize = 3;
+
+/// Stage of the doubt about one member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeStage {
+    Heard,
+    Direct(Instant),
+    Indirect(Instant),
+    Suspect(Instant),
+}
+
+#[derive(Debug)]
+struct ProbedMember {
+    incarnation: Incarnation,
+    heard_at: Instant,
+    stage: ProbeStage,
+}
+
+/// What is to be done about one member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ProbeStep {
+    /// Probe it.
+    Probe(InstanceName),
+    /// Ask the helpers to probe it.
+    AskHelpers(InstanceName, SmallVec<[InstanceName; HELPERS]>),
+    /// Tell the zone of the suspicion, so that the member can refute it, and ask helpers again.
+    Suspect(InstanceName, SmallVec<[InstanceName; HELPERS]>),
+    /// Forget it.
+    Remove(InstanceName),
+}
+
+/// Doubts of one instance about the others of its zone.
+#[derive(Debug, Default)]
+pub struct ProbeTable {
+    members: BTreeMap<InstanceName, ProbedMember>,
+}
+
+impl ProbeTable {
+    /// Notes a sign of life of `instance`.
+    pub fn hear(&mut self, instance: &InstanceName, incarnation: Incarnation, now: Instant) {
+        let member = self.members.entry(instance.clone()).or_insert(ProbedMember {
+            incarnation,
+            heard_at: now,
+            stage: ProbeStage::Heard,
+        });
+        if incarnation >= member.incarnation {
+            *member = ProbedMember { incarnation, heard_at: now, stage: ProbeStage::Heard };
+        }
+    }
+
+    /// Forgets `instance`.
+    pub fn remove(&mut self, instance: &InstanceName) {
+        self.members.remove(instance);
+    }
+
+    /// Starts every member's time afresh, after this process itself was stopped for a while.
+    pub fn forgive(&mut self, now: Instant) {
+        for member in self.members.values_mut() {
+            member.heard_at = now;
+            member.stage = ProbeStage::Heard;
+        }
+    }
+
+    /// Takes another instance's suspicion: a member that was not heard lately is probed at once.
+    pub fn doubt(&mut self, instance: &InstanceName, now: Instant) -> bool {
+        let Some(member) = self.members.get_mut(instance) else { return false };
+        let silent = now.duration_since(member.heard_at) > PROBE_AFTER / 2;
+        let doubted = silent && member.stage == ProbeStage::Heard;
+        if doubted {
+            member.stage = ProbeStage::Direct(now);
+        }
+        doubted
+    }
+
+    /// Whether `instance` is suspected.
+    pub fn is_suspect(&self, instance: &InstanceName) -> bool {
+        self.members
+            .get(instance)
+            .is_some_and(|member| matches!(member.stage, ProbeStage::Suspect(_)))
+    }
+
+    /// All suspected members.
+    pub fn suspects(&self) -> impl Iterator<Item = (&InstanceName, Incarnation)> {
+        self.members
+            .iter()
+            .filter(|(_, member)| matches!(member.stage, ProbeStage::Suspect(_)))
+            .map(|(instance, member)| (instance, member.incarnation))
+    }
+
+    /// Takes the steps that are due.
+    pub fn tick(&mut self, now: Instant, random: &mut ChaCha8Rng) -> Vec<ProbeStep> {
+        let due: Vec<_> = self
+            .members
+            .iter()
+            .filter_map(|(instance, member)| Some((instance.clone(), next_stage(member, now)?)))
+            .collect();
+        due.into_iter().map(|(instance, stage)| self.enter(instance, stage, random)).collect()
+    }
+
+    fn enter(
+        &mut self,
+        instance: InstanceName,
+        stage: Option<ProbeStage>,
+        random: &mut ChaCha8Rng,
+    ) -> ProbeStep {
+        let Some(stage) = stage else {
+            self.members.remove(&instance);
+            return ProbeStep::Remove(instance);
+        };
+        if let Some(member) = self.members.get_mut(&instance) {
+            member.stage = stage;
+        }
+        match stage {
+            ProbeStage::Suspect(_) => {
+                let helpers = self.choose_helpers(&instance, random);
+                ProbeStep::Suspect(instance, helpers)
+            }
+            ProbeStage::Indirect(_) => {
+                let helpers = self.choose_helpers(&instance, random);
+                ProbeStep::AskHelpers(instance, helpers)
+            }
+            _ => ProbeStep::Probe(instance),
+        }
+    }
+
+    fn choose_helpers(
+        &self,
+        instance: &InstanceName,
+        random: &mut ChaCha8Rng,
+    ) -> SmallVec<[InstanceName; HELPERS]> {
+        let heard = |member: &ProbedMember| member.stage == ProbeStage::Heard;
+        let others =
+            self.members.iter().filter(|(name, member)| *name != instance && heard(member));
+        others.map(|(name, _)| name.clone()).sample(random, HELPERS).into_iter().collect()
+    }
+}
+
+/// The stage that `member` enters now, if any; the inner value is none where it is removed.
+fn next_stage(member: &ProbedMember, now: Instant) -> Option<Option<ProbeStage>> {
+    let passed = |since: Instant, bound: Duration| now.duration_since(since) >= bound;
+    match member.stage {
+        ProbeStage::Heard => {
+            passed(member.heard_at, PROBE_AFTER).then_some(Some(ProbeStage::Direct(now)))
+        }
+        ProbeStage::Direct(since) => {
+            passed(since, DIRECT_TIMEOUT).then_some(Some(ProbeStage::Indirect(now)))
+        }
+        ProbeStage::Indirect(since) => {
+            passed(since, INDIRECT_TIMEOUT).then_some(Some(ProbeStage::Suspect(now)))
+        }
+        ProbeStage::Suspect(since) => passed(since, REFUTE_TIMEOUT).then_some(None),
+    }
+}
--- a/cicadastall/src/wire.rs
+++ b/cicadastall/src/wire.rs
@@ -129,6 +129,9 @@
     pub renew_within_ms: u64,
     /// Other entries of the zone that take announcements.
     pub entries: Vec<SocketAddr>,
+    /// Whether an operator wants the upstream to leave.
+    #[serde(default)]
+    pub drain: bool,
 }
 
 /// One row of `GET /v1/entries`.
