--- a/cicadastall-standins/src/network.rs
+++ b/cicadastall-standins/src/network.rs
@@ -41,7 +41,7 @@
 /// Something that reaches a node.
 #[derive(Debug, Clone)]
 enum Delivery {
-    Datagram(SocketAddr, Bytes),
+    Datagram(Bytes),
     Announcement(Box<UpstreamRecord>),
 }
 
@@ -332,11 +332,11 @@
         }
         match delivery {
             Delivery::Announcement(record) => drop(node.members.announce(*record, self.now)),
-            Delivery::Datagram(from, bytes) => {
+            Delivery::Datagram(bytes) => {
                 node.traffic.received += 1;
                 node.traffic.received_bytes += bytes.len() as u64 + DATAGRAM_HEADERS;
                 if let Ok(packet) = decode_packet(&bytes) {
-                    node.members.accept(from, packet, self.now);
+                    node.members.accept(packet, self.now);
                 }
                 let replies = node.members.poll_replies(self.now);
                 self.send(index, replies);
@@ -369,7 +369,7 @@
         let delay = if same_zone { ZONE_DELAY } else { LINK_DELAY };
         for _ in 0..copies {
             self.moved += 1;
-            let delivery = Delivery::Datagram(node_address(index, 1), bytes.clone());
+            let delivery = Delivery::Datagram(bytes.clone());
             self.moving.insert((self.now + delay, self.moved), (target, delivery));
         }
     }
--- a/cicadastall/src/bulletin.rs
+++ b/cicadastall/src/bulletin.rs
@@ -18,6 +18,8 @@
 pub struct PacketSender {
     /// The instance.
     pub instance: InstanceName,
+    /// Where it receives datagrams; the address seen by the receiver may be a translator's.
+    pub address: SocketAddr,
     /// When its process started; a later start begins a new log.
     pub started: Incarnation,
     /// How often the process refuted a suspicion.
--- a/cicadastall/src/intake.rs
+++ b/cicadastall/src/intake.rs
@@ -22,16 +22,17 @@
 const HELP_ODDS: u32 = 8;
 
 impl MemberTable {
-    /// Takes a datagram that arrived from `from`.
-    pub fn accept(&mut self, from: SocketAddr, packet: MemberPacket, now: Instant) {
+    /// Takes a datagram.
+    pub fn accept(&mut self, packet: MemberPacket, now: Instant) {
         self.note_time(now);
         let MemberPacket { sender, body } = packet;
+        let from = sender.address;
         if !self.trusts(now) || sender.instance == self.own.instance {
             return;
         }
         self.hear(&sender, now);
         match body {
-            PacketBody::Bulletin(bulletin) => self.accept_bulletin(from, &sender, *bulletin, now),
+            PacketBody::Bulletin(bulletin) => self.accept_bulletin(&sender, *bulletin, now),
             PacketBody::Pull(number) => self.outbox.answer_pull(from, number),
             PacketBody::Probe(nonce) => {
                 let ack = PacketBody::Ack(nonce, self.sender.clone());
@@ -43,7 +44,7 @@
                 self.accept_introduction(records, now);
                 self.accept_contacts(contacts, now);
             }
-            PacketBody::Join(record) => self.accept_join(from, &sender, *record, now),
+            PacketBody::Join(record) => self.accept_join(&sender, *record, now),
             PacketBody::Digest(digest) => self.accept_digest(*digest, now),
             PacketBody::Gone => self.remove_peer(&sender.instance),
         }
@@ -60,18 +61,12 @@
         self.peers.remove(instance);
     }
 
-    fn accept_bulletin(
-        &mut self,
-        from: SocketAddr,
-        sender: &PacketSender,
-        bulletin: MemberBulletin,
-        now: Instant,
-    ) {
-        let Some(peer) = self.open_peer(from, sender, now) else { return };
+    fn accept_bulletin(&mut self, sender: &PacketSender, bulletin: MemberBulletin, now: Instant) {
+        let Some(peer) = self.open_peer(sender, now) else { return };
         peer.in_flight = bulletin.in_flight;
         if bulletin.since > peer.have {
             let have = peer.have;
-            self.outbox.send(from, PacketBody::Pull(have));
+            self.outbox.send(sender.address, PacketBody::Pull(have));
         } else {
             let have = peer.have;
             peer.have = have.max(bulletin.newest);
@@ -86,7 +81,7 @@
             && self.random.random_ratio(1, HELP_ODDS)
         {
             let introduction = self.make_introduction();
-            self.outbox.send(from, introduction);
+            self.outbox.send(sender.address, introduction);
         }
         for (instance, incarnation) in bulletin.suspects {
             self.accept_suspicion(&instance, incarnation, now);
@@ -94,18 +89,14 @@
     }
 
     /// The state of a member of this zone; a restarted one begins anew.
-    fn open_peer(
-        &mut self,
-        from: SocketAddr,
-        sender: &PacketSender,
-        now: Instant,
-    ) -> Option<&mut PeerState> {
+    fn open_peer(&mut self, sender: &PacketSender, now: Instant) -> Option<&mut PeerState> {
         let known = self.peers.get(&sender.instance).map(|peer| peer.started);
         if known.is_some_and(|started| started > sender.started) {
             return None;
         }
         if known != Some(sender.started) {
-            self.peers.insert(sender.instance.clone(), PeerState::new(from, sender.started));
+            self.peers
+                .insert(sender.instance.clone(), PeerState::new(sender.address, sender.started));
             self.probes.hear(&sender.instance, sender.incarnation(), now);
         }
         self.peers.get_mut(&sender.instance)
@@ -214,23 +205,16 @@
         }
     }
 
-    fn accept_join(
-        &mut self,
-        from: SocketAddr,
-        sender: &PacketSender,
-        record: EntryRecord,
-        now: Instant,
-    ) {
+    fn accept_join(&mut self, sender: &PacketSender, record: EntryRecord, now: Instant) {
         let introduction = self.make_introduction();
-        self.outbox.send(from, introduction);
+        self.outbox.send(sender.address, introduction);
         if record.zone != self.own.zone {
             self.keep_contact(&record.zone, record.peer_address);
             return;
         }
-        let address = record.peer_address;
-        if let Some(peer) = self.open_peer(address, sender, now) {
+        if let Some(peer) = self.open_peer(sender, now) {
             peer.record = Some(record);
-            self.outbox.answer_pull(address, 0);
+            self.outbox.answer_pull(sender.address, 0);
         }
     }
 
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -96,6 +96,7 @@
     pub fn new(own: EntryRecord, seeds: Vec<SocketAddr>, seed: u64) -> Self {
         let sender = PacketSender {
             instance: own.instance.clone(),
+            address: own.peer_address,
             started: own.incarnation,
             refutations: 0,
         };
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -40,7 +40,7 @@
     /// An upstream announces itself.
     Announce(Box<UpstreamRecord>, RpcReplyPort<AnnounceReply>),
     /// A datagram arrived from another instance.
-    Packet(SocketAddr, Box<MemberPacket>),
+    Packet(Box<MemberPacket>),
     /// Changes the readiness of this instance.
     SetState(EntryState),
     /// Tells the zone that this process ends.
@@ -122,8 +122,8 @@
                 state.publish(now);
                 let _ = reply.send(state.reply_announcement(drain, now));
             }
-            MembershipMessage::Packet(from, packet) => {
-                state.members.accept(from, *packet, now);
+            MembershipMessage::Packet(packet) => {
+                state.members.accept(*packet, now);
                 let replies = state.members.poll_replies(now);
                 state.send(replies);
             }
@@ -208,7 +208,7 @@
         };
         match decode_packet(&buffer[..length]) {
             Ok(packet) => {
-                if membership.cast(MembershipMessage::Packet(from, Box::new(packet))).is_err() {
+                if membership.cast(MembershipMessage::Packet(Box::new(packet))).is_err() {
                     return;
                 }
             }
