--- a/cicadastall/src/intake.rs
+++ b/cicadastall/src/intake.rs
@@ -18,6 +18,9 @@
 /// Addresses kept for each other zone.
 const ZONE_CONTACTS: usize = 4;
 
+/// Number in place of a probe's in a reply that passes a refutation on.
+const REFUTATION: u32 = 0;
+
 /// One in so many bulletins of a member that knows fewer than this one is replied to with names.
 const HELP_ODDS: u32 = 8;
 
@@ -51,7 +54,12 @@
     }
 
     fn hear(&mut self, sender: &PacketSender, now: Instant) {
-        if self.peers.contains_key(&sender.instance) {
+        if let Some(peer) = self.peers.get_mut(&sender.instance) {
+            if sender.incarnation() > peer.sender.incarnation()
+                && sender.started == peer.sender.started
+            {
+                peer.sender = sender.clone();
+            }
             self.probes.hear(&sender.instance, sender.incarnation(), now);
         }
     }
@@ -84,19 +92,18 @@
             self.outbox.send(sender.address, introduction);
         }
         for (instance, incarnation) in bulletin.suspects {
-            self.accept_suspicion(&instance, incarnation, now);
+            self.accept_suspicion(sender, &instance, incarnation, now);
         }
     }
 
     /// The state of a member of this zone; a restarted one begins anew.
     fn open_peer(&mut self, sender: &PacketSender, now: Instant) -> Option<&mut PeerState> {
-        let known = self.peers.get(&sender.instance).map(|peer| peer.started);
+        let known = self.peers.get(&sender.instance).map(|peer| peer.sender.started);
         if known.is_some_and(|started| started > sender.started) {
             return None;
         }
         if known != Some(sender.started) {
-            self.peers
-                .insert(sender.instance.clone(), PeerState::new(sender.address, sender.started));
+            self.peers.insert(sender.instance.clone(), PeerState::new(sender.clone()));
             self.probes.hear(&sender.instance, sender.incarnation(), now);
         }
         self.peers.get_mut(&sender.instance)
@@ -156,8 +163,10 @@
         }
     }
 
+    /// Takes a suspicion: refutes it, passes a refutation on, or probes the member as well.
     fn accept_suspicion(
         &mut self,
+        sender: &PacketSender,
         instance: &InstanceName,
         incarnation: Incarnation,
         now: Instant,
@@ -167,6 +176,11 @@
                 self.sender.refutations += 1;
                 self.outbox.hurry();
             }
+        } else if self.probes.has_refuted(instance, incarnation) {
+            if let Some(peer) = self.peers.get(instance) {
+                let refutation = PacketBody::Ack(REFUTATION, peer.sender.clone());
+                self.outbox.send(sender.address, refutation);
+            }
         } else if self.probes.doubt(instance, now) {
             self.probe_peer(instance);
         }
@@ -176,9 +190,7 @@
         if subject.instance == self.own.instance {
             return;
         }
-        if self.peers.contains_key(&subject.instance) {
-            self.probes.hear(&subject.instance, subject.incarnation(), now);
-        }
+        self.hear(&subject, now);
         self.outbox.pass_ack(nonce, subject, now);
     }
 
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -48,15 +48,16 @@
 pub(crate) struct PeerState {
     pub(crate) record: Option<EntryRecord>,
     pub(crate) address: SocketAddr,
-    pub(crate) started: Incarnation,
+    pub(crate) sender: PacketSender,
     pub(crate) have: u64,
     pub(crate) in_flight: u32,
     pub(crate) rows: BTreeMap<u16, RowContent>,
 }
 
 impl PeerState {
-    pub(crate) fn new(address: SocketAddr, started: Incarnation) -> Self {
-        Self { record: None, address, started, have: 0, in_flight: 0, rows: BTreeMap::new() }
+    pub(crate) fn new(sender: PacketSender) -> Self {
+        let address = sender.address;
+        Self { record: None, address, sender, have: 0, in_flight: 0, rows: BTreeMap::new() }
     }
 }
 
@@ -222,7 +223,6 @@
         self.seen_at = Some(now);
         if paused {
             self.trusted_from = Some(now + PAUSE_DISTRUST);
-            self.probes.forgive(now + PAUSE_DISTRUST);
         }
     }
 
--- a/cicadastall/src/probes.rs
+++ b/cicadastall/src/probes.rs
@@ -75,14 +75,6 @@
         self.members.remove(instance);
     }
 
-    /// Starts every member's time afresh, after this process itself was stopped for a while.
-    pub fn forgive(&mut self, now: Instant) {
-        for member in self.members.values_mut() {
-            member.heard_at = now;
-            member.stage = ProbeStage::Heard;
-        }
-    }
-
     /// Takes another instance's suspicion: a member that was not heard lately is probed at once.
     pub fn doubt(&mut self, instance: &InstanceName, now: Instant) -> bool {
         let Some(member) = self.members.get_mut(instance) else { return false };
@@ -94,6 +86,13 @@
         doubted
     }
 
+    /// Whether `instance` was heard after it refuted the suspicion of `incarnation`.
+    pub fn has_refuted(&self, instance: &InstanceName, incarnation: Incarnation) -> bool {
+        self.members.get(instance).is_some_and(|member| {
+            member.incarnation > incarnation && member.stage == ProbeStage::Heard
+        })
+    }
+
     /// Whether `instance` is suspected.
     pub fn is_suspect(&self, instance: &InstanceName) -> bool {
         self.members
