Measure membership by the number of nodes, and send less

Ruled out: one delegate a zone (its failure would take the zone out for 3 s); one owner a relayed upstream (a one-way link would hide it).

Change: capacity rows carry handles and rounded figures; each delegate keeps to one receiver; a receiver stays quiet while another passes the zone's digests on; a seed that answered is joined again rarely. Rows carry UpstreamRow and PulseLoad in place of UpstreamRecord, so that fields skipped in JSON can't break them, and an owner passes on only what was announced to itself.

--- a/cicadastall-standins/src/network.rs
+++ b/cicadastall-standins/src/network.rs
@@ -308,9 +308,7 @@
             if upstream.announce_at <= now {
                 upstream.announce_at = now + RENEW_PERIOD;
                 upstream.record.sequence += 1;
-                upstream.record.load.running = self.random.random_range(0..32);
-                upstream.record.load.queued_prompt_tokens = self.random.random_range(0..20_000);
-                upstream.record.load.kv_used_tokens = self.random.random_range(0..200_000);
+                vary_load(&mut upstream.record.load, &mut self.random);
                 due.push((upstream.entries, upstream.record.clone()));
             }
         }
@@ -384,6 +382,15 @@
     }
 }
 
+/// Moves a load by what some hundred milliseconds of requests change.
+fn vary_load(load: &mut LoadReport, random: &mut ChaCha8Rng) {
+    load.running = load.running.saturating_add_signed(random.random_range(-4..=4)).min(32);
+    let tokens = random.random_range(-2_000..=2_000);
+    load.queued_prompt_tokens = load.queued_prompt_tokens.saturating_add_signed(tokens).min(20_000);
+    let held = random.random_range(-9_000..=9_000);
+    load.kv_used_tokens = load.kv_used_tokens.saturating_add_signed(held).min(200_000);
+}
+
 fn region_of(zone: &str) -> RegionName {
     zone.rsplit_once('-').map_or(zone, |(region, _)| region).into()
 }
--- a/cicadastall-standins/tests/membership.rs
+++ b/cicadastall-standins/tests/membership.rs
@@ -104,7 +104,7 @@
         let mut network = network(&["aqaba-a"], 9, seed);
         network.run(8 * SECOND);
         assert!(knows_all(&network, 0..9));
-        network.faults.loss = 0.15;
+        network.faults.loss = 0.25;
         network.faults.blocked.insert((3, 4));
         for second in 0..60 {
             network.run(SECOND);
--- a/cicadastall/src/bulletin.rs
+++ b/cicadastall/src/bulletin.rs
@@ -1,13 +1,17 @@
 //! Datagrams that instances send each other about members, and the log that their rows come from.
 
 use crate::{
-    name::{InstanceName, RegionName, UpstreamName, ZoneName},
-    table::{CapacityRow, EntryRecord, Incarnation, LoadReport, UpstreamRecord},
+    name::{InstanceName, ModelName, PoolName, RegionName, UpstreamName, ZoneName},
+    settings::Rank,
+    table::{
+        EntryRecord, Incarnation, LoadReport, UpstreamRates, UpstreamRecord, UpstreamState,
+        ZoneDigest,
+    },
 };
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use std::{collections::BTreeMap, io, net::SocketAddr, pin::Pin, sync::Arc};
+use std::{collections::BTreeMap, io, net::SocketAddr, pin::Pin};
 use tarpc::tokio_serde::{Deserializer, Serializer, formats::Bincode};
 
 /// Rows in one datagram, so that it fits into one frame of the network.
@@ -100,18 +104,136 @@
 pub enum RowContent {
     /// The instance itself.
     Own(EntryRecord),
-    /// An upstream that announced itself here so many milliseconds ago.
-    Upstream(Arc<UpstreamRecord>, u32),
+    /// An upstream of the zone.
+    Upstream(Box<UpstreamRow>),
     /// An upstream that an operator drains.
     Drained(UpstreamName, Incarnation),
     /// Another zone.
     Zone(Box<ZonePlace>),
-    /// Capacity in the zone of the row with that handle.
-    Capacity(u16, CapacityRow),
+    /// Names the pool, model and rank of a capacity in the zone of the row with that handle.
+    Pool(u16, Box<PoolKey>),
+    /// Capacity of the pool of the row with that handle.
+    Capacity(u16, PoolCapacity),
     /// The row is gone.
     Removed,
 }
 
+/// What an upstream says of itself, without what changes with each announcement.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamRow {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// Restart counter.
+    pub incarnation: Incarnation,
+    /// Number of the newest announcement.
+    pub sequence: u64,
+    /// Time since that announcement, in milliseconds.
+    pub age_ms: u32,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Pool it serves.
+    pub pool: PoolName,
+    /// Models that it has loaded.
+    pub models: SmallVec<[ModelName; 4]>,
+    /// Readiness.
+    pub state: UpstreamState,
+    /// Rates and sizes.
+    pub rates: UpstreamRates,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+}
+
+impl UpstreamRow {
+    /// The row of an announcement, without its number and age.
+    pub fn new(record: &UpstreamRecord) -> Self {
+        Self {
+            name: record.name.clone(),
+            incarnation: record.incarnation,
+            sequence: 0,
+            age_ms: 0,
+            address: record.address,
+            pool: record.pool.clone(),
+            models: record.models.clone(),
+            state: record.state,
+            rates: record.rates.clone(),
+            checks_fencing: record.checks_fencing,
+        }
+    }
+
+    /// The announcement, for an upstream in the place of `own`.
+    pub fn to_record(&self, own: &EntryRecord) -> UpstreamRecord {
+        UpstreamRecord {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            region: own.region.clone(),
+            zone: own.zone.clone(),
+            address: self.address,
+            pool: self.pool.clone(),
+            models: self.models.clone(),
+            state: self.state,
+            rates: self.rates.clone(),
+            load: LoadReport::default(),
+            checks_fencing: self.checks_fencing,
+        }
+    }
+}
+
+/// The part of a load report that the whole zone learns.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PulseLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Prompt tokens that wait for prefill.
+    pub queued_prompt_tokens: u64,
+    /// Tokens in the KV cache that running requests hold.
+    pub kv_used_tokens: u64,
+}
+
+impl PulseLoad {
+    /// The part of `load`.
+    pub fn new(load: &LoadReport) -> Self {
+        Self {
+            running: load.running,
+            queued: load.queued,
+            queued_prompt_tokens: load.queued_prompt_tokens,
+            kv_used_tokens: load.kv_used_tokens,
+        }
+    }
+
+    /// Puts the part into `load`.
+    pub fn fill(&self, load: &mut LoadReport) {
+        load.running = self.running;
+        load.queued = self.queued;
+        load.queued_prompt_tokens = self.queued_prompt_tokens;
+        load.kv_used_tokens = self.kv_used_tokens;
+    }
+}
+
+/// What one capacity belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PoolKey {
+    /// Pool of the upstreams.
+    pub pool: PoolName,
+    /// Model, or none for a plain service.
+    pub model: Option<ModelName>,
+    /// Rank the prediction holds for.
+    pub rank: Rank,
+}
+
+/// Figures of one capacity, rounded so that small changes are not sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolCapacity {
+    /// Upstreams that take new work.
+    pub upstreams: u32,
+    /// Prompt tokens per second of all of them.
+    pub prefill_tokens_per_s: u32,
+    /// Predicted wait before prefill starts, in milliseconds.
+    pub wait_ms: u32,
+}
+
 /// Another zone and how to reach it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ZonePlace {
@@ -137,7 +259,7 @@
         /// Time since the announcement, in milliseconds.
         age_ms: u32,
         /// Load that it reported.
-        load: LoadReport,
+        load: PulseLoad,
     },
     /// A digest of another zone arrived.
     Zone {
@@ -154,7 +276,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DigestPacket {
     /// The summary.
-    pub digest: crate::table::ZoneDigest,
+    pub digest: ZoneDigest,
     /// Peer addresses of some instances of the zone.
     pub contacts: SmallVec<[SocketAddr; 4]>,
     /// Peer address of an instance in a third zone.
@@ -184,8 +306,10 @@
     Drained(UpstreamName),
     /// Another zone.
     Zone(ZoneName),
-    /// Capacity of a pool and model in another zone.
-    Capacity(ZoneName, crate::name::PoolName, Option<crate::name::ModelName>),
+    /// Name of a capacity in another zone.
+    Pool(ZoneName, PoolKey),
+    /// Capacity in another zone.
+    Capacity(ZoneName, PoolKey),
 }
 
 /// Rows of one instance, each with the number of its last change.
--- a/cicadastall/src/digest.rs
+++ b/cicadastall/src/digest.rs
@@ -1,7 +1,7 @@
 //! Summaries of a zone for others: their rows, their rounding, and who sends them.
 
 use crate::{
-    bulletin::RowContent,
+    bulletin::{PoolCapacity, PoolKey, RowContent},
     name::{InstanceName, ModelName, PoolName, ZoneName},
     settings::Rank,
     table::{CapacityRow, UpstreamRecord, UpstreamState, ZoneDigest},
@@ -14,10 +14,10 @@
 
 type CapacityKey = (PoolName, Option<ModelName>);
 
-/// Capacity of `upstreams` by pool and model, with rounded figures.
+/// Capacity of `upstreams` by pool and model.
 ///
 /// Load reports don't tell ranks apart, so that the wait holds for the urgent rank as an upper
-/// bound. The rounding keeps small changes of load off the network.
+/// bound.
 pub fn sum_capacity<'a>(upstreams: impl Iterator<Item = &'a UpstreamRecord>) -> Vec<CapacityRow> {
     let mut rows: BTreeMap<CapacityKey, (CapacityRow, u64)> = BTreeMap::new();
     for record in upstreams.filter(|record| record.state == UpstreamState::Serving) {
@@ -52,15 +52,14 @@
 
 fn finish_row(mut row: CapacityRow, queued_tokens: u64) -> CapacityRow {
     if row.prefill_tokens_per_s > 0.0 {
-        row.wait_ms = round_wait(queued_tokens as f64 * 1_000.0 / row.prefill_tokens_per_s);
+        row.wait_ms = queued_tokens as f64 * 1_000.0 / row.prefill_tokens_per_s;
     }
-    row.prefill_tokens_per_s = row.prefill_tokens_per_s.round();
     row
 }
 
 /// Rounds a wait in milliseconds up to a power of two; waits under 16 ms count as none.
-fn round_wait(wait_ms: f64) -> f64 {
-    if wait_ms < 16.0 { 0.0 } else { wait_ms.log2().ceil().exp2() }
+fn round_wait(wait_ms: f64) -> u32 {
+    if wait_ms < 16.0 { 0 } else { wait_ms.log2().ceil().exp2() as u32 }
 }
 
 /// The instances of `members` that send the summary of their zone to `target`.
@@ -93,7 +92,10 @@
 ) -> Option<ZoneDigest> {
     let RowContent::Zone(place) = rows.get(&handle)? else { return None };
     let capacity = rows.values().filter_map(|row| match row {
-        RowContent::Capacity(of, capacity) if *of == handle => Some(capacity.clone()),
+        RowContent::Capacity(of, capacity) => match rows.get(of)? {
+            RowContent::Pool(zone, key) if *zone == handle => Some(join_row(key, capacity)),
+            _ => None,
+        },
         _ => None,
     });
     Some(ZoneDigest {
@@ -104,3 +106,25 @@
         rows: capacity.collect(),
     })
 }
+
+/// The names and the rounded figures of one row of a digest.
+pub(crate) fn split_row(row: &CapacityRow) -> (PoolKey, PoolCapacity) {
+    let key = PoolKey { pool: row.pool.clone(), model: row.model.clone(), rank: row.rank };
+    let capacity = PoolCapacity {
+        upstreams: row.upstreams,
+        prefill_tokens_per_s: row.prefill_tokens_per_s.round() as u32,
+        wait_ms: round_wait(row.wait_ms),
+    };
+    (key, capacity)
+}
+
+fn join_row(key: &PoolKey, capacity: &PoolCapacity) -> CapacityRow {
+    CapacityRow {
+        pool: key.pool.clone(),
+        model: key.model.clone(),
+        rank: key.rank,
+        upstreams: capacity.upstreams,
+        prefill_tokens_per_s: f64::from(capacity.prefill_tokens_per_s),
+        wait_ms: f64::from(capacity.wait_ms),
+    }
+}
--- a/cicadastall/src/intake.rs
+++ b/cicadastall/src/intake.rs
@@ -5,10 +5,10 @@
         DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, PacketSender, RowContent,
         RowKey, RowPulse, ZonePlace,
     },
-    digest::scan_digest,
+    digest::{scan_digest, split_row},
     members::{MemberTable, PeerState},
     name::{InstanceName, ZoneName},
-    table::{CapacityRow, EntryRecord, Incarnation, UpstreamRecord, ZoneDigest},
+    table::{EntryRecord, Incarnation, ZoneDigest},
 };
 use rand::RngExt;
 use smallvec::SmallVec;
@@ -44,6 +44,7 @@
             PacketBody::ProbeFor(nonce, target) => self.outbox.probe_for(from, nonce, target),
             PacketBody::Ack(nonce, subject) => self.accept_ack(nonce, subject, now),
             PacketBody::Introduce(records, contacts) => {
+                self.outbox.note_met(from);
                 self.accept_introduction(records, now);
                 self.accept_contacts(contacts, now);
             }
@@ -113,9 +114,9 @@
         let LogRow { handle, content, .. } = row;
         match &content {
             RowContent::Own(record) => self.keep_record(instance, record.clone()),
-            RowContent::Upstream(record, age_ms) => {
-                if let Some(renewed_at) = now.checked_sub(millis(*age_ms)) {
-                    self.renew_upstream(Arc::clone(record), renewed_at);
+            RowContent::Upstream(row) => {
+                if let Some(renewed_at) = now.checked_sub(millis(row.age_ms)) {
+                    self.renew_upstream(Arc::new(row.to_record(&self.own)), renewed_at);
                 }
             }
             RowContent::Drained(name, incarnation) => {
@@ -125,7 +126,7 @@
                 let state = self.zones.entry(place.zone.clone()).or_default();
                 state.contacts = place.contacts.clone();
             }
-            RowContent::Capacity(..) | RowContent::Removed => {}
+            RowContent::Pool(..) | RowContent::Capacity(..) | RowContent::Removed => {}
         }
         if let Some(peer) = self.peers.get_mut(instance) {
             match content {
@@ -148,8 +149,10 @@
         let Some(peer) = self.peers.get(instance) else { return };
         match pulse {
             RowPulse::Upstream { handle, sequence, age_ms, load } => {
-                let Some(RowContent::Upstream(base, _)) = peer.rows.get(&handle) else { return };
-                let record = UpstreamRecord { sequence, load, ..(**base).clone() };
+                let Some(RowContent::Upstream(row)) = peer.rows.get(&handle) else { return };
+                let mut record = row.to_record(&self.own);
+                record.sequence = sequence;
+                load.fill(&mut record.load);
                 if let Some(renewed_at) = now.checked_sub(millis(age_ms)) {
                     self.renew_upstream(Arc::new(record), renewed_at);
                 }
@@ -157,6 +160,7 @@
             RowPulse::Zone { handle, sequence, age_ms } => {
                 let Some(digest) = scan_digest(&peer.rows, handle, sequence) else { return };
                 if let Some(received_at) = now.checked_sub(millis(age_ms)) {
+                    self.note_relayed(&digest.zone, received_at);
                     self.renew_zone(Arc::new(digest), received_at, now);
                 }
             }
@@ -244,7 +248,9 @@
             return;
         }
         let zone = digest.zone.clone();
-        self.log_digest(&digest, &contacts);
+        if !self.is_relayed(&zone, now) {
+            self.log_digest(&digest, &contacts);
+        }
         self.renew_zone(Arc::new(digest), now, now);
         if let Some(state) = self.zones.get_mut(&zone) {
             state.direct_at = Some(now);
@@ -263,21 +269,22 @@
         };
         let content = RowContent::Zone(Box::new(place));
         let (handle, _) = self.log.set(RowKey::Zone(zone.clone()), content);
-        let key =
-            |row: &CapacityRow| RowKey::Capacity(zone.clone(), row.pool.clone(), row.model.clone());
-        let kept: Vec<_> = digest.rows.iter().map(key).collect();
-        let ended: Vec<_> = self
-            .log
-            .keys()
-            .filter(|key| matches!(key, RowKey::Capacity(of, ..) if *of == zone))
-            .filter(|key| !kept.contains(key))
-            .cloned()
-            .collect();
+        let rows: Vec<_> = digest.rows.iter().map(split_row).collect();
+        let keeps = |key: &RowKey| match key {
+            RowKey::Pool(of, pool) | RowKey::Capacity(of, pool) if *of == zone => {
+                rows.iter().any(|(key, _)| key == pool)
+            }
+            _ => true,
+        };
+        let ended: Vec<_> = self.log.keys().filter(|key| !keeps(key)).cloned().collect();
         for key in ended {
             self.log.remove(&key);
         }
-        for (key, row) in kept.into_iter().zip(&digest.rows) {
-            self.log.set(key, RowContent::Capacity(handle, row.clone()));
+        for (pool, capacity) in rows {
+            let name = RowContent::Pool(handle, Box::new(pool.clone()));
+            let (named, _) = self.log.set(RowKey::Pool(zone.clone(), pool.clone()), name);
+            let content = RowContent::Capacity(named, capacity);
+            self.log.set(RowKey::Capacity(zone.clone(), pool), content);
         }
         self.outbox.note_zone(zone);
     }
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -5,13 +5,13 @@
 //! gives those that are due; neither does I/O nor reads a clock.
 
 use crate::{
-    bulletin::{PacketSender, RowContent, RowKey, RowLog},
+    bulletin::{PacketSender, RowContent, RowKey, RowLog, UpstreamRow},
     name::{InstanceName, RegionName, UpstreamName, ZoneName},
     probes::ProbeTable,
     route::DIGEST_EXPIRY,
     table::{
-        EntryRecord, EntryState, Incarnation, LoadReport, RoutingTable, UpstreamRecord,
-        UpstreamState, UpstreamView, ZoneDigest, ZoneView,
+        EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord, UpstreamState,
+        UpstreamView, ZoneDigest, ZoneView,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -37,6 +37,9 @@
 /// Longest time after which a zone that was lost is used again; each instance draws its own.
 const HEALING_SPREAD: Duration = Duration::from_secs(3);
 
+/// Age of the digest that another member passed on, after which this one passes its own on.
+const RELAY_AFTER: Duration = Duration::from_millis(1_300);
+
 /// Time for which an entry of another zone is not used after a request could not reach it.
 const UNREACHABLE_HOLD: Duration = Duration::from_secs(5);
 
@@ -66,6 +69,7 @@
 pub(crate) struct ZoneState {
     pub(crate) view: Option<ZoneView>,
     pub(crate) direct_at: Option<Instant>,
+    relayed_at: Option<Instant>,
     pub(crate) contacts: SmallVec<[SocketAddr; 4]>,
     admitted_from: Option<Instant>,
     held: BTreeMap<SocketAddr, Instant>,
@@ -81,7 +85,7 @@
     pub(crate) peers: BTreeMap<InstanceName, PeerState>,
     pub(crate) probes: ProbeTable,
     pub(crate) upstreams: BTreeMap<UpstreamName, UpstreamView>,
-    pub(crate) announced: BTreeMap<UpstreamName, Instant>,
+    pub(crate) announced: BTreeMap<UpstreamName, UpstreamView>,
     pub(crate) drained: BTreeMap<UpstreamName, Incarnation>,
     pub(crate) zones: BTreeMap<ZoneName, ZoneState>,
     pub(crate) log: RowLog,
@@ -162,13 +166,15 @@
         if record.zone != self.own.zone || !self.trusts(now) {
             return drained;
         }
-        let name = record.name.clone();
-        let base = UpstreamRecord { sequence: 0, load: LoadReport::default(), ..record.clone() };
-        if !self.renew_upstream(Arc::new(record), now) {
+        let record = Arc::new(record);
+        let known = self.announced.get(&record.name);
+        if known.is_some_and(|known| !is_newer(&record, &known.record)) {
             return drained;
         }
-        self.announced.insert(name.clone(), now);
-        let content = RowContent::Upstream(Arc::new(base), 0);
+        let name = record.name.clone();
+        self.renew_upstream(Arc::clone(&record), now);
+        let content = RowContent::Upstream(Box::new(UpstreamRow::new(&record)));
+        self.announced.insert(name.clone(), UpstreamView { record, renewed_at: now });
         let (handle, changed) = self.log.set(RowKey::Upstream(name), content);
         self.outbox.note_upstream(handle);
         if changed {
@@ -177,20 +183,12 @@
         drained
     }
 
-    /// Keeps a record that was announced at `renewed_at`; returns whether it is news.
-    pub(crate) fn renew_upstream(
-        &mut self,
-        record: Arc<UpstreamRecord>,
-        renewed_at: Instant,
-    ) -> bool {
-        let newer = self.upstreams.get(&record.name).is_none_or(|known| {
-            (known.record.incarnation, known.record.sequence)
-                < (record.incarnation, record.sequence)
-        });
-        if newer {
+    /// Keeps a record that was announced at `renewed_at`, unless a newer one is known.
+    pub(crate) fn renew_upstream(&mut self, record: Arc<UpstreamRecord>, renewed_at: Instant) {
+        let known = self.upstreams.get(&record.name);
+        if known.is_none_or(|known| is_newer(&record, &known.record)) {
             self.upstreams.insert(record.name.clone(), UpstreamView { record, renewed_at });
         }
-        newer
     }
 
     /// Gives an upstream no new work from now on, in the whole zone, until it restarts.
@@ -250,13 +248,25 @@
         state.view = Some(ZoneView { digest, received_at });
     }
 
+    /// Notes that a member has passed on a digest that it received at `received_at`.
+    pub(crate) fn note_relayed(&mut self, zone: &ZoneName, received_at: Instant) {
+        let state = self.zones.entry(zone.clone()).or_default();
+        state.relayed_at = state.relayed_at.max(Some(received_at));
+    }
+
+    /// Whether another member passes the zone's digests on, so that this one need not.
+    pub(crate) fn is_relayed(&self, zone: &ZoneName, now: Instant) -> bool {
+        let relayed = self.zones.get(zone).and_then(|state| state.relayed_at);
+        relayed.is_some_and(|at| now.duration_since(at) < RELAY_AFTER)
+    }
+
     /// Forgets whatever has been silent for too long.
     pub(crate) fn expire(&mut self, now: Instant) {
         let fresh = |at: Instant| now.duration_since(at) < MEMBER_EXPIRY;
         self.upstreams.retain(|_, view| fresh(view.renewed_at));
         let upstreams = &self.upstreams;
         self.drained.retain(|name, _| upstreams.contains_key(name));
-        self.announced.retain(|_, at| fresh(*at));
+        self.announced.retain(|_, view| fresh(view.renewed_at));
         for zone in self.zones.values_mut() {
             zone.direct_at = zone.direct_at.filter(|at| fresh(*at));
             zone.held.retain(|_, until| *until > now);
@@ -276,7 +286,7 @@
             RowKey::Own => true,
             RowKey::Upstream(name) => self.announced.contains_key(name),
             RowKey::Drained(name) => self.drained.contains_key(name),
-            RowKey::Zone(zone) | RowKey::Capacity(zone, ..) => {
+            RowKey::Zone(zone) | RowKey::Pool(zone, _) | RowKey::Capacity(zone, _) => {
                 self.zones.get(zone).is_some_and(|state| state.direct_at.is_some())
             }
         }
@@ -318,6 +328,10 @@
     }
 }
 
+fn is_newer(record: &UpstreamRecord, known: &UpstreamRecord) -> bool {
+    (record.incarnation, record.sequence) > (known.incarnation, known.sequence)
+}
+
 /// The zone as the router may use it, if it may.
 fn judge_zone(state: &ZoneState, now: Instant) -> Option<ZoneView> {
     let view = state.view.as_ref()?;
--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     bulletin::{
-        DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, PacketSender,
+        DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, PacketSender, PulseLoad,
         ROWS_PER_PACKET, RowContent, RowKey, RowPulse,
     },
     digest::{choose_delegates, sum_capacity},
@@ -10,7 +10,7 @@
     name::{InstanceName, ZoneName},
     probes::ProbeStep,
     route::UPSTREAM_EXPIRY,
-    table::{CapacityRow, EntryRecord, EntryState, UpstreamRecord, ZoneDigest},
+    table::{CapacityRow, EntryRecord, EntryState, ZoneDigest},
 };
 use rand::{RngExt, seq::IteratorRandom};
 use smallvec::SmallVec;
@@ -19,7 +19,6 @@
     hash::{DefaultHasher, Hash, Hasher},
     mem,
     net::SocketAddr,
-    sync::Arc,
     time::Duration,
 };
 use tokio::time::Instant;
@@ -36,10 +35,10 @@
 /// Time between two attempts to join by a seed that is not known as a member.
 const JOIN_PERIOD: Duration = Duration::from_secs(1);
 
-/// One in so many attempts goes to seeds that are known already, to heal a split.
-const KNOWN_SEED_ODDS: u32 = 32;
+/// One in so many attempts of a whole zone goes to a seed that is known already, to heal a split.
+const KNOWN_SEED_ODDS: u32 = 8;
 
-/// The same for a process that has just started.
+/// The same for one process that has just started.
 const YOUNG_SEED_ODDS: u32 = 2;
 
 /// Rounds of attempts for which a process counts as just started.
@@ -55,7 +54,7 @@
 const INTRODUCED: usize = 2;
 
 /// Members that the reply to a join names.
-const JOIN_INTRODUCED: usize = 8;
+const JOIN_INTRODUCED: usize = 6;
 
 /// Entries that a digest names for forwarded requests.
 const DIGEST_ENTRIES: usize = 4;
@@ -88,6 +87,7 @@
     digest_sequence: u64,
     next_nonce: u32,
     join_rounds: u32,
+    met: BTreeSet<SocketAddr>,
     joined: BTreeMap<SocketAddr, Instant>,
     passed: BTreeMap<u32, (SocketAddr, u32, Option<Instant>)>,
 }
@@ -102,6 +102,11 @@
         self.replies.push((to, body));
     }
 
+    /// Notes that the instance at `address` has answered.
+    pub(crate) fn note_met(&mut self, address: SocketAddr) {
+        self.met.insert(address);
+    }
+
     pub(crate) fn answer_pull(&mut self, to: SocketAddr, number: u64) {
         self.pulls.push((to, number));
     }
@@ -287,18 +292,14 @@
         bulletins
     }
 
-    /// Adds the age and load of an upstream to its row.
+    /// Adds the number and age of the newest announcement to an upstream's row.
     fn fill_row(&self, row: &LogRow, now: Instant) -> LogRow {
         let mut row = row.clone();
-        if let RowContent::Upstream(base, age_ms) = &mut row.content
-            && let Some(view) = self.upstreams.get(&base.name)
-            && view.record.incarnation == base.incarnation
+        if let RowContent::Upstream(upstream) = &mut row.content
+            && let Some(view) = self.announced.get(&upstream.name)
         {
-            let UpstreamRecord { sequence, load, .. } = &*view.record;
-            let record =
-                UpstreamRecord { sequence: *sequence, load: load.clone(), ..(**base).clone() };
-            *base = Arc::new(record);
-            *age_ms = age_millis(view.renewed_at, now);
+            upstream.sequence = view.record.sequence;
+            upstream.age_ms = age_millis(view.renewed_at, now);
         }
         row
     }
@@ -306,16 +307,14 @@
     fn make_pulses(&mut self, now: Instant) -> Vec<RowPulse> {
         let mut pulses = Vec::new();
         let rows = mem::take(&mut self.outbox.upstream_news);
-        for (name, handle) in self.announced.keys().filter_map(|name| {
-            let key = RowKey::Upstream(name.clone());
-            Some((name, self.log.handle(&key).filter(|handle| rows.contains(handle))?))
-        }) {
-            if let Some(view) = self.upstreams.get(name) {
+        for (name, view) in &self.announced {
+            let handle = self.log.handle(&RowKey::Upstream(name.clone()));
+            if let Some(handle) = handle.filter(|handle| rows.contains(handle)) {
                 pulses.push(RowPulse::Upstream {
                     handle,
                     sequence: view.record.sequence,
                     age_ms: age_millis(view.renewed_at, now),
-                    load: view.record.load.clone(),
+                    load: PulseLoad::new(&view.record.load),
                 });
             }
         }
@@ -356,15 +355,20 @@
         }
     }
 
-    /// Zones to which this instance sends digests now, and an address in each.
-    fn choose_targets(&mut self) -> Vec<(ZoneName, SocketAddr)> {
-        let contacts = self.choose_contacts();
+    /// Zones to which this instance sends digests, and the address in each for its turn.
+    fn choose_targets(&self) -> Vec<(ZoneName, SocketAddr)> {
         let zones: BTreeSet<&ZoneName> = self.zones.keys().collect();
         let members = self.zone_members();
-        let is_delegate = |zone: &ZoneName| {
-            choose_delegates(&members, &zones, zone).contains(&&self.own.instance)
+        let turn_of = |zone: &ZoneName| {
+            let delegates = choose_delegates(&members, &zones, zone);
+            delegates.iter().position(|delegate| **delegate == self.own.instance)
         };
-        contacts.into_iter().filter(|(zone, _)| is_delegate(zone)).collect()
+        let targets = self.zones.iter().filter_map(|(zone, state)| {
+            let turn = turn_of(zone)?;
+            let address = state.contacts.get(turn.min(state.contacts.len().saturating_sub(1)))?;
+            Some((zone.clone(), *address))
+        });
+        targets.collect()
     }
 
     fn sum_upstreams(&self, now: Instant) -> Vec<CapacityRow> {
@@ -381,9 +385,11 @@
         let alone = members.is_empty();
         self.outbox.join_rounds = self.outbox.join_rounds.saturating_add(1);
         let young = self.outbox.join_rounds < YOUNG_ROUNDS;
+        let zone_size = u32::try_from(self.count_members()).unwrap_or(u32::MAX);
+        let odds = if young { YOUNG_SEED_ODDS } else { zone_size.saturating_mul(KNOWN_SEED_ODDS) };
         for seed in self.seeds.clone() {
-            let known = members.contains(&seed) || contacts.contains(&seed);
-            let odds = if young { YOUNG_SEED_ODDS } else { KNOWN_SEED_ODDS };
+            let met = self.outbox.met.contains(&seed);
+            let known = met || members.contains(&seed) || contacts.contains(&seed);
             if alone || !known || self.random.random_ratio(1, odds) {
                 self.join(seed, now);
             }
--- a/cicadastall/src/probes.rs
+++ b/cicadastall/src/probes.rs
@@ -19,6 +19,9 @@
 /// Time that a suspected member has to refute the suspicion.
 const REFUTE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time between two rounds of questions to helpers about a suspected member.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+
 /// Members that are asked to probe for another one.
 const HELPERS: usize = 3;
 
@@ -28,7 +31,7 @@
     Heard,
     Direct(Instant),
     Indirect(Instant),
-    Suspect(Instant),
+    Suspect { since: Instant, asked: u32 },
 }
 
 #[derive(Debug)]
@@ -97,14 +100,14 @@
     pub fn is_suspect(&self, instance: &InstanceName) -> bool {
         self.members
             .get(instance)
-            .is_some_and(|member| matches!(member.stage, ProbeStage::Suspect(_)))
+            .is_some_and(|member| matches!(member.stage, ProbeStage::Suspect { .. }))
     }
 
     /// All suspected members.
     pub fn suspects(&self) -> impl Iterator<Item = (&InstanceName, Incarnation)> {
         self.members
             .iter()
-            .filter(|(_, member)| matches!(member.stage, ProbeStage::Suspect(_)))
+            .filter(|(_, member)| matches!(member.stage, ProbeStage::Suspect { .. }))
             .map(|(instance, member)| (instance, member.incarnation))
     }
 
@@ -132,7 +135,7 @@
             member.stage = stage;
         }
         match stage {
-            ProbeStage::Suspect(_) => {
+            ProbeStage::Suspect { .. } => {
                 let helpers = self.choose_helpers(&instance, random);
                 ProbeStep::Suspect(instance, helpers)
             }
@@ -167,8 +170,13 @@
             passed(since, DIRECT_TIMEOUT).then_some(Some(ProbeStage::Indirect(now)))
         }
         ProbeStage::Indirect(since) => {
-            passed(since, INDIRECT_TIMEOUT).then_some(Some(ProbeStage::Suspect(now)))
+            let stage = ProbeStage::Suspect { since: now, asked: 1 };
+            passed(since, INDIRECT_TIMEOUT).then_some(Some(stage))
+        }
+        ProbeStage::Suspect { since, .. } if passed(since, REFUTE_TIMEOUT) => Some(None),
+        ProbeStage::Suspect { since, asked } => {
+            let stage = ProbeStage::Suspect { since, asked: asked + 1 };
+            passed(since, ASK_AGAIN * asked).then_some(Some(stage))
         }
-        ProbeStage::Suspect(since) => passed(since, REFUTE_TIMEOUT).then_some(None),
     }
 }
