--- a/cicadastall-daemons/src/bin/cicadastall-control.rs
+++ b/cicadastall-daemons/src/bin/cicadastall-control.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 use cicadastall::{control::ControlServer, instance::ControlThread, node::NodeSettings};
-use cicadastall_daemons::{init_logs, print_addresses, wait_for_stop};
+use cicadastall_daemons::{finish_stop, init_logs, print_addresses, wait_for_stop};
 use std::path::PathBuf;
 
 /// Keeps the fleet's settings and the region's ledger.
@@ -23,8 +23,10 @@
     runtime.block_on(async {
         let server = ControlServer::start(node, control.handle()).await?;
         print_addresses(&server.addresses())?;
-        wait_for_stop().await?;
-        server.stop().await;
-        Ok(())
+        tokio::select! {
+            signal = wait_for_stop() => signal?,
+            () = server.stop_asked() => {}
+        }
+        finish_stop(server.drain()).await
     })
 }
--- a/cicadastall-daemons/src/bin/cicadastall-entry.rs
+++ b/cicadastall-daemons/src/bin/cicadastall-entry.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 use cicadastall::{entry::EntryServer, instance::ControlThread, node::NodeSettings};
-use cicadastall_daemons::{init_logs, print_addresses, print_line, wait_for_stop};
+use cicadastall_daemons::{finish_stop, init_logs, print_addresses, wait_for_stop};
 use std::path::PathBuf;
 
 /// Serves callers of one availability zone.
@@ -23,18 +23,10 @@
     runtime.block_on(async {
         let server = EntryServer::start(node, control.handle()).await?;
         print_addresses(&server.addresses())?;
-        wait_for_stop().await?;
-        let summary = tokio::select! {
-            summary = server.stop() => summary,
-            second = wait_for_stop() => {
-                second?;
-                eyre::bail!("stopped at once by a second signal");
-            }
-        };
-        print_line(&serde_json::to_value(summary)?)?;
-        if summary.cut_off > 0 {
-            eyre::bail!("{} requests were cut off by the stop's bound", summary.cut_off);
+        tokio::select! {
+            signal = wait_for_stop() => signal?,
+            () = server.stop_asked() => {}
         }
-        Ok(())
+        finish_stop(server.drain()).await
     })
 }
--- a/cicadastall-daemons/src/bin/cicadastall-standin.rs
+++ b/cicadastall-daemons/src/bin/cicadastall-standin.rs
@@ -19,6 +19,9 @@
     /// Address to listen on
     #[bpaf(long, argument("ADDRESS"))]
     listen: SocketAddr,
+    /// Time to go on after leaving was announced, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(3_000))]
+    linger_ms: u64,
     #[bpaf(external)]
     standin_role: StandinRole,
 }
@@ -76,6 +79,7 @@
         pool: options.place_options.pool.as_str().into(),
         entries: options.place_options.entries,
     };
+    let linger = Duration::from_millis(options.linger_ms);
     match options.standin_role {
         StandinRole::Engine { model, token_ms, tokens } => {
             let pace = EnginePace {
@@ -86,13 +90,21 @@
             let model = model.as_str().into();
             let engine = EngineStandin::start(place, options.listen, model, pace).await?;
             print_line(&json!({ "upstream": engine.address() }))?;
-            wait_for_stop().await
+            tokio::select! {
+                signal = wait_for_stop() => signal?,
+                () = engine.drained() => {}
+            }
+            print_line(&serde_json::to_value(engine.leave(linger).await)?)
         }
         StandinRole::Service { call_ms } => {
             let duration = Duration::from_millis(call_ms);
             let service = ServiceStandin::start(place, options.listen, duration).await?;
             print_line(&json!({ "upstream": service.address() }))?;
-            wait_for_stop().await
+            tokio::select! {
+                signal = wait_for_stop() => signal?,
+                () = service.drained() => {}
+            }
+            print_line(&serde_json::to_value(service.leave(linger).await)?)
         }
     }
 }
--- a/cicadastall-daemons/src/lib.rs
+++ b/cicadastall-daemons/src/lib.rs
@@ -4,6 +4,7 @@
     instance::InstanceAddresses,
     logs,
     name::{InstanceName, ZoneName},
+    stop::DrainingInstance,
 };
 use env_logger::{Builder, Env};
 use eyre::WrapErr;
@@ -47,3 +48,26 @@
     }
     Ok(())
 }
+
+/// Finishes what a stopping instance has in flight and prints the summary; a second signal ends it
+/// at once.
+///
+/// Fails if requests were cut off.
+pub async fn finish_stop(mut draining: DrainingInstance) -> eyre::Result<()> {
+    let finished = tokio::select! {
+        summary = draining.finish() => Some(summary),
+        second = wait_for_stop() => {
+            second?;
+            None
+        }
+    };
+    let summary = match finished {
+        Some(summary) => summary,
+        None => draining.cut().await,
+    };
+    print_line(&serde_json::to_value(summary)?)?;
+    if summary.cut_off > 0 {
+        eyre::bail!("{} requests were cut off by the stop", summary.cut_off);
+    }
+    Ok(())
+}
--- a/cicadastall-standins/src/announce.rs
+++ b/cicadastall-standins/src/announce.rs
@@ -8,11 +8,19 @@
     wire::AnnounceReply,
 };
 use hyper::Method;
+use serde::Serialize;
 use std::{
     net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tokio::time::sleep;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
 /// Longest time to wait for an entry.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,6 +31,9 @@
 /// Entries to which one upstream announces itself.
 const ANNOUNCED_ENTRIES: usize = 2;
 
+/// Time between two looks at the running requests.
+const FINISH_PERIOD: Duration = Duration::from_millis(20);
+
 /// Name and place of a stand-in.
 #[derive(Debug, Clone)]
 pub struct StandinPlace {
@@ -62,16 +73,79 @@
     }
 }
 
-/// Announces `record` with the load and state that `refresh` fills in, until the task is dropped.
+/// Whether a stand-in leaves, and when new requests reached it since.
+#[derive(Debug, Clone)]
+pub struct LeaveSwitch {
+    since: Arc<watch::Sender<Option<Instant>>>,
+    last_request: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Default for LeaveSwitch {
+    fn default() -> Self {
+        let (since, _) = watch::channel(None);
+        Self { since: Arc::new(since), last_request: Arc::default() }
+    }
+}
+
+/// What reached a stand-in after it had said that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct LeaveSummary {
+    /// Time from the announcement to the last new request, in milliseconds; none without any.
+    pub last_request_ms: Option<u64>,
+}
+
+impl LeaveSwitch {
+    /// Makes the stand-in leave.
+    pub fn leave(&self) {
+        self.since.send_if_modified(|since| {
+            let first = since.is_none();
+            since.get_or_insert_with(Instant::now);
+            first
+        });
+    }
+
+    /// Waits until the stand-in is to leave.
+    pub async fn left(&self) {
+        let _ = self.since.subscribe().wait_for(Option::is_some).await;
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.since.borrow().is_some()
+    }
+
+    /// Notes that a new request arrived.
+    pub fn note_request(&self) {
+        if self.is_leaving() {
+            *self.last_request.lock().unwrap_or_else(PoisonError::into_inner) =
+                Some(Instant::now());
+        }
+    }
+
+    /// What reached the stand-in since.
+    pub fn summarize(&self) -> LeaveSummary {
+        let last = *self.last_request.lock().unwrap_or_else(PoisonError::into_inner);
+        let since = *self.since.borrow();
+        let passed = since.zip(last).map(|(since, last)| last.duration_since(since));
+        LeaveSummary { last_request_ms: passed.map(|passed| passed.as_millis() as u64) }
+    }
+}
+
+/// Announces `record` with the load that `refresh` fills in, until the task is dropped.
+///
+/// Once the stand-in leaves, or an entry says that an operator drains it, it announces so.
 pub async fn announce(
     mut record: UpstreamRecord,
     mut entries: Vec<SocketAddr>,
+    leave: LeaveSwitch,
     mut refresh: impl FnMut(&mut UpstreamRecord),
 ) {
     let client = client(ANNOUNCED_ENTRIES);
     loop {
         record.sequence += 1;
         refresh(&mut record);
+        if leave.is_leaving() {
+            record.state = UpstreamState::Leaving;
+        }
         let mut pause = ANNOUNCE_PERIOD;
         let mut reached = 0;
         for address in entries.clone() {
@@ -84,9 +158,24 @@
                 entries.extend(reply.entries);
                 entries.sort();
                 entries.dedup();
+                if reply.drain {
+                    leave.leave();
+                }
             }
         }
-        sleep(pause).await;
+        let announced = record.state == UpstreamState::Leaving;
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = leave.left(), if !announced => {}
+        }
+    }
+}
+
+/// Waits for `linger`, and then until no request runs.
+pub async fn finish_requests(running: &AtomicU32, linger: Duration) {
+    sleep(linger).await;
+    while running.load(Ordering::Relaxed) > 0 {
+        sleep(FINISH_PERIOD).await;
     }
 }
 
--- a/cicadastall-standins/src/engine.rs
+++ b/cicadastall-standins/src/engine.rs
@@ -1,6 +1,8 @@
 //! A stand-in model engine: streams numbered tokens at a fixed pace over HTTP.
 
-use crate::announce::{StandinPlace, announce, make_record};
+use crate::announce::{
+    LeaveSummary, LeaveSwitch, StandinPlace, announce, finish_requests, make_record,
+};
 use bytes::Bytes;
 use cicadastall::{
     dispatch::CHAT_PATH,
@@ -57,6 +59,8 @@
 #[derive(Debug)]
 pub struct EngineStandin {
     address: SocketAddr,
+    leave: LeaveSwitch,
+    running: Arc<AtomicU32>,
     _stop: watch::Sender<bool>,
     _tasks: JoinSet<()>,
 }
@@ -79,16 +83,34 @@
             kv_tokens: 200_000,
         };
         let record = make_record(&place, address, Some(model), rates);
+        let leave = LeaveSwitch::default();
         let (stop, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let counter = Arc::clone(&running);
-        let handler = move |_, request| answer(pace.clone(), Arc::clone(&counter), request);
+        let switch = leave.clone();
+        let handler = move |_, request| {
+            switch.note_request();
+            answer(pace.clone(), Arc::clone(&counter), request)
+        };
         tasks.spawn(serve(listener, ListenerLimits::default(), stopped, handler));
-        tasks.spawn(announce(record, place.entries, move |record| {
+        let reported = Arc::clone(&running);
+        tasks.spawn(announce(record, place.entries, leave.clone(), move |record| {
             record.load =
-                LoadReport { running: running.load(Ordering::Relaxed), ..LoadReport::default() };
+                LoadReport { running: reported.load(Ordering::Relaxed), ..LoadReport::default() };
         }));
-        Ok(Self { address, _stop: stop, _tasks: tasks })
+        Ok(Self { address, leave, running, _stop: stop, _tasks: tasks })
+    }
+
+    /// Waits until an operator drains the stand-in.
+    pub async fn drained(&self) {
+        self.leave.left().await;
+    }
+
+    /// Leaves: announces it, goes on for `linger` and until no request runs.
+    pub async fn leave(&self, linger: Duration) -> LeaveSummary {
+        self.leave.leave();
+        finish_requests(&self.running, linger).await;
+        self.leave.summarize()
     }
 
     /// Address of the engine's HTTP interface.
--- a/cicadastall-standins/src/service.rs
+++ b/cicadastall-standins/src/service.rs
@@ -1,6 +1,8 @@
 //! A stand-in plain service: answers calls and counts the executions of each key.
 
-use crate::announce::{StandinPlace, announce, make_record};
+use crate::announce::{
+    LeaveSummary, LeaveSwitch, StandinPlace, announce, finish_requests, make_record,
+};
 use cicadastall::{
     dispatch::CALL_PATH,
     http::{AnswerBody, ListenerLimits, bind, json_answer, read_body, serve, text_answer},
@@ -14,7 +16,10 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 use tokio::{sync::watch, task::JoinSet, time::sleep};
@@ -36,6 +41,8 @@
 pub struct ServiceStandin {
     address: SocketAddr,
     executions: ExecutionCounts,
+    leave: LeaveSwitch,
+    running: Arc<AtomicU32>,
     _stop: watch::Sender<bool>,
     _tasks: JoinSet<()>,
 }
@@ -58,12 +65,38 @@
         let record = make_record(&place, address, None, rates);
         let executions = ExecutionCounts::default();
         let counts = Arc::clone(&executions);
+        let leave = LeaveSwitch::default();
         let (stop, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
-        let handler = move |_, request| answer(duration, Arc::clone(&counts), request);
+        let running = Arc::new(AtomicU32::new(0));
+        let counter = Arc::clone(&running);
+        let switch = leave.clone();
+        let handler = move |_, request| {
+            switch.note_request();
+            let counter = Arc::clone(&counter);
+            let counts = Arc::clone(&counts);
+            async move {
+                counter.fetch_add(1, Ordering::Relaxed);
+                let answer = answer(duration, counts, request).await;
+                counter.fetch_sub(1, Ordering::Relaxed);
+                answer
+            }
+        };
         tasks.spawn(serve(listener, ListenerLimits::default(), stopped, handler));
-        tasks.spawn(announce(record, place.entries, |_| {}));
-        Ok(Self { address, executions, _stop: stop, _tasks: tasks })
+        tasks.spawn(announce(record, place.entries, leave.clone(), |_| {}));
+        Ok(Self { address, executions, leave, running, _stop: stop, _tasks: tasks })
+    }
+
+    /// Waits until an operator drains the stand-in.
+    pub async fn drained(&self) {
+        self.leave.left().await;
+    }
+
+    /// Leaves: announces it, goes on for `linger` and until no request runs.
+    pub async fn leave(&self, linger: Duration) -> LeaveSummary {
+        self.leave.leave();
+        finish_requests(&self.running, linger).await;
+        self.leave.summarize()
     }
 
     /// Address of the service's HTTP interface.
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -7,19 +7,27 @@
     membership::MembershipMessage,
     node::NodeSettings,
     settings::{FleetSettings, Revision, SettingsSnapshot},
+    stop::{DrainingInstance, StopSwitch},
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use ractor::ActorRef;
 use serde_json::json;
-use std::{fmt, io, sync::Arc};
+use std::{
+    fmt, io,
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
 use tokio::{runtime::Handle, sync::watch, task::JoinSet};
 
 /// A running control instance.
 pub struct ControlServer {
     addresses: InstanceAddresses,
+    node: Arc<NodeSettings>,
     membership: ActorRef<MembershipMessage>,
-    stop: watch::Sender<bool>,
-    _tasks: JoinSet<()>,
+    in_flight: Arc<AtomicU32>,
+    stop: Arc<StopSwitch>,
+    close: watch::Sender<bool>,
+    tasks: JoinSet<()>,
 }
 
 impl fmt::Debug for ControlServer {
@@ -38,16 +46,28 @@
             let tree: FleetSettings = serde_json::from_slice(&text).map_err(io::Error::other)?;
             core.settings.accept(Arc::new(SettingsSnapshot { revision: Revision(1), tree }));
         }
-        let (stop, stopped) = watch::channel(false);
+        let (close, closed) = watch::channel(false);
+        let stop = Arc::new(StopSwitch::default());
         let mut tasks = core.tasks;
-        let settings = Arc::clone(&core.settings);
-        let handler =
-            move |_, request| answer_operator(Arc::clone(&node), Arc::clone(&settings), request);
+        let operators = OperatorContext {
+            node: Arc::clone(&node),
+            settings: Arc::clone(&core.settings),
+            stop: Arc::clone(&stop),
+        };
+        let handler = move |_, request| answer_operator(operators.clone(), request);
         tasks.spawn_on(
-            http::serve(core.operator, ListenerLimits::default(), stopped, handler),
+            http::serve(core.operator, ListenerLimits::default(), closed, handler),
             control,
         );
-        Ok(Self { addresses: core.addresses, membership: core.membership, stop, _tasks: tasks })
+        Ok(Self {
+            addresses: core.addresses,
+            node,
+            membership: core.membership,
+            in_flight: core.in_flight,
+            stop,
+            close,
+            tasks,
+        })
     }
 
     /// Addresses on which the instance listens.
@@ -55,20 +75,47 @@
         self.addresses
     }
 
-    /// Stops the instance.
-    pub async fn stop(self) {
-        let _ = self.stop.send(true);
-        self.membership.stop(None);
+    /// Waits until an operator asks for a stop.
+    pub async fn stop_asked(&self) {
+        self.stop.asked().await;
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(self) -> DrainingInstance {
+        let draining = DrainingInstance {
+            switch: self.stop,
+            membership: self.membership,
+            in_flight: self.in_flight,
+            close: self.close,
+            callers: None,
+            grace: Duration::ZERO,
+            bound: self.node.stop_bound(),
+            at_start: 0,
+            tasks: self.tasks,
+        };
+        draining.begin()
     }
 }
 
-async fn answer_operator(
+/// What operators ask about.
+#[derive(Debug, Clone)]
+struct OperatorContext {
     node: Arc<NodeSettings>,
     settings: Arc<SettingsHolder>,
+    stop: Arc<StopSwitch>,
+}
+
+async fn answer_operator(
+    context: OperatorContext,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
+    let OperatorContext { node, settings, stop } = context;
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => text_answer(StatusCode::OK, "ok\n"),
+        (&Method::POST, "/v1/drain") => {
+            stop.ask();
+            json_answer(StatusCode::ACCEPTED, &json!({ "in_flight": 0 }))
+        }
         (&Method::GET, "/v1/settings") => json_answer(StatusCode::OK, &*settings.newest()),
         (&Method::GET, "/v1/status") => {
             let status = json!({
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -5,11 +5,12 @@
     http::{self, AnswerBody, HttpClient, ListenerLimits, json_answer, text_answer},
     instance::{CONTROL_TIMEOUT, InstanceAddresses, InstanceCore},
     membership::MembershipMessage,
-    name::RequestId,
+    name::{RequestId, UpstreamName},
     node::NodeSettings,
     observe::RequestMetrics,
     route::{RequestRouter, RouterPlace},
     serve::answer_request,
+    stop::{DrainingInstance, StopSwitch},
     table::{EntryState, RoutingTable},
 };
 use arc_swap::ArcSwap;
@@ -18,6 +19,7 @@
 use serde_json::json;
 use std::{
     fmt, io,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
@@ -33,6 +35,9 @@
 /// Idle connections kept to each upstream.
 const IDLE_CONNECTIONS: usize = 64;
 
+/// Path of the operators' orders about upstreams.
+const UPSTREAMS_PATH: &str = "/v1/upstreams/";
+
 /// State that the traffic threads of one entry share.
 #[derive(Debug)]
 pub struct EntryContext {
@@ -45,6 +50,7 @@
     in_flight: Arc<AtomicU32>,
     pooled: HttpClient,
     unpooled: HttpClient,
+    stop: Arc<StopSwitch>,
 }
 
 /// Counts one request as in flight until it is dropped.
@@ -66,6 +72,21 @@
         &self.settings
     }
 
+    pub(crate) fn stop(&self) -> &StopSwitch {
+        &self.stop
+    }
+
+    pub(crate) fn shared_table(&self) -> &ArcSwap<RoutingTable> {
+        &self.table
+    }
+
+    /// Address of another entry of the zone that takes requests.
+    pub(crate) fn other_entry(&self) -> Option<SocketAddr> {
+        let table = self.table();
+        let serving = table.entries.values().filter(|entry| entry.state == EntryState::Serving);
+        serving.min_by_key(|entry| entry.in_flight)?.caller_address
+    }
+
     pub(crate) fn table(&self) -> Arc<RoutingTable> {
         self.table.load_full()
     }
@@ -112,7 +133,7 @@
     context: Arc<EntryContext>,
     stop: watch::Sender<bool>,
     callers: JoinHandle<()>,
-    _control_tasks: JoinSet<()>,
+    control_tasks: JoinSet<()>,
 }
 
 impl fmt::Debug for EntryServer {
@@ -121,15 +142,6 @@
     }
 }
 
-/// Summary of a stop.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
-pub struct StopSummary {
-    /// Requests that were in flight when the stop began.
-    pub in_flight: u32,
-    /// Requests that were cut off because the bound was reached.
-    pub cut_off: u32,
-}
-
 impl EntryServer {
     /// Starts an entry: traffic on the current runtime, control state on `control`.
     pub async fn start(node: NodeSettings, control: &Handle) -> io::Result<Self> {
@@ -146,6 +158,7 @@
             in_flight: Arc::clone(&core.in_flight),
             pooled: http::client_from(node.source_ip(), IDLE_CONNECTIONS),
             unpooled: http::client_from(node.source_ip(), 0),
+            stop: Arc::new(StopSwitch::default()),
             node: Arc::clone(&node),
         });
         let mut tasks = core.tasks;
@@ -164,7 +177,7 @@
             header_timeout: Duration::from_millis(node.limits.send_ms),
         };
         let callers = tokio::spawn(http::serve(caller_listener, limits, stopped, handler));
-        Ok(Self { addresses: core.addresses, context, stop, callers, _control_tasks: tasks })
+        Ok(Self { addresses: core.addresses, context, stop, callers, control_tasks: tasks })
     }
 
     /// Addresses on which the entry listens.
@@ -172,16 +185,25 @@
         self.addresses
     }
 
-    /// Stops gracefully: takes no new connections and lets the requests in flight finish.
-    pub async fn stop(self) -> StopSummary {
-        let _ = self.context.membership.cast(MembershipMessage::SetState(EntryState::Draining));
-        let in_flight = self.context.in_flight.load(Ordering::Relaxed);
-        let _ = self.stop.send(true);
-        let bound = self.context.node.stop_bound();
-        let finished = tokio::time::timeout(bound, self.callers).await.is_ok();
-        let cut_off = if finished { 0 } else { self.context.in_flight.load(Ordering::Relaxed) };
-        self.context.membership.stop(None);
-        StopSummary { in_flight, cut_off }
+    /// Waits until an operator asks for a stop.
+    pub async fn stop_asked(&self) {
+        self.context.stop.asked().await;
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(self) -> DrainingInstance {
+        let draining = DrainingInstance {
+            switch: Arc::clone(&self.context.stop),
+            membership: self.context.membership.clone(),
+            in_flight: Arc::clone(&self.context.in_flight),
+            close: self.stop,
+            callers: Some(self.callers),
+            grace: self.context.node.stop_grace(),
+            bound: self.context.node.stop_bound(),
+            at_start: 0,
+            tasks: self.control_tasks,
+        };
+        draining.begin()
     }
 }
 
@@ -198,11 +220,32 @@
             text_answer(StatusCode::SERVICE_UNAVAILABLE, "no settings yet\n")
         }
         (&Method::GET, "/metrics") => text_answer(StatusCode::OK, context.metrics.render()),
+        (&Method::POST, "/v1/drain") => {
+            context.stop.ask();
+            let in_flight = context.in_flight.load(Ordering::Relaxed);
+            json_answer(StatusCode::ACCEPTED, &json!({ "in_flight": in_flight }))
+        }
+        (&Method::POST, path) if path.starts_with(UPSTREAMS_PATH) => {
+            drain_upstream(&context, path).await
+        }
         (&Method::GET, "/v1/status") => json_answer(StatusCode::OK, &describe_entry(&context)),
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
+/// Drains the upstream that `path` names as `/v1/upstreams/NAME/drain`.
+async fn drain_upstream(context: &EntryContext, path: &str) -> Response<AnswerBody> {
+    let name = path.strip_prefix(UPSTREAMS_PATH).and_then(|rest| rest.strip_suffix("/drain"));
+    let Some(name) = name else { return text_answer(StatusCode::NOT_FOUND, "no such path\n") };
+    let name = UpstreamName::from(name);
+    let asked = context.ask_membership(|reply| MembershipMessage::DrainUpstream(name, reply)).await;
+    match asked {
+        Some(true) => text_answer(StatusCode::ACCEPTED, "draining\n"),
+        Some(false) => text_answer(StatusCode::NOT_FOUND, "no such upstream\n"),
+        None => text_answer(StatusCode::SERVICE_UNAVAILABLE, "the instance is stopping\n"),
+    }
+}
+
 fn describe_entry(context: &EntryContext) -> serde_json::Value {
     let table = context.table();
     json!({
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -130,6 +130,7 @@
                     socket: Arc::clone(&socket),
                     table: Arc::clone(&table),
                     in_flight: Arc::clone(&in_flight),
+                    settings: Arc::clone(&settings),
                 };
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
--- a/cicadastall/src/listing.rs
+++ b/cicadastall/src/listing.rs
@@ -33,6 +33,9 @@
     let mut entries: Vec<_> = accepted.filter_map(make_listing).collect();
     entries.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.instance.cmp(&b.instance)));
     entries.extend(list_remote(members, now));
+    if entries.is_empty() && own.state == EntryState::Starting {
+        entries.extend(make_listing(own));
+    }
     EntriesReply { entries, lifetime_ms: LISTING_LIFETIME.as_millis() as u64 }
 }
 
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -64,6 +64,15 @@
     }
 }
 
+/// Why an entry of another zone took no request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryFault {
+    /// It said that it is stopping.
+    Draining,
+    /// It could not be reached, or broke off.
+    Unreachable,
+}
+
 /// Another zone.
 #[derive(Debug, Default)]
 pub(crate) struct ZoneState {
@@ -72,7 +81,7 @@
     relayed_at: Option<Instant>,
     pub(crate) contacts: SmallVec<[SocketAddr; 4]>,
     admitted_from: Option<Instant>,
-    held: BTreeMap<SocketAddr, Instant>,
+    held: BTreeMap<SocketAddr, (EntryFault, Instant)>,
 }
 
 /// Everything one instance knows of its peers and of the upstreams.
@@ -208,10 +217,16 @@
         self.drained.get(&record.name).is_some_and(|drained| *drained >= record.incarnation)
     }
 
-    /// Notes that a request could not be forwarded to the entry at `address`.
-    pub fn note_unreachable(&mut self, zone: &ZoneName, address: SocketAddr, now: Instant) {
+    /// Notes that the entry at `address` of another zone took no request.
+    pub fn note_unreachable(
+        &mut self,
+        zone: &ZoneName,
+        address: SocketAddr,
+        fault: EntryFault,
+        now: Instant,
+    ) {
         if let Some(state) = self.zones.get_mut(zone) {
-            state.held.insert(address, now + UNREACHABLE_HOLD);
+            state.held.insert(address, (fault, now + UNREACHABLE_HOLD));
         }
     }
 
@@ -269,7 +284,7 @@
         self.announced.retain(|_, view| fresh(view.renewed_at));
         for zone in self.zones.values_mut() {
             zone.direct_at = zone.direct_at.filter(|at| fresh(*at));
-            zone.held.retain(|_, until| *until > now);
+            zone.held.retain(|_, (_, until)| *until > now);
         }
         self.drop_rows();
     }
@@ -337,7 +352,9 @@
     let view = state.view.as_ref()?;
     let admitted = state.admitted_from.is_none_or(|from| now >= from);
     let fresh = now.saturating_duration_since(view.received_at) < DIGEST_EXPIRY;
-    if !admitted || !fresh || state.held.len() >= UNREACHABLE_ENTRIES {
+    let unreachable = |(fault, _): &&(EntryFault, Instant)| *fault == EntryFault::Unreachable;
+    let cut = state.held.values().filter(unreachable).count() >= UNREACHABLE_ENTRIES;
+    if !admitted || !fresh || cut {
         return None;
     }
     if state.held.is_empty() {
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     bulletin::{MemberPacket, decode_packet, encode_packet},
+    follow::SettingsHolder,
     listing::list_entries,
-    members::MemberTable,
+    members::{EntryFault, MemberTable},
     name::{UpstreamName, ZoneName},
     node::NodeSettings,
     outbox::{OutgoingPacket, POLL_PERIOD},
@@ -28,6 +29,9 @@
 /// Time within which an upstream announces itself again.
 const RENEW_WITHIN: Duration = Duration::from_millis(500);
 
+/// Time in which a started instance learns of its zone's members and upstreams.
+const LEARN_TIME: Duration = Duration::from_millis(1_500);
+
 /// Most bytes of a datagram.
 const PACKET_BYTES: usize = 65_536;
 
@@ -47,8 +51,8 @@
     Leave(RpcReplyPort<()>),
     /// An operator drains an upstream; the reply says whether it is known.
     DrainUpstream(UpstreamName, RpcReplyPort<bool>),
-    /// A request could not be forwarded to the entry of another zone at the address.
-    Unreachable(ZoneName, SocketAddr),
+    /// The entry of another zone at the address took no request; it is not used for a while.
+    Unreachable(ZoneName, SocketAddr, EntryFault, RpcReplyPort<()>),
     /// Lists entries for a caller.
     ListEntries(RpcReplyPort<EntriesReply>),
     /// Time to send what is due.
@@ -70,6 +74,8 @@
     pub table: Arc<ArcSwap<RoutingTable>>,
     /// Requests in flight at this instance.
     pub in_flight: Arc<AtomicU32>,
+    /// Settings of the fleet.
+    pub settings: Arc<SettingsHolder>,
 }
 
 /// Owner of the membership state.
@@ -81,6 +87,7 @@
 pub struct MembershipState {
     arguments: MembershipArguments,
     members: MemberTable,
+    started_at: Instant,
 }
 
 impl Actor for MembershipActor {
@@ -101,12 +108,12 @@
             zone: arguments.node.zone.clone(),
             caller_address: arguments.caller_address,
             peer_address: arguments.peer_address,
-            state: EntryState::Serving,
+            state: EntryState::Starting,
             in_flight: 0,
         };
         let members = MemberTable::new(own, arguments.node.seeds.clone(), rand::random());
         myself.send_interval(POLL_PERIOD, || MembershipMessage::Tick);
-        Ok(MembershipState { arguments, members })
+        Ok(MembershipState { arguments, members, started_at: Instant::now() })
     }
 
     async fn handle(
@@ -141,9 +148,10 @@
                 state.tick(now);
                 let _ = reply.send(known);
             }
-            MembershipMessage::Unreachable(zone, address) => {
-                state.members.note_unreachable(&zone, address, now);
+            MembershipMessage::Unreachable(zone, address, fault, reply) => {
+                state.members.note_unreachable(&zone, address, fault, now);
                 state.publish(now);
+                let _ = reply.send(());
             }
             MembershipMessage::ListEntries(reply) => {
                 let _ = reply.send(list_entries(&state.members, now));
@@ -162,6 +170,11 @@
     fn tick(&mut self, now: Instant) {
         let in_flight = self.arguments.in_flight.load(Ordering::Relaxed);
         self.members.set_in_flight(in_flight);
+        let learned = now.duration_since(self.started_at) >= LEARN_TIME;
+        let starting = self.members.own().state == EntryState::Starting;
+        if starting && learned && self.arguments.settings.is_ready() {
+            self.members.set_state(EntryState::Serving);
+        }
         let packets = self.members.poll(now);
         self.publish(now);
         self.send(packets);
--- a/cicadastall/src/node.rs
+++ b/cicadastall/src/node.rs
@@ -52,6 +52,9 @@
     /// Limits on what callers send.
     #[serde(default)]
     pub limits: CallerLimits,
+    /// Time for which a stopping entry still answers new requests with a refusal, in milliseconds.
+    #[serde(default = "default_stop_grace_ms")]
+    pub stop_grace_ms: u64,
     /// Longest time that a graceful stop takes, in milliseconds.
     #[serde(default = "default_stop_bound_ms")]
     pub stop_bound_ms: u64,
@@ -95,6 +98,10 @@
     }
 }
 
+fn default_stop_grace_ms() -> u64 {
+    3_000
+}
+
 fn default_stop_bound_ms() -> u64 {
     120_000
 }
@@ -113,6 +120,13 @@
         Some(self.peer_listen.ip()).filter(|ip| !ip.is_unspecified())
     }
 
+    /// Time for which a stopping entry still answers new requests with a refusal.
+    ///
+    /// Longer than the lifetime of a listing, so that no caller still uses it afterwards.
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_millis(self.stop_grace_ms)
+    }
+
     /// Longest time that a graceful stop takes.
     pub fn stop_bound(&self) -> Duration {
         Duration::from_millis(self.stop_bound_ms)
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -5,15 +5,22 @@
     decode::RequestPlan,
     dispatch::{AttemptError, AttemptStream, AttemptTarget, call_service, open_stream},
     entry::EntryContext,
+    evidence::{EntryEvidence, judge_entry, wait_zone_lost},
+    members::EntryFault,
+    membership::MembershipMessage,
     name::{AttemptId, RegionName, RequestId, UpstreamName},
     route::{RouteDecision, TriedTargets},
     stream::{AnswerAssembler, StreamStep, encode_event},
     wire::{CallRequest, ChatRequest, ChunkView},
 };
 use bytes::Bytes;
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+/// Longest time between the choice of a target and the dispatch; a process that was stopped in
+/// between must choose again.
+const DISPATCH_BOUND: Duration = Duration::from_millis(500);
+
 /// Most attempts for one request.
 const MAX_ATTEMPTS: u32 = 4;
 
@@ -110,6 +117,7 @@
     attempts: u32,
     deadline: Instant,
     ran: Ran,
+    evidence: Option<EntryEvidence>,
 }
 
 /// An attempt that has a target.
@@ -118,6 +126,7 @@
     id: AttemptId,
     target: AttemptTarget,
     source: AnswerSource,
+    chosen_at: Instant,
     _slot: AttemptSlot,
 }
 
@@ -155,6 +164,7 @@
             attempts: 0,
             deadline,
             ran: Ran::No,
+            evidence: None,
         }
     }
 
@@ -174,7 +184,7 @@
                 &attempt.id,
                 self.remaining(),
             );
-            match answer.await {
+            match self.unless_lost(&attempt, answer).await {
                 Ok(result) => return Ok((attempt.source, result)),
                 Err(error) => self.judge_failure(&attempt, error)?,
             }
@@ -189,7 +199,8 @@
         loop {
             let attempt = self.open_attempt().await?;
             let mut assembler = AnswerAssembler::new(attempt.id.clone());
-            match self.read_first_token(&attempt, &chat, &mut assembler).await {
+            let first = self.read_first_token(&attempt, &chat, &mut assembler);
+            match self.unless_lost(&attempt, first).await {
                 Ok((stream, first)) => {
                     let source = attempt.source.clone();
                     let passage = StreamPassage { relay: self, chat, attempt, assembler, stream };
@@ -256,8 +267,50 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Notes what a failed forward says about the entry that it went to.
+    fn note_entry(&mut self, attempt: &OpenAttempt, error: &AttemptError) {
+        let AttemptTarget::Entry { address, .. } = attempt.target else { return };
+        let (Some(fault), Some(zone)) = (judge_entry(error), self.tried.zones.last().cloned())
+        else {
+            return;
+        };
+        if fault == EntryFault::Draining {
+            self.tried.zones.pop();
+        }
+        self.evidence = Some(EntryEvidence { zone, address, fault });
+    }
+
+    async fn report_evidence(&mut self) {
+        if let Some(EntryEvidence { zone, address, fault }) = self.evidence.take() {
+            let report = |reply| MembershipMessage::Unreachable(zone, address, fault, reply);
+            self.context.ask_membership(report).await;
+        }
+    }
+
+    /// Waits for `work` of an attempt; gives up where the attempt's zone is lost meanwhile.
+    async fn unless_lost<T>(
+        &self,
+        attempt: &OpenAttempt,
+        work: impl Future<Output = Result<T, AttemptError>>,
+    ) -> Result<T, AttemptError> {
+        if attempt.chosen_at.elapsed() > DISPATCH_BOUND {
+            return Err(AttemptError::Unreachable("the choice is too old".to_owned()));
+        }
+        let zone = match (&attempt.target, self.tried.zones.last()) {
+            (AttemptTarget::Entry { .. }, Some(zone)) => zone,
+            _ => return work.await,
+        };
+        tokio::select! {
+            result = work => result,
+            () = wait_zone_lost(self.context.shared_table(), zone) => {
+                Err(AttemptError::Broken(format!("zone {zone} was lost")))
+            }
+        }
+    }
+
     /// Chooses a target and counts the attempt.
     async fn open_attempt(&mut self) -> Result<OpenAttempt, Refusal> {
+        self.report_evidence().await;
         loop {
             let now = Instant::now();
             if now >= self.deadline {
@@ -296,7 +349,8 @@
         self.attempts += 1;
         let id = AttemptId::new(format!("{}.{}", self.plan.request, self.attempts));
         let slot = AttemptSlot::new(&self.context, upstream.clone());
-        OpenAttempt { id, target, source: AnswerSource { region, upstream }, _slot: slot }
+        let source = AnswerSource { region, upstream };
+        OpenAttempt { id, target, source, chosen_at: Instant::now(), _slot: slot }
     }
 
     /// Decides whether another attempt is allowed after `error`.
@@ -309,6 +363,7 @@
         if error.ran() == Ran::Unknown {
             self.ran = Ran::Unknown;
         }
+        self.note_entry(attempt, &error);
         if let Some(upstream) = &attempt.source.upstream {
             self.tried.upstreams.push(upstream.clone());
         }
--- a/cicadastall/src/serve.rs
+++ b/cicadastall/src/serve.rs
@@ -48,6 +48,9 @@
     };
     match (head.method, head.uri.path()) {
         (Method::GET, ENTRIES_PATH) => list_entries(&context).await,
+        (Method::POST, ANNOUNCE_PATH | CHAT_PATH | CALL_PATH) if context.stop().is_draining() => {
+            context.stop().refuse(&fresh, context.other_entry())
+        }
         (Method::POST, ANNOUNCE_PATH) => announce(&context, &fresh, &body).await,
         (Method::POST, CHAT_PATH) => {
             answer_planned(context, RequestPath::Chat, &head.headers, &body, fresh).await
--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -100,6 +100,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum EntryState {
+    /// Has not yet learned the settings and its zone.
+    Starting,
     /// Takes new connections.
     Serving,
     /// Finishes its requests and takes no new ones.
--- a/cicadastall/src/wire.rs
+++ b/cicadastall/src/wire.rs
@@ -30,6 +30,8 @@
 pub const REGION_HEADER: &str = "x-cicadastall-region";
 /// Header of an answer that names the upstream that gave it.
 pub const UPSTREAM_HEADER: &str = "x-cicadastall-upstream";
+/// Header of a stopping entry's refusal that names another entry for callers.
+pub const ENTRY_HEADER: &str = "x-cicadastall-entry";
 /// Header by which an upstream says that it refused a call without running it.
 pub const REFUSED_HEADER: &str = "x-cicadastall-refused";
 /// Data of the event that ends a complete stream.
