--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     follow::SettingsHolder,
+    group::GroupHost,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
     membership::MembershipMessage,
@@ -27,6 +28,7 @@
     in_flight: Arc<AtomicU32>,
     stop: Arc<StopSwitch>,
     close: watch::Sender<bool>,
+    groups: GroupHost,
     tasks: JoinSet<()>,
 }
 
@@ -64,6 +66,7 @@
             node,
             membership: core.membership,
             in_flight: core.in_flight,
+            groups: core.groups,
             stop,
             close,
             tasks,
@@ -75,6 +78,11 @@
         self.addresses
     }
 
+    /// Starts replicas of the instance.
+    pub fn groups(&self) -> &GroupHost {
+        &self.groups
+    }
+
     /// Waits until an operator asks for a stop.
     pub async fn stop_asked(&self) {
         self.stop.asked().await;
@@ -92,6 +100,7 @@
             bound: self.node.stop_bound(),
             at_start: 0,
             tasks: self.tasks,
+            _groups: Some(self.groups),
         };
         draining.begin()
     }
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -202,6 +202,7 @@
             bound: self.context.node.stop_bound(),
             at_start: 0,
             tasks: self.control_tasks,
+            _groups: None,
         };
         draining.begin()
     }
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -3,10 +3,15 @@
 
 use crate::{
     follow::{SettingsHolder, follow_settings},
+    group::GroupHost,
+    group_transport::GroupRegistry,
     http,
     membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_packets},
+    name::GroupName,
     node::NodeSettings,
     peer::{PeerApi, PeerClients, frame_messages},
+    replica_message::{LogIndex, ReplicaEnvelope},
+    replicated::GroupError,
     settings::{Revision, SettingsSnapshot},
     table::RoutingTable,
 };
@@ -69,12 +74,30 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
     pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) groups: Arc<GroupRegistry>,
 }
 
 impl PeerApi for PeerServer {
     async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
         self.settings.newer_than(revision)
     }
+
+    async fn group_deliver(self, _: Context, group: GroupName, envelopes: Vec<ReplicaEnvelope>) {
+        self.groups.deliver(&group, envelopes);
+    }
+
+    async fn group_propose(
+        self,
+        _: Context,
+        group: GroupName,
+        command: Arc<str>,
+    ) -> Result<Arc<str>, GroupError> {
+        self.groups.propose(&group, command).await
+    }
+
+    async fn group_read_index(self, _: Context, group: GroupName) -> Result<LogIndex, GroupError> {
+        self.groups.read_index(&group).await
+    }
 }
 
 /// Addresses on which an instance listens.
@@ -96,6 +119,7 @@
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) in_flight: Arc<AtomicU32>,
+    pub(crate) groups: GroupHost,
     pub(crate) tasks: JoinSet<()>,
 }
 
@@ -118,6 +142,7 @@
                 let operator = http::bind(node.operator_listen).await?;
                 let (peers, socket) = bind_peers(node.peer_listen).await?;
                 let socket = Arc::new(socket);
+                let groups = GroupHost::new(Arc::clone(&node), Arc::clone(&clients));
                 let addresses = InstanceAddresses {
                     caller,
                     operator: operator.local_addr()?,
@@ -125,7 +150,7 @@
                 };
                 let arguments = MembershipArguments {
                     node: Arc::clone(&node),
-                    caller_address: node.caller_advertise.or(caller),
+                    caller_address: caller.map(|listen| node.caller_advertise.unwrap_or(listen)),
                     peer_address: node.peer_advertise.unwrap_or(addresses.peer),
                     socket: Arc::clone(&socket),
                     table: Arc::clone(&table),
@@ -135,7 +160,10 @@
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
-                let server = PeerServer { settings: Arc::clone(&settings) };
+                let server = PeerServer {
+                    settings: Arc::clone(&settings),
+                    groups: Arc::clone(groups.registry()),
+                };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
                 tasks.spawn(receive_packets(socket, membership.clone()));
@@ -145,7 +173,16 @@
                     clients,
                     Arc::clone(&table),
                 ));
-                Ok(Self { addresses, operator, settings, table, membership, in_flight, tasks })
+                Ok(Self {
+                    addresses,
+                    operator,
+                    settings,
+                    table,
+                    membership,
+                    in_flight,
+                    groups,
+                    tasks,
+                })
             }
         });
         started.await.map_err(io::Error::other)?
@@ -165,8 +202,16 @@
     }
 }
 
+/// Answers calls to the replicas in `groups`, without membership and settings, until its task is
+/// dropped.
+pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
+    let settings = Arc::new(SettingsHolder::default());
+    serve_peers(listener, PeerServer { settings, groups }).await;
+}
+
 /// Answers calls of other instances on `listener` until its task is dropped.
 async fn serve_peers(listener: TcpListener, service: PeerServer) {
+    let mut connections = JoinSet::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -179,7 +224,8 @@
         let _ = stream.set_nodelay(true);
         let transport = frame_messages(stream);
         let calls = BaseChannel::with_defaults(transport).execute(service.clone().serve());
-        tokio::spawn(calls.for_each(|call| {
+        while connections.try_join_next().is_some() {}
+        connections.spawn(calls.for_each(|call| {
             tokio::spawn(call);
             future::ready(())
         }));
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -172,7 +172,8 @@
     pub fn announce(&mut self, record: UpstreamRecord, now: Instant) -> bool {
         self.note_time(now);
         let drained = self.is_drained(&record);
-        if record.zone != self.own.zone || !self.trusts(now) {
+        let foreign = record.zone != self.own.zone || record.region != self.own.region;
+        if foreign || !self.trusts(now) {
             return drained;
         }
         let record = Arc::new(record);
--- a/cicadastall/src/serve.rs
+++ b/cicadastall/src/serve.rs
@@ -48,7 +48,12 @@
     };
     match (head.method, head.uri.path()) {
         (Method::GET, ENTRIES_PATH) => list_entries(&context).await,
-        (Method::POST, ANNOUNCE_PATH | CHAT_PATH | CALL_PATH) if context.stop().is_draining() => {
+        (Method::POST, path @ (ANNOUNCE_PATH | CHAT_PATH | CALL_PATH))
+            if context.stop().is_draining() =>
+        {
+            if path != ANNOUNCE_PATH {
+                context.stop().count_refusal();
+            }
             context.stop().refuse(&fresh, context.other_entry())
         }
         (Method::POST, ANNOUNCE_PATH) => announce(&context, &fresh, &body).await,
--- a/cicadastall/src/stop.rs
+++ b/cicadastall/src/stop.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     answer::{Refusal, RefusalCode},
+    group::GroupHost,
     http::AnswerBody,
     instance::CONTROL_TIMEOUT,
     listing::LISTING_LIFETIME,
@@ -76,13 +77,17 @@
         self.draining.load(Ordering::Relaxed)
     }
 
-    /// Counts a refusal and makes its answer, which names another entry where one is known.
+    /// Counts the refusal of a caller's request.
+    pub(crate) fn count_refusal(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The refusal of a stopping instance, which names another entry where one is known.
     pub(crate) fn refuse(
         &self,
         request: &RequestId,
         other: Option<SocketAddr>,
     ) -> Response<AnswerBody> {
-        self.refused.fetch_add(1, Ordering::Relaxed);
         let message = match other {
             Some(address) => format!("the instance is stopping; ask {address}"),
             None => "the instance is stopping".to_owned(),
@@ -111,6 +116,7 @@
     pub(crate) bound: Duration,
     pub(crate) at_start: u32,
     pub(crate) tasks: JoinSet<()>,
+    pub(crate) _groups: Option<GroupHost>,
 }
 
 impl DrainingInstance {
