--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod announce;
 pub mod engine;
+pub mod fault;
 pub mod network;
 pub mod service;
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -5,10 +5,16 @@
     group::GroupHost,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
+    ledger_host::{LedgerHosting, LedgerService},
     membership::MembershipMessage,
     node::NodeSettings,
-    settings::{FleetSettings, Revision, SettingsSnapshot},
-    stop::{DrainingInstance, StopSwitch},
+    replicated::{LocalGroup, ReplicatedGroup},
+    settings::FleetSettings,
+    settings_command::{answer_change, parse_subtree},
+    settings_host::{SettingsHost, read_founding},
+    settings_query::answer_query,
+    settings_state::SettingsState,
+    stop::{DrainingInstance, StopSummary, StopSwitch},
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use ractor::ActorRef;
@@ -20,6 +26,9 @@
 };
 use tokio::{runtime::Handle, sync::watch, task::JoinSet};
 
+/// Path of the settings.
+pub const SETTINGS_PATH: &str = "/v1/settings";
+
 /// A running control instance.
 pub struct ControlServer {
     addresses: InstanceAddresses,
@@ -41,36 +50,41 @@
 impl ControlServer {
     /// Starts a control instance on `control`.
     pub async fn start(node: NodeSettings, control: &Handle) -> io::Result<Self> {
+        Self::start_hosting(node, LedgerHosting::Replica, control).await
+    }
+
+    /// Starts a control instance that hosts `ledger`.
+    pub async fn start_with(
+        node: NodeSettings,
+        ledger: Arc<dyn LedgerService>,
+        control: &Handle,
+    ) -> io::Result<Self> {
+        Self::start_hosting(node, LedgerHosting::Given(ledger), control).await
+    }
+
+    async fn start_hosting(
+        node: NodeSettings,
+        hosting: LedgerHosting,
+        control: &Handle,
+    ) -> io::Result<Self> {
         let node = Arc::new(node);
-        let core = InstanceCore::start(&node, None, control).await?;
-        if let Some(path) = &node.founding_settings {
-            let text = std::fs::read(path)?;
-            let tree: FleetSettings = serde_json::from_slice(&text).map_err(io::Error::other)?;
-            core.settings.accept(Arc::new(SettingsSnapshot { revision: Revision(1), tree }));
-        }
-        let (close, closed) = watch::channel(false);
+        let core = InstanceCore::start(&node, None, hosting, control).await?;
+        let addresses = core.addresses;
+        let membership = core.membership.clone();
+        let groups = core.groups.clone();
+        let in_flight = Arc::clone(&core.in_flight);
         let stop = Arc::new(StopSwitch::default());
-        let mut tasks = core.tasks;
-        let operators = OperatorContext {
-            node: Arc::clone(&node),
-            settings: Arc::clone(&core.settings),
-            stop: Arc::clone(&stop),
+        let (close, closed) = watch::channel(false);
+        let tasks = if node.settings_voters.is_empty() {
+            let group = LocalGroup::new(SettingsState::default());
+            run_settings(core, &node, group, closed, &stop, control)?
+        } else {
+            let groups = groups.clone();
+            let started = async move { groups.start_settings(SettingsState::default()).await };
+            let group = control.spawn(started).await.map_err(io::Error::other)??;
+            run_settings(core, &node, group, closed, &stop, control)?
         };
-        let handler = move |_, request| answer_operator(operators.clone(), request);
-        tasks.spawn_on(
-            http::serve(core.operator, ListenerLimits::default(), closed, handler),
-            control,
-        );
-        Ok(Self {
-            addresses: core.addresses,
-            node,
-            membership: core.membership,
-            in_flight: core.in_flight,
-            groups: core.groups,
-            stop,
-            close,
-            tasks,
-        })
+        Ok(Self { addresses, node, membership, in_flight, stop, close, groups, tasks })
     }
 
     /// Addresses on which the instance listens.
@@ -88,6 +102,11 @@
         self.stop.asked().await;
     }
 
+    /// Takes no new work, finishes what is in flight, and ends.
+    pub async fn stop(self) -> StopSummary {
+        self.drain().finish().await
+    }
+
     /// Takes no new work from now on.
     pub fn drain(self) -> DrainingInstance {
         let draining = DrainingInstance {
@@ -106,6 +125,53 @@
     }
 }
 
+/// Hosts the settings in `group` and answers operators; gives the instance's tasks.
+fn run_settings<G: ReplicatedGroup<SettingsState>>(
+    core: InstanceCore,
+    node: &Arc<NodeSettings>,
+    group: G,
+    closed: watch::Receiver<bool>,
+    stop: &Arc<StopSwitch>,
+    control: &Handle,
+) -> io::Result<JoinSet<()>> {
+    let founding = node.founding_settings.as_deref().map(read_founding).transpose()?;
+    let follower = Arc::clone(&core.follower);
+    let host = Arc::new(SettingsHost::new(Arc::new(group), follower, Arc::clone(node)));
+    let mut tasks = core.tasks;
+    spawn_host(&mut tasks, control, &host, founding);
+    let context =
+        OperatorContext { node: Arc::clone(node), settings: core.settings, stop: Arc::clone(stop) };
+    let handler = move |_, request| answer_operator(context.clone(), Arc::clone(&host), request);
+    let served = http::serve(core.operator, ListenerLimits::default(), closed, handler);
+    tasks.spawn_on(served, control);
+    Ok(tasks)
+}
+
+/// Runs the host's tasks on `control`.
+fn spawn_host<G: ReplicatedGroup<SettingsState>>(
+    tasks: &mut JoinSet<()>,
+    control: &Handle,
+    host: &Arc<SettingsHost<G>>,
+    founding: Option<FleetSettings>,
+) {
+    let runner = Arc::clone(host);
+    tasks.spawn_on(async move { runner.feed().await }, control);
+    let runner = Arc::clone(host);
+    tasks.spawn_on(async move { runner.confirm().await }, control);
+    let runner = Arc::clone(host);
+    tasks.spawn_on(async move { runner.push().await }, control);
+    let runner = Arc::clone(host);
+    tasks.spawn_on(async move { runner.hear_members().await }, control);
+    let Some(tree) = founding else { return };
+    let runner = Arc::clone(host);
+    let found = async move {
+        if let Err(error) = runner.found(tree).await {
+            log::error!("settings not founded: {error}");
+        }
+    };
+    tasks.spawn_on(found, control);
+}
+
 /// What operators ask about.
 #[derive(Debug, Clone)]
 struct OperatorContext {
@@ -114,27 +180,47 @@
     stop: Arc<StopSwitch>,
 }
 
-async fn answer_operator(
+async fn answer_operator<G: ReplicatedGroup<SettingsState>>(
     context: OperatorContext,
+    host: Arc<SettingsHost<G>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let OperatorContext { node, settings, stop } = context;
-    match (request.method(), request.uri().path()) {
+    let path = request.uri().path().to_owned();
+    if let Some(path) = path.strip_prefix(SETTINGS_PATH) {
+        return answer_settings(&host, path, request).await;
+    }
+    match (request.method(), path.as_str()) {
         (&Method::GET, "/healthz") => text_answer(StatusCode::OK, "ok\n"),
         (&Method::POST, "/v1/drain") => {
             stop.ask();
             json_answer(StatusCode::ACCEPTED, &json!({ "in_flight": 0 }))
         }
-        (&Method::GET, "/v1/settings") => json_answer(StatusCode::OK, &*settings.newest()),
         (&Method::GET, "/v1/status") => {
             let status = json!({
                 "instance": node.instance,
                 "region": node.region,
                 "zone": node.zone,
-                "revision": settings.newest().revision,
+                "revision": settings.revision(),
+                "settings": settings.status(),
             });
             json_answer(StatusCode::OK, &status)
         }
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
+
+async fn answer_settings<G: ReplicatedGroup<SettingsState>>(
+    host: &SettingsHost<G>,
+    path: &str,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    match *request.method() {
+        Method::GET => answer_query(host, path, request.uri().query().unwrap_or_default()).await,
+        Method::PUT | Method::DELETE => match parse_subtree(path.trim_start_matches('/')) {
+            Some(subtree) => answer_change(host, subtree, request).await,
+            None => text_answer(StatusCode::NOT_FOUND, "no such subtree\n"),
+        },
+        _ => text_answer(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or DELETE\n"),
+    }
+}
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -2,17 +2,21 @@
 //! the service for other instances.
 
 use crate::{
-    follow::{SettingsHolder, follow_settings},
+    follow::SettingsHolder,
+    follower::SettingsFollower,
     group::GroupHost,
     group_transport::GroupRegistry,
     http,
+    ledger::command::{LedgerChange, LedgerReply},
+    ledger_host::{LedgerHosting, LedgerService},
     membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_packets},
     name::GroupName,
     node::NodeSettings,
     peer::{PeerApi, PeerClients, frame_messages},
     replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
-    settings::{Revision, SettingsSnapshot},
+    settings::Revision,
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     table::RoutingTable,
 };
 use arc_swap::ArcSwap;
@@ -73,13 +77,27 @@
 /// Service for other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
-    pub(crate) settings: Arc<SettingsHolder>,
+    /// None where only groups are served.
+    pub(crate) settings: Option<Arc<SettingsFollower>>,
     pub(crate) groups: Arc<GroupRegistry>,
+    /// None where no ledger is hosted.
+    pub(crate) ledger: Option<Arc<dyn LedgerService>>,
 }
 
 impl PeerApi for PeerServer {
-    async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
-        self.settings.newer_than(revision)
+    async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
+        self.settings.map(|settings| settings.answer(request)).unwrap_or_default()
+    }
+
+    async fn settings_push(self, _: Context, push: PushRequest) -> Option<ZoneReport> {
+        Some(self.settings?.accept_push(push).await)
+    }
+
+    async fn settings_confirm(self, _: Context, revision: Revision) -> Vec<ZoneReport> {
+        match self.settings {
+            Some(settings) => settings.report_zones(revision).await,
+            None => Vec::new(),
+        }
     }
 
     async fn group_deliver(self, _: Context, group: GroupName, envelopes: Vec<ReplicaEnvelope>) {
@@ -98,6 +116,17 @@
     async fn group_read_index(self, _: Context, group: GroupName) -> Result<LogIndex, GroupError> {
         self.groups.read_index(&group).await
     }
+
+    async fn change_ledger(
+        self,
+        _: Context,
+        change: LedgerChange,
+    ) -> Result<LedgerReply, GroupError> {
+        match self.ledger {
+            Some(ledger) => ledger.change(change).await,
+            None => Err(GroupError::NotLeader { leader: None }),
+        }
+    }
 }
 
 /// Addresses on which an instance listens.
@@ -116,6 +145,7 @@
     pub(crate) addresses: InstanceAddresses,
     pub(crate) operator: TcpListener,
     pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) follower: Arc<SettingsFollower>,
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) in_flight: Arc<AtomicU32>,
@@ -127,6 +157,7 @@
     pub(crate) async fn start(
         node: &Arc<NodeSettings>,
         caller: Option<SocketAddr>,
+        hosting: LedgerHosting,
         control: &Handle,
     ) -> io::Result<Self> {
         let settings = Arc::new(SettingsHolder::default());
@@ -160,23 +191,28 @@
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
+                let follower = Arc::new(SettingsFollower::new(
+                    Arc::clone(&node),
+                    node.peer_advertise.unwrap_or(addresses.peer),
+                    Arc::clone(&settings),
+                    clients,
+                    Arc::clone(&table),
+                ));
                 let server = PeerServer {
-                    settings: Arc::clone(&settings),
+                    settings: Some(Arc::clone(&follower)),
                     groups: Arc::clone(groups.registry()),
+                    ledger: hosting.start(&node, &groups).await?,
                 };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
                 tasks.spawn(receive_packets(socket, membership.clone()));
-                tasks.spawn(follow_settings(
-                    node,
-                    Arc::clone(&settings),
-                    clients,
-                    Arc::clone(&table),
-                ));
+                let follows = Arc::clone(&follower);
+                tasks.spawn(async move { follows.run().await });
                 Ok(Self {
                     addresses,
                     operator,
                     settings,
+                    follower,
                     table,
                     membership,
                     in_flight,
@@ -205,8 +241,7 @@
 /// Answers calls to the replicas in `groups`, without membership and settings, until its task is
 /// dropped.
 pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
-    let settings = Arc::new(SettingsHolder::default());
-    serve_peers(listener, PeerServer { settings, groups }).await;
+    serve_peers(listener, PeerServer { settings: None, groups, ledger: None }).await;
 }
 
 /// Answers calls of other instances on `listener` until its task is dropped.
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,10 +1,12 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    ledger::command::{LedgerChange, LedgerReply},
     name::GroupName,
     replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
-    settings::{Revision, SettingsSnapshot},
+    settings::Revision,
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -32,9 +34,6 @@
 /// Service that every instance offers to the others.
 #[tarpc::service]
 pub trait PeerApi {
-    /// The newest settings, or none if they are not newer than `revision`.
-    async fn settings_after(revision: Revision) -> Option<Arc<SettingsSnapshot>>;
-
     /// Passes messages to the receiver's replica of `group`.
     async fn group_deliver(group: GroupName, envelopes: Vec<ReplicaEnvelope>);
 
@@ -43,6 +42,18 @@
 
     /// Last entry that a linearizable read must see, if the receiver leads `group`.
     async fn group_read_index(group: GroupName) -> Result<LogIndex, GroupError>;
+
+    /// Everything in the settings that changed after the asker's revision.
+    async fn settings_after(request: FollowRequest) -> FollowReply;
+
+    /// Applies an update of the settings; none if the receiver follows no settings.
+    async fn settings_push(push: PushRequest) -> Option<ZoneReport>;
+
+    /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
+    async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
+
+    /// Changes the region's ledger; answered by the instances that host it.
+    async fn change_ledger(change: LedgerChange) -> Result<LedgerReply, GroupError>;
 }
 
 /// Why a call to another instance has no reply.
