--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -3,6 +3,7 @@
 mod group;
 mod overhead;
 mod schedules;
+mod slopes;
 
 use bpaf::Bpaf;
 use cicadastall_bench::compare::{CompareOptions, compare_options, run_compare};
@@ -23,6 +24,9 @@
     /// Arbitrary schedules of faults against the replication core
     #[bpaf(command)]
     Schedules(#[bpaf(external(schedules::schedule_options))] schedules::ScheduleOptions),
+    /// Traffic, cost and speed of membership by the number of nodes
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes::slopes_options))] slopes::SlopesOptions),
 }
 
 fn main() -> eyre::Result<()> {
@@ -31,5 +35,6 @@
         BenchCommand::Overhead(options) => overhead::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
         BenchCommand::Schedules(options) => schedules::run(&options),
+        BenchCommand::Slopes(options) => slopes::run(&options),
     }
 }
--- a/cicadastall-daemons/tests/scenario/link.rs
+++ b/cicadastall-daemons/tests/scenario/link.rs
@@ -9,7 +9,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
-        TcpListener, TcpStream,
+        TcpListener, TcpStream, UdpSocket,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::watch,
@@ -59,10 +59,11 @@
 
 impl LinkProxy {
     pub async fn start(own: IpAddr, links: LinkTable) -> io::Result<Self> {
-        let listener = TcpListener::bind(SocketAddr::new(own, 0)).await?;
+        let (listener, socket) = bind_both(own).await?;
         let address = listener.local_addr()?;
         let target = Arc::new(Mutex::new(None));
         let mut tasks = JoinSet::new();
+        tasks.spawn(pass_datagrams(socket, Arc::clone(&target), own, links.clone()));
         tasks.spawn(accept(listener, Arc::clone(&target), own, links));
         Ok(Self { address, target, _tasks: tasks })
     }
@@ -73,6 +74,34 @@
     }
 }
 
+/// Binds the same free port for connections and for datagrams.
+async fn bind_both(own: IpAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    loop {
+        let listener = TcpListener::bind(SocketAddr::new(own, 0)).await?;
+        if let Ok(socket) = UdpSocket::bind(listener.local_addr()?).await {
+            return Ok((listener, socket));
+        }
+    }
+}
+
+/// Passes datagrams on; those sent over a cut link are lost.
+async fn pass_datagrams(
+    socket: UdpSocket,
+    target: Arc<Mutex<Option<SocketAddr>>>,
+    own: IpAddr,
+    links: LinkTable,
+) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let target = *target.lock().expect("no panic holds the lock");
+        let cut = links.cuts.borrow().contains(&(from.ip(), own));
+        if let Some(target) = target.filter(|_| !cut) {
+            let _ = socket.send_to(&buffer[..length], target).await;
+        }
+    }
+}
+
 async fn accept(
     listener: TcpListener,
     target: Arc<Mutex<Option<SocketAddr>>>,
--- a/cicadastall-standins/src/engine.rs
+++ b/cicadastall-standins/src/engine.rs
@@ -1,7 +1,7 @@
 //! A stand-in model engine: streams numbered tokens at a fixed pace over HTTP.
 
 use crate::{
-    announce::{StandinPlace, announce, make_record},
+    announce::{LeaveSummary, LeaveSwitch, StandinPlace, announce, finish_requests, make_record},
     fault::StandinFault,
     service::CRASH_STATUS,
 };
@@ -77,6 +77,7 @@
 #[derive(Debug)]
 pub struct EngineStandin {
     address: SocketAddr,
+    leave: LeaveSwitch,
     state: Arc<EngineState>,
     _stop: watch::Sender<bool>,
     _tasks: JoinSet<()>,
@@ -99,19 +100,36 @@
             kv_tokens: 200_000,
         };
         let record = make_record(&place, address, Some(model), rates);
+        let leave = LeaveSwitch::default();
         let (stop, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let name = place.name.clone();
         let state = Arc::new(EngineState { name, pace, counters: EngineCounters::default() });
         let shared = Arc::clone(&state);
-        let handler = move |_, request| answer(Arc::clone(&shared), request);
+        let switch = leave.clone();
+        let handler = move |_, request| {
+            switch.note_request();
+            answer(Arc::clone(&shared), request)
+        };
         tasks.spawn(serve(listener, ListenerLimits::default(), stopped, handler));
         let shared = Arc::clone(&state);
-        tasks.spawn(announce(record, place.entries, move |record| {
+        tasks.spawn(announce(record, place.entries, leave.clone(), move |record| {
             let running = shared.counters.running.load(Ordering::Relaxed);
             record.load = LoadReport { running, ..LoadReport::default() };
         }));
-        Ok(Self { address, state, _stop: stop, _tasks: tasks })
+        Ok(Self { address, leave, state, _stop: stop, _tasks: tasks })
+    }
+
+    /// Waits until an operator drains the stand-in.
+    pub async fn drained(&self) {
+        self.leave.left().await;
+    }
+
+    /// Leaves: announces it, goes on for `linger` and until no request runs.
+    pub async fn leave(&self, linger: Duration) -> LeaveSummary {
+        self.leave.leave();
+        finish_requests(&self.state.counters.running, linger).await;
+        self.leave.summarize()
     }
 
     /// Address of the engine's HTTP interface.
--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod engine;
 pub mod fault;
 pub mod model;
+pub mod network;
 pub mod service;
