Isolate and quarantine requests that crash upstreams

Cause: a request that crashes each engine that runs it was retried on up to four upstreams, and again at each resend.

Ruled out: counting every broken answer as a crash (a truncated answer or a partition would quarantine its request); only an upstream whose port then refuses connections has crashed. Sharing by the membership exchange: it takes a period a hop, and between the first crash and the news a copy runs; so the report is pushed to the zone's instances and the region's control before the retry.

Change: suspect.rs (pure table: crashes by upstream and incarnation, generations so that a release is not undone, isolation grants), quarantine.rs (sharing, leases at the region's control instance, probe), relay/crash.rs; PeerApi::share_suspects and isolate_suspect; GET and DELETE /v1/quarantine for operators. Fingerprints are hashed with the region's name and not sent to other regions. 1,800 s expiry.

Proof: tests/suspect.rs (5), crashing_requests.rs (2; five engine processes, three entries; six callers 100 ms apart send one request 60 times: 2 engines crash, every caller is told `quarantined`; 15 innocent requests beside it are all answered, none is quarantined).

Found on the way: a suspect that resumed its answer still held its own isolation and waited for itself until its deadline; it is given back first now.

--- a/cicadastall-daemons/tests/bookings/mod.rs
+++ b/cicadastall-daemons/tests/bookings/mod.rs
@@ -340,7 +340,7 @@
 
     /// A client of the ledger's host.
     pub fn ledger_client(&self) -> LedgerClient {
-        LedgerClient::new(vec![self.control_node.peer_listen], PeerClients::new(None))
+        LedgerClient::new(vec![self.control_node.peer_listen], Arc::new(PeerClients::new(None)))
     }
 
     pub fn executions(&self, key: &str) -> u32 {
--- /dev/null
+++ b/cicadastall-daemons/tests/crashing_requests.rs
@@ -0,0 +1,196 @@
+//! A request that crashes each upstream that runs it takes down two of a region at most.
+
+mod common;
+
+use bytes::Bytes;
+use cicadastall::{
+    control::ControlServer,
+    entry::EntryServer,
+    http::{call_json, client},
+    instance::ControlThread,
+    node::NodeSettings,
+    suspect::SuspectRecord,
+    wire::{ChatMessage, ChatRequest, ErrorBody, KIND_HEADER, WORKSPACE_HEADER},
+};
+use common::{Process, STANDIN, TestFolder, node, standin};
+use futures::future::join_all;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+const ENGINES: [&str; 5] = ["m1", "m2", "m3", "m4", "m5"];
+const ENTRIES: usize = 3;
+
+/// Three entries before five engines.
+struct CrashFleet {
+    entries: Vec<EntryServer>,
+    engines: Vec<Process>,
+    _control: ControlServer,
+    _thread: ControlThread,
+    _folder: TestFolder,
+}
+
+impl CrashFleet {
+    async fn start(name: &str) -> Self {
+        let folder = TestFolder::new(name);
+        let thread = ControlThread::start("test-control").expect("a thread");
+        let fleet = json!({
+            "regions": { "aqaba": { "zones": ["aqaba-a"] } },
+            "teams": { "trust": {
+                "owner": "harbour office",
+                "pools": { "verdicts": {
+                    "serves": { "model_engine": { "models": ["splice-7b"] } },
+                } },
+                "kinds": { "splice-review": {
+                    "pool": "verdicts", "model": "splice-7b", "rank": "urgent",
+                    "first_token_ms": 800, "deadline_ms": 10000, "answered_in": "anywhere",
+                } },
+                "workspaces": { "aqaba-port": { "home": "aqaba", "resides_in": ["aqaba"] } },
+            } },
+        });
+        let mut settings = node("aqaba-control", "aqaba");
+        settings["founding_settings"] = json!(folder.write("fleet.json", &fleet));
+        let control: NodeSettings = serde_json::from_value(settings).expect("settings");
+        let control = ControlServer::start(control, thread.handle()).await.expect("control");
+        let peer = control.addresses().peer;
+        let mut entries = Vec::new();
+        for number in 0..ENTRIES {
+            let mut settings = node(&format!("aqaba-{number}"), "aqaba");
+            settings["control"] = json!([peer]);
+            settings["seeds"] = json!([peer]);
+            let settings: NodeSettings = serde_json::from_value(settings).expect("settings");
+            let entry = EntryServer::start(settings, thread.handle()).await;
+            entries.push(entry.expect("an entry"));
+        }
+        let caller = entries[0].addresses().caller.expect("an address");
+        let engines = ENGINES.map(|name| {
+            let mut arguments = standin(name, "aqaba", "verdicts", caller);
+            let role = ["engine", "--model", "splice-7b", "--tokens", "60"];
+            arguments.extend(role.map(str::to_owned));
+            Process::start(STANDIN, &arguments)
+        });
+        let engines = Vec::from(engines);
+        let fleet = Self { entries, engines, _control: control, _thread: thread, _folder: folder };
+        fleet.wait_until_known().await;
+        fleet
+    }
+
+    async fn wait_until_known(&self) {
+        for _ in 0..200 {
+            let mut known = 0;
+            for entry in 0..ENTRIES {
+                let status: Value = self.ask_operator(entry, "/v1/status").await;
+                known += status["upstreams"].as_array().map_or(0, Vec::len);
+            }
+            if known == ENTRIES * ENGINES.len() && self.ask(ENTRIES - 1, "warm").await == "whole" {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the engines are not known within 10 s");
+    }
+
+    async fn ask_operator<T: serde::de::DeserializeOwned>(&self, entry: usize, path: &str) -> T {
+        let address = self.entries[entry].addresses().operator;
+        let bound = Duration::from_secs(2);
+        call_json(&client(0), Method::GET, address, path, None::<&Value>, bound)
+            .await
+            .expect("an answer")
+    }
+
+    /// Sends a prompt and says what came of it: `whole`, or the code of the refusal.
+    async fn ask(&self, entry: usize, prompt: &str) -> String {
+        let chat = ChatRequest {
+            model: None,
+            messages: vec![ChatMessage { role: "user".into(), content: prompt.into() }],
+            max_tokens: 256,
+            stream: false,
+            priority: 0,
+            resume_from: 0,
+        };
+        let caller = self.entries[entry].addresses().caller.expect("an address");
+        let request = Request::post(format!("http://{caller}/v1/chat/completions"))
+            .header(WORKSPACE_HEADER, "aqaba-port")
+            .header(KIND_HEADER, "splice-review")
+            .body(Full::new(Bytes::from(serde_json::to_vec(&chat).expect("encode"))))
+            .expect("a request");
+        let answer = client(0).request(request).await.expect("an answer");
+        let success = answer.status().is_success();
+        let body = answer.into_body().collect().await.expect("a body").to_bytes();
+        if success {
+            return "whole".to_owned();
+        }
+        let error = serde_json::from_slice::<ErrorBody>(&body).expect("a refusal").error;
+        serde_json::to_value(error.code).expect("a code").as_str().expect("text").to_owned()
+    }
+
+    fn crashed(&mut self) -> usize {
+        let ended = |engine: &mut Process| engine.child.try_wait().expect("a status").is_some();
+        self.engines.iter_mut().map(ended).filter(|ended| *ended).count()
+    }
+
+    async fn quarantined(&self, entry: usize) -> Vec<SuspectRecord> {
+        let listed: Vec<SuspectRecord> = self.ask_operator(entry, "/v1/quarantine").await;
+        listed.into_iter().filter(|record| record.crashes.len() > 1).collect()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_request_sent_again_and_again_crashes_two_upstreams() {
+    let mut fleet = CrashFleet::start("again-and-again").await;
+    let callers = (0..6u64).map(|number| {
+        let fleet = &fleet;
+        async move {
+            sleep(Duration::from_millis(100 * number)).await;
+            let mut told = Vec::new();
+            for turn in 0..10 {
+                told.push(fleet.ask((number as usize + turn) % ENTRIES, "fault:crash").await);
+            }
+            told
+        }
+    });
+    for told in join_all(callers).await {
+        assert!(told.iter().all(|told| told == "quarantined"), "{told:?}");
+    }
+    assert_eq!(fleet.crashed(), 2);
+    let started = Instant::now();
+    assert_eq!(fleet.ask(1, "fault:crash").await, "quarantined");
+    assert!(started.elapsed() < Duration::from_millis(100), "not refused at once");
+    assert_eq!(fleet.ask(2, "a short question").await, "whole");
+
+    let quarantined = fleet.quarantined(1).await;
+    assert_eq!(quarantined.len(), 1);
+    let path = format!("/v1/quarantine/{}", quarantined[0].fingerprint);
+    let request =
+        Request::delete(format!("http://{}{path}", fleet.entries[2].addresses().operator))
+            .body(Full::new(Bytes::new()))
+            .expect("a request");
+    assert!(client(0).request(request).await.expect("an answer").status().is_success());
+    sleep(Duration::from_millis(1_200)).await;
+    for entry in 0..ENTRIES {
+        assert_eq!(fleet.quarantined(entry).await, [], "released at entry 2 only");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn innocent_requests_beside_it_are_answered_and_not_quarantined() {
+    let mut fleet = CrashFleet::start("innocents").await;
+    let innocents = (0..15).map(|number| {
+        let fleet = &fleet;
+        async move { fleet.ask(number % ENTRIES, &format!("question {number}")).await }
+    });
+    let poison = async {
+        sleep(Duration::from_millis(100)).await;
+        fleet.ask(1, "fault:crash").await
+    };
+    let (answers, poison) = tokio::join!(join_all(innocents), poison);
+    assert_eq!(poison, "quarantined");
+    assert!(answers.iter().all(|told| told == "whole"), "{answers:?}");
+    assert_eq!(fleet.quarantined(0).await.len(), 1);
+    assert_eq!(fleet.crashed(), 2);
+    for number in 0..15 {
+        assert_eq!(fleet.ask(0, &format!("question {number}")).await, "whole");
+    }
+}
--- a/cicadastall-daemons/tests/whole_answers.rs
+++ b/cicadastall-daemons/tests/whole_answers.rs
@@ -202,6 +202,8 @@
         let expected = answer_text(ANSWER_TOKENS);
         assert!(!received.whole, "{fault}: passed as whole: {received:?}");
         assert!(received.error.is_some(), "{fault}: no error: {received:?}");
+        let again = fleet.receive(fault, &format!("fault:{fault}"), ANSWER_TOKENS).await;
+        assert_ne!(again.error.as_deref(), Some("Quarantined"), "{fault}: no engine crashed");
         assert!(expected.starts_with(&received.text), "{fault}: wrong text: {received:?}");
     }
 }
--- a/cicadastall/src/claim.rs
+++ b/cicadastall/src/claim.rs
@@ -80,12 +80,12 @@
 pub struct LedgerClient {
     hosts: Vec<SocketAddr>,
     preferred: AtomicUsize,
-    clients: PeerClients,
+    clients: Arc<PeerClients>,
 }
 
 impl LedgerClient {
     /// A client of the ledger that `hosts` keep, reached by `clients`.
-    pub fn new(hosts: Vec<SocketAddr>, clients: PeerClients) -> Self {
+    pub fn new(hosts: Vec<SocketAddr>, clients: Arc<PeerClients>) -> Self {
         Self { hosts, preferred: AtomicUsize::new(0), clients }
     }
 
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -10,6 +10,7 @@
     node::NodeSettings,
     observe::RequestMetrics,
     peer::PeerClients,
+    quarantine::SuspectBoard,
     route::{RequestRouter, RouterPlace},
     serve::answer_request,
     table::{EntryState, RoutingTable},
@@ -32,6 +33,9 @@
     task::{JoinHandle, JoinSet},
 };
 
+/// Path of the operators' listing of suspected requests.
+const QUARANTINE_PATH: &str = "/v1/quarantine";
+
 /// Idle connections kept to each upstream.
 const IDLE_CONNECTIONS: usize = 64;
 
@@ -45,6 +49,8 @@
     metrics: RequestMetrics,
     membership: ActorRef<MembershipMessage>,
     ledger: LedgerClient,
+    suspects: Arc<SuspectBoard>,
+    peers: Arc<PeerClients>,
     in_flight: Arc<AtomicU32>,
     pooled: HttpClient,
     unpooled: HttpClient,
@@ -82,6 +88,16 @@
         &self.ledger
     }
 
+    /// Requests that crash upstreams.
+    pub(crate) fn suspects(&self) -> &Arc<SuspectBoard> {
+        &self.suspects
+    }
+
+    /// Connections of the traffic threads to other instances.
+    pub(crate) fn peer_clients(&self) -> &Arc<PeerClients> {
+        &self.peers
+    }
+
     pub(crate) fn metrics(&self) -> &RequestMetrics {
         &self.metrics
     }
@@ -146,13 +162,16 @@
         let address = caller_listener.local_addr()?;
         let core = InstanceCore::start(&node, Some(address), None, control).await?;
         let place = RouterPlace { region: node.region.clone(), zone: node.zone.clone() };
+        let peers = Arc::new(PeerClients::new(node.source_ip()));
         let context = Arc::new(EntryContext {
             settings: Arc::clone(&core.settings),
             table: Arc::clone(&core.table),
             router: Mutex::new(RequestRouter::new(place)),
             metrics: RequestMetrics::new(),
             membership: core.membership.clone(),
-            ledger: LedgerClient::new(node.control.clone(), PeerClients::new(node.source_ip())),
+            ledger: LedgerClient::new(node.control.clone(), Arc::clone(&peers)),
+            suspects: Arc::clone(&core.suspects),
+            peers,
             in_flight: Arc::clone(&core.in_flight),
             pooled: http::client_from(node.source_ip(), IDLE_CONNECTIONS),
             unpooled: http::client_from(node.source_ip(), 0),
@@ -208,11 +227,27 @@
             text_answer(StatusCode::SERVICE_UNAVAILABLE, "no settings yet\n")
         }
         (&Method::GET, "/metrics") => text_answer(StatusCode::OK, context.metrics.render()),
+        (&Method::GET, QUARANTINE_PATH) => json_answer(StatusCode::OK, &context.suspects.list()),
+        (&Method::DELETE, path) if path.starts_with(QUARANTINE_PATH) => {
+            release_suspect(&context, path).await
+        }
         (&Method::GET, "/v1/status") => json_answer(StatusCode::OK, &describe_entry(&context)),
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
+/// Ends the quarantine of the fingerprint that `path` names.
+async fn release_suspect(context: &EntryContext, path: &str) -> Response<AnswerBody> {
+    let name = path.trim_start_matches(QUARANTINE_PATH).trim_start_matches('/');
+    let Ok(fingerprint) = name.parse() else {
+        return text_answer(StatusCode::BAD_REQUEST, "not a fingerprint\n");
+    };
+    match context.suspects.release(&context.peers, fingerprint).await {
+        true => text_answer(StatusCode::OK, "released\n"),
+        false => text_answer(StatusCode::NOT_FOUND, "not in quarantine\n"),
+    }
+}
+
 fn describe_entry(context: &EntryContext) -> serde_json::Value {
     let table = context.table();
     json!({
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -9,8 +9,10 @@
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
     node::NodeSettings,
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
+    quarantine::{SuspectBoard, SuspectShare},
     replicated::GroupError,
     settings::{Revision, SettingsSnapshot},
+    suspect::{IsolationReply, IsolationRequest, SuspectRecord},
     table::RoutingTable,
 };
 use arc_swap::ArcSwap;
@@ -65,6 +67,7 @@
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) settings: Arc<SettingsHolder>,
     pub(crate) ledger: Option<Arc<dyn LedgerService>>,
+    pub(crate) suspects: Arc<SuspectBoard>,
 }
 
 impl PeerApi for PeerServer {
@@ -93,6 +96,14 @@
             None => Err(GroupError::NotLeader { leader: None }),
         }
     }
+
+    async fn share_suspects(self, _: Context, share: SuspectShare) -> Vec<SuspectRecord> {
+        self.suspects.exchange(share)
+    }
+
+    async fn isolate_suspect(self, _: Context, request: IsolationRequest) -> IsolationReply {
+        self.suspects.isolate(&request)
+    }
 }
 
 /// Addresses on which an instance listens.
@@ -113,6 +124,7 @@
     pub(crate) settings: Arc<SettingsHolder>,
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
+    pub(crate) suspects: Arc<SuspectBoard>,
     pub(crate) in_flight: Arc<AtomicU32>,
     pub(crate) tasks: JoinSet<()>,
 }
@@ -129,6 +141,7 @@
         let clients = Arc::new(PeerClients::new(node.source_ip()));
         let in_flight = Arc::new(AtomicU32::new(0));
         let node = Arc::clone(node);
+        let suspects = Arc::new(SuspectBoard::new(Arc::clone(&node), Arc::clone(&table)));
         let started = control.spawn({
             let settings = Arc::clone(&settings);
             let table = Arc::clone(&table);
@@ -156,16 +169,27 @@
                     membership: membership.clone(),
                     settings: Arc::clone(&settings),
                     ledger,
+                    suspects: Arc::clone(&suspects),
                 };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
+                tasks.spawn(Arc::clone(&suspects).follow(Arc::clone(&clients)));
                 tasks.spawn(follow_settings(
                     node,
                     Arc::clone(&settings),
                     clients,
                     Arc::clone(&table),
                 ));
-                Ok(Self { addresses, operator, settings, table, membership, in_flight, tasks })
+                Ok(Self {
+                    addresses,
+                    operator,
+                    settings,
+                    table,
+                    membership,
+                    suspects,
+                    in_flight,
+                    tasks,
+                })
             }
         });
         started.await.map_err(io::Error::other)?
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -2,8 +2,10 @@
 
 use crate::{
     ledger::command::{LedgerChange, LedgerReply},
+    quarantine::SuspectShare,
     replicated::GroupError,
     settings::{Revision, SettingsSnapshot},
+    suspect::{IsolationReply, IsolationRequest, SuspectRecord},
     table::{EntryRecord, UpstreamRecord, ZoneDigest},
 };
 use serde::{Deserialize, Serialize};
@@ -51,6 +53,12 @@
 
     /// Changes the region's ledger; answered by the instances that host it.
     async fn change_ledger(change: LedgerChange) -> Result<LedgerReply, GroupError>;
+
+    /// Exchanges suspected requests within a region.
+    async fn share_suspects(share: SuspectShare) -> Vec<SuspectRecord>;
+
+    /// Grants an upstream to one suspected request at a time; asked of control instances.
+    async fn isolate_suspect(request: IsolationRequest) -> IsolationReply;
 }
 
 /// Why a call to another instance has no reply.
--- /dev/null
+++ b/cicadastall/src/quarantine.rs
@@ -0,0 +1,230 @@
+//! Shares suspects among the instances of a region, and isolates them.
+
+use crate::{
+    name::{AttemptId, RegionName, UpstreamName},
+    node::NodeSettings,
+    peer::PeerClients,
+    suspect::{
+        IsolationReply, IsolationRequest, RequestFingerprint, SuspectRecord, SuspectTable,
+        Suspicion, UpstreamCrash,
+    },
+    table::RoutingTable,
+};
+use arc_swap::ArcSwap;
+use futures::future::join_all;
+use serde::{Deserialize, Serialize};
+use std::{
+    io::ErrorKind,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+
+/// Time between two exchanges of suspects with the region's control instances.
+const SHARE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Longest time to wait for a peer.
+const SHARE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time to wait for the answer of an upstream that may have crashed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Pause between two questions whether an upstream crashed.
+const PROBE_PAUSE: Duration = Duration::from_millis(20);
+
+/// What one instance tells others of its region.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SuspectShare {
+    /// Region of the sender; instances of other regions ignore the rest.
+    pub region: RegionName,
+    /// Suspects.
+    pub records: Vec<SuspectRecord>,
+}
+
+/// Suspects of the region as this instance knows them, and the way to the other instances.
+#[derive(Debug)]
+pub struct SuspectBoard {
+    node: Arc<NodeSettings>,
+    routing: Arc<ArcSwap<RoutingTable>>,
+    table: Mutex<SuspectTable>,
+}
+
+impl SuspectBoard {
+    /// An empty board.
+    pub fn new(node: Arc<NodeSettings>, routing: Arc<ArcSwap<RoutingTable>>) -> Self {
+        Self { node, routing, table: Mutex::default() }
+    }
+
+    /// Fingerprint of a request with these parts.
+    pub fn fingerprint(&self, parts: &[&[u8]]) -> RequestFingerprint {
+        RequestFingerprint::compute(&self.node.region, parts)
+    }
+
+    /// How `fingerprint` is to be treated.
+    pub fn judge(&self, fingerprint: RequestFingerprint) -> Suspicion {
+        self.lock().judge(fingerprint, Instant::now())
+    }
+
+    /// All suspects.
+    pub fn list(&self) -> Vec<SuspectRecord> {
+        self.lock().list(Instant::now())
+    }
+
+    /// Takes what another instance tells and returns what this one knows.
+    pub fn exchange(&self, share: SuspectShare) -> Vec<SuspectRecord> {
+        if share.region != self.node.region {
+            return Vec::new();
+        }
+        let now = Instant::now();
+        let mut table = self.lock();
+        table.merge(share.records, now);
+        table.list(now)
+    }
+
+    /// Grants or takes back an upstream; answered by control instances.
+    pub fn isolate(&self, request: &IsolationRequest) -> IsolationReply {
+        self.lock().isolate(request, Instant::now())
+    }
+
+    /// Notes a crash, tells the region, and returns how the request is to be treated from now on.
+    pub async fn report_crash(
+        &self,
+        clients: &PeerClients,
+        fingerprint: RequestFingerprint,
+        crash: UpstreamCrash,
+    ) -> Suspicion {
+        log::warn!(
+            fingerprint = fingerprint.to_string().as_str(), upstream = crash.upstream.as_str();
+            "upstream crashed while it ran the request"
+        );
+        self.lock().note_crash(fingerprint, crash, Instant::now());
+        self.share(clients, self.peers()).await;
+        self.judge(fingerprint)
+    }
+
+    /// Clears a suspect that was answered whole.
+    pub async fn report_whole(&self, clients: &PeerClients, fingerprint: RequestFingerprint) {
+        self.lock().clear(fingerprint, Instant::now());
+        self.share(clients, self.peers()).await;
+    }
+
+    /// Ends a quarantine on an operator's order; returns whether there was one.
+    pub async fn release(&self, clients: &PeerClients, fingerprint: RequestFingerprint) -> bool {
+        let known = self.lock().release(fingerprint);
+        self.share(clients, self.peers()).await;
+        known
+    }
+
+    /// Asks the region for an upstream without other suspects, or gives it back.
+    ///
+    /// Decides alone where no control instance answers.
+    pub async fn ask_isolation(
+        &self,
+        clients: &PeerClients,
+        request: IsolationRequest,
+    ) -> IsolationReply {
+        for address in self.node.control.iter().copied() {
+            let request = request.clone();
+            let call = clients.call(address, SHARE_TIMEOUT, async |client, context| {
+                client.isolate_suspect(context, request).await
+            });
+            if let Ok(reply) = call.await {
+                return reply;
+            }
+        }
+        self.isolate(&request)
+    }
+
+    /// Exchanges suspects with the control instances until its task is dropped.
+    pub async fn follow(self: Arc<Self>, clients: Arc<PeerClients>) {
+        loop {
+            self.share(&clients, self.node.control.clone()).await;
+            sleep(SHARE_PERIOD).await;
+        }
+    }
+
+    async fn share(&self, clients: &PeerClients, peers: Vec<SocketAddr>) {
+        let calls = peers.into_iter().map(|address| {
+            let share = SuspectShare { region: self.node.region.clone(), records: self.list() };
+            clients.call(address, SHARE_TIMEOUT, async |client, context| {
+                client.share_suspects(context, share).await
+            })
+        });
+        for records in join_all(calls).await.into_iter().flatten() {
+            self.lock().merge(records, Instant::now());
+        }
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        let routing = self.routing.load();
+        let mut peers = self.node.control.clone();
+        peers.extend(routing.entries.values().map(|record| record.peer_address));
+        peers.sort();
+        peers.dedup();
+        peers
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SuspectTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether the upstream at `address` refuses connections: its process is gone.
+///
+/// An upstream that can't be reached at all is not taken for crashed, since the network may be at
+/// fault. Asks twice, since a process that ends may close its connections before its listener.
+pub async fn probe_crash(address: SocketAddr) -> bool {
+    for _ in 0..2 {
+        match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) => sleep(PROBE_PAUSE).await,
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
+/// The upstream that a suspect holds alone; given back when dropped.
+#[derive(Debug)]
+pub struct IsolationLease {
+    board: Arc<SuspectBoard>,
+    clients: Arc<PeerClients>,
+    request: IsolationRequest,
+}
+
+impl IsolationLease {
+    /// Asks for `upstream`; none if another suspect runs there.
+    pub async fn acquire(
+        board: &Arc<SuspectBoard>,
+        clients: &Arc<PeerClients>,
+        fingerprint: RequestFingerprint,
+        upstream: UpstreamName,
+        attempt: AttemptId,
+        hold: Duration,
+    ) -> Option<Self> {
+        let hold_ms = (hold.as_millis() as u64).max(1);
+        let request = IsolationRequest { fingerprint, upstream, attempt, hold_ms };
+        match board.ask_isolation(clients, request.clone()).await {
+            IsolationReply::Granted => {
+                Some(Self { board: Arc::clone(board), clients: Arc::clone(clients), request })
+            }
+            IsolationReply::Busy => None,
+        }
+    }
+}
+
+impl Drop for IsolationLease {
+    fn drop(&mut self) {
+        let (board, clients) = (Arc::clone(&self.board), Arc::clone(&self.clients));
+        let request = IsolationRequest { hold_ms: 0, ..self.request.clone() };
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move {
+                board.ask_isolation(&clients, request).await;
+            });
+        }
+    }
+}
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -1,5 +1,6 @@
 //! Serves one request: attempts in turn until the answer is whole or no further attempt is allowed.
 
+mod crash;
 mod keyed;
 
 use crate::{
@@ -8,8 +9,12 @@
     dispatch::{AttemptError, AttemptStream, AttemptTarget, call_service, open_stream},
     entry::EntryContext,
     name::{AttemptId, RegionName, RequestId, UpstreamName},
+    quarantine::IsolationLease,
+    relay::crash::{AttemptPermit, fingerprint_plan},
     route::{RouteDecision, TriedTargets},
     stream::{AnswerAssembler, StreamStep, encode_event},
+    suspect::RequestFingerprint,
+    table::{Incarnation, UpstreamView},
     wire::{CallRequest, ChatRequest, ChunkView},
 };
 use bytes::Bytes;
@@ -71,6 +76,10 @@
         };
         loop {
             match step {
+                Ok(RelayedStep::End) => {
+                    self.relay.note_whole(&self.attempt).await;
+                    return Ok(RelayedStep::End);
+                }
                 Ok(step) => return Ok(step),
                 Err(error) => {
                     step = self
@@ -86,7 +95,8 @@
         &mut self,
         error: AttemptError,
     ) -> Result<Result<RelayedStep, AttemptError>, Refusal> {
-        self.relay.judge_failure(&self.attempt, error)?;
+        self.relay.judge_failure(&self.attempt, error).await?;
+        self.attempt.isolation = None;
         self.attempt = self.relay.open_attempt().await?;
         self.assembler.resume(self.attempt.id.clone());
         let first =
@@ -108,6 +118,7 @@
 pub(crate) struct RequestRelay {
     context: Arc<EntryContext>,
     plan: Arc<RequestPlan>,
+    fingerprint: RequestFingerprint,
     tried: TriedTargets,
     attempts: u32,
     deadline: Instant,
@@ -120,6 +131,8 @@
     id: AttemptId,
     target: AttemptTarget,
     source: AnswerSource,
+    incarnation: Incarnation,
+    isolation: Option<IsolationLease>,
     _slot: AttemptSlot,
 }
 
@@ -156,8 +169,10 @@
 impl RequestRelay {
     pub(crate) fn new(context: Arc<EntryContext>, plan: RequestPlan, now: Instant) -> Self {
         let deadline = now + plan.deadline;
+        let fingerprint = fingerprint_plan(context.suspects(), &plan);
         Self {
             context,
+            fingerprint,
             plan: Arc::new(plan),
             tried: TriedTargets::default(),
             attempts: 0,
@@ -174,8 +189,11 @@
         loop {
             let attempt = self.open_attempt().await?;
             match self.call_target(&attempt, call).await {
-                Ok(result) => return Ok((attempt.source, result)),
-                Err(error) => self.judge_failure(&attempt, error)?,
+                Ok(result) => {
+                    self.note_whole(&attempt).await;
+                    return Ok((attempt.source, result));
+                }
+                Err(error) => self.judge_failure(&attempt, error).await?,
             }
         }
     }
@@ -203,7 +221,7 @@
                     let passage = StreamPassage { relay: self, chat, attempt, assembler, stream };
                     return Ok(RelayedStream { source, first, passage });
                 }
-                Err(error) => self.judge_failure(&attempt, error)?,
+                Err(error) => self.judge_failure(&attempt, error).await?,
             }
         }
     }
@@ -280,10 +298,12 @@
                     return Err(refusal);
                 }
                 RouteDecision::Upstream(view) => {
-                    let upstream = view.record.name.clone();
-                    let target = AttemptTarget::Upstream(view.record.address);
-                    let region = view.record.region.clone();
-                    return Ok(self.number_attempt(target, region, Some(upstream)));
+                    let isolation = match self.permit_attempt(&view).await? {
+                        AttemptPermit::Busy => continue,
+                        AttemptPermit::Free => None,
+                        AttemptPermit::Isolated(lease) => Some(lease),
+                    };
+                    return Ok(self.number_upstream(&view, isolation));
                 }
                 RouteDecision::Entry { region, zone, address } => {
                     self.tried.zones.push(zone);
@@ -295,20 +315,48 @@
         }
     }
 
+    fn number_upstream(
+        &mut self,
+        view: &UpstreamView,
+        isolation: Option<IsolationLease>,
+    ) -> OpenAttempt {
+        let record = &view.record;
+        let target = AttemptTarget::Upstream(record.address);
+        let name = record.name.clone();
+        let attempt = self.number_attempt(target, record.region.clone(), Some(name));
+        OpenAttempt { incarnation: record.incarnation, isolation, ..attempt }
+    }
+
+    /// Name that the next attempt gets.
+    fn next_attempt(&self) -> AttemptId {
+        AttemptId::new(format!("{}.{}", self.plan.request, self.attempts + 1))
+    }
+
     fn number_attempt(
         &mut self,
         target: AttemptTarget,
         region: RegionName,
         upstream: Option<UpstreamName>,
     ) -> OpenAttempt {
+        let id = self.next_attempt();
         self.attempts += 1;
-        let id = AttemptId::new(format!("{}.{}", self.plan.request, self.attempts));
         let slot = AttemptSlot::new(&self.context, upstream.clone());
-        OpenAttempt { id, target, source: AnswerSource { region, upstream }, _slot: slot }
+        OpenAttempt {
+            id,
+            target,
+            source: AnswerSource { region, upstream },
+            incarnation: Incarnation::default(),
+            isolation: None,
+            _slot: slot,
+        }
     }
 
     /// Decides whether another attempt is allowed after `error`.
-    fn judge_failure(&mut self, attempt: &OpenAttempt, error: AttemptError) -> Result<(), Refusal> {
+    async fn judge_failure(
+        &mut self,
+        attempt: &OpenAttempt,
+        error: AttemptError,
+    ) -> Result<(), Refusal> {
         log::info!(
             request = self.plan.request.as_str(),
             attempt = attempt.id.as_str();
@@ -320,8 +368,13 @@
         if let Some(upstream) = &attempt.source.upstream {
             self.tried.upstreams.push(upstream.clone());
         }
+        self.note_failure(attempt, &error).await?;
+        let quarantined = matches!(
+            &error,
+            AttemptError::Refused(refusal) if refusal.code == RefusalCode::Quarantined
+        );
         let repeatable = self.plan.repeatable || self.ran == Ran::No;
-        if !repeatable || self.attempts >= MAX_ATTEMPTS {
+        if !repeatable || quarantined || self.attempts >= MAX_ATTEMPTS {
             let mut refusal = error.into_refusal();
             refusal.ran = self.ran;
             return Err(refusal);
--- /dev/null
+++ b/cicadastall/src/relay/crash.rs
@@ -0,0 +1,104 @@
+//! Requests that crash upstreams: refused in quarantine, isolated under suspicion.
+
+use crate::{
+    answer::{Refusal, RefusalCode},
+    decode::{RequestBody, RequestPlan},
+    dispatch::{AttemptError, AttemptTarget},
+    quarantine::{IsolationLease, SuspectBoard, probe_crash},
+    relay::{OpenAttempt, RequestRelay},
+    suspect::{RequestFingerprint, Suspicion, UpstreamCrash},
+    table::UpstreamView,
+};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Pause before a suspect asks again for an upstream of its own.
+const ISOLATION_PAUSE: Duration = Duration::from_millis(20);
+
+/// Whether an attempt of a suspect may start.
+#[derive(Debug)]
+pub(super) enum AttemptPermit {
+    /// It may, like any other.
+    Free,
+    /// It may, alone among suspects.
+    Isolated(IsolationLease),
+    /// Not yet.
+    Busy,
+}
+
+/// Fingerprint of what a plan asks for.
+pub(super) fn fingerprint_plan(board: &SuspectBoard, plan: &RequestPlan) -> RequestFingerprint {
+    let body = match &plan.body {
+        RequestBody::Chat(chat) => serde_json::to_vec(&chat.messages),
+        RequestBody::Call(call) => serde_json::to_vec(&call.arguments),
+    };
+    let body = body.unwrap_or_default();
+    board.fingerprint(&[plan.workspace.as_str().as_bytes(), plan.kind.as_str().as_bytes(), &body])
+}
+
+impl RequestRelay {
+    /// Refuses a request in quarantine, and otherwise isolates a suspect on the upstream of `view`.
+    pub(super) async fn permit_attempt(
+        &self,
+        view: &UpstreamView,
+    ) -> Result<AttemptPermit, Refusal> {
+        match self.context.suspects().judge(self.fingerprint) {
+            Suspicion::None => Ok(AttemptPermit::Free),
+            Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
+            Suspicion::Suspect => {
+                let lease = IsolationLease::acquire(
+                    self.context.suspects(),
+                    self.context.peer_clients(),
+                    self.fingerprint,
+                    view.record.name.clone(),
+                    self.next_attempt(),
+                    self.remaining(),
+                );
+                if let Some(lease) = lease.await {
+                    return Ok(AttemptPermit::Isolated(lease));
+                }
+                sleep(ISOLATION_PAUSE).await;
+                Ok(AttemptPermit::Busy)
+            }
+        }
+    }
+
+    /// Finds out whether a failed attempt crashed its upstream, and tells the region if so.
+    pub(super) async fn note_failure(
+        &self,
+        attempt: &OpenAttempt,
+        error: &AttemptError,
+    ) -> Result<(), Refusal> {
+        let (AttemptError::Broken(_), AttemptTarget::Upstream(address)) = (error, &attempt.target)
+        else {
+            return Ok(());
+        };
+        let Some(upstream) = &attempt.source.upstream else {
+            return Ok(());
+        };
+        if !probe_crash(*address).await {
+            return Ok(());
+        }
+        let crash =
+            UpstreamCrash { upstream: upstream.clone(), incarnation: attempt.incarnation.0 };
+        let board = self.context.suspects();
+        match board.report_crash(self.context.peer_clients(), self.fingerprint, crash).await {
+            Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Clears a suspect whose answer is whole.
+    pub(super) async fn note_whole(&self, attempt: &OpenAttempt) {
+        if attempt.isolation.is_some() {
+            let clients = self.context.peer_clients();
+            self.context.suspects().report_whole(clients, self.fingerprint).await;
+        }
+    }
+
+    fn refuse_quarantined(&self, remaining: Duration) -> Refusal {
+        let message = format!("the request crashed upstreams; fingerprint {}", self.fingerprint);
+        Refusal { ran: self.ran, ..Refusal::not_run(RefusalCode::Quarantined, message) }
+            .retry_after(remaining)
+    }
+}
--- a/cicadastall/src/relay/keyed.rs
+++ b/cicadastall/src/relay/keyed.rs
@@ -70,7 +70,7 @@
                     return Err(refusal);
                 }
                 Err(error) => {
-                    if let Err(refusal) = self.judge_failure(&attempt, error) {
+                    if let Err(refusal) = self.judge_failure(&attempt, error).await {
                         if self.ran == Ran::No
                             && let Some(holder) = held
                         {
--- /dev/null
+++ b/cicadastall/src/suspect.rs
@@ -0,0 +1,277 @@
+//! Requests that crash upstreams: suspicion, isolation and quarantine, as pure state.
+//!
+//! Every request that an upstream ran when it crashed becomes a suspect. Suspects run one at a time
+//! on an upstream; one that is answered whole is cleared, and one that was there at a second crash
+//! is quarantined.
+
+use crate::name::{RegionName, UpstreamName};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::{
+    collections::BTreeMap,
+    fmt,
+    hash::{Hash, Hasher},
+    str::FromStr,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Crashes after which a request is quarantined.
+pub const QUARANTINE_CRASHES: usize = 2;
+
+/// Time for which a suspicion or a quarantine lasts after its last crash.
+pub const SUSPICION_LIFETIME: Duration = Duration::from_secs(1_800);
+
+/// Most suspects of one region; further ones are not noted.
+const MAX_SUSPECTS: usize = 4_096;
+
+/// Keyed hash of a request's workspace, kind and body.
+///
+/// The key is the region's name: one content has another fingerprint in each region, and
+/// fingerprints are not sent to other regions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestFingerprint(u64);
+
+impl RequestFingerprint {
+    /// Fingerprint of `parts` in `region`.
+    pub fn compute(region: &RegionName, parts: &[&[u8]]) -> Self {
+        #[allow(deprecated)]
+        // the only keyed hash of the standard library that is the same in all processes
+        let mut hasher = std::hash::SipHasher::new();
+        region.as_str().hash(&mut hasher);
+        parts.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for RequestFingerprint {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+impl TryFrom<String> for RequestFingerprint {
+    type Error = std::num::ParseIntError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<RequestFingerprint> for String {
+    fn from(fingerprint: RequestFingerprint) -> Self {
+        fingerprint.to_string()
+    }
+}
+
+/// A crash of one upstream, named by the start of its process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamCrash {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its restart counter at the crash.
+    pub incarnation: u64,
+}
+
+/// What is known of one fingerprint, as instances of a region share it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRecord {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// Grows when the request is cleared or released; a higher number replaces lower ones.
+    pub generation: u64,
+    /// Crashes at which the request was running.
+    pub crashes: SmallVec<[UpstreamCrash; 2]>,
+    /// Time until the record is forgotten, in milliseconds from now.
+    pub expires_in_ms: u64,
+}
+
+/// How a request is to be treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Suspicion {
+    /// Like any other.
+    None,
+    /// Alone among suspects on its upstream.
+    Suspect,
+    /// Not at all.
+    Quarantined {
+        /// Time until the quarantine ends.
+        remaining: Duration,
+    },
+}
+
+/// Request for an upstream without other suspects.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct IsolationRequest {
+    /// The suspect.
+    pub fingerprint: RequestFingerprint,
+    /// Upstream on which it is to run.
+    pub upstream: UpstreamName,
+    /// Attempt that is to run it.
+    pub attempt: crate::name::AttemptId,
+    /// Time for which the upstream is needed at most, in milliseconds; 0 gives it back.
+    pub hold_ms: u64,
+}
+
+/// Reply to an [`IsolationRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum IsolationReply {
+    /// The suspect may run.
+    Granted,
+    /// Another suspect runs on the upstream, or the suspect runs elsewhere or is quarantined.
+    Busy,
+}
+
+#[derive(Debug, Clone)]
+struct SuspectEntry {
+    generation: u64,
+    crashes: SmallVec<[UpstreamCrash; 2]>,
+    expires_at: Instant,
+}
+
+#[derive(Debug, Clone)]
+struct IsolationGrant {
+    request: IsolationRequest,
+    until: Instant,
+}
+
+/// Suspects of one region, as one instance knows them.
+#[derive(Debug, Default)]
+pub struct SuspectTable {
+    entries: BTreeMap<RequestFingerprint, SuspectEntry>,
+    grants: Vec<IsolationGrant>,
+}
+
+/// Queries.
+impl SuspectTable {
+    /// How `fingerprint` is to be treated.
+    pub fn judge(&self, fingerprint: RequestFingerprint, now: Instant) -> Suspicion {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return Suspicion::None;
+        };
+        let remaining = entry.expires_at.saturating_duration_since(now);
+        if remaining.is_zero() || entry.crashes.is_empty() {
+            return Suspicion::None;
+        }
+        match entry.crashes.len() < QUARANTINE_CRASHES {
+            true => Suspicion::Suspect,
+            false => Suspicion::Quarantined { remaining },
+        }
+    }
+
+    /// Everything to share with other instances of the region.
+    pub fn list(&self, now: Instant) -> Vec<SuspectRecord> {
+        let live = self.entries.iter().filter(|(_, entry)| entry.expires_at > now);
+        live.map(|(fingerprint, entry)| SuspectRecord {
+            fingerprint: *fingerprint,
+            generation: entry.generation,
+            crashes: entry.crashes.clone(),
+            expires_in_ms: (entry.expires_at - now).as_millis() as u64,
+        })
+        .collect()
+    }
+}
+
+/// Changes.
+impl SuspectTable {
+    /// Notes that `fingerprint` was running when an upstream crashed.
+    pub fn note_crash(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        crash: UpstreamCrash,
+        now: Instant,
+    ) {
+        self.expire(now);
+        if self.entries.len() >= MAX_SUSPECTS && !self.entries.contains_key(&fingerprint) {
+            return;
+        }
+        let entry = self.entries.entry(fingerprint).or_insert(SuspectEntry {
+            generation: 0,
+            crashes: SmallVec::new(),
+            expires_at: now,
+        });
+        entry.expires_at = now + SUSPICION_LIFETIME;
+        if !entry.crashes.contains(&crash) {
+            entry.crashes.push(crash);
+        }
+    }
+
+    /// Ends the suspicion of a request that was answered whole; a quarantine stays.
+    pub fn clear(&mut self, fingerprint: RequestFingerprint, now: Instant) {
+        if self.judge(fingerprint, now) == Suspicion::Suspect {
+            self.release(fingerprint);
+        }
+    }
+
+    /// Ends a suspicion or a quarantine on an operator's order; returns whether there was one.
+    pub fn release(&mut self, fingerprint: RequestFingerprint) -> bool {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return false;
+        };
+        entry.generation += 1;
+        entry.crashes.clear();
+        true
+    }
+
+    /// Takes what another instance of the region knows.
+    pub fn merge(&mut self, records: Vec<SuspectRecord>, now: Instant) {
+        self.expire(now);
+        for record in records {
+            let lifetime = Duration::from_millis(record.expires_in_ms).min(SUSPICION_LIFETIME);
+            let expires_at = now + lifetime;
+            let SuspectRecord { fingerprint, generation, crashes, .. } = record;
+            let known = self.entries.entry(fingerprint).or_insert_with(|| SuspectEntry {
+                generation,
+                crashes: SmallVec::new(),
+                expires_at,
+            });
+            if known.generation > generation {
+                continue;
+            }
+            if known.generation < generation {
+                *known = SuspectEntry { generation, crashes, expires_at };
+                continue;
+            }
+            for crash in crashes {
+                if !known.crashes.contains(&crash) {
+                    known.crashes.push(crash);
+                    known.expires_at = known.expires_at.max(expires_at);
+                }
+            }
+        }
+    }
+
+    /// Grants an upstream to one suspect at a time, or takes it back.
+    pub fn isolate(&mut self, request: &IsolationRequest, now: Instant) -> IsolationReply {
+        self.grants.retain(|grant| grant.until > now && grant.request.attempt != request.attempt);
+        if request.hold_ms == 0 {
+            return IsolationReply::Granted;
+        }
+        let quarantined =
+            matches!(self.judge(request.fingerprint, now), Suspicion::Quarantined { .. });
+        let busy = quarantined
+            || self.grants.iter().any(|grant| {
+                grant.request.upstream == request.upstream
+                    || grant.request.fingerprint == request.fingerprint
+            });
+        if busy {
+            return IsolationReply::Busy;
+        }
+        let until = now + Duration::from_millis(request.hold_ms);
+        self.grants.push(IsolationGrant { request: request.clone(), until });
+        IsolationReply::Granted
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.entries.retain(|_, entry| entry.expires_at > now);
+    }
+}
--- /dev/null
+++ b/cicadastall/tests/suspect.rs
@@ -0,0 +1,99 @@
+//! Suspicion, isolation and quarantine of requests that crash upstreams.
+
+use cicadastall::suspect::{
+    IsolationReply, IsolationRequest, RequestFingerprint, SUSPICION_LIFETIME, SuspectTable,
+    Suspicion, UpstreamCrash,
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn fingerprint(text: &str) -> RequestFingerprint {
+    RequestFingerprint::compute(&"aqaba".into(), &[text.as_bytes()])
+}
+
+fn crash(upstream: &str) -> UpstreamCrash {
+    UpstreamCrash { upstream: upstream.into(), incarnation: 1 }
+}
+
+fn isolation(request: &str, upstream: &str, attempt: &str, hold_ms: u64) -> IsolationRequest {
+    IsolationRequest {
+        fingerprint: fingerprint(request),
+        upstream: upstream.into(),
+        attempt: attempt.into(),
+        hold_ms,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_crashes_seen_by_two_entries_quarantine_the_request() {
+    let (mut first, mut second) = (SuspectTable::default(), SuspectTable::default());
+    let now = Instant::now();
+    let poison = fingerprint("poison");
+    first.note_crash(poison, crash("m1"), now);
+    second.note_crash(poison, crash("m1"), now);
+    second.merge(first.list(now), now);
+    assert_eq!(second.judge(poison, now), Suspicion::Suspect, "one crash counts once");
+    second.note_crash(poison, crash("m2"), now);
+    first.merge(second.list(now), now);
+    let quarantined = Suspicion::Quarantined { remaining: SUSPICION_LIFETIME };
+    assert_eq!(first.judge(poison, now), quarantined);
+    let later = now + SUSPICION_LIFETIME;
+    assert_eq!(first.judge(poison, later), Suspicion::None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn whole_answer_clears_a_suspect_but_not_a_quarantine() {
+    let mut table = SuspectTable::default();
+    let now = Instant::now();
+    let (innocent, poison) = (fingerprint("innocent"), fingerprint("poison"));
+    for request in [innocent, poison] {
+        table.note_crash(request, crash("m1"), now);
+    }
+    table.note_crash(poison, crash("m2"), now);
+    table.clear(innocent, now);
+    table.clear(poison, now);
+    assert_eq!(table.judge(innocent, now), Suspicion::None);
+    assert!(matches!(table.judge(poison, now), Suspicion::Quarantined { .. }));
+}
+
+#[tokio::test(start_paused = true)]
+async fn operators_release_is_not_undone_by_an_older_record() {
+    let mut table = SuspectTable::default();
+    let now = Instant::now();
+    let poison = fingerprint("poison");
+    table.note_crash(poison, crash("m1"), now);
+    table.note_crash(poison, crash("m2"), now);
+    let older = table.list(now);
+    assert!(table.release(poison));
+    table.merge(older, now);
+    assert_eq!(table.judge(poison, now), Suspicion::None);
+    assert!(!table.release(fingerprint("other")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn suspects_run_one_at_a_time_on_an_upstream() {
+    let mut table = SuspectTable::default();
+    let now = Instant::now();
+    let hold = 1_000;
+    let granted = IsolationReply::Granted;
+    assert_eq!(table.isolate(&isolation("a", "m1", "a.1", hold), now), granted);
+    let busy = IsolationReply::Busy;
+    assert_eq!(table.isolate(&isolation("b", "m1", "b.1", hold), now), busy, "same upstream");
+    assert_eq!(table.isolate(&isolation("a", "m2", "c.1", hold), now), busy, "same request");
+    assert_eq!(table.isolate(&isolation("b", "m2", "b.1", hold), now), granted);
+    table.isolate(&isolation("a", "m1", "a.1", 0), now);
+    assert_eq!(table.isolate(&isolation("c", "m1", "c.1", hold), now), granted);
+    let later = now + Duration::from_millis(hold);
+    assert_eq!(table.isolate(&isolation("d", "m1", "d.1", hold), later), granted);
+    for upstream in ["m1", "m2"] {
+        table.note_crash(fingerprint("e"), crash(upstream), later);
+    }
+    assert_eq!(table.isolate(&isolation("e", "m3", "e.1", hold), later), busy, "quarantined");
+}
+
+#[test]
+fn one_content_has_another_fingerprint_in_each_region() {
+    let elsewhere = RequestFingerprint::compute(&"amman".into(), &[b"poison"]);
+    assert_ne!(fingerprint("poison"), elsewhere);
+    assert_eq!(fingerprint("poison").to_string().parse(), Ok(fingerprint("poison")));
+}
