--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -160,7 +160,7 @@
         let node = Arc::new(node);
         let caller_listener = http::bind(node.caller_listen).await?;
         let address = caller_listener.local_addr()?;
-        let core = InstanceCore::start(&node, Some(address), None, control).await?;
+        let core = InstanceCore::start(&node, Some(address), control).await?;
         let place = RouterPlace { region: node.region.clone(), zone: node.zone.clone() };
         let peers = Arc::new(PeerClients::new(node.source_ip()));
         let context = Arc::new(EntryContext {
@@ -231,6 +231,11 @@
         (&Method::DELETE, path) if path.starts_with(QUARANTINE_PATH) => {
             release_suspect(&context, path).await
         }
+        (&Method::POST, "/v1/drain") => {
+            let drained = MembershipMessage::SetState(EntryState::Draining);
+            let _ = context.membership.cast(drained);
+            text_answer(StatusCode::OK, "no new callers are sent here\n")
+        }
         (&Method::GET, "/v1/status") => json_answer(StatusCode::OK, &describe_entry(&context)),
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
@@ -254,7 +259,8 @@
         "instance": context.node.instance,
         "region": context.node.region,
         "zone": context.node.zone,
-        "revision": context.settings.newest().revision,
+        "revision": context.settings.revision(),
+        "settings": context.settings.status(),
         "in_flight": context.in_flight.load(Ordering::Relaxed),
         "upstreams": table.upstreams.values().map(|view| view.record.as_ref()).collect::<Vec<_>>(),
         "entries": table.entries.keys().collect::<Vec<_>>(),
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -2,16 +2,22 @@
 //! the service for other instances.
 
 use crate::{
-    follow::{SettingsHolder, follow_settings},
+    follow::SettingsHolder,
+    follower::SettingsFollower,
+    group::GroupHost,
+    group_transport::GroupRegistry,
     http,
     ledger::command::{LedgerChange, LedgerReply},
-    ledger_host::LedgerService,
+    ledger_host::LedgerSlot,
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
+    name::GroupName,
     node::NodeSettings,
     peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
     quarantine::{SuspectBoard, SuspectShare},
+    replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
-    settings::{Revision, SettingsSnapshot},
+    settings::Revision,
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     suspect::{IsolationReply, IsolationRequest, SuspectRecord},
     table::RoutingTable,
 };
@@ -64,16 +70,21 @@
 /// Service for other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
-    pub(crate) membership: ActorRef<MembershipMessage>,
-    pub(crate) settings: Arc<SettingsHolder>,
-    pub(crate) ledger: Option<Arc<dyn LedgerService>>,
-    pub(crate) suspects: Arc<SuspectBoard>,
+    /// None where only groups are served.
+    pub(crate) membership: Option<ActorRef<MembershipMessage>>,
+    /// None where only groups are served.
+    pub(crate) settings: Option<Arc<SettingsFollower>>,
+    pub(crate) groups: Arc<GroupRegistry>,
+    /// Empty on instances that host no ledger.
+    pub(crate) ledger: LedgerSlot,
+    /// None where only groups are served.
+    pub(crate) suspects: Option<Arc<SuspectBoard>>,
 }
 
 impl PeerApi for PeerServer {
     async fn exchange(self, _: Context, state: MemberExchange) -> MemberExchange {
-        let asked = self
-            .membership
+        let Some(membership) = self.membership else { return MemberExchange::default() };
+        let asked = membership
             .call(|reply| MembershipMessage::Exchange(state, reply), Some(CONTROL_TIMEOUT))
             .await;
         match asked {
@@ -82,8 +93,36 @@
         }
     }
 
-    async fn settings_after(self, _: Context, revision: Revision) -> Option<Arc<SettingsSnapshot>> {
-        self.settings.newer_than(revision)
+    async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
+        self.settings.map(|settings| settings.answer(request)).unwrap_or_default()
+    }
+
+    async fn settings_push(self, _: Context, push: PushRequest) -> Option<ZoneReport> {
+        Some(self.settings?.accept_push(push).await)
+    }
+
+    async fn settings_confirm(self, _: Context, revision: Revision) -> Vec<ZoneReport> {
+        match self.settings {
+            Some(settings) => settings.report_zones(revision).await,
+            None => Vec::new(),
+        }
+    }
+
+    async fn group_deliver(self, _: Context, group: GroupName, envelopes: Vec<ReplicaEnvelope>) {
+        self.groups.deliver(&group, envelopes);
+    }
+
+    async fn group_propose(
+        self,
+        _: Context,
+        group: GroupName,
+        command: Arc<str>,
+    ) -> Result<Arc<str>, GroupError> {
+        self.groups.propose(&group, command).await
+    }
+
+    async fn group_read_index(self, _: Context, group: GroupName) -> Result<LogIndex, GroupError> {
+        self.groups.read_index(&group).await
     }
 
     async fn change_ledger(
@@ -91,18 +130,18 @@
         _: Context,
         change: LedgerChange,
     ) -> Result<LedgerReply, GroupError> {
-        match self.ledger {
+        match self.ledger.get() {
             Some(ledger) => ledger.change(change).await,
             None => Err(GroupError::NotLeader { leader: None }),
         }
     }
 
     async fn share_suspects(self, _: Context, share: SuspectShare) -> Vec<SuspectRecord> {
-        self.suspects.exchange(share)
+        self.suspects.map(|suspects| suspects.exchange(share)).unwrap_or_default()
     }
 
     async fn isolate_suspect(self, _: Context, request: IsolationRequest) -> IsolationReply {
-        self.suspects.isolate(&request)
+        self.suspects.map_or(IsolationReply::Busy, |suspects| suspects.isolate(&request))
     }
 }
 
@@ -122,10 +161,13 @@
     pub(crate) addresses: InstanceAddresses,
     pub(crate) operator: TcpListener,
     pub(crate) settings: Arc<SettingsHolder>,
+    pub(crate) follower: Arc<SettingsFollower>,
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) suspects: Arc<SuspectBoard>,
+    pub(crate) ledger: LedgerSlot,
     pub(crate) in_flight: Arc<AtomicU32>,
+    pub(crate) groups: GroupHost,
     pub(crate) tasks: JoinSet<()>,
 }
 
@@ -133,7 +175,6 @@
     pub(crate) async fn start(
         node: &Arc<NodeSettings>,
         caller: Option<SocketAddr>,
-        ledger: Option<Arc<dyn LedgerService>>,
         control: &Handle,
     ) -> io::Result<Self> {
         let settings = Arc::new(SettingsHolder::default());
@@ -142,6 +183,7 @@
         let in_flight = Arc::new(AtomicU32::new(0));
         let node = Arc::clone(node);
         let suspects = Arc::new(SuspectBoard::new(Arc::clone(&node), Arc::clone(&table)));
+        let ledger = LedgerSlot::default();
         let started = control.spawn({
             let settings = Arc::clone(&settings);
             let table = Arc::clone(&table);
@@ -149,6 +191,7 @@
             async move {
                 let operator = http::bind(node.operator_listen).await?;
                 let peers = http::bind(node.peer_listen).await?;
+                let groups = GroupHost::new(Arc::clone(&node), Arc::clone(&clients));
                 let addresses = InstanceAddresses {
                     caller,
                     operator: operator.local_addr()?,
@@ -156,7 +199,7 @@
                 };
                 let arguments = MembershipArguments {
                     node: Arc::clone(&node),
-                    caller_address: node.caller_advertise.or(caller),
+                    caller_address: caller.map(|listen| node.caller_advertise.unwrap_or(listen)),
                     peer_address: node.peer_advertise.unwrap_or(addresses.peer),
                     clients: Arc::clone(&clients),
                     table: Arc::clone(&table),
@@ -165,29 +208,36 @@
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
                     .map_err(io::Error::other)?;
+                let follower = Arc::new(SettingsFollower::new(
+                    Arc::clone(&node),
+                    node.peer_advertise.unwrap_or(addresses.peer),
+                    Arc::clone(&settings),
+                    Arc::clone(&clients),
+                    Arc::clone(&table),
+                ));
                 let server = PeerServer {
-                    membership: membership.clone(),
-                    settings: Arc::clone(&settings),
-                    ledger,
-                    suspects: Arc::clone(&suspects),
+                    membership: Some(membership.clone()),
+                    settings: Some(Arc::clone(&follower)),
+                    groups: Arc::clone(groups.registry()),
+                    ledger: Arc::clone(&ledger),
+                    suspects: Some(Arc::clone(&suspects)),
                 };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
-                tasks.spawn(Arc::clone(&suspects).follow(Arc::clone(&clients)));
-                tasks.spawn(follow_settings(
-                    node,
-                    Arc::clone(&settings),
-                    clients,
-                    Arc::clone(&table),
-                ));
+                tasks.spawn(Arc::clone(&suspects).follow(clients));
+                let follows = Arc::clone(&follower);
+                tasks.spawn(async move { follows.run().await });
                 Ok(Self {
                     addresses,
                     operator,
                     settings,
+                    follower,
                     table,
                     membership,
                     suspects,
+                    ledger,
                     in_flight,
+                    groups,
                     tasks,
                 })
             }
@@ -196,8 +246,22 @@
     }
 }
 
+/// Answers calls to the replicas in `groups`, without membership and settings, until its task is
+/// dropped.
+pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
+    let server = PeerServer {
+        membership: None,
+        settings: None,
+        groups,
+        ledger: LedgerSlot::default(),
+        suspects: None,
+    };
+    serve_peers(listener, server).await;
+}
+
 /// Answers calls of other instances on `listener` until its task is dropped.
 async fn serve_peers(listener: TcpListener, service: PeerServer) {
+    let mut connections = JoinSet::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -210,7 +274,8 @@
         let _ = stream.set_nodelay(true);
         let transport = frame_messages(stream);
         let calls = BaseChannel::with_defaults(transport).execute(service.clone().serve());
-        tokio::spawn(calls.for_each(|call| {
+        while connections.try_join_next().is_some() {}
+        connections.spawn(calls.for_each(|call| {
             tokio::spawn(call);
             future::ready(())
         }));
--- a/cicadastall/src/ledger/command.rs
+++ b/cicadastall/src/ledger/command.rs
@@ -17,6 +17,8 @@
 pub struct LedgerCommand {
     /// Time of the proposal, in milliseconds since 1970.
     pub at_ms: u64,
+    /// Epoch of the group that the proposer leads.
+    pub epoch: LedgerEpoch,
     /// The change.
     pub change: LedgerChange,
 }
@@ -25,11 +27,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LedgerChange {
-    /// Sets the epoch of a ledger that has none.
-    Found {
-        /// The epoch.
-        epoch: LedgerEpoch,
-    },
+    /// Takes over the epoch of the command, after which no key of an earlier one is run.
+    Found,
     /// Issues a session.
     OpenSession {
         /// Workspace that may use it.
@@ -114,7 +113,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LedgerRefusal {
-    /// The ledger has no epoch yet.
+    /// The ledger has not taken over the epoch of the command.
     NotFounded,
     /// The session belongs to another region or workspace.
     ForeignSession,
--- a/cicadastall/src/ledger_host.rs
+++ b/cicadastall/src/ledger_host.rs
@@ -2,15 +2,19 @@
 
 use crate::{
     clock::WallClock,
+    group::GroupHandle,
     ledger::{
         LedgerState,
         command::{LedgerChange, LedgerCommand, LedgerRefusal, LedgerReply},
         session::LedgerEpoch,
     },
-    replicated::{GroupError, ReplicatedGroup},
+    replicated::{GroupError, LocalGroup, ReplicatedGroup},
 };
 use futures::{FutureExt, future::BoxFuture};
-use std::fmt::Debug;
+use std::{
+    fmt::Debug,
+    sync::{Arc, OnceLock},
+};
 
 /// A ledger that takes changes, whatever group keeps it.
 pub trait LedgerService: Debug + Send + Sync {
@@ -18,6 +22,63 @@
     fn change(&self, change: LedgerChange) -> BoxFuture<'_, Result<LedgerReply, GroupError>>;
 }
 
+/// Where an instance finds its ledger, once it has started.
+pub(crate) type LedgerSlot = Arc<OnceLock<Arc<dyn LedgerService>>>;
+
+/// A group that may keep a ledger.
+pub trait LedgerGroup: Debug + Send + Sync {
+    /// Epoch of the group, if this replica leads it.
+    fn lead_epoch(&self) -> Result<LedgerEpoch, GroupError>;
+
+    /// Proposes a command if this replica leads.
+    ///
+    /// It must not be passed on: another leader may have founded the group again, and a command
+    /// that carries the earlier epoch could reach it before the ledger has taken over its own.
+    fn propose_here(
+        &self,
+        command: LedgerCommand,
+    ) -> impl Future<Output = Result<LedgerReply, GroupError>> + Send;
+}
+
+/// A ledger of one replica, with the epoch of its start.
+#[derive(Debug)]
+pub struct LocalLedger {
+    group: LocalGroup<LedgerState>,
+    epoch: LedgerEpoch,
+}
+
+impl LocalLedger {
+    /// A ledger that starts from `state`.
+    pub fn new(state: LedgerState) -> Self {
+        let epoch = LedgerEpoch(WallClock::start().now_ms());
+        Self { group: LocalGroup::new(state), epoch }
+    }
+}
+
+impl LedgerGroup for LocalLedger {
+    fn lead_epoch(&self) -> Result<LedgerEpoch, GroupError> {
+        Ok(self.epoch)
+    }
+
+    async fn propose_here(&self, command: LedgerCommand) -> Result<LedgerReply, GroupError> {
+        self.group.propose(command).await
+    }
+}
+
+impl LedgerGroup for GroupHandle<LedgerState> {
+    fn lead_epoch(&self) -> Result<LedgerEpoch, GroupError> {
+        let status = self.status();
+        if status.leads {
+            return Ok(LedgerEpoch(status.epoch.0));
+        }
+        Err(GroupError::NotLeader { leader: status.leader.map(|leader| leader.instance) })
+    }
+
+    async fn propose_here(&self, command: LedgerCommand) -> Result<LedgerReply, GroupError> {
+        GroupHandle::propose_here(self, command).await
+    }
+}
+
 /// A replica of the ledger.
 #[derive(Debug)]
 pub struct LedgerHost<G> {
@@ -25,28 +86,32 @@
     clock: WallClock,
 }
 
-impl<G: ReplicatedGroup<LedgerState> + Debug> LedgerHost<G> {
+impl<G: LedgerGroup> LedgerHost<G> {
     /// Hosts the replica of `group`.
     pub fn new(group: G) -> Self {
         Self { group, clock: WallClock::start() }
     }
 
-    async fn propose(&self, change: LedgerChange) -> Result<LedgerReply, GroupError> {
-        let command = LedgerCommand { at_ms: self.clock.now_ms(), change };
-        self.group.propose(command).await
+    async fn propose(
+        &self,
+        epoch: LedgerEpoch,
+        change: LedgerChange,
+    ) -> Result<LedgerReply, GroupError> {
+        let command = LedgerCommand { at_ms: self.clock.now_ms(), epoch, change };
+        self.group.propose_here(command).await
     }
 }
 
-impl<G: ReplicatedGroup<LedgerState> + Debug> LedgerService for LedgerHost<G> {
+impl<G: LedgerGroup> LedgerService for LedgerHost<G> {
     fn change(&self, change: LedgerChange) -> BoxFuture<'_, Result<LedgerReply, GroupError>> {
         async move {
-            let reply = self.propose(change.clone()).await?;
+            let epoch = self.group.lead_epoch()?;
+            let reply = self.propose(epoch, change.clone()).await?;
             if reply != LedgerReply::Refused(LedgerRefusal::NotFounded) {
                 return Ok(reply);
             }
-            let epoch = LedgerEpoch(self.clock.now_ms());
-            self.propose(LedgerChange::Found { epoch }).await?;
-            self.propose(change).await
+            self.propose(epoch, LedgerChange::Found).await?;
+            self.propose(epoch, change).await
         }
         .boxed()
     }
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -2,9 +2,12 @@
 
 use crate::{
     ledger::command::{LedgerChange, LedgerReply},
+    name::GroupName,
     quarantine::SuspectShare,
+    replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
-    settings::{Revision, SettingsSnapshot},
+    settings::Revision,
+    settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
     suspect::{IsolationReply, IsolationRequest, SuspectRecord},
     table::{EntryRecord, UpstreamRecord, ZoneDigest},
 };
@@ -48,9 +51,6 @@
     /// Exchanges membership state; the reply holds what the receiver knows.
     async fn exchange(state: MemberExchange) -> MemberExchange;
 
-    /// The newest settings, or none if they are not newer than `revision`.
-    async fn settings_after(revision: Revision) -> Option<Arc<SettingsSnapshot>>;
-
     /// Changes the region's ledger; answered by the instances that host it.
     async fn change_ledger(change: LedgerChange) -> Result<LedgerReply, GroupError>;
 
@@ -59,6 +59,24 @@
 
     /// Grants an upstream to one suspected request at a time; asked of control instances.
     async fn isolate_suspect(request: IsolationRequest) -> IsolationReply;
+
+    /// Passes messages to the receiver's replica of `group`.
+    async fn group_deliver(group: GroupName, envelopes: Vec<ReplicaEnvelope>);
+
+    /// Proposes an encoded command if the receiver leads `group`; gives the encoded reply.
+    async fn group_propose(group: GroupName, command: Arc<str>) -> Result<Arc<str>, GroupError>;
+
+    /// Last entry that a linearizable read must see, if the receiver leads `group`.
+    async fn group_read_index(group: GroupName) -> Result<LogIndex, GroupError>;
+
+    /// Everything in the settings that changed after the asker's revision.
+    async fn settings_after(request: FollowRequest) -> FollowReply;
+
+    /// Applies an update of the settings; none if the receiver follows no settings.
+    async fn settings_push(push: PushRequest) -> Option<ZoneReport>;
+
+    /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
+    async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
 }
 
 /// Why a call to another instance has no reply.
