--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -5,6 +5,7 @@
     follow::SettingsHolder,
     http::{self, AnswerBody, HttpClient, ListenerLimits, json_answer, text_answer},
     instance::{CONTROL_TIMEOUT, InstanceAddresses, InstanceCore},
+    ledger_host::LedgerHosting,
     membership::MembershipMessage,
     name::RequestId,
     node::NodeSettings,
@@ -160,7 +161,8 @@
         let node = Arc::new(node);
         let caller_listener = http::bind(node.caller_listen).await?;
         let address = caller_listener.local_addr()?;
-        let core = InstanceCore::start(&node, Some(address), control).await?;
+        let core =
+            InstanceCore::start(&node, Some(address), LedgerHosting::Absent, control).await?;
         let place = RouterPlace { region: node.region.clone(), zone: node.zone.clone() };
         let peers = Arc::new(PeerClients::new(node.source_ip()));
         let context = Arc::new(EntryContext {
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -8,7 +8,7 @@
     group_transport::GroupRegistry,
     http,
     ledger::command::{LedgerChange, LedgerReply},
-    ledger_host::LedgerSlot,
+    ledger_host::{LedgerHosting, LedgerService},
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
     name::GroupName,
     node::NodeSettings,
@@ -75,8 +75,8 @@
     /// None where only groups are served.
     pub(crate) settings: Option<Arc<SettingsFollower>>,
     pub(crate) groups: Arc<GroupRegistry>,
-    /// Empty on instances that host no ledger.
-    pub(crate) ledger: LedgerSlot,
+    /// None where no ledger is hosted.
+    pub(crate) ledger: Option<Arc<dyn LedgerService>>,
     /// None where only groups are served.
     pub(crate) suspects: Option<Arc<SuspectBoard>>,
 }
@@ -130,7 +130,7 @@
         _: Context,
         change: LedgerChange,
     ) -> Result<LedgerReply, GroupError> {
-        match self.ledger.get() {
+        match self.ledger {
             Some(ledger) => ledger.change(change).await,
             None => Err(GroupError::NotLeader { leader: None }),
         }
@@ -165,7 +165,6 @@
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
     pub(crate) suspects: Arc<SuspectBoard>,
-    pub(crate) ledger: LedgerSlot,
     pub(crate) in_flight: Arc<AtomicU32>,
     pub(crate) groups: GroupHost,
     pub(crate) tasks: JoinSet<()>,
@@ -175,6 +174,7 @@
     pub(crate) async fn start(
         node: &Arc<NodeSettings>,
         caller: Option<SocketAddr>,
+        hosting: LedgerHosting,
         control: &Handle,
     ) -> io::Result<Self> {
         let settings = Arc::new(SettingsHolder::default());
@@ -183,7 +183,6 @@
         let in_flight = Arc::new(AtomicU32::new(0));
         let node = Arc::clone(node);
         let suspects = Arc::new(SuspectBoard::new(Arc::clone(&node), Arc::clone(&table)));
-        let ledger = LedgerSlot::default();
         let started = control.spawn({
             let settings = Arc::clone(&settings);
             let table = Arc::clone(&table);
@@ -219,7 +218,7 @@
                     membership: Some(membership.clone()),
                     settings: Some(Arc::clone(&follower)),
                     groups: Arc::clone(groups.registry()),
-                    ledger: Arc::clone(&ledger),
+                    ledger: hosting.start(&node, &groups).await?,
                     suspects: Some(Arc::clone(&suspects)),
                 };
                 let mut tasks = JoinSet::new();
@@ -235,7 +234,6 @@
                     table,
                     membership,
                     suspects,
-                    ledger,
                     in_flight,
                     groups,
                     tasks,
@@ -249,13 +247,8 @@
 /// Answers calls to the replicas in `groups`, without membership and settings, until its task is
 /// dropped.
 pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
-    let server = PeerServer {
-        membership: None,
-        settings: None,
-        groups,
-        ledger: LedgerSlot::default(),
-        suspects: None,
-    };
+    let server =
+        PeerServer { membership: None, settings: None, groups, ledger: None, suspects: None };
     serve_peers(listener, server).await;
 }
 
--- a/cicadastall/src/ledger_host.rs
+++ b/cicadastall/src/ledger_host.rs
@@ -2,19 +2,17 @@
 
 use crate::{
     clock::WallClock,
-    group::GroupHandle,
+    group::{GroupHandle, GroupHost},
     ledger::{
-        LedgerState,
+        LedgerLimits, LedgerState,
         command::{LedgerChange, LedgerCommand, LedgerRefusal, LedgerReply},
         session::LedgerEpoch,
     },
+    node::NodeSettings,
     replicated::{GroupError, LocalGroup, ReplicatedGroup},
 };
 use futures::{FutureExt, future::BoxFuture};
-use std::{
-    fmt::Debug,
-    sync::{Arc, OnceLock},
-};
+use std::{fmt::Debug, io, sync::Arc};
 
 /// A ledger that takes changes, whatever group keeps it.
 pub trait LedgerService: Debug + Send + Sync {
@@ -22,9 +20,6 @@
     fn change(&self, change: LedgerChange) -> BoxFuture<'_, Result<LedgerReply, GroupError>>;
 }
 
-/// Where an instance finds its ledger, once it has started.
-pub(crate) type LedgerSlot = Arc<OnceLock<Arc<dyn LedgerService>>>;
-
 /// A group that may keep a ledger.
 pub trait LedgerGroup: Debug + Send + Sync {
     /// Epoch of the group, if this replica leads it.
@@ -79,6 +74,39 @@
     }
 }
 
+/// Whether and how an instance hosts its region's ledger.
+#[derive(Debug)]
+pub(crate) enum LedgerHosting {
+    /// Not at all.
+    Absent,
+    /// By a replica of the region's group, or by a state of its own where no voters are configured.
+    Replica,
+    /// By a given service.
+    Given(Arc<dyn LedgerService>),
+}
+
+impl LedgerHosting {
+    /// Starts the service on the runtime of the caller, which is the control thread's.
+    pub(crate) async fn start(
+        self,
+        node: &NodeSettings,
+        groups: &GroupHost,
+    ) -> io::Result<Option<Arc<dyn LedgerService>>> {
+        let state = || LedgerState::new(node.region.clone(), LedgerLimits::default());
+        match self {
+            Self::Absent => Ok(None),
+            Self::Given(service) => Ok(Some(service)),
+            Self::Replica if node.ledger_voters.is_empty() => {
+                Ok(Some(Arc::new(LedgerHost::new(LocalLedger::new(state())))))
+            }
+            Self::Replica => {
+                let group = groups.start_ledger(state()).await?;
+                Ok(Some(Arc::new(LedgerHost::new(group))))
+            }
+        }
+    }
+}
+
 /// A replica of the ledger.
 #[derive(Debug)]
 pub struct LedgerHost<G> {
