--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -298,6 +298,12 @@
         Ok(epoch.max(self.status().epoch))
     }
 
+    /// Proposes a command if this replica leads; it is not passed on to another.
+    pub async fn propose_here(&self, command: S::Command) -> Result<S::Reply, GroupError> {
+        let command = serde_json::to_string(&command).map_err(|_| GroupError::Stopped)?;
+        propose_here(&self.shared.actor, command.into()).await
+    }
+
     /// Stops the replica; others can no longer reach it.
     pub fn stop(&self) {
         self.shared.stop();
--- a/cicadastall/src/ledger_host.rs
+++ b/cicadastall/src/ledger_host.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::WallClock,
-    group::GroupHost,
+    group::{GroupHandle, GroupHost},
     ledger::{
         LedgerLimits, LedgerState,
         command::{LedgerChange, LedgerCommand, LedgerRefusal, LedgerReply},
@@ -20,6 +20,60 @@
     fn change(&self, change: LedgerChange) -> BoxFuture<'_, Result<LedgerReply, GroupError>>;
 }
 
+/// A group that may keep a ledger.
+pub trait LedgerGroup: Debug + Send + Sync {
+    /// Epoch of the group, if this replica leads it.
+    fn lead_epoch(&self) -> Result<LedgerEpoch, GroupError>;
+
+    /// Proposes a command if this replica leads.
+    ///
+    /// It must not be passed on: another leader may have founded the group again, and a command
+    /// that carries the earlier epoch could reach it before the ledger has taken over its own.
+    fn propose_here(
+        &self,
+        command: LedgerCommand,
+    ) -> impl Future<Output = Result<LedgerReply, GroupError>> + Send;
+}
+
+/// A ledger of one replica, with the epoch of its start.
+#[derive(Debug)]
+pub struct LocalLedger {
+    group: LocalGroup<LedgerState>,
+    epoch: LedgerEpoch,
+}
+
+impl LocalLedger {
+    /// A ledger that starts from `state`.
+    pub fn new(state: LedgerState) -> Self {
+        let epoch = LedgerEpoch(WallClock::start().now_ms());
+        Self { group: LocalGroup::new(state), epoch }
+    }
+}
+
+impl LedgerGroup for LocalLedger {
+    fn lead_epoch(&self) -> Result<LedgerEpoch, GroupError> {
+        Ok(self.epoch)
+    }
+
+    async fn propose_here(&self, command: LedgerCommand) -> Result<LedgerReply, GroupError> {
+        self.group.propose(command).await
+    }
+}
+
+impl LedgerGroup for GroupHandle<LedgerState> {
+    fn lead_epoch(&self) -> Result<LedgerEpoch, GroupError> {
+        let status = self.status();
+        if status.leads {
+            return Ok(LedgerEpoch(status.epoch.0));
+        }
+        Err(GroupError::NotLeader { leader: status.leader.map(|leader| leader.instance) })
+    }
+
+    async fn propose_here(&self, command: LedgerCommand) -> Result<LedgerReply, GroupError> {
+        GroupHandle::propose_here(self, command).await
+    }
+}
+
 /// Whether and how an instance hosts its region's ledger.
 #[derive(Debug)]
 pub(crate) enum LedgerHosting {
@@ -43,7 +97,7 @@
             Self::Absent => Ok(None),
             Self::Given(service) => Ok(Some(service)),
             Self::Replica if node.ledger_voters.is_empty() => {
-                Ok(Some(Arc::new(LedgerHost::new(LocalGroup::new(state())))))
+                Ok(Some(Arc::new(LedgerHost::new(LocalLedger::new(state())))))
             }
             Self::Replica => {
                 let group = groups.start_ledger(state()).await?;
@@ -60,28 +114,32 @@
     clock: WallClock,
 }
 
-impl<G: ReplicatedGroup<LedgerState> + Debug> LedgerHost<G> {
+impl<G: LedgerGroup> LedgerHost<G> {
     /// Hosts the replica of `group`.
     pub fn new(group: G) -> Self {
         Self { group, clock: WallClock::start() }
     }
 
-    async fn propose(&self, change: LedgerChange) -> Result<LedgerReply, GroupError> {
-        let command = LedgerCommand { at_ms: self.clock.now_ms(), change };
-        self.group.propose(command).await
+    async fn propose(
+        &self,
+        epoch: LedgerEpoch,
+        change: LedgerChange,
+    ) -> Result<LedgerReply, GroupError> {
+        let command = LedgerCommand { at_ms: self.clock.now_ms(), epoch, change };
+        self.group.propose_here(command).await
     }
 }
 
-impl<G: ReplicatedGroup<LedgerState> + Debug> LedgerService for LedgerHost<G> {
+impl<G: LedgerGroup> LedgerService for LedgerHost<G> {
     fn change(&self, change: LedgerChange) -> BoxFuture<'_, Result<LedgerReply, GroupError>> {
         async move {
-            let reply = self.propose(change.clone()).await?;
+            let epoch = self.group.lead_epoch()?;
+            let reply = self.propose(epoch, change.clone()).await?;
             if reply != LedgerReply::Refused(LedgerRefusal::NotFounded) {
                 return Ok(reply);
             }
-            let epoch = LedgerEpoch(self.clock.now_ms());
-            self.propose(LedgerChange::Found { epoch }).await?;
-            self.propose(change).await
+            self.propose(epoch, LedgerChange::Found).await?;
+            self.propose(epoch, change).await
         }
         .boxed()
     }
--- a/cicadastall/tests/ledger.rs
+++ b/cicadastall/tests/ledger.rs
@@ -21,18 +21,36 @@
 #[derive(Debug)]
 struct TestLedger {
     state: LedgerState,
+    epoch: LedgerEpoch,
     now_ms: u64,
 }
 
 impl TestLedger {
     fn new(limits: LedgerLimits) -> Self {
-        let mut ledger = Self { state: LedgerState::new("viti-west".into(), limits), now_ms: 0 };
-        ledger.apply(LedgerChange::Found { epoch: LedgerEpoch(1) });
+        let state = LedgerState::new("viti-west".into(), limits);
+        let mut ledger = Self { state, epoch: LedgerEpoch(1), now_ms: 0 };
+        ledger.apply(LedgerChange::Found);
         ledger
     }
 
     fn apply(&mut self, change: LedgerChange) -> LedgerReply {
-        self.state.apply(&LedgerCommand { at_ms: self.now_ms, change })
+        self.apply_under(self.epoch, change)
+    }
+
+    fn apply_under(&mut self, epoch: LedgerEpoch, change: LedgerChange) -> LedgerReply {
+        self.state.apply(&LedgerCommand { at_ms: self.now_ms, epoch, change })
+    }
+
+    /// Loses the majority: goes on from `survived`, under a new epoch.
+    ///
+    /// The first change under it meets a ledger that has not taken it over.
+    fn refound(&mut self, survived: LedgerState) {
+        self.state = survived;
+        self.epoch.0 += 1;
+        let workspace = "herd".into();
+        let early = self.apply(LedgerChange::OpenSession { workspace });
+        assert_eq!(early, refused(LedgerRefusal::NotFounded));
+        assert_eq!(self.apply(LedgerChange::Found), LedgerReply::Accepted);
     }
 
     fn open(&mut self) -> SessionId {
@@ -127,7 +145,7 @@
     ledger: TestLedger,
     sessions: Vec<SessionId>,
     tasks: Vec<(usize, String, TaskStage)>,
-    commands: Vec<LedgerChange>,
+    commands: Vec<(LedgerEpoch, LedgerChange)>,
     kept: Vec<u8>,
     executions: BTreeMap<(usize, String), u32>,
 }
@@ -143,7 +161,7 @@
     }
 
     fn apply(&mut self, change: LedgerChange) -> LedgerReply {
-        self.commands.push(change.clone());
+        self.commands.push((self.ledger.epoch, change.clone()));
         self.ledger.apply(change)
     }
 
@@ -156,8 +174,8 @@
             Step::LoseReply { task } => self.proceed(task, true),
             Step::Repeat { command } if !self.commands.is_empty() => {
                 let index = usize::from(command) % self.commands.len();
-                let change = self.commands[index].clone();
-                self.ledger.apply(change);
+                let (epoch, change) = self.commands[index].clone();
+                self.ledger.apply_under(epoch, change);
             }
             Step::Repeat { .. } => {}
             Step::Wait { seconds } => self.ledger.now_ms += u64::from(seconds) * 1_000,
@@ -169,9 +187,8 @@
             }
             Step::Keep => self.kept = self.ledger.state.snapshot(),
             Step::Refound => {
-                let epoch = self.ledger.state.epoch().map_or(1, |epoch| epoch.0) + 1;
                 let survived = LedgerState::restore(&self.kept).expect("a snapshot");
-                self.ledger.state = survived.refound(LedgerEpoch(epoch));
+                self.ledger.refound(survived);
             }
             Step::Acknowledge { session, key } => {
                 let session = self.sessions[usize::from(session)].clone();
@@ -323,10 +340,17 @@
 
     let session = ledger.open();
     ledger.run(&session, "a", "1");
-    ledger.state = ledger.state.clone().refound(LedgerEpoch(2));
+    ledger.refound(ledger.state.clone());
     assert_eq!(ledger.claim(&session, "a", "again"), LedgerReply::Stored("1".into()));
     let lost = refused(LedgerRefusal::EpochLost);
     assert_eq!(ledger.claim(&session, "b", "new"), lost);
+
+    let session = ledger.open();
+    let stale = LedgerChange::Claim(make_claim(&session, "c", "under the lost epoch"));
+    let reply = ledger.apply_under(LedgerEpoch(1), stale);
+    assert_eq!(reply, refused(LedgerRefusal::NotFounded));
+    let founded = ledger.apply_under(LedgerEpoch(1), LedgerChange::Found);
+    assert_eq!(founded, refused(LedgerRefusal::NotFounded), "an epoch never goes back");
 }
 
 #[test]
