--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -7,6 +7,8 @@
     group::GroupHost,
     group_transport::GroupRegistry,
     http,
+    ledger::command::{LedgerChange, LedgerReply},
+    ledger_host::{LedgerHosting, LedgerService},
     membership::{MembershipActor, MembershipArguments, MembershipMessage},
     name::GroupName,
     node::NodeSettings,
@@ -71,6 +73,8 @@
     /// None where only groups are served.
     pub(crate) settings: Option<Arc<SettingsFollower>>,
     pub(crate) groups: Arc<GroupRegistry>,
+    /// None where no ledger is hosted.
+    pub(crate) ledger: Option<Arc<dyn LedgerService>>,
 }
 
 impl PeerApi for PeerServer {
@@ -86,21 +90,15 @@
     }
 
     async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
-        match &self.settings {
-            Some(settings) => settings.answer(request),
-            None => FollowReply::default(),
-        }
+        self.settings.map(|settings| settings.answer(request)).unwrap_or_default()
     }
 
     async fn settings_push(self, _: Context, push: PushRequest) -> Option<ZoneReport> {
-        match &self.settings {
-            Some(settings) => Some(settings.accept_push(push).await),
-            None => None,
-        }
+        Some(self.settings?.accept_push(push).await)
     }
 
     async fn settings_confirm(self, _: Context, revision: Revision) -> Vec<ZoneReport> {
-        match &self.settings {
+        match self.settings {
             Some(settings) => settings.report_zones(revision).await,
             None => Vec::new(),
         }
@@ -122,6 +120,17 @@
     async fn group_read_index(self, _: Context, group: GroupName) -> Result<LogIndex, GroupError> {
         self.groups.read_index(&group).await
     }
+
+    async fn change_ledger(
+        self,
+        _: Context,
+        change: LedgerChange,
+    ) -> Result<LedgerReply, GroupError> {
+        match self.ledger {
+            Some(ledger) => ledger.change(change).await,
+            None => Err(GroupError::NotLeader { leader: None }),
+        }
+    }
 }
 
 /// Addresses on which an instance listens.
@@ -152,6 +161,7 @@
     pub(crate) async fn start(
         node: &Arc<NodeSettings>,
         caller: Option<SocketAddr>,
+        hosting: LedgerHosting,
         control: &Handle,
     ) -> io::Result<Self> {
         let settings = Arc::new(SettingsHolder::default());
@@ -174,7 +184,7 @@
                 };
                 let arguments = MembershipArguments {
                     node: Arc::clone(&node),
-                    caller_address: node.caller_advertise.or(caller),
+                    caller_address: caller.map(|listen| node.caller_advertise.unwrap_or(listen)),
                     peer_address: node.peer_advertise.unwrap_or(addresses.peer),
                     clients: Arc::clone(&clients),
                     table: Arc::clone(&table),
@@ -194,6 +204,7 @@
                     membership: Some(membership.clone()),
                     settings: Some(Arc::clone(&follower)),
                     groups: Arc::clone(groups.registry()),
+                    ledger: hosting.start(&node, &groups).await?,
                 };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
@@ -219,7 +230,8 @@
 /// Answers calls to the replicas in `groups`, without membership and settings, until its task is
 /// dropped.
 pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
-    serve_peers(listener, PeerServer { membership: None, settings: None, groups }).await;
+    serve_peers(listener, PeerServer { membership: None, settings: None, groups, ledger: None })
+        .await;
 }
 
 /// Answers calls of other instances on `listener` until its task is dropped.
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    ledger::command::{LedgerChange, LedgerReply},
     name::GroupName,
     replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
@@ -48,15 +49,6 @@
     /// Exchanges membership state; the reply holds what the receiver knows.
     async fn exchange(state: MemberExchange) -> MemberExchange;
 
-    /// Everything in the settings that changed after the asker's revision.
-    async fn settings_after(request: FollowRequest) -> FollowReply;
-
-    /// Applies an update of the settings; none where the receiver holds no settings.
-    async fn settings_push(push: PushRequest) -> Option<ZoneReport>;
-
-    /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
-    async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
-
     /// Passes messages to the receiver's replica of `group`.
     async fn group_deliver(group: GroupName, envelopes: Vec<ReplicaEnvelope>);
 
@@ -65,6 +57,18 @@
 
     /// Last entry that a linearizable read must see, if the receiver leads `group`.
     async fn group_read_index(group: GroupName) -> Result<LogIndex, GroupError>;
+
+    /// Everything in the settings that changed after the asker's revision.
+    async fn settings_after(request: FollowRequest) -> FollowReply;
+
+    /// Applies an update of the settings; none if the receiver follows no settings.
+    async fn settings_push(push: PushRequest) -> Option<ZoneReport>;
+
+    /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
+    async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
+
+    /// Changes the region's ledger; answered by the instances that host it.
+    async fn change_ledger(change: LedgerChange) -> Result<LedgerReply, GroupError>;
 }
 
 /// Why a call to another instance has no reply.
--- a/cicadastall/src/settings_peer.rs
+++ b/cicadastall/src/settings_peer.rs
@@ -31,7 +31,7 @@
     pub follower: Option<FollowerPlace>,
 }
 
-/// Answer to a [`FollowRequest`].
+/// Answer to a [`FollowRequest`]; empty from an instance that follows no settings.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct FollowReply {
     /// What changed; none if nothing did.
