--- a/cicadastall/src/group_actor.rs
+++ b/cicadastall/src/group_actor.rs
@@ -27,7 +27,7 @@
 /// Time between two ticks of the core.
 const TICK_PERIOD: Duration = Duration::from_millis(25);
 
-/// Entries after which the state is written as a snapshot.
+/// Fewest entries after which the state is written as a snapshot.
 const SNAPSHOT_ENTRIES: u64 = 4_096;
 
 /// Reply to a proposal.
@@ -100,6 +100,8 @@
     reads: HashMap<ReadTicket, ReadReply>,
     tickets: ReadTicket,
     applied: LogIndex,
+    /// Bytes of commands applied since the last snapshot.
+    log_bytes: usize,
     flushing: bool,
 }
 
@@ -127,6 +129,7 @@
             reads: HashMap::new(),
             tickets: ReadTicket(0),
             applied,
+            log_bytes: 0,
             flushing: false,
         })
     }
@@ -244,13 +247,24 @@
             let Some(reply) = self.reads.remove(&ticket) else { continue };
             let _ = reply.send(index.ok_or(GroupError::NoQuorum));
         }
-        if self.applied.0 >= self.core.log().base().0 + SNAPSHOT_ENTRIES {
-            let data = self.state.read().unwrap_or_else(PoisonError::into_inner).snapshot();
-            self.core.compact(self.applied, data);
-        }
+        self.compact();
         Ok(())
     }
 
+    /// Writes a snapshot once the log has grown by as much as a snapshot takes, so that its cost
+    /// stays in proportion to the changes.
+    fn compact(&mut self) {
+        let log = self.core.log();
+        let entries = self.applied.0.saturating_sub(log.base().0);
+        let least_bytes = log.snapshot().data.len();
+        if entries < SNAPSHOT_ENTRIES || self.log_bytes < least_bytes {
+            return;
+        }
+        let data = self.state.read().unwrap_or_else(PoisonError::into_inner).snapshot();
+        self.core.compact(self.applied, data);
+        self.log_bytes = 0;
+    }
+
     fn restore(&mut self, snapshot: &SnapshotImage) {
         if !snapshot.data.is_empty() {
             match S::restore(&snapshot.data) {
@@ -263,25 +277,30 @@
 
     fn apply(&mut self, entry: LogEntry) {
         let LogEntry { position, payload } = entry;
-        let reply = match payload {
-            EntryPayload::Command(command) => match serde_json::from_str(&command) {
-                Ok(command) => {
-                    let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
-                    Some(state.apply(&command))
-                }
-                Err(error) => {
-                    log::error!("command {} cannot be decoded: {error}", position.index);
-                    None
-                }
-            },
-            EntryPayload::Empty | EntryPayload::Configuration(_) => None,
-        };
+        let reply = self.apply_payload(position.index, &payload);
         self.applied = position.index;
         let Some((term, proposal)) = self.proposals.remove(&position.index) else { return };
         let reply = reply.filter(|_| term == position.term).ok_or(GroupError::OutcomeUnknown);
         let _ = proposal.send(reply);
     }
 
+    fn apply_payload(&mut self, index: LogIndex, payload: &EntryPayload) -> Option<S::Reply> {
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        match payload {
+            EntryPayload::Command(command) => {
+                self.log_bytes += command.len();
+                let decoded = serde_json::from_str(command);
+                let failed = |error| log::error!("command {index} cannot be decoded: {error}");
+                decoded.map_err(failed).ok().map(|command| state.apply(&command))
+            }
+            EntryPayload::Refounded { epoch, .. } => {
+                state.refounded(epoch.0);
+                None
+            }
+            EntryPayload::Empty | EntryPayload::Configuration(_) => None,
+        }
+    }
+
     /// A replica that no longer leads does not learn which of its proposals are committed.
     fn drop_proposals(&mut self) {
         for (_, (_, reply)) in std::mem::take(&mut self.proposals) {
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -38,9 +38,9 @@
 impl Default for ReplicaTiming {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(250),
-            election: Duration::from_millis(1_000),
-            lease: Duration::from_millis(800),
+            heartbeat: Duration::from_millis(350),
+            election: Duration::from_millis(1_200),
+            lease: Duration::from_millis(1_000),
         }
     }
 }
@@ -120,7 +120,8 @@
     pub(crate) synced: LogIndex,
     random: ChaCha8Rng,
     delivered: LogIndex,
-    heard: Instant,
+    /// Time of the last message of a leader, or of the start.
+    heard: Option<Instant>,
     pub(crate) deadline: Instant,
     sequence: WriteSequence,
     finished: WriteSequence,
@@ -148,15 +149,15 @@
         };
         let mut core = Self {
             hard: stored.hard,
-            role,
             commit: log.base(),
             delivered: log.base(),
             synced: log.last().index,
             log,
             output: ReplicaOutput::default(),
             random: ChaCha8Rng::seed_from_u64(settings.seed),
-            // A vote given before the restart may have renewed a lease.
-            heard: now,
+            // An answer given before the restart may have renewed a lease.
+            heard: (!matches!(role, ReplicaRole::Absent { .. })).then_some(now),
+            role,
             deadline: now,
             sequence: WriteSequence(0),
             finished: WriteSequence(0),
@@ -502,8 +503,7 @@
         if self.is_absent() {
             return Err(ReplicaError::NoGroup);
         }
-        let heard = self.leader().is_some() && now < self.heard + self.settings.timing.election;
-        if self.is_leader() || heard {
+        if self.is_leader() || (self.leader().is_some() && self.has_heard(now)) {
             return Err(ReplicaError::LeaderPresent);
         }
         self.become_follower(self.hard.term.next(), None, now);
@@ -511,7 +511,7 @@
         self.write_hard();
         let mut configuration = GroupConfiguration::default();
         configuration.voters.push(self.settings.own.clone());
-        self.append_own(EntryPayload::Configuration(configuration));
+        self.append_own(EntryPayload::Refounded { epoch: self.hard.epoch, configuration });
         self.deadline = now;
         Ok(())
     }
@@ -567,9 +567,13 @@
         }
     }
 
+    fn has_heard(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now < heard + self.settings.timing.election)
+    }
+
     /// Whether a leader may still hold a lease that this replica's answer renewed.
     fn is_lease_possible(&self, now: Instant) -> bool {
-        self.is_leader() || now < self.heard + self.settings.timing.election
+        self.is_leader() || self.has_heard(now)
     }
 
     fn on_pre_vote(&mut self, from: ReplicaId, term: Term, last: LogPosition, now: Instant) {
@@ -653,7 +657,7 @@
         if !self.is_absent() {
             self.become_follower(term, Some(from.clone()), now);
         }
-        self.heard = now;
+        self.heard = Some(now);
         true
     }
 
--- a/cicadastall/src/replica_log.rs
+++ b/cicadastall/src/replica_log.rs
@@ -1,7 +1,7 @@
 //! In-memory log of the replication core, with the snapshot that it follows.
 
 use crate::replica_message::{
-    EntryPayload, GroupConfiguration, LogEntry, LogIndex, LogPosition, SnapshotImage, Term,
+    GroupConfiguration, LogEntry, LogIndex, LogPosition, SnapshotImage, Term,
 };
 use std::sync::Arc;
 
@@ -67,7 +67,7 @@
     /// Adds entries after the last one.
     pub fn append(&mut self, entries: impl IntoIterator<Item = LogEntry>) {
         for entry in entries {
-            if let EntryPayload::Configuration(configuration) = &entry.payload {
+            if let Some(configuration) = entry.payload.configuration() {
                 self.configurations.push((entry.position.index, configuration.clone()));
             }
             self.entries.push(entry);
--- a/cicadastall/src/replica_message.rs
+++ b/cicadastall/src/replica_message.rs
@@ -139,6 +139,25 @@
     Command(Arc<str>),
     /// The group's members from this entry on.
     Configuration(GroupConfiguration),
+    /// The group is founded anew; entries that only lost replicas held are lost.
+    Refounded {
+        /// Epoch from this entry on.
+        epoch: Epoch,
+        /// Members from this entry on.
+        configuration: GroupConfiguration,
+    },
+}
+
+impl EntryPayload {
+    /// Members that the entry sets.
+    pub fn configuration(&self) -> Option<&GroupConfiguration> {
+        match self {
+            Self::Configuration(configuration) | Self::Refounded { configuration, .. } => {
+                Some(configuration)
+            }
+            Self::Empty | Self::Command(_) => None,
+        }
+    }
 }
 
 /// One entry of the log.
--- a/cicadastall/src/replicated.rs
+++ b/cicadastall/src/replicated.rs
@@ -21,6 +21,12 @@
     /// Applies one committed command.
     fn apply(&mut self, command: &Self::Command) -> Self::Reply;
 
+    /// Notes that the group was founded anew under `epoch`, in milliseconds of the wall clock:
+    /// commands accepted under earlier epochs may be missing from the state.
+    fn refounded(&mut self, epoch: u64) {
+        let _ = epoch;
+    }
+
     /// Encodes the whole state.
     fn snapshot(&self) -> Vec<u8>;
 
--- a/cicadastall/tests/groups/mod.rs
+++ b/cicadastall/tests/groups/mod.rs
@@ -27,6 +27,10 @@
         self.0.len()
     }
 
+    fn refounded(&mut self, _: u64) {
+        self.0.push("refounded".into());
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
     }
