--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -1,10 +1,11 @@
-//! Load, experiments and slopes for cicadastall.
+//! Runs experiments of cicadastall from the command line.
 
 mod group;
 mod overhead;
 mod schedules;
 
 use bpaf::Bpaf;
+use cicadastall_bench::compare::{CompareOptions, compare_options, run_compare};
 
 /// Measures cicadastall; every command prints JSON or a table and ends by itself.
 #[derive(Debug, Clone, Bpaf)]
@@ -16,6 +17,9 @@
     /// Processor time, latency and memory that an entry adds to requests and tokens
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::overhead_options))] overhead::OverheadOptions),
+    /// Runs one workload over the shipped policy and over baselines
+    #[bpaf(command)]
+    Compare(#[bpaf(external(compare_options))] CompareOptions),
     /// Arbitrary schedules of faults against the replication core
     #[bpaf(command)]
     Schedules(#[bpaf(external(schedules::schedule_options))] schedules::ScheduleOptions),
@@ -25,6 +29,7 @@
     match bench_command().run() {
         BenchCommand::Group(options) => group::run(&options),
         BenchCommand::Overhead(options) => overhead::run(&options),
+        BenchCommand::Compare(options) => run_compare(&options),
         BenchCommand::Schedules(options) => schedules::run(&options),
     }
 }
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -8,7 +8,9 @@
     dispatch::{AttemptError, AttemptStream, AttemptTarget, call_service, open_stream},
     entry::EntryContext,
     name::{AttemptId, RegionName, RequestId, UpstreamName},
-    route::{RouteDecision, TriedTargets},
+    prefix::PromptShape,
+    retry::permits_attempt,
+    route::{RouteDecision, TriedTargets, UpstreamChoice, track::SendTicket},
     stream::{AnswerAssembler, StreamStep, encode_event},
     wire::{CallRequest, ChatRequest, ChunkView},
 };
@@ -16,9 +18,6 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Most attempts for one request.
-const MAX_ATTEMPTS: u32 = 4;
-
 /// Who gave an answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AnswerSource {
@@ -108,6 +107,7 @@
 pub(crate) struct RequestRelay {
     context: Arc<EntryContext>,
     plan: Arc<RequestPlan>,
+    shape: PromptShape,
     tried: TriedTargets,
     attempts: u32,
     deadline: Instant,
@@ -120,12 +120,12 @@
     id: AttemptId,
     target: AttemptTarget,
     source: AnswerSource,
-    _slot: AttemptSlot,
+    slot: AttemptSlot,
 }
 
 impl OpenAttempt {
     fn is_local(&self) -> bool {
-        matches!(self.target, AttemptTarget::Upstream(_))
+        matches!(self.target, AttemptTarget::Upstream { .. })
     }
 }
 
@@ -133,22 +133,21 @@
 #[derive(Debug)]
 struct AttemptSlot {
     context: Arc<EntryContext>,
-    upstream: Option<UpstreamName>,
+    ticket: Option<SendTicket>,
 }
 
 impl AttemptSlot {
-    fn new(context: &Arc<EntryContext>, upstream: Option<UpstreamName>) -> Self {
-        if let Some(name) = &upstream {
-            context.router().note_sent(name);
+    fn note_first_token(&self) {
+        if let Some(ticket) = &self.ticket {
+            self.context.router().note_first_token(ticket, Instant::now());
         }
-        Self { context: Arc::clone(context), upstream }
     }
 }
 
 impl Drop for AttemptSlot {
     fn drop(&mut self) {
-        if let Some(name) = &self.upstream {
-            self.context.router().note_ended(name);
+        if let Some(ticket) = &self.ticket {
+            self.context.router().note_ended(ticket);
         }
     }
 }
@@ -158,6 +157,7 @@
         let deadline = now + plan.deadline;
         Self {
             context,
+            shape: PromptShape::of(&plan.body),
             plan: Arc::new(plan),
             tried: TriedTargets::default(),
             attempts: 0,
@@ -199,6 +199,7 @@
             let mut assembler = AnswerAssembler::new(attempt.id.clone());
             match self.read_first_token(&attempt, &chat, &mut assembler).await {
                 Ok((stream, first)) => {
+                    attempt.slot.note_first_token();
                     let source = attempt.source.clone();
                     let passage = StreamPassage { relay: self, chat, attempt, assembler, stream };
                     return Ok(RelayedStream { source, first, passage });
@@ -272,19 +273,15 @@
                 return Err(self.refuse(RefusalCode::DeadlinePassed, "deadline passed"));
             }
             let table = self.context.table();
-            let decision = self.context.router().choose(&table, &self.plan, &self.tried, now);
+            let decision =
+                self.context.router().choose(&table, &self.plan, &self.shape, &self.tried, now);
             match decision {
                 RouteDecision::Wait(until) => sleep_until(until.min(self.deadline)).await,
                 RouteDecision::Refuse(mut refusal) => {
                     refusal.ran = self.ran;
                     return Err(refusal);
                 }
-                RouteDecision::Upstream(view) => {
-                    let upstream = view.record.name.clone();
-                    let target = AttemptTarget::Upstream(view.record.address);
-                    let region = view.record.region.clone();
-                    return Ok(self.number_attempt(target, region, Some(upstream)));
-                }
+                RouteDecision::Upstream(choice) => return Ok(self.open_upstream(choice, now)),
                 RouteDecision::Entry { region, zone, address } => {
                     self.tried.zones.push(zone);
                     let from = self.context.node().region.clone();
@@ -295,16 +292,26 @@
         }
     }
 
+    fn open_upstream(&mut self, choice: UpstreamChoice, now: Instant) -> OpenAttempt {
+        let record = choice.view.record;
+        let table = self.context.table();
+        let ticket =
+            self.context.router().note_sent(&table, &record.name, &self.plan, &self.shape, now);
+        let target = AttemptTarget::Upstream { address: record.address, priority: choice.priority };
+        self.number_attempt(target, record.region.clone(), Some(ticket))
+    }
+
     fn number_attempt(
         &mut self,
         target: AttemptTarget,
         region: RegionName,
-        upstream: Option<UpstreamName>,
+        ticket: Option<SendTicket>,
     ) -> OpenAttempt {
         self.attempts += 1;
         let id = AttemptId::new(format!("{}.{}", self.plan.request, self.attempts));
-        let slot = AttemptSlot::new(&self.context, upstream.clone());
-        OpenAttempt { id, target, source: AnswerSource { region, upstream }, _slot: slot }
+        let upstream = ticket.as_ref().map(|ticket| ticket.upstream.clone());
+        let slot = AttemptSlot { context: Arc::clone(&self.context), ticket };
+        OpenAttempt { id, target, source: AnswerSource { region, upstream }, slot }
     }
 
     /// Decides whether another attempt is allowed after `error`.
@@ -320,8 +327,7 @@
         if let Some(upstream) = &attempt.source.upstream {
             self.tried.upstreams.push(upstream.clone());
         }
-        let repeatable = self.plan.repeatable || self.ran == Ran::No;
-        if !repeatable || self.attempts >= MAX_ATTEMPTS {
+        if !permits_attempt(&self.plan, self.ran, self.attempts) {
             let mut refusal = error.into_refusal();
             refusal.ran = self.ran;
             return Err(refusal);
