Tell a replica of an earlier epoch that its group was founded anew

Cause: a replica that was away during the refounding asked for votes under the old epoch, and nobody answered, so its status never said why it was left out.

Change: members answer a pre-vote of an earlier epoch with a refusal that carries the newer one; status and log name it and the way back.

Proof: replica_groups, a_refounded_group_takes_empty_replicas_in_and_old_ones_not; without the answer the test waits 20 s for the old replica and fails by its construction (not run separately).

--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -169,6 +169,7 @@
 
 struct GroupShared<S: ReplicatedState> {
     settings: GroupSettings,
+    own: ReplicaId,
     addresses: HashMap<InstanceName, SocketAddr>,
     clients: Arc<PeerClients>,
     registry: Arc<GroupRegistry>,
@@ -243,7 +244,7 @@
         let state = Arc::new(RwLock::new(state));
         let own = ReplicaId { instance: settings.own.clone(), identity };
         let replica = ReplicaSettings {
-            own,
+            own: own.clone(),
             instances: settings.voters.iter().map(|voter| voter.instance.clone()).collect(),
             founding: Epoch(wall_clock_ms()),
             timing: settings.timing,
@@ -268,10 +269,16 @@
             .map_err(|error| GroupStartError::Spawn(error.to_string()))?;
         registry.register(settings.group.clone(), Arc::new(LocalEndpoint(actor.clone())));
         let status = published;
-        let shared = GroupShared { settings, addresses, clients, registry, actor, state, status };
+        let shared =
+            GroupShared { settings, own, addresses, clients, registry, actor, state, status };
         Ok(Self { shared: Arc::new(shared) })
     }
 
+    /// The replica.
+    pub fn own(&self) -> &ReplicaId {
+        &self.shared.own
+    }
+
     /// What the replica knows of its group.
     pub fn status(&self) -> GroupStatus {
         self.shared.status.borrow().clone()
--- a/cicadastall/src/group_actor.rs
+++ b/cicadastall/src/group_actor.rs
@@ -321,6 +321,14 @@
             failure: None,
         };
         self.status.send_if_modified(|published| {
+            if status.superseded > published.superseded {
+                log::error!(
+                    "the group was founded anew under epoch {} without this replica, which holds \
+                     epoch {}; move its folder away to let it join",
+                    status.superseded.unwrap_or_default(),
+                    status.epoch
+                );
+            }
             let changed = *published != status;
             *published = status;
             changed
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -277,15 +277,22 @@
                 self.hard.term = self.hard.term.max(term);
             }
             _ if self.is_absent() => return,
-            _ if epoch != self.hard.epoch => {
-                self.superseded = self.superseded.max((epoch > self.hard.epoch).then_some(epoch));
-                return;
-            }
+            _ if epoch != self.hard.epoch => return self.on_other_epoch(epoch, from, message),
             _ => {}
         }
         self.receive_member(epoch, from, message, now);
     }
 
+    /// A replica that was not there when the group was founded anew learns of it.
+    fn on_other_epoch(&mut self, epoch: Epoch, from: ReplicaId, message: ReplicaMessage) {
+        if epoch > self.hard.epoch {
+            self.superseded = self.superseded.max(Some(epoch));
+        } else if let ReplicaMessage::PreVote { .. } = message {
+            let term = self.hard.term;
+            self.send_synced(from, ReplicaMessage::PreVoteReply { term, granted: false });
+        }
+    }
+
     fn receive_member(
         &mut self,
         epoch: Epoch,
--- a/cicadastall/tests/replica_groups.rs
+++ b/cicadastall/tests/replica_groups.rs
@@ -85,20 +85,25 @@
     assert_eq!(propose(&members[0], "after").await, 2);
 }
 
-#[tokio::test]
-async fn one_of_three_accepts_nothing_until_it_is_refounded() {
-    let group = TestGroup::new(3, None).await;
-    let mut members = start_all(&group).await;
-    propose(&members[0], "before").await;
+/// Stops all but the leader, which then steps down.
+async fn keep_leader(mut members: Vec<Member>) -> Member {
     let kept = members.remove(leader(&members).expect("leader"));
-    assert_eq!(
-        kept.handle.refound(true).await,
-        Err(RefoundError::Replica(ReplicaError::LeaderPresent))
-    );
     for member in members {
         member.stop().await;
     }
     wait_until("the leader steps down", || !kept.handle.status().leads).await;
+    kept
+}
+
+#[tokio::test]
+async fn one_of_three_accepts_nothing_until_it_is_refounded() {
+    let group = TestGroup::new(3, None).await;
+    let members = start_all(&group).await;
+    propose(&members[0], "before").await;
+    let leads = &members[leader(&members).expect("leader")].handle;
+    let refused = Err(RefoundError::Replica(ReplicaError::LeaderPresent));
+    assert_eq!(leads.refound(true).await, refused);
+    let kept = keep_leader(members).await;
     assert_eq!(kept.handle.propose("lost".into()).await, Err(GroupError::NoQuorum));
     assert_eq!(read(&kept).await, Err(GroupError::NoQuorum));
     assert_eq!(kept.handle.refound(false).await, Err(RefoundError::LossNotAccepted));
@@ -108,3 +113,28 @@
     let left = vec!["before".into(), "refounded".into(), "after".into()];
     assert_eq!(read(&kept).await, Ok(left));
 }
+
+#[tokio::test]
+async fn a_refounded_group_takes_empty_replicas_in_and_old_ones_not() {
+    let group = TestGroup::new(3, Some(folder("refounded"))).await;
+    let members = start_all(&group).await;
+    propose(&members[0], "before").await;
+    let kept = keep_leader(members).await;
+    let own = kept.handle.status().configuration;
+    let own = group.voters.iter().position(|voter| {
+        let leader = kept.handle.own();
+        own.voters.contains(leader) && leader.instance == voter.instance
+    });
+    let (old, empty) = ((own.expect("own") + 1) % 3, (own.expect("own") + 2) % 3);
+    kept.handle.refound(true).await.expect("refound");
+    propose(&kept, "after").await;
+    std::fs::remove_dir_all(group.folder(empty).expect("folder")).expect("remove");
+    let (old, empty) = (group.start(old).await, group.start(empty).await);
+    let (old, empty) = (old.expect("start"), empty.expect("start"));
+    let epoch = kept.handle.status().epoch;
+    wait_until("the old one learns of it", || old.handle.status().superseded == Some(epoch)).await;
+    let joined = || kept.handle.status().configuration.voters.len() == 2;
+    wait_until("the empty one votes", joined).await;
+    assert_eq!(read(&empty).await, read(&kept).await);
+    assert_eq!(old.handle.read_local(|list| list.0.clone()), Vec::<String>::new());
+}
