--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -27,7 +27,7 @@
 };
 use tokio::{
     sync::{oneshot, watch},
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 /// Longest time to look for a leader before a proposal or a read is refused.
@@ -36,6 +36,9 @@
 /// Pause before another replica is asked to lead.
 const LEADER_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest time that the leader takes over a proposal or a read.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Longest time that another instance takes over a proposal or a read.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -215,7 +218,8 @@
     let (reply, replied): (ProposalReply<S>, _) = oneshot::channel();
     actor.cast(GroupMessage::Propose(command, reply)).map_err(|_| GroupError::Stopped)?;
     // A replica that stops with the command in its queue may have logged it.
-    replied.await.unwrap_or(Err(GroupError::OutcomeUnknown))
+    let replied = timeout(PROPOSAL_TIMEOUT, replied).await;
+    replied.ok().and_then(Result::ok).unwrap_or(Err(GroupError::OutcomeUnknown))
 }
 
 async fn read_here<S: ReplicatedState>(
@@ -223,7 +227,8 @@
 ) -> Result<LogIndex, GroupError> {
     let (reply, replied): (ReadReply, _) = oneshot::channel();
     actor.cast(GroupMessage::Read(reply)).map_err(|_| GroupError::Stopped)?;
-    replied.await.unwrap_or(Err(GroupError::Stopped))
+    let replied = timeout(PROPOSAL_TIMEOUT, replied).await;
+    replied.unwrap_or(Ok(Err(GroupError::NoQuorum))).unwrap_or(Err(GroupError::Stopped))
 }
 
 impl<S: ReplicatedState> GroupHandle<S> {
--- a/cicadastall/src/journal.rs
+++ b/cicadastall/src/journal.rs
@@ -90,6 +90,7 @@
     Hard(HardState),
     Truncate(LogIndex),
     Entry(LogEntry),
+    Commit(LogIndex),
 }
 
 /// Head of the snapshot file; the encoded state follows as a frame of its own.
@@ -187,6 +188,7 @@
         JournalWrite::Append(entries) => {
             entries.iter().cloned().map(JournalRecord::Entry).collect()
         }
+        JournalWrite::Commit(index) => vec![JournalRecord::Commit(*index)],
         JournalWrite::Replace(_) => Vec::new(),
     }
 }
@@ -294,6 +296,7 @@
         JournalRecord::Hard(stored.hard.clone()),
     ];
     records.extend(stored.entries.iter().cloned().map(JournalRecord::Entry));
+    records.push(JournalRecord::Commit(stored.commit));
     encode(&records)
 }
 
@@ -344,6 +347,7 @@
         match record {
             JournalRecord::Base(position) => base = position,
             JournalRecord::Hard(hard) => stored.hard = hard,
+            JournalRecord::Commit(index) => stored.commit = index,
             JournalRecord::Truncate(from) => stored.apply(&JournalWrite::Truncate(from)),
             JournalRecord::Entry(entry) => {
                 let last = stored.entries.last().map_or(base, |last| last.position);
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -116,6 +116,9 @@
     pub(crate) log: ReplicaLog,
     pub(crate) role: ReplicaRole,
     pub(crate) commit: LogIndex,
+    /// Commit index in storage, from which a replica that is cut off restarts.
+    noted_commit: LogIndex,
+    noted_at: Instant,
     pub(crate) output: ReplicaOutput,
     pub(crate) synced: LogIndex,
     random: ChaCha8Rng,
@@ -143,13 +146,16 @@
     /// A replica that starts at `now` from what its storage holds.
     pub fn new(settings: ReplicaSettings, stored: StoredReplica, now: Instant) -> Self {
         let log = ReplicaLog::new(stored.snapshot, stored.entries);
+        let commit = stored.commit.min(log.last().index).max(log.base());
         let role = match stored.hard.epoch {
             Epoch(0) => ReplicaRole::Absent { joins: Vec::new(), answered: Vec::new() },
             _ => ReplicaRole::Follower { leader: None },
         };
         let mut core = Self {
             hard: stored.hard,
-            commit: log.base(),
+            commit,
+            noted_commit: commit,
+            noted_at: now,
             delivered: log.base(),
             synced: log.last().index,
             log,
@@ -231,6 +237,7 @@
     pub fn take_output(&mut self, now: Instant) -> ReplicaOutput {
         self.send_entries(now);
         self.deliver();
+        self.note_commit(now);
         if !self.output.writes.is_empty() {
             self.unsynced.push_back((self.sequence, self.log.last().index));
         }
@@ -407,6 +414,16 @@
         self.reset_deadline(now);
     }
 
+    /// Stores the commit index along with other writes, or after a while without any.
+    fn note_commit(&mut self, now: Instant) {
+        let due = now >= self.noted_at + self.settings.timing.election;
+        if self.commit > self.noted_commit && (due || !self.output.writes.is_empty()) {
+            self.write(JournalWrite::Commit(self.commit));
+            self.noted_commit = self.commit;
+            self.noted_at = now;
+        }
+    }
+
     fn deliver(&mut self) {
         // An entry that others have committed may be lost here until it is synced.
         let limit = self.commit.min(self.synced);
@@ -763,6 +780,7 @@
             hard: self.hard.clone(),
             snapshot: Arc::clone(self.log.snapshot()),
             entries: self.log.range(LogIndex(0), self.log.last().index).to_vec(),
+            commit: self.commit,
         };
         self.write(JournalWrite::Replace(Box::new(stored)));
     }
--- a/cicadastall/src/replica_message.rs
+++ b/cicadastall/src/replica_message.rs
@@ -200,6 +200,8 @@
     Truncate(LogIndex),
     /// Adds entries after the last one.
     Append(Vec<LogEntry>),
+    /// Notes that all entries up to this one are committed.
+    Commit(LogIndex),
     /// Replaces everything.
     Replace(Box<StoredReplica>),
 }
@@ -213,6 +215,8 @@
     pub snapshot: Arc<SnapshotImage>,
     /// Entries after the snapshot.
     pub entries: Vec<LogEntry>,
+    /// Last entry noted as committed.
+    pub commit: LogIndex,
 }
 
 impl StoredReplica {
@@ -224,6 +228,7 @@
                 self.entries.retain(|entry| entry.position.index < *from);
             }
             JournalWrite::Append(entries) => self.entries.extend_from_slice(entries),
+            JournalWrite::Commit(index) => self.commit = *index,
             JournalWrite::Replace(stored) => *self = (**stored).clone(),
         }
     }
--- a/cicadastall/tests/groups/mod.rs
+++ b/cicadastall/tests/groups/mod.rs
@@ -11,8 +11,23 @@
     replicated::{GroupError, ReplicatedGroup, ReplicatedState},
 };
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
-use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+/// Longest wait for anything.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
 
 /// A list of texts.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -64,15 +79,25 @@
     folder: Option<PathBuf>,
 }
 
+impl Drop for TestGroup {
+    fn drop(&mut self) {
+        if let Some(folder) = &self.folder {
+            let _ = std::fs::remove_dir_all(folder);
+        }
+    }
+}
+
 impl TestGroup {
     /// A group of `size`; its replicas are durable if there is a folder, which is emptied.
     pub async fn new(size: usize, folder: Option<PathBuf>) -> Self {
         if let Some(folder) = &folder {
             let _ = std::fs::remove_dir_all(folder);
         }
+        // Connections of other processes take no ports of this address.
+        let ip = Ipv4Addr::new(127, rand::random_range(1..255), rand::random_range(1..255), 1);
         let (mut voters, mut listen) = (Vec::new(), Vec::new());
         for index in 0..size {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+            let listener = TcpListener::bind((ip, 0)).await.expect("bind");
             let address: SocketAddr = listener.local_addr().expect("address");
             let instance = InstanceName::new(format!("control-{index}"));
             voters.push(VoterSettings { instance, address });
@@ -103,33 +128,36 @@
     }
 }
 
+/// Binds an address again once its previous owner has let go of it.
 async fn bind(address: SocketAddr) -> TcpListener {
+    let end = Instant::now() + WAIT;
     loop {
         match TcpListener::bind(address).await {
             Ok(listener) => return listener,
-            Err(_) => sleep(Duration::from_millis(20)).await,
+            Err(error) => assert!(Instant::now() < end, "{address}: {error}"),
         }
+        sleep(PAUSE).await;
     }
 }
 
 /// Proposes until the command is accepted, for groups that are being founded or repaired.
 pub async fn propose(member: &Member, text: &str) -> usize {
+    let end = Instant::now() + WAIT;
     loop {
         match member.handle.propose(text.to_owned()).await {
             Ok(length) => return length,
             Err(GroupError::NoQuorum | GroupError::NotLeader { .. }) => {}
             Err(error) => panic!("{error}"),
         }
+        assert!(Instant::now() < end, "{text} is not accepted: {:?}", member.handle.status());
     }
 }
 
 /// Waits until `met` holds.
 pub async fn wait_until(what: &str, met: impl Fn() -> bool) {
-    for _ in 0..1_000 {
-        if met() {
-            return;
-        }
-        sleep(Duration::from_millis(20)).await;
+    let end = Instant::now() + WAIT;
+    while !met() {
+        assert!(Instant::now() < end, "not met within {WAIT:?}: {what}");
+        sleep(PAUSE).await;
     }
-    panic!("not met within 20 s: {what}");
 }
--- a/cicadastall/tests/journal_faults.rs
+++ b/cicadastall/tests/journal_faults.rs
@@ -125,7 +125,8 @@
 fn a_flipped_byte_in_snapshot_or_identity_is_refused() {
     for name in ["snapshot", "identity"] {
         let folder = fresh_folder("flipped-files");
-        let stored = StoredReplica { hard: hard(), snapshot: snapshot(4), entries: Vec::new() };
+        let stored =
+            StoredReplica { hard: hard(), snapshot: snapshot(4), ..StoredReplica::default() };
         open(&folder).writer.write(&[JournalWrite::Replace(Box::new(stored))]).expect("write");
         let path = folder.join(name);
         let mut bytes = fs::read(&path).expect("read");
@@ -162,8 +163,12 @@
 #[test]
 fn a_snapshot_newer_than_the_log_s_start_is_continued_by_the_log() {
     let folder = fresh_folder("continued");
-    let stored =
-        StoredReplica { hard: hard(), snapshot: snapshot(4), entries: vec![entry(5), entry(6)] };
+    let stored = StoredReplica {
+        hard: hard(),
+        snapshot: snapshot(4),
+        entries: vec![entry(5), entry(6)],
+        commit: LogIndex(5),
+    };
     let mut writer = open(&folder).writer;
     writer.write(&[JournalWrite::Replace(Box::new(stored.clone()))]).expect("write");
     drop(writer);
@@ -180,10 +185,15 @@
 #[test]
 fn a_snapshot_older_than_the_log_s_start_is_refused() {
     let folder = fresh_folder("gap");
-    let stored = StoredReplica { hard: hard(), snapshot: snapshot(4), entries: Vec::new() };
+    let stored = StoredReplica { hard: hard(), snapshot: snapshot(4), ..StoredReplica::default() };
     open(&folder).writer.write(&[JournalWrite::Replace(Box::new(stored))]).expect("write");
     let old = fs::read(folder.join("snapshot")).expect("read");
-    let stored = StoredReplica { hard: hard(), snapshot: snapshot(8), entries: vec![entry(9)] };
+    let stored = StoredReplica {
+        hard: hard(),
+        snapshot: snapshot(8),
+        entries: vec![entry(9)],
+        commit: LogIndex(8),
+    };
     open(&folder).writer.write(&[JournalWrite::Replace(Box::new(stored))]).expect("write");
     fs::write(folder.join("snapshot"), old).expect("write");
     let error = JournalWriter::open(&folder).expect_err("refused");
--- a/cicadastall/tests/replica_core.rs
+++ b/cicadastall/tests/replica_core.rs
@@ -35,6 +35,7 @@
         hard: HardState { epoch: Epoch(1), term: Term(2), vote: None },
         snapshot: Arc::new(SnapshotImage { configuration, ..SnapshotImage::default() }),
         entries: (1..=entries).map(entry).collect(),
+        ..StoredReplica::default()
     };
     let settings = ReplicaSettings {
         own: replica("b"),
--- a/cicadastall/tests/replica_groups.rs
+++ b/cicadastall/tests/replica_groups.rs
@@ -4,14 +4,16 @@
 
 use cicadastall::{
     group::RefoundError,
-    replica::ReplicaError,
+    replica::{ReplicaError, ReplicaTiming},
     replicated::{GroupError, ReplicatedGroup},
 };
 use groups::{Member, TestGroup, propose, wait_until};
 use std::path::{Path, PathBuf};
+use tokio::time::sleep;
 
 fn folder(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+    // Several runs of the tests may share a target folder.
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()))
 }
 
 async fn start_all(group: &TestGroup) -> Vec<Member> {
@@ -64,6 +66,21 @@
     assert_eq!(read(&members[2]).await.map(|list| list.len()), Ok(501));
 }
 
+#[tokio::test]
+async fn a_replica_that_restarts_alone_has_what_it_knew_to_be_committed() {
+    let group = TestGroup::new(3, Some(folder("alone"))).await;
+    let members = start_all(&group).await;
+    propose(&members[0], "kept").await;
+    let length = |member: &Member| member.handle.read_local(|list| list.0.len());
+    wait_until("all know", || members.iter().all(|member| length(member) == 1)).await;
+    sleep(2 * ReplicaTiming::default().election).await;
+    for member in members {
+        member.stop().await;
+    }
+    let alone = group.start(2).await.expect("start");
+    wait_until("it is applied", || length(&alone) == 1).await;
+}
+
 #[tokio::test]
 async fn an_empty_disk_under_the_old_name_is_taken_in_as_another_replica() {
     let group = TestGroup::new(3, Some(folder("empty-disk"))).await;
