Measure the distribution of settings, and keep control's cost to its zones

Cause: with 200 holders in 15 zones the control instance answered 63.6 questions a second where 30 (two a zone) were meant: ages of confirmation pass from peer to peer, exceed 3 s in a large zone, and holders then ask control themselves. A quarter of a holder's questions go to one of the zone's two that ask control; a holder asks control itself after 8 s without confirmation, and counts as cut off after 10 s.

--- a/cicadastall/src/follow.rs
+++ b/cicadastall/src/follow.rs
@@ -16,7 +16,7 @@
 };
 
 /// Time without confirmation after which an instance counts as cut off from the settings group.
-const CUT_OFF_AFTER: Duration = Duration::from_secs(5);
+const CUT_OFF_AFTER: Duration = Duration::from_secs(10);
 
 /// How an instance got its first settings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/cicadastall/src/follower.rs
+++ b/cicadastall/src/follower.rs
@@ -18,7 +18,10 @@
 use rand::seq::IndexedRandom;
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 use tokio::{
@@ -44,8 +47,11 @@
 /// Instances of a zone that ask control instances; the others ask them.
 const ZONE_DELEGATES: usize = 2;
 
+/// Share of questions that go to an instance that asks control instances.
+const DELEGATE_SHARE: f64 = 0.25;
+
 /// Time without confirmation after which an instance asks control instances itself.
-const UNCONFIRMED_AFTER: Duration = Duration::from_secs(3);
+const UNCONFIRMED_AFTER: Duration = Duration::from_secs(8);
 
 /// Longest time to wait until an instance confirms a pushed update.
 const PUSH_TIMEOUT: Duration = Duration::from_millis(600);
@@ -68,6 +74,16 @@
     followers: Mutex<FollowerTable>,
     spread: watch::Sender<SpreadReport>,
     wake: Notify,
+    counts: FollowerCounts,
+}
+
+/// Counts of messages about the settings.
+#[derive(Debug, Default)]
+pub struct FollowerCounts {
+    /// Questions answered.
+    pub answers: AtomicU64,
+    /// Updates pushed to others.
+    pub pushes: AtomicU64,
 }
 
 /// Where the newest pushed revision is in force in the zones that follow this instance.
@@ -101,6 +117,7 @@
             followers: Mutex::default(),
             spread: watch::Sender::new(SpreadReport::default()),
             wake: Notify::new(),
+            counts: FollowerCounts::default(),
         }
     }
 
@@ -109,6 +126,11 @@
         &self.holder
     }
 
+    /// Counts of the instance's messages about the settings.
+    pub fn counts(&self) -> &FollowerCounts {
+        &self.counts
+    }
+
     /// Asks control instances and peers for newer settings, until its task is dropped.
     pub async fn run(&self) {
         self.start().await;
@@ -185,10 +207,16 @@
         before < ZONE_DELEGATES || confirmed.is_none_or(|age| age > UNCONFIRMED_AFTER)
     }
 
+    /// A peer to ask: one that asks control instances, or any of the zone.
     fn choose_peer(&self) -> Option<SocketAddr> {
-        self.zone_peers().choose(&mut rand::rng()).map(|(_, address)| *address)
+        let mut peers = self.zone_peers();
+        if rand::random_bool(DELEGATE_SHARE) {
+            peers.truncate(ZONE_DELEGATES);
+        }
+        peers.choose(&mut rand::rng()).map(|(_, address)| *address)
     }
 
+    /// The others of the zone, by name.
     fn zone_peers(&self) -> Vec<(InstanceName, SocketAddr)> {
         let table = self.table.load();
         let own = &self.place;
@@ -201,6 +229,7 @@
 
     /// Answers a question for newer settings.
     pub(crate) fn answer(&self, request: FollowRequest) -> FollowReply {
+        self.counts.answers.fetch_add(1, Ordering::Relaxed);
         if let Some(follower) = request.follower {
             let mut followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
             followers.note(follower, Instant::now());
@@ -253,6 +282,7 @@
     }
 
     async fn push(&self, address: SocketAddr, push: PushRequest) -> Option<ZoneReport> {
+        self.counts.pushes.fetch_add(1, Ordering::Relaxed);
         let bound = if push.spread { PUSH_TIMEOUT * 2 } else { PUSH_TIMEOUT };
         let call = self.clients.call(address, bound, async |client, context| {
             client.settings_push(context, push).await
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -234,6 +234,14 @@
         .await;
 }
 
+/// Answers questions for the settings that `follower` holds, without membership and groups, until
+/// its task is dropped.
+pub async fn serve_settings(listener: TcpListener, follower: Arc<SettingsFollower>) {
+    let groups = Arc::new(GroupRegistry::default());
+    let settings = Some(follower);
+    serve_peers(listener, PeerServer { membership: None, settings, groups, ledger: None }).await;
+}
+
 /// Answers calls of other instances on `listener` until its task is dropped.
 async fn serve_peers(listener: TcpListener, service: PeerServer) {
     let mut connections = JoinSet::new();
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod claim;
 pub mod clock;
 pub mod control;
+pub mod counted;
 pub mod decode;
 pub mod difference;
 pub mod dispatch;
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    counted::CountedStream,
     ledger::command::{LedgerChange, LedgerReply},
     name::GroupName,
     replica_message::{LogIndex, ReplicaEnvelope},
@@ -152,7 +153,7 @@
 
 /// Connection that carries calls of [`PeerApi`], from the side that answers or the one that asks.
 pub(crate) type MessageTransport<I, O> =
-    tarpc::serde_transport::Transport<TcpStream, I, O, Json<I, O>>;
+    tarpc::serde_transport::Transport<CountedStream, I, O, Json<I, O>>;
 
 /// Turns a connection into one that carries messages.
 pub(crate) fn frame_messages<I, O>(stream: TcpStream) -> MessageTransport<I, O>
@@ -162,7 +163,7 @@
 {
     let mut codec = LengthDelimitedCodec::builder();
     codec.max_frame_length(MAX_MESSAGE_BYTES);
-    tarpc::serde_transport::new(codec.new_framed(stream), Json::default())
+    tarpc::serde_transport::new(codec.new_framed(CountedStream(stream)), Json::default())
 }
 
 async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
