--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -3,6 +3,7 @@
 mod group;
 mod overhead;
 mod schedules;
+mod settings_bench;
 mod slopes;
 
 use bpaf::Bpaf;
@@ -27,6 +28,9 @@
     /// Traffic, cost and speed of membership by the number of nodes
     #[bpaf(command)]
     Slopes(#[bpaf(external(slopes::slopes_options))] slopes::SlopesOptions),
+    /// Bytes, processor time and time until a change of settings is in force everywhere
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings_bench::settings_options))] settings_bench::SettingsOptions),
 }
 
 fn main() -> eyre::Result<()> {
@@ -36,5 +40,6 @@
         BenchCommand::Compare(options) => run_compare(&options),
         BenchCommand::Schedules(options) => schedules::run(&options),
         BenchCommand::Slopes(options) => slopes::run(&options),
+        BenchCommand::Settings(options) => settings_bench::run(&options),
     }
 }
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod claim;
 pub mod clock;
 pub mod control;
+pub mod counted;
 pub mod decode;
 pub mod difference;
 pub mod digest;
