Measure acknowledgements and bookings, and bound the ledger by them

Cause: the ledger's bounds (1,000,000 keys, 50,000 replies of 16 KiB) allowed some 950 MB, against 128 MB of a control instance, and nothing said whether selective acknowledgements pay.

Ruled out: a message of their own for acknowledgements (the paper batches them once a second); they travel in the next claim.

--- /dev/null
+++ b/cicadastall-bench/src/acknowledgements.rs
@@ -0,0 +1,185 @@
+//! What selective acknowledgements save in a ledger, and what they cost.
+
+use bpaf::Bpaf;
+use cicadastall::{
+    ledger::{
+        LedgerLimits, LedgerState,
+        command::{HeldKey, KeyClaim, LedgerChange, LedgerCommand, LedgerReply},
+        session::{LedgerEpoch, SessionId},
+    },
+    name::IdempotencyKey,
+    replicated::ReplicatedState,
+};
+use eyre::{OptionExt, bail};
+use serde_json::json;
+use std::{fs, time::Instant};
+
+/// Virtual time between two bookings of one caller, in milliseconds.
+const BOOKING_PERIOD_MS: u64 = 1_000;
+
+/// Virtual time between two samples of the ledger's size, in milliseconds.
+const SAMPLE_PERIOD_MS: u64 = 2_000;
+
+/// Epoch of the measured ledger.
+const EPOCH: LedgerEpoch = LedgerEpoch(1);
+
+/// Options of the measurement.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct AcknowledgementOptions {
+    /// Callers, each of which books once a second
+    #[bpaf(long, argument("COUNT"), fallback(500))]
+    callers: u64,
+    /// Virtual seconds to run
+    #[bpaf(long, argument("SECONDS"), fallback(60))]
+    seconds: u64,
+    /// Virtual seconds for which a session lasts
+    #[bpaf(long, argument("SECONDS"), fallback(20))]
+    session_seconds: u64,
+    /// Bytes of a reply
+    #[bpaf(long, argument("BYTES"), fallback(200))]
+    reply_bytes: usize,
+    /// Callers acknowledge each reply with their next booking
+    #[bpaf(long)]
+    acknowledge: bool,
+}
+
+/// One caller between two bookings.
+#[derive(Debug, Default)]
+struct BookingCaller {
+    session: Option<SessionId>,
+    received: Option<IdempotencyKey>,
+    sent: u64,
+}
+
+/// A ledger that is driven through encoded commands, as a replica is by its log.
+#[derive(Debug)]
+struct DrivenLedger {
+    state: LedgerState,
+    now_ms: u64,
+    commands: u64,
+    command_bytes: u64,
+}
+
+impl DrivenLedger {
+    fn apply(&mut self, change: LedgerChange) -> eyre::Result<LedgerReply> {
+        let command = LedgerCommand { at_ms: self.now_ms, epoch: EPOCH, change };
+        let encoded = serde_json::to_vec(&command)?;
+        self.commands += 1;
+        self.command_bytes += encoded.len() as u64;
+        let command: LedgerCommand = serde_json::from_slice(&encoded)?;
+        Ok(self.state.apply(&command))
+    }
+
+    fn open_session(&mut self) -> eyre::Result<SessionId> {
+        match self.apply(LedgerChange::OpenSession { workspace: "ba-delta".into() })? {
+            LedgerReply::Session(session) => Ok(session),
+            reply => bail!("no session: {reply:?}"),
+        }
+    }
+
+    fn book(
+        &mut self,
+        caller: &mut BookingCaller,
+        number: u64,
+        options: &AcknowledgementOptions,
+    ) -> eyre::Result<()> {
+        let expired = |session: &SessionId| session.key.expires_ms <= self.now_ms;
+        if caller.session.as_ref().is_none_or(expired) {
+            caller.session = Some(self.open_session()?);
+            caller.received = None;
+        }
+        let session = caller.session.clone().ok_or_eyre("a session was opened")?;
+        caller.sent += 1;
+        let key = IdempotencyKey::new(format!("booking-{number}-{}", caller.sent));
+        let acknowledged = caller.received.take().filter(|_| options.acknowledge);
+        let claim = LedgerChange::Claim(KeyClaim {
+            session: session.clone(),
+            workspace: "ba-delta".into(),
+            key: key.clone(),
+            digest: number,
+            holder: format!("viti-west-1/viti-west-1-{number:016x}.1").into(),
+            lease_ms: 3_000,
+            acknowledged: acknowledged.into_iter().collect(),
+        });
+        let LedgerReply::Granted(claim) = self.apply(claim)? else {
+            bail!("claim of {key} was not granted");
+        };
+        let held = HeldKey { session, key: key.clone(), claim };
+        self.apply(LedgerChange::Dispatch { held: held.clone(), run_ms: 5_000 })?;
+        let reply = "r".repeat(options.reply_bytes).into();
+        self.apply(LedgerChange::Complete { held, reply })?;
+        caller.received = Some(key);
+        Ok(())
+    }
+}
+
+/// Runs the measurement and prints one line of JSON.
+pub(crate) fn run(options: &AcknowledgementOptions) -> eyre::Result<()> {
+    let limits = LedgerLimits {
+        sessions: usize::MAX,
+        keys: usize::MAX,
+        session_keys: usize::MAX,
+        replies: usize::MAX,
+        session_ms: options.session_seconds * 1_000,
+        ..LedgerLimits::default()
+    };
+    let state = LedgerState::new("viti-west".into(), limits);
+    let mut ledger = DrivenLedger { state, now_ms: 0, commands: 0, command_bytes: 0 };
+    ledger.apply(LedgerChange::Found)?;
+    let mut callers: Vec<_> = (0..options.callers).map(|_| BookingCaller::default()).collect();
+    let resident = resident_bytes()?;
+    let started = Instant::now();
+    let mut samples = Vec::new();
+    let mut bookings = 0u64;
+    for round in 0..options.seconds {
+        for (number, caller) in (0u64..).zip(&mut callers) {
+            ledger.now_ms =
+                (round * BOOKING_PERIOD_MS) + number * BOOKING_PERIOD_MS / options.callers;
+            ledger.book(caller, number, options)?;
+            bookings += 1;
+        }
+        if ((round + 1) * BOOKING_PERIOD_MS).is_multiple_of(SAMPLE_PERIOD_MS)
+            && round >= options.session_seconds
+        {
+            samples.push(ledger.state.sizes());
+        }
+    }
+    let elapsed = started.elapsed().as_secs_f64();
+    let grown = resident_bytes()?.saturating_sub(resident);
+    let sizes = ledger.state.sizes();
+    let started = Instant::now();
+    let snapshot = ledger.state.snapshot();
+    let snapshot_ms = started.elapsed().as_millis() as u64;
+    let started = Instant::now();
+    LedgerState::restore(&snapshot)?;
+    let restore_ms = started.elapsed().as_millis() as u64;
+    let mean = |value: fn(&cicadastall::ledger::LedgerSizes) -> usize| {
+        samples.iter().map(value).sum::<usize>() as f64 / samples.len().max(1) as f64
+    };
+    let line = json!({
+        "callers": options.callers,
+        "acknowledge": options.acknowledge,
+        "session_seconds": options.session_seconds,
+        "stored_replies_mean": mean(|sizes| sizes.replies).round(),
+        "stored_reply_bytes_mean": mean(|sizes| sizes.reply_bytes).round(),
+        "keys_mean": mean(|sizes| sizes.keys).round(),
+        "keys_at_end": sizes.keys,
+        "resident_bytes_at_end": grown,
+        "snapshot_bytes": snapshot.len(),
+        "snapshot_ms": snapshot_ms,
+        "restore_ms": restore_ms,
+        "commands_per_booking": ledger.commands as f64 / bookings as f64,
+        "command_bytes_per_booking": (ledger.command_bytes as f64 / bookings as f64).round(),
+        "bookings_per_second": (bookings as f64 / elapsed).round(),
+    });
+    println!("{line}");
+    Ok(())
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> eyre::Result<u64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+    Ok(kilobytes.ok_or_eyre("no resident memory in /proc/self/status")?.parse::<u64>()? * 1_024)
+}
--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -1,5 +1,7 @@
 //! Runs experiments of cicadastall from the command line.
 
+mod acknowledgements;
+mod bookings;
 mod group;
 mod overhead;
 mod schedules;
@@ -12,6 +14,15 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 enum BenchCommand {
+    /// Stored replies, memory, bytes and throughput of a ledger with and without acknowledgements
+    #[bpaf(command)]
+    Acknowledgements(
+        #[bpaf(external(acknowledgements::acknowledgement_options))]
+        acknowledgements::AcknowledgementOptions,
+    ),
+    /// Latency and throughput of calls that may not be repeated, beside those that may
+    #[bpaf(command)]
+    Bookings(#[bpaf(external(bookings::booking_options))] bookings::BookingOptions),
     /// Commits of a replicated group on loopback, and what an idle group costs
     #[bpaf(command)]
     Group(#[bpaf(external(group::group_options))] group::GroupOptions),
@@ -31,6 +42,8 @@
 
 fn main() -> eyre::Result<()> {
     match bench_command().run() {
+        BenchCommand::Acknowledgements(options) => acknowledgements::run(&options),
+        BenchCommand::Bookings(options) => bookings::run(&options),
         BenchCommand::Group(options) => group::run(&options),
         BenchCommand::Overhead(options) => overhead::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
--- a/cicadastall/src/ledger.rs
+++ b/cicadastall/src/ledger.rs
@@ -43,12 +43,12 @@
 impl Default for LedgerLimits {
     fn default() -> Self {
         Self {
-            sessions: 100_000,
-            keys: 1_000_000,
+            sessions: 20_000,
+            keys: 300_000,
             session_keys: 10_000,
-            replies: 50_000,
-            reply_bytes: 16 * 1024,
-            session_ms: 3_600_000,
+            replies: 30_000,
+            reply_bytes: 2 * 1024,
+            session_ms: 600_000,
         }
     }
 }
