--- a/cicadastall-bench/src/compare/simulation.rs
+++ b/cicadastall-bench/src/compare/simulation.rs
@@ -16,8 +16,8 @@
     decode::RequestPlan,
     dispatch::AttemptError,
     name::RegionName,
-    retry::permits_attempt,
     route::{RequestRouter, RouteDecision, RouterPlace, UpstreamChoice},
+    settings::{FleetSettings, Revision, SettingsSnapshot},
     table::{UpstreamRecord, UpstreamState, ZoneDigest, ZoneView},
 };
 use cicadastall_standins::model::{JobEvent, ModelJob};
@@ -101,7 +101,7 @@
     upstreams: Vec<UpstreamModel>,
     by_name: HashMap<cicadastall::name::UpstreamName, usize>,
     plans: HashMap<(usize, usize, u32), Rc<RequestPlan>>,
-    settings: cicadastall::settings::FleetSettings,
+    settings: FleetSettings,
     requests: HashMap<u64, SimRequest>,
     attempts: HashMap<u64, u64>,
     numbers: u64,
@@ -141,6 +141,12 @@
             workload,
             entry,
         };
+        let tree = simulation.settings.clone();
+        let snapshot =
+            SettingsSnapshot { revision: Revision(1), tree, ..SettingsSnapshot::default() };
+        for router in simulation.zones.iter_mut().flat_map(|zone| &mut zone.routers) {
+            router.note_settings(&snapshot);
+        }
         simulation.schedule_start();
         simulation
     }
@@ -458,9 +464,16 @@
         }
         if let Some(attempt) = leg.attempt.take() {
             leg.tried.upstreams.push(attempt.ticket.upstream.clone());
-            self.zones[leg.zone].routers[leg.entry].note_ended(&attempt.ticket);
+            let router = &mut self.zones[leg.zone].routers[leg.entry];
+            router.note_ended(&attempt.ticket);
+            if !matches!(error, AttemptError::Refused(_)) {
+                router.note_failed(&attempt.ticket.upstream, self.now);
+            }
+        } else if let Some(zone) = leg.tried.zones.last() {
+            self.zones[leg.zone].routers[leg.entry].note_returned(zone, &leg.plan, self.now);
         }
-        if permits_attempt(&leg.plan, leg.ran, leg.attempts) {
+        let router = &mut self.zones[leg.zone].routers[leg.entry];
+        if router.permit_retry(&leg.plan, leg.ran, leg.attempts) {
             return self.decide(number);
         }
         let mut refusal = error.into_refusal();
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -267,7 +267,8 @@
 pub async fn serve_settings(listener: TcpListener, follower: Arc<SettingsFollower>) {
     let groups = Arc::new(GroupRegistry::default());
     let settings = Some(follower);
-    serve_peers(listener, PeerServer { membership: None, settings, groups, ledger: None }).await;
+    let server = PeerServer { settings, groups, ledger: None, suspects: None };
+    serve_peers(listener, server).await;
 }
 
 /// Answers calls of other instances on `listener` until its task is dropped.
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod document;
 pub mod entry;
 mod evidence;
+pub mod explain;
 pub mod fault;
 pub mod follow;
 pub mod follower;
