--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod engine;
 pub mod fault;
 pub mod network;
+pub mod orders;
 pub mod service;
