--- a/cicadastall/src/bulletin.rs
+++ b/cicadastall/src/bulletin.rs
@@ -190,6 +190,12 @@
     pub queued_prompt_tokens: u64,
     /// Tokens in the KV cache that running requests hold.
     pub kv_used_tokens: u64,
+    /// Urgent requests that run.
+    pub urgent_running: u32,
+    /// Urgent requests that wait.
+    pub urgent_queued: u32,
+    /// Prompt tokens of urgent requests that wait for prefill.
+    pub urgent_prompt_tokens: u64,
 }
 
 impl PulseLoad {
@@ -200,6 +206,9 @@
             queued: load.queued,
             queued_prompt_tokens: load.queued_prompt_tokens,
             kv_used_tokens: load.kv_used_tokens,
+            urgent_running: load.urgent_running,
+            urgent_queued: load.urgent_queued,
+            urgent_prompt_tokens: load.urgent_prompt_tokens,
         }
     }
 
@@ -209,6 +218,9 @@
         load.queued = self.queued;
         load.queued_prompt_tokens = self.queued_prompt_tokens;
         load.kv_used_tokens = self.kv_used_tokens;
+        load.urgent_running = self.urgent_running;
+        load.urgent_queued = self.urgent_queued;
+        load.urgent_prompt_tokens = self.urgent_prompt_tokens;
     }
 }
 
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -13,6 +13,7 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+pub mod admit;
 pub mod answer;
 pub mod bulletin;
 pub mod check;
@@ -51,6 +52,8 @@
 pub mod outbox;
 pub mod peer;
 pub mod placement;
+pub mod placement_host;
+pub mod prefix;
 pub mod probes;
 pub mod relay;
 pub mod replica;
@@ -58,6 +61,7 @@
 pub mod replica_log;
 pub mod replica_message;
 pub mod replicated;
+pub mod retry;
 pub mod route;
 pub mod serve;
 pub mod sessions;
--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -5,12 +5,12 @@
         DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, PacketSender, PulseLoad,
         ROWS_PER_PACKET, RowContent, RowKey, RowPulse,
     },
-    digest::{choose_delegates, sum_capacity},
+    digest::choose_delegates,
     members::MemberTable,
     name::{InstanceName, ZoneName},
     probes::ProbeStep,
-    route::UPSTREAM_EXPIRY,
-    table::{CapacityRow, EntryRecord, EntryState, ZoneDigest},
+    route::summary::summarize_capacity,
+    table::{EntryRecord, EntryState, ZoneDigest},
 };
 use rand::{RngExt, seq::IteratorRandom};
 use smallvec::SmallVec;
@@ -336,7 +336,7 @@
             return;
         }
         self.outbox.digest_sequence += 1;
-        let rows = self.sum_upstreams(now);
+        let rows = summarize_capacity(&self.make_table(now), now);
         let serving: Vec<_> = self.entries().chain([self.own.clone()]).collect();
         for (target, to) in targets {
             let digest = ZoneDigest {
@@ -371,13 +371,6 @@
         targets.collect()
     }
 
-    fn sum_upstreams(&self, now: Instant) -> Vec<CapacityRow> {
-        let fresh = |at: Instant| now.duration_since(at) < UPSTREAM_EXPIRY;
-        let table = self.make_table(now);
-        let upstreams = table.upstreams.values().filter(|view| fresh(view.renewed_at));
-        sum_capacity(upstreams.map(|view| view.record.as_ref()))
-    }
-
     fn join_seeds(&mut self, now: Instant) {
         let members = self.peer_addresses();
         let contacts: BTreeSet<_> =
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -11,7 +11,9 @@
     members::EntryFault,
     membership::MembershipMessage,
     name::{AttemptId, RegionName, RequestId, UpstreamName},
-    route::{RouteDecision, TriedTargets},
+    prefix::PromptShape,
+    retry::permits_attempt,
+    route::{RouteDecision, TriedTargets, UpstreamChoice, track::SendTicket},
     stream::{AnswerAssembler, StreamStep, encode_event},
     wire::{CallRequest, ChatRequest, ChunkView},
 };
@@ -23,9 +25,6 @@
 /// between must choose again.
 const DISPATCH_BOUND: Duration = Duration::from_millis(500);
 
-/// Most attempts for one request.
-const MAX_ATTEMPTS: u32 = 4;
-
 /// Who gave an answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AnswerSource {
@@ -115,6 +114,7 @@
 pub(crate) struct RequestRelay {
     context: Arc<EntryContext>,
     plan: Arc<RequestPlan>,
+    shape: PromptShape,
     tried: TriedTargets,
     attempts: u32,
     deadline: Instant,
@@ -129,12 +129,12 @@
     target: AttemptTarget,
     source: AnswerSource,
     chosen_at: Instant,
-    _slot: AttemptSlot,
+    slot: AttemptSlot,
 }
 
 impl OpenAttempt {
     fn is_local(&self) -> bool {
-        matches!(self.target, AttemptTarget::Upstream(_))
+        matches!(self.target, AttemptTarget::Upstream { .. })
     }
 }
 
@@ -142,22 +142,21 @@
 #[derive(Debug)]
 struct AttemptSlot {
     context: Arc<EntryContext>,
-    upstream: Option<UpstreamName>,
+    ticket: Option<SendTicket>,
 }
 
 impl AttemptSlot {
-    fn new(context: &Arc<EntryContext>, upstream: Option<UpstreamName>) -> Self {
-        if let Some(name) = &upstream {
-            context.router().note_sent(name);
+    fn note_first_token(&self) {
+        if let Some(ticket) = &self.ticket {
+            self.context.router().note_first_token(ticket, Instant::now());
         }
-        Self { context: Arc::clone(context), upstream }
     }
 }
 
 impl Drop for AttemptSlot {
     fn drop(&mut self) {
-        if let Some(name) = &self.upstream {
-            self.context.router().note_ended(name);
+        if let Some(ticket) = &self.ticket {
+            self.context.router().note_ended(ticket);
         }
     }
 }
@@ -167,6 +166,7 @@
         let deadline = now + plan.deadline;
         Self {
             context,
+            shape: PromptShape::of(&plan.body),
             plan: Arc::new(plan),
             tried: TriedTargets::default(),
             attempts: 0,
@@ -211,6 +211,7 @@
             let first = self.read_first_token(&attempt, &chat, &mut assembler);
             match self.unless_lost(&attempt, first).await {
                 Ok((stream, first)) => {
+                    attempt.slot.note_first_token();
                     let source = attempt.source.clone();
                     let passage = StreamPassage { relay: self, chat, attempt, assembler, stream };
                     return Ok(RelayedStream { source, first, passage });
@@ -326,19 +327,15 @@
                 return Err(self.refuse(RefusalCode::DeadlinePassed, "deadline passed"));
             }
             let table = self.context.table();
-            let decision = self.context.router().choose(&table, &self.plan, &self.tried, now);
+            let decision =
+                self.context.router().choose(&table, &self.plan, &self.shape, &self.tried, now);
             match decision {
                 RouteDecision::Wait(until) => sleep_until(until.min(self.deadline)).await,
                 RouteDecision::Refuse(mut refusal) => {
                     refusal.ran = self.ran;
                     return Err(refusal);
                 }
-                RouteDecision::Upstream(view) => {
-                    let upstream = view.record.name.clone();
-                    let target = AttemptTarget::Upstream(view.record.address);
-                    let region = view.record.region.clone();
-                    return Ok(self.number_attempt(target, region, Some(upstream)));
-                }
+                RouteDecision::Upstream(choice) => return Ok(self.open_upstream(choice, now)),
                 RouteDecision::Entry { region, zone, address } => {
                     self.tried.zones.push(zone);
                     let from = self.context.node().region.clone();
@@ -349,17 +346,27 @@
         }
     }
 
+    fn open_upstream(&mut self, choice: UpstreamChoice, now: Instant) -> OpenAttempt {
+        let record = choice.view.record;
+        let table = self.context.table();
+        let ticket =
+            self.context.router().note_sent(&table, &record.name, &self.plan, &self.shape, now);
+        let target = AttemptTarget::Upstream { address: record.address, priority: choice.priority };
+        self.number_attempt(target, record.region.clone(), Some(ticket))
+    }
+
     fn number_attempt(
         &mut self,
         target: AttemptTarget,
         region: RegionName,
-        upstream: Option<UpstreamName>,
+        ticket: Option<SendTicket>,
     ) -> OpenAttempt {
         self.attempts += 1;
         let id = AttemptId::new(format!("{}.{}", self.plan.request, self.attempts));
-        let slot = AttemptSlot::new(&self.context, upstream.clone());
+        let upstream = ticket.as_ref().map(|ticket| ticket.upstream.clone());
+        let slot = AttemptSlot { context: Arc::clone(&self.context), ticket };
         let source = AnswerSource { region, upstream };
-        OpenAttempt { id, target, source, chosen_at: Instant::now(), _slot: slot }
+        OpenAttempt { id, target, source, chosen_at: Instant::now(), slot }
     }
 
     /// Decides whether another attempt is allowed after `error`.
@@ -376,8 +383,7 @@
         if let Some(upstream) = &attempt.source.upstream {
             self.tried.upstreams.push(upstream.clone());
         }
-        let repeatable = self.plan.repeatable || self.ran == Ran::No;
-        if !repeatable || self.attempts >= MAX_ATTEMPTS {
+        if !permits_attempt(&self.plan, self.ran, self.attempts) {
             let mut refusal = error.into_refusal();
             refusal.ran = self.ran;
             return Err(refusal);
