--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod group;
 mod overhead;
+mod placement;
 mod schedules;
 mod slopes;
 
@@ -24,6 +25,9 @@
     /// Arbitrary schedules of faults against the replication core
     #[bpaf(command)]
     Schedules(#[bpaf(external(schedules::schedule_options))] schedules::ScheduleOptions),
+    /// Accelerator-hours of placement over days of demand, against everything always on
+    #[bpaf(command)]
+    Placement(#[bpaf(external(placement::placement_options))] placement::PlacementOptions),
     /// Traffic, cost and speed of membership by the number of nodes
     #[bpaf(command)]
     Slopes(#[bpaf(external(slopes::slopes_options))] slopes::SlopesOptions),
@@ -35,6 +39,7 @@
         BenchCommand::Overhead(options) => overhead::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
         BenchCommand::Schedules(options) => schedules::run(&options),
+        BenchCommand::Placement(options) => placement::run(&options),
         BenchCommand::Slopes(options) => slopes::run(&options),
     }
 }
--- /dev/null
+++ b/cicadastall-bench/src/placement.rs
@@ -0,0 +1,226 @@
+//! Accelerator-hours of placement over a day of demand, against everything always on.
+
+use bpaf::Bpaf;
+use cicadastall::{
+    name::ModelName,
+    placement::{PlacementOrder, PlacementPlanner},
+    table::{Incarnation, LoadReport, UpstreamRates, UpstreamRecord, UpstreamState},
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::{f64::consts::TAU, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+/// Time between two rounds of the planner.
+const ROUND: Duration = Duration::from_secs(10);
+
+/// Time from an order to the first request that a loaded model serves.
+const LOAD_ROUNDS: u32 = 12;
+
+/// Requests that one upstream runs at the same time.
+const SLOTS: u32 = 32;
+
+/// Upstreams of each model: enough for the peak with a burst while one is lost.
+const MODEL_UPSTREAMS: u32 = 6;
+
+/// Demand at the peak of the day, in slots of one upstream, without noise and bursts.
+const PEAK_DEMAND: f64 = 2.4;
+
+/// Demand at night relative to the peak.
+const NIGHT_SHARE: f64 = 0.1;
+
+/// Share of the demand that is urgent.
+const URGENT_SHARE: f64 = 0.4;
+
+/// Rounds in which one upstream of each model is lost, once a day.
+const LOSS_ROUNDS: u32 = 360;
+
+/// Options of `placement`.
+#[derive(Debug, Clone, Bpaf)]
+pub struct PlacementOptions {
+    /// Days to simulate
+    #[bpaf(long, argument("COUNT"), fallback(3))]
+    days: u32,
+    /// Models, whose peaks are spread over the day
+    #[bpaf(long, argument("COUNT"), fallback(3))]
+    models: u32,
+    /// Seed of all random choices
+    #[bpaf(long, argument("NUMBER"), fallback(1))]
+    seed: u64,
+}
+
+/// Result of one policy.
+#[derive(Debug, Default, Serialize)]
+struct PolicyReport {
+    policy: &'static str,
+    accelerator_hours: f64,
+    urgent_on_time: f64,
+    patient_on_time: f64,
+    loads: u32,
+}
+
+/// Runs both policies over the same demand and prints one line of JSON for each.
+pub fn run(options: &PlacementOptions) -> eyre::Result<()> {
+    for (policy, places) in [("always_on", false), ("placement", true)] {
+        let report = PolicyReport { policy, ..simulate(options, places) };
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    Ok(())
+}
+
+fn simulate(options: &PlacementOptions, places: bool) -> PolicyReport {
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let models: Vec<ModelName> =
+        (0..options.models).map(|number| format!("model-{number}").as_str().into()).collect();
+    let each = MODEL_UPSTREAMS;
+    let mut upstreams: Vec<_> = (0..options.models * each)
+        .map(|number| make_upstream(number, &models[(number / each) as usize]))
+        .collect();
+    let mut ready = vec![0; upstreams.len()];
+    let mut planner = PlacementPlanner::default();
+    let start = Instant::now();
+    let rounds = options.days * 24 * 3_600 / ROUND.as_secs() as u32;
+    let mut totals = DayTotals::default();
+    for round in 0..rounds {
+        finish_loads(&mut upstreams, &ready, round);
+        lose_upstreams(&mut upstreams, &mut ready, round, each);
+        for (number, model) in models.iter().enumerate() {
+            let phase = number as f64 / models.len() as f64;
+            let demand = draw_demand(round, phase, &mut random);
+            totals.add(serve_demand(&mut upstreams, model, demand));
+        }
+        let on = upstreams.iter().filter(|one| one.state != UpstreamState::Parked).count();
+        totals.accelerator_s += on as f64 * ROUND.as_secs_f64();
+        if places {
+            let orders = planner.decide(&upstreams, &models, 1, start + ROUND * round);
+            totals.loads += orders.iter().filter(|order| order.model.is_some()).count() as u32;
+            apply_orders(&mut upstreams, &mut ready, &orders, round);
+        }
+    }
+    totals.report()
+}
+
+/// Requests asked and answered on time by rank, and the time that upstreams were on.
+#[derive(Debug, Default)]
+struct DayTotals {
+    asked: [f64; 2],
+    answered: [f64; 2],
+    accelerator_s: f64,
+    loads: u32,
+}
+
+impl DayTotals {
+    fn add(&mut self, (asked, answered): ([f64; 2], [f64; 2])) {
+        for rank in 0..2 {
+            self.asked[rank] += asked[rank];
+            self.answered[rank] += answered[rank];
+        }
+    }
+
+    fn report(&self) -> PolicyReport {
+        PolicyReport {
+            policy: "",
+            accelerator_hours: self.accelerator_s / 3_600.0,
+            urgent_on_time: self.answered[0] / self.asked[0],
+            patient_on_time: self.answered[1] / self.asked[1],
+            loads: self.loads,
+        }
+    }
+}
+
+/// Slots that requests for one model need in this round: a daily curve with noise and bursts.
+fn draw_demand(round: u32, phase: f64, random: &mut ChaCha8Rng) -> f64 {
+    let day = f64::from(round) * ROUND.as_secs_f64() / 86_400.0;
+    let curve = 0.5 - 0.5 * (TAU * (day - phase)).cos();
+    let share = NIGHT_SHARE + (1.0 - NIGHT_SHARE) * curve.powi(2);
+    let noise = random.random_range(0.85..1.15);
+    let burst = if random.random_ratio(1, 500) { 1.5 } else { 1.0 };
+    share * noise * burst * PEAK_DEMAND * f64::from(SLOTS)
+}
+
+/// Gives the demand to the serving upstreams, urgent first; returns what was asked and answered.
+fn serve_demand(
+    upstreams: &mut [UpstreamRecord],
+    model: &ModelName,
+    demand: f64,
+) -> ([f64; 2], [f64; 2]) {
+    let mut serving: Vec<_> = upstreams
+        .iter_mut()
+        .filter(|one| one.state == UpstreamState::Serving && one.models.contains(model))
+        .collect();
+    let slots = f64::from(SLOTS) * serving.len() as f64;
+    let count = serving.len().max(1) as f64;
+    for one in &mut serving {
+        one.load.running = (demand.min(slots) / count).round() as u32;
+        one.load.queued = ((demand - slots).max(0.0) / count).round() as u32;
+    }
+    let asked = [demand * URGENT_SHARE, demand * (1.0 - URGENT_SHARE)];
+    let urgent = asked[0].min(slots);
+    (asked, [urgent, asked[1].min(slots - urgent)])
+}
+
+fn finish_loads(upstreams: &mut [UpstreamRecord], ready: &[u32], round: u32) {
+    for (one, ready) in upstreams.iter_mut().zip(ready) {
+        if one.state == UpstreamState::Loading && round >= *ready {
+            one.state = UpstreamState::Serving;
+        }
+    }
+}
+
+/// Restarts one upstream of each model once a day, at an hour that differs by model.
+fn lose_upstreams(upstreams: &mut [UpstreamRecord], ready: &mut [u32], round: u32, each: u32) {
+    let day = 24 * 3_600 / ROUND.as_secs() as u32;
+    for (index, one) in upstreams.iter_mut().enumerate() {
+        let group = index as u32 / each;
+        let lost = round % day == LOSS_ROUNDS * (group + 1) && (index as u32).is_multiple_of(each);
+        if lost && one.state == UpstreamState::Serving {
+            one.state = UpstreamState::Loading;
+            one.load = LoadReport::default();
+            ready[index] = round + LOAD_ROUNDS;
+        }
+    }
+}
+
+fn apply_orders(
+    upstreams: &mut [UpstreamRecord],
+    ready: &mut [u32],
+    orders: &[PlacementOrder],
+    round: u32,
+) {
+    for order in orders {
+        let Some(index) = upstreams.iter().position(|one| one.name == order.upstream) else {
+            continue;
+        };
+        let one = &mut upstreams[index];
+        one.models = order.model.iter().cloned().collect();
+        one.load = LoadReport::default();
+        one.state = match order.model {
+            Some(_) => UpstreamState::Loading,
+            None => UpstreamState::Parked,
+        };
+        ready[index] = round + LOAD_ROUNDS;
+    }
+}
+
+fn make_upstream(number: u32, model: &ModelName) -> UpstreamRecord {
+    UpstreamRecord {
+        name: format!("u{number:03}").as_str().into(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        region: "aqaba".into(),
+        zone: "aqaba-a".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 1)),
+        pool: "engines".into(),
+        models: [model.clone()].into_iter().collect(),
+        state: UpstreamState::Serving,
+        rates: UpstreamRates {
+            prefill_tokens_per_s: 8_000.0,
+            decode_tokens_per_s: 1_000.0,
+            max_running: SLOTS,
+            kv_tokens: 200_000,
+        },
+        load: LoadReport::default(),
+        checks_fencing: true,
+    }
+}
--- a/cicadastall/src/bulletin.rs
+++ b/cicadastall/src/bulletin.rs
@@ -17,6 +17,9 @@
 /// Rows in one datagram, so that it fits into one frame of the network.
 pub(crate) const ROWS_PER_PACKET: usize = 6;
 
+/// Waits up to this one, in milliseconds, are sent as none.
+pub(crate) const NO_WAIT_MS: u32 = 32;
+
 /// Who sent a datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PacketSender {
@@ -246,6 +249,18 @@
     pub wait_ms: u32,
 }
 
+impl PoolCapacity {
+    /// Whether the difference to `old` is not worth sending: the same upstreams, and a wait that
+    /// differs by one step of its rounding.
+    pub fn is_close(&self, old: &Self) -> bool {
+        let near = |a: u32, b: u32| a <= b.max(NO_WAIT_MS).saturating_mul(2);
+        self.upstreams == old.upstreams
+            && self.prefill_tokens_per_s == old.prefill_tokens_per_s
+            && near(self.wait_ms, old.wait_ms)
+            && near(old.wait_ms, self.wait_ms)
+    }
+}
+
 /// Another zone and how to reach it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ZonePlace {
@@ -257,6 +272,8 @@
     pub entries: SmallVec<[SocketAddr; 4]>,
     /// Peer addresses of some instances.
     pub contacts: SmallVec<[SocketAddr; 4]>,
+    /// Whether the log has the zone's capacities; otherwise another member's log has them.
+    pub has_rows: bool,
 }
 
 /// Renewal of a row without a change of its content.
@@ -358,6 +375,11 @@
         (handle, true)
     }
 
+    /// Content of the row named `key`.
+    pub fn content(&self, key: &RowKey) -> Option<&RowContent> {
+        self.rows.get(&self.handle(key)?).map(|(_, content)| content)
+    }
+
     /// Marks the row named `key` as gone.
     pub fn remove(&mut self, key: &RowKey) {
         if let Some(handle) = self.handles.remove(key) {
--- a/cicadastall/src/digest.rs
+++ b/cicadastall/src/digest.rs
@@ -1,7 +1,7 @@
 //! Summaries of a zone for others: their rows, their rounding, and who sends them.
 
 use crate::{
-    bulletin::{PoolCapacity, PoolKey, RowContent},
+    bulletin::{NO_WAIT_MS, PoolCapacity, PoolKey, RowContent},
     name::{InstanceName, ZoneName},
     table::{CapacityRow, ZoneDigest},
 };
@@ -11,9 +11,9 @@
 /// Instances of one zone that send its summary to another zone.
 pub const DELEGATES: usize = 2;
 
-/// Rounds a wait in milliseconds up to a power of two; waits under 16 ms count as none.
+/// Rounds a wait in milliseconds up to a power of two; short ones count as none.
 fn round_wait(wait_ms: f64) -> u32 {
-    if wait_ms < 16.0 { 0 } else { wait_ms.log2().ceil().exp2() as u32 }
+    if wait_ms <= f64::from(NO_WAIT_MS) { 0 } else { wait_ms.log2().ceil().exp2() as u32 }
 }
 
 /// The instances of `members` that send the summary of their zone to `target`.
--- a/cicadastall/src/intake.rs
+++ b/cicadastall/src/intake.rs
@@ -158,8 +158,12 @@
                 }
             }
             RowPulse::Zone { handle, sequence, age_ms } => {
-                let Some(digest) = scan_digest(&peer.rows, handle, sequence) else { return };
-                if let Some(received_at) = now.checked_sub(millis(age_ms)) {
+                let Some(RowContent::Zone(place)) = peer.rows.get(&handle) else { return };
+                let Some(received_at) = now.checked_sub(millis(age_ms)) else { return };
+                if !place.has_rows {
+                    let zone = place.zone.clone();
+                    self.touch_zone(&zone, received_at, now);
+                } else if let Some(digest) = scan_digest(&peer.rows, handle, sequence) {
                     self.note_relayed(&digest.zone, received_at);
                     self.renew_zone(Arc::new(digest), received_at, now);
                 }
@@ -248,9 +252,7 @@
             return;
         }
         let zone = digest.zone.clone();
-        if !self.is_relayed(&zone, now) {
-            self.log_digest(&digest, &contacts);
-        }
+        self.log_digest(&digest, &contacts, !self.is_relayed(&zone, now));
         self.renew_zone(Arc::new(digest), now, now);
         if let Some(state) = self.zones.get_mut(&zone) {
             state.direct_at = Some(now);
@@ -259,17 +261,24 @@
         self.accept_contacts(elsewhere.into_iter().collect(), now);
     }
 
-    fn log_digest(&mut self, digest: &ZoneDigest, contacts: &SmallVec<[SocketAddr; 4]>) {
+    /// Writes a digest into the log; its capacities only if no other member passes them on.
+    fn log_digest(
+        &mut self,
+        digest: &ZoneDigest,
+        contacts: &SmallVec<[SocketAddr; 4]>,
+        has_rows: bool,
+    ) {
         let zone = digest.zone.clone();
         let place = ZonePlace {
             region: digest.region.clone(),
             zone: zone.clone(),
             entries: digest.entries.clone(),
             contacts: contacts.clone(),
+            has_rows,
         };
         let content = RowContent::Zone(Box::new(place));
         let (handle, _) = self.log.set(RowKey::Zone(zone.clone()), content);
-        let rows: Vec<_> = digest.rows.iter().map(split_row).collect();
+        let rows: Vec<_> = digest.rows.iter().filter(|_| has_rows).map(split_row).collect();
         let keeps = |key: &RowKey| match key {
             RowKey::Pool(of, pool) | RowKey::Capacity(of, pool) if *of == zone => {
                 rows.iter().any(|(key, _)| key == pool)
@@ -283,8 +292,11 @@
         for (pool, capacity) in rows {
             let name = RowContent::Pool(handle, Box::new(pool.clone()));
             let (named, _) = self.log.set(RowKey::Pool(zone.clone(), pool.clone()), name);
-            let content = RowContent::Capacity(named, capacity);
-            self.log.set(RowKey::Capacity(zone.clone(), pool), content);
+            let key = RowKey::Capacity(zone.clone(), pool);
+            let known = self.log.content(&key);
+            if !matches!(known, Some(RowContent::Capacity(_, old)) if capacity.is_close(old)) {
+                self.log.set(key, RowContent::Capacity(named, capacity));
+            }
         }
         self.outbox.note_zone(zone);
     }
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -276,6 +276,14 @@
         relayed.is_some_and(|at| now.duration_since(at) < RELAY_AFTER)
     }
 
+    /// Notes that a digest with unchanged content arrived at `received_at`.
+    pub(crate) fn touch_zone(&mut self, zone: &ZoneName, received_at: Instant, now: Instant) {
+        let view = self.zones.get(zone).and_then(|state| state.view.as_ref());
+        if let Some(digest) = view.map(|view| Arc::clone(&view.digest)) {
+            self.renew_zone(digest, received_at, now);
+        }
+    }
+
     /// Forgets whatever has been silent for too long.
     pub(crate) fn expire(&mut self, now: Instant) {
         let fresh = |at: Instant| now.duration_since(at) < MEMBER_EXPIRY;
--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -346,7 +346,7 @@
                 entries: choose_entries(&serving, &target, |record| record.caller_address),
                 rows: rows.clone(),
             };
-            let contacts = choose_entries(&serving, &target, |record| Some(record.peer_address));
+            let contacts = self.choose_receivers(&serving, &target);
             let others = self.choose_contacts().into_iter().filter(|(zone, _)| *zone != target);
             let elsewhere = others.choose(&mut self.random);
             let packet = DigestPacket { digest, contacts, elsewhere };
@@ -355,6 +355,28 @@
         }
     }
 
+    /// Peer addresses to which `target` sends its digests: first those whose turn it is, so that
+    /// the digests of all zones spread over the members, then some others.
+    fn choose_receivers(
+        &self,
+        serving: &[EntryRecord],
+        target: &ZoneName,
+    ) -> SmallVec<[SocketAddr; 4]> {
+        let zones: BTreeSet<&ZoneName> = self.zones.keys().collect();
+        let mut names: BTreeSet<_> = serving.iter().map(|record| &record.instance).collect();
+        let mut receivers: SmallVec<[SocketAddr; 4]> = SmallVec::new();
+        for name in choose_delegates(&names, &zones, target) {
+            let address = serving.iter().find(|record| record.instance == *name);
+            receivers.extend(address.map(|record| record.peer_address));
+            names.remove(name);
+        }
+        let others = serving.iter().filter(|record| names.contains(&record.instance)).cloned();
+        let others: Vec<_> = others.collect();
+        receivers.extend(choose_entries(&others, target, |record| Some(record.peer_address)));
+        receivers.truncate(DIGEST_ENTRIES);
+        receivers
+    }
+
     /// Zones to which this instance sends digests, and the address in each for its turn.
     fn choose_targets(&self) -> Vec<(ZoneName, SocketAddr)> {
         let zones: BTreeSet<&ZoneName> = self.zones.keys().collect();
--- a/cicadastall/src/placement.rs
+++ b/cicadastall/src/placement.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 /// Share of an upstream's slots that measured demand may fill in the mean.
-const TARGET_USE: f64 = 0.6;
+const TARGET_USE: f64 = 0.75;
 
 /// Time for which fewer upstreams must suffice before one is parked.
 const SHRINK_AFTER: Duration = Duration::from_secs(600);
