Let one member a zone pass digests on, the one with the lower name

Change: only the receiver with the higher name yields, and takes over after 2.5 s without the other. The router's capacity summary fills in the wait from the reported prompt tokens, which was zero.

Seen to fail: both receivers passing on (busiest_node_of_a_small_fleet_sends_less_than_4_kib_a_second).

--- a/cicadastall-standins/tests/membership.rs
+++ b/cicadastall-standins/tests/membership.rs
@@ -243,3 +243,18 @@
     assert_eq!(names, ["aqaba-a-0", "aqaba-a-2"]);
     assert!(listing.entries[0].weight > 100.0 * listing.entries[1].weight);
 }
+
+#[test]
+fn busiest_node_of_a_small_fleet_sends_less_than_4_kib_a_second() {
+    let mut network = network(&["aqaba-a", "amman-a", "irbid-a"], 9, 23);
+    for upstream in 0..30 {
+        let first = upstream % 3 * 9 + upstream / 3 % 8;
+        network.add_upstream("verdicts", &format!("model-{}", upstream / 3), [first, first + 1]);
+    }
+    network.faults.loss = 0.005;
+    network.run(30 * SECOND);
+    network.reset_traffic();
+    network.run(30 * SECOND);
+    let busiest = (0..27).map(|node| network.traffic(node).sent_bytes / 30).max();
+    assert!(busiest < Some(4_096), "{busiest:?} bytes/s");
+}
--- a/cicadastall/src/intake.rs
+++ b/cicadastall/src/intake.rs
@@ -164,7 +164,7 @@
                     let zone = place.zone.clone();
                     self.touch_zone(&zone, received_at, now);
                 } else if let Some(digest) = scan_digest(&peer.rows, handle, sequence) {
-                    self.note_relayed(&digest.zone, received_at);
+                    self.note_relayed(&digest.zone, instance, received_at);
                     self.renew_zone(Arc::new(digest), received_at, now);
                 }
             }
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -38,7 +38,7 @@
 const HEALING_SPREAD: Duration = Duration::from_secs(3);
 
 /// Age of the digest that another member passed on, after which this one passes its own on.
-const RELAY_AFTER: Duration = Duration::from_millis(1_300);
+const RELAY_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Time for which an entry of another zone is not used after a request could not reach it.
 const UNREACHABLE_HOLD: Duration = Duration::from_secs(5);
@@ -264,8 +264,18 @@
         state.view = Some(ZoneView { digest, received_at });
     }
 
-    /// Notes that a member has passed on a digest that it received at `received_at`.
-    pub(crate) fn note_relayed(&mut self, zone: &ZoneName, received_at: Instant) {
+    /// Notes that `instance` has passed on a digest that it received at `received_at`.
+    ///
+    /// Of two members that pass the same zone's digests on, the one with the lower name goes on.
+    pub(crate) fn note_relayed(
+        &mut self,
+        zone: &ZoneName,
+        instance: &InstanceName,
+        received_at: Instant,
+    ) {
+        if *instance > self.own.instance {
+            return;
+        }
         let state = self.zones.entry(zone.clone()).or_default();
         state.relayed_at = state.relayed_at.max(Some(received_at));
     }
--- a/cicadastall/src/route/summary.rs
+++ b/cicadastall/src/route/summary.rs
@@ -39,12 +39,18 @@
     rank: Rank,
 ) -> CapacityRow {
     let rates = views.iter().map(|view| view.record.rates.prefill_tokens_per_s);
+    let prefill_tokens_per_s: f64 = rates.sum();
+    let waiting = views.iter().map(|view| match rank {
+        Rank::Urgent => view.record.load.urgent_prompt_tokens,
+        Rank::Patient => view.record.load.queued_prompt_tokens,
+    });
+    let waiting = waiting.sum::<u64>() as f64;
     CapacityRow {
         pool: pool.clone(),
         model: model.cloned(),
         rank,
         upstreams: views.len() as u32,
-        prefill_tokens_per_s: rates.sum(),
-        wait_ms: 0.0,
+        prefill_tokens_per_s,
+        wait_ms: if waiting > 0.0 { waiting * 1_000.0 / prefill_tokens_per_s } else { 0.0 },
     }
 }
