Spread announcements over entries, and count them

Cause: every stand-in announced itself to the two entries with the lowest addresses, and each reply named all entries of the zone.

--- a/cicadastall-standins/src/announce.rs
+++ b/cicadastall-standins/src/announce.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use serde::Serialize;
 use std::{
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -156,7 +157,7 @@
                 reached += 1;
                 pause = Duration::from_millis(reply.renew_within_ms);
                 entries.extend(reply.entries);
-                entries.sort();
+                entries.sort_by_cached_key(|entry| rank_entry(&record, *entry));
                 entries.dedup();
                 if reply.drain {
                     leave.leave();
@@ -171,6 +172,13 @@
     }
 }
 
+/// Order in which an upstream tries entries: another one for each, so that they spread.
+fn rank_entry(record: &UpstreamRecord, entry: SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (&record.name, entry).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Waits for `linger`, and then until no request runs.
 pub async fn finish_requests(running: &AtomicU32, linger: Duration) {
     sleep(linger).await;
--- a/cicadastall-standins/src/network.rs
+++ b/cicadastall-standins/src/network.rs
@@ -56,6 +56,8 @@
     pub received: u64,
     /// Bytes of them, headers of UDP and IP included.
     pub received_bytes: u64,
+    /// Bytes of upstreams' announcements received, without headers of HTTP.
+    pub announced_bytes: u64,
 }
 
 #[derive(Debug)]
@@ -329,7 +331,11 @@
             return;
         }
         match delivery {
-            Delivery::Announcement(record) => drop(node.members.announce(*record, self.now)),
+            Delivery::Announcement(record) => {
+                let length = serde_json::to_vec(&record).map_or(0, |body| body.len());
+                node.traffic.announced_bytes += length as u64;
+                node.members.announce(*record, self.now);
+            }
             Delivery::Datagram(bytes) => {
                 node.traffic.received += 1;
                 node.traffic.received_bytes += bytes.len() as u64 + DATAGRAM_HEADERS;
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -29,6 +29,9 @@
 /// Time within which an upstream announces itself again.
 const RENEW_WITHIN: Duration = Duration::from_millis(500);
 
+/// Entries that the reply to an announcement names.
+const ANNOUNCE_ENTRIES: usize = 4;
+
 /// Time in which a started instance learns of its zone's members and upstreams.
 const LEARN_TIME: Duration = Duration::from_millis(1_500);
 
@@ -195,7 +198,7 @@
     fn reply_announcement(&self, drain: bool, now: Instant) -> AnnounceReply {
         let zone = &self.members.own().zone;
         let listing = list_entries(&self.members, now).entries;
-        let rows = listing.into_iter().filter(|row| row.zone == *zone);
+        let rows = listing.into_iter().filter(|row| row.zone == *zone).take(ANNOUNCE_ENTRIES);
         AnnounceReply {
             renew_within_ms: RENEW_WITHIN.as_millis() as u64,
             entries: rows.map(|row| row.address).collect(),
