--- a/cicadastall/src/digest.rs
+++ b/cicadastall/src/digest.rs
@@ -1,10 +1,9 @@
 //! Summaries of a zone for others: their rows, their rounding, and who sends them.
 
 use crate::{
-    bulletin::{PoolCapacity, PoolKey, RowContent},
-    name::{InstanceName, ModelName, PoolName, ZoneName},
-    settings::Rank,
-    table::{CapacityRow, UpstreamRecord, UpstreamState, ZoneDigest},
+    bulletin::{NO_WAIT_MS, PoolCapacity, PoolKey, RowContent},
+    name::{InstanceName, ZoneName},
+    table::{CapacityRow, ZoneDigest},
 };
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,54 +11,9 @@
 /// Instances of one zone that send its summary to another zone.
 pub const DELEGATES: usize = 2;
 
-type CapacityKey = (PoolName, Option<ModelName>);
-
-/// Capacity of `upstreams` by pool and model.
-///
-/// Load reports don't tell ranks apart, so that the wait holds for the urgent rank as an upper
-/// bound.
-pub fn sum_capacity<'a>(upstreams: impl Iterator<Item = &'a UpstreamRecord>) -> Vec<CapacityRow> {
-    let mut rows: BTreeMap<CapacityKey, (CapacityRow, u64)> = BTreeMap::new();
-    for record in upstreams.filter(|record| record.state == UpstreamState::Serving) {
-        add_upstream(&mut rows, record);
-    }
-    rows.into_values().map(|(row, tokens)| finish_row(row, tokens)).collect()
-}
-
-fn add_upstream(rows: &mut BTreeMap<CapacityKey, (CapacityRow, u64)>, record: &UpstreamRecord) {
-    let mut models: SmallVec<[Option<ModelName>; 4]> =
-        record.models.iter().cloned().map(Some).collect();
-    if models.is_empty() {
-        models.push(None);
-    }
-    for model in models {
-        let (row, tokens) = rows.entry((record.pool.clone(), model.clone())).or_insert((
-            CapacityRow {
-                pool: record.pool.clone(),
-                model,
-                rank: Rank::Urgent,
-                upstreams: 0,
-                prefill_tokens_per_s: 0.0,
-                wait_ms: 0.0,
-            },
-            0,
-        ));
-        row.upstreams += 1;
-        row.prefill_tokens_per_s += record.rates.prefill_tokens_per_s;
-        *tokens += record.load.queued_prompt_tokens;
-    }
-}
-
-fn finish_row(mut row: CapacityRow, queued_tokens: u64) -> CapacityRow {
-    if row.prefill_tokens_per_s > 0.0 {
-        row.wait_ms = queued_tokens as f64 * 1_000.0 / row.prefill_tokens_per_s;
-    }
-    row
-}
-
-/// Rounds a wait in milliseconds up to a power of two; waits under 16 ms count as none.
+/// Rounds a wait in milliseconds up to a power of two; short ones count as none.
 fn round_wait(wait_ms: f64) -> u32 {
-    if wait_ms < 16.0 { 0 } else { wait_ms.log2().ceil().exp2() as u32 }
+    if wait_ms <= f64::from(NO_WAIT_MS) { 0 } else { wait_ms.log2().ceil().exp2() as u32 }
 }
 
 /// The instances of `members` that send the summary of their zone to `target`.
--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -105,6 +105,15 @@
         self.start(group, self.node.ledger_voters.clone(), initial).await
     }
 
+    /// Starts the instance's replica of its region's placement lease on the runtime of the caller.
+    pub async fn start_placement<S: ReplicatedState>(
+        &self,
+        initial: S,
+    ) -> Result<GroupHandle<S>, GroupStartError> {
+        let group = GroupName::new(format!("placement-{}", self.node.region));
+        self.start(group, self.node.ledger_voters.clone(), initial).await
+    }
+
     async fn start<S: ReplicatedState>(
         &self,
         group: GroupName,
--- /dev/null
+++ b/cicadastall/src/placement_host.rs
@@ -0,0 +1,96 @@
+//! Runs placement on one control instance: keeps the lease, measures, decides and sends orders.
+
+use crate::{
+    follow::SettingsHolder,
+    http::HttpClient,
+    lease::{LeaseKeeper, LeaseState},
+    name::{PoolName, TeamName},
+    node::NodeSettings,
+    orders::{OrderError, send_order},
+    placement::{PlacementOrder, PlacementPlanner},
+    replicated::ReplicatedGroup,
+    route::UPSTREAM_EXPIRY,
+    settings::PoolService,
+    table::{RoutingTable, UpstreamRecord},
+};
+use arc_swap::ArcSwap;
+use futures::future::join_all;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+/// Time between two rounds; the lease is renewed in each.
+const ROUND_PERIOD: Duration = Duration::from_secs(2);
+
+/// Parts that placement uses.
+#[derive(Debug)]
+pub struct PlacementHost {
+    /// Settings of the process.
+    pub node: Arc<NodeSettings>,
+    /// Upstreams of the zone.
+    pub table: Arc<ArcSwap<RoutingTable>>,
+    /// Settings of the fleet.
+    pub settings: Arc<SettingsHolder>,
+    /// Client for orders; it must not keep connections that are older than a lease.
+    pub client: HttpClient,
+}
+
+impl PlacementHost {
+    /// Keeps the lease in `group` and gives orders under it, until its task is dropped.
+    pub async fn run<G: ReplicatedGroup<LeaseState>>(self, group: G) {
+        let mut keeper = LeaseKeeper::new(self.node.instance.clone());
+        let mut planners = BTreeMap::new();
+        loop {
+            let held = keeper.held().is_some();
+            if let Err(error) = keeper.step(&group).await {
+                log::debug!("placement lease not renewed: {error}");
+            }
+            if let Some(lease) = keeper.held() {
+                if !held {
+                    log::info!(fence = lease.fence; "placement lease taken");
+                }
+                let orders = self.decide(&mut planners, Instant::now());
+                join_all(orders.iter().map(async |order| {
+                    let sent = send_order(&self.client, lease, order).await;
+                    report_order(order, lease.fence, sent.err());
+                }))
+                .await;
+            }
+            sleep(ROUND_PERIOD).await;
+        }
+    }
+
+    fn decide(
+        &self,
+        planners: &mut BTreeMap<(TeamName, PoolName), PlacementPlanner>,
+        now: Instant,
+    ) -> Vec<PlacementOrder> {
+        let settings = self.settings.newest();
+        let table = self.table.load();
+        let mut orders = Vec::new();
+        for (team, subtree) in &settings.tree.teams {
+            for (name, pool) in &subtree.pools {
+                let PoolService::ModelEngine { models } = &pool.serves else { continue };
+                let upstreams = list_upstreams(&table, name, now);
+                let planner = planners.entry((team.clone(), name.clone())).or_default();
+                orders.extend(planner.decide(&upstreams, models, pool.min_upstreams, now));
+            }
+        }
+        orders
+    }
+}
+
+/// Upstreams of `pool` that have announced themselves lately.
+fn list_upstreams(table: &RoutingTable, pool: &PoolName, now: Instant) -> Vec<UpstreamRecord> {
+    let fresh = |at: Instant| now.saturating_duration_since(at) < UPSTREAM_EXPIRY;
+    let views = table.upstreams.values().filter(|view| view.record.pool == *pool);
+    views.filter(|view| fresh(view.renewed_at)).map(|view| (*view.record).clone()).collect()
+}
+
+fn report_order(order: &PlacementOrder, fence: u64, error: Option<OrderError>) {
+    let upstream = order.upstream.as_str();
+    let model = order.model.as_ref().map_or("none", |model| model.as_str());
+    match error {
+        None => log::info!(upstream, model, fence; "order carried out"),
+        Some(error) => log::warn!(upstream, model, fence; "order failed: {error}"),
+    }
+}
