--- a/cicadastall-daemons/src/bin/cicadastall-standin.rs
+++ b/cicadastall-daemons/src/bin/cicadastall-standin.rs
@@ -19,6 +19,9 @@
     /// Address to listen on
     #[bpaf(long, argument("ADDRESS"))]
     listen: SocketAddr,
+    /// Time to go on after leaving was announced, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(3_000))]
+    linger_ms: u64,
     #[bpaf(external)]
     standin_role: StandinRole,
 }
@@ -56,6 +59,11 @@
         /// Tokens of an answer
         #[bpaf(long, argument("COUNT"), fallback(24))]
         tokens: u32,
+        /// Time to load another model, in milliseconds
+        #[bpaf(long, argument("MS"), fallback(500))]
+        load_ms: u64,
+        /// Refuse orders with an old fencing number
+        checks_fencing: bool,
     },
     /// A plain service
     #[bpaf(command)]
@@ -76,23 +84,34 @@
         pool: options.place_options.pool.as_str().into(),
         entries: options.place_options.entries,
     };
+    let linger = Duration::from_millis(options.linger_ms);
     match options.standin_role {
-        StandinRole::Engine { model, token_ms, tokens } => {
+        StandinRole::Engine { model, token_ms, tokens, load_ms, checks_fencing } => {
             let pace = EnginePace {
                 token: Duration::from_millis(token_ms),
                 answer_tokens: tokens,
+                load: Duration::from_millis(load_ms),
+                checks_fencing,
                 ..EnginePace::default()
             };
             let model = model.as_str().into();
             let engine = EngineStandin::start(place, options.listen, model, pace).await?;
             print_line(&json!({ "upstream": engine.address() }))?;
-            wait_for_stop().await
+            tokio::select! {
+                signal = wait_for_stop() => signal?,
+                () = engine.drained() => {}
+            }
+            print_line(&serde_json::to_value(engine.leave(linger).await)?)
         }
         StandinRole::Service { call_ms } => {
             let duration = Duration::from_millis(call_ms);
             let service = ServiceStandin::start(place, options.listen, duration).await?;
             print_line(&json!({ "upstream": service.address() }))?;
-            wait_for_stop().await
+            tokio::select! {
+                signal = wait_for_stop() => signal?,
+                () = service.drained() => {}
+            }
+            print_line(&serde_json::to_value(service.leave(linger).await)?)
         }
     }
 }
--- a/cicadastall-daemons/tests/common/mod.rs
+++ b/cicadastall-daemons/tests/common/mod.rs
@@ -4,11 +4,13 @@
 
 use serde_json::{Value, json};
 use std::{
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Read},
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
+    thread::sleep,
+    time::{Duration, Instant},
 };
 
 static FLEETS: AtomicU32 = AtomicU32::new(0);
@@ -64,6 +66,28 @@
         Self { child, line }
     }
 
+    /// Sends a signal, such as `-TERM`.
+    pub fn signal(&self, signal: &str) {
+        let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "{signal} was not sent");
+    }
+
+    /// Waits until the program ends by itself; returns its status and the last line it printed.
+    pub fn wait(&mut self, bound: Duration) -> (ExitStatus, Value) {
+        let deadline = Instant::now() + bound;
+        let status = loop {
+            if let Some(status) = self.child.try_wait().expect("wait for a process") {
+                break status;
+            }
+            assert!(Instant::now() < deadline, "a process did not end within {bound:?}");
+            sleep(Duration::from_millis(10));
+        };
+        let mut text = String::new();
+        let output = self.child.stdout.as_mut().expect("standard output is piped");
+        output.read_to_string(&mut text).expect("read the summary");
+        (status, serde_json::from_str(text.trim()).unwrap_or_default())
+    }
+
     pub fn address(&self, name: &str) -> SocketAddr {
         self.line[name].as_str().and_then(|text| text.parse().ok()).expect("an address")
     }
--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -5,4 +5,6 @@
 pub mod engine;
 pub mod fault;
 pub mod model;
+pub mod network;
+pub mod orders;
 pub mod service;
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -5,20 +5,27 @@
     group::GroupHost,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
+    lease::LeaseState,
     ledger_host::{LedgerHosting, LedgerService},
     membership::MembershipMessage,
     node::NodeSettings,
+    placement_host::PlacementHost,
     replicated::{LocalGroup, ReplicatedGroup},
     settings::FleetSettings,
     settings_command::{answer_change, parse_subtree},
     settings_host::{SettingsHost, read_founding},
     settings_query::answer_query,
     settings_state::SettingsState,
+    stop::{DrainingInstance, StopSummary, StopSwitch},
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use ractor::ActorRef;
 use serde_json::json;
-use std::{fmt, io, sync::Arc};
+use std::{
+    fmt, io,
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
 use tokio::{runtime::Handle, sync::watch, task::JoinSet};
 
 /// Path of the settings.
@@ -27,10 +34,13 @@
 /// A running control instance.
 pub struct ControlServer {
     addresses: InstanceAddresses,
+    node: Arc<NodeSettings>,
     membership: ActorRef<MembershipMessage>,
+    in_flight: Arc<AtomicU32>,
+    stop: Arc<StopSwitch>,
+    close: watch::Sender<bool>,
     groups: GroupHost,
-    stop: watch::Sender<bool>,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
 }
 
 impl fmt::Debug for ControlServer {
@@ -64,17 +74,28 @@
         let addresses = core.addresses;
         let membership = core.membership.clone();
         let groups = core.groups.clone();
-        let (stop, stopped) = watch::channel(false);
-        let tasks = if node.settings_voters.is_empty() {
+        let in_flight = Arc::clone(&core.in_flight);
+        let stop = Arc::new(StopSwitch::default());
+        let (close, closed) = watch::channel(false);
+        let placement = node.placement.then(|| PlacementHost {
+            node: Arc::clone(&node),
+            table: Arc::clone(&core.table),
+            settings: Arc::clone(&core.settings),
+            client: http::client_from(node.source_ip(), 0),
+        });
+        let mut tasks = if node.settings_voters.is_empty() {
             let group = LocalGroup::new(SettingsState::default());
-            run_settings(core, &node, group, stopped, control)?
+            run_settings(core, &node, group, closed, &stop, control)?
         } else {
             let groups = groups.clone();
             let started = async move { groups.start_settings(SettingsState::default()).await };
             let group = control.spawn(started).await.map_err(io::Error::other)??;
-            run_settings(core, &node, group, stopped, control)?
+            run_settings(core, &node, group, closed, &stop, control)?
         };
-        Ok(Self { addresses, membership, groups, stop, _tasks: tasks })
+        if let Some(host) = placement {
+            spawn_placement(&mut tasks, control, &groups, host).await?;
+        }
+        Ok(Self { addresses, node, membership, in_flight, stop, close, groups, tasks })
     }
 
     /// Addresses on which the instance listens.
@@ -87,19 +108,59 @@
         &self.groups
     }
 
-    /// Stops the instance.
-    pub async fn stop(self) {
-        let _ = self.stop.send(true);
-        self.membership.stop(None);
+    /// Waits until an operator asks for a stop.
+    pub async fn stop_asked(&self) {
+        self.stop.asked().await;
+    }
+
+    /// Takes no new work, finishes what is in flight, and ends.
+    pub async fn stop(self) -> StopSummary {
+        self.drain().finish().await
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(self) -> DrainingInstance {
+        let draining = DrainingInstance {
+            switch: self.stop,
+            membership: self.membership,
+            in_flight: self.in_flight,
+            close: self.close,
+            callers: None,
+            grace: Duration::ZERO,
+            bound: self.node.stop_bound(),
+            at_start: 0,
+            tasks: self.tasks,
+            _groups: Some(self.groups),
+        };
+        draining.begin()
     }
 }
 
+/// Runs placement on `control`, under a lease of the region's group.
+async fn spawn_placement(
+    tasks: &mut JoinSet<()>,
+    control: &Handle,
+    groups: &GroupHost,
+    host: PlacementHost,
+) -> io::Result<()> {
+    if host.node.ledger_voters.is_empty() {
+        tasks.spawn_on(host.run(LocalGroup::new(LeaseState::default())), control);
+        return Ok(());
+    }
+    let groups = groups.clone();
+    let started = async move { groups.start_placement(LeaseState::default()).await };
+    let group = control.spawn(started).await.map_err(io::Error::other)??;
+    tasks.spawn_on(host.run(group), control);
+    Ok(())
+}
+
 /// Hosts the settings in `group` and answers operators; gives the instance's tasks.
 fn run_settings<G: ReplicatedGroup<SettingsState>>(
     core: InstanceCore,
     node: &Arc<NodeSettings>,
     group: G,
-    stopped: watch::Receiver<bool>,
+    closed: watch::Receiver<bool>,
+    stop: &Arc<StopSwitch>,
     control: &Handle,
 ) -> io::Result<JoinSet<()>> {
     let founding = node.founding_settings.as_deref().map(read_founding).transpose()?;
@@ -107,12 +168,10 @@
     let host = Arc::new(SettingsHost::new(Arc::new(group), follower, Arc::clone(node)));
     let mut tasks = core.tasks;
     spawn_host(&mut tasks, control, &host, founding);
-    let settings = core.settings;
-    let node = Arc::clone(node);
-    let handler = move |_, request| {
-        answer_operator(Arc::clone(&node), Arc::clone(&settings), Arc::clone(&host), request)
-    };
-    let served = http::serve(core.operator, ListenerLimits::default(), stopped, handler);
+    let context =
+        OperatorContext { node: Arc::clone(node), settings: core.settings, stop: Arc::clone(stop) };
+    let handler = move |_, request| answer_operator(context.clone(), Arc::clone(&host), request);
+    let served = http::serve(core.operator, ListenerLimits::default(), closed, handler);
     tasks.spawn_on(served, control);
     Ok(tasks)
 }
@@ -142,18 +201,30 @@
     tasks.spawn_on(found, control);
 }
 
-async fn answer_operator<G: ReplicatedGroup<SettingsState>>(
+/// What operators ask about.
+#[derive(Debug, Clone)]
+struct OperatorContext {
     node: Arc<NodeSettings>,
     settings: Arc<SettingsHolder>,
+    stop: Arc<StopSwitch>,
+}
+
+async fn answer_operator<G: ReplicatedGroup<SettingsState>>(
+    context: OperatorContext,
     host: Arc<SettingsHost<G>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
+    let OperatorContext { node, settings, stop } = context;
     let path = request.uri().path().to_owned();
     if let Some(path) = path.strip_prefix(SETTINGS_PATH) {
         return answer_settings(&host, path, request).await;
     }
     match (request.method(), path.as_str()) {
         (&Method::GET, "/healthz") => text_answer(StatusCode::OK, "ok\n"),
+        (&Method::POST, "/v1/drain") => {
+            stop.ask();
+            json_answer(StatusCode::ACCEPTED, &json!({ "in_flight": 0 }))
+        }
         (&Method::GET, "/v1/status") => {
             let status = json!({
                 "instance": node.instance,
--- /dev/null
+++ b/cicadastall/src/digest.rs
@@ -0,0 +1,84 @@
+//! Summaries of a zone for others: their rows, their rounding, and who sends them.
+
+use crate::{
+    bulletin::{NO_WAIT_MS, PoolCapacity, PoolKey, RowContent},
+    name::{InstanceName, ZoneName},
+    table::{CapacityRow, ZoneDigest},
+};
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Instances of one zone that send its summary to another zone.
+pub const DELEGATES: usize = 2;
+
+/// Rounds a wait in milliseconds up to a power of two; short ones count as none.
+fn round_wait(wait_ms: f64) -> u32 {
+    if wait_ms <= f64::from(NO_WAIT_MS) { 0 } else { wait_ms.log2().ceil().exp2() as u32 }
+}
+
+/// The instances of `members` that send the summary of their zone to `target`.
+///
+/// The duties for all targets are dealt to the members in turn, so that each has about as many.
+pub fn choose_delegates<'a>(
+    members: &BTreeSet<&'a InstanceName>,
+    zones: &BTreeSet<&ZoneName>,
+    target: &ZoneName,
+) -> SmallVec<[&'a InstanceName; DELEGATES]> {
+    let Some(position) = zones.iter().position(|zone| *zone == target) else {
+        return SmallVec::new();
+    };
+    let members: Vec<_> = members.iter().copied().collect();
+    let mut delegates: SmallVec<[&InstanceName; DELEGATES]> = (0..DELEGATES)
+        .filter_map(|turn| {
+            let index = (position * DELEGATES + turn).checked_rem(members.len())?;
+            members.get(index).copied()
+        })
+        .collect();
+    delegates.dedup();
+    delegates
+}
+
+/// Puts a digest together from the log rows of the instance that received it.
+pub(crate) fn scan_digest(
+    rows: &BTreeMap<u16, RowContent>,
+    handle: u16,
+    sequence: u64,
+) -> Option<ZoneDigest> {
+    let RowContent::Zone(place) = rows.get(&handle)? else { return None };
+    let capacity = rows.values().filter_map(|row| match row {
+        RowContent::Capacity(of, capacity) => match rows.get(of)? {
+            RowContent::Pool(zone, key) if *zone == handle => Some(join_row(key, capacity)),
+            _ => None,
+        },
+        _ => None,
+    });
+    Some(ZoneDigest {
+        region: place.region.clone(),
+        zone: place.zone.clone(),
+        sequence,
+        entries: place.entries.clone(),
+        rows: capacity.collect(),
+    })
+}
+
+/// The names and the rounded figures of one row of a digest.
+pub(crate) fn split_row(row: &CapacityRow) -> (PoolKey, PoolCapacity) {
+    let key = PoolKey { pool: row.pool.clone(), model: row.model.clone(), rank: row.rank };
+    let capacity = PoolCapacity {
+        upstreams: row.upstreams,
+        prefill_tokens_per_s: row.prefill_tokens_per_s.round() as u32,
+        wait_ms: round_wait(row.wait_ms),
+    };
+    (key, capacity)
+}
+
+fn join_row(key: &PoolKey, capacity: &PoolCapacity) -> CapacityRow {
+    CapacityRow {
+        pool: key.pool.clone(),
+        model: key.model.clone(),
+        rank: key.rank,
+        upstreams: capacity.upstreams,
+        prefill_tokens_per_s: f64::from(capacity.prefill_tokens_per_s),
+        wait_ms: f64::from(capacity.wait_ms),
+    }
+}
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -7,12 +7,14 @@
     instance::{CONTROL_TIMEOUT, InstanceAddresses, InstanceCore},
     ledger_host::LedgerHosting,
     membership::MembershipMessage,
-    name::RequestId,
+    name::{RequestId, UpstreamName},
     node::NodeSettings,
     observe::RequestMetrics,
     peer::PeerClients,
+    quarantine::SuspectBoard,
     route::{RequestRouter, RouterPlace},
     serve::answer_request,
+    stop::{DrainingInstance, StopSummary, StopSwitch},
     table::{EntryState, RoutingTable},
 };
 use arc_swap::ArcSwap;
@@ -21,6 +23,7 @@
 use serde_json::json;
 use std::{
     fmt, io,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
@@ -33,9 +36,15 @@
     task::{JoinHandle, JoinSet},
 };
 
+/// Path of the operators' listing of suspected requests.
+const QUARANTINE_PATH: &str = "/v1/quarantine";
+
 /// Idle connections kept to each upstream.
 const IDLE_CONNECTIONS: usize = 64;
 
+/// Path of the operators' orders about upstreams.
+const UPSTREAMS_PATH: &str = "/v1/upstreams/";
+
 /// Path at which operators ask why a request was routed as it was; the request follows.
 pub const EXPLAIN_PATH: &str = "/v1/explain/";
 
@@ -49,9 +58,12 @@
     metrics: RequestMetrics,
     membership: ActorRef<MembershipMessage>,
     ledger: LedgerClient,
+    suspects: Arc<SuspectBoard>,
+    peers: Arc<PeerClients>,
     in_flight: Arc<AtomicU32>,
     pooled: HttpClient,
     unpooled: HttpClient,
+    stop: Arc<StopSwitch>,
 }
 
 /// Counts one request as in flight until it is dropped.
@@ -73,6 +85,21 @@
         &self.settings
     }
 
+    pub(crate) fn stop(&self) -> &StopSwitch {
+        &self.stop
+    }
+
+    pub(crate) fn shared_table(&self) -> &ArcSwap<RoutingTable> {
+        &self.table
+    }
+
+    /// Address of another entry of the zone that takes requests.
+    pub(crate) fn other_entry(&self) -> Option<SocketAddr> {
+        let table = self.table();
+        let serving = table.entries.values().filter(|entry| entry.state == EntryState::Serving);
+        serving.min_by_key(|entry| entry.in_flight)?.caller_address
+    }
+
     pub(crate) fn table(&self) -> Arc<RoutingTable> {
         self.table.load_full()
     }
@@ -86,6 +113,16 @@
         &self.ledger
     }
 
+    /// Requests that crash upstreams.
+    pub(crate) fn suspects(&self) -> &Arc<SuspectBoard> {
+        &self.suspects
+    }
+
+    /// Connections of the traffic threads to other instances.
+    pub(crate) fn peer_clients(&self) -> &Arc<PeerClients> {
+        &self.peers
+    }
+
     pub(crate) fn metrics(&self) -> &RequestMetrics {
         &self.metrics
     }
@@ -124,7 +161,7 @@
     context: Arc<EntryContext>,
     stop: watch::Sender<bool>,
     callers: JoinHandle<()>,
-    _control_tasks: JoinSet<()>,
+    control_tasks: JoinSet<()>,
 }
 
 impl fmt::Debug for EntryServer {
@@ -133,15 +170,6 @@
     }
 }
 
-/// Summary of a stop.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
-pub struct StopSummary {
-    /// Requests that were in flight when the stop began.
-    pub in_flight: u32,
-    /// Requests that were cut off because the bound was reached.
-    pub cut_off: u32,
-}
-
 impl EntryServer {
     /// Starts an entry: traffic on the current runtime, control state on `control`.
     pub async fn start(node: NodeSettings, control: &Handle) -> io::Result<Self> {
@@ -151,16 +179,20 @@
         let core =
             InstanceCore::start(&node, Some(address), LedgerHosting::Absent, control).await?;
         let place = RouterPlace { region: node.region.clone(), zone: node.zone.clone() };
+        let peers = Arc::new(PeerClients::new(node.source_ip()));
         let context = Arc::new(EntryContext {
             settings: Arc::clone(&core.settings),
             table: Arc::clone(&core.table),
             router: Mutex::new(RequestRouter::new(place)),
             metrics: RequestMetrics::new(),
             membership: core.membership.clone(),
-            ledger: LedgerClient::new(node.control.clone(), PeerClients::new(node.source_ip())),
+            ledger: LedgerClient::new(node.control.clone(), Arc::clone(&peers)),
+            suspects: Arc::clone(&core.suspects),
+            peers,
             in_flight: Arc::clone(&core.in_flight),
             pooled: http::client_from(node.source_ip(), IDLE_CONNECTIONS),
             unpooled: http::client_from(node.source_ip(), 0),
+            stop: Arc::new(StopSwitch::default()),
             node: Arc::clone(&node),
         });
         let mut tasks = core.tasks;
@@ -179,7 +211,7 @@
             header_timeout: Duration::from_millis(node.limits.send_ms),
         };
         let callers = tokio::spawn(http::serve(caller_listener, limits, stopped, handler));
-        Ok(Self { addresses: core.addresses, context, stop, callers, _control_tasks: tasks })
+        Ok(Self { addresses: core.addresses, context, stop, callers, control_tasks: tasks })
     }
 
     /// Addresses on which the entry listens.
@@ -187,16 +219,31 @@
         self.addresses
     }
 
-    /// Stops gracefully: takes no new connections and lets the requests in flight finish.
+    /// Waits until an operator asks for a stop.
+    pub async fn stop_asked(&self) {
+        self.context.stop.asked().await;
+    }
+
+    /// Takes no new work, finishes what is in flight, and ends.
     pub async fn stop(self) -> StopSummary {
-        let _ = self.context.membership.cast(MembershipMessage::SetState(EntryState::Draining));
-        let in_flight = self.context.in_flight.load(Ordering::Relaxed);
-        let _ = self.stop.send(true);
-        let bound = self.context.node.stop_bound();
-        let finished = tokio::time::timeout(bound, self.callers).await.is_ok();
-        let cut_off = if finished { 0 } else { self.context.in_flight.load(Ordering::Relaxed) };
-        self.context.membership.stop(None);
-        StopSummary { in_flight, cut_off }
+        self.drain().finish().await
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(self) -> DrainingInstance {
+        let draining = DrainingInstance {
+            switch: Arc::clone(&self.context.stop),
+            membership: self.context.membership.clone(),
+            in_flight: Arc::clone(&self.context.in_flight),
+            close: self.stop,
+            callers: Some(self.callers),
+            grace: self.context.node.stop_grace(),
+            bound: self.context.node.stop_bound(),
+            at_start: 0,
+            tasks: self.control_tasks,
+            _groups: None,
+        };
+        draining.begin()
     }
 }
 
@@ -213,10 +260,17 @@
             text_answer(StatusCode::SERVICE_UNAVAILABLE, "no settings yet\n")
         }
         (&Method::GET, "/metrics") => text_answer(StatusCode::OK, context.metrics.render()),
+        (&Method::GET, QUARANTINE_PATH) => json_answer(StatusCode::OK, &context.suspects.list()),
+        (&Method::DELETE, path) if path.starts_with(QUARANTINE_PATH) => {
+            release_suspect(&context, path).await
+        }
         (&Method::POST, "/v1/drain") => {
-            let drained = MembershipMessage::SetState(EntryState::Draining);
-            let _ = context.membership.cast(drained);
-            text_answer(StatusCode::OK, "no new callers are sent here\n")
+            context.stop.ask();
+            let in_flight = context.in_flight.load(Ordering::Relaxed);
+            json_answer(StatusCode::ACCEPTED, &json!({ "in_flight": in_flight }))
+        }
+        (&Method::POST, path) if path.starts_with(UPSTREAMS_PATH) => {
+            drain_upstream(&context, path).await
         }
         (&Method::GET, "/v1/status") => json_answer(StatusCode::OK, &describe_entry(&context)),
         (&Method::GET, path) if path.starts_with(EXPLAIN_PATH) => {
@@ -226,6 +280,31 @@
     }
 }
 
+/// Drains the upstream that `path` names as `/v1/upstreams/NAME/drain`.
+async fn drain_upstream(context: &EntryContext, path: &str) -> Response<AnswerBody> {
+    let name = path.strip_prefix(UPSTREAMS_PATH).and_then(|rest| rest.strip_suffix("/drain"));
+    let Some(name) = name else { return text_answer(StatusCode::NOT_FOUND, "no such path\n") };
+    let name = UpstreamName::from(name);
+    let asked = context.ask_membership(|reply| MembershipMessage::DrainUpstream(name, reply)).await;
+    match asked {
+        Some(true) => text_answer(StatusCode::ACCEPTED, "draining\n"),
+        Some(false) => text_answer(StatusCode::NOT_FOUND, "no such upstream\n"),
+        None => text_answer(StatusCode::SERVICE_UNAVAILABLE, "the instance is stopping\n"),
+    }
+}
+
+/// Ends the quarantine of the fingerprint that `path` names.
+async fn release_suspect(context: &EntryContext, path: &str) -> Response<AnswerBody> {
+    let name = path.trim_start_matches(QUARANTINE_PATH).trim_start_matches('/');
+    let Ok(fingerprint) = name.parse() else {
+        return text_answer(StatusCode::BAD_REQUEST, "not a fingerprint\n");
+    };
+    match context.suspects.release(&context.peers, fingerprint).await {
+        true => text_answer(StatusCode::OK, "released\n"),
+        false => text_answer(StatusCode::NOT_FOUND, "not in quarantine\n"),
+    }
+}
+
 fn answer_explain(context: &EntryContext, request: &str) -> Response<AnswerBody> {
     let decisions = context.router().explain(request);
     if decisions.is_empty() {
--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -27,7 +27,7 @@
 };
 use tokio::{
     sync::{oneshot, watch},
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 /// Longest time to look for a leader before a proposal or a read is refused.
@@ -36,6 +36,9 @@
 /// Pause before another replica is asked to lead.
 const LEADER_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest time that the leader takes over a proposal or a read.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Longest time that another instance takes over a proposal or a read.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -45,6 +48,9 @@
 /// Pause before the folder is tried again.
 const LOCK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Most entries of one message.
+const APPEND_ENTRIES: usize = 1_024;
+
 /// Bytes of a part of a snapshot.
 const SNAPSHOT_PART_BYTES: usize = 256 * 1024;
 
@@ -99,6 +105,15 @@
         self.start(group, self.node.ledger_voters.clone(), initial).await
     }
 
+    /// Starts the instance's replica of its region's placement lease on the runtime of the caller.
+    pub async fn start_placement<S: ReplicatedState>(
+        &self,
+        initial: S,
+    ) -> Result<GroupHandle<S>, GroupStartError> {
+        let group = GroupName::new(format!("placement-{}", self.node.region));
+        self.start(group, self.node.ledger_voters.clone(), initial).await
+    }
+
     async fn start<S: ReplicatedState>(
         &self,
         group: GroupName,
@@ -166,6 +181,7 @@
 
 struct GroupShared<S: ReplicatedState> {
     settings: GroupSettings,
+    own: ReplicaId,
     addresses: HashMap<InstanceName, SocketAddr>,
     clients: Arc<PeerClients>,
     registry: Arc<GroupRegistry>,
@@ -211,7 +227,8 @@
     let (reply, replied): (ProposalReply<S>, _) = oneshot::channel();
     actor.cast(GroupMessage::Propose(command, reply)).map_err(|_| GroupError::Stopped)?;
     // A replica that stops with the command in its queue may have logged it.
-    replied.await.unwrap_or(Err(GroupError::OutcomeUnknown))
+    let replied = timeout(PROPOSAL_TIMEOUT, replied).await;
+    replied.ok().and_then(Result::ok).unwrap_or(Err(GroupError::OutcomeUnknown))
 }
 
 async fn read_here<S: ReplicatedState>(
@@ -219,7 +236,8 @@
 ) -> Result<LogIndex, GroupError> {
     let (reply, replied): (ReadReply, _) = oneshot::channel();
     actor.cast(GroupMessage::Read(reply)).map_err(|_| GroupError::Stopped)?;
-    replied.await.unwrap_or(Err(GroupError::Stopped))
+    let replied = timeout(PROPOSAL_TIMEOUT, replied).await;
+    replied.unwrap_or(Ok(Err(GroupError::NoQuorum))).unwrap_or(Err(GroupError::Stopped))
 }
 
 impl<S: ReplicatedState> GroupHandle<S> {
@@ -240,10 +258,11 @@
         let state = Arc::new(RwLock::new(state));
         let own = ReplicaId { instance: settings.own.clone(), identity };
         let replica = ReplicaSettings {
-            own,
+            own: own.clone(),
             instances: settings.voters.iter().map(|voter| voter.instance.clone()).collect(),
             founding: Epoch(wall_clock_ms()),
             timing: settings.timing,
+            append_entries: APPEND_ENTRIES,
             snapshot_part: SNAPSHOT_PART_BYTES,
             seed: rand::rng().random(),
         };
@@ -264,10 +283,16 @@
             .map_err(|error| GroupStartError::Spawn(error.to_string()))?;
         registry.register(settings.group.clone(), Arc::new(LocalEndpoint(actor.clone())));
         let status = published;
-        let shared = GroupShared { settings, addresses, clients, registry, actor, state, status };
+        let shared =
+            GroupShared { settings, own, addresses, clients, registry, actor, state, status };
         Ok(Self { shared: Arc::new(shared) })
     }
 
+    /// The replica.
+    pub fn own(&self) -> &ReplicaId {
+        &self.shared.own
+    }
+
     /// What the replica knows of its group.
     pub fn status(&self) -> GroupStatus {
         self.shared.status.borrow().clone()
@@ -294,6 +319,12 @@
         Ok(epoch.max(self.status().epoch))
     }
 
+    /// Proposes a command if this replica leads; it is not passed on to another.
+    pub async fn propose_here(&self, command: S::Command) -> Result<S::Reply, GroupError> {
+        let command = serde_json::to_string(&command).map_err(|_| GroupError::Stopped)?;
+        propose_here(&self.shared.actor, command.into()).await
+    }
+
     /// Stops the replica; others can no longer reach it.
     pub fn stop(&self) {
         self.shared.stop();
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,13 +1,15 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    counted::CountedStream,
     ledger::command::{LedgerChange, LedgerReply},
     name::GroupName,
+    quarantine::SuspectShare,
     replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
     settings::Revision,
     settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
-    table::{EntryRecord, UpstreamRecord, ZoneDigest},
+    suspect::{IsolationReply, IsolationRequest, SuspectRecord},
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -32,22 +34,17 @@
 /// Bound that the transport puts on every call; calls carry bounds of their own below it.
 const TRANSPORT_DEADLINE: Duration = Duration::from_secs(3_600);
 
-/// State of one zone as two of its members exchange it.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct MemberExchange {
-    /// Instances, with the age of each record in milliseconds.
-    pub entries: Vec<(EntryRecord, u64)>,
-    /// Upstreams, with the age of each announcement in milliseconds.
-    pub upstreams: Vec<(Arc<UpstreamRecord>, u64)>,
-    /// Digests of other zones, with the age of each in milliseconds.
-    pub zones: Vec<(Arc<ZoneDigest>, u64)>,
-}
-
 /// Service that every instance offers to the others.
 #[tarpc::service]
 pub trait PeerApi {
-    /// Exchanges membership state; the reply holds what the receiver knows.
-    async fn exchange(state: MemberExchange) -> MemberExchange;
+    /// Changes the region's ledger; answered by the instances that host it.
+    async fn change_ledger(change: LedgerChange) -> Result<LedgerReply, GroupError>;
+
+    /// Exchanges suspected requests within a region.
+    async fn share_suspects(share: SuspectShare) -> Vec<SuspectRecord>;
+
+    /// Grants an upstream to one suspected request at a time; asked of control instances.
+    async fn isolate_suspect(request: IsolationRequest) -> IsolationReply;
 
     /// Passes messages to the receiver's replica of `group`.
     async fn group_deliver(group: GroupName, envelopes: Vec<ReplicaEnvelope>);
@@ -66,9 +63,6 @@
 
     /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
     async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
-
-    /// Changes the region's ledger; answered by the instances that host it.
-    async fn change_ledger(change: LedgerChange) -> Result<LedgerReply, GroupError>;
 }
 
 /// Why a call to another instance has no reply.
@@ -152,7 +146,7 @@
 
 /// Connection that carries calls of [`PeerApi`], from the side that answers or the one that asks.
 pub(crate) type MessageTransport<I, O> =
-    tarpc::serde_transport::Transport<TcpStream, I, O, Json<I, O>>;
+    tarpc::serde_transport::Transport<CountedStream, I, O, Json<I, O>>;
 
 /// Turns a connection into one that carries messages.
 pub(crate) fn frame_messages<I, O>(stream: TcpStream) -> MessageTransport<I, O>
@@ -162,7 +156,7 @@
 {
     let mut codec = LengthDelimitedCodec::builder();
     codec.max_frame_length(MAX_MESSAGE_BYTES);
-    tarpc::serde_transport::new(codec.new_framed(stream), Json::default())
+    tarpc::serde_transport::new(codec.new_framed(CountedStream(stream)), Json::default())
 }
 
 async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -1,5 +1,6 @@
 //! Serves one request: attempts in turn until the answer is whole or no further attempt is allowed.
 
+mod crash;
 mod keyed;
 
 use crate::{
@@ -7,16 +8,27 @@
     decode::RequestPlan,
     dispatch::{AttemptError, AttemptStream, AttemptTarget, call_service, open_stream},
     entry::EntryContext,
+    evidence::{EntryEvidence, judge_entry, wait_zone_lost},
+    members::EntryFault,
+    membership::MembershipMessage,
     name::{AttemptId, RegionName, RequestId, UpstreamName},
     prefix::PromptShape,
+    quarantine::IsolationLease,
+    relay::crash::{AttemptPermit, fingerprint_plan},
     route::{RouteDecision, TriedTargets, UpstreamChoice, track::SendTicket},
     stream::{AnswerAssembler, StreamStep, encode_event},
+    suspect::RequestFingerprint,
+    table::Incarnation,
     wire::{CallRequest, ChatRequest, ChunkView},
 };
 use bytes::Bytes;
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+/// Longest time between the choice of a target and the dispatch; a process that was stopped in
+/// between must choose again.
+const DISPATCH_BOUND: Duration = Duration::from_millis(500);
+
 /// Who gave an answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AnswerSource {
@@ -69,6 +81,10 @@
         };
         loop {
             match step {
+                Ok(RelayedStep::End) => {
+                    self.relay.note_whole(&self.attempt).await;
+                    return Ok(RelayedStep::End);
+                }
                 Ok(step) => return Ok(step),
                 Err(error) => {
                     step = self
@@ -84,7 +100,8 @@
         &mut self,
         error: AttemptError,
     ) -> Result<Result<RelayedStep, AttemptError>, Refusal> {
-        self.relay.judge_failure(&self.attempt, error)?;
+        self.relay.judge_failure(&self.attempt, error).await?;
+        self.attempt.isolation = None;
         self.attempt = self.relay.open_attempt().await?;
         self.assembler.resume(self.attempt.id.clone());
         let first =
@@ -107,10 +124,12 @@
     context: Arc<EntryContext>,
     plan: Arc<RequestPlan>,
     shape: PromptShape,
+    fingerprint: RequestFingerprint,
     tried: TriedTargets,
     attempts: u32,
     deadline: Instant,
     ran: Ran,
+    evidence: Option<EntryEvidence>,
 }
 
 /// An attempt that has a target.
@@ -119,6 +138,9 @@
     id: AttemptId,
     target: AttemptTarget,
     source: AnswerSource,
+    chosen_at: Instant,
+    incarnation: Incarnation,
+    isolation: Option<IsolationLease>,
     slot: AttemptSlot,
 }
 
@@ -154,14 +176,17 @@
 impl RequestRelay {
     pub(crate) fn new(context: Arc<EntryContext>, plan: RequestPlan, now: Instant) -> Self {
         let deadline = now + plan.deadline;
+        let fingerprint = fingerprint_plan(context.suspects(), &plan);
         Self {
             context,
             shape: PromptShape::of(&plan.body),
+            fingerprint,
             plan: Arc::new(plan),
             tried: TriedTargets::default(),
             attempts: 0,
             deadline,
             ran: Ran::No,
+            evidence: None,
         }
     }
 
@@ -172,12 +197,14 @@
     ) -> Result<(AnswerSource, serde_json::Value), Refusal> {
         loop {
             let attempt = self.open_attempt().await?;
-            match self.call_target(&attempt, call).await {
+            let answer = self.call_target(&attempt, call);
+            match self.unless_lost(&attempt, answer).await {
                 Ok(result) => {
                     attempt.slot.note_first_token();
+                    self.note_whole(&attempt).await;
                     return Ok((attempt.source, result));
                 }
-                Err(error) => self.judge_failure(&attempt, error)?,
+                Err(error) => self.judge_failure(&attempt, error).await?,
             }
         }
     }
@@ -199,14 +226,15 @@
         loop {
             let attempt = self.open_attempt().await?;
             let mut assembler = AnswerAssembler::new(attempt.id.clone());
-            match self.read_first_token(&attempt, &chat, &mut assembler).await {
+            let first = self.read_first_token(&attempt, &chat, &mut assembler);
+            match self.unless_lost(&attempt, first).await {
                 Ok((stream, first)) => {
                     attempt.slot.note_first_token();
                     let source = attempt.source.clone();
                     let passage = StreamPassage { relay: self, chat, attempt, assembler, stream };
                     return Ok(RelayedStream { source, first, passage });
                 }
-                Err(error) => self.judge_failure(&attempt, error)?,
+                Err(error) => self.judge_failure(&attempt, error).await?,
             }
         }
     }
@@ -267,8 +295,50 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Notes what a failed forward says about the entry that it went to.
+    fn note_entry(&mut self, attempt: &OpenAttempt, error: &AttemptError) {
+        let AttemptTarget::Entry { address, .. } = attempt.target else { return };
+        let (Some(fault), Some(zone)) = (judge_entry(error), self.tried.zones.last().cloned())
+        else {
+            return;
+        };
+        if fault == EntryFault::Draining {
+            self.tried.zones.pop();
+        }
+        self.evidence = Some(EntryEvidence { zone, address, fault });
+    }
+
+    async fn report_evidence(&mut self) {
+        if let Some(EntryEvidence { zone, address, fault }) = self.evidence.take() {
+            let report = |reply| MembershipMessage::Unreachable(zone, address, fault, reply);
+            self.context.ask_membership(report).await;
+        }
+    }
+
+    /// Waits for `work` of an attempt; gives up where the attempt's zone is lost meanwhile.
+    async fn unless_lost<T>(
+        &self,
+        attempt: &OpenAttempt,
+        work: impl Future<Output = Result<T, AttemptError>>,
+    ) -> Result<T, AttemptError> {
+        if attempt.chosen_at.elapsed() > DISPATCH_BOUND {
+            return Err(AttemptError::Unreachable("the choice is too old".to_owned()));
+        }
+        let zone = match (&attempt.target, self.tried.zones.last()) {
+            (AttemptTarget::Entry { .. }, Some(zone)) => zone,
+            _ => return work.await,
+        };
+        tokio::select! {
+            result = work => result,
+            () = wait_zone_lost(self.context.shared_table(), zone) => {
+                Err(AttemptError::Broken(format!("zone {zone} was lost")))
+            }
+        }
+    }
+
     /// Chooses a target and counts the attempt.
     async fn open_attempt(&mut self) -> Result<OpenAttempt, Refusal> {
+        self.report_evidence().await;
         loop {
             let now = Instant::now();
             if now >= self.deadline {
@@ -287,24 +357,42 @@
                     refusal.ran = self.ran;
                     return Err(refusal);
                 }
-                RouteDecision::Upstream(choice) => return Ok(self.open_upstream(choice, now)),
+                RouteDecision::Upstream(choice) => {
+                    let isolation = match self.permit_attempt(&choice.view).await? {
+                        AttemptPermit::Busy => continue,
+                        AttemptPermit::Free => None,
+                        AttemptPermit::Isolated(lease) => Some(lease),
+                    };
+                    return Ok(self.open_upstream(choice, isolation, now));
+                }
                 RouteDecision::Entry { region, zone, address } => {
                     self.tried.zones.push(zone);
                     let from = self.context.node().region.clone();
                     let target = AttemptTarget::Entry { address, from };
-                    return Ok(self.number_attempt(target, region, None));
+                    return Ok(self.number_attempt(target, region, None, now));
                 }
             }
         }
     }
 
-    fn open_upstream(&mut self, choice: UpstreamChoice, now: Instant) -> OpenAttempt {
+    fn open_upstream(
+        &mut self,
+        choice: UpstreamChoice,
+        isolation: Option<IsolationLease>,
+        now: Instant,
+    ) -> OpenAttempt {
         let record = choice.view.record;
         let table = self.context.table();
         let ticket =
             self.context.router().note_sent(&table, &record.name, &self.plan, &self.shape, now);
         let target = AttemptTarget::Upstream { address: record.address, priority: choice.priority };
-        self.number_attempt(target, record.region.clone(), Some(ticket))
+        let attempt = self.number_attempt(target, record.region.clone(), Some(ticket), now);
+        OpenAttempt { incarnation: record.incarnation, isolation, ..attempt }
+    }
+
+    /// Name that the next attempt gets.
+    fn next_attempt(&self) -> AttemptId {
+        AttemptId::new(format!("{}.{}", self.plan.request, self.attempts + 1))
     }
 
     fn number_attempt(
@@ -312,16 +400,30 @@
         target: AttemptTarget,
         region: RegionName,
         ticket: Option<SendTicket>,
+        chosen_at: Instant,
     ) -> OpenAttempt {
+        let id = self.next_attempt();
         self.attempts += 1;
-        let id = AttemptId::new(format!("{}.{}", self.plan.request, self.attempts));
         let upstream = ticket.as_ref().map(|ticket| ticket.upstream.clone());
         let slot = AttemptSlot { context: Arc::clone(&self.context), ticket };
-        OpenAttempt { id, target, source: AnswerSource { region, upstream }, slot }
+        let source = AnswerSource { region, upstream };
+        OpenAttempt {
+            id,
+            target,
+            source,
+            chosen_at,
+            incarnation: Incarnation::default(),
+            isolation: None,
+            slot,
+        }
     }
 
     /// Decides whether another attempt is allowed after `error`.
-    fn judge_failure(&mut self, attempt: &OpenAttempt, error: AttemptError) -> Result<(), Refusal> {
+    async fn judge_failure(
+        &mut self,
+        attempt: &OpenAttempt,
+        error: AttemptError,
+    ) -> Result<(), Refusal> {
         log::info!(
             request = self.plan.request.as_str(),
             attempt = attempt.id.as_str();
@@ -338,7 +440,15 @@
         } else if let Some(zone) = self.tried.zones.last() {
             self.context.router().note_returned(zone, &self.plan, Instant::now());
         }
-        if !self.context.router().permit_retry(&self.plan, self.ran, self.attempts) {
+        self.note_entry(attempt, &error);
+        self.note_failure(attempt, &error).await?;
+        let quarantined = matches!(
+            &error,
+            AttemptError::Refused(refusal) if refusal.code == RefusalCode::Quarantined
+        );
+        let permitted =
+            !quarantined && self.context.router().permit_retry(&self.plan, self.ran, self.attempts);
+        if !permitted {
             let mut refusal = error.into_refusal();
             refusal.ran = self.ran;
             return Err(refusal);
--- a/cicadastall/src/replica_message.rs
+++ b/cicadastall/src/replica_message.rs
@@ -139,6 +139,25 @@
     Command(Arc<str>),
     /// The group's members from this entry on.
     Configuration(GroupConfiguration),
+    /// The group is founded anew; entries that only lost replicas held are lost.
+    Refounded {
+        /// Epoch from this entry on.
+        epoch: Epoch,
+        /// Members from this entry on.
+        configuration: GroupConfiguration,
+    },
+}
+
+impl EntryPayload {
+    /// Members that the entry sets.
+    pub fn configuration(&self) -> Option<&GroupConfiguration> {
+        match self {
+            Self::Configuration(configuration) | Self::Refounded { configuration, .. } => {
+                Some(configuration)
+            }
+            Self::Empty | Self::Command(_) => None,
+        }
+    }
 }
 
 /// One entry of the log.
@@ -181,6 +200,8 @@
     Truncate(LogIndex),
     /// Adds entries after the last one.
     Append(Vec<LogEntry>),
+    /// Notes that all entries up to this one are committed.
+    Commit(LogIndex),
     /// Replaces everything.
     Replace(Box<StoredReplica>),
 }
@@ -194,6 +215,8 @@
     pub snapshot: Arc<SnapshotImage>,
     /// Entries after the snapshot.
     pub entries: Vec<LogEntry>,
+    /// Last entry noted as committed.
+    pub commit: LogIndex,
 }
 
 impl StoredReplica {
@@ -205,6 +228,7 @@
                 self.entries.retain(|entry| entry.position.index < *from);
             }
             JournalWrite::Append(entries) => self.entries.extend_from_slice(entries),
+            JournalWrite::Commit(index) => self.commit = *index,
             JournalWrite::Replace(stored) => *self = (**stored).clone(),
         }
     }
--- a/cicadastall/tests/groups/mod.rs
+++ b/cicadastall/tests/groups/mod.rs
@@ -12,12 +12,22 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{
-    net::SocketAddr,
-    path::{Path, PathBuf},
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
     sync::Arc,
     time::Duration,
 };
-use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+/// Longest wait for anything.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(20);
 
 /// A list of texts.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -32,6 +42,10 @@
         self.0.len()
     }
 
+    fn refounded(&mut self, _: u64) {
+        self.0.push("refounded".into());
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
     }
@@ -58,25 +72,38 @@
 
 /// Addresses and folders of a group.
 pub struct TestGroup {
+    /// Members at the addresses that others call.
     pub voters: Vec<VoterSettings>,
+    /// Addresses at which they listen.
+    pub listen: Vec<SocketAddr>,
     folder: Option<PathBuf>,
 }
 
+impl Drop for TestGroup {
+    fn drop(&mut self) {
+        if let Some(folder) = &self.folder {
+            let _ = std::fs::remove_dir_all(folder);
+        }
+    }
+}
+
 impl TestGroup {
-    /// A group of `size`; with a folder named `name` its replicas are durable.
-    pub async fn new(size: usize, name: Option<&str>) -> Self {
-        let folder = name.map(|name| Path::new(env!("CARGO_TARGET_TMPDIR")).join(name));
+    /// A group of `size`; its replicas are durable if there is a folder, which is emptied.
+    pub async fn new(size: usize, folder: Option<PathBuf>) -> Self {
         if let Some(folder) = &folder {
             let _ = std::fs::remove_dir_all(folder);
         }
-        let mut voters = Vec::new();
+        // Connections of other processes take no ports of this address.
+        let ip = Ipv4Addr::new(127, rand::random_range(1..255), rand::random_range(1..255), 1);
+        let (mut voters, mut listen) = (Vec::new(), Vec::new());
         for index in 0..size {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+            let listener = TcpListener::bind((ip, 0)).await.expect("bind");
             let address: SocketAddr = listener.local_addr().expect("address");
             let instance = InstanceName::new(format!("control-{index}"));
             voters.push(VoterSettings { instance, address });
+            listen.push(address);
         }
-        Self { voters, folder }
+        Self { voters, listen, folder }
     }
 
     pub fn folder(&self, index: usize) -> Option<PathBuf> {
@@ -86,7 +113,7 @@
     /// Starts the replica of the given index.
     pub async fn start(&self, index: usize) -> Result<Member, GroupStartError> {
         let registry = Arc::new(GroupRegistry::default());
-        let listener = bind(self.voters[index].address).await;
+        let listener = bind(self.listen[index]).await;
         let server = tokio::spawn(serve_groups(listener, Arc::clone(&registry)));
         let settings = GroupSettings {
             group: GroupName::from("settings"),
@@ -99,43 +126,38 @@
         let handle = GroupHandle::start(settings, TextList::default(), clients, registry).await?;
         Ok(Member { handle, server })
     }
-
-    pub async fn start_all(&self) -> Vec<Member> {
-        let mut members = Vec::new();
-        for index in 0..self.voters.len() {
-            members.push(self.start(index).await.expect("start"));
-        }
-        members
-    }
 }
 
+/// Binds an address again once its previous owner has let go of it.
 async fn bind(address: SocketAddr) -> TcpListener {
+    let end = Instant::now() + WAIT;
     loop {
         match TcpListener::bind(address).await {
             Ok(listener) => return listener,
-            Err(_) => sleep(Duration::from_millis(20)).await,
+            Err(error) => assert!(Instant::now() < end, "{address}: {error}"),
         }
+        sleep(PAUSE).await;
     }
 }
 
 /// Proposes until the command is accepted, for groups that are being founded or repaired.
 pub async fn propose(member: &Member, text: &str) -> usize {
+    let end = Instant::now() + WAIT;
     loop {
         match member.handle.propose(text.to_owned()).await {
             Ok(length) => return length,
             Err(GroupError::NoQuorum | GroupError::NotLeader { .. }) => {}
             Err(error) => panic!("{error}"),
         }
+        assert!(Instant::now() < end, "{text} is not accepted: {:?}", member.handle.status());
     }
 }
 
 /// Waits until `met` holds.
 pub async fn wait_until(what: &str, met: impl Fn() -> bool) {
-    for _ in 0..1_000 {
-        if met() {
-            return;
-        }
-        sleep(Duration::from_millis(20)).await;
+    let end = Instant::now() + WAIT;
+    while !met() {
+        assert!(Instant::now() < end, "not met within {WAIT:?}: {what}");
+        sleep(PAUSE).await;
     }
-    panic!("not met within 20 s: {what}");
 }
--- a/cicadastall/tests/replica_groups.rs
+++ b/cicadastall/tests/replica_groups.rs
@@ -4,10 +4,25 @@
 
 use cicadastall::{
     group::RefoundError,
-    replica::ReplicaError,
+    replica::{ReplicaError, ReplicaTiming},
     replicated::{GroupError, ReplicatedGroup},
 };
 use groups::{Member, TestGroup, propose, wait_until};
+use std::path::{Path, PathBuf};
+use tokio::time::sleep;
+
+fn folder(name: &str) -> PathBuf {
+    // Several runs of the tests may share a target folder.
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()))
+}
+
+async fn start_all(group: &TestGroup) -> Vec<Member> {
+    let mut members = Vec::new();
+    for index in 0..group.voters.len() {
+        members.push(group.start(index).await.expect("start"));
+    }
+    members
+}
 
 fn leader(members: &[Member]) -> Option<usize> {
     members.iter().position(|member| member.handle.status().leads)
@@ -19,8 +34,8 @@
 
 #[tokio::test]
 async fn three_replicas_commit_what_any_of_them_proposes() {
-    let group = TestGroup::new(3, Some("commit")).await;
-    let members = group.start_all().await;
+    let group = TestGroup::new(3, Some(folder("commit"))).await;
+    let members = start_all(&group).await;
     for (index, member) in members.iter().enumerate() {
         assert_eq!(propose(member, &format!("from {index}")).await, index + 1);
     }
@@ -32,29 +47,44 @@
 #[tokio::test]
 async fn a_group_of_one_founds_itself() {
     let group = TestGroup::new(1, None).await;
-    let members = group.start_all().await;
+    let members = start_all(&group).await;
     assert_eq!(propose(&members[0], "alone").await, 1);
 }
 
 #[tokio::test]
 async fn a_group_survives_the_restart_of_all_replicas_after_hundreds_of_changes() {
-    let group = TestGroup::new(3, Some("restart")).await;
-    let members = group.start_all().await;
+    let group = TestGroup::new(3, Some(folder("restart"))).await;
+    let members = start_all(&group).await;
     for index in 0..500 {
         propose(&members[0], &index.to_string()).await;
     }
     for member in members {
         member.stop().await;
     }
-    let members = group.start_all().await;
+    let members = start_all(&group).await;
     assert_eq!(propose(&members[1], "after").await, 501);
     assert_eq!(read(&members[2]).await.map(|list| list.len()), Ok(501));
 }
 
+#[tokio::test]
+async fn a_replica_that_restarts_alone_has_what_it_knew_to_be_committed() {
+    let group = TestGroup::new(3, Some(folder("alone"))).await;
+    let members = start_all(&group).await;
+    propose(&members[0], "kept").await;
+    let length = |member: &Member| member.handle.read_local(|list| list.0.len());
+    wait_until("all know", || members.iter().all(|member| length(member) == 1)).await;
+    sleep(2 * ReplicaTiming::default().election).await;
+    for member in members {
+        member.stop().await;
+    }
+    let alone = group.start(2).await.expect("start");
+    wait_until("it is applied", || length(&alone) == 1).await;
+}
+
 #[tokio::test]
 async fn an_empty_disk_under_the_old_name_is_taken_in_as_another_replica() {
-    let group = TestGroup::new(3, Some("empty-disk")).await;
-    let mut members = group.start_all().await;
+    let group = TestGroup::new(3, Some(folder("empty-disk"))).await;
+    let mut members = start_all(&group).await;
     propose(&members[0], "before").await;
     let lost = (leader(&members).expect("leader") + 1) % 3;
     let old = members[lost].handle.status().configuration;
@@ -72,24 +102,56 @@
     assert_eq!(propose(&members[0], "after").await, 2);
 }
 
-#[tokio::test]
-async fn one_of_three_accepts_nothing_until_it_is_refounded() {
-    let group = TestGroup::new(3, None).await;
-    let mut members = group.start_all().await;
-    propose(&members[0], "before").await;
+/// Stops all but the leader, which then steps down.
+async fn keep_leader(mut members: Vec<Member>) -> Member {
     let kept = members.remove(leader(&members).expect("leader"));
-    assert_eq!(
-        kept.handle.refound(true).await,
-        Err(RefoundError::Replica(ReplicaError::LeaderPresent))
-    );
     for member in members {
         member.stop().await;
     }
     wait_until("the leader steps down", || !kept.handle.status().leads).await;
+    kept
+}
+
+#[tokio::test]
+async fn one_of_three_accepts_nothing_until_it_is_refounded() {
+    let group = TestGroup::new(3, None).await;
+    let members = start_all(&group).await;
+    propose(&members[0], "before").await;
+    let leads = &members[leader(&members).expect("leader")].handle;
+    let refused = Err(RefoundError::Replica(ReplicaError::LeaderPresent));
+    assert_eq!(leads.refound(true).await, refused);
+    let kept = keep_leader(members).await;
     assert_eq!(kept.handle.propose("lost".into()).await, Err(GroupError::NoQuorum));
     assert_eq!(read(&kept).await, Err(GroupError::NoQuorum));
     assert_eq!(kept.handle.refound(false).await, Err(RefoundError::LossNotAccepted));
     let before = kept.handle.status().epoch;
     assert!(kept.handle.refound(true).await.expect("refound") > before);
-    assert_eq!(propose(&kept, "after").await, 2);
+    assert_eq!(propose(&kept, "after").await, 3);
+    let left = vec!["before".into(), "refounded".into(), "after".into()];
+    assert_eq!(read(&kept).await, Ok(left));
+}
+
+#[tokio::test]
+async fn a_refounded_group_takes_empty_replicas_in_and_old_ones_not() {
+    let group = TestGroup::new(3, Some(folder("refounded"))).await;
+    let members = start_all(&group).await;
+    propose(&members[0], "before").await;
+    let kept = keep_leader(members).await;
+    let own = kept.handle.status().configuration;
+    let own = group.voters.iter().position(|voter| {
+        let leader = kept.handle.own();
+        own.voters.contains(leader) && leader.instance == voter.instance
+    });
+    let (old, empty) = ((own.expect("own") + 1) % 3, (own.expect("own") + 2) % 3);
+    kept.handle.refound(true).await.expect("refound");
+    propose(&kept, "after").await;
+    std::fs::remove_dir_all(group.folder(empty).expect("folder")).expect("remove");
+    let (old, empty) = (group.start(old).await, group.start(empty).await);
+    let (old, empty) = (old.expect("start"), empty.expect("start"));
+    let epoch = kept.handle.status().epoch;
+    wait_until("the old one learns of it", || old.handle.status().superseded == Some(epoch)).await;
+    let joined = || kept.handle.status().configuration.voters.len() == 2;
+    wait_until("the empty one votes", joined).await;
+    assert_eq!(read(&empty).await, read(&kept).await);
+    assert_eq!(old.handle.read_local(|list| list.0.clone()), Vec::<String>::new());
 }
