Leave a flow above its share 0.35 of its limit

Cause: with 0.25 the flooding flow's queue ran empty between two reports. Change: LEAST_FAIRNESS 0.25 to 0.35 at a margin of 0.9.

--- a/cicadastall/src/admit.rs
+++ b/cicadastall/src/admit.rs
@@ -26,7 +26,7 @@
 const LOAD_RANGE: (f64, f64) = (0.6, 0.9);
 
 /// Smallest part of its limit that is left to a flow far above its share.
-const LEAST_FAIRNESS: f64 = 0.25;
+const LEAST_FAIRNESS: f64 = 0.35;
 
 /// Part of its limit below which a flow keeps to its own region.
 const SPILL_FAIRNESS: f64 = 0.6;
