--- a/cicadastall/src/admit.rs
+++ b/cicadastall/src/admit.rs
@@ -9,7 +9,7 @@
     answer::{Refusal, RefusalCode},
     decode::RequestPlan,
     name::{KindName, PoolName, WorkspaceName},
-    route::score::Prediction,
+    route::score::{Prediction, TokenLimit},
     settings::Rank,
 };
 use rand::{Rng, RngExt};
@@ -28,8 +28,9 @@
 /// Smallest part of its limit that is left to a flow far above its share.
 const LEAST_FAIRNESS: f64 = 0.35;
 
-/// Part of its limit below which a flow keeps to its own region.
-const SPILL_FAIRNESS: f64 = 0.6;
+/// Part of its limit below which a flow is above its share: it keeps to its own region, and an idle
+/// upstream is no reason to take more of it.
+const SHARE_FAIRNESS: f64 = 0.6;
 
 /// Time after which work that was taken counts half.
 const USAGE_HALF_LIFE: Duration = Duration::from_secs(10);
@@ -124,17 +125,13 @@
 
 impl AdmissionGate {
     /// Longest predicted time to first token with which the request is taken.
-    pub fn limit(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> Duration {
+    pub fn limit(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> TokenLimit {
+        let fairness = self.fairness(plan, capacity, now);
         let full = match plan.rank {
             Rank::Urgent => plan.first_token.mul_f64(TARGET_MARGIN),
             Rank::Patient => plan.first_token.max(plan.deadline.mul_f64(PATIENT_DEADLINE_PART)),
         };
-        full.mul_f64(self.fairness(plan, capacity, now))
-    }
-
-    /// Whether the request's flow is near enough its share to use other regions.
-    pub fn permits_spill(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> bool {
-        self.fairness(plan, capacity, now) >= SPILL_FAIRNESS
+        TokenLimit { first_token: full.mul_f64(fairness), within_share: fairness >= SHARE_FAIRNESS }
     }
 
     /// Counts the work of a request that is sent.
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -31,7 +31,7 @@
 use filter::{FilterReason, find_reason};
 use map::FleetMap;
 use policy::{ChoiceRule, RouterPolicy};
-use score::{Prediction, ScoreInput, predict};
+use score::{Prediction, ScoreInput, TokenLimit, predict};
 use spill::{ForwardTrack, ZoneCandidate};
 use track::{RecentSend, RecentSends, SendTicket, SentAttempt, UpstreamTrack};
 
@@ -105,7 +105,7 @@
     shape: &'a PromptShape,
     tried: &'a TriedTargets,
     capacity: ZoneCapacity,
-    limit: Duration,
+    limit: TokenLimit,
     now: Instant,
 }
 
@@ -127,7 +127,7 @@
             revision,
             regions: self.plan.regions.to_vec(),
             forwarded_from: self.plan.forwarded_from.clone(),
-            limit_ms: millis(self.limit),
+            limit_ms: millis(self.limit.first_token),
             candidates: pairs
                 .map(|(view, prediction)| ExplainedCandidate {
                     upstream: view.record.name.clone(),
@@ -231,9 +231,8 @@
             return send_to(candidates[place], priority_of(plan.rank));
         }
         let here = chosen.map(|place| predictions[place].first_token);
-        let may_spill = self.policy.spill
-            && self.gate.permits_spill(plan, capacity, now)
-            && self.retries.permits_retry(&plan.pool);
+        let may_spill =
+            self.policy.spill && limit.within_share && self.retries.permits_retry(&plan.pool);
         if (here.is_none() || may_spill)
             && let Some(decision) = self.choose_zone(choice, here)
         {
@@ -331,7 +330,7 @@
         &mut self,
         candidates: &[&UpstreamView],
         predictions: &[Prediction],
-        limit: Duration,
+        limit: TokenLimit,
     ) -> Option<usize> {
         if candidates.is_empty() {
             return None;
@@ -424,7 +423,8 @@
         here: Option<Duration>,
     ) -> Option<RouteDecision> {
         let ChoiceInput { table, plan, shape, tried, now, .. } = *choice;
-        let bound = here.map_or(Duration::MAX, |first_token| first_token.min(choice.limit));
+        let bound =
+            here.map_or(Duration::MAX, |first_token| first_token.min(choice.limit.first_token));
         let mut zones = self.forwards.list_zones(&self.map, table, plan, shape, tried, now);
         zones.retain(|zone| zone.first_token <= bound);
         let best = zones.into_iter().min_by(|a, b| {
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -10,6 +10,10 @@
 /// Weight of the work that a request costs, relative to its own time to first token.
 const COST_WEIGHT: f64 = 2.0;
 
+/// Part of the limit up to which a wait counts as none: refusing a request that would start at once
+/// helps nobody, however slow the upstream is.
+const IDLE_PART: f64 = 0.1;
+
 /// Part of an upstream's places that patient work may take, so that urgent work finds one without
 /// preempting, which costs the patient prompt again.
 const PATIENT_PLACES: f64 = 0.5;
@@ -31,6 +35,15 @@
     pub mean_answer_tokens: f64,
 }
 
+/// Longest predicted time to first token with which a request is taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenLimit {
+    /// The time.
+    pub first_token: Duration,
+    /// Whether the request's flow is near enough its share.
+    pub within_share: bool,
+}
+
 /// Predicted times of a request on one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Prediction {
@@ -55,8 +68,9 @@
     }
 
     /// Whether a request with that limit may be sent.
-    pub fn is_within(&self, limit: Duration) -> bool {
-        !self.crowded && self.first_token <= limit
+    pub fn is_within(&self, limit: TokenLimit) -> bool {
+        let idle = limit.within_share && self.wait <= limit.first_token.mul_f64(IDLE_PART);
+        !self.crowded && (idle || self.first_token <= limit.first_token)
     }
 
     /// The figure by which upstreams are compared, in seconds; lower is better.
