Send to a lately failing upstream where nothing else is left

Cause: the router keeps an upstream that failed one attempt out for 1 to 8 s.

Ruled out: changing the tests; a caller is better served by a try.

--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -194,9 +194,11 @@
     ) -> RouteDecision {
         let mut candidates: SmallVec<[&UpstreamView; 16]> = SmallVec::new();
         let mut filtered = Vec::new();
+        let mut failing: SmallVec<[&UpstreamView; 4]> = SmallVec::new();
         for view in table.upstreams.values() {
             match find_reason(view, plan, &self.place, tried, now) {
                 None if self.is_quarantined(view, now) => {
+                    failing.push(view);
                     filtered.push((view.record.name.clone(), FilterReason::Quarantined));
                 }
                 None => candidates.push(view),
@@ -209,7 +211,12 @@
             ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
         let limit = self.gate.limit(plan, capacity, now);
         let choice = ChoiceInput { table, plan, shape, tried, capacity, limit, now };
-        let decision = self.decide(&choice, &candidates, &predictions);
+        let decision = match self.decide(&choice, &candidates, &predictions) {
+            RouteDecision::Refuse(refusal) if candidates.is_empty() => {
+                send_to_failing(&failing, plan).unwrap_or(RouteDecision::Refuse(refusal))
+            }
+            decision => decision,
+        };
         let explanation = choice.explain(self.map.revision, &candidates, &predictions, filtered);
         self.ring.push(explanation.decided(&decision));
         decision
@@ -442,6 +449,11 @@
     }
 }
 
+/// Sends to an upstream that failed lately, where nothing else is left to try.
+fn send_to_failing(failing: &[&UpstreamView], plan: &RequestPlan) -> Option<RouteDecision> {
+    failing.first().map(|view| send_to(view, priority_of(plan.rank)))
+}
+
 fn send_to(view: &UpstreamView, priority: i32) -> RouteDecision {
     RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority })
 }
