Let operators found a group anew, and refuse it while an election may run

Cause: GroupHandle::refound could be called by the library only. The first test of the command refounded a group of one between its founding and its first election: an operator in a hurry could have split three replicas in the same way while the other two elected a leader.

Change: GET /v1/groups and POST /v1/groups/GROUP/refound on a control instance's operator port, and cicadastall refound.

Proof: operators, a_group_is_refounded_only_where_...; it failed before the change of the core (exit code 0 where 5 was wanted). one_of_three_... asserts the refusal right after the leader stepped down.

--- a/cicadastall-daemons/src/bin/cicadastall.rs
+++ b/cicadastall-daemons/src/bin/cicadastall.rs
@@ -6,8 +6,8 @@
     exit::CommandOutcome,
     settings_cli::{self, CheckOptions, SettingsOptions, check_options, settings_options},
     status_cli::{
-        self, DrainOptions, ExplainOptions, StatusOptions, drain_options, explain_options,
-        status_options,
+        self, DrainOptions, ExplainOptions, RefoundOptions, StatusOptions, drain_options,
+        explain_options, refound_options, status_options,
     },
 };
 use std::process::ExitCode;
@@ -51,6 +51,12 @@
     /// Example: cicadastall drain 127.0.0.1:7102
     #[bpaf(command)]
     Drain(#[bpaf(external(drain_options))] DrainOptions),
+    /// Found a group anew that has lost its majority for good
+    ///
+    ///
+    /// Example: cicadastall refound --control 127.0.0.1:7101 --accept-loss settings
+    #[bpaf(command)]
+    Refound(#[bpaf(external(refound_options))] RefoundOptions),
     /// Run the whole path in one process, with three regions in miniature
     ///
     ///
@@ -77,6 +83,7 @@
         OperatorCommand::Status(options) => status_cli::status(&options).await,
         OperatorCommand::Explain(options) => status_cli::explain(&options).await,
         OperatorCommand::Drain(options) => status_cli::drain(&options).await,
+        OperatorCommand::Refound(options) => status_cli::refound(&options).await,
         OperatorCommand::Demo(options) => demo::run(&options).await,
     }
 }
--- a/cicadastall-daemons/src/status_cli.rs
+++ b/cicadastall-daemons/src/status_cli.rs
@@ -6,6 +6,7 @@
     print::{print_json, print_table},
 };
 use bpaf::Bpaf;
+use cicadastall::group_operator::GROUPS_PATH;
 use futures::future::join_all;
 use hyper::Method;
 use serde_json::{Value, json};
@@ -57,6 +58,20 @@
     entry: SocketAddr,
 }
 
+/// Founds a group anew that has lost its majority for good.
+#[derive(Debug, Clone, Bpaf)]
+pub struct RefoundOptions {
+    /// Accept that changes which only lost replicas held are lost
+    #[bpaf(long, switch)]
+    accept_loss: bool,
+    /// Operator address of the control instance whose replica is kept
+    #[bpaf(long, argument("ADDRESS"))]
+    control: SocketAddr,
+    /// The group, as `GET /v1/groups` names it
+    #[bpaf(positional("GROUP"))]
+    group: String,
+}
+
 /// Runs `status`.
 pub async fn status(options: &StatusOptions) -> eyre::Result<CommandOutcome> {
     let client = OperatorClient::default();
@@ -141,6 +156,14 @@
     print_answer(options.entry, request).await
 }
 
+/// Runs `refound`.
+pub async fn refound(options: &RefoundOptions) -> eyre::Result<CommandOutcome> {
+    let RefoundOptions { accept_loss, control, group } = options;
+    let path = format!("{GROUPS_PATH}/{group}/refound?accept_loss={accept_loss}");
+    let request = OperatorRequest { method: Method::POST, ..OperatorRequest::get(path) };
+    print_answer(*control, request).await
+}
+
 async fn print_answer(
     address: SocketAddr,
     request: OperatorRequest,
--- a/cicadastall-daemons/tests/operators.rs
+++ b/cicadastall-daemons/tests/operators.rs
@@ -6,8 +6,12 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Command, Output},
+    time::{Duration, Instant},
 };
 
+/// Longest time that a group of one takes to be founded.
+const FOUNDING_BOUND: Duration = Duration::from_secs(10);
+
 const OPERATOR: &str = env!("CARGO_BIN_EXE_cicadastall");
 
 fn run(arguments: &[&str]) -> Output {
@@ -107,6 +111,7 @@
         vec!["status"],
         vec!["explain"],
         vec!["drain"],
+        vec!["refound"],
         vec!["demo"],
     ];
     for mut command in commands {
@@ -119,7 +124,7 @@
 }
 
 /// A control instance of the Trust, founded in this process.
-fn start_control(name: &str) -> (ControlServer, ControlThread) {
+fn start_control(name: &str, voters: Value) -> (ControlServer, ControlThread) {
     let founding = TestFile::write(name, &trust());
     let node: NodeSettings = serde_json::from_value(json!({
         "instance": "aqaba-control",
@@ -129,6 +134,7 @@
         "operator_listen": "127.0.0.1:0",
         "peer_listen": "127.0.0.1:0",
         "founding_settings": founding.path(),
+        "settings_voters": voters,
     }))
     .expect("node settings");
     let thread = ControlThread::start("control").expect("a thread");
@@ -140,7 +146,7 @@
 
 #[test]
 fn settings_are_read_changed_and_listed_with_documented_exit_codes() {
-    let (control, _thread) = start_control("founding");
+    let (control, _thread) = start_control("founding", json!([]));
     let address: SocketAddr = control.addresses().operator;
     let address = address.to_string();
     let mut team = trust()["teams"]["trust"].clone();
@@ -194,3 +200,27 @@
     assert_eq!(code(&output), 0, "{}", text(&output));
     assert!(text(&output).contains("aqaba-control"), "{}", text(&output));
 }
+
+#[test]
+fn a_group_is_refounded_only_where_it_has_no_leader_and_loss_is_accepted() {
+    let alone = json!([{ "instance": "aqaba-control", "address": "127.0.0.1:1" }]);
+    let (control, _thread) = start_control("refound", alone);
+    let address = control.addresses().operator.to_string();
+    let refound = |arguments: &[&str]| {
+        let output = run(&[&["refound", "--control", &address], arguments].concat());
+        assert_eq!(code(&output), 5);
+        String::from_utf8_lossy(&output.stderr).into_owned()
+    };
+    let refused = refound(&["settings"]);
+    assert!(refused.contains("only lost replicas held would be lost"), "{refused}");
+    let end = Instant::now() + FOUNDING_BOUND;
+    let refused = loop {
+        let refused = refound(&["--accept-loss", "settings"]);
+        if !refused.contains("belongs to no group") || Instant::now() > end {
+            break refused;
+        }
+    };
+    assert!(refused.contains("the group has a leader, or had one a moment ago"), "{refused}");
+    let refused = refound(&["--accept-loss", "ledger-nowhere"]);
+    assert!(refused.contains("no replica of this group runs here"), "{refused}");
+}
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -3,6 +3,8 @@
 use crate::{
     follow::SettingsHolder,
     group::GroupHost,
+    group_operator::{GROUPS_PATH, answer_groups},
+    group_transport::GroupRegistry,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
     ledger_host::{LedgerHosting, LedgerService},
@@ -139,8 +141,12 @@
     let host = Arc::new(SettingsHost::new(Arc::new(group), follower, Arc::clone(node)));
     let mut tasks = core.tasks;
     spawn_host(&mut tasks, control, &host, founding);
-    let context =
-        OperatorContext { node: Arc::clone(node), settings: core.settings, stop: Arc::clone(stop) };
+    let context = OperatorContext {
+        node: Arc::clone(node),
+        settings: core.settings,
+        stop: Arc::clone(stop),
+        groups: Arc::clone(core.groups.registry()),
+    };
     let handler = move |_, request| answer_operator(context.clone(), Arc::clone(&host), request);
     let served = http::serve(core.operator, ListenerLimits::default(), closed, handler);
     tasks.spawn_on(served, control);
@@ -178,6 +184,7 @@
     node: Arc<NodeSettings>,
     settings: Arc<SettingsHolder>,
     stop: Arc<StopSwitch>,
+    groups: Arc<GroupRegistry>,
 }
 
 async fn answer_operator<G: ReplicatedGroup<SettingsState>>(
@@ -185,11 +192,14 @@
     host: Arc<SettingsHost<G>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let OperatorContext { node, settings, stop } = context;
+    let OperatorContext { node, settings, stop, groups } = context;
     let path = request.uri().path().to_owned();
     if let Some(path) = path.strip_prefix(SETTINGS_PATH) {
         return answer_settings(&host, path, request).await;
     }
+    if path.starts_with(GROUPS_PATH) {
+        return answer_groups(&groups, &request).await;
+    }
     match (request.method(), path.as_str()) {
         (&Method::GET, "/healthz") => text_answer(StatusCode::OK, "ok\n"),
         (&Method::POST, "/v1/drain") => {
--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -191,23 +191,34 @@
 
 /// Endpoint of a replica in the registry; it does not keep the replica alive.
 #[derive(Debug)]
-struct LocalEndpoint<S: ReplicatedState>(ActorRef<GroupMessage<S>>);
+struct LocalEndpoint<S: ReplicatedState> {
+    actor: ActorRef<GroupMessage<S>>,
+    status: watch::Receiver<GroupStatus>,
+}
 
 impl<S: ReplicatedState> GroupEndpoint for LocalEndpoint<S> {
     fn deliver(&self, envelopes: Vec<ReplicaEnvelope>) {
-        let _ = self.0.cast(GroupMessage::Receive(envelopes));
+        let _ = self.actor.cast(GroupMessage::Receive(envelopes));
     }
 
     fn propose_encoded(&self, command: Arc<str>) -> BoxFuture<'_, Result<Arc<str>, GroupError>> {
         Box::pin(async {
-            let reply = propose_here(&self.0, command).await?;
+            let reply = propose_here(&self.actor, command).await?;
             let encoded = serde_json::to_string(&reply).map_err(|_| GroupError::OutcomeUnknown)?;
             Ok(encoded.into())
         })
     }
 
     fn read_index(&self) -> BoxFuture<'_, Result<LogIndex, GroupError>> {
-        Box::pin(read_here(&self.0))
+        Box::pin(read_here(&self.actor))
+    }
+
+    fn status(&self) -> GroupStatus {
+        self.status.borrow().clone()
+    }
+
+    fn refound(&self, accept_loss: bool) -> BoxFuture<'_, Result<Epoch, RefoundError>> {
+        Box::pin(refound_here(&self.actor, accept_loss))
     }
 }
 
@@ -231,6 +242,19 @@
     replied.unwrap_or(Ok(Err(GroupError::NoQuorum))).unwrap_or(Err(GroupError::Stopped))
 }
 
+async fn refound_here<S: ReplicatedState>(
+    actor: &ActorRef<GroupMessage<S>>,
+    accept_loss: bool,
+) -> Result<Epoch, RefoundError> {
+    if !accept_loss {
+        return Err(RefoundError::LossNotAccepted);
+    }
+    let (reply, replied) = oneshot::channel();
+    let message = GroupMessage::Refound(Epoch(wall_clock_ms()), reply);
+    actor.cast(message).map_err(|_| RefoundError::Stopped)?;
+    replied.await.map_err(|_| RefoundError::Stopped)?.map_err(RefoundError::Replica)
+}
+
 impl<S: ReplicatedState> GroupHandle<S> {
     /// Starts a replica on the runtime of the caller, which is the control thread's.
     ///
@@ -272,8 +296,9 @@
         let (actor, _) = Actor::spawn(None, GroupActor(PhantomData), arguments)
             .await
             .map_err(|error| GroupStartError::Spawn(error.to_string()))?;
-        registry.register(settings.group.clone(), Arc::new(LocalEndpoint(actor.clone())));
         let status = published;
+        let endpoint = LocalEndpoint { actor: actor.clone(), status: status.clone() };
+        registry.register(settings.group.clone(), Arc::new(endpoint));
         let shared =
             GroupShared { settings, own, addresses, clients, registry, actor, state, status };
         Ok(Self { shared: Arc::new(shared) })
@@ -297,17 +322,9 @@
     /// Founds the group anew with this replica as its only member; gives the new epoch.
     ///
     /// Accepted commands that only lost replicas held are lost, so `accept_loss` must say that this
-    /// is intended. Refused while a leader is known.
+    /// is intended. Refused while a leader is known, or was a moment ago.
     pub async fn refound(&self, accept_loss: bool) -> Result<Epoch, RefoundError> {
-        if !accept_loss {
-            return Err(RefoundError::LossNotAccepted);
-        }
-        let epoch = Epoch(wall_clock_ms());
-        let (reply, replied) = oneshot::channel();
-        let sent = self.shared.actor.cast(GroupMessage::Refound(epoch, reply));
-        sent.map_err(|_| RefoundError::Stopped)?;
-        replied.await.map_err(|_| RefoundError::Stopped)?.map_err(RefoundError::Replica)?;
-        Ok(epoch.max(self.status().epoch))
+        refound_here(&self.shared.actor, accept_loss).await
     }
 
     /// Proposes a command if this replica leads; it is not passed on to another.
@@ -436,6 +453,8 @@
 pub enum RefoundError {
     /// The caller did not accept that commands may be lost.
     LossNotAccepted,
+    /// The instance runs no replica of the group.
+    NoReplica,
     /// The replica refuses.
     Replica(ReplicaError),
     /// The replica has stopped.
@@ -448,6 +467,7 @@
             Self::LossNotAccepted => formatter.write_str(
                 "accepted changes that only lost replicas held would be lost; say that you accept",
             ),
+            Self::NoReplica => formatter.write_str("no replica of this group runs here"),
             Self::Replica(error) => error.fmt(formatter),
             Self::Stopped => formatter.write_str("the replica has stopped"),
         }
--- a/cicadastall/src/group_actor.rs
+++ b/cicadastall/src/group_actor.rs
@@ -47,7 +47,7 @@
     Tick,
     /// Performs what the messages before it asked for, all at once.
     Flush,
-    Refound(Epoch, oneshot::Sender<Result<(), ReplicaError>>),
+    Refound(Epoch, oneshot::Sender<Result<Epoch, ReplicaError>>),
 }
 
 /// What a replica knows of its group.
@@ -151,7 +151,8 @@
             GroupMessage::Failed(error) => return Err(state.fail(&error)),
             GroupMessage::Tick => state.core.tick(now),
             GroupMessage::Refound(epoch, reply) => {
-                let _ = reply.send(state.core.refound(epoch, now));
+                let refounded = state.core.refound(epoch, now);
+                let _ = reply.send(refounded.map(|()| state.core.epoch()));
             }
             GroupMessage::Flush => {
                 state.flushing = false;
--- a/cicadastall/src/group_transport.rs
+++ b/cicadastall/src/group_transport.rs
@@ -1,14 +1,16 @@
 //! Transport of groups' messages between instances.
 
 use crate::{
+    group::RefoundError,
+    group_actor::GroupStatus,
     name::{GroupName, InstanceName},
     peer::PeerClients,
-    replica_message::{LogIndex, ReplicaEnvelope},
+    replica_message::{Epoch, LogIndex, ReplicaEnvelope},
     replicated::GroupError,
 };
 use futures::future::BoxFuture;
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     fmt::Debug,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -41,6 +43,12 @@
 
     /// Last entry that a linearizable read must see.
     fn read_index(&self) -> BoxFuture<'_, Result<LogIndex, GroupError>>;
+
+    /// What the replica knows of its group.
+    fn status(&self) -> GroupStatus;
+
+    /// Founds the group anew with this replica as its only member; gives the new epoch.
+    fn refound(&self, accept_loss: bool) -> BoxFuture<'_, Result<Epoch, RefoundError>>;
 }
 
 /// The replicas that run in one instance.
@@ -83,6 +91,23 @@
         endpoint.read_index().await
     }
 
+    /// What each replica knows of its group, in the order of the groups' names.
+    pub fn statuses(&self) -> BTreeMap<GroupName, GroupStatus> {
+        let endpoints = self.lock();
+        endpoints.iter().map(|(group, endpoint)| (group.clone(), endpoint.status())).collect()
+    }
+
+    /// Founds `group` anew with the instance's replica as its only member; see
+    /// [`crate::group::GroupHandle::refound`].
+    pub async fn refound(
+        &self,
+        group: &GroupName,
+        accept_loss: bool,
+    ) -> Result<Epoch, RefoundError> {
+        let endpoint = self.find(group).ok_or(RefoundError::NoReplica)?;
+        endpoint.refound(accept_loss).await
+    }
+
     fn find(&self, group: &GroupName) -> Option<Arc<dyn GroupEndpoint>> {
         self.lock().get(group).cloned()
     }
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -33,6 +33,7 @@
 mod followers;
 pub mod group;
 pub mod group_actor;
+pub mod group_operator;
 pub mod group_transport;
 pub mod http;
 pub mod instance;
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -20,6 +20,9 @@
 use std::{collections::VecDeque, mem, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
+/// Election timeouts without a leader after which a group may be founded anew.
+const REFOUND_ELECTIONS: u32 = 5;
+
 /// Identity that stands for any in an address.
 pub const ANY_IDENTITY: ReplicaIdentity = ReplicaIdentity(0);
 
@@ -69,7 +72,7 @@
 pub enum ReplicaError {
     /// Another replica leads, or none is known to.
     NotLeader(Option<ReplicaId>),
-    /// A majority may still be reachable, so the group is not refounded.
+    /// A majority may still be reachable or elect a leader, so the group is not refounded.
     LeaderPresent,
     /// The replica holds no state of a group.
     NoGroup,
@@ -80,7 +83,9 @@
         match self {
             Self::NotLeader(Some(leader)) => write!(formatter, "not the leader; {leader} leads"),
             Self::NotLeader(None) => formatter.write_str("not the leader, and none is known"),
-            Self::LeaderPresent => formatter.write_str("the group still has a leader"),
+            Self::LeaderPresent => {
+                formatter.write_str("the group has a leader, or had one a moment ago")
+            }
             Self::NoGroup => formatter.write_str("the replica belongs to no group"),
         }
     }
@@ -125,6 +130,8 @@
     delivered: LogIndex,
     /// Time of the last message of a leader, or of the start.
     heard: Option<Instant>,
+    /// Time since which no leader is known; at the earliest the start.
+    leaderless: Instant,
     pub(crate) deadline: Instant,
     sequence: WriteSequence,
     finished: WriteSequence,
@@ -164,6 +171,7 @@
             // An answer given before the restart may have renewed a lease.
             heard: (!matches!(role, ReplicaRole::Absent { .. })).then_some(now),
             role,
+            leaderless: now,
             deadline: now,
             sequence: WriteSequence(0),
             finished: WriteSequence(0),
@@ -408,6 +416,7 @@
         }
         let previous = mem::replace(&mut self.role, ReplicaRole::Follower { leader });
         if let ReplicaRole::Leader(state) = previous {
+            self.leaderless = now;
             let lost = state.reads.into_iter().map(|read| (read.ticket, None));
             self.output.reads.extend(lost);
         }
@@ -522,12 +531,13 @@
     /// Founds the group anew, under `epoch`, with this replica as its only member.
     ///
     /// All entries of its log stay; accepted entries that only lost replicas held are lost. It is
-    /// refused while a leader is known.
+    /// refused while a leader is known, or was a moment ago.
     pub fn refound(&mut self, epoch: Epoch, now: Instant) -> Result<(), ReplicaError> {
         if self.is_absent() {
             return Err(ReplicaError::NoGroup);
         }
-        if self.is_leader() || (self.leader().is_some() && self.has_heard(now)) {
+        let patience = self.settings.timing.election * REFOUND_ELECTIONS;
+        if self.is_leader() || now < self.leaderless + patience {
             return Err(ReplicaError::LeaderPresent);
         }
         self.become_follower(self.hard.term.next(), None, now);
@@ -682,6 +692,7 @@
             self.become_follower(term, Some(from.clone()), now);
         }
         self.heard = Some(now);
+        self.leaderless = now;
         true
     }
 
--- a/cicadastall/tests/replica_groups.rs
+++ b/cicadastall/tests/replica_groups.rs
@@ -5,11 +5,12 @@
 use cicadastall::{
     group::RefoundError,
     replica::{ReplicaError, ReplicaTiming},
+    replica_message::Epoch,
     replicated::{GroupError, ReplicatedGroup},
 };
 use groups::{Member, TestGroup, propose, wait_until};
 use std::path::{Path, PathBuf};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 fn folder(name: &str) -> PathBuf {
     // Several runs of the tests may share a target folder.
@@ -112,6 +113,18 @@
     kept
 }
 
+/// Founds the group anew once it has long been without a leader.
+async fn refound(kept: &Member) -> Epoch {
+    let end = Instant::now() + 10 * ReplicaTiming::default().election;
+    loop {
+        match kept.handle.refound(true).await {
+            Ok(epoch) => return epoch,
+            Err(error) => assert!(Instant::now() < end, "{error}"),
+        }
+        sleep(ReplicaTiming::default().heartbeat).await;
+    }
+}
+
 #[tokio::test]
 async fn one_of_three_accepts_nothing_until_it_is_refounded() {
     let group = TestGroup::new(3, None).await;
@@ -121,11 +134,12 @@
     let refused = Err(RefoundError::Replica(ReplicaError::LeaderPresent));
     assert_eq!(leads.refound(true).await, refused);
     let kept = keep_leader(members).await;
+    assert_eq!(kept.handle.refound(true).await, refused, "an election may be under way");
     assert_eq!(kept.handle.propose("lost".into()).await, Err(GroupError::NoQuorum));
     assert_eq!(read(&kept).await, Err(GroupError::NoQuorum));
     assert_eq!(kept.handle.refound(false).await, Err(RefoundError::LossNotAccepted));
     let before = kept.handle.status().epoch;
-    assert!(kept.handle.refound(true).await.expect("refound") > before);
+    assert!(refound(&kept).await > before);
     assert_eq!(propose(&kept, "after").await, 3);
     let left = vec!["before".into(), "refounded".into(), "after".into()];
     assert_eq!(read(&kept).await, Ok(left));
@@ -143,7 +157,7 @@
         own.voters.contains(leader) && leader.instance == voter.instance
     });
     let (old, empty) = ((own.expect("own") + 1) % 3, (own.expect("own") + 2) % 3);
-    kept.handle.refound(true).await.expect("refound");
+    refound(&kept).await;
     propose(&kept, "after").await;
     std::fs::remove_dir_all(group.folder(empty).expect("folder")).expect("remove");
     let (old, empty) = (group.start(old).await, group.start(empty).await);
