--- a/cicadastall-bench/src/compare/requests.rs
+++ b/cicadastall-bench/src/compare/requests.rs
@@ -127,9 +127,9 @@
         deadline: Duration::from_millis(kind.deadline_ms),
         repeatable: kind.repeatable,
         forwarded_from: None,
+        resent: false,
         session: None,
         key: None,
-        resent: false,
         acknowledged: Default::default(),
         body: RequestBody::Call(CallRequest { arguments: serde_json::Value::Null }),
     }
--- a/cicadastall-daemons/src/bin/cicadastall-standin.rs
+++ b/cicadastall-daemons/src/bin/cicadastall-standin.rs
@@ -59,6 +59,11 @@
         /// Tokens of an answer
         #[bpaf(long, argument("COUNT"), fallback(24))]
         tokens: u32,
+        /// Time to load another model, in milliseconds
+        #[bpaf(long, argument("MS"), fallback(500))]
+        load_ms: u64,
+        /// Refuse orders with an old fencing number
+        checks_fencing: bool,
     },
     /// A plain service
     #[bpaf(command)]
@@ -81,10 +86,12 @@
     };
     let linger = Duration::from_millis(options.linger_ms);
     match options.standin_role {
-        StandinRole::Engine { model, token_ms, tokens } => {
+        StandinRole::Engine { model, token_ms, tokens, load_ms, checks_fencing } => {
             let pace = EnginePace {
                 token: Duration::from_millis(token_ms),
                 answer_tokens: tokens,
+                load: Duration::from_millis(load_ms),
+                checks_fencing,
                 ..EnginePace::default()
             };
             let model = model.as_str().into();
--- a/cicadastall-daemons/tests/zone/mod.rs
+++ b/cicadastall-daemons/tests/zone/mod.rs
@@ -25,10 +25,18 @@
 
 impl Zone {
     pub fn start(name: &str) -> Self {
+        Self::start_with(name, &[])
+    }
+
+    /// Starts the control instance with further settings.
+    pub fn start_with(name: &str, further: &[(&str, Value)]) -> Self {
         let folder = TestFolder::new(name);
         let founding = folder.write("fleet.json", &fleet());
         let mut settings = node("aqaba-control", "aqaba");
         settings["founding_settings"] = json!(founding);
+        for (field, value) in further {
+            settings[*field] = value.clone();
+        }
         let path = folder.write("control.json", &settings);
         let control = Process::start(CONTROL, &["--settings".into(), path.display().to_string()]);
         Self { folder, control }
@@ -53,12 +61,18 @@
         "teams": { "trust": {
             "owner": "harbour office",
             "pools": {
-                "verdicts": { "serves": { "model_engine": { "models": ["splice-7b"] } } },
+                "verdicts": { "serves": { "model_engine": { "models": ["splice-7b", "tuck-3b"] } } },
+            },
+            "kinds": {
+                "splice-review": {
+                    "pool": "verdicts", "model": "splice-7b", "rank": "urgent",
+                    "first_token_ms": 800, "deadline_ms": 20000, "answered_in": "anywhere",
+                },
+                "tuck-query": {
+                    "pool": "verdicts", "model": "tuck-3b", "rank": "urgent",
+                    "first_token_ms": 800, "deadline_ms": 20000, "answered_in": "anywhere",
+                },
             },
-            "kinds": { "tuck-query": {
-                "pool": "verdicts", "model": "splice-7b", "rank": "urgent",
-                "first_token_ms": 800, "deadline_ms": 20000, "answered_in": "anywhere",
-            } },
             "workspaces": { "aqaba-port": { "home": "aqaba", "resides_in": ["aqaba"] } },
         } },
     })
@@ -98,15 +112,24 @@
     pub text: String,
 }
 
-/// Asks `entry` once; fails where the connection does.
+/// Asks `entry` once for a splice review; fails where the connection does.
 pub async fn ask(client: &HttpClient, entry: SocketAddr) -> Result<Answer, String> {
+    ask_kind(client, entry, "splice-review").await
+}
+
+/// Asks `entry` once for a request of `kind`.
+pub async fn ask_kind(
+    client: &HttpClient,
+    entry: SocketAddr,
+    kind: &str,
+) -> Result<Answer, String> {
     let body = json!({
         "messages": [{ "role": "user", "content": "How many tucks?" }],
         "max_tokens": 4096, "stream": true,
     });
     let request = Request::post(format!("http://{entry}/v1/chat/completions"))
         .header(WORKSPACE_HEADER, "aqaba-port")
-        .header(KIND_HEADER, "tuck-query")
+        .header(KIND_HEADER, kind)
         .body(Full::new(Bytes::from(body.to_string())))
         .expect("a request");
     let answer = client.request(request).await.map_err(|error| format!("{error:?}"))?;
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -15,7 +15,6 @@
     prefix::PromptShape,
     quarantine::IsolationLease,
     relay::crash::{AttemptPermit, fingerprint_plan},
-    retry::permits_attempt,
     route::{RouteDecision, TriedTargets, UpstreamChoice, track::SendTicket},
     stream::{AnswerAssembler, StreamStep, encode_event},
     suspect::RequestFingerprint,
@@ -201,6 +200,7 @@
             let answer = self.call_target(&attempt, call);
             match self.unless_lost(&attempt, answer).await {
                 Ok(result) => {
+                    attempt.slot.note_first_token();
                     self.note_whole(&attempt).await;
                     return Ok((attempt.source, result));
                 }
@@ -345,8 +345,12 @@
                 return Err(self.refuse(RefusalCode::DeadlinePassed, "deadline passed"));
             }
             let table = self.context.table();
-            let decision =
-                self.context.router().choose(&table, &self.plan, &self.shape, &self.tried, now);
+            let settings = self.context.settings().newest();
+            let decision = {
+                let mut router = self.context.router();
+                router.note_settings(&settings);
+                router.choose(&table, &self.plan, &self.shape, &self.tried, now)
+            };
             match decision {
                 RouteDecision::Wait(until) => sleep_until(until.min(self.deadline)).await,
                 RouteDecision::Refuse(mut refusal) => {
@@ -428,16 +432,23 @@
         if error.ran() == Ran::Unknown {
             self.ran = Ran::Unknown;
         }
-        self.note_entry(attempt, &error);
         if let Some(upstream) = &attempt.source.upstream {
             self.tried.upstreams.push(upstream.clone());
+            if !matches!(error, AttemptError::Refused(_)) {
+                self.context.router().note_failed(upstream, Instant::now());
+            }
+        } else if let Some(zone) = self.tried.zones.last() {
+            self.context.router().note_returned(zone, &self.plan, Instant::now());
         }
+        self.note_entry(attempt, &error);
         self.note_failure(attempt, &error).await?;
         let quarantined = matches!(
             &error,
             AttemptError::Refused(refusal) if refusal.code == RefusalCode::Quarantined
         );
-        if quarantined || !permits_attempt(&self.plan, self.ran, self.attempts) {
+        let permitted =
+            !quarantined && self.context.router().permit_retry(&self.plan, self.ran, self.attempts);
+        if !permitted {
             let mut refusal = error.into_refusal();
             refusal.ran = self.ran;
             return Err(refusal);
