--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -1,25 +1,45 @@
-//! Load, experiments and slopes for cicadastall.
+//! Runs experiments of cicadastall from the command line.
 
+mod group;
 mod overhead;
+mod schedules;
 mod settings_bench;
+mod slopes;
 
 use bpaf::Bpaf;
+use cicadastall_bench::compare::{CompareOptions, compare_options, run_compare};
 
 /// Measures cicadastall; every command prints JSON or a table and ends by itself.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 enum BenchCommand {
+    /// Commits of a replicated group on loopback, and what an idle group costs
+    #[bpaf(command)]
+    Group(#[bpaf(external(group::group_options))] group::GroupOptions),
     /// Processor time, latency and memory that an entry adds to requests and tokens
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::overhead_options))] overhead::OverheadOptions),
     /// Bytes, processor time and time until a change of settings is in force everywhere
     #[bpaf(command)]
     Settings(#[bpaf(external(settings_bench::settings_options))] settings_bench::SettingsOptions),
+    /// Runs one workload over the shipped policy and over baselines
+    #[bpaf(command)]
+    Compare(#[bpaf(external(compare_options))] CompareOptions),
+    /// Arbitrary schedules of faults against the replication core
+    #[bpaf(command)]
+    Schedules(#[bpaf(external(schedules::schedule_options))] schedules::ScheduleOptions),
+    /// Traffic, cost and speed of membership by the number of nodes
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes::slopes_options))] slopes::SlopesOptions),
 }
 
 fn main() -> eyre::Result<()> {
     match bench_command().run() {
+        BenchCommand::Group(options) => group::run(&options),
         BenchCommand::Overhead(options) => overhead::run(&options),
         BenchCommand::Settings(options) => settings_bench::run(&options),
+        BenchCommand::Compare(options) => run_compare(&options),
+        BenchCommand::Schedules(options) => schedules::run(&options),
+        BenchCommand::Slopes(options) => slopes::run(&options),
     }
 }
--- a/cicadastall-daemons/src/demo.rs
+++ b/cicadastall-daemons/src/demo.rs
@@ -166,6 +166,7 @@
         "peer_listen": "127.0.0.1:0",
         "control": control,
         "seeds": control,
+        "stop_grace_ms": 0,
     });
     Ok(serde_json::from_value(node)?)
 }
--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -45,6 +45,9 @@
 /// Pause before the folder is tried again.
 const LOCK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Most entries of one message.
+const APPEND_ENTRIES: usize = 1_024;
+
 /// Bytes of a part of a snapshot.
 const SNAPSHOT_PART_BYTES: usize = 256 * 1024;
 
@@ -166,6 +169,7 @@
 
 struct GroupShared<S: ReplicatedState> {
     settings: GroupSettings,
+    own: ReplicaId,
     addresses: HashMap<InstanceName, SocketAddr>,
     clients: Arc<PeerClients>,
     registry: Arc<GroupRegistry>,
@@ -240,10 +244,11 @@
         let state = Arc::new(RwLock::new(state));
         let own = ReplicaId { instance: settings.own.clone(), identity };
         let replica = ReplicaSettings {
-            own,
+            own: own.clone(),
             instances: settings.voters.iter().map(|voter| voter.instance.clone()).collect(),
             founding: Epoch(wall_clock_ms()),
             timing: settings.timing,
+            append_entries: APPEND_ENTRIES,
             snapshot_part: SNAPSHOT_PART_BYTES,
             seed: rand::rng().random(),
         };
@@ -264,10 +269,16 @@
             .map_err(|error| GroupStartError::Spawn(error.to_string()))?;
         registry.register(settings.group.clone(), Arc::new(LocalEndpoint(actor.clone())));
         let status = published;
-        let shared = GroupShared { settings, addresses, clients, registry, actor, state, status };
+        let shared =
+            GroupShared { settings, own, addresses, clients, registry, actor, state, status };
         Ok(Self { shared: Arc::new(shared) })
     }
 
+    /// The replica.
+    pub fn own(&self) -> &ReplicaId {
+        &self.shared.own
+    }
+
     /// What the replica knows of its group.
     pub fn status(&self) -> GroupStatus {
         self.shared.status.borrow().clone()
@@ -294,6 +305,12 @@
         Ok(epoch.max(self.status().epoch))
     }
 
+    /// Proposes a command if this replica leads; it is not passed on to another.
+    pub async fn propose_here(&self, command: S::Command) -> Result<S::Reply, GroupError> {
+        let command = serde_json::to_string(&command).map_err(|_| GroupError::Stopped)?;
+        propose_here(&self.shared.actor, command.into()).await
+    }
+
     /// Stops the replica; others can no longer reach it.
     pub fn stop(&self) {
         self.shared.stop();
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -9,19 +9,21 @@
     http,
     ledger::command::{LedgerChange, LedgerReply},
     ledger_host::{LedgerHosting, LedgerService},
-    membership::{MembershipActor, MembershipArguments, MembershipMessage},
+    membership::{MembershipActor, MembershipArguments, MembershipMessage, receive_packets},
     name::GroupName,
     node::NodeSettings,
-    peer::{MemberExchange, PeerApi, PeerClients, frame_messages},
+    peer::{PeerApi, PeerClients, frame_messages},
+    quarantine::{SuspectBoard, SuspectShare},
     replica_message::{LogIndex, ReplicaEnvelope},
     replicated::GroupError,
     settings::Revision,
     settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
+    suspect::{IsolationReply, IsolationRequest, SuspectRecord},
     table::RoutingTable,
 };
 use arc_swap::ArcSwap;
 use futures::{StreamExt, future};
-use ractor::{Actor, ActorRef, rpc::CallResult};
+use ractor::{Actor, ActorRef};
 use std::{
     io,
     net::SocketAddr,
@@ -32,7 +34,13 @@
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::{net::TcpListener, runtime::Handle, sync::oneshot, task::JoinSet, time::sleep};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    runtime::Handle,
+    sync::oneshot,
+    task::JoinSet,
+    time::sleep,
+};
 
 /// Longest time to wait for the control thread.
 pub(crate) const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -40,6 +48,9 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Attempts to find a port that is free for both TCP and UDP.
+const BIND_ATTEMPTS: u32 = 16;
+
 /// A thread of its own for control state.
 #[derive(Debug)]
 pub struct ControlThread {
@@ -68,27 +79,16 @@
 /// Service for other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerServer {
-    /// None where only groups are served.
-    pub(crate) membership: Option<ActorRef<MembershipMessage>>,
     /// None where only groups are served.
     pub(crate) settings: Option<Arc<SettingsFollower>>,
     pub(crate) groups: Arc<GroupRegistry>,
     /// None where no ledger is hosted.
     pub(crate) ledger: Option<Arc<dyn LedgerService>>,
+    /// None where only groups are served.
+    pub(crate) suspects: Option<Arc<SuspectBoard>>,
 }
 
 impl PeerApi for PeerServer {
-    async fn exchange(self, _: Context, state: MemberExchange) -> MemberExchange {
-        let Some(membership) = self.membership else { return MemberExchange::default() };
-        let asked = membership
-            .call(|reply| MembershipMessage::Exchange(state, reply), Some(CONTROL_TIMEOUT))
-            .await;
-        match asked {
-            Ok(CallResult::Success(reply)) => reply,
-            _ => MemberExchange::default(),
-        }
-    }
-
     async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
         self.settings.map(|settings| settings.answer(request)).unwrap_or_default()
     }
@@ -131,6 +131,14 @@
             None => Err(GroupError::NotLeader { leader: None }),
         }
     }
+
+    async fn share_suspects(self, _: Context, share: SuspectShare) -> Vec<SuspectRecord> {
+        self.suspects.map(|suspects| suspects.exchange(share)).unwrap_or_default()
+    }
+
+    async fn isolate_suspect(self, _: Context, request: IsolationRequest) -> IsolationReply {
+        self.suspects.map_or(IsolationReply::Busy, |suspects| suspects.isolate(&request))
+    }
 }
 
 /// Addresses on which an instance listens.
@@ -152,6 +160,7 @@
     pub(crate) follower: Arc<SettingsFollower>,
     pub(crate) table: Arc<ArcSwap<RoutingTable>>,
     pub(crate) membership: ActorRef<MembershipMessage>,
+    pub(crate) suspects: Arc<SuspectBoard>,
     pub(crate) in_flight: Arc<AtomicU32>,
     pub(crate) groups: GroupHost,
     pub(crate) tasks: JoinSet<()>,
@@ -169,13 +178,15 @@
         let clients = Arc::new(PeerClients::new(node.source_ip()));
         let in_flight = Arc::new(AtomicU32::new(0));
         let node = Arc::clone(node);
+        let suspects = Arc::new(SuspectBoard::new(Arc::clone(&node), Arc::clone(&table)));
         let started = control.spawn({
             let settings = Arc::clone(&settings);
             let table = Arc::clone(&table);
             let in_flight = Arc::clone(&in_flight);
             async move {
                 let operator = http::bind(node.operator_listen).await?;
-                let peers = http::bind(node.peer_listen).await?;
+                let (peers, socket) = bind_peers(node.peer_listen).await?;
+                let socket = Arc::new(socket);
                 let groups = GroupHost::new(Arc::clone(&node), Arc::clone(&clients));
                 let addresses = InstanceAddresses {
                     caller,
@@ -186,9 +197,10 @@
                     node: Arc::clone(&node),
                     caller_address: caller.map(|listen| node.caller_advertise.unwrap_or(listen)),
                     peer_address: node.peer_advertise.unwrap_or(addresses.peer),
-                    clients: Arc::clone(&clients),
+                    socket: Arc::clone(&socket),
                     table: Arc::clone(&table),
                     in_flight: Arc::clone(&in_flight),
+                    settings: Arc::clone(&settings),
                 };
                 let (membership, _) = Actor::spawn(None, MembershipActor, arguments)
                     .await
@@ -197,17 +209,19 @@
                     Arc::clone(&node),
                     node.peer_advertise.unwrap_or(addresses.peer),
                     Arc::clone(&settings),
-                    clients,
+                    Arc::clone(&clients),
                     Arc::clone(&table),
                 ));
                 let server = PeerServer {
-                    membership: Some(membership.clone()),
                     settings: Some(Arc::clone(&follower)),
                     groups: Arc::clone(groups.registry()),
                     ledger: hosting.start(&node, &groups).await?,
+                    suspects: Some(Arc::clone(&suspects)),
                 };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
+                tasks.spawn(receive_packets(socket, membership.clone()));
+                tasks.spawn(Arc::clone(&suspects).follow(clients));
                 let follows = Arc::clone(&follower);
                 tasks.spawn(async move { follows.run().await });
                 Ok(Self {
@@ -217,6 +231,7 @@
                     follower,
                     table,
                     membership,
+                    suspects,
                     in_flight,
                     groups,
                     tasks,
@@ -227,19 +242,32 @@
     }
 }
 
+/// Binds the TCP and the UDP socket for other instances to the same address and port.
+async fn bind_peers(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let mut attempts = 0;
+    loop {
+        let listener = http::bind(address).await?;
+        match UdpSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if address.port() != 0 || attempts == BIND_ATTEMPTS => return Err(error),
+            Err(_) => attempts += 1,
+        }
+    }
+}
+
 /// Answers calls to the replicas in `groups`, without membership and settings, until its task is
 /// dropped.
 pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
-    serve_peers(listener, PeerServer { membership: None, settings: None, groups, ledger: None })
-        .await;
+    let server = PeerServer { settings: None, groups, ledger: None, suspects: None };
+    serve_peers(listener, server).await;
 }
 
 /// Answers questions for the settings that `follower` holds, without membership and groups, until
 /// its task is dropped.
 pub async fn serve_settings(listener: TcpListener, follower: Arc<SettingsFollower>) {
     let groups = Arc::new(GroupRegistry::default());
-    let settings = Some(follower);
-    serve_peers(listener, PeerServer { membership: None, settings, groups, ledger: None }).await;
+    let server = PeerServer { settings: Some(follower), groups, ledger: None, suspects: None };
+    serve_peers(listener, server).await;
 }
 
 /// Answers calls of other instances on `listener` until its task is dropped.
--- /dev/null
+++ b/cicadastall/src/route/track.rs
@@ -0,0 +1,118 @@
+//! What one entry itself knows of an upstream: its own sends, the pace that it observed, and the
+//! view of the prefix cache.
+
+use crate::{
+    name::UpstreamName,
+    prefix::PrefixView,
+    settings::Rank,
+    table::{Incarnation, UpstreamRecord},
+};
+use smallvec::SmallVec;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Weight of one observation in the pace of an upstream.
+const PACE_WEIGHT: f64 = 0.1;
+
+/// Bounds of the pace of an upstream.
+const PACE_RANGE: (f64, f64) = (0.5, 10.0);
+
+/// Time that is added to both sides of an observation, so that short times don't count too much.
+const PACE_FLOOR_S: f64 = 0.05;
+
+/// Names one attempt from its sending to its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendTicket {
+    /// The upstream that got the attempt.
+    pub upstream: UpstreamName,
+    pub(crate) number: u64,
+}
+
+/// An attempt that has not ended.
+#[derive(Debug, Clone)]
+pub(crate) struct SentAttempt {
+    pub(crate) number: u64,
+    pub(crate) sent_at: Instant,
+    pub(crate) uncached_tokens: u32,
+    pub(crate) urgent: bool,
+    /// Predicted time to first token, until it has come.
+    pub(crate) predicted: Option<Duration>,
+}
+
+/// Prompt tokens of one request, and how long after the report it was sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RecentSend {
+    /// Time from the report to the sending.
+    pub after: Duration,
+    /// Prompt tokens that are not cached.
+    pub tokens: f64,
+}
+
+/// Requests sent since a report, the oldest first.
+pub type RecentSends = SmallVec<[RecentSend; 4]>;
+
+/// Own knowledge of one upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct UpstreamTrack {
+    pub(crate) sends: Vec<SentAttempt>,
+    urgent_pace: f64,
+    patient_pace: f64,
+    pub(crate) prefix: PrefixView,
+    seen: (Incarnation, u64),
+}
+
+impl Default for UpstreamTrack {
+    fn default() -> Self {
+        Self {
+            sends: Vec::new(),
+            urgent_pace: 1.0,
+            patient_pace: 1.0,
+            prefix: PrefixView::default(),
+            seen: (Incarnation::default(), 0),
+        }
+    }
+}
+
+impl UpstreamTrack {
+    /// Takes the cache events of a record, once for each announcement.
+    pub(crate) fn observe_record(&mut self, record: &UpstreamRecord) {
+        let seen = (record.incarnation, record.sequence);
+        if seen != self.seen {
+            self.seen = seen;
+            self.prefix.accept_batch(record.incarnation, &record.load.cache);
+        }
+    }
+
+    /// Learns the pace from an attempt whose first token came.
+    pub(crate) fn note_first_token(&mut self, number: u64, now: Instant) {
+        let Some(sent) = self.sends.iter_mut().find(|sent| sent.number == number) else { return };
+        let Some(predicted) = sent.predicted.take() else { return };
+        let observed = now.saturating_duration_since(sent.sent_at).as_secs_f64() + PACE_FLOOR_S;
+        // The prediction holds the pace of its time already.
+        let pace = if sent.urgent { &mut self.urgent_pace } else { &mut self.patient_pace };
+        let ratio = *pace * observed / (predicted.as_secs_f64() + PACE_FLOOR_S);
+        let ratio = ratio.clamp(PACE_RANGE.0, PACE_RANGE.1);
+        *pace += PACE_WEIGHT * (ratio - *pace);
+    }
+
+    /// Notes that an attempt ended.
+    pub(crate) fn note_ended(&mut self, number: u64) {
+        self.sends.retain(|sent| sent.number != number);
+    }
+
+    /// What was sent after `since` and is served before or with work of `rank`.
+    pub(crate) fn sent_since(&self, since: Instant, rank: Rank) -> RecentSends {
+        let counts =
+            |sent: &&SentAttempt| sent.sent_at > since && (sent.urgent || rank == Rank::Patient);
+        let recent = self.sends.iter().filter(counts).map(|sent| RecentSend {
+            after: sent.sent_at - since,
+            tokens: f64::from(sent.uncached_tokens),
+        });
+        recent.collect()
+    }
+
+    /// Observed over predicted time to first token for requests of `rank`.
+    pub(crate) fn pace(&self, rank: Rank) -> f64 {
+        if rank == Rank::Urgent { self.urgent_pace } else { self.patient_pace }
+    }
+}
--- a/cicadastall/src/serve.rs
+++ b/cicadastall/src/serve.rs
@@ -50,6 +50,14 @@
     };
     match (head.method, head.uri.path()) {
         (Method::GET, ENTRIES_PATH) => list_entries(&context).await,
+        (Method::POST, path @ (ANNOUNCE_PATH | SESSIONS_PATH | CHAT_PATH | CALL_PATH))
+            if context.stop().is_draining() =>
+        {
+            if path != ANNOUNCE_PATH {
+                context.stop().count_refusal();
+            }
+            context.stop().refuse(&fresh, context.other_entry())
+        }
         (Method::POST, SESSIONS_PATH) => issue_session(&context, &head.headers, &fresh).await,
         (Method::POST, ANNOUNCE_PATH) => announce(&context, &fresh, &body).await,
         (Method::POST, CHAT_PATH) => {
