--- a/cicadastall-standins/src/engine.rs
+++ b/cicadastall-standins/src/engine.rs
@@ -3,23 +3,29 @@
 use crate::{
     announce::{LeaveSummary, LeaveSwitch, StandinPlace, announce, finish_requests, make_record},
     fault::StandinFault,
+    orders::{OrderBook, StaleOrder},
     service::CRASH_STATUS,
 };
 use bytes::Bytes;
 use cicadastall::{
     dispatch::CHAT_PATH,
-    http::{AnswerBody, ListenerLimits, bind, event_answer, read_body, serve, text_answer},
+    http::{
+        AnswerBody, ListenerLimits, bind, event_answer, json_answer, read_body, serve, text_answer,
+    },
     name::{ModelName, UpstreamName},
+    orders::ORDERS_PATH,
     stream::encode_event,
-    table::{LoadReport, UpstreamRates},
-    wire::{ATTEMPT_HEADER, ChatChoice, ChatChunk, ChatDelta, ChatRequest, END_MARKER},
+    table::{LoadReport, UpstreamRates, UpstreamRecord, UpstreamState},
+    wire::{
+        ATTEMPT_HEADER, ChatChoice, ChatChunk, ChatDelta, ChatRequest, END_MARKER, UpstreamOrder,
+    },
 };
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use std::{
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -27,7 +33,7 @@
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// Most bytes of a request.
@@ -45,6 +51,10 @@
     pub token: Duration,
     /// Tokens of a whole answer, unless the request asks for fewer.
     pub answer_tokens: u32,
+    /// Time to load another model.
+    pub load: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
 }
 
 impl Default for EnginePace {
@@ -53,6 +63,8 @@
             first_token: Duration::from_millis(20),
             token: Duration::from_millis(5),
             answer_tokens: 24,
+            load: Duration::from_millis(500),
+            checks_fencing: false,
         }
     }
 }
@@ -71,6 +83,37 @@
     name: UpstreamName,
     pace: EnginePace,
     counters: EngineCounters,
+    placed: Mutex<PlacedModel>,
+}
+
+/// Orders that an engine took, and what it has loaded since.
+#[derive(Debug)]
+struct PlacedModel {
+    book: OrderBook,
+    model: Option<ModelName>,
+    ready_at: Instant,
+}
+
+impl PlacedModel {
+    fn take(&mut self, order: UpstreamOrder, load_time: Duration) -> Result<(), StaleOrder> {
+        let model = order.model.clone();
+        self.book.take(order)?;
+        if model != self.model {
+            self.ready_at =
+                Instant::now() + if model.is_some() { load_time } else { Duration::ZERO };
+            self.model = model;
+        }
+        Ok(())
+    }
+
+    fn fill(&self, record: &mut UpstreamRecord) {
+        record.models = self.model.iter().cloned().collect();
+        record.state = match &self.model {
+            None => UpstreamState::Parked,
+            Some(_) if Instant::now() < self.ready_at => UpstreamState::Loading,
+            Some(_) => UpstreamState::Serving,
+        };
+    }
 }
 
 /// A running stand-in engine; it stops when dropped.
@@ -99,12 +142,19 @@
             max_running: 32,
             kv_tokens: 200_000,
         };
-        let record = make_record(&place, address, Some(model), rates);
+        let mut record = make_record(&place, address, Some(model.clone()), rates);
+        record.checks_fencing = pace.checks_fencing;
+        let placed = Mutex::new(PlacedModel {
+            book: OrderBook::new(pace.checks_fencing),
+            model: Some(model),
+            ready_at: Instant::now(),
+        });
         let leave = LeaveSwitch::default();
         let (stop, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
         let name = place.name.clone();
-        let state = Arc::new(EngineState { name, pace, counters: EngineCounters::default() });
+        let state =
+            Arc::new(EngineState { name, pace, counters: EngineCounters::default(), placed });
         let shared = Arc::clone(&state);
         let switch = leave.clone();
         let handler = move |_, request| {
@@ -116,6 +166,7 @@
         tasks.spawn(announce(record, place.entries, leave.clone(), move |record| {
             let running = shared.counters.running.load(Ordering::Relaxed);
             record.load = LoadReport { running, ..LoadReport::default() };
+            shared.placed.lock().unwrap_or_else(PoisonError::into_inner).fill(record);
         }));
         Ok(Self { address, leave, state, _stop: stop, _tasks: tasks })
     }
@@ -148,7 +199,25 @@
     }
 }
 
+async fn take_order(state: &EngineState, request: Request<Incoming>) -> Response<AnswerBody> {
+    let body = read_body(request.into_body(), BODY_LIMIT, BODY_TIMEOUT).await.unwrap_or_default();
+    let Ok(order) = serde_json::from_slice::<UpstreamOrder>(&body) else {
+        return text_answer(StatusCode::BAD_REQUEST, "not an order\n");
+    };
+    let mut placed = state.placed.lock().unwrap_or_else(PoisonError::into_inner);
+    match placed.take(order, state.pace.load) {
+        Ok(()) => json_answer(StatusCode::OK, &serde_json::json!({})),
+        Err(StaleOrder { highest_fence }) => text_answer(
+            StatusCode::CONFLICT,
+            format!("a holder with number {highest_fence} has given orders since\n"),
+        ),
+    }
+}
+
 async fn answer(state: Arc<EngineState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    if request.method() == Method::POST && request.uri().path() == ORDERS_PATH {
+        return take_order(&state, request).await;
+    }
     if request.method() != Method::POST || request.uri().path() != CHAT_PATH {
         return text_answer(StatusCode::NOT_FOUND, "no such path\n");
     }
--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod fault;
 pub mod model;
 pub mod network;
+pub mod orders;
 pub mod service;
--- a/cicadastall/src/bulletin.rs
+++ b/cicadastall/src/bulletin.rs
@@ -17,6 +17,9 @@
 /// Rows in one datagram, so that it fits into one frame of the network.
 pub(crate) const ROWS_PER_PACKET: usize = 6;
 
+/// Waits up to this one, in milliseconds, are sent as none.
+pub(crate) const NO_WAIT_MS: u32 = 32;
+
 /// Who sent a datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PacketSender {
@@ -190,6 +193,12 @@
     pub queued_prompt_tokens: u64,
     /// Tokens in the KV cache that running requests hold.
     pub kv_used_tokens: u64,
+    /// Urgent requests that run.
+    pub urgent_running: u32,
+    /// Urgent requests that wait.
+    pub urgent_queued: u32,
+    /// Prompt tokens of urgent requests that wait for prefill.
+    pub urgent_prompt_tokens: u64,
 }
 
 impl PulseLoad {
@@ -200,6 +209,9 @@
             queued: load.queued,
             queued_prompt_tokens: load.queued_prompt_tokens,
             kv_used_tokens: load.kv_used_tokens,
+            urgent_running: load.urgent_running,
+            urgent_queued: load.urgent_queued,
+            urgent_prompt_tokens: load.urgent_prompt_tokens,
         }
     }
 
@@ -209,6 +221,9 @@
         load.queued = self.queued;
         load.queued_prompt_tokens = self.queued_prompt_tokens;
         load.kv_used_tokens = self.kv_used_tokens;
+        load.urgent_running = self.urgent_running;
+        load.urgent_queued = self.urgent_queued;
+        load.urgent_prompt_tokens = self.urgent_prompt_tokens;
     }
 }
 
@@ -234,6 +249,18 @@
     pub wait_ms: u32,
 }
 
+impl PoolCapacity {
+    /// Whether the difference to `old` is not worth sending: the same upstreams, and a wait that
+    /// differs by one step of its rounding.
+    pub fn is_close(&self, old: &Self) -> bool {
+        let near = |a: u32, b: u32| a <= b.max(NO_WAIT_MS).saturating_mul(2);
+        self.upstreams == old.upstreams
+            && self.prefill_tokens_per_s == old.prefill_tokens_per_s
+            && near(self.wait_ms, old.wait_ms)
+            && near(old.wait_ms, self.wait_ms)
+    }
+}
+
 /// Another zone and how to reach it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ZonePlace {
@@ -245,6 +272,8 @@
     pub entries: SmallVec<[SocketAddr; 4]>,
     /// Peer addresses of some instances.
     pub contacts: SmallVec<[SocketAddr; 4]>,
+    /// Whether the log has the zone's capacities; otherwise another member's log has them.
+    pub has_rows: bool,
 }
 
 /// Renewal of a row without a change of its content.
@@ -346,6 +375,11 @@
         (handle, true)
     }
 
+    /// Content of the row named `key`.
+    pub fn content(&self, key: &RowKey) -> Option<&RowContent> {
+        self.rows.get(&self.handle(key)?).map(|(_, content)| content)
+    }
+
     /// Marks the row named `key` as gone.
     pub fn remove(&mut self, key: &RowKey) {
         if let Some(handle) = self.handles.remove(key) {
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -266,7 +266,8 @@
 /// its task is dropped.
 pub async fn serve_settings(listener: TcpListener, follower: Arc<SettingsFollower>) {
     let groups = Arc::new(GroupRegistry::default());
-    let server = PeerServer { settings: Some(follower), groups, ledger: None, suspects: None };
+    let settings = Some(follower);
+    let server = PeerServer { settings, groups, ledger: None, suspects: None };
     serve_peers(listener, server).await;
 }
 
--- a/cicadastall/src/node.rs
+++ b/cicadastall/src/node.rs
@@ -52,6 +52,9 @@
     /// Limits on what callers send.
     #[serde(default)]
     pub limits: CallerLimits,
+    /// Whether a control instance may order upstreams to load models or to be parked.
+    #[serde(default)]
+    pub placement: bool,
     /// Time for which a stopping entry still answers new requests with a refusal, in milliseconds.
     #[serde(default = "default_stop_grace_ms")]
     pub stop_grace_ms: u64,
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -5,11 +5,13 @@
 
 use crate::{
     admit::{Admission, AdmissionGate, ZoneCapacity},
-    answer::{Refusal, RefusalCode},
+    answer::{Ran, Refusal, RefusalCode},
     decode::RequestPlan,
+    explain::{ExplainRing, ExplainedCandidate, RouteExplanation, RouteOutcome},
     name::{RegionName, UpstreamName, ZoneName},
     prefix::PromptShape,
-    settings::Rank,
+    retry::{RetryBudget, permits_attempt},
+    settings::{Rank, Revision, SettingsSnapshot},
     table::{RoutingTable, UpstreamView},
 };
 use rand::{RngExt, SeedableRng};
@@ -19,14 +21,18 @@
 use tokio::time::Instant;
 
 pub mod filter;
+pub mod map;
 pub mod policy;
 pub mod score;
+pub mod spill;
 pub mod summary;
 pub mod track;
 
-use filter::{is_untried, may_reside, serves_plan};
+use filter::{FilterReason, find_reason};
+use map::FleetMap;
 use policy::{ChoiceRule, RouterPolicy};
-use score::{OtherSends, Prediction, ScoreInput, predict};
+use score::{Prediction, ScoreInput, predict};
+use spill::{ForwardTrack, ZoneCandidate};
 use track::{RecentSend, RecentSends, SendTicket, SentAttempt, UpstreamTrack};
 
 /// Time after its last announcement at which an upstream gets no new work.
@@ -91,6 +97,52 @@
     Refuse(Refusal),
 }
 
+/// Everything that one choice is made from, beside the router's own knowledge.
+#[derive(Debug, Clone, Copy)]
+struct ChoiceInput<'a> {
+    table: &'a RoutingTable,
+    plan: &'a RequestPlan,
+    shape: &'a PromptShape,
+    tried: &'a TriedTargets,
+    capacity: ZoneCapacity,
+    limit: Duration,
+    now: Instant,
+}
+
+impl ChoiceInput<'_> {
+    fn explain(
+        &self,
+        revision: Revision,
+        candidates: &[&UpstreamView],
+        predictions: &[Prediction],
+        filtered: Vec<(UpstreamName, FilterReason)>,
+    ) -> RouteExplanation {
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let pairs = candidates.iter().zip(predictions);
+        RouteExplanation {
+            request: self.plan.request.clone(),
+            workspace: self.plan.workspace.clone(),
+            kind: self.plan.kind.clone(),
+            rank: self.plan.rank,
+            revision,
+            regions: self.plan.regions.to_vec(),
+            forwarded_from: self.plan.forwarded_from.clone(),
+            limit_ms: millis(self.limit),
+            candidates: pairs
+                .map(|(view, prediction)| ExplainedCandidate {
+                    upstream: view.record.name.clone(),
+                    score: prediction.score(),
+                    first_token_ms: millis(prediction.first_token),
+                    wait_ms: millis(prediction.wait),
+                })
+                .collect(),
+            filtered,
+            outcome: RouteOutcome::Waiting,
+        }
+        .trim()
+    }
+}
+
 /// Chooses upstreams by the late load reports and by what this instance sent since.
 #[derive(Debug)]
 pub struct RequestRouter {
@@ -101,6 +153,10 @@
     sent: u64,
     mean_answer_tokens: f64,
     gate: AdmissionGate,
+    forwards: ForwardTrack,
+    retries: RetryBudget,
+    map: FleetMap,
+    ring: ExplainRing,
 }
 
 impl RequestRouter {
@@ -112,10 +168,19 @@
     /// A router with a policy and a seed of its own.
     pub fn with_policy(place: RouterPlace, policy: RouterPolicy, seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        let tracks = BTreeMap::new();
-        let mean_answer_tokens = FIRST_ANSWER_MEAN;
-        let gate = AdmissionGate::default();
-        Self { place, policy, tracks, rng, sent: 0, mean_answer_tokens, gate }
+        Self {
+            place,
+            policy,
+            tracks: BTreeMap::new(),
+            rng,
+            sent: 0,
+            mean_answer_tokens: FIRST_ANSWER_MEAN,
+            gate: AdmissionGate::default(),
+            forwards: ForwardTrack::default(),
+            retries: RetryBudget::default(),
+            map: FleetMap::default(),
+            ring: ExplainRing::default(),
+        }
     }
 
     /// Chooses the target of the next attempt.
@@ -127,26 +192,50 @@
         tried: &TriedTargets,
         now: Instant,
     ) -> RouteDecision {
-        let candidates: SmallVec<[&UpstreamView; 16]> = table
-            .upstreams
-            .values()
-            .filter(|view| may_reside(view, plan, &self.place))
-            .filter(|view| serves_plan(view, plan, now) && is_untried(view, tried))
-            .collect();
+        let mut candidates: SmallVec<[&UpstreamView; 16]> = SmallVec::new();
+        let mut filtered = Vec::new();
+        for view in table.upstreams.values() {
+            match find_reason(view, plan, &self.place, tried, now) {
+                None if self.is_quarantined(view, now) => {
+                    filtered.push((view.record.name.clone(), FilterReason::Quarantined));
+                }
+                None => candidates.push(view),
+                Some(reason) => filtered.push((view.record.name.clone(), reason)),
+            }
+        }
         self.observe_caches(&candidates);
-        let predictions = self.predict_all(table, &candidates, plan, shape, now);
+        let predictions = self.predict_all(&candidates, plan, shape, now);
         let capacity =
             ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
         let limit = self.gate.limit(plan, capacity, now);
-        let chosen = self.choose_upstream(&candidates, &predictions, limit);
+        let choice = ChoiceInput { table, plan, shape, tried, capacity, limit, now };
+        let decision = self.decide(&choice, &candidates, &predictions);
+        let explanation = choice.explain(self.map.revision, &candidates, &predictions, filtered);
+        self.ring.push(explanation.decided(&decision));
+        decision
+    }
+
+    fn decide(
+        &mut self,
+        choice: &ChoiceInput<'_>,
+        candidates: &[&UpstreamView],
+        predictions: &[Prediction],
+    ) -> RouteDecision {
+        let ChoiceInput { plan, capacity, limit, now, .. } = *choice;
+        let chosen = self.choose_upstream(candidates, predictions, limit);
         if let Some(place) = chosen
-            && (!self.policy.admission || predictions[place].first_token <= limit)
+            && (!self.policy.admission
+                || !choice.tried.upstreams.is_empty()
+                || predictions[place].first_token <= limit)
         {
             return send_to(candidates[place], priority_of(plan.rank));
         }
-        if plan.forwarded_from.is_none()
-            && (chosen.is_none() || self.policy.spill)
-            && let Some(decision) = self.choose_zone(table, plan, tried, now)
+        let here = chosen.map(|place| predictions[place].first_token);
+        let may_spill = self.policy.spill
+            && self.gate.permits_spill(plan, capacity, now)
+            && self.retries.permits_retry(&plan.pool);
+        if (here.is_none() || may_spill)
+            && let Some(decision) = self.choose_zone(choice, here)
         {
             return decision;
         }
@@ -159,6 +248,18 @@
         }
     }
 
+    /// Takes the settings against which claims of other instances are checked.
+    pub fn note_settings(&mut self, snapshot: &SettingsSnapshot) {
+        if self.map.revision != snapshot.revision {
+            self.map = FleetMap::of(snapshot);
+        }
+    }
+
+    /// The kept decisions on one request, the oldest first.
+    pub fn explain(&self, request: &str) -> Vec<RouteExplanation> {
+        self.ring.find(request)
+    }
+
     /// Notes that a request was sent to `upstream`.
     pub fn note_sent(
         &mut self,
@@ -169,11 +270,12 @@
         now: Instant,
     ) -> SendTicket {
         self.sent += 1;
+        self.retries.note_first(&plan.pool);
         self.mean_answer_tokens +=
             ANSWER_MEAN_WEIGHT * (f64::from(shape.answer_tokens) - self.mean_answer_tokens);
         let prediction = table.upstreams.get(upstream).map(|view| {
             let sent = self.sent_since(view, plan.rank);
-            self.predict_on(view, plan, shape, &sent, OtherSends::default(), now)
+            self.predict_on(view, plan, shape, &sent, now)
         });
         let work = prediction.map(|prediction| prediction.work()).unwrap_or_default();
         self.gate.note_sent(plan, work, now);
@@ -204,6 +306,26 @@
         }
     }
 
+    /// Whether the request may be attempted again; takes the attempt out of the retry budget.
+    pub fn permit_retry(&mut self, plan: &RequestPlan, ran: Ran, attempts: u32) -> bool {
+        permits_attempt(plan, ran, attempts) && self.retries.take_retry(&plan.pool)
+    }
+
+    /// Notes that an attempt failed; the upstream gets no new work for a while.
+    pub fn note_failed(&mut self, upstream: &UpstreamName, now: Instant) {
+        self.tracks.entry(upstream.clone()).or_default().note_failed(now);
+    }
+
+    fn is_quarantined(&self, view: &UpstreamView, now: Instant) -> bool {
+        let track = self.tracks.get(&view.record.name);
+        track.is_some_and(|track| track.is_quarantined(&view.record, now))
+    }
+
+    /// Notes that a request forwarded to `zone` came back without a result.
+    pub fn note_returned(&mut self, zone: &ZoneName, plan: &RequestPlan, now: Instant) {
+        self.forwards.note_returned(zone, plan, now);
+    }
+
     /// Index of the chosen candidate.
     fn choose_upstream(
         &mut self,
@@ -237,29 +359,16 @@
 
     fn predict_all(
         &self,
-        table: &RoutingTable,
         candidates: &[&UpstreamView],
         plan: &RequestPlan,
         shape: &PromptShape,
         now: Instant,
     ) -> SmallVec<[Prediction; 16]> {
-        let sent = candidates.iter().map(|view| self.sent_since(view, plan.rank));
-        let sent: SmallVec<[RecentSends; 16]> = sent.collect();
-        let others = self.guess_others(table, &sent);
-        let pairs = candidates.iter().zip(&sent);
-        pairs.map(|(view, sent)| self.predict_on(view, plan, shape, sent, others, now)).collect()
-    }
-
-    /// What the other entries of the zone sent to each candidate since its report, if each sent
-    /// as much as this one and spread it evenly.
-    fn guess_others(&self, table: &RoutingTable, sent: &[RecentSends]) -> OtherSends {
-        if !self.policy.crowd || sent.is_empty() {
-            return OtherSends::default();
-        }
-        let factor = table.entries.len() as f64 / sent.len() as f64;
-        let all = || sent.iter().flatten();
-        let tokens: f64 = all().map(|send| send.tokens).sum();
-        OtherSends { requests: all().count() as f64 * factor, tokens: tokens * factor }
+        let predict = |view: &&UpstreamView| {
+            let sent = self.sent_since(view, plan.rank);
+            self.predict_on(view, plan, shape, &sent, now)
+        };
+        candidates.iter().map(predict).collect()
     }
 
     fn sent_since(&self, view: &UpstreamView, rank: Rank) -> RecentSends {
@@ -293,7 +402,6 @@
         plan: &RequestPlan,
         shape: &PromptShape,
         sent: &[RecentSend],
-        others: OtherSends,
         now: Instant,
     ) -> Prediction {
         let track = self.tracks.get(&view.record.name);
@@ -302,32 +410,35 @@
             rank: plan.rank,
             uncached_tokens: self.uncached_tokens(&view.record.name, shape),
             sent,
-            others,
             pace: track.map_or(1.0, |track| track.pace(plan.rank)),
             mean_answer_tokens: self.mean_answer_tokens,
         };
         predict(view, &input, now)
     }
 
+    /// Chooses another zone if the request can't be answered here, or if it would be late here and
+    /// in time there. `here` is the best predicted time to first token in this zone.
     fn choose_zone(
-        &self,
-        table: &RoutingTable,
-        plan: &RequestPlan,
-        tried: &TriedTargets,
-        now: Instant,
+        &mut self,
+        choice: &ChoiceInput<'_>,
+        here: Option<Duration>,
     ) -> Option<RouteDecision> {
-        plan.regions.iter().find_map(|region| {
-            let (zone, view) = table.zones.iter().find(|(zone, view)| {
-                view.digest.region == *region
-                    && !tried.zones.contains(zone)
-                    && now.duration_since(view.received_at) < DIGEST_EXPIRY
-                    && view.digest.rows.iter().any(|row| {
-                        row.pool == plan.pool && row.model == plan.model && row.upstreams > 0
-                    })
-            })?;
-            let address = *view.digest.entries.first()?;
-            Some(RouteDecision::Entry { region: region.clone(), zone: zone.clone(), address })
-        })
+        let ChoiceInput { table, plan, shape, tried, now, .. } = *choice;
+        let bound = here.map_or(Duration::MAX, |first_token| first_token.min(choice.limit));
+        let mut zones = self.forwards.list_zones(&self.map, table, plan, shape, tried, now);
+        zones.retain(|zone| zone.first_token <= bound);
+        let best = zones.into_iter().min_by(|a, b| {
+            let home = |zone: &ZoneCandidate| zone.region != plan.home;
+            home(a).cmp(&home(b)).then(a.first_token.cmp(&b.first_token))
+        })?;
+        let rate = self.map.link_bytes_per_s(&best.region);
+        let entries = choice.capacity.entries;
+        if !self.forwards.take_bytes(&best.region, rate, entries, shape, now) {
+            return None;
+        }
+        self.forwards.note_forwarded(table, &best.zone, shape);
+        let address = best.entries[self.rng.random_range(0..best.entries.len())];
+        Some(RouteDecision::Entry { region: best.region, zone: best.zone, address })
     }
 }
 
