--- a/cicadastall/tests/settings_fleet/groups.rs
+++ b/cicadastall/tests/settings_fleet/groups.rs
@@ -262,7 +262,9 @@
         wait_revision(entry.addresses().operator, 1).await;
     }
     sleep(Duration::from_millis(1_500)).await;
+    let asked = Instant::now();
     let (_, answer) = put(fleet.operator(1), "op-1", "layla", 1, &owned_by("all")).await;
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
     let reach = answer.expect("an answer").reach.expect("where it is in force");
     assert_eq!(reach.in_force.len(), 3, "{reach:?}");
     for entry in &entries {
