Refuse removals of teams that do not exist, and teams that no URL can name

Cause: removing an unknown team was accepted and left its version behind for good, so that removals could grow the state without end; a team with a slash in its name could be founded but not changed, as the path of its subtree can't name it. Change: both are refused with a fault. Conclusion: versions of removed teams are bounded by the teams that existed.

--- a/cicadastall/src/check.rs
+++ b/cicadastall/src/check.rs
@@ -1,7 +1,7 @@
 //! Validation of a settings tree from JSON text; reports all faults at once.
 
 use crate::{
-    document::JsonNode,
+    document::{JsonNode, excerpt},
     fault::{FaultKind, FaultList, SettingsFault, ValuePath},
     settings::FleetSettings,
     shape::{self, ValueShape},
@@ -74,6 +74,7 @@
     let path = ValuePath::root().key("teams");
     for (team, subtree) in teams {
         let path = path.key(team);
+        check_team_name(team, &path, faults);
         let checker = TeamChecker { subtree, regions: &regions, path };
         checker.check_owners(team, &mut owners, faults);
         checker.check_kinds(faults);
@@ -81,6 +82,22 @@
     }
 }
 
+/// Checks that the name can stand in the path of a URL.
+fn check_team_name(team: &str, path: &ValuePath, faults: &mut FaultList) {
+    if team.contains(['/', '?', '#', '%']) {
+        let found = format!("{:?}", excerpt(team));
+        faults.add(path, FaultKind::OutOfRange, found, "a name without / ? # and %");
+    }
+}
+
+/// The fault of removing a team that does not exist.
+pub(crate) fn refuse_removal(team: &str) -> Vec<SettingsFault> {
+    let mut faults = FaultList::default();
+    let path = ValuePath::root().key("teams").key(team);
+    faults.add(&path, FaultKind::UnknownReference, "nothing", "a team to remove");
+    faults.0
+}
+
 /// Checks that each zone belongs to one region, and lists the regions.
 fn check_zones(faults: &mut FaultList) -> impl FnOnce(&JsonNode) -> BTreeSet<&str> {
     move |regions| {
--- a/cicadastall/src/settings_state.rs
+++ b/cicadastall/src/settings_state.rs
@@ -2,7 +2,7 @@
 //! operators may send again.
 
 use crate::{
-    check::check_settings,
+    check::{check_settings, refuse_removal},
     difference::{ValueDifference, list_differences},
     fault::SettingsFault,
     name::OperationId,
@@ -209,6 +209,11 @@
         if previous != change.expected {
             return self.refuse_conflict(change, previous);
         }
+        if let SubtreeContent::Removed(team) = &change.content
+            && !self.newest.tree.teams.contains_key(team)
+        {
+            return ChangeReply::Invalid { faults: refuse_removal(team.as_str()) };
+        }
         let revision = Revision(self.newest.revision.0 + 1);
         let mut candidate = self.newest.clone();
         candidate.replace(revision, change.content.clone());
--- a/cicadastall/tests/settings_check.rs
+++ b/cicadastall/tests/settings_check.rs
@@ -115,6 +115,16 @@
     assert_eq!(paths, [("$.teams.works.workspaces.aqaba-port", FaultKind::NotUnique)]);
 }
 
+#[test]
+fn a_team_that_no_url_can_name_is_a_fault() {
+    let mut tree = trust();
+    let team = tree["teams"]["trust"].take();
+    tree["teams"] = json!({ "trust/aqaba": team });
+    let faults = faults_of(&tree);
+    assert_eq!(faults[0].path, "$.teams[\"trust/aqaba\"]");
+    assert_eq!(faults.len(), 1, "{faults:?}");
+}
+
 #[test]
 fn duplicate_keys_and_numbers_that_json_lacks_are_faults() {
     let twice = br#"{"regions": {}, "regions": {}, "teams": {}}"#;
--- a/cicadastall/tests/settings_state.rs
+++ b/cicadastall/tests/settings_state.rs
@@ -221,6 +221,15 @@
     assert_eq!(state.newest().revision, Revision(1));
 }
 
+#[test]
+fn a_team_that_does_not_exist_is_not_removed() {
+    let mut state = founded();
+    let removal = change("op-1", "omar", 0, SubtreeContent::Removed("nobody".into()));
+    let reply = apply(&mut state, &removal);
+    assert!(matches!(reply, ChangeReply::Invalid { .. }), "{reply:?}");
+    assert_eq!(state.newest().revision, Revision(1));
+}
+
 #[test]
 fn founding_happens_once() {
     let mut state = founded();
