Book without binding to an address, and decode messages in one piece

Cause: bookings over three replicas reached 500 to 950 a second with 128 callers and 960 to 1,195 with 16. Profiles: 40% of a host's thread in copy_to_slice and 35% in serde_json's IoRead (the transport's codec reads byte by byte); then 21% of the process in inet_bhash2_conflict below bind, called for the connection that each booking opens.

Change: message_codec.rs in place of the transport's JSON codec; entries don't bind the connections of such calls to upstreams of their own zone.

Conclusion: kept both; the codec on the evidence of the profile, not of a figure.

--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -60,6 +60,7 @@
     in_flight: Arc<AtomicU32>,
     pooled: HttpClient,
     unpooled: HttpClient,
+    unbound: HttpClient,
     stop: Arc<StopSwitch>,
 }
 
@@ -130,6 +131,14 @@
         if repeatable { &self.pooled } else { &self.unpooled }
     }
 
+    /// The client for calls to upstreams of this zone that may not be repeated.
+    ///
+    /// It does not choose its source address: the system takes long to find a free port of a given
+    /// address while thousands of closed connections wait.
+    pub(crate) fn unbound_client(&self) -> &HttpClient {
+        &self.unbound
+    }
+
     pub(crate) fn name_request(&self) -> RequestId {
         RequestId::new(format!("{}-{:016x}", self.node.instance, rand::random::<u64>()))
     }
@@ -189,6 +198,7 @@
             in_flight: Arc::clone(&core.in_flight),
             pooled: http::client_from(node.source_ip(), IDLE_CONNECTIONS),
             unpooled: http::client_from(node.source_ip(), 0),
+            unbound: http::client(0),
             stop: Arc::new(StopSwitch::default()),
             node: Arc::clone(&node),
         });
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod logs;
 pub mod members;
 pub mod membership;
+mod message_codec;
 pub mod name;
 pub mod node;
 pub mod observe;
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     ledger::command::{LedgerChange, LedgerReply},
+    message_codec::MessageCodec,
     name::GroupName,
     quarantine::SuspectShare,
     replica_message::{LogIndex, ReplicaEnvelope},
@@ -20,7 +21,7 @@
     sync::{Arc, Mutex},
     time::{Duration, Instant as DeadlineInstant},
 };
-use tarpc::{client, context, tokio_serde::formats::Json};
+use tarpc::{client, context};
 use tokio::{
     net::{TcpSocket, TcpStream},
     time::timeout,
@@ -145,7 +146,7 @@
 
 /// Connection that carries calls of [`PeerApi`], from the side that answers or the one that asks.
 pub(crate) type MessageTransport<I, O> =
-    tarpc::serde_transport::Transport<TcpStream, I, O, Json<I, O>>;
+    tarpc::serde_transport::Transport<TcpStream, I, O, MessageCodec<I, O>>;
 
 /// Turns a connection into one that carries messages.
 pub(crate) fn frame_messages<I, O>(stream: TcpStream) -> MessageTransport<I, O>
@@ -155,7 +156,7 @@
 {
     let mut codec = LengthDelimitedCodec::builder();
     codec.max_frame_length(MAX_MESSAGE_BYTES);
-    tarpc::serde_transport::new(codec.new_framed(stream), Json::default())
+    tarpc::serde_transport::new(codec.new_framed(stream), MessageCodec::default())
 }
 
 async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -214,7 +214,10 @@
         attempt: &OpenAttempt,
         call: &CallRequest,
     ) -> Result<serde_json::Value, AttemptError> {
-        let client = self.context.client(self.plan.repeatable);
+        let client = match attempt.is_local() && !self.plan.repeatable {
+            true => self.context.unbound_client(),
+            false => self.context.client(self.plan.repeatable),
+        };
         call_service(client, &attempt.target, &self.plan, call, &attempt.id, self.remaining()).await
     }
 
