Publish each zone's entries to the directory, and send bulletins each 1.2 s

Change: the serving entry with the lowest name publishes its zone's listing when the listed addresses change, at most each 2 s; a new publisher waits 2.5 s. The stand-in directory refuses more than one change a zone in 1.9 s. Bulletins each 1.2 s in place of 1 s, probes after 1.6 s of silence in place of 1.4 s.

Seen to fail: a new publisher that does not wait ("the publishers exceeded the rate").

--- a/cicadastall-daemons/tests/graceful_stop.rs
+++ b/cicadastall-daemons/tests/graceful_stop.rs
@@ -4,6 +4,7 @@
 mod zone;
 
 use cicadastall::http::client;
+use cicadastall_standins::directory::DirectoryStandin;
 use common::Process;
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
@@ -184,3 +185,28 @@
     assert_eq!((code, &summary["cut_off"]), (Some(1), &json!(1)), "{summary}");
     assert!(time < Duration::from_secs(3), "took {time:?}");
 }
+
+#[tokio::test]
+async fn directory_follows_stops_within_its_rate() {
+    let directory = DirectoryStandin::start("127.0.0.1:0".parse().expect("an address"))
+        .await
+        .expect("a directory");
+    let zone = Zone::start("directory");
+    let further = [("directory", json!(directory.address())), ("stop_grace_ms", json!(500))];
+    let names = ["aqaba-1", "aqaba-2", "aqaba-3"];
+    let mut entries: Vec<_> = names.iter().map(|name| zone.start_entry(name, &further)).collect();
+    let mut stopped = Vec::new();
+    while !entries.is_empty() {
+        let mut expected: Vec<_> = entries.iter().map(|entry| entry.address("caller")).collect();
+        expected.sort();
+        let deadline = Instant::now() + Duration::from_secs(8);
+        while directory.listed("aqaba-a") != expected {
+            assert!(Instant::now() < deadline, "the directory does not list {expected:?}");
+            sleep(Duration::from_millis(50)).await;
+        }
+        let stopping = entries.remove(0);
+        stopping.signal("-TERM");
+        stopped.push(stopping);
+    }
+    assert_eq!(directory.refused(), 0, "the publishers exceeded the rate");
+}
--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod announce;
 pub mod cache;
+pub mod directory;
 pub mod engine;
 pub mod fault;
 pub mod model;
--- /dev/null
+++ b/cicadastall/src/directory.rs
@@ -0,0 +1,103 @@
+//! Publishes a zone's listing of entries to the platform's directory for clients.
+
+use crate::{
+    http::{HttpClient, call_json},
+    members::MemberTable,
+    table::EntryState,
+    wire::{EntriesReply, EntryListing},
+};
+use hyper::Method;
+use std::{net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+/// Path of the directory; the zone's name follows.
+pub const DIRECTORY_PATH: &str = "/v1/directory/";
+
+/// Shortest time between two publications of one zone, from the directory's rate limit.
+pub const PUBLISH_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time that a new publisher waits, in which the previous one may have published last.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(2_500);
+
+/// Time after which an unchanged listing is published again.
+const REPUBLISH_AFTER: Duration = Duration::from_secs(30);
+
+/// Longest time to wait for the directory.
+const PUBLISH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Decides when an instance publishes; of a zone's entries the one with the lowest name does.
+#[derive(Debug, Default)]
+pub struct PublishPlan {
+    publisher_since: Option<Instant>,
+    published: Option<(Vec<SocketAddr>, Instant)>,
+}
+
+impl PublishPlan {
+    /// The listing to publish at `now`, if it is due.
+    ///
+    /// Only a change of the listed addresses counts, as weights change with every request.
+    pub fn choose(
+        &mut self,
+        members: &MemberTable,
+        listing: &EntriesReply,
+        now: Instant,
+    ) -> Option<EntriesReply> {
+        let zone = &members.own().zone;
+        let rows: Vec<EntryListing> =
+            listing.entries.iter().filter(|row| row.zone == *zone).cloned().collect();
+        if !is_publisher(members) || rows.is_empty() {
+            *self = Self::default();
+            return None;
+        }
+        let since = *self.publisher_since.get_or_insert(now);
+        if now.duration_since(since) < TAKEOVER_WAIT {
+            return None;
+        }
+        let mut addresses: Vec<_> = rows.iter().map(|row| row.address).collect();
+        addresses.sort();
+        if let Some((known, at)) = &self.published {
+            let passed = now.duration_since(*at);
+            let changed = *known != addresses;
+            if passed < PUBLISH_PERIOD || !changed && passed < REPUBLISH_AFTER {
+                return None;
+            }
+        }
+        self.published = Some((addresses, now));
+        Some(EntriesReply { entries: rows, lifetime_ms: listing.lifetime_ms })
+    }
+
+    /// Notes that the directory did not take the listing, so that it is sent again.
+    pub fn retry(&mut self) {
+        if let Some((addresses, _)) = &mut self.published {
+            addresses.clear();
+        }
+    }
+}
+
+/// Whether no other serving entry of the zone has a lower name.
+fn is_publisher(members: &MemberTable) -> bool {
+    let own = members.own();
+    let lower = members.entries().any(|record| {
+        record.state == EntryState::Serving
+            && record.caller_address.is_some()
+            && record.instance < own.instance
+    });
+    own.state == EntryState::Serving && own.caller_address.is_some() && !lower
+}
+
+/// Sends the listing of `zone` to the directory; returns whether it was taken.
+pub async fn publish(
+    client: &HttpClient,
+    directory: SocketAddr,
+    zone: &str,
+    listing: &EntriesReply,
+) -> bool {
+    let path = format!("{DIRECTORY_PATH}{zone}");
+    let call =
+        call_json(client, Method::PUT, directory, &path, Some(listing), PUBLISH_TIMEOUT).await;
+    let answer: Result<serde_json::Value, _> = call;
+    if let Err(error) = &answer {
+        log::warn!("listing not published: {error}");
+    }
+    answer.is_ok()
+}
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod decode;
 pub mod difference;
 pub mod digest;
+pub mod directory;
 pub mod dispatch;
 pub mod document;
 pub mod entry;
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     bulletin::{MemberPacket, decode_packet, encode_packet},
+    directory::{PublishPlan, publish},
     follow::SettingsHolder,
+    http::{self, HttpClient},
     listing::list_entries,
     members::{EntryFault, MemberTable},
     name::{UpstreamName, ZoneName},
@@ -58,6 +60,8 @@
     Unreachable(ZoneName, SocketAddr, EntryFault, RpcReplyPort<()>),
     /// Lists entries for a caller.
     ListEntries(RpcReplyPort<EntriesReply>),
+    /// The directory did not take the zone's listing.
+    PublishFailed,
     /// Time to send what is due.
     Tick,
 }
@@ -91,6 +95,8 @@
     arguments: MembershipArguments,
     members: MemberTable,
     started_at: Instant,
+    plan: PublishPlan,
+    client: HttpClient,
 }
 
 impl Actor for MembershipActor {
@@ -116,12 +122,14 @@
         };
         let members = MemberTable::new(own, arguments.node.seeds.clone(), rand::random());
         myself.send_interval(POLL_PERIOD, || MembershipMessage::Tick);
-        Ok(MembershipState { arguments, members, started_at: Instant::now() })
+        let client = http::client_from(arguments.node.source_ip(), 0);
+        let plan = PublishPlan::default();
+        Ok(MembershipState { arguments, members, started_at: Instant::now(), plan, client })
     }
 
     async fn handle(
         &self,
-        _: ActorRef<Self::Msg>,
+        myself: ActorRef<Self::Msg>,
         message: Self::Msg,
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
@@ -159,7 +167,11 @@
             MembershipMessage::ListEntries(reply) => {
                 let _ = reply.send(list_entries(&state.members, now));
             }
-            MembershipMessage::Tick => state.tick(now),
+            MembershipMessage::PublishFailed => state.plan.retry(),
+            MembershipMessage::Tick => {
+                state.tick(now);
+                state.publish_listing(&myself, now);
+            }
         }
         Ok(())
     }
@@ -183,6 +195,21 @@
         self.send(packets);
     }
 
+    /// Publishes the zone's listing to the directory, where there is one and it is due.
+    fn publish_listing(&mut self, myself: &ActorRef<MembershipMessage>, now: Instant) {
+        let Some(directory) = self.arguments.node.directory else { return };
+        let listing = list_entries(&self.members, now);
+        let Some(listing) = self.plan.choose(&self.members, &listing, now) else { return };
+        let client = self.client.clone();
+        let zone = self.members.own().zone.clone();
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            if !publish(&client, directory, zone.as_str(), &listing).await {
+                let _ = myself.cast(MembershipMessage::PublishFailed);
+            }
+        });
+    }
+
     /// Sends datagrams; one that the system can't take now is lost, like any other.
     fn send(&self, packets: Vec<OutgoingPacket>) {
         for OutgoingPacket { to, packet } in packets {
--- a/cicadastall/src/node.rs
+++ b/cicadastall/src/node.rs
@@ -52,6 +52,9 @@
     /// Limits on what callers send.
     #[serde(default)]
     pub limits: CallerLimits,
+    /// Address of the platform's directory for clients, to which the zone's entries are published.
+    #[serde(default)]
+    pub directory: Option<SocketAddr>,
     /// Whether a control instance may order upstreams to load models or to be parked.
     #[serde(default)]
     pub placement: bool,
--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -27,7 +27,7 @@
 pub const POLL_PERIOD: Duration = Duration::from_millis(100);
 
 /// Time between two bulletins without urgent news.
-const BULLETIN_PERIOD: Duration = Duration::from_millis(1_000);
+const BULLETIN_PERIOD: Duration = Duration::from_millis(1_200);
 
 /// Time between two digests from one delegate to one zone.
 const DIGEST_PERIOD: Duration = Duration::from_millis(1_000);
--- a/cicadastall/src/probes.rs
+++ b/cicadastall/src/probes.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 /// Silence after which a member is probed; longer than the period of bulletins.
-pub const PROBE_AFTER: Duration = Duration::from_millis(1_400);
+pub const PROBE_AFTER: Duration = Duration::from_millis(1_600);
 
 /// Time for the reply to a direct probe, before others are asked to probe.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(250);
