--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -1,9 +1,12 @@
 //! Runs experiments of cicadastall from the command line.
 
+mod acknowledgements;
+mod bookings;
 mod group;
 mod overhead;
 mod placement;
 mod schedules;
+mod settings_bench;
 mod slopes;
 
 use bpaf::Bpaf;
@@ -13,6 +16,15 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 enum BenchCommand {
+    /// Stored replies, memory, bytes and throughput of a ledger with and without acknowledgements
+    #[bpaf(command)]
+    Acknowledgements(
+        #[bpaf(external(acknowledgements::acknowledgement_options))]
+        acknowledgements::AcknowledgementOptions,
+    ),
+    /// Latency and throughput of calls that may not be repeated, beside those that may
+    #[bpaf(command)]
+    Bookings(#[bpaf(external(bookings::booking_options))] bookings::BookingOptions),
     /// Commits of a replicated group on loopback, and what an idle group costs
     #[bpaf(command)]
     Group(#[bpaf(external(group::group_options))] group::GroupOptions),
@@ -31,15 +43,21 @@
     /// Traffic, cost and speed of membership by the number of nodes
     #[bpaf(command)]
     Slopes(#[bpaf(external(slopes::slopes_options))] slopes::SlopesOptions),
+    /// Bytes, processor time and time until a change of settings is in force everywhere
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings_bench::settings_options))] settings_bench::SettingsOptions),
 }
 
 fn main() -> eyre::Result<()> {
     match bench_command().run() {
+        BenchCommand::Acknowledgements(options) => acknowledgements::run(&options),
+        BenchCommand::Bookings(options) => bookings::run(&options),
         BenchCommand::Group(options) => group::run(&options),
         BenchCommand::Overhead(options) => overhead::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
         BenchCommand::Schedules(options) => schedules::run(&options),
         BenchCommand::Placement(options) => placement::run(&options),
         BenchCommand::Slopes(options) => slopes::run(&options),
+        BenchCommand::Settings(options) => settings_bench::run(&options),
     }
 }
