--- a/cicadastall/src/bulletin.rs
+++ b/cicadastall/src/bulletin.rs
@@ -14,8 +14,8 @@
 use std::{collections::BTreeMap, io, net::SocketAddr, pin::Pin};
 use tarpc::tokio_serde::{Deserializer, Serializer, formats::Bincode};
 
-/// Rows in one datagram, so that it fits into one frame of the network.
-pub(crate) const ROWS_PER_PACKET: usize = 6;
+/// Estimated bytes of the rows in one datagram, so that it fits into one frame of the network.
+const PACKET_ROW_BYTES: usize = 1_100;
 
 /// Waits up to this one, in milliseconds, are sent as none.
 pub(crate) const NO_WAIT_MS: u32 = 32;
@@ -102,6 +102,24 @@
     pub content: RowContent,
 }
 
+/// Cuts rows into groups of which each fits into one datagram.
+pub(crate) fn group_rows(rows: Vec<LogRow>) -> Vec<Vec<LogRow>> {
+    let mut groups: Vec<Vec<LogRow>> = Vec::new();
+    let mut bytes = 0;
+    for row in rows {
+        let size = row.content.estimate_bytes();
+        bytes += size;
+        match groups.last_mut().filter(|_| bytes <= PACKET_ROW_BYTES) {
+            Some(group) => group.push(row),
+            None => {
+                groups.push(vec![row]);
+                bytes = size;
+            }
+        }
+    }
+    groups
+}
+
 /// Content of a row.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum RowContent {
@@ -121,6 +139,17 @@
     Removed,
 }
 
+impl RowContent {
+    /// Upper estimate of the encoded row.
+    fn estimate_bytes(&self) -> usize {
+        match self {
+            Self::Own(_) | Self::Upstream(_) | Self::Zone(_) => 180,
+            Self::Pool(..) | Self::Drained(..) => 60,
+            Self::Capacity(..) | Self::Removed => 24,
+        }
+    }
+}
+
 /// What an upstream says of itself, without what changes with each announcement.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamRow {
--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -3,7 +3,7 @@
 use crate::{
     bulletin::{
         DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, PacketSender, PulseLoad,
-        ROWS_PER_PACKET, RowContent, RowKey, RowPulse,
+        RowContent, RowKey, RowPulse, group_rows,
     },
     digest::choose_delegates,
     members::MemberTable,
@@ -254,24 +254,24 @@
 
     /// Bulletins with the rows after `number`; pulses go into the last one.
     fn split_rows(&self, number: u64, pulses: Vec<RowPulse>, now: Instant) -> Vec<MemberBulletin> {
-        let rows = self.log.changes_since(number);
         let members = u16::try_from(self.count_members()).unwrap_or(u16::MAX);
         let mut since = number;
-        let mut bulletins: Vec<_> = rows
-            .chunks(ROWS_PER_PACKET)
-            .map(|chunk| {
-                let newest = chunk.last().map_or(since, |row| row.number);
-                let rows = chunk.iter().map(|row| self.fill_row(row, now)).collect();
-                let bulletin = MemberBulletin {
-                    since,
+        let groups = group_rows(self.log.changes_since(number));
+        let mut bulletins: Vec<_> = groups
+            .into_iter()
+            .map(|group| {
+                let newest = group.last().map_or(since, |row| row.number);
+                let rows = group.into_iter().map(|row| self.fill_row(row, now)).collect();
+                let in_flight = self.own.in_flight;
+                let first = mem::replace(&mut since, newest);
+                MemberBulletin {
+                    since: first,
                     newest,
-                    in_flight: self.own.in_flight,
+                    in_flight,
                     members,
                     rows,
                     ..MemberBulletin::default()
-                };
-                since = newest;
-                bulletin
+                }
             })
             .collect();
         if bulletins.is_empty() {
@@ -293,8 +293,7 @@
     }
 
     /// Adds the number and age of the newest announcement to an upstream's row.
-    fn fill_row(&self, row: &LogRow, now: Instant) -> LogRow {
-        let mut row = row.clone();
+    fn fill_row(&self, mut row: LogRow, now: Instant) -> LogRow {
         if let RowContent::Upstream(upstream) = &mut row.content
             && let Some(view) = self.announced.get(&upstream.name)
         {
