--- /dev/null
+++ b/cicadastall-daemons/tests/silent_cut.rs
@@ -0,0 +1,35 @@
+//! A forward to a zone that falls silent, its connections open, is given up long before its deadline.
+
+mod common;
+mod zone;
+
+use cicadastall::http::client;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use zone::{Zone, ask, start_engine_in};
+
+/// Digests expire after 3 s; the rest is for the two looks and a busy machine.
+const GIVEN_UP_WITHIN: Duration = Duration::from_secs(5);
+
+#[tokio::test]
+async fn forward_to_a_silent_zone_is_given_up() {
+    let zone = Zone::start("silent-cut");
+    let near = zone.start_entry("aqaba-1", &[]);
+    let far = zone.start_entry_in("amman", "amman-1", &[]);
+    let _engine = start_engine_in("amman", "amman-m1", far.address("caller"), &[], &[]);
+    let client = client(1);
+    let entry = near.address("caller");
+    let deadline = Instant::now() + Duration::from_secs(15);
+    while !ask(&client, entry).await.is_ok_and(|answer| answer.status.is_success()) {
+        assert!(Instant::now() < deadline, "nothing is forwarded after 15 s");
+        sleep(Duration::from_millis(100)).await;
+    }
+    far.signal("-STOP");
+    let asked = Instant::now();
+    let answer = ask(&client, entry).await.expect("a refusal");
+    let passed = asked.elapsed();
+    far.signal("-CONT");
+    println!("given up after {passed:?}: {}", answer.text);
+    assert!(!answer.status.is_success());
+    assert!(passed < GIVEN_UP_WITHIN, "given up after {passed:?}");
+}
--- a/cicadastall-daemons/tests/zone/mod.rs
+++ b/cicadastall-daemons/tests/zone/mod.rs
@@ -44,7 +44,12 @@
 
     /// Starts the entry `name`, with further settings.
     pub fn start_entry(&self, name: &str, further: &[(&str, Value)]) -> Process {
-        let mut settings = node(name, "aqaba");
+        self.start_entry_in("aqaba", name, further)
+    }
+
+    /// Starts the entry `name` in `region`.
+    pub fn start_entry_in(&self, region: &str, name: &str, further: &[(&str, Value)]) -> Process {
+        let mut settings = node(name, region);
         settings["control"] = json!([self.control.address("peer")]);
         settings["seeds"] = json!([self.control.address("peer")]);
         for (field, value) in further {
@@ -57,7 +62,10 @@
 
 fn fleet() -> Value {
     json!({
-        "regions": { "aqaba": { "zones": ["aqaba-a"] } },
+        "regions": {
+            "aqaba": { "zones": ["aqaba-a"] },
+            "amman": { "zones": ["amman-a"] },
+        },
         "teams": { "trust": {
             "owner": "harbour office",
             "pools": {
@@ -73,14 +81,25 @@
                     "first_token_ms": 800, "deadline_ms": 20000, "answered_in": "anywhere",
                 },
             },
-            "workspaces": { "aqaba-port": { "home": "aqaba", "resides_in": ["aqaba"] } },
+            "workspaces": { "aqaba-port": { "home": "aqaba", "resides_in": ["aqaba", "amman"] } },
         } },
     })
 }
 
 /// Starts a model engine that announces itself to `entry`.
 pub fn start_engine(name: &str, entry: SocketAddr, options: &[&str], role: &[&str]) -> Process {
-    let mut arguments = standin(name, "aqaba", "verdicts", entry);
+    start_engine_in("aqaba", name, entry, options, role)
+}
+
+/// Starts a model engine in `region`.
+pub fn start_engine_in(
+    region: &str,
+    name: &str,
+    entry: SocketAddr,
+    options: &[&str],
+    role: &[&str],
+) -> Process {
+    let mut arguments = standin(name, region, "verdicts", entry);
     arguments.extend(options.iter().map(|option| (*option).to_owned()));
     arguments.extend(["engine", "--model", "splice-7b"].map(str::to_owned));
     arguments.extend(role.iter().map(|option| (*option).to_owned()));
