--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod decode;
 pub mod difference;
 pub mod digest;
+pub mod directory;
 pub mod dispatch;
 pub mod document;
 pub mod entry;
