--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -3,6 +3,7 @@
 use crate::{
     counted::CountedStream,
     ledger::command::{LedgerChange, LedgerReply},
+    message_codec::MessageCodec,
     name::GroupName,
     quarantine::SuspectShare,
     replica_message::{LogIndex, ReplicaEnvelope},
@@ -21,7 +22,7 @@
     sync::{Arc, Mutex},
     time::{Duration, Instant as DeadlineInstant},
 };
-use tarpc::{client, context, tokio_serde::formats::Json};
+use tarpc::{client, context};
 use tokio::{
     net::{TcpSocket, TcpStream},
     time::timeout,
@@ -146,7 +147,7 @@
 
 /// Connection that carries calls of [`PeerApi`], from the side that answers or the one that asks.
 pub(crate) type MessageTransport<I, O> =
-    tarpc::serde_transport::Transport<CountedStream, I, O, Json<I, O>>;
+    tarpc::serde_transport::Transport<CountedStream, I, O, MessageCodec<I, O>>;
 
 /// Turns a connection into one that carries messages.
 pub(crate) fn frame_messages<I, O>(stream: TcpStream) -> MessageTransport<I, O>
@@ -156,7 +157,7 @@
 {
     let mut codec = LengthDelimitedCodec::builder();
     codec.max_frame_length(MAX_MESSAGE_BYTES);
-    tarpc::serde_transport::new(codec.new_framed(CountedStream(stream)), Json::default())
+    tarpc::serde_transport::new(codec.new_framed(CountedStream(stream)), MessageCodec::default())
 }
 
 async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
