--- a/cicadastall/tests/residency.rs
+++ b/cicadastall/tests/residency.rs
@@ -217,6 +217,10 @@
     }
 
     fn decide(&self) -> RouteDecision {
+        self.route().1
+    }
+
+    fn route(&self) -> (RequestRouter, RouteDecision) {
         let now = Instant::now() + Duration::from_secs(60);
         let place = RouterPlace { region: region(self.here), zone: "here-a".into() };
         let mut router = RequestRouter::with_policy(place, RouterPolicy::default(), self.seed);
@@ -228,7 +232,8 @@
         let zones = self.tried.iter().map(|number| zone(*number)).collect();
         let tried = TriedTargets { zones, ..TriedTargets::default() };
         let shape = PromptShape { tokens: 500, answer_tokens: 50, blocks: vec![1] };
-        router.choose(&self.table(now), &self.plan(), &shape, &tried, now)
+        let decision = router.choose(&self.table(now), &self.plan(), &shape, &tried, now);
+        (router, decision)
     }
 }
 
@@ -375,3 +380,29 @@
     }
     assert!(seen.iter().all(|count| *count >= 100), "{seen:?}");
 }
+
+#[test]
+fn decision_is_explained_by_candidates_filters_and_revision() {
+    let upstream = |state, queued| UpstreamClaim { region: 0, state, queued, age_ms: 0 };
+    let case = RouterCase {
+        here: 0,
+        home: 0,
+        resides_in: 1,
+        answered_in: 0,
+        forwarded_from: None,
+        urgent: true,
+        upstreams: vec![upstream(5, 0), upstream(0, 0), upstream(5, 40)],
+        zones: Vec::new(),
+        tried: Vec::new(),
+        seed: 1,
+    };
+    let explained = case.route().0.explain("r");
+    assert_eq!(explained.len(), 1);
+    let explanation = serde_json::to_value(&explained[0]).expect("encode");
+    assert_eq!(explanation["revision"], 1);
+    assert_eq!(explanation["filtered"], serde_json::json!([["m1", "state"]]));
+    assert_eq!(explanation["candidates"][0]["upstream"], "m0");
+    assert_eq!(explanation["candidates"][1]["upstream"], "m2");
+    assert_eq!(explanation["outcome"]["upstream"]["upstream"], "m0");
+    assert!(case.route().0.explain("another").is_empty());
+}
