--- a/cicadastall-bench/src/compare/simulation.rs
+++ b/cicadastall-bench/src/compare/simulation.rs
@@ -6,10 +6,8 @@
     fleet::{UpstreamModel, ZoneModel, make_address, make_table, make_upstreams},
     metrics::{PolicyReport, RunMetrics},
     policies::PolicyEntry,
-    requests::{
-        FLOOD_WORKSPACE, OpenAttempt, RequestLeg, SimRequest, draw_shape, forward_plan, make_plan,
-    },
-    workload::{FaultKind, Workload},
+    requests::{OpenAttempt, RequestLeg, SimRequest, forward_plan, make_plan},
+    workload::Workload,
 };
 use cicadastall::{
     answer::{Ran, Refusal, RefusalCode},
@@ -20,7 +18,7 @@
     settings::{FleetSettings, Revision, SettingsSnapshot},
     table::{UpstreamRecord, UpstreamState, ZoneDigest, ZoneView},
 };
-use cicadastall_standins::model::{JobEvent, ModelJob};
+use cicadastall_standins::model::ModelJob;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{
@@ -33,6 +31,10 @@
 };
 use tokio::time::Instant;
 
+mod arrivals;
+mod faults;
+mod upstreams;
+
 /// Time between two load reports of an upstream.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
 
@@ -229,74 +231,6 @@
         }
     }
 
-    fn schedule_arrival(&mut self, kind: usize, zone: usize, after: Duration) {
-        let load = &self.workload.kinds[kind];
-        let rate = self.workload.highest_rate(load, &self.workload.regions[zone]);
-        let wait = self.draw_wait(rate);
-        if let Some(wait) = wait {
-            self.schedule(after + wait, Event::Arrive { kind, zone });
-        }
-    }
-
-    /// Time to the next event of a Poisson process.
-    fn draw_wait(&mut self, rate: f64) -> Option<Duration> {
-        let uniform: f64 = self.rng.random();
-        (rate > 0.0).then(|| Duration::from_secs_f64(-(1.0 - uniform).ln() / rate))
-    }
-
-    fn arrive(&mut self, kind: usize, zone: usize) {
-        self.schedule_arrival(kind, zone, Duration::ZERO);
-        let (load, region) = (&self.workload.kinds[kind], &self.workload.regions[zone]);
-        let at = self.now - self.base;
-        let rate = self.workload.arrival_rate(load, region, at);
-        if self.rng.random::<f64>() * self.workload.highest_rate(load, region) < rate {
-            let workspace = self.rng.random_range(0..self.workload.workspaces_per_region);
-            self.create(kind, zone, workspace);
-        }
-    }
-
-    fn arrive_flood(&mut self, fault: usize) {
-        let plan = &self.workload.faults[fault];
-        let FaultKind::Flood { kind, times } = &plan.fault else { return };
-        if self.now >= self.base + Duration::from_secs(plan.at_s + plan.for_s) {
-            return;
-        }
-        let kinds = &self.workload.kinds;
-        let kind =
-            kinds.iter().position(|load| load.name == *kind).expect("a kind of the workload");
-        let load = &kinds[kind];
-        let rate = times * self.workload.capacity(load) / self.workload.work_s(load);
-        let zone = self.rng.random_range(0..self.zones.len());
-        self.create(kind, zone, FLOOD_WORKSPACE);
-        if let Some(wait) = self.draw_wait(rate) {
-            self.schedule(wait, Event::FloodArrive { fault });
-        }
-    }
-
-    fn create(&mut self, kind: usize, home: usize, workspace: u32) {
-        let load = &self.workload.kinds[kind];
-        let shape = Arc::new(draw_shape(load, home, workspace, &mut self.rng));
-        self.numbers += 1;
-        let request = SimRequest {
-            kind,
-            home,
-            workspace,
-            blocks: shape.blocks.as_slice().into(),
-            shape,
-            first_asked: self.now,
-            asked: self.now,
-            asks: 0,
-            first_token: None,
-            on_time: false,
-            work_s: 0.0,
-            legs: Vec::new(),
-            sends: 0,
-        };
-        self.metrics.count_asked(&request);
-        self.requests.insert(self.numbers, request);
-        self.ask(self.numbers);
-    }
-
     fn ask(&mut self, number: u64) {
         let Some(request) = self.requests.get_mut(&number) else { return };
         let (kind, home, workspace) = (request.kind, request.home, request.workspace);
@@ -503,172 +437,6 @@
         let at = self.now - self.base;
         self.metrics.count_end(self.workload, &request, self.now, at, code);
     }
-
-    fn wake(&mut self, upstream: usize, timer: u64) {
-        if self.upstreams[upstream].timer == timer {
-            self.advance(upstream);
-            self.set_timer(upstream);
-        }
-    }
-
-    fn set_timer(&mut self, upstream: usize) {
-        let model = &mut self.upstreams[upstream];
-        model.timer += 1;
-        let timer = model.timer;
-        if let Some(at) = model.engine.next_event() {
-            self.schedule_at(at, Event::Wake { upstream, timer });
-        }
-    }
-
-    fn advance(&mut self, upstream: usize) {
-        let events = self.upstreams[upstream].engine.advance(self.now);
-        for event in events {
-            match event {
-                JobEvent::FirstToken { id, cached_tokens } => self.first_token(id, cached_tokens),
-                JobEvent::Finished { id } => self.finished(id),
-            }
-        }
-    }
-
-    fn first_token(&mut self, id: u64, cached_tokens: u32) {
-        let Some(number) = self.attempts.get(&id) else { return };
-        let request = self.requests.get_mut(number).expect("an attempt's request is kept");
-        let remote = request.legs.len() > 1;
-        if let Some(leg) = request.legs.last()
-            && let Some(attempt) = &leg.attempt
-        {
-            self.zones[leg.zone].routers[leg.entry].note_first_token(&attempt.ticket, self.now);
-        }
-        let mut way = CALLER_ROUND_TRIP;
-        if remote {
-            way += Duration::from_millis(self.workload.link.delay_ms);
-        }
-        let kind = &self.workload.kinds[request.kind];
-        let target = Duration::from_millis(kind.first_token_ms);
-        request.on_time = self.now + way <= request.asked + target;
-        request.first_token.get_or_insert(self.now + way - request.first_asked);
-        let rates = if kind.on_engines { &self.workload.engine } else { &self.workload.service };
-        let uncached = f64::from(request.shape.tokens - cached_tokens);
-        request.work_s = uncached / rates.prefill_tokens_per_s
-            + f64::from(request.shape.answer_tokens) / rates.decode_tokens_per_s;
-        self.metrics.count_prefix(kind.on_engines, request.shape.tokens, cached_tokens);
-    }
-
-    fn finished(&mut self, id: u64) {
-        let Some(number) = self.attempts.remove(&id) else { return };
-        let request = &self.requests[&number];
-        if let [from, to] = &request.legs[..] {
-            let bytes = u64::from(request.shape.answer_tokens) * LINK_BYTES.1;
-            self.metrics.count_link(to.zone, from.zone, bytes);
-        }
-        self.close(number, None);
-    }
-
-    fn restart(&mut self, upstream: usize, state: Option<UpstreamState>) {
-        self.advance(upstream);
-        let lost = self.upstreams[upstream].restart(state);
-        self.set_timer(upstream);
-        for id in lost {
-            let Some(number) = self.attempts.remove(&id) else { continue };
-            self.fail_attempt(number, AttemptError::Broken("connection reset".into()));
-        }
-    }
-
-    fn report(&mut self) {
-        for zone in 0..self.zones.len() {
-            let mut records = Vec::new();
-            for upstream in 0..self.upstreams.len() {
-                if self.upstreams[upstream].zone != zone {
-                    continue;
-                }
-                self.advance(upstream);
-                self.set_timer(upstream);
-                let record = self.upstreams[upstream].announce();
-                let lost = self.rng.random_bool(REPORT_LOSS);
-                records.extend(record.filter(|_| !lost));
-            }
-            self.schedule(REPORT_LAG, Event::Records { zone, records, made_at: self.now });
-        }
-        self.schedule(REPORT_PERIOD, Event::Report);
-    }
-
-    fn send_digests(&mut self) {
-        for from in 0..self.zones.len() {
-            let region = &self.workload.regions[from];
-            let digest = self.zones[from].make_digest(region, from, self.now);
-            for to in 0..self.zones.len() {
-                if to != from && !self.is_cut(from, to) {
-                    let digest = Arc::clone(&digest);
-                    self.schedule(self.link_delay(0), Event::Digest { zone: to, digest });
-                }
-            }
-        }
-        self.schedule(DIGEST_PERIOD, Event::Digests);
-    }
-
-    fn start_fault(&mut self, fault: usize) {
-        let workload = self.workload;
-        match &workload.faults[fault].fault {
-            FaultKind::Flood { .. } => self.arrive_flood(fault),
-            FaultKind::Lose { region, share } => {
-                for upstream in self.share_of(region, *share) {
-                    self.restart(upstream, None);
-                }
-            }
-            FaultKind::ColdCaches { region } => {
-                for upstream in self.share_of(region, 1.0) {
-                    self.advance(upstream);
-                    self.upstreams[upstream].engine.clear_cache();
-                }
-            }
-            FaultKind::Cut { regions } => self.cuts.push(regions.clone()),
-            FaultKind::RollingRestart => {
-                let length = Duration::from_secs(workload.faults[fault].for_s);
-                let step = length / self.upstreams.len() as u32;
-                for upstream in 0..self.upstreams.len() {
-                    self.schedule(step * upstream as u32, Event::Leave { upstream });
-                }
-            }
-            FaultKind::Slow { region, speed } => self.slow_first(region, *speed),
-        }
-    }
-
-    fn end_fault(&mut self, fault: usize) {
-        let workload = self.workload;
-        match &workload.faults[fault].fault {
-            FaultKind::Lose { region, share } => {
-                for upstream in self.share_of(region, *share) {
-                    self.upstreams[upstream].state = Some(UpstreamState::Serving);
-                }
-            }
-            FaultKind::Cut { regions } => self.cuts.retain(|cut| cut != regions),
-            FaultKind::Slow { region, .. } => self.slow_first(region, 1.0),
-            FaultKind::Flood { .. } | FaultKind::ColdCaches { .. } | FaultKind::RollingRestart => {}
-        }
-    }
-
-    fn slow_first(&mut self, region: &RegionName, speed: f64) {
-        let upstream = self.share_of(region, 1.0)[0];
-        self.advance(upstream);
-        self.upstreams[upstream].engine.set_speed(speed);
-        self.set_timer(upstream);
-    }
-
-    /// The first upstreams of a region, by share of its engines and of its services.
-    fn share_of(&self, region: &RegionName, share: f64) -> Vec<usize> {
-        let regions = &self.workload.regions;
-        let zone = regions.iter().position(|load| load.name == *region).expect("a region");
-        let of = |is_engine: bool| {
-            let models = self.upstreams.iter().enumerate();
-            let all: Vec<_> = models
-                .filter(|(_, model)| model.zone == zone && model.is_engine == is_engine)
-                .map(|(number, _)| number)
-                .collect();
-            let count = (all.len() as f64 * share) as usize;
-            all.into_iter().take(count)
-        };
-        of(true).chain(of(false)).collect()
-    }
 }
 
 fn make_zones(workload: &Workload, entry: &PolicyEntry, seed: u64) -> Vec<ZoneModel> {
--- /dev/null
+++ b/cicadastall-bench/src/compare/simulation/arrivals.rs
@@ -0,0 +1,79 @@
+//! Requests of a run as callers first ask them.
+
+use crate::compare::{
+    requests::{FLOOD_WORKSPACE, SimRequest, draw_shape},
+    simulation::{Event, Simulation},
+    workload::FaultKind,
+};
+use rand::RngExt;
+use std::{sync::Arc, time::Duration};
+
+impl Simulation<'_> {
+    pub(super) fn schedule_arrival(&mut self, kind: usize, zone: usize, after: Duration) {
+        let load = &self.workload.kinds[kind];
+        let rate = self.workload.highest_rate(load, &self.workload.regions[zone]);
+        let wait = self.draw_wait(rate);
+        if let Some(wait) = wait {
+            self.schedule(after + wait, Event::Arrive { kind, zone });
+        }
+    }
+
+    /// Time to the next event of a Poisson process.
+    pub(super) fn draw_wait(&mut self, rate: f64) -> Option<Duration> {
+        let uniform: f64 = self.rng.random();
+        (rate > 0.0).then(|| Duration::from_secs_f64(-(1.0 - uniform).ln() / rate))
+    }
+
+    pub(super) fn arrive(&mut self, kind: usize, zone: usize) {
+        self.schedule_arrival(kind, zone, Duration::ZERO);
+        let (load, region) = (&self.workload.kinds[kind], &self.workload.regions[zone]);
+        let at = self.now - self.base;
+        let rate = self.workload.arrival_rate(load, region, at);
+        if self.rng.random::<f64>() * self.workload.highest_rate(load, region) < rate {
+            let workspace = self.rng.random_range(0..self.workload.workspaces_per_region);
+            self.create(kind, zone, workspace);
+        }
+    }
+
+    pub(super) fn arrive_flood(&mut self, fault: usize) {
+        let plan = &self.workload.faults[fault];
+        let FaultKind::Flood { kind, times } = &plan.fault else { return };
+        if self.now >= self.base + Duration::from_secs(plan.at_s + plan.for_s) {
+            return;
+        }
+        let kinds = &self.workload.kinds;
+        let kind =
+            kinds.iter().position(|load| load.name == *kind).expect("a kind of the workload");
+        let load = &kinds[kind];
+        let rate = times * self.workload.capacity(load) / self.workload.work_s(load);
+        let zone = self.rng.random_range(0..self.zones.len());
+        self.create(kind, zone, FLOOD_WORKSPACE);
+        if let Some(wait) = self.draw_wait(rate) {
+            self.schedule(wait, Event::FloodArrive { fault });
+        }
+    }
+
+    pub(super) fn create(&mut self, kind: usize, home: usize, workspace: u32) {
+        let load = &self.workload.kinds[kind];
+        let shape = Arc::new(draw_shape(load, home, workspace, &mut self.rng));
+        self.numbers += 1;
+        let request = SimRequest {
+            kind,
+            home,
+            workspace,
+            blocks: shape.blocks.as_slice().into(),
+            shape,
+            first_asked: self.now,
+            asked: self.now,
+            asks: 0,
+            first_token: None,
+            on_time: false,
+            work_s: 0.0,
+            legs: Vec::new(),
+            sends: 0,
+        };
+        self.metrics.count_asked(&request);
+        self.requests.insert(self.numbers, request);
+        self.ask(self.numbers);
+    }
+}
--- /dev/null
+++ b/cicadastall-bench/src/compare/simulation/faults.rs
@@ -0,0 +1,74 @@
+//! Faults of a run: their start and their end.
+
+use crate::compare::{
+    simulation::{Event, Simulation},
+    workload::FaultKind,
+};
+use cicadastall::{name::RegionName, table::UpstreamState};
+use std::time::Duration;
+
+impl Simulation<'_> {
+    pub(super) fn start_fault(&mut self, fault: usize) {
+        let workload = self.workload;
+        match &workload.faults[fault].fault {
+            FaultKind::Flood { .. } => self.arrive_flood(fault),
+            FaultKind::Lose { region, share } => {
+                for upstream in self.share_of(region, *share) {
+                    self.restart(upstream, None);
+                }
+            }
+            FaultKind::ColdCaches { region } => {
+                for upstream in self.share_of(region, 1.0) {
+                    self.advance(upstream);
+                    self.upstreams[upstream].engine.clear_cache();
+                }
+            }
+            FaultKind::Cut { regions } => self.cuts.push(regions.clone()),
+            FaultKind::RollingRestart => {
+                let length = Duration::from_secs(workload.faults[fault].for_s);
+                let step = length / self.upstreams.len() as u32;
+                for upstream in 0..self.upstreams.len() {
+                    self.schedule(step * upstream as u32, Event::Leave { upstream });
+                }
+            }
+            FaultKind::Slow { region, speed } => self.slow_first(region, *speed),
+        }
+    }
+
+    pub(super) fn end_fault(&mut self, fault: usize) {
+        let workload = self.workload;
+        match &workload.faults[fault].fault {
+            FaultKind::Lose { region, share } => {
+                for upstream in self.share_of(region, *share) {
+                    self.upstreams[upstream].state = Some(UpstreamState::Serving);
+                }
+            }
+            FaultKind::Cut { regions } => self.cuts.retain(|cut| cut != regions),
+            FaultKind::Slow { region, .. } => self.slow_first(region, 1.0),
+            FaultKind::Flood { .. } | FaultKind::ColdCaches { .. } | FaultKind::RollingRestart => {}
+        }
+    }
+
+    pub(super) fn slow_first(&mut self, region: &RegionName, speed: f64) {
+        let upstream = self.share_of(region, 1.0)[0];
+        self.advance(upstream);
+        self.upstreams[upstream].engine.set_speed(speed);
+        self.set_timer(upstream);
+    }
+
+    /// The first upstreams of a region, by share of its engines and of its services.
+    pub(super) fn share_of(&self, region: &RegionName, share: f64) -> Vec<usize> {
+        let regions = &self.workload.regions;
+        let zone = regions.iter().position(|load| load.name == *region).expect("a region");
+        let of = |is_engine: bool| {
+            let models = self.upstreams.iter().enumerate();
+            let all: Vec<_> = models
+                .filter(|(_, model)| model.zone == zone && model.is_engine == is_engine)
+                .map(|(number, _)| number)
+                .collect();
+            let count = (all.len() as f64 * share) as usize;
+            all.into_iter().take(count)
+        };
+        of(true).chain(of(false)).collect()
+    }
+}
