--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -4,7 +4,9 @@
 mod bookings;
 mod group;
 mod overhead;
+mod placement;
 mod schedules;
+mod settings_bench;
 mod slopes;
 
 use bpaf::Bpaf;
@@ -35,9 +37,15 @@
     /// Arbitrary schedules of faults against the replication core
     #[bpaf(command)]
     Schedules(#[bpaf(external(schedules::schedule_options))] schedules::ScheduleOptions),
+    /// Accelerator-hours of placement over days of demand, against everything always on
+    #[bpaf(command)]
+    Placement(#[bpaf(external(placement::placement_options))] placement::PlacementOptions),
     /// Traffic, cost and speed of membership by the number of nodes
     #[bpaf(command)]
     Slopes(#[bpaf(external(slopes::slopes_options))] slopes::SlopesOptions),
+    /// Bytes, processor time and time until a change of settings is in force everywhere
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings_bench::settings_options))] settings_bench::SettingsOptions),
 }
 
 fn main() -> eyre::Result<()> {
@@ -48,6 +56,8 @@
         BenchCommand::Overhead(options) => overhead::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
         BenchCommand::Schedules(options) => schedules::run(&options),
+        BenchCommand::Placement(options) => placement::run(&options),
         BenchCommand::Slopes(options) => slopes::run(&options),
+        BenchCommand::Settings(options) => settings_bench::run(&options),
     }
 }
--- a/cicadastall-daemons/tests/whole_answers.rs
+++ b/cicadastall-daemons/tests/whole_answers.rs
@@ -135,6 +135,7 @@
         first_token: Duration::from_millis(5),
         token: Duration::from_millis(2),
         answer_tokens: ANSWER_TOKENS,
+        ..EnginePace::default()
     };
     let listen = "127.0.0.1:0".parse().expect("an address");
     EngineStandin::start(place, listen, "splice-7b".into(), pace).await.expect("an engine")
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -5,9 +5,11 @@
     group::GroupHost,
     http::{self, AnswerBody, ListenerLimits, json_answer, text_answer},
     instance::{InstanceAddresses, InstanceCore},
+    lease::LeaseState,
     ledger_host::{LedgerHosting, LedgerService},
     membership::MembershipMessage,
     node::NodeSettings,
+    placement_host::PlacementHost,
     replicated::{LocalGroup, ReplicatedGroup},
     settings::FleetSettings,
     settings_command::{answer_change, parse_subtree},
@@ -75,7 +77,13 @@
         let in_flight = Arc::clone(&core.in_flight);
         let stop = Arc::new(StopSwitch::default());
         let (close, closed) = watch::channel(false);
-        let tasks = if node.settings_voters.is_empty() {
+        let placement = node.placement.then(|| PlacementHost {
+            node: Arc::clone(&node),
+            table: Arc::clone(&core.table),
+            settings: Arc::clone(&core.settings),
+            client: http::client_from(node.source_ip(), 0),
+        });
+        let mut tasks = if node.settings_voters.is_empty() {
             let group = LocalGroup::new(SettingsState::default());
             run_settings(core, &node, group, closed, &stop, control)?
         } else {
@@ -84,6 +92,9 @@
             let group = control.spawn(started).await.map_err(io::Error::other)??;
             run_settings(core, &node, group, closed, &stop, control)?
         };
+        if let Some(host) = placement {
+            spawn_placement(&mut tasks, control, &groups, host).await?;
+        }
         Ok(Self { addresses, node, membership, in_flight, stop, close, groups, tasks })
     }
 
@@ -125,6 +136,24 @@
     }
 }
 
+/// Runs placement on `control`, under a lease of the region's group.
+async fn spawn_placement(
+    tasks: &mut JoinSet<()>,
+    control: &Handle,
+    groups: &GroupHost,
+    host: PlacementHost,
+) -> io::Result<()> {
+    if host.node.ledger_voters.is_empty() {
+        tasks.spawn_on(host.run(LocalGroup::new(LeaseState::default())), control);
+        return Ok(());
+    }
+    let groups = groups.clone();
+    let started = async move { groups.start_placement(LeaseState::default()).await };
+    let group = control.spawn(started).await.map_err(io::Error::other)??;
+    tasks.spawn_on(host.run(group), control);
+    Ok(())
+}
+
 /// Hosts the settings in `group` and answers operators; gives the instance's tasks.
 fn run_settings<G: ReplicatedGroup<SettingsState>>(
     core: InstanceCore,
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -262,6 +262,15 @@
     serve_peers(listener, server).await;
 }
 
+/// Answers questions for the settings that `follower` holds, without membership and groups, until
+/// its task is dropped.
+pub async fn serve_settings(listener: TcpListener, follower: Arc<SettingsFollower>) {
+    let groups = Arc::new(GroupRegistry::default());
+    let settings = Some(follower);
+    let server = PeerServer { settings, groups, ledger: None, suspects: None };
+    serve_peers(listener, server).await;
+}
+
 /// Answers calls of other instances on `listener` until its task is dropped.
 async fn serve_peers(listener: TcpListener, service: PeerServer) {
     let mut connections = JoinSet::new();
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between the system's own processes, and the service that carries them.
 
 use crate::{
+    counted::CountedStream,
     ledger::command::{LedgerChange, LedgerReply},
     message_codec::MessageCodec,
     name::GroupName,
@@ -146,7 +147,7 @@
 
 /// Connection that carries calls of [`PeerApi`], from the side that answers or the one that asks.
 pub(crate) type MessageTransport<I, O> =
-    tarpc::serde_transport::Transport<TcpStream, I, O, MessageCodec<I, O>>;
+    tarpc::serde_transport::Transport<CountedStream, I, O, MessageCodec<I, O>>;
 
 /// Turns a connection into one that carries messages.
 pub(crate) fn frame_messages<I, O>(stream: TcpStream) -> MessageTransport<I, O>
@@ -156,7 +157,7 @@
 {
     let mut codec = LengthDelimitedCodec::builder();
     codec.max_frame_length(MAX_MESSAGE_BYTES);
-    tarpc::serde_transport::new(codec.new_framed(stream), MessageCodec::default())
+    tarpc::serde_transport::new(codec.new_framed(CountedStream(stream)), MessageCodec::default())
 }
 
 async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
