Keep the benchmark's folders while its group runs

Ruled out: silence from slow disks.

Change: the group is kept as long as its members; a proposal without an outcome is counted and printed, not a reason to end.

--- a/cicadastall-bench/src/group.rs
+++ b/cicadastall-bench/src/group.rs
@@ -62,6 +62,8 @@
 struct RunningGroup {
     members: Vec<Member>,
     sent: Arc<AtomicU64>,
+    /// Removes the folders once the members have stopped.
+    _group: Arc<TestGroup>,
     _threads: Vec<ControlThread>,
 }
 
@@ -111,7 +113,7 @@
     propose(&members[0], "founded").await;
     let known = || members.iter().all(|member| member.handle.status().leader.is_some());
     wait_until("all replicas know the leader", known).await;
-    Ok(RunningGroup { members, sent, _threads: threads })
+    Ok(RunningGroup { members, sent, _group: group, _threads: threads })
 }
 
 impl RunningGroup {
@@ -152,31 +154,42 @@
         proposers.spawn(propose_until(group.leader().clone(), started + seconds));
     }
     let mut times = Histogram::<u64>::new(3)?;
+    let mut unsettled = 0;
     while let Some(joined) = proposers.join_next().await {
-        times.add(joined??)?;
+        let load = joined??;
+        times.add(load.times)?;
+        unsettled += load.unsettled;
     }
     let elapsed = started.elapsed().as_secs_f64();
     let count = times.len() as f64;
     Ok(json!({
         "in_flight": in_flight,
         "commits_per_s": (count / elapsed).round(),
+        "unsettled": unsettled,
         "latency_us": describe(&times),
         "cpu_us_per_commit_and_replica": (group.cpu()? - before) * 1e6 / count,
     }))
 }
 
-async fn propose_until(
-    leader: GroupHandle<TextList>,
-    end: Instant,
-) -> eyre::Result<Histogram<u64>> {
+/// What one proposer has seen.
+struct ProposerLoad {
+    times: Histogram<u64>,
+    /// Proposals without a known outcome.
+    unsettled: u64,
+}
+
+async fn propose_until(leader: GroupHandle<TextList>, end: Instant) -> eyre::Result<ProposerLoad> {
     let mut times = Histogram::<u64>::new(3)?;
+    let mut unsettled = 0;
     let command = "x".repeat(COMMAND_BYTES);
     while Instant::now() < end {
         let started = Instant::now();
-        leader.propose(command.clone()).await?;
-        times.record(started.elapsed().as_micros() as u64)?;
+        match leader.propose(command.clone()).await {
+            Ok(_) => times.record(started.elapsed().as_micros() as u64)?,
+            Err(_) => unsettled += 1,
+        }
     }
-    Ok(times)
+    Ok(ProposerLoad { times, unsettled })
 }
 
 async fn measure_bytes(group: &RunningGroup, options: &GroupOptions) -> eyre::Result<Value> {
@@ -188,7 +201,7 @@
     let before = group.sent();
     let started = Instant::now();
     let end = started + Duration::from_secs(options.seconds);
-    let count = propose_until(group.leader().clone(), end).await?.len() as f64;
+    let count = propose_until(group.leader().clone(), end).await?.times.len() as f64;
     let load_bytes = group.sent() - before - idle_bytes * started.elapsed().as_secs_f64();
     Ok(json!({
         "idle_bytes_per_s_and_replica": idle_bytes.round(),
