--- a/cicadastall-bench/src/overhead.rs
+++ b/cicadastall-bench/src/overhead.rs
@@ -117,6 +117,7 @@
         first_token: Duration::from_millis(1),
         token: Duration::from_millis(46),
         answer_tokens: 1_000_000,
+        max_running: 8_192,
         ..EnginePace::default()
     };
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
