Hold reserved ports until the process that was told them listens

Cause: tests bound a port, dropped the listener and wrote the address into settings that a process read later. In between the system could give the port to any listener or connection of the machine, and the process failed with "Address already in use". The same gap was open wherever a member was stopped and started again (restart_control, GroupFleet, ReplicaFleet, TestGroup), and TestGroup dropped each listener before it bound the next one.

Ruled out: connections of one address alone.

Change: ReservedAddress keeps a socket with SO_REUSEADDR bound and never listens with it. The system then gives the port to nobody who does not ask for just this one, and the process, whose listener shares addresses too, gets it at its start and after each restart. Groups have a loopback address of their own, derived from the process and a counter, for their datagram sockets. All tests and the bench that dropped ports use it. Nothing that is asserted has changed.

--- a/cicadastall-bench/src/bookings.rs
+++ b/cicadastall-bench/src/bookings.rs
@@ -1,5 +1,6 @@
 //! What a call that may not be repeated costs over one that may, with a ledger of three replicas.
 
+use crate::group::members::reserved::ReservedAddress;
 use bpaf::Bpaf;
 use bytes::Bytes;
 use cicadastall::{
@@ -20,13 +21,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use serde_json::{Value, json};
-use std::{
-    collections::BTreeMap,
-    fs,
-    net::{SocketAddr, TcpListener},
-    path::PathBuf,
-    time::Duration,
-};
+use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf, time::Duration};
 use tokio::{
     runtime::Runtime,
     task::JoinSet,
@@ -53,6 +48,7 @@
 /// The processes of one region, each on threads of its own.
 struct Bed {
     entry: SocketAddr,
+    _reserved: Vec<ReservedAddress>,
     folder: PathBuf,
     _servers: (Vec<ControlServer>, EntryServer, ServiceStandin),
     _runtimes: Vec<Runtime>,
@@ -96,7 +92,8 @@
     fs::create_dir_all(&folder)?;
     let founding = folder.join("fleet.json");
     fs::write(&founding, fleet().to_string())?;
-    let addresses = free_addresses()?;
+    let reserved = ReservedAddress::group(REPLICAS);
+    let addresses: Vec<_> = reserved.iter().map(|reserved| reserved.address).collect();
     let voters: Vec<Value> = (0..REPLICAS)
         .map(|number| json!({ "instance": format!("control-{number}"), "address": addresses[number] }))
         .collect();
@@ -131,7 +128,7 @@
     let service = traffic.block_on(ServiceStandin::start(place, listen, Duration::ZERO))?;
     runtimes.extend([control, traffic]);
     let servers = (controls, entry, service);
-    Ok(Bed { entry: address, folder, _servers: servers, _runtimes: runtimes })
+    Ok(Bed { entry: address, folder, _reserved: reserved, _servers: servers, _runtimes: runtimes })
 }
 
 fn start_runtime(threads: usize) -> eyre::Result<Runtime> {
@@ -139,13 +136,6 @@
     Ok(builder.worker_threads(threads).enable_all().build()?)
 }
 
-/// Addresses that were free a moment ago; voters must know each other's before they start.
-fn free_addresses() -> eyre::Result<Vec<SocketAddr>> {
-    let listeners = (0..REPLICAS).map(|_| TcpListener::bind("127.0.0.1:0"));
-    let listeners: Vec<_> = listeners.collect::<Result<_, _>>()?;
-    Ok(listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?)
-}
-
 fn node_settings(instance: &str) -> Value {
     json!({
         "instance": instance,
--- a/cicadastall-bench/src/group.rs
+++ b/cicadastall-bench/src/group.rs
@@ -1,7 +1,7 @@
 //! Commits of a replicated group on loopback, and what an idle group costs.
 
 #[path = "../../cicadastall/tests/groups/mod.rs"]
-mod members;
+pub(crate) mod members;
 
 use crate::overhead::{describe, thread_cpu};
 use bpaf::Bpaf;
--- a/cicadastall-daemons/tests/bookings/mod.rs
+++ b/cicadastall-daemons/tests/bookings/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)] // each test file uses a part of this module
 
-use crate::common::{ENTRY, Process, TestFolder, node};
+use crate::common::{ENTRY, Process, TestFolder, node, reserved::ReservedAddress};
 use bytes::Bytes;
 use cicadastall::{
     answer::{Ran, Refusal},
@@ -31,7 +31,7 @@
 use serde_json::{Value, json};
 use std::{
     fs::read_to_string,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     process::Command,
     sync::Arc,
     time::{Duration, Instant},
@@ -166,6 +166,7 @@
     control: Option<ControlServer>,
     control_node: NodeSettings,
     thread: ControlThread,
+    _reserved: ReservedAddress,
     _folder: TestFolder,
 }
 
@@ -203,12 +204,13 @@
         let mut settings = node("viti-west-control", "viti-west");
         settings["founding_settings"] = json!(folder.write("fleet.json", &fleet_settings()));
         let mut control_node: NodeSettings = serde_json::from_value(settings).expect("settings");
+        let reserved = ReservedAddress::on(Ipv4Addr::LOCALHOST);
+        control_node.peer_listen = reserved.address;
         let ledger = Arc::new(HeldLedger::new(limits));
         let service = Arc::clone(&ledger) as Arc<dyn LedgerService>;
         let control = ControlServer::start_with(control_node.clone(), service, thread.handle())
             .await
             .expect("a control instance");
-        control_node.peer_listen = control.addresses().peer;
         let peer = control.addresses().peer;
         let mut entries = Vec::new();
         for (name, region) in
@@ -228,6 +230,7 @@
             control: Some(control),
             control_node,
             thread,
+            _reserved: reserved,
             _folder: folder,
         };
         for entry in [FIRST, SECOND, ELSEWHERE] {
--- a/cicadastall-daemons/tests/common/mod.rs
+++ b/cicadastall-daemons/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)] // each test file uses a part of this module
 
+#[path = "../../../cicadastall/tests/reserved/mod.rs"]
+pub mod reserved;
+
 use serde_json::{Value, json};
 use std::{
     io::{BufRead, BufReader, Read},
--- a/cicadastall-daemons/tests/ledger_replicas.rs
+++ b/cicadastall-daemons/tests/ledger_replicas.rs
@@ -7,9 +7,9 @@
     Told, ask_session, executions, fleet_settings, send_booking, send_signal, start_service,
 };
 use cicadastall_standins::service::ServiceStandin;
-use common::{CONTROL, ENTRY, Process, TestFolder, node};
+use common::{CONTROL, ENTRY, Process, TestFolder, node, reserved::ReservedAddress};
 use serde_json::{Value, json};
-use std::{net::TcpListener, path::PathBuf, sync::Arc, time::Duration};
+use std::{path::PathBuf, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
 const REPLICAS: usize = 3;
@@ -20,17 +20,10 @@
     files: Vec<PathBuf>,
     entries: Vec<Process>,
     service: Arc<ServiceStandin>,
+    _reserved: Vec<ReservedAddress>,
     _folder: TestFolder,
 }
 
-/// Addresses that were free a moment ago; voters must know each other's before they start.
-fn free_addresses() -> Vec<String> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listeners: Vec<_> = (0..REPLICAS).map(bind).collect();
-    let address = |listener: &TcpListener| listener.local_addr().expect("an address").to_string();
-    listeners.iter().map(address).collect()
-}
-
 fn start(program: &str, file: &std::path::Path) -> Process {
     Process::start(program, &["--settings".into(), file.display().to_string()])
 }
@@ -40,7 +33,8 @@
     async fn start(name: &str, disks: usize) -> Self {
         let folder = TestFolder::new(name);
         let founding = folder.write("fleet.json", &fleet_settings());
-        let addresses = free_addresses();
+        let reserved = ReservedAddress::group(REPLICAS);
+        let addresses: Vec<_> = reserved.iter().map(|reserved| reserved.address).collect();
         let voter = |number: usize| json!({ "instance": format!("control-{number}"), "address": addresses[number] });
         let voters: Vec<Value> = (0..REPLICAS).map(voter).collect();
         let mut files = Vec::new();
@@ -64,7 +58,7 @@
             entries.push(start(ENTRY, &folder.write(&format!("{name}.json"), &settings)));
         }
         let service = start_service(&entries).await;
-        Self { control, files, entries, service, _folder: folder }
+        Self { control, files, entries, service, _reserved: reserved, _folder: folder }
     }
 
     async fn session(&self) -> String {
--- a/cicadastall-daemons/tests/settings_processes.rs
+++ b/cicadastall-daemons/tests/settings_processes.rs
@@ -2,10 +2,9 @@
 
 mod common;
 
-use common::{CONTROL, ENTRY, Process, TestFolder, node};
+use common::{CONTROL, ENTRY, Process, TestFolder, node, reserved::ReservedAddress};
 use serde_json::{Value, json};
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::Command,
     thread::sleep,
@@ -20,26 +19,20 @@
     serde_json::from_str(include_str!("../../examples/trust.json")).expect("valid JSON")
 }
 
-/// A free port on a loopback address that no other process uses.
-fn reserve_address(member: u8) -> SocketAddr {
-    let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let ip = IpAddr::V4(Ipv4Addr::new(127, 200 + member, high, low.max(2)));
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 /// Three control instances with disks, and their operator addresses.
 struct ControlFleet {
     folder: TestFolder,
     files: Vec<PathBuf>,
     members: Vec<Option<Process>>,
+    _reserved: Vec<ReservedAddress>,
 }
 
 impl ControlFleet {
     fn start(name: &str) -> Self {
         let folder = TestFolder::new(name);
         let founding = folder.write("trust.json", &trust());
-        let addresses: Vec<_> = (0..3).map(reserve_address).collect();
+        let reserved = ReservedAddress::group(REGIONS.len());
+        let addresses: Vec<_> = reserved.iter().map(|reserved| reserved.address).collect();
         let voters: Vec<_> = REGIONS
             .iter()
             .zip(&addresses)
@@ -58,7 +51,7 @@
             })
             .collect();
         let members = files.iter().map(|file| Some(start(CONTROL, file))).collect();
-        Self { folder, files, members }
+        Self { folder, files, members, _reserved: reserved }
     }
 
     fn process(&self, member: usize) -> &Process {
--- a/cicadastall/tests/groups/mod.rs
+++ b/cicadastall/tests/groups/mod.rs
@@ -1,5 +1,8 @@
 //! Groups of replicas that talk over loopback connections.
 
+#[path = "../reserved/mod.rs"]
+pub mod reserved;
+
 use cicadastall::{
     group::{GroupHandle, GroupSettings, GroupStartError},
     group_transport::GroupRegistry,
@@ -10,13 +13,9 @@
     replica::ReplicaTiming,
     replicated::{GroupError, ReplicatedGroup, ReplicatedState},
 };
+use reserved::ReservedAddress;
 use serde::{Deserialize, Serialize};
-use std::{
-    net::{Ipv4Addr, SocketAddr},
-    path::PathBuf,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 use tokio::{
     net::TcpListener,
     task::JoinHandle,
@@ -77,6 +76,7 @@
     /// Addresses at which they listen.
     pub listen: Vec<SocketAddr>,
     folder: Option<PathBuf>,
+    _reserved: Vec<ReservedAddress>,
 }
 
 impl Drop for TestGroup {
@@ -93,17 +93,14 @@
         if let Some(folder) = &folder {
             let _ = std::fs::remove_dir_all(folder);
         }
-        // Connections of other processes take no ports of this address.
-        let ip = Ipv4Addr::new(127, rand::random_range(1..255), rand::random_range(1..255), 1);
-        let (mut voters, mut listen) = (Vec::new(), Vec::new());
-        for index in 0..size {
-            let listener = TcpListener::bind((ip, 0)).await.expect("bind");
-            let address: SocketAddr = listener.local_addr().expect("address");
-            let instance = InstanceName::new(format!("control-{index}"));
-            voters.push(VoterSettings { instance, address });
-            listen.push(address);
-        }
-        Self { voters, listen, folder }
+        let reserved = ReservedAddress::group(size);
+        let listen: Vec<_> = reserved.iter().map(|reserved| reserved.address).collect();
+        let voter = |(index, address): (usize, &SocketAddr)| VoterSettings {
+            instance: InstanceName::new(format!("control-{index}")),
+            address: *address,
+        };
+        let voters = listen.iter().enumerate().map(voter).collect();
+        Self { voters, listen, folder, _reserved: reserved }
     }
 
     pub fn folder(&self, index: usize) -> Option<PathBuf> {
--- a/cicadastall/tests/settings_fleet/groups.rs
+++ b/cicadastall/tests/settings_fleet/groups.rs
@@ -5,6 +5,7 @@
         get, node, put, put_many, put_until_known, start_entry, status, wait_revision,
         write_founding,
     },
+    reserved::ReservedAddress,
     settings_common::{owned_by, trust},
 };
 use cicadastall::{
@@ -19,7 +20,7 @@
 use hyper::StatusCode;
 use serde_json::Value;
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     sync::atomic::{AtomicU8, Ordering},
     time::Duration,
@@ -30,19 +31,12 @@
 
 static FLEETS: AtomicU8 = AtomicU8::new(0);
 
-/// A free port on a loopback address that no other test uses.
-fn reserve_address(fleet: u8, member: u8) -> SocketAddr {
-    let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let ip = IpAddr::V4(Ipv4Addr::new(127, 100 + fleet * 3 + member, high, low.max(2)));
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 /// Three control instances, one a region, that can be stopped and started again.
 struct GroupFleet {
     nodes: Vec<NodeSettings>,
     running: Vec<Option<(ControlServer, ControlThread)>>,
     folder: PathBuf,
+    _reserved: Vec<ReservedAddress>,
 }
 
 impl GroupFleet {
@@ -51,11 +45,13 @@
         let folder =
             std::env::temp_dir().join(format!("cicadastall-group-{}-{number}", std::process::id()));
         let founding = write_founding(&trust());
-        let voters: Vec<_> = (0u8..)
+        let reserved = ReservedAddress::group(REGIONS.len());
+        let voters: Vec<_> = reserved
+            .iter()
             .zip(REGIONS)
-            .map(|(member, region)| VoterSettings {
+            .map(|(reserved, region)| VoterSettings {
                 instance: format!("{region}-control").as_str().into(),
-                address: reserve_address(number, member),
+                address: reserved.address,
             })
             .collect();
         let nodes: Vec<_> = REGIONS
@@ -70,7 +66,8 @@
                 node
             })
             .collect();
-        let mut fleet = Self { running: nodes.iter().map(|_| None).collect(), nodes, folder };
+        let running = nodes.iter().map(|_| None).collect();
+        let mut fleet = Self { running, nodes, folder, _reserved: reserved };
         for member in 0..REGIONS.len() {
             fleet.start_member(member).await;
         }
--- a/cicadastall/tests/settings_fleet/main.rs
+++ b/cicadastall/tests/settings_fleet/main.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 mod groups;
+#[path = "../reserved/mod.rs"]
+mod reserved;
 #[path = "../settings_common/mod.rs"]
 mod settings_common;
 mod spread;
--- a/cicadastall/tests/settings_fleet/spread.rs
+++ b/cicadastall/tests/settings_fleet/spread.rs
@@ -5,13 +5,17 @@
         get, node, put, put_many, put_many_when_founded, start_control, start_entries, start_entry,
         status, wait_for, wait_revision,
     },
+    reserved::ReservedAddress,
     settings_common::owned_by,
 };
 use cicadastall::{
     follow::StartState, http::client, settings::Revision, settings_state::ChangeReply,
 };
 use hyper::StatusCode;
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpStream},
@@ -111,9 +115,8 @@
     let (peer, operator) = (control.addresses().peer, control.addresses().operator);
     let to_control = CutLink::to(peer).await;
     let mut settings = node("irbid-1", "irbid", &[to_control.address], &[]);
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    settings.peer_listen = listener.local_addr().expect("an address");
-    drop(listener);
+    let reserved = ReservedAddress::on(Ipv4Addr::LOCALHOST);
+    settings.peer_listen = reserved.address;
     let to_entry = CutLink::to(settings.peer_listen).await;
     settings.peer_advertise = Some(to_entry.address);
     let entry = start_entry(settings).await;
@@ -173,9 +176,8 @@
     put_many_when_founded(&control, 3).await;
     let first = start_entry(node("aqaba-1", "aqaba", &[control.addresses().peer], &[])).await;
     wait_revision(first.addresses().operator, 4).await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let dead = listener.local_addr().expect("an address");
-    drop(listener);
+    let reserved = ReservedAddress::on(Ipv4Addr::LOCALHOST);
+    let dead = reserved.address;
     let started = Instant::now();
     let second = start_entry(node("aqaba-2", "aqaba", &[dead], &[first.addresses().peer])).await;
     let operator = second.addresses().operator;
