Wait for states in booking tests, and say that an unsent request did not run

Cause of `not_run` failing at a load of 15 (r3 "ran unknown" where "ran no" is right): the stand-in was killed, and the entry took a kept connection to it from the pool before it had seen its end. hyper gave the request back unwritten ("operation was canceled: connection closed"), which dispatch took for a broken attempt. Over HTTP/1 hyper reports a cancelled request only where it still holds the whole request (its sources read for each such error), so dispatch now counts it as unreachable: the request did not run. A request that is written before the end of the connection is seen may have run, and "unknown" stays right; so the scenario waits, with the directive `forgotten`, until no process holds a connection to the killed service. The expected answers are unchanged.

at_most_once slept 3,100 ms for a lease of 3 s and 3,600 ms for 3,500 ms. It now resends after each pause that the ledger tells, asserts that no pause exceeds 3,000 ms or 3,500 ms, and asserts the same outcome as before; a longer lease shows as a longer pause. Gone is only the demand that the caller gets through within 100 ms of the end of the lease, which was a demand on the machine. A session that had to book within 1 s of its issue has 4 s now, and the test outlives it as before. Waits for a change that is held up are bounded by 30 s instead of 5 s.

--- a/cicadastall-daemons/tests/at_most_once.rs
+++ b/cicadastall-daemons/tests/at_most_once.rs
@@ -68,7 +68,8 @@
     assert_eq!(first.await.expect("a caller"), Told::Nothing);
     fleet.ledger.open();
     assert_eq!(fleet.resend(SECOND, &session, "k").await.code(), IN_PROGRESS);
-    sleep(OUTCOME_BOUND).await;
+    let told = fleet.resend_until_free(SECOND, &session, "k", json!({}), OUTCOME_BOUND).await;
+    assert_eq!(told.code(), UNKNOWN);
     for entry in [SECOND, ELSEWHERE] {
         let told = fleet.resend_until_settled(entry, &session, "k").await;
         assert_eq!(told.code(), UNKNOWN);
@@ -93,7 +94,9 @@
     let arguments = json!({ "order": "fault:silent" });
     let second = fleet.book(SECOND, &session, "k", arguments.clone()).await;
     assert_eq!(second.code(), IN_PROGRESS);
-    sleep(OUTCOME_BOUND).await;
+    let (again, bound) = (arguments.clone(), OUTCOME_BOUND);
+    let told = fleet.resend_until_free(SECOND, &session, "k", again, bound).await;
+    assert_eq!(told.code(), UNKNOWN);
     assert_eq!(fleet.book(SECOND, &session, "k", arguments).await.code(), UNKNOWN);
     assert_eq!(fleet.executions("k"), 1);
     fleet.audit();
@@ -166,8 +169,8 @@
     fleet.signal(FIRST, "STOP");
     fleet.ledger.open();
     assert_eq!(fleet.resend(SECOND, &session, "k").await.code(), IN_PROGRESS);
-    sleep(CLAIM_BOUND).await;
-    assert_eq!(fleet.resend(SECOND, &session, "k").await, booked());
+    let told = fleet.resend_until_free(SECOND, &session, "k", json!({}), CLAIM_BOUND).await;
+    assert_eq!(told, booked());
     fleet.signal(FIRST, "CONT");
     let woken = first.await.expect("a caller");
     assert!(matches!(&woken, Told::Refusal { .. }), "{woken:?}");
@@ -185,8 +188,8 @@
     fleet.ledger.wait_reached().await;
     fleet.signal(FIRST, "STOP");
     fleet.ledger.open();
-    sleep(OUTCOME_BOUND).await;
-    assert_eq!(fleet.resend(SECOND, &session, "k").await.code(), UNKNOWN);
+    let told = fleet.resend_until_free(SECOND, &session, "k", json!({}), OUTCOME_BOUND).await;
+    assert_eq!(told.code(), UNKNOWN);
     fleet.signal(FIRST, "CONT");
     let woken = first.await.expect("a caller");
     assert!(matches!(&woken, Told::Refusal { .. }), "{woken:?}");
@@ -202,8 +205,8 @@
     let Ok(ClaimOutcome::Held(paused)) = fleet.claim(&session, "k", "paused").await else {
         panic!("the first claim is granted");
     };
-    sleep(CLAIM_BOUND).await;
-    assert_eq!(fleet.resend(SECOND, &session, "k").await, booked());
+    let told = fleet.resend_until_free(SECOND, &session, "k", json!({}), CLAIM_BOUND).await;
+    assert_eq!(told, booked());
     let marked = paused.mark_dispatched(&fleet.ledger_client(), Duration::from_secs(60)).await;
     let error = marked.expect_err("a claim that was taken over is closed");
     assert_eq!(error, ClaimError::Refused(LedgerRefusal::ClaimClosed));
@@ -287,7 +290,6 @@
         assert_eq!(told.code(), "upstream_failed ran=unknown", "{fault}");
         assert_eq!(fleet.executions(fault), 1);
     }
-    sleep(OUTCOME_BOUND).await;
     for fault in ["silent", "late", "crossed", "truncated", "repeated"] {
         let arguments = json!({ "order": format!("fault:{fault}") });
         let told = fleet.settle_with(ELSEWHERE, &session, fault, arguments).await;
@@ -319,11 +321,11 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn expired_session() {
-    let limits = LedgerLimits { session_ms: 1_000, ..LedgerLimits::default() };
+    let limits = LedgerLimits { session_ms: 4_000, ..LedgerLimits::default() };
     let fleet = BookingFleet::start("expired", limits).await;
     let session = fleet.session(FIRST).await;
     assert_eq!(fleet.book(FIRST, &session, "a", json!({})).await, booked());
-    sleep(Duration::from_millis(1_100)).await;
+    sleep(Duration::from_millis(4_100)).await;
     for key in ["a", "new"] {
         let told = fleet.resend(ELSEWHERE, &session, key).await;
         assert_eq!(told.code(), "session_expired ran=unknown");
--- a/cicadastall-daemons/tests/bookings/mod.rs
+++ b/cicadastall-daemons/tests/bookings/mod.rs
@@ -5,7 +5,7 @@
 use crate::common::{ENTRY, Process, TestFolder, node, reserved::ReservedAddress};
 use bytes::Bytes;
 use cicadastall::{
-    answer::{Ran, Refusal},
+    answer::{Ran, Refusal, RefusalCode},
     claim::{ClaimError, ClaimHolder, ClaimOutcome, LedgerClient, PlannedKey},
     control::ControlServer,
     decode::{RequestPath, decode_request},
@@ -44,11 +44,14 @@
 /// Deadline of a booking.
 pub const DEADLINE: Duration = Duration::from_millis(1_500);
 
-/// Time after which the outcome of a lost booking is unknown.
-pub const OUTCOME_BOUND: Duration = Duration::from_millis(3_600);
+/// Longest time until the outcome of a lost booking is unknown.
+pub const OUTCOME_BOUND: Duration = Duration::from_millis(3_500);
 
-/// Time after which a claim without a mark may be taken over.
-pub const CLAIM_BOUND: Duration = Duration::from_millis(3_100);
+/// Longest time until a claim without a mark may be taken over.
+pub const CLAIM_BOUND: Duration = Duration::from_secs(3);
+
+/// Longest wait for anything that has no bound of its own.
+const PATIENCE: Duration = Duration::from_secs(30);
 
 /// Where the ledger holds a change up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,8 +93,8 @@
     /// Waits until a change is held up.
     pub async fn wait_reached(&self) {
         let mut reached = self.reached.subscribe();
-        let waited = timeout(Duration::from_secs(5), reached.wait_for(|reached| *reached)).await;
-        waited.expect("a change is held up within 5 s").expect("the ledger lives");
+        let waited = timeout(PATIENCE, reached.wait_for(|reached| *reached)).await;
+        waited.expect("a change is held up").expect("the ledger lives");
     }
 
     /// Lets the changes go on.
@@ -325,6 +328,30 @@
         panic!("{key} was not settled within 15 s");
     }
 
+    /// Sends a booking again while another attempt holds its key, each time after the pause that
+    /// it was told, which is `bound` at most.
+    pub async fn resend_until_free(
+        &self,
+        entry: usize,
+        session: &str,
+        key: &str,
+        arguments: Value,
+        bound: Duration,
+    ) -> Told {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            let told = self.resend_with(entry, session, key, arguments.clone()).await;
+            let refusal = match &told {
+                Told::Refusal { refusal, .. } if refusal.code == RefusalCode::InProgress => refusal,
+                _ => return told,
+            };
+            let pause = refusal.retry_after_ms.map(Duration::from_millis).expect("a pause");
+            assert!(pause <= bound, "{key} is held for {pause:?} more");
+            sleep(pause).await;
+        }
+        panic!("{key} is held for more than {PATIENCE:?}");
+    }
+
     /// Sends a booking while the test goes on.
     pub fn start_booking(
         &self,
--- a/cicadastall-daemons/tests/scenario/fleet.rs
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -43,6 +43,8 @@
 struct Standin {
     arguments: Vec<String>,
     process: Option<Process>,
+    /// Where it listened until it was killed.
+    killed: Option<SocketAddr>,
 }
 
 /// All processes of one scenario.
@@ -155,7 +157,7 @@
         }
         arguments.extend_from_slice(role);
         let process = Some(Process::start(STANDIN, &arguments));
-        let upstream = Standin { arguments, process };
+        let upstream = Standin { arguments, process, killed: None };
         self.standins.insert(name.to_owned(), upstream);
         let in_region = |instance: &&Instance| instance.region == region;
         for instance in self.instances.values().filter(in_region) {
@@ -237,6 +239,9 @@
 
     /// Kills a process.
     pub fn kill(&mut self, name: &str) {
+        if let Some(standin) = self.standins.get_mut(name) {
+            standin.killed = standin.process.as_ref().map(|process| process.address("upstream"));
+        }
         *self.process(name) = None;
         if let Some(instance) = self.instances.get(name) {
             instance.caller.set_target(None);
@@ -244,6 +249,16 @@
         }
     }
 
+    /// Waits until all others have closed their connections to a killed stand-in.
+    pub async fn wait_forgotten(&self, name: &str) {
+        let killed = self.standins[name].killed.expect("a killed stand-in");
+        let deadline = Instant::now() + EVENTUALLY;
+        while is_connected(killed) {
+            assert!(Instant::now() < deadline, "connections to {name} stay open");
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
     /// Starts a killed or stopped process again, with the same settings.
     pub fn restart(&mut self, name: &str) {
         if self.instances.contains_key(name) {
@@ -334,3 +349,15 @@
         counts
     }
 }
+
+/// Whether any process has a connection to `address` that it has not closed.
+fn is_connected(address: SocketAddr) -> bool {
+    let IpAddr::V4(ip) = address.ip() else { return false };
+    let remote = format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
+    table.lines().any(|line| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        // Established, or closed by the other side alone.
+        fields.get(2) == Some(&remote.as_str()) && ["01", "08"].contains(&fields[3])
+    })
+}
--- a/cicadastall-daemons/tests/scenario/mod.rs
+++ b/cicadastall-daemons/tests/scenario/mod.rs
@@ -58,6 +58,11 @@
             format!("{id}: {}", fleet.finish(&id).await)
         }
         "kill" => each(case, |name| fleet.kill(name)),
+        "forgotten" => {
+            let name: String = take(case, "name");
+            fleet.wait_forgotten(&name).await;
+            "done".to_owned()
+        }
         "restart" => each(case, |name| fleet.restart(name)),
         "lose-disk" => each(case, |name| fleet.lose_disk(name)),
         "freeze" => each(case, |name| fleet.signal(name, "-STOP")),
--- a/cicadastall/src/dispatch.rs
+++ b/cicadastall/src/dispatch.rs
@@ -20,7 +20,8 @@
     header::{CONTENT_TYPE, RETRY_AFTER},
     http::request::Builder,
 };
-use std::{net::SocketAddr, time::Duration};
+use hyper_util::client::legacy::Error as ClientError;
+use std::{error::Error, net::SocketAddr, time::Duration};
 use tokio::time::timeout;
 
 /// Most bytes of a plain service's answer.
@@ -222,7 +223,7 @@
 ) -> Result<Response<Incoming>, AttemptError> {
     let answer = match timeout(remaining, client.request(request)).await {
         Err(_) => return Err(AttemptError::Broken(format!("no answer within {remaining:?}"))),
-        Ok(Err(error)) if error.is_connect() => {
+        Ok(Err(error)) if error.is_connect() || is_unsent(&error) => {
             return Err(AttemptError::Unreachable(describe_error(&error)));
         }
         Ok(Err(error)) => return Err(AttemptError::Broken(describe_error(&error))),
@@ -234,6 +235,12 @@
     Err(read_refusal(answer, remaining).await)
 }
 
+/// Whether a kept connection was found closed before any byte of the request was written to it.
+fn is_unsent(error: &ClientError) -> bool {
+    let cause = error.source().and_then(|cause| cause.downcast_ref::<hyper::Error>());
+    cause.is_some_and(hyper::Error::is_canceled)
+}
+
 async fn read_refusal(answer: Response<Incoming>, remaining: Duration) -> AttemptError {
     let status = answer.status();
     let refused = answer.headers().contains_key(REFUSED_HEADER);
