Name only instances that take callers in a refusal while draining

Ruled out: a stale address of the restarted entry (no connection was refused).

Change: instances without an address for callers are left out before the choice.

--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -98,7 +98,8 @@
     pub(crate) fn other_entry(&self) -> Option<SocketAddr> {
         let table = self.table();
         let serving = table.entries.values().filter(|entry| entry.state == EntryState::Serving);
-        serving.min_by_key(|entry| entry.in_flight)?.caller_address
+        let listening = serving.filter_map(|entry| Some((entry.in_flight, entry.caller_address?)));
+        listening.min_by_key(|(in_flight, _)| *in_flight).map(|(_, address)| address)
     }
 
     pub(crate) fn table(&self) -> Arc<RoutingTable> {
