Hand leadership over before a planned stop

A planned stop of a control instance that led left its groups without a leader until a follower's election timeout (1.2 s to 2.4 s) had passed.

Change: ControlServer's graceful stop asks each of its groups to hand over before the instance leaves. The leader then refuses proposals with NotLeader, waits until a voter holds its whole log and all of it is committed, becomes a follower, and tells that voter to stand for election at once (`Stand`). The vote that this voter asks for names the term whose leader has given up; only for leases of that term or earlier ones do the others give it before the lease would have ended. A hand-over that nobody can take is given up after an election timeout, and the leader goes on.

Tests: four steps in replica_core; a group with an election timeout of 60 s, so that only the hand-over can end its wait; schedules hand over, cut the old leader off, and ask it.

--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -132,7 +132,7 @@
             bound: self.node.stop_bound(),
             at_start: 0,
             tasks: self.tasks,
-            _groups: Some(self.groups),
+            groups: Some(self.groups),
         };
         draining.begin()
     }
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -251,7 +251,7 @@
             bound: self.context.node.stop_bound(),
             at_start: 0,
             tasks: self.control_tasks,
-            _groups: None,
+            groups: None,
         };
         draining.begin()
     }
--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -48,6 +48,9 @@
 /// Pause before the folder is tried again.
 const LOCK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time to wait for the next leader before a planned stop.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Most entries of one message.
 const APPEND_ENTRIES: usize = 1_024;
 
@@ -226,6 +229,10 @@
         self.status.borrow().clone()
     }
 
+    fn hand_over(&self) -> BoxFuture<'_, ()> {
+        Box::pin(hand_over_here(&self.actor, self.status.clone()))
+    }
+
     fn refound(&self, accept_loss: bool) -> BoxFuture<'_, Result<Epoch, RefoundError>> {
         Box::pin(refound_here(&self.actor, accept_loss))
     }
@@ -251,6 +258,17 @@
     replied.unwrap_or(Ok(Err(GroupError::NoQuorum))).unwrap_or(Err(GroupError::Stopped))
 }
 
+async fn hand_over_here<S: ReplicatedState>(
+    actor: &ActorRef<GroupMessage<S>>,
+    mut status: watch::Receiver<GroupStatus>,
+) {
+    if !status.borrow().leads || actor.cast(GroupMessage::HandOver).is_err() {
+        return;
+    }
+    let other = status.wait_for(|status| !status.leads && status.leader.is_some());
+    let _ = timeout(HANDOVER_TIMEOUT, other).await;
+}
+
 async fn refound_here<S: ReplicatedState>(
     actor: &ActorRef<GroupMessage<S>>,
     accept_loss: bool,
@@ -342,6 +360,11 @@
         propose_here(&self.shared.actor, command.into()).await
     }
 
+    /// Hands leadership over, if the replica leads; returns once another leads, or after a while.
+    pub async fn hand_over(&self) {
+        hand_over_here(&self.shared.actor, self.shared.status.clone()).await;
+    }
+
     /// Stops the replica; others can no longer reach it.
     pub fn stop(&self) {
         self.shared.stop();
--- a/cicadastall/src/group_actor.rs
+++ b/cicadastall/src/group_actor.rs
@@ -47,6 +47,7 @@
     Tick,
     /// Performs what the messages before it asked for, all at once.
     Flush,
+    HandOver,
     Refound(Epoch, oneshot::Sender<Result<Epoch, ReplicaError>>),
 }
 
@@ -150,6 +151,7 @@
             GroupMessage::Synced(sequence) => state.core.mark_synced(sequence, now),
             GroupMessage::Failed(error) => return Err(state.fail(&error)),
             GroupMessage::Tick => state.core.tick(now),
+            GroupMessage::HandOver => state.core.hand_over(now),
             GroupMessage::Refound(epoch, reply) => {
                 let refounded = state.core.refound(epoch, now);
                 let _ = reply.send(refounded.map(|()| state.core.epoch()));
--- a/cicadastall/src/group_transport.rs
+++ b/cicadastall/src/group_transport.rs
@@ -8,7 +8,7 @@
     replica_message::{Epoch, LogIndex, ReplicaEnvelope},
     replicated::GroupError,
 };
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, join_all};
 use std::{
     collections::{BTreeMap, HashMap},
     fmt::Debug,
@@ -47,6 +47,9 @@
     /// What the replica knows of its group.
     fn status(&self) -> GroupStatus;
 
+    /// Hands leadership over, if the replica leads; returns once another leads, or after a while.
+    fn hand_over(&self) -> BoxFuture<'_, ()>;
+
     /// Founds the group anew with this replica as its only member; gives the new epoch.
     fn refound(&self, accept_loss: bool) -> BoxFuture<'_, Result<Epoch, RefoundError>>;
 }
@@ -97,6 +100,12 @@
         endpoints.iter().map(|(group, endpoint)| (group.clone(), endpoint.status())).collect()
     }
 
+    /// Hands leadership of all groups over, before a planned stop.
+    pub async fn hand_over(&self) {
+        let endpoints: Vec<_> = self.lock().values().cloned().collect();
+        join_all(endpoints.iter().map(|endpoint| endpoint.hand_over())).await;
+    }
+
     /// Founds `group` anew with the instance's replica as its only member; see
     /// [`crate::group::GroupHandle::refound`].
     pub async fn refound(
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod quarantine;
 pub mod relay;
 pub mod replica;
+pub mod replica_handover;
 pub mod replica_leader;
 pub mod replica_log;
 pub mod replica_message;
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -243,6 +243,7 @@
 
     /// Takes everything that the caller has to do.
     pub fn take_output(&mut self, now: Instant) -> ReplicaOutput {
+        self.advance_handover(now);
         self.send_entries(now);
         self.deliver();
         self.note_commit(now);
@@ -320,7 +321,12 @@
             ReplicaMessage::PreVoteReply { term, granted } => {
                 self.on_pre_vote_reply(from, term, granted, now);
             }
-            ReplicaMessage::Vote { term, last } => self.on_vote(from, term, last, now),
+            ReplicaMessage::Vote { term, last, given_up } => {
+                if self.is_lease_given_up(given_up) || !self.is_lease_possible(now) {
+                    self.on_vote(from, term, last, now);
+                }
+            }
+            ReplicaMessage::Stand { term } => self.on_stand(&from, term, now),
             ReplicaMessage::VoteReply { term, granted } => {
                 self.on_vote_reply(from, term, granted, now);
             }
@@ -573,7 +579,7 @@
         let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
         self.role = ReplicaRole::PreCandidate { grants: grants.clone() };
         if self.is_quorum(&grants) {
-            return self.start_vote(now);
+            return self.start_vote(None, now);
         }
         let last = self.log.last();
         for voter in self.other_voters() {
@@ -585,7 +591,8 @@
         }
     }
 
-    fn start_vote(&mut self, now: Instant) {
+    /// Stands for election, at once if the leader of the term `given_up` has left.
+    pub(crate) fn start_vote(&mut self, given_up: Option<Term>, now: Instant) {
         self.hard.term = self.hard.term.next();
         self.hard.vote = Some(self.settings.own.clone());
         self.write_hard();
@@ -597,7 +604,8 @@
         }
         let last = self.log.last();
         for voter in self.other_voters() {
-            self.send_synced(voter, ReplicaMessage::Vote { term: self.hard.term, last });
+            let vote = ReplicaMessage::Vote { term: self.hard.term, last, given_up };
+            self.send_synced(voter, vote);
         }
     }
 
@@ -634,14 +642,11 @@
         grants.push(from);
         let grants = grants.clone();
         if self.is_quorum(&grants) {
-            self.start_vote(now);
+            self.start_vote(None, now);
         }
     }
 
     fn on_vote(&mut self, from: ReplicaId, term: Term, last: LogPosition, now: Instant) {
-        if self.is_lease_possible(now) {
-            return;
-        }
         if term > self.hard.term {
             self.become_follower(term, None, now);
         }
--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -51,6 +51,8 @@
     round: u64,
     heartbeat: Instant,
     joining: Vec<(ReplicaId, Instant)>,
+    /// Time until which the leader tries to hand over, if it does.
+    pub(crate) handover: Option<Instant>,
 }
 
 impl LeaderState {
@@ -89,6 +91,18 @@
         }
     }
 
+    /// A voter that holds all entries up to `last`, the one heard of last.
+    pub(crate) fn successor(
+        &self,
+        configuration: &GroupConfiguration,
+        last: LogIndex,
+    ) -> Option<ReplicaId> {
+        let able =
+            |peer: &&PeerProgress| peer.matched >= last && configuration.is_voter(&peer.replica);
+        let successor = self.peers.iter().filter(able).max_by_key(|peer| peer.heard);
+        successor.map(|peer| peer.replica.clone())
+    }
+
     fn peer(&mut self, replica: &ReplicaId) -> Option<&mut PeerProgress> {
         self.peers.iter_mut().find(|peer| peer.replica == *replica)
     }
@@ -105,6 +119,7 @@
             round: 0,
             heartbeat: now + self.settings.timing.heartbeat,
             joining: Vec::new(),
+            handover: None,
         };
         self.role = ReplicaRole::Leader(state);
         self.refresh_peers(None, now);
@@ -115,8 +130,11 @@
 
     /// Proposes a command; it is committed when it comes out at the returned position.
     pub fn propose(&mut self, command: Arc<str>) -> Result<LogPosition, ReplicaError> {
-        if !self.is_leader() {
+        let ReplicaRole::Leader(state) = &self.role else {
             return Err(ReplicaError::NotLeader(self.leader().cloned()));
+        };
+        if state.handover.is_some() {
+            return Err(ReplicaError::NotLeader(None));
         }
         Ok(self.append_own(EntryPayload::Command(command)))
     }
@@ -297,7 +315,8 @@
         let ReplicaRole::Leader(state) = &mut self.role else { return };
         let election = self.settings.timing.election;
         state.joining.retain(|(_, asked)| now < *asked + election);
-        if self.commit < state.start || self.log.configuration_index() > self.commit {
+        let waits = self.commit < state.start || state.handover.is_some();
+        if waits || self.log.configuration_index() > self.commit {
             return;
         }
         let configuration = self.log.configuration().clone();
--- a/cicadastall/src/replica_message.rs
+++ b/cicadastall/src/replica_message.rs
@@ -278,6 +278,14 @@
         term: Term,
         /// End of its log.
         last: LogPosition,
+        /// Term whose leader has given up, with its lease, in favour of the sender.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        given_up: Option<Term>,
+    },
+    /// The leader gives up and lets the receiver stand for election at once.
+    Stand {
+        /// Term in which nobody leads any more.
+        term: Term,
     },
     /// Answer to [`ReplicaMessage::Vote`].
     VoteReply {
--- a/cicadastall/tests/groups/mod.rs
+++ b/cicadastall/tests/groups/mod.rs
@@ -75,6 +75,8 @@
     pub voters: Vec<VoterSettings>,
     /// Addresses at which they listen.
     pub listen: Vec<SocketAddr>,
+    /// Periods of all replicas.
+    pub timing: ReplicaTiming,
     folder: Option<PathBuf>,
     _reserved: Vec<ReservedAddress>,
 }
@@ -100,7 +102,8 @@
             address: *address,
         };
         let voters = listen.iter().enumerate().map(voter).collect();
-        Self { voters, listen, folder, _reserved: reserved }
+        let timing = ReplicaTiming::default();
+        Self { voters, listen, timing, folder, _reserved: reserved }
     }
 
     pub fn folder(&self, index: usize) -> Option<PathBuf> {
@@ -117,7 +120,7 @@
             own: self.voters[index].instance.clone(),
             voters: self.voters.clone(),
             folder: self.folder(index),
-            timing: ReplicaTiming::default(),
+            timing: self.timing,
         };
         let clients = Arc::new(PeerClients::default());
         let handle = GroupHandle::start(settings, TextList::default(), clients, registry).await?;
--- a/cicadastall/tests/replica_core.rs
+++ b/cicadastall/tests/replica_core.rs
@@ -95,7 +95,7 @@
     let now = Instant::now();
     let timing = ReplicaTiming::default();
     let mut core = start_core(3, now);
-    let vote = || ReplicaMessage::Vote { term: Term(3), last: position(2, 9) };
+    let vote = || ReplicaMessage::Vote { term: Term(3), last: position(2, 9), given_up: None };
     core.receive(from_leader(vote()), now + timing.lease);
     assert_eq!(core.term(), Term(2));
     core.receive(from_leader(vote()), now + timing.election);
@@ -140,3 +140,74 @@
     core.receive(matched(4), now);
     assert_eq!(core.commit(), LogIndex(4));
 }
+
+#[test]
+fn a_leader_that_hands_over_refuses_proposals_until_a_follower_has_everything() {
+    let started = Instant::now();
+    let mut core = start_core(3, started);
+    let now = started + 2 * ReplicaTiming::default().election;
+    core.tick(now);
+    let (term, granted) = (Term(3), true);
+    core.receive(from_leader(ReplicaMessage::PreVoteReply { term, granted }), now);
+    sync(&mut core, now);
+    core.receive(from_leader(ReplicaMessage::VoteReply { term, granted }), now);
+    sync(&mut core, now);
+    core.hand_over(now);
+    assert_eq!(core.propose("late".into()), Err(ReplicaError::NotLeader(None)));
+    assert!(core.take_output(now).messages.iter().all(|sent| !is_stand(&sent.message)));
+    assert!(core.is_leader());
+    let outcome = AppendOutcome::Matched(LogIndex(4));
+    core.receive(from_leader(ReplicaMessage::AppendReply { term, round: 1, outcome }), now);
+    let sent = core.take_output(now).messages;
+    let stand: Vec<_> = sent.iter().filter(|sent| is_stand(&sent.message)).collect();
+    assert_eq!(stand.len(), 1);
+    assert_eq!(stand[0].to, replica("a"));
+    assert!(!core.is_leader() && !core.holds_lease(now));
+}
+
+fn is_stand(message: &ReplicaMessage) -> bool {
+    matches!(message, ReplicaMessage::Stand { term: Term(3) })
+}
+
+#[test]
+fn a_hand_over_that_no_follower_can_take_is_given_up() {
+    let started = Instant::now();
+    let election = ReplicaTiming::default().election;
+    let mut core = start_core(3, started);
+    let now = started + 2 * election;
+    core.tick(now);
+    let (term, granted) = (Term(3), true);
+    core.receive(from_leader(ReplicaMessage::PreVoteReply { term, granted }), now);
+    sync(&mut core, now);
+    core.receive(from_leader(ReplicaMessage::VoteReply { term, granted }), now);
+    sync(&mut core, now);
+    core.hand_over(now);
+    sync(&mut core, now + election);
+    assert!(core.is_leader() && core.propose("next".into()).is_ok());
+}
+
+#[test]
+fn a_vote_within_the_lease_is_given_only_where_the_leader_of_that_term_has_given_up() {
+    let now = Instant::now();
+    for (given_up, term) in [(None, 2), (Some(Term(1)), 2), (Some(Term(2)), 3)] {
+        let mut core = start_core(3, now);
+        let vote = ReplicaMessage::Vote { term: Term(3), last: position(2, 9), given_up };
+        core.receive(from_leader(vote), now);
+        assert_eq!(core.term(), Term(term), "{given_up:?}");
+    }
+}
+
+#[test]
+fn a_follower_told_to_stand_asks_for_votes_at_once() {
+    let now = Instant::now();
+    let mut core = start_core(3, now);
+    core.receive(from_leader(ReplicaMessage::Stand { term: Term(1) }), now);
+    assert_eq!(core.term(), Term(2));
+    core.receive(from_leader(ReplicaMessage::Stand { term: Term(2) }), now);
+    let sequence = core.take_output(now).sequence;
+    core.mark_synced(sequence, now);
+    let sent = core.take_output(now).messages;
+    let last = position(2, 3);
+    let vote = ReplicaMessage::Vote { term: Term(3), last, given_up: Some(Term(2)) };
+    assert_eq!(sent.iter().filter(|sent| sent.message == vote).count(), 2);
+}
--- a/cicadastall/tests/replica_groups.rs
+++ b/cicadastall/tests/replica_groups.rs
@@ -9,7 +9,10 @@
     replicated::{GroupError, ReplicatedGroup},
 };
 use groups::{Member, TestGroup, propose, wait_until};
-use std::path::{Path, PathBuf};
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
 use tokio::time::{Instant, sleep};
 
 fn folder(name: &str) -> PathBuf {
@@ -169,3 +172,24 @@
     assert_eq!(read(&empty).await, read(&kept).await);
     assert_eq!(old.handle.read_local(|list| list.0.clone()), Vec::<String>::new());
 }
+
+#[tokio::test]
+async fn a_planned_stop_of_the_leader_costs_no_election_timeout() {
+    let mut group = TestGroup::new(3, Some(folder("handover"))).await;
+    // No follower stands by itself for as long as the test waits for anything.
+    let (election, lease) = (Duration::from_secs(60), Duration::from_secs(50));
+    group.timing = ReplicaTiming { election, lease, ..ReplicaTiming::default() };
+    let mut members = start_all(&group).await;
+    propose(&members[0], "before").await;
+    wait_until("a leader is known", || leader(&members).is_some()).await;
+    let stopped = members.remove(leader(&members).expect("a leader"));
+    let term = stopped.handle.status().term;
+    let started = Instant::now();
+    stopped.handle.hand_over().await;
+    let status = || stopped.handle.status();
+    wait_until("another leads", || !status().leads && status().leader.is_some()).await;
+    stopped.stop().await;
+    assert_eq!(propose(&members[0], "after").await, 2);
+    println!("stopped and accepted the next command within {:?}", started.elapsed());
+    assert_eq!(members[0].handle.status().term, term.next());
+}
--- a/cicadastall/tests/schedules/mod.rs
+++ b/cicadastall/tests/schedules/mod.rs
@@ -44,6 +44,7 @@
     CrashLeader,
     Heal,
     Compact(usize),
+    HandOver(usize),
     Settle(u64),
 }
 
@@ -52,11 +53,12 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut schedule = vec![Action::Settle(60)];
     for _ in 0..random.random_range(3..10) {
-        match random.random_range(0..9) {
+        match random.random_range(0..10) {
             0 => add_stale_leader(&mut schedule, &mut random),
             1 => add_lagging_replica(&mut schedule, &mut random),
             2 => add_lost_leaders(&mut schedule, &mut random),
             3 => add_returning_replica(&mut schedule, &mut random),
+            4 => add_handover(&mut schedule, &mut random),
             _ => add_noise(&mut schedule, &mut random),
         }
     }
@@ -92,6 +94,20 @@
     schedule.extend((0..2).map(Action::Read));
 }
 
+/// A leader hands over and is cut off before it hears of the next one; it is then asked.
+fn add_handover(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
+    schedule.extend([Action::Settle(random.random_range(1..80)), Action::HandOver(0)]);
+    match random.random_range(0..3) {
+        0 => add_noise(schedule, random),
+        _ => schedule.extend([Action::Settle(1), Action::IsolateLeader]),
+    }
+    schedule.push(Action::Settle(random.random_range(2..8)));
+    add_proposals(schedule, random);
+    schedule.push(Action::Settle(random.random_range(1..8)));
+    schedule.extend((0..4).map(Action::Read));
+    schedule.push(Action::Heal);
+}
+
 /// A replica that has long heard nothing asks for votes, and the leader is isolated just then.
 fn add_returning_replica(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
     schedule.push(Action::Isolate(random.random_range(0..1_000)));
@@ -144,6 +160,7 @@
         86 => Action::IsolateLeader,
         87..=89 => Action::Heal,
         90..=92 => Action::Compact(pick),
+        93 => Action::HandOver(pick),
         _ => Action::Settle(random.random_range(1..80)),
     }
 }
@@ -364,6 +381,7 @@
             Action::CrashLeader => self.stop_core(self.choose_leader(0)),
             Action::Heal => self.hosts.iter_mut().for_each(|host| host.isolated = false),
             Action::Compact(pick) => self.compact(pick % size)?,
+            Action::HandOver(pick) => self.hand_over(self.choose_leader(pick))?,
             Action::Settle(rounds) => self.settle(rounds)?,
         }
         Ok(())
@@ -524,6 +542,13 @@
         self.drive(host, |core, _| core.compact(applied, data.into_bytes()))
     }
 
+    fn hand_over(&mut self, host: usize) -> Checked {
+        if !self.awake(host) {
+            return Ok(());
+        }
+        self.drive(host, ReplicaCore::hand_over)
+    }
+
     fn settle(&mut self, rounds: u64) -> Checked {
         for _ in 0..rounds {
             for host in 0..self.hosts.len() {
