--- a/cicadastall-daemons/tests/scenario/caller.rs
+++ b/cicadastall-daemons/tests/scenario/caller.rs
@@ -4,10 +4,11 @@
 use cicadastall::{
     answer::{Ran, Refusal},
     http::{HttpClient, read_body},
+    sessions::SESSIONS_PATH,
     wire::{
         CallAnswer, CallRequest, ChatChunk, ChatMessage, ChatRequest, END_MARKER, ErrorBody,
-        KEY_HEADER, KIND_HEADER, REGION_HEADER, REQUEST_HEADER, SESSION_HEADER, UPSTREAM_HEADER,
-        WORKSPACE_HEADER,
+        KEY_HEADER, KIND_HEADER, REGION_HEADER, REQUEST_HEADER, SESSION_HEADER, SessionReply,
+        UPSTREAM_HEADER, WORKSPACE_HEADER,
     },
 };
 use http_body_util::Full;
@@ -87,8 +88,14 @@
 }
 
 impl CallerOutcome {
-    /// Short name by which scenarios wait for an outcome.
-    pub fn name(&self) -> String {
+    /// Whether a scenario waits for this outcome: a short name, or the region of a whole answer.
+    pub fn fits(&self, until: &str) -> bool {
+        let from = matches!(self, Self::Whole { region, .. } if region == until);
+        from || self.name() == until
+    }
+
+    /// Short name of an outcome.
+    fn name(&self) -> String {
         match self {
             Self::Whole { .. } => "whole".to_owned(),
             Self::Refused(refusal, _) | Self::Broken(refusal) => code(refusal),
@@ -111,6 +118,24 @@
     judge(answer, request).await
 }
 
+/// Asks the entry at `address` for a session.
+pub async fn ask_session(
+    client: &HttpClient,
+    address: SocketAddr,
+    workspace: &str,
+) -> Result<String, String> {
+    let request = Request::post(format!("http://{address}{SESSIONS_PATH}"))
+        .header(WORKSPACE_HEADER, workspace)
+        .body(Full::new(Bytes::new()))
+        .expect("a valid request");
+    let answer = client.request(request).await.map_err(|error| error.to_string())?;
+    let status = answer.status();
+    let body = read_body(answer.into_body(), ANSWER_LIMIT, ANSWER_TIMEOUT).await;
+    let body = body.map_err(|error| format!("{error:?}"))?;
+    let reply = serde_json::from_slice::<SessionReply>(&body).map_err(|_| status.to_string())?;
+    Ok(reply.session)
+}
+
 fn build(address: SocketAddr, request: &CallerRequest) -> Request<Full<Bytes>> {
     let (path, body) = match request.plain {
         true => {
--- /dev/null
+++ b/cicadastall-daemons/tests/scenario/changes.rs
@@ -0,0 +1,150 @@
+//! Directives about settings: changes, races of operators, and where a revision is in force.
+
+use super::{
+    TREE,
+    fleet::{EVENTUALLY, Fleet, RETRY_PAUSE},
+    operator::{OwnerChange, describe, put},
+    take, take_list,
+};
+use cicadastall::http::{call_json, client};
+use datadriven::TestCase;
+use futures::future::join_all;
+use hyper::Method;
+use serde_json::Value;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+/// When each entry was first seen with each revision.
+type Sightings = Arc<Mutex<BTreeMap<(String, u64), Instant>>>;
+
+/// Watches the revisions of all running entries since a change was sent.
+#[derive(Debug, Default)]
+pub struct RevisionWatch {
+    sent: Option<Instant>,
+    seen: Sightings,
+    _tasks: JoinSet<()>,
+}
+
+impl RevisionWatch {
+    /// Watches `entries`, whose operator ports are given, from now on.
+    fn start(entries: Vec<(String, SocketAddr)>) -> Self {
+        let seen = Sightings::default();
+        let mut tasks = JoinSet::new();
+        for (name, address) in entries {
+            tasks.spawn(watch_entry(name, address, Arc::clone(&seen)));
+        }
+        Self { sent: Some(Instant::now()), seen, _tasks: tasks }
+    }
+}
+
+async fn watch_entry(name: String, address: SocketAddr, seen: Sightings) {
+    let client = client(1);
+    let bound = Duration::from_secs(1);
+    loop {
+        let asked: Result<Value, _> =
+            call_json(&client, Method::GET, address, "/v1/status", None::<&Value>, bound).await;
+        if let Some(revision) = asked.ok().and_then(|status| status["revision"].as_u64()) {
+            let mut seen = seen.lock().expect("no panic holds the lock");
+            seen.entry((name.clone(), revision)).or_insert_with(Instant::now);
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// `put`: sends one change, again and again until it has a result where `until-result` is given.
+pub async fn put_change(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let via = take(case, "via");
+    let until = case.take_flag("until-result").expect("a flag");
+    let change = OwnerChange {
+        owner: take(case, "owner"),
+        expected: case.take_arg("expect").expect("expect=N"),
+        operation: take(case, "operation"),
+    };
+    let control = fleet.operator_address(&via);
+    let deadline = Instant::now() + EVENTUALLY;
+    loop {
+        fleet.watch = RevisionWatch::start(fleet.entry_operators());
+        let answer = put(fleet.folder(), control, TREE, &change).await;
+        if answer.is_some() || !until || Instant::now() > deadline {
+            return describe(answer.as_ref());
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// `put-many`: sends `count` changes one after another; stops at the first that is not accepted.
+pub async fn put_many(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let via = take(case, "via");
+    let mut expected: u64 = case.take_arg("expect").expect("expect=N");
+    let count: u64 = case.take_arg("count").expect("count=N");
+    let control = fleet.operator_address(&via);
+    for _ in 0..count {
+        let owner = format!("many-{expected}");
+        let change = OwnerChange { operation: owner.clone(), owner, expected };
+        let told = describe(put(fleet.folder(), control, TREE, &change).await.as_ref());
+        if told != format!("accepted as revision {}", expected + 1) {
+            return format!("change on version {expected}: {told}");
+        }
+        expected += 1;
+    }
+    format!("{count} accepted, the last as revision {expected}")
+}
+
+/// `race`: several operators change the same version at once; prints the results in order.
+pub async fn race(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let via: Vec<String> = take_list(case, "via");
+    let expected: u64 = case.take_arg("expect").expect("expect=N");
+    let fleet = &*fleet;
+    let puts = via.iter().enumerate().map(|(number, via)| async move {
+        let owner = format!("racer-{expected}-{number}");
+        let change = OwnerChange { operation: owner.clone(), owner, expected };
+        describe(put(fleet.folder(), fleet.operator_address(via), TREE, &change).await.as_ref())
+    });
+    let mut told = join_all(puts).await;
+    told.sort();
+    told.join("\n")
+}
+
+/// `revision`: whether entries of `regions` had a revision within a bound since the last `put`.
+pub async fn check_revision(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let revision: u64 = case.take_arg("is").expect("is=N");
+    let bound = Duration::from_millis(case.take_arg("within-ms").expect("within-ms=N"));
+    let regions: Vec<String> = take_list(case, "regions");
+    let deadline = fleet.watch.sent.expect("a change was sent") + bound;
+    sleep_until(deadline).await;
+    let seen = fleet.watch.seen.lock().expect("no panic holds the lock").clone();
+    let mut late = Vec::new();
+    for name in fleet.entries_in(&regions) {
+        let first = seen.get(&(name.clone(), revision));
+        if first.is_none_or(|at| *at > deadline) {
+            late.push(name);
+        }
+    }
+    match late.is_empty() {
+        true => format!("revision {revision} in force within {bound:?}"),
+        false => format!("revision {revision} NOT in force within {bound:?}: {late:?}"),
+    }
+}
+
+/// `settings`: the revision that one instance has in force, once it is `until`.
+pub async fn show_revision(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let at = take(case, "at");
+    let until: Option<u64> = case.try_take_arg("until").expect("until=N");
+    let deadline = Instant::now() + EVENTUALLY;
+    loop {
+        let status = fleet.get(fleet.operator_address(&at), "/v1/status").await;
+        let revision = status["revision"].as_u64().unwrap_or_default();
+        if until.is_none_or(|until| until == revision) || Instant::now() > deadline {
+            return format!("{at}: revision {revision}");
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
--- a/cicadastall-daemons/tests/scenario/fleet.rs
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -1,16 +1,18 @@
 //! A fleet of real processes that a scenario starts, cuts, freezes, kills and stops.
 
 use super::{
-    caller::{CallerOutcome, CallerRequest, send},
+    caller::{CallerOutcome, CallerRequest, ask_session, send},
+    changes::RevisionWatch,
     link::{LinkProxy, LinkTable},
+    load::LoadCallers,
 };
 use crate::common::{CONTROL, ENTRY, Process, STANDIN, TestFolder, node, standin};
 use cicadastall::http::{HttpClient, call_json, client};
-use hyper::Method;
+use hyper::{Method, Request};
 use serde_json::{Value, json};
 use std::{
     collections::BTreeMap,
-    io::Read,
+    fmt::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     process::Command,
     time::Duration,
@@ -21,10 +23,16 @@
 };
 
 /// Longest wait for an expected outcome.
-const EVENTUALLY: Duration = Duration::from_secs(15);
+pub const EVENTUALLY: Duration = Duration::from_secs(15);
+
+/// Longest time that a graceful stop takes here.
+const STOP_BOUND: Duration = Duration::from_secs(20);
+
+/// Time after which an upstream that leaves may get nothing new.
+const LEAVE_BOUND_MS: u64 = 3_000;
 
 /// Pause between two tries of a caller that waits for an outcome.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+pub const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// One instance of the system.
 #[derive(Debug)]
@@ -53,7 +61,10 @@
     instances: BTreeMap<String, Instance>,
     standins: BTreeMap<String, Standin>,
     calls: BTreeMap<String, JoinHandle<CallerOutcome>>,
+    sessions: BTreeMap<String, String>,
     client: HttpClient,
+    pub watch: RevisionWatch,
+    pub load: LoadCallers,
 }
 
 impl Fleet {
@@ -65,7 +76,10 @@
             instances: BTreeMap::new(),
             standins: BTreeMap::new(),
             calls: BTreeMap::new(),
+            sessions: BTreeMap::new(),
             client: client(64),
+            watch: RevisionWatch::default(),
+            load: LoadCallers::default(),
         };
         let tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
         let founding = fleet.folder.write("fleet.json", &tree);
@@ -194,6 +208,72 @@
         }
     }
 
+    /// Folder for files of the scenario.
+    pub fn folder(&self) -> &TestFolder {
+        &self.folder
+    }
+
+    /// Address of a running instance for operators.
+    pub fn operator_address(&self, name: &str) -> SocketAddr {
+        let process = self.instances[name].process.as_ref();
+        process.expect("a running instance").address("operator")
+    }
+
+    /// Names of the running entries in `regions`.
+    pub fn entries_in(&self, regions: &[String]) -> Vec<String> {
+        let wanted = |(_, instance): &(&String, &Instance)| {
+            let runs = instance.program == ENTRY && instance.process.is_some();
+            runs && regions.contains(&instance.region)
+        };
+        self.instances.iter().filter(wanted).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Names and operators' addresses of all running entries.
+    pub fn entry_operators(&self) -> Vec<(String, SocketAddr)> {
+        let regions: Vec<_> = self.instances.values().map(|one| one.region.clone()).collect();
+        let names = self.entries_in(&regions);
+        names.into_iter().map(|name| (name.clone(), self.operator_address(&name))).collect()
+    }
+
+    /// Opens a session of `workspace` and keeps it as `name`; waits until the ledger is ready.
+    pub async fn open_session(&mut self, name: &str, via: &str, workspace: &str) -> String {
+        let deadline = Instant::now() + EVENTUALLY;
+        loop {
+            match ask_session(&self.client, self.address(via), workspace).await {
+                Ok(session) => {
+                    self.sessions.insert(name.to_owned(), session);
+                    return "open".to_owned();
+                }
+                Err(error) if Instant::now() > deadline => return error,
+                Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    /// The session that the scenario calls `name`.
+    pub fn session(&self, name: &str) -> String {
+        self.sessions.get(name).cloned().unwrap_or_else(|| panic!("no session {name}"))
+    }
+
+    /// Number of stand-ins that run.
+    pub fn count_running(&mut self) -> usize {
+        let runs = |standin: &mut Standin| {
+            let process = standin.process.as_mut();
+            process.is_some_and(|process| process.child.try_wait().expect("a status").is_none())
+        };
+        self.standins.values_mut().map(runs).filter(|runs| *runs).count()
+    }
+
+    /// Orders an entry to drain an upstream.
+    pub async fn drain(&self, via: &str, name: &str) -> String {
+        let path = format!("/v1/upstreams/{name}/drain");
+        let order = Request::post(format!("http://{}{path}", self.operator_address(via)))
+            .body(Default::default())
+            .expect("a request");
+        let answer = self.client.request(order).await.expect("an answer");
+        answer.status().to_string()
+    }
+
     /// Sends one request, again and again until its outcome is `until` where that is given.
     pub async fn call(
         &self,
@@ -205,7 +285,7 @@
         let deadline = Instant::now() + EVENTUALLY;
         loop {
             let outcome = send(&self.client, address, request).await;
-            let reached = until.is_none_or(|until| outcome.name() == until);
+            let reached = until.is_none_or(|until| outcome.fits(until));
             if reached || Instant::now() > deadline {
                 return outcome;
             }
@@ -269,23 +349,26 @@
     /// Stops a process gracefully and describes how it ended.
     pub async fn stop(&mut self, name: &str) -> String {
         self.signal(name, "-TERM");
+        self.end_stop(name).await
+    }
+
+    /// Waits for the end of a process that was told to stop, and describes how it ended.
+    pub async fn end_stop(&mut self, name: &str) -> String {
         let mut process = self.process(name).take().expect("a running process");
-        let deadline = Instant::now() + EVENTUALLY;
-        let status = loop {
-            if let Some(status) = process.child.try_wait().expect("wait for a process") {
-                break status;
-            }
-            assert!(Instant::now() < deadline, "{name} did not stop within {EVENTUALLY:?}");
-            sleep(RETRY_PAUSE).await;
-        };
-        let mut text = String::new();
-        let output = process.child.stdout.as_mut().expect("standard output is piped");
-        output.read_to_string(&mut text).expect("read the summary");
-        let summary: Value = serde_json::from_str(text.trim()).unwrap_or_default();
-        match &summary["cut_off"] {
-            Value::Null => format!("{name} stopped, {status}"),
-            cut_off => format!("{name} stopped, {status}, cut off {cut_off}"),
+        let waited = tokio::task::spawn_blocking(move || process.wait(STOP_BOUND));
+        let (status, summary) = waited.await.expect("the process ends");
+        let mut text = format!("{name} stopped, {status}");
+        if let Some(cut_off) = summary["cut_off"].as_u64() {
+            write!(text, ", cut off {cut_off}").expect("writing to a string");
+        }
+        if self.standins.contains_key(name) {
+            let last = summary["last_request_ms"].as_u64().unwrap_or_default();
+            text.push_str(match last < LEAVE_BOUND_MS {
+                true => ", no new request after 3 s",
+                false => ", NEW REQUESTS AFTER 3 s",
+            });
         }
+        text
     }
 
     /// Cuts the links between two instances or regions, one way or both.
--- a/cicadastall-daemons/tests/scenario/mod.rs
+++ b/cicadastall-daemons/tests/scenario/mod.rs
@@ -1,8 +1,11 @@
 //! The language of scenarios: each directive acts on the fleet and prints what was seen.
 
 pub mod caller;
+pub mod changes;
 pub mod fleet;
 pub mod link;
+pub mod load;
+pub mod operator;
 
 use caller::CallerRequest;
 use datadriven::{TestCase, TestFile};
@@ -44,13 +47,14 @@
         "call" => {
             let via: String = take(case, "via");
             let until: Option<String> = case.try_take_arg("until").expect("text");
-            let request = take_request(case);
+            let request = take_request(fleet, case);
             let outcome = fleet.call(&via, &request, until.as_deref()).await;
             format!("{}: {outcome}", request.id)
         }
         "begin" => {
             let via: String = take(case, "via");
-            fleet.begin(&via, take_request(case));
+            let request = take_request(fleet, case);
+            fleet.begin(&via, request);
             "sent".to_owned()
         }
         "finish" => {
@@ -66,6 +70,33 @@
             let name: String = take(case, "name");
             fleet.stop(&name).await
         }
+        "begin-stop" => each(case, |name| fleet.signal(name, "-TERM")),
+        "end-stop" => {
+            let name: String = take(case, "name");
+            fleet.end_stop(&name).await
+        }
+        "drain" => {
+            let (via, name) = (take(case, "via"), take(case, "name"));
+            fleet.drain(&via, &name).await
+        }
+        "session" => {
+            let (name, via) = (take(case, "name"), take(case, "via"));
+            fleet.open_session(&name, &via, "aqaba-port").await
+        }
+        "put" => changes::put_change(fleet, case).await,
+        "put-many" => changes::put_many(fleet, case).await,
+        "race" => changes::race(fleet, case).await,
+        "revision" => changes::check_revision(fleet, case).await,
+        "settings" => changes::show_revision(fleet, case).await,
+        "load" => load::start_load(fleet, case),
+        "load-end" => load::end_load(fleet).await,
+        "listed" => {
+            let via: String = take(case, "via");
+            let count = case.take_arg("count").expect("count=N");
+            crate::zone::wait_listed(fleet.address(&via), count).await;
+            format!("{count} entries")
+        }
+        "running" => format!("{} upstreams", fleet.count_running()),
         "cut" => {
             let both = !case.take_flag("one-way").expect("a flag");
             let (from, to): (String, String) = (take(case, "from"), take(case, "to"));
@@ -97,8 +128,13 @@
     let region: String = take(case, "region");
     let pool: String = take(case, "pool");
     let mut role = Vec::new();
+    if let Some(ms) = case.try_take_arg::<String>("linger-ms").expect("linger-ms=N") {
+        role.extend(["--linger-ms".to_owned(), ms]);
+    }
+    let tokens = case.try_take_arg("tokens").expect("tokens=N");
     if case.take_flag("engine").expect("a flag") {
-        role.extend(["engine", "--model", "splice-7b", "--tokens", "100000"].map(str::to_owned));
+        role.extend(["engine", "--model", "splice-7b", "--tokens"].map(str::to_owned));
+        role.push(tokens.unwrap_or_else(|| "100000".to_owned()));
         if let Some(ms) = case.try_take_arg::<String>("token-ms").expect("token-ms=N") {
             role.extend(["--token-ms".to_owned(), ms]);
         }
@@ -113,18 +149,22 @@
     "started".to_owned()
 }
 
-fn take_request(case: &mut TestCase) -> CallerRequest {
+fn take_request(fleet: &Fleet, case: &mut TestCase) -> CallerRequest {
     let kind: String = take(case, "kind");
     let plain = matches!(kind.as_str(), "register-lookup" | "certification-entry");
     let id: String = take(case, "id");
+    let session: Option<String> = case.try_take_arg("session").expect("text");
+    let ask: Option<String> = case.try_take_arg("ask").expect("text");
+    let fault: Option<String> = case.try_take_arg("fault").expect("text");
+    let fault = fault.map(|name| format!("fault:{name}"));
     CallerRequest {
         workspace: case
             .try_take_arg("workspace")
             .expect("text")
             .unwrap_or_else(|| "aqaba-port".to_owned()),
-        prompt: case.try_take_arg("ask").expect("text").unwrap_or_else(|| id.clone()),
+        prompt: fault.or(ask).unwrap_or_else(|| id.clone()),
         tokens: case.try_take_arg("tokens").expect("a number").unwrap_or(8),
-        session: case.try_take_arg("session").expect("text"),
+        session: session.map(|name| fleet.session(&name)),
         key: case.try_take_arg("key").expect("text"),
         kind,
         plain,
--- /dev/null
+++ b/cicadastall-daemons/tests/scenario/operator.rs
@@ -0,0 +1,49 @@
+//! Operators of a scenario: they change settings with the command line and see where they hold.
+
+use crate::common::TestFolder;
+use cicadastall::{settings_command::ChangeAnswer, settings_state::ChangeReply};
+use serde_json::{Value, json};
+use std::{net::SocketAddr, process::Command};
+
+const OPERATOR: &str = env!("CARGO_BIN_EXE_cicadastall");
+
+/// One change of the team `trust`, whose only new value is its owner.
+#[derive(Debug, Clone)]
+pub struct OwnerChange {
+    pub owner: String,
+    pub expected: u64,
+    pub operation: String,
+}
+
+/// Sends `change` to the operator port at `control`; no answer is known where none is printed.
+pub async fn put(
+    folder: &TestFolder,
+    control: SocketAddr,
+    tree: &str,
+    change: &OwnerChange,
+) -> Option<ChangeAnswer> {
+    let tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
+    let mut team = tree["teams"]["trust"].clone();
+    team["owner"] = json!(change.owner);
+    let file = folder.write(&format!("{}.json", change.operation), &team);
+    let mut command = Command::new(OPERATOR);
+    command.args(["settings", "put", "--json", "--control", &control.to_string()]);
+    command.args(["--operator", &change.owner, "--operation", &change.operation]);
+    command.args(["--expect", &change.expected.to_string(), "teams/trust"]).arg(file);
+    let run = tokio::task::spawn_blocking(move || command.output());
+    let output = run.await.expect("no panic").expect("run the command line");
+    serde_json::from_slice(&output.stdout).ok()
+}
+
+/// What the operator is told, without where the change is in force.
+pub fn describe(answer: Option<&ChangeAnswer>) -> String {
+    match answer.map(|answer| &answer.reply) {
+        None => "no result".to_owned(),
+        Some(ChangeReply::Accepted { revision }) => format!("accepted as revision {}", revision.0),
+        Some(ChangeReply::Conflict { version, .. }) => {
+            format!("refused, the version is {}", version.0)
+        }
+        Some(ChangeReply::OperationReused { .. }) => "refused, operation id reused".to_owned(),
+        Some(ChangeReply::Invalid { faults }) => format!("refused, {} faults", faults.len()),
+    }
+}
--- a/cicadastall-daemons/tests/scenarios.rs
+++ b/cicadastall-daemons/tests/scenarios.rs
@@ -4,6 +4,7 @@
 
 mod common;
 mod scenario;
+mod zone;
 
 macro_rules! scenario_folders {
     ($($name:ident: $folder:literal;)*) => {$(
@@ -20,4 +21,9 @@
     partition: "partition";
     whole_answers: "whole-answers";
     not_run: "not-run";
+    at_most_once: "at-most-once";
+    leaving: "leaving";
+    graceful_stop: "graceful-stop";
+    settings: "settings";
+    faults: "faults";
 }
