--- a/cicadastall-daemons/tests/scenario/changes.rs
+++ b/cicadastall-daemons/tests/scenario/changes.rs
@@ -148,3 +148,25 @@
         sleep(RETRY_PAUSE).await;
     }
 }
+
+/// `voters`: how many replicas vote in a group as `at` knows it, once they are `until`; with
+/// `changed`, once they also are others than at the last `voters`.
+pub async fn count_voters(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let (at, group) = (take(case, "at"), take(case, "group"));
+    let until: usize = case.take_arg("until").expect("until=N");
+    let changed = case.take_flag("changed").expect("a flag");
+    let deadline = Instant::now() + EVENTUALLY;
+    loop {
+        let groups = fleet.get(fleet.operator_address(&at), "/v1/groups").await;
+        let voters = &groups[&group]["configuration"]["voters"];
+        let count = voters.as_array().map_or(0, Vec::len);
+        if count == until && (!changed || *voters != fleet.voters) {
+            fleet.voters = voters.clone();
+            return format!("{count} voters of {group}");
+        }
+        if Instant::now() > deadline {
+            return format!("{count} VOTERS OF {group}");
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
--- a/cicadastall-daemons/tests/scenario/fleet.rs
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -65,6 +65,7 @@
     client: HttpClient,
     pub watch: RevisionWatch,
     pub load: LoadCallers,
+    pub voters: Value,
 }
 
 impl Fleet {
@@ -80,6 +81,7 @@
             client: client(64),
             watch: RevisionWatch::default(),
             load: LoadCallers::default(),
+            voters: Value::Null,
         };
         let tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
         let founding = fleet.folder.write("fleet.json", &tree);
--- a/cicadastall-daemons/tests/scenario/mod.rs
+++ b/cicadastall-daemons/tests/scenario/mod.rs
@@ -88,6 +88,7 @@
         "race" => changes::race(fleet, case).await,
         "revision" => changes::check_revision(fleet, case).await,
         "settings" => changes::show_revision(fleet, case).await,
+        "voters" => changes::count_voters(fleet, case).await,
         "load" => load::start_load(fleet, case),
         "load-end" => load::end_load(fleet).await,
         "listed" => {
@@ -166,6 +167,7 @@
         tokens: case.try_take_arg("tokens").expect("a number").unwrap_or(8),
         session: session.map(|name| fleet.session(&name)),
         key: case.try_take_arg("key").expect("text"),
+        resent: case.take_flag("resent").expect("a flag"),
         kind,
         plain,
         id,
