Name an entry, not the control instance, when a stopping entry refuses

Cause: a stopping entry named the serving member with the fewest requests in flight as the one to ask instead. The control instance is a serving member too, takes no callers and has none in flight, so under load it was chosen, its caller address is absent, and the refusal named nobody although another entry was serving.

Seen by graceful-stop/entries_restarted_under_load (two entries, six callers, one entry restarted after the other). Ruled out: the other entry not yet known (both listed each other before the load; it failed all the same), the machine being busy (it failed alone as well). The older test rolling_restart_under_load_fails_no_request has three entries and did not show it.

Change: only members with a caller address are considered.

--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -97,7 +97,10 @@
     /// Address of another entry of the zone that takes requests.
     pub(crate) fn other_entry(&self) -> Option<SocketAddr> {
         let table = self.table();
-        let serving = table.entries.values().filter(|entry| entry.state == EntryState::Serving);
+        let serving = table
+            .entries
+            .values()
+            .filter(|entry| entry.state == EntryState::Serving && entry.caller_address.is_some());
         serving.min_by_key(|entry| entry.in_flight)?.caller_address
     }
 
