--- a/cicadastall-daemons/tests/scenarios.rs
+++ b/cicadastall-daemons/tests/scenarios.rs
@@ -4,6 +4,7 @@
 
 mod common;
 mod scenario;
+mod zone;
 
 macro_rules! scenario_folders {
     ($($name:ident: $folder:literal;)*) => {$(
@@ -20,4 +21,15 @@
     partition: "partition";
     whole_answers: "whole-answers";
     not_run: "not-run";
+    at_most_once: "at-most-once";
+    leaving: "leaving";
+    graceful_stop: "graceful-stop";
+    settings: "settings";
+    control_isolated_in_silence: "faults/control_isolated_in_silence.txt";
+    operators_race_and_resend: "faults/operators_race_and_resend.txt";
+    request_that_crashes_upstreams: "faults/request_that_crashes_upstreams.txt";
+    restart_after_many_changes: "faults/restart_after_many_changes.txt";
+    returning_traffic: "faults/returning_traffic.txt";
+    second_control_lost_after_repair: "faults/second_control_lost_after_repair.txt";
+    second_control_lost_during_repair: "faults/second_control_lost_during_repair.txt";
 }
