Split the replication core by what a replica is doing

Cause: replica.rs had 812 lines and four jobs. Measured: replica_core, replica_schedules (3,000 schedules) and replica_groups pass.

--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -6,23 +6,21 @@
 
 use crate::{
     name::InstanceName,
+    replica_follower::{IncomingSnapshot, SnapshotPart},
     replica_leader::LeaderState,
     replica_log::ReplicaLog,
     replica_message::{
         AppendOutcome, EntryPayload, Epoch, GroupConfiguration, HardState, JournalWrite, LogEntry,
         LogIndex, LogPosition, ReplicaEnvelope, ReplicaId, ReplicaIdentity, ReplicaMessage,
-        ReplicaOutput, SnapshotImage, StoredReplica, Term, WriteSequence,
+        ReplicaOutput, StoredReplica, Term, WriteSequence,
     },
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
-use std::{collections::VecDeque, mem, sync::Arc, time::Duration};
+use std::{collections::VecDeque, mem, time::Duration};
 use tokio::time::Instant;
 
-/// Election timeouts without a leader after which a group may be founded anew.
-const REFOUND_ELECTIONS: u32 = 5;
-
 /// Identity that stands for any in an address.
 pub const ANY_IDENTITY: ReplicaIdentity = ReplicaIdentity(0);
 
@@ -122,31 +120,23 @@
     pub(crate) role: ReplicaRole,
     pub(crate) commit: LogIndex,
     /// Commit index in storage, from which a replica that is cut off restarts.
-    noted_commit: LogIndex,
-    noted_at: Instant,
+    pub(crate) noted_commit: LogIndex,
+    pub(crate) noted_at: Instant,
     pub(crate) output: ReplicaOutput,
     pub(crate) synced: LogIndex,
-    random: ChaCha8Rng,
-    delivered: LogIndex,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) delivered: LogIndex,
     /// Time of the last message of a leader, or of the start.
-    heard: Option<Instant>,
+    pub(crate) heard: Option<Instant>,
     /// Time since which no leader is known; at the earliest the start.
-    leaderless: Instant,
+    pub(crate) leaderless: Instant,
     pub(crate) deadline: Instant,
-    sequence: WriteSequence,
-    finished: WriteSequence,
-    unsynced: VecDeque<(WriteSequence, LogIndex)>,
-    held: VecDeque<(WriteSequence, ReplicaEnvelope)>,
-    incoming: Option<IncomingSnapshot>,
-    superseded: Option<Epoch>,
-}
-
-/// Parts of a snapshot received so far.
-#[derive(Debug)]
-struct IncomingSnapshot {
-    epoch: Epoch,
-    position: LogPosition,
-    data: Vec<u8>,
+    pub(crate) sequence: WriteSequence,
+    pub(crate) finished: WriteSequence,
+    pub(crate) unsynced: VecDeque<(WriteSequence, LogIndex)>,
+    pub(crate) held: VecDeque<(WriteSequence, ReplicaEnvelope)>,
+    pub(crate) incoming: Option<IncomingSnapshot>,
+    pub(crate) superseded: Option<Epoch>,
 }
 
 impl ReplicaCore {
@@ -300,7 +290,12 @@
     }
 
     /// A replica that was not there when the group was founded anew learns of it.
-    fn on_other_epoch(&mut self, epoch: Epoch, from: ReplicaId, message: ReplicaMessage) {
+    pub(crate) fn on_other_epoch(
+        &mut self,
+        epoch: Epoch,
+        from: ReplicaId,
+        message: ReplicaMessage,
+    ) {
         if epoch > self.hard.epoch {
             self.superseded = self.superseded.max(Some(epoch));
         } else if let ReplicaMessage::PreVote { .. } = message {
@@ -309,7 +304,7 @@
         }
     }
 
-    fn receive_member(
+    pub(crate) fn receive_member(
         &mut self,
         epoch: Epoch,
         from: ReplicaId,
@@ -380,7 +375,7 @@
         self.held.push_back((self.sequence, envelope));
     }
 
-    fn address(&self, to: ReplicaId, message: ReplicaMessage) -> ReplicaEnvelope {
+    pub(crate) fn address(&self, to: ReplicaId, message: ReplicaMessage) -> ReplicaEnvelope {
         let joined = self.incoming.as_ref().filter(|_| self.is_absent());
         let epoch = joined.map_or(self.hard.epoch, |incoming| incoming.epoch);
         ReplicaEnvelope { epoch, from: self.settings.own.clone(), to, message }
@@ -430,7 +425,7 @@
     }
 
     /// Stores the commit index along with other writes, or after a while without any.
-    fn note_commit(&mut self, now: Instant) {
+    pub(crate) fn note_commit(&mut self, now: Instant) {
         let due = now >= self.noted_at + self.settings.timing.election;
         if self.commit > self.noted_commit && (due || !self.output.writes.is_empty()) {
             self.write(JournalWrite::Commit(self.commit));
@@ -439,7 +434,7 @@
         }
     }
 
-    fn deliver(&mut self) {
+    pub(crate) fn deliver(&mut self) {
         // An entry that others have committed may be lost here until it is synced.
         let limit = self.commit.min(self.synced);
         if limit > self.delivered {
@@ -449,364 +444,3 @@
         }
     }
 }
-
-/// Joining and founding.
-impl ReplicaCore {
-    fn seek_group(&mut self, now: Instant) {
-        if now < self.deadline {
-            return;
-        }
-        self.deadline = now + self.settings.timing.heartbeat;
-        let ReplicaRole::Absent { joins, .. } = &self.role else { return };
-        let joins = joins.clone();
-        let own = self.settings.own.instance.clone();
-        let others: Vec<_> =
-            self.settings.instances.iter().filter(|name| **name != own).cloned().collect();
-        for instance in others {
-            let heard = joins.iter().find(|join| join.instance == instance);
-            let heard = heard.map(|join| join.identity);
-            let to = ReplicaId { instance, identity: ANY_IDENTITY };
-            self.send(to, ReplicaMessage::Join { heard });
-        }
-        self.found_alone(now);
-    }
-
-    fn found_alone(&mut self, now: Instant) {
-        let settings = &self.settings;
-        if settings.instances.as_slice() == [settings.own.instance.clone()] {
-            self.found(Vec::new(), now);
-        }
-    }
-
-    /// A replica without a group remembers who else has none; the first of the instances founds
-    /// the group once all others have answered it.
-    fn on_join(&mut self, from: ReplicaId, heard: Option<ReplicaIdentity>, now: Instant) {
-        if !self.settings.instances.contains(&from.instance) {
-            return;
-        }
-        let own = self.settings.own.clone();
-        let ReplicaRole::Absent { joins, answered } = &mut self.role else {
-            return self.consider_member(from, now);
-        };
-        for known in [&mut *joins, &mut *answered] {
-            known.retain(|join| join.instance != from.instance);
-        }
-        joins.push(from.clone());
-        // An answer to this identity was sent by a replica that belonged to no group since.
-        if heard == Some(own.identity) {
-            answered.push(from);
-        }
-        let founder = self.settings.instances.first() == Some(&own.instance);
-        if founder && answered.len() + 1 == self.settings.instances.len() {
-            let others = answered.clone();
-            self.found(others, now);
-        }
-    }
-
-    fn found(&mut self, others: Vec<ReplicaId>, now: Instant) {
-        let mut configuration = GroupConfiguration::default();
-        configuration.voters.push(self.settings.own.clone());
-        configuration.voters.extend(others);
-        self.adopt_founding(self.settings.founding, configuration, now);
-        self.deadline = now;
-    }
-
-    fn on_found(
-        &mut self,
-        epoch: Epoch,
-        from: ReplicaId,
-        configuration: GroupConfiguration,
-        now: Instant,
-    ) {
-        // A replica that never held an entry has acknowledged none.
-        let unused = self.log.last() == LogPosition::default() && epoch > self.hard.epoch;
-        let named = configuration.is_voter(&self.settings.own) && configuration.is_voter(&from);
-        if unused && named {
-            self.adopt_founding(epoch, configuration, now);
-        }
-    }
-
-    fn adopt_founding(&mut self, epoch: Epoch, configuration: GroupConfiguration, now: Instant) {
-        self.hard = HardState { epoch, term: Term(0), vote: None };
-        let snapshot = SnapshotImage { configuration, ..SnapshotImage::default() };
-        self.log = ReplicaLog::new(Arc::new(snapshot), Vec::new());
-        self.write_all();
-        self.become_follower(Term(0), None, now);
-    }
-
-    /// Founds the group anew, under `epoch`, with this replica as its only member.
-    ///
-    /// All entries of its log stay; accepted entries that only lost replicas held are lost. It is
-    /// refused while a leader is known, or was a moment ago.
-    pub fn refound(&mut self, epoch: Epoch, now: Instant) -> Result<(), ReplicaError> {
-        if self.is_absent() {
-            return Err(ReplicaError::NoGroup);
-        }
-        let patience = self.settings.timing.election * REFOUND_ELECTIONS;
-        if self.is_leader() || now < self.leaderless + patience {
-            return Err(ReplicaError::LeaderPresent);
-        }
-        self.become_follower(self.hard.term.next(), None, now);
-        self.hard.epoch = epoch.max(self.hard.epoch.next());
-        self.write_hard();
-        let mut configuration = GroupConfiguration::default();
-        configuration.voters.push(self.settings.own.clone());
-        self.append_own(EntryPayload::Refounded { epoch: self.hard.epoch, configuration });
-        self.deadline = now;
-        Ok(())
-    }
-}
-
-/// Election.
-impl ReplicaCore {
-    fn other_voters(&self) -> SmallVec<[ReplicaId; 3]> {
-        let voters = &self.log.configuration().voters;
-        voters.iter().filter(|voter| **voter != self.settings.own).cloned().collect()
-    }
-
-    fn is_quorum(&self, grants: &[ReplicaId]) -> bool {
-        let configuration = self.log.configuration();
-        let counted = grants.iter().filter(|replica| configuration.is_voter(replica)).count();
-        counted >= configuration.quorum()
-    }
-
-    fn start_pre_vote(&mut self, now: Instant) {
-        self.reset_deadline(now);
-        if !self.log.configuration().is_voter(&self.settings.own) {
-            self.role = ReplicaRole::Follower { leader: None };
-            return;
-        }
-        let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
-        self.role = ReplicaRole::PreCandidate { grants: grants.clone() };
-        if self.is_quorum(&grants) {
-            return self.start_vote(None, now);
-        }
-        let last = self.log.last();
-        for voter in self.other_voters() {
-            if last == LogPosition::default() {
-                let configuration = self.log.configuration().clone();
-                self.send_synced(voter.clone(), ReplicaMessage::Found { configuration });
-            }
-            self.send(voter, ReplicaMessage::PreVote { term: self.hard.term.next(), last });
-        }
-    }
-
-    /// Stands for election, at once if the leader of the term `given_up` has left.
-    pub(crate) fn start_vote(&mut self, given_up: Option<Term>, now: Instant) {
-        self.hard.term = self.hard.term.next();
-        self.hard.vote = Some(self.settings.own.clone());
-        self.write_hard();
-        self.reset_deadline(now);
-        let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
-        self.role = ReplicaRole::Candidate { grants: grants.clone() };
-        if self.is_quorum(&grants) {
-            return self.become_leader(now);
-        }
-        let last = self.log.last();
-        for voter in self.other_voters() {
-            let vote = ReplicaMessage::Vote { term: self.hard.term, last, given_up };
-            self.send_synced(voter, vote);
-        }
-    }
-
-    fn has_heard(&self, now: Instant) -> bool {
-        self.heard.is_some_and(|heard| now < heard + self.settings.timing.election)
-    }
-
-    /// Whether a leader may still hold a lease that this replica's answer renewed.
-    fn is_lease_possible(&self, now: Instant) -> bool {
-        self.is_leader() || self.has_heard(now)
-    }
-
-    fn on_pre_vote(&mut self, from: ReplicaId, term: Term, last: LogPosition, now: Instant) {
-        if self.is_leader() && !self.log.configuration().is_member(&from) {
-            self.consider_member(from.clone(), now);
-        }
-        let newer = term > self.hard.term && last >= self.log.last();
-        let granted = newer && !self.is_lease_possible(now);
-        let term = if granted { term } else { self.hard.term };
-        self.send_synced(from, ReplicaMessage::PreVoteReply { term, granted });
-    }
-
-    fn on_pre_vote_reply(&mut self, from: ReplicaId, term: Term, granted: bool, now: Instant) {
-        if !granted {
-            if term > self.hard.term {
-                self.become_follower(term, None, now);
-            }
-            return;
-        }
-        let ReplicaRole::PreCandidate { grants } = &mut self.role else { return };
-        if term != self.hard.term.next() || grants.contains(&from) {
-            return;
-        }
-        grants.push(from);
-        let grants = grants.clone();
-        if self.is_quorum(&grants) {
-            self.start_vote(None, now);
-        }
-    }
-
-    fn on_vote(&mut self, from: ReplicaId, term: Term, last: LogPosition, now: Instant) {
-        if term > self.hard.term {
-            self.become_follower(term, None, now);
-        }
-        let free = self.hard.vote.as_ref().is_none_or(|vote| *vote == from);
-        let granted = term == self.hard.term && free && last >= self.log.last();
-        if granted && self.hard.vote.is_none() {
-            self.hard.vote = Some(from.clone());
-            self.write_hard();
-            self.reset_deadline(now);
-        }
-        self.send_synced(from, ReplicaMessage::VoteReply { term: self.hard.term, granted });
-    }
-
-    fn on_vote_reply(&mut self, from: ReplicaId, term: Term, granted: bool, now: Instant) {
-        if term > self.hard.term {
-            return self.become_follower(term, None, now);
-        }
-        let ReplicaRole::Candidate { grants } = &mut self.role else { return };
-        if !granted || term < self.hard.term || grants.contains(&from) {
-            return;
-        }
-        grants.push(from);
-        let grants = grants.clone();
-        if self.is_quorum(&grants) {
-            self.become_leader(now);
-        }
-    }
-}
-
-/// Where a part of a snapshot belongs.
-#[derive(Debug)]
-struct SnapshotPart {
-    epoch: Epoch,
-    position: LogPosition,
-    configuration: GroupConfiguration,
-    offset: u64,
-    total: u64,
-}
-
-/// Following.
-impl ReplicaCore {
-    /// Takes `from` as the leader of `term`, unless a newer term is known.
-    fn accept_leader(&mut self, from: &ReplicaId, term: Term, now: Instant) -> bool {
-        if term < self.hard.term {
-            return false;
-        }
-        if !self.is_absent() {
-            self.become_follower(term, Some(from.clone()), now);
-        }
-        self.heard = Some(now);
-        self.leaderless = now;
-        true
-    }
-
-    fn append_entries(&mut self, previous: LogPosition, entries: Vec<LogEntry>) -> AppendOutcome {
-        if previous.index > self.log.last().index {
-            return AppendOutcome::Missing(self.log.last().index);
-        }
-        if previous.index > self.commit && self.log.term_at(previous.index) != Some(previous.term) {
-            return AppendOutcome::Missing(self.commit.max(previous.index.previous()));
-        }
-        let end = previous.index.0 + entries.len() as u64;
-        let known = |entry: &LogEntry| {
-            let LogPosition { term, index } = entry.position;
-            // Committed entries are equal everywhere.
-            index <= self.commit || self.log.term_at(index) == Some(term)
-        };
-        let fresh: Vec<_> = entries.into_iter().skip_while(known).collect();
-        if let Some(first) = fresh.first() {
-            let from = first.position.index;
-            if from <= self.log.last().index {
-                self.truncate(from);
-            }
-            self.write(JournalWrite::Append(fresh.clone()));
-            self.log.append(fresh);
-        }
-        AppendOutcome::Matched(LogIndex(end))
-    }
-
-    fn truncate(&mut self, from: LogIndex) {
-        self.log.truncate(from);
-        self.write(JournalWrite::Truncate(from));
-        let last = from.previous();
-        self.synced = self.synced.min(last);
-        for (_, index) in &mut self.unsynced {
-            *index = last.min(*index);
-        }
-    }
-
-    fn accept_snapshot(&mut self, part: SnapshotPart, data: &str, now: Instant) -> AppendOutcome {
-        let SnapshotPart { epoch, position, configuration, offset, total } = part;
-        let held = !self.is_absent() && self.log.term_at(position.index) == Some(position.term);
-        if held || (!self.is_absent() && position.index <= self.commit) {
-            self.commit = self.commit.max(position.index);
-            return AppendOutcome::Matched(position.index);
-        }
-        let same =
-            |incoming: &IncomingSnapshot| incoming.epoch == epoch && incoming.position == position;
-        if !self.incoming.as_ref().is_some_and(same) {
-            self.incoming = Some(IncomingSnapshot { epoch, position, data: Vec::new() });
-        }
-        let Some(incoming) = &mut self.incoming else { return AppendOutcome::SnapshotFrom(0) };
-        if offset == incoming.data.len() as u64 {
-            incoming.data.extend(data.chars().map(|byte| byte as u8));
-        }
-        let received = incoming.data.len() as u64;
-        if received < total {
-            return AppendOutcome::SnapshotFrom(received);
-        }
-        let data = mem::take(&mut incoming.data).into();
-        self.incoming = None;
-        self.install(epoch, SnapshotImage { position, configuration, data }, now);
-        AppendOutcome::Matched(position.index)
-    }
-
-    fn install(&mut self, epoch: Epoch, snapshot: SnapshotImage, now: Instant) {
-        let snapshot = Arc::new(snapshot);
-        let index = snapshot.position.index;
-        self.output.committed.clear();
-        self.output.restored = Some(Arc::clone(&snapshot));
-        self.log = ReplicaLog::new(snapshot, Vec::new());
-        self.commit = index;
-        self.delivered = index;
-        self.synced = index;
-        for (_, unsynced) in &mut self.unsynced {
-            *unsynced = index;
-        }
-        self.hard.epoch = epoch;
-        self.write_all();
-        if self.is_absent() {
-            self.role = ReplicaRole::Follower { leader: None };
-            self.reset_deadline(now);
-        }
-    }
-
-    /// Replaces the applied entries up to `index` by `data`, the encoded state after them.
-    pub fn compact(&mut self, index: LogIndex, data: Vec<u8>) {
-        if index <= self.log.base() || index > self.delivered {
-            return;
-        }
-        self.log.compact(index, data);
-        self.write_all();
-    }
-
-    fn write_all(&mut self) {
-        let stored = StoredReplica {
-            hard: self.hard.clone(),
-            snapshot: Arc::clone(self.log.snapshot()),
-            entries: self.log.range(LogIndex(0), self.log.last().index).to_vec(),
-            commit: self.commit,
-        };
-        self.write(JournalWrite::Replace(Box::new(stored)));
-    }
-
-    fn reply_append(&mut self, to: ReplicaId, round: u64, outcome: AppendOutcome) {
-        let term = self.hard.term;
-        self.send_synced(to, ReplicaMessage::AppendReply { term, round, outcome });
-    }
-
-    fn reply_stale(&mut self, to: ReplicaId, round: u64) {
-        self.reply_append(to, round, AppendOutcome::Missing(self.commit));
-    }
-}
--- /dev/null
+++ b/cicadastall/src/replica_election.rs
@@ -0,0 +1,144 @@
+//! Elections: pre-votes, votes and the leases that delay them.
+
+use crate::{
+    replica::{ReplicaCore, ReplicaRole},
+    replica_message::{LogPosition, ReplicaId, ReplicaMessage, Term},
+};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+impl ReplicaCore {
+    pub(crate) fn other_voters(&self) -> SmallVec<[ReplicaId; 3]> {
+        let voters = &self.log.configuration().voters;
+        voters.iter().filter(|voter| **voter != self.settings.own).cloned().collect()
+    }
+
+    pub(crate) fn is_quorum(&self, grants: &[ReplicaId]) -> bool {
+        let configuration = self.log.configuration();
+        let counted = grants.iter().filter(|replica| configuration.is_voter(replica)).count();
+        counted >= configuration.quorum()
+    }
+
+    pub(crate) fn start_pre_vote(&mut self, now: Instant) {
+        self.reset_deadline(now);
+        if !self.log.configuration().is_voter(&self.settings.own) {
+            self.role = ReplicaRole::Follower { leader: None };
+            return;
+        }
+        let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
+        self.role = ReplicaRole::PreCandidate { grants: grants.clone() };
+        if self.is_quorum(&grants) {
+            return self.start_vote(None, now);
+        }
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            if last == LogPosition::default() {
+                let configuration = self.log.configuration().clone();
+                self.send_synced(voter.clone(), ReplicaMessage::Found { configuration });
+            }
+            self.send(voter, ReplicaMessage::PreVote { term: self.hard.term.next(), last });
+        }
+    }
+
+    /// Stands for election, at once if the leader of the term `given_up` has left.
+    pub(crate) fn start_vote(&mut self, given_up: Option<Term>, now: Instant) {
+        self.hard.term = self.hard.term.next();
+        self.hard.vote = Some(self.settings.own.clone());
+        self.write_hard();
+        self.reset_deadline(now);
+        let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
+        self.role = ReplicaRole::Candidate { grants: grants.clone() };
+        if self.is_quorum(&grants) {
+            return self.become_leader(now);
+        }
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            let vote = ReplicaMessage::Vote { term: self.hard.term, last, given_up };
+            self.send_synced(voter, vote);
+        }
+    }
+
+    pub(crate) fn has_heard(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now < heard + self.settings.timing.election)
+    }
+
+    /// Whether a leader may still hold a lease that this replica's answer renewed.
+    pub(crate) fn is_lease_possible(&self, now: Instant) -> bool {
+        self.is_leader() || self.has_heard(now)
+    }
+
+    pub(crate) fn on_pre_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        last: LogPosition,
+        now: Instant,
+    ) {
+        if self.is_leader() && !self.log.configuration().is_member(&from) {
+            self.consider_member(from.clone(), now);
+        }
+        let newer = term > self.hard.term && last >= self.log.last();
+        let granted = newer && !self.is_lease_possible(now);
+        let term = if granted { term } else { self.hard.term };
+        self.send_synced(from, ReplicaMessage::PreVoteReply { term, granted });
+    }
+
+    pub(crate) fn on_pre_vote_reply(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        now: Instant,
+    ) {
+        if !granted {
+            if term > self.hard.term {
+                self.become_follower(term, None, now);
+            }
+            return;
+        }
+        let ReplicaRole::PreCandidate { grants } = &mut self.role else { return };
+        if term != self.hard.term.next() || grants.contains(&from) {
+            return;
+        }
+        grants.push(from);
+        let grants = grants.clone();
+        if self.is_quorum(&grants) {
+            self.start_vote(None, now);
+        }
+    }
+
+    pub(crate) fn on_vote(&mut self, from: ReplicaId, term: Term, last: LogPosition, now: Instant) {
+        if term > self.hard.term {
+            self.become_follower(term, None, now);
+        }
+        let free = self.hard.vote.as_ref().is_none_or(|vote| *vote == from);
+        let granted = term == self.hard.term && free && last >= self.log.last();
+        if granted && self.hard.vote.is_none() {
+            self.hard.vote = Some(from.clone());
+            self.write_hard();
+            self.reset_deadline(now);
+        }
+        self.send_synced(from, ReplicaMessage::VoteReply { term: self.hard.term, granted });
+    }
+
+    pub(crate) fn on_vote_reply(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+        now: Instant,
+    ) {
+        if term > self.hard.term {
+            return self.become_follower(term, None, now);
+        }
+        let ReplicaRole::Candidate { grants } = &mut self.role else { return };
+        if !granted || term < self.hard.term || grants.contains(&from) {
+            return;
+        }
+        grants.push(from);
+        let grants = grants.clone();
+        if self.is_quorum(&grants) {
+            self.become_leader(now);
+        }
+    }
+}
--- /dev/null
+++ b/cicadastall/src/replica_follower.rs
@@ -0,0 +1,163 @@
+//! Following: entries and snapshots from a leader, and their acknowledgement.
+
+use crate::{
+    replica::{ReplicaCore, ReplicaRole},
+    replica_log::ReplicaLog,
+    replica_message::{
+        AppendOutcome, Epoch, GroupConfiguration, JournalWrite, LogEntry, LogIndex, LogPosition,
+        ReplicaId, ReplicaMessage, SnapshotImage, StoredReplica, Term,
+    },
+};
+use std::{mem, sync::Arc};
+use tokio::time::Instant;
+
+/// Where a part of a snapshot belongs.
+#[derive(Debug)]
+pub(crate) struct SnapshotPart {
+    pub(crate) epoch: Epoch,
+    pub(crate) position: LogPosition,
+    pub(crate) configuration: GroupConfiguration,
+    pub(crate) offset: u64,
+    pub(crate) total: u64,
+}
+
+/// Parts of a snapshot received so far.
+#[derive(Debug)]
+pub(crate) struct IncomingSnapshot {
+    pub(crate) epoch: Epoch,
+    pub(crate) position: LogPosition,
+    pub(crate) data: Vec<u8>,
+}
+
+impl ReplicaCore {
+    /// Takes `from` as the leader of `term`, unless a newer term is known.
+    pub(crate) fn accept_leader(&mut self, from: &ReplicaId, term: Term, now: Instant) -> bool {
+        if term < self.hard.term {
+            return false;
+        }
+        if !self.is_absent() {
+            self.become_follower(term, Some(from.clone()), now);
+        }
+        self.heard = Some(now);
+        self.leaderless = now;
+        true
+    }
+
+    pub(crate) fn append_entries(
+        &mut self,
+        previous: LogPosition,
+        entries: Vec<LogEntry>,
+    ) -> AppendOutcome {
+        if previous.index > self.log.last().index {
+            return AppendOutcome::Missing(self.log.last().index);
+        }
+        if previous.index > self.commit && self.log.term_at(previous.index) != Some(previous.term) {
+            return AppendOutcome::Missing(self.commit.max(previous.index.previous()));
+        }
+        let end = previous.index.0 + entries.len() as u64;
+        let known = |entry: &LogEntry| {
+            let LogPosition { term, index } = entry.position;
+            // Committed entries are equal everywhere.
+            index <= self.commit || self.log.term_at(index) == Some(term)
+        };
+        let fresh: Vec<_> = entries.into_iter().skip_while(known).collect();
+        if let Some(first) = fresh.first() {
+            let from = first.position.index;
+            if from <= self.log.last().index {
+                self.truncate(from);
+            }
+            self.write(JournalWrite::Append(fresh.clone()));
+            self.log.append(fresh);
+        }
+        AppendOutcome::Matched(LogIndex(end))
+    }
+
+    pub(crate) fn truncate(&mut self, from: LogIndex) {
+        self.log.truncate(from);
+        self.write(JournalWrite::Truncate(from));
+        let last = from.previous();
+        self.synced = self.synced.min(last);
+        for (_, index) in &mut self.unsynced {
+            *index = last.min(*index);
+        }
+    }
+
+    pub(crate) fn accept_snapshot(
+        &mut self,
+        part: SnapshotPart,
+        data: &str,
+        now: Instant,
+    ) -> AppendOutcome {
+        let SnapshotPart { epoch, position, configuration, offset, total } = part;
+        let held = !self.is_absent() && self.log.term_at(position.index) == Some(position.term);
+        if held || (!self.is_absent() && position.index <= self.commit) {
+            self.commit = self.commit.max(position.index);
+            return AppendOutcome::Matched(position.index);
+        }
+        let same =
+            |incoming: &IncomingSnapshot| incoming.epoch == epoch && incoming.position == position;
+        if !self.incoming.as_ref().is_some_and(same) {
+            self.incoming = Some(IncomingSnapshot { epoch, position, data: Vec::new() });
+        }
+        let Some(incoming) = &mut self.incoming else { return AppendOutcome::SnapshotFrom(0) };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend(data.chars().map(|byte| byte as u8));
+        }
+        let received = incoming.data.len() as u64;
+        if received < total {
+            return AppendOutcome::SnapshotFrom(received);
+        }
+        let data = mem::take(&mut incoming.data).into();
+        self.incoming = None;
+        self.install(epoch, SnapshotImage { position, configuration, data }, now);
+        AppendOutcome::Matched(position.index)
+    }
+
+    pub(crate) fn install(&mut self, epoch: Epoch, snapshot: SnapshotImage, now: Instant) {
+        let snapshot = Arc::new(snapshot);
+        let index = snapshot.position.index;
+        self.output.committed.clear();
+        self.output.restored = Some(Arc::clone(&snapshot));
+        self.log = ReplicaLog::new(snapshot, Vec::new());
+        self.commit = index;
+        self.delivered = index;
+        self.synced = index;
+        for (_, unsynced) in &mut self.unsynced {
+            *unsynced = index;
+        }
+        self.hard.epoch = epoch;
+        self.write_all();
+        if self.is_absent() {
+            self.role = ReplicaRole::Follower { leader: None };
+            self.reset_deadline(now);
+        }
+    }
+
+    /// Replaces the applied entries up to `index` by `data`, the encoded state after them.
+    pub fn compact(&mut self, index: LogIndex, data: Vec<u8>) {
+        if index <= self.log.base() || index > self.delivered {
+            return;
+        }
+        self.log.compact(index, data);
+        self.write_all();
+    }
+
+    pub(crate) fn write_all(&mut self) {
+        let stored = StoredReplica {
+            hard: self.hard.clone(),
+            snapshot: Arc::clone(self.log.snapshot()),
+            entries: self.log.range(LogIndex(0), self.log.last().index).to_vec(),
+            commit: self.commit,
+        };
+        self.write(JournalWrite::Replace(Box::new(stored)));
+    }
+
+    pub(crate) fn reply_append(&mut self, to: ReplicaId, round: u64, outcome: AppendOutcome) {
+        let term = self.hard.term;
+        self.send_synced(to, ReplicaMessage::AppendReply { term, round, outcome });
+    }
+
+    pub(crate) fn reply_stale(&mut self, to: ReplicaId, round: u64) {
+        self.reply_append(to, round, AppendOutcome::Missing(self.commit));
+    }
+}
