Wait longer for control before suspects are isolated alone

Ruled out: refusing suspects while control is absent; a region without control would then serve no request that ever ran beside a crash. Change: 2 s for that question; only suspected requests wait.

--- a/cicadastall/src/quarantine.rs
+++ b/cicadastall/src/quarantine.rs
@@ -30,6 +30,10 @@
 /// Longest time to wait for a peer.
 const SHARE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time to wait for a control instance before an entry isolates suspects by itself; two
+/// entries that do so may give two suspects one upstream.
+const ISOLATION_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Longest time to wait for the answer of an upstream that may have crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -129,7 +133,7 @@
     ) -> IsolationReply {
         for address in self.node.control.iter().copied() {
             let request = request.clone();
-            let call = clients.call(address, SHARE_TIMEOUT, async |client, context| {
+            let call = clients.call(address, ISOLATION_TIMEOUT, async |client, context| {
                 client.isolate_suspect(context, request).await
             });
             if let Ok(reply) = call.await {
