--- a/cicadastall-daemons/tests/scenarios.rs
+++ b/cicadastall-daemons/tests/scenarios.rs
@@ -1,6 +1,7 @@
 //! Scripted scenarios, one folder for each promise; their printouts are the golden text.
 //!
 //! `REWRITE=1 cargo test -p cicadastall-daemons --test scenarios` writes the printouts anew.
+//! `RUN=FILE` runs one file of each folder.
 
 mod common;
 mod scenario;
