End the sending side of a connection before discarding what it still receives

Change: the sending side is shut down first, so that the client sees the end at once; clients keep unused connections for 4 s, below the 10 s of listeners.

--- a/cicadastall/src/http.rs
+++ b/cicadastall/src/http.rs
@@ -181,24 +181,31 @@
          retry-after: 1\r\nconnection: close\r\n\r\n",
         body.len()
     );
-    let sent = timeout(LINGER_BOUND, async {
-        stream.write_all((head + &body).as_bytes()).await?;
-        stream.shutdown().await
-    });
+    let answer = head + &body;
+    let sent = timeout(LINGER_BOUND, stream.write_all(answer.as_bytes()));
     if let Ok(Ok(())) = sent.await {
         linger(stream).await;
     }
 }
 
-/// Discards what the other side still sends, for a bounded time.
+/// Ends the sending side, so that the other side sends no further request, and discards what it
+/// still sends, for a bounded time.
 ///
 /// Closing a connection with unread bytes resets it, and the other side may lose the answer.
 async fn linger(mut stream: TcpStream) {
     let mut discarded = [0; 4 * 1024];
-    let closed = async { while stream.read(&mut discarded).await.is_ok_and(|count| count > 0) {} };
+    let closed = async {
+        stream.shutdown().await?;
+        while stream.read(&mut discarded).await? > 0 {}
+        io::Result::Ok(())
+    };
     let _ = timeout(LINGER_BOUND, closed).await;
 }
 
+/// Time after which an unused connection is not used again; shorter than the time after which a
+/// listener closes it, so that a request does not meet the close.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// A client that keeps up to `idle` connections open to each address.
 pub fn client(idle: usize) -> HttpClient {
     client_from(None, idle)
@@ -212,7 +219,7 @@
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(idle)
-        .pool_idle_timeout(Duration::from_secs(20))
+        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
         .pool_timer(TokioTimer::new())
         .retry_canceled_requests(false)
         .build(connector)
