Test that an idle connection is ended at once

Change: a raw connection that is idle for longer than send_ms reads its end. Seen to fail without the shutdown: caller_limits.rs:247 'the connection is still open after twice its idle time'.

--- a/cicadastall-daemons/tests/caller_limits.rs
+++ b/cicadastall-daemons/tests/caller_limits.rs
@@ -230,3 +230,19 @@
     let answer = ask(&client(0), entry.address).await.expect("an answer");
     assert_eq!(answer.status, StatusCode::OK);
 }
+
+#[tokio::test]
+async fn idle_connection_is_ended_at_once_when_its_time_is_over() {
+    let limits = json!({ "send_ms": 600 });
+    let entry = LimitedEntry::start("idle", limits, "5").await;
+    let mut stream = entry.connect("127.0.0.1").await;
+    let request = b"GET /v1/entries HTTP/1.1\r\nhost: entry\r\n\r\n";
+    stream.write_all(request).await.expect("a sent request");
+    let mut answer = vec![0; 4096];
+    let count = stream.read(&mut answer).await.expect("an answer");
+    assert!(count > 0);
+    let ended = timeout(Duration::from_millis(1_200), async {
+        while stream.read(&mut answer).await.expect("the end of the connection") > 0 {}
+    });
+    assert!(ended.await.is_ok(), "the connection is still open after twice its idle time");
+}
