--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -1,9 +1,13 @@
 //! cicadastall: a multi-region inference gateway for a few small instances.
 //!
-//! A request passes through the modules in this order: [`serve`] reads it, [`decode`] plans it by
-//! the [`settings`], [`route`] chooses an upstream from the [`table`], [`dispatch`] makes one
-//! attempt, [`stream`] keeps what belongs to it, and [`relay`] repeats attempts until the answer is
-//! whole. [`answer`] names what the caller gets when there is no result.
+//! A request passes through [`serve`], [`decode`], [`route`], [`dispatch`], [`stream`] and
+//! [`relay`]: it is read, planned by the [`settings`], given an upstream from the [`table`], sent,
+//! kept apart from other answers, and tried again until its answer is whole. [`answer`] names what
+//! the caller gets when there is no result. Calls that may not be repeated go through [`claim`] and
+//! [`ledger`].
+//!
+//! [`entry::EntryServer`] and [`control::ControlServer`] are the two kinds of instances; what they
+//! know of each other comes from [`membership`], what they agree on from [`group`].
 //!
 //! ```
 //! use cicadastall::settings::FleetSettings;
