Read resident memory in one place in the benchmarks

Cause: overhead and acknowledgements each had a function of the same name that reads the same line of the kernel's report. Ruled out: joining the start of both benches' fleets, which differ in replicas, upstreams and threads; a third reader in slopes, which counts pages and treats a missing report as nothing. Change: memory.rs serves both.

--- a/cicadastall-bench/src/acknowledgements.rs
+++ b/cicadastall-bench/src/acknowledgements.rs
@@ -1,5 +1,6 @@
 //! What selective acknowledgements save in a ledger, and what they cost.
 
+use crate::memory::resident_bytes;
 use bpaf::Bpaf;
 use cicadastall::{
     ledger::{
@@ -12,7 +13,7 @@
 };
 use eyre::{OptionExt, bail};
 use serde_json::json;
-use std::{fs, time::Instant};
+use std::time::Instant;
 
 /// Virtual time between two bookings of one caller, in milliseconds.
 const BOOKING_PERIOD_MS: u64 = 1_000;
@@ -175,11 +176,3 @@
     println!("{line}");
     Ok(())
 }
-
-/// Resident memory of this process.
-fn resident_bytes() -> eyre::Result<u64> {
-    let status = fs::read_to_string("/proc/self/status")?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
-    Ok(kilobytes.ok_or_eyre("no resident memory in /proc/self/status")?.parse::<u64>()? * 1_024)
-}
--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -3,6 +3,7 @@
 mod acknowledgements;
 mod bookings;
 mod group;
+mod memory;
 mod overhead;
 mod placement;
 mod schedules;
--- /dev/null
+++ b/cicadastall-bench/src/memory.rs
@@ -0,0 +1,13 @@
+//! Memory of this process, as the kernel reports it.
+
+use std::fs;
+
+/// Resident memory of the whole process, in bytes.
+pub(crate) fn resident_bytes() -> eyre::Result<u64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib: u64 = line
+        .and_then(|line| line.split_whitespace().next()?.parse().ok())
+        .ok_or_else(|| eyre::eyre!("no resident size in /proc/self/status"))?;
+    Ok(kib * 1024)
+}
--- a/cicadastall-bench/src/overhead.rs
+++ b/cicadastall-bench/src/overhead.rs
@@ -1,5 +1,6 @@
 //! What an entry adds to a request and to a streamed token, against calling the upstream directly.
 
+use crate::memory::resident_bytes;
 use bpaf::Bpaf;
 use bytes::Bytes;
 use cicadastall::{
@@ -286,16 +287,6 @@
     Ok(ticks / TICKS_PER_S)
 }
 
-/// Resident memory of the whole process, in bytes.
-fn resident_bytes() -> eyre::Result<u64> {
-    let status = fs::read_to_string("/proc/self/status")?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kib: u64 = line
-        .and_then(|line| line.split_whitespace().next()?.parse().ok())
-        .ok_or_else(|| eyre::eyre!("no resident size in /proc/self/status"))?;
-    Ok(kib * 1024)
-}
-
 pub(crate) fn describe(times: &Histogram<u64>) -> Value {
     json!({ "p50": times.value_at_quantile(0.5), "p99": times.value_at_quantile(0.99) })
 }
