Take a refounding over in the ledger before any later command

Cause: a proposer reads its group's epoch and then proposes. Held up in between, while its replica loses the lead, is founded anew by an operator and leads again, it proposed under the lost epoch. The ledger learned of the new epoch only by the first command refused under it, so it still took the lost epoch for its own and granted the claim: a key that the lost majority had run could run again.

Ruled out: comparing epochs in the group actor (the command is opaque there). A proposal always comes after the refounding's own entry in the log, so the state can tell.

Change: LedgerState::refounded takes the epoch over. The Found command stays for the first founding, which has no entry.

--- a/cicadastall/src/ledger.rs
+++ b/cicadastall/src/ledger.rs
@@ -416,6 +416,12 @@
         applied.unwrap_or_else(LedgerReply::Refused)
     }
 
+    /// Takes the new epoch over before any command that follows, so that one whose proposer read
+    /// an earlier epoch is refused.
+    fn refounded(&mut self, epoch: u64) {
+        self.found(LedgerEpoch(epoch));
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
     }
