Send a founder's first pre-vote after its founding

Cause: a founder sends Found once its own founding is synced, but sent its pre-vote at once. A replica without a group ignores a pre-vote, so the first election was lost whenever the sync was slower than the message, and the group had no leader for an election timeout more. In replica_groups a_planned_stop_of_the_leader_costs_no_election_timeout, whose election timeout is 60 s, that is a failure ("before is not accepted").

Change: the pre-vote that follows a founding waits for the same sync.

--- a/cicadastall/src/replica_election.rs
+++ b/cicadastall/src/replica_election.rs
@@ -32,11 +32,15 @@
         }
         let last = self.log.last();
         for voter in self.other_voters() {
-            if last == LogPosition::default() {
-                let configuration = self.log.configuration().clone();
-                self.send_synced(voter.clone(), ReplicaMessage::Found { configuration });
+            let pre_vote = ReplicaMessage::PreVote { term: self.hard.term.next(), last };
+            if last != LogPosition::default() {
+                self.send(voter, pre_vote);
+                continue;
             }
-            self.send(voter, ReplicaMessage::PreVote { term: self.hard.term.next(), last });
+            // A replica without a group ignores a pre-vote that comes before its founding.
+            let configuration = self.log.configuration().clone();
+            self.send_synced(voter.clone(), ReplicaMessage::Found { configuration });
+            self.send_synced(voter, pre_vote);
         }
     }
 
