Keep 17 modules of the library private

Cause: 61 modules were public, 17 of which nothing outside the crate uses; a newcomer could not tell the interface from its parts. Change: these 17 are private; CallerCounts::callers, which only its visibility kept from the linter, is gone.

--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -1,13 +1,13 @@
 //! cicadastall: a multi-region inference gateway for a few small instances.
 //!
 //! A request passes through [`serve`], [`decode`], [`route`], [`dispatch`], [`stream`] and
-//! [`relay`]: it is read, planned by the [`settings`], given an upstream from the [`table`], sent,
+//! `relay`: it is read, planned by the [`settings`], given an upstream from the [`table`], sent,
 //! kept apart from other answers, and tried again until its answer is whole. [`answer`] names what
 //! the caller gets when there is no result. Calls that may not be repeated go through [`claim`] and
 //! [`ledger`].
 //!
 //! [`entry::EntryServer`] and [`control::ControlServer`] are the two kinds of instances; what they
-//! know of each other comes from [`membership`], what they agree on from [`group`].
+//! know of each other comes from `membership`, what they agree on from [`group`].
 //!
 //! ```
 //! use cicadastall::settings::FleetSettings;
@@ -17,29 +17,29 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
-pub mod admit;
+mod admit;
 pub mod answer;
 pub mod bulletin;
 pub mod check;
 pub mod claim;
-pub mod clock;
+mod clock;
 pub mod control;
 pub mod counted;
 pub mod decode;
-pub mod difference;
-pub mod digest;
+mod difference;
+mod digest;
 pub mod directory;
 pub mod dispatch;
-pub mod document;
+mod document;
 pub mod entry;
 mod evidence;
-pub mod explain;
+mod explain;
 pub mod fault;
 pub mod follow;
 pub mod follower;
 mod followers;
 pub mod group;
-pub mod group_actor;
+mod group_actor;
 pub mod group_operator;
 pub mod group_transport;
 pub mod http;
@@ -49,11 +49,11 @@
 pub mod lease;
 pub mod ledger;
 pub mod ledger_host;
-pub mod limits;
+mod limits;
 pub mod listing;
 pub mod logs;
 pub mod members;
-pub mod membership;
+mod membership;
 mod message_codec;
 pub mod name;
 pub mod node;
@@ -62,18 +62,18 @@
 pub mod outbox;
 pub mod peer;
 pub mod placement;
-pub mod placement_host;
+mod placement_host;
 pub mod prefix;
-pub mod probes;
-pub mod quarantine;
-pub mod relay;
+mod probes;
+mod quarantine;
+mod relay;
 pub mod replica;
 mod replica_election;
 mod replica_follower;
 mod replica_founding;
-pub mod replica_handover;
-pub mod replica_leader;
-pub mod replica_log;
+mod replica_handover;
+mod replica_leader;
+mod replica_log;
 pub mod replica_message;
 pub mod replicated;
 pub mod retry;
@@ -83,7 +83,7 @@
 pub mod settings;
 pub mod settings_command;
 pub mod settings_host;
-pub mod settings_peer;
+mod settings_peer;
 pub mod settings_query;
 pub mod settings_state;
 mod shape;
--- a/cicadastall/src/limits.rs
+++ b/cicadastall/src/limits.rs
@@ -45,11 +45,6 @@
         self.limit
     }
 
-    /// Addresses that have a request in flight.
-    pub fn callers(&self) -> usize {
-        self.lock().len()
-    }
-
     fn leave(&self, caller: IpAddr) {
         let mut counts = self.lock();
         if let Some(count) = counts.get_mut(&caller) {
