--- a/cicadastall-bench/src/compare/metrics.rs
+++ b/cicadastall-bench/src/compare/metrics.rs
@@ -44,12 +44,27 @@
     pub urgent_use: f64,
     /// Patient work done over the capacity that remained after urgent work.
     pub patient_use: f64,
+    /// Where the rest of the capacity went.
+    pub lost: LostCapacity,
     /// Longest time without a patient answer, in seconds.
     pub patient_gap_s: f64,
     /// Time after the last flood until urgent service stayed normal, in seconds.
     pub recovery_s: f64,
 }
 
+/// Parts of the fleet's capacity in floods that gave no urgent answer on time.
+#[derive(Debug, Clone, Serialize)]
+pub struct LostCapacity {
+    /// Urgent answers whose first token was late.
+    pub late: f64,
+    /// Patient answers.
+    pub patient: f64,
+    /// Engines without work.
+    pub idle: f64,
+    /// Work without a whole answer, prefill that was repeated, and small batches.
+    pub wasted: f64,
+}
+
 /// Figures of one policy.
 #[derive(Debug, Clone, Serialize)]
 pub struct PolicyReport {
@@ -94,6 +109,7 @@
     urgent_on_time_s: f64,
     urgent_s: f64,
     patient_s: f64,
+    busy_s: f64,
     last_patient: Duration,
     patient_gap: Duration,
 }
@@ -185,6 +201,11 @@
         }
     }
 
+    /// Counts the time that engines worked at the start of a flood, as negative, and at its end.
+    pub fn count_flood_busy(&mut self, busy_s: f64) {
+        self.flood.busy_s += busy_s;
+    }
+
     /// Counts the end of a request, `code` being why it has no whole answer.
     pub fn count_end(
         &mut self,
@@ -298,10 +319,19 @@
         let engines: f64 =
             workload.regions.iter().map(|load| f64::from(load.engines) * load.speed).sum();
         let capacity = engines * length;
+        let whole_speed = workload.regions.iter().map(|load| f64::from(load.engines)).sum::<f64>();
+        let busy = self.flood.busy_s / (whole_speed * length);
+        let done = (self.flood.urgent_s + self.flood.patient_s) / capacity;
         FloodReport {
             urgent_on_time: ratio(self.flood.urgent.1, self.flood.urgent.0),
             urgent_use: round(self.flood.urgent_on_time_s / capacity),
             patient_use: round(self.flood.patient_s / (capacity - self.flood.urgent_s)),
+            lost: LostCapacity {
+                late: round((self.flood.urgent_s - self.flood.urgent_on_time_s) / capacity),
+                patient: round(self.flood.patient_s / capacity),
+                idle: round(1.0 - busy),
+                wasted: round(busy - done),
+            },
             patient_gap_s: round(self.flood.patient_gap.as_secs_f64()),
             recovery_s: self.recovery_s(),
         }
@@ -343,7 +373,7 @@
 pub fn render_table(reports: &[PolicyReport]) -> String {
     let mut text = String::from(
         "policy            busy h  urgent  worth   cross   prefix  sends   asks    \
-         | flood: urgent  used    patient gap s   recover s\n",
+         | flood: urgent  used    patient gap s   recover s  late    patient idle    wasted\n",
     );
     for report in reports {
         let _ = write!(
@@ -361,12 +391,16 @@
         if let Some(flood) = &report.flood {
             let _ = write!(
                 text,
-                "  |        {:.4}  {:.4}  {:.4}  {:<6.1}  {:.0}",
+                "  |        {:.4}  {:.4}  {:.4}  {:<6.1}  {:<9.0}  {:.4}  {:.4}  {:.4}  {:.4}",
                 flood.urgent_on_time,
                 flood.urgent_use,
                 flood.patient_use,
                 flood.patient_gap_s,
                 flood.recovery_s,
+                flood.lost.late,
+                flood.lost.patient,
+                flood.lost.idle,
+                flood.lost.wasted,
             );
         }
         text.push('\n');
--- a/cicadastall-bench/src/compare/simulation/faults.rs
+++ b/cicadastall-bench/src/compare/simulation/faults.rs
@@ -11,7 +11,11 @@
     pub(super) fn start_fault(&mut self, fault: usize) {
         let workload = self.workload;
         match &workload.faults[fault].fault {
-            FaultKind::Flood { .. } => self.arrive_flood(fault),
+            FaultKind::Flood { .. } => {
+                let busy_s = self.engines_busy_s();
+                self.metrics.count_flood_busy(-busy_s);
+                self.arrive_flood(fault);
+            }
             FaultKind::Lose { region, share } => {
                 for upstream in self.share_of(region, *share) {
                     self.restart(upstream, None);
@@ -45,8 +49,22 @@
             }
             FaultKind::Cut { regions } => self.cuts.retain(|cut| cut != regions),
             FaultKind::Slow { region, .. } => self.slow_first(region, 1.0),
-            FaultKind::Flood { .. } | FaultKind::ColdCaches { .. } | FaultKind::RollingRestart => {}
+            FaultKind::Flood { .. } => {
+                let busy_s = self.engines_busy_s();
+                self.metrics.count_flood_busy(busy_s);
+            }
+            FaultKind::ColdCaches { .. } | FaultKind::RollingRestart => {}
+        }
+    }
+
+    /// Time that all engines worked so far, in seconds.
+    fn engines_busy_s(&mut self) -> f64 {
+        for upstream in 0..self.upstreams.len() {
+            self.advance(upstream);
+            self.set_timer(upstream);
         }
+        let engines = self.upstreams.iter().filter(|model| model.is_engine);
+        engines.map(|model| model.engine.busy().as_secs_f64()).sum()
     }
 
     pub(super) fn slow_first(&mut self, region: &RegionName, speed: f64) {
