Hand the prediction of a choice to the note of its sending

Cause: after a choice the relay loaded the routing table a second time and the router predicted the chosen upstream again, only to note the sending. Change: a choice carries its prediction; note_sent takes the choice. Ruled out: a changed policy. The only difference is that the mean length of answers is updated after the prediction and not before.

The time of a decision was not measured yet.

--- a/cicadastall-bench/src/compare/simulation.rs
+++ b/cicadastall-bench/src/compare/simulation.rs
@@ -289,14 +289,8 @@
         let leg = request.legs.last_mut().expect("decided for this leg");
         leg.attempts += 1;
         let zone = &mut self.zones[leg.zone];
-        let name = self.upstreams[upstream].name();
-        let ticket = zone.routers[leg.entry].note_sent(
-            &zone.table,
-            name,
-            &leg.plan,
-            &request.shape,
-            self.now,
-        );
+        let router = &mut zone.routers[leg.entry];
+        let ticket = router.note_sent(choice, &leg.plan, &request.shape, self.now);
         leg.attempt = Some(OpenAttempt { id, upstream, ticket });
         let model = &mut self.upstreams[upstream];
         if model.state.is_none_or(|state| state == UpstreamState::Loading) {
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -394,10 +394,8 @@
         isolation: Option<IsolationLease>,
         now: Instant,
     ) -> OpenAttempt {
+        let ticket = self.context.router().note_sent(&choice, &self.plan, &self.shape, now);
         let record = choice.view.record;
-        let table = self.context.table();
-        let ticket =
-            self.context.router().note_sent(&table, &record.name, &self.plan, &self.shape, now);
         let target = AttemptTarget::Upstream { address: record.address, priority: choice.priority };
         let attempt = self.number_attempt(target, record.region.clone(), Some(ticket), now);
         OpenAttempt { incarnation: record.incarnation, isolation, ..attempt }
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -35,7 +35,7 @@
 use policy::{ChoiceRule, RouterPolicy};
 use score::{Prediction, ScoreInput, TokenLimit, predict};
 use spill::{ForwardTrack, ZoneCandidate};
-use track::{RecentSend, RecentSends, SendTicket, SentAttempt, UpstreamTrack};
+use track::{RecentSends, SendTicket, SentAttempt, UpstreamTrack};
 
 /// Time after its last announcement at which an upstream gets no new work.
 pub const UPSTREAM_EXPIRY: Duration = Duration::from_millis(2_500);
@@ -77,6 +77,8 @@
     pub view: UpstreamView,
     /// Lower numbers run first.
     pub priority: i32,
+    /// Predicted times of the request.
+    pub prediction: Prediction,
 }
 
 /// Where the next attempt goes.
@@ -196,11 +198,11 @@
     ) -> RouteDecision {
         let mut candidates: SmallVec<[&UpstreamView; 16]> = SmallVec::new();
         let mut filtered = Vec::new();
-        let mut failing: SmallVec<[&UpstreamView; 4]> = SmallVec::new();
+        let mut failing = None;
         for view in table.upstreams.values() {
             match find_reason(view, plan, &self.place, tried, now) {
                 None if self.is_quarantined(view, now) => {
-                    failing.push(view);
+                    failing = failing.or(Some(view));
                     filtered.push((view.record.name.clone(), FilterReason::Quarantined));
                 }
                 None => candidates.push(view),
@@ -215,7 +217,8 @@
         let choice = ChoiceInput { table, plan, shape, tried, capacity, limit, now };
         let decision = match self.decide(&choice, &candidates, &predictions) {
             RouteDecision::Refuse(refusal) if candidates.is_empty() => {
-                send_to_failing(&failing, plan).unwrap_or(RouteDecision::Refuse(refusal))
+                let forced = failing.map(|view| self.send_to_failing(view, &choice));
+                forced.unwrap_or(RouteDecision::Refuse(refusal))
             }
             decision => decision,
         };
@@ -237,7 +240,7 @@
                 || !choice.tried.upstreams.is_empty()
                 || predictions[place].is_within(limit))
         {
-            return send_to(candidates[place], priority_of(plan.rank));
+            return send_to(candidates[place], plan.rank, predictions[place]);
         }
         let here = chosen.map(|place| predictions[place].first_token);
         let may_spill =
@@ -251,7 +254,7 @@
             return RouteDecision::Refuse(refuse_unroutable(plan, &self.place.region));
         };
         match self.gate.judge_late(plan, &predictions[place], capacity, &mut self.rng, now) {
-            Admission::Promote => send_to(candidates[place], priority_of(Rank::Urgent)),
+            Admission::Promote => send_to(candidates[place], Rank::Urgent, predictions[place]),
             Admission::Refuse(refusal) => RouteDecision::Refuse(refusal),
         }
     }
@@ -283,11 +286,10 @@
         }
     }
 
-    /// Notes that a request was sent to `upstream`.
+    /// Notes that a request was sent as chosen.
     pub fn note_sent(
         &mut self,
-        table: &RoutingTable,
-        upstream: &UpstreamName,
+        choice: &UpstreamChoice,
         plan: &RequestPlan,
         shape: &PromptShape,
         now: Instant,
@@ -296,21 +298,17 @@
         self.retries.note_first(&plan.pool);
         self.mean_answer_tokens +=
             ANSWER_MEAN_WEIGHT * (f64::from(shape.answer_tokens) - self.mean_answer_tokens);
-        let prediction = table.upstreams.get(upstream).map(|view| {
-            let sent = self.sent_since(view, plan.rank);
-            self.predict_on(view, plan, shape, &sent, now)
-        });
-        let work = prediction.map(|prediction| prediction.work()).unwrap_or_default();
-        self.gate.note_sent(plan, work, now);
-        let uncached_tokens = self.uncached_tokens(upstream, shape);
+        let prediction = choice.prediction;
+        self.gate.note_sent(plan, prediction.work(), now);
+        let upstream = &choice.view.record.name;
         let track = self.tracks.entry(upstream.clone()).or_default();
         track.prefix.expect_blocks(shape);
         track.sends.push(SentAttempt {
             number: self.sent,
             sent_at: now,
-            uncached_tokens,
+            uncached_tokens: prediction.uncached_tokens,
             urgent: plan.rank == Rank::Urgent,
-            predicted: prediction.map(|prediction| prediction.first_token),
+            predicted: Some(prediction.first_token),
         });
         SendTicket { upstream: upstream.clone(), number: self.sent }
     }
@@ -387,11 +385,7 @@
         shape: &PromptShape,
         now: Instant,
     ) -> SmallVec<[Prediction; 16]> {
-        let predict = |view: &&UpstreamView| {
-            let sent = self.sent_since(view, plan.rank);
-            self.predict_on(view, plan, shape, &sent, now)
-        };
-        candidates.iter().map(predict).collect()
+        candidates.iter().map(|view| self.predict_on(view, plan, shape, now)).collect()
     }
 
     fn sent_since(&self, view: &UpstreamView, rank: Rank) -> RecentSends {
@@ -424,21 +418,27 @@
         view: &UpstreamView,
         plan: &RequestPlan,
         shape: &PromptShape,
-        sent: &[RecentSend],
         now: Instant,
     ) -> Prediction {
         let track = self.tracks.get(&view.record.name);
+        let sent = self.sent_since(view, plan.rank);
         let input = ScoreInput {
             shape,
             rank: plan.rank,
             uncached_tokens: self.uncached_tokens(&view.record.name, shape),
-            sent,
+            sent: &sent,
             pace: track.map_or(1.0, |track| track.pace(plan.rank)),
             mean_answer_tokens: self.mean_answer_tokens,
         };
         predict(view, &input, now)
     }
 
+    /// Sends to an upstream that failed lately, where nothing else is left to try.
+    fn send_to_failing(&self, view: &UpstreamView, choice: &ChoiceInput<'_>) -> RouteDecision {
+        let prediction = self.predict_on(view, choice.plan, choice.shape, choice.now);
+        send_to(view, choice.plan.rank, prediction)
+    }
+
     /// Chooses another zone if the request can't be answered here, or if it would be late here and
     /// in time there. `here` is the best predicted time to first token in this zone.
     fn choose_zone(
@@ -466,13 +466,9 @@
     }
 }
 
-/// Sends to an upstream that failed lately, where nothing else is left to try.
-fn send_to_failing(failing: &[&UpstreamView], plan: &RequestPlan) -> Option<RouteDecision> {
-    failing.first().map(|view| send_to(view, priority_of(plan.rank)))
-}
-
-fn send_to(view: &UpstreamView, priority: i32) -> RouteDecision {
-    RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority })
+fn send_to(view: &UpstreamView, rank: Rank, prediction: Prediction) -> RouteDecision {
+    let priority = priority_of(rank);
+    RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority, prediction })
 }
 
 /// Priority that upstreams honour; lower numbers run first.
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -59,6 +59,8 @@
     pub generation: Duration,
     /// Whether patient work holds all places that it may take.
     pub crowded: bool,
+    /// Prompt tokens that the upstream must process.
+    pub uncached_tokens: u32,
 }
 
 impl Prediction {
@@ -106,6 +108,7 @@
     let crowded = input.rank == Rank::Patient && running + 1.0 > PATIENT_PLACES * slots(view);
     Prediction {
         crowded,
+        uncached_tokens: input.uncached_tokens,
         wait: seconds(wait),
         first_token: seconds(first_token),
         answer: seconds(answer),
