Tell in slopes what the bytes of datagrams are spent on

Cause: the target of 4 KB/s a node is missed, and slopes gave only the sum. Ruled out: counting in the library, which would put a measurement into the path of each datagram; counting in the timed window, which would add the encodings to the share of a core. So a second window of 30 s is counted. Change: the stand-in network counts what it sends by part of a datagram, slopes prints it, and reads memory like the other benchmarks.

--- a/cicadastall-bench/src/slopes.rs
+++ b/cicadastall-bench/src/slopes.rs
@@ -3,9 +3,13 @@
 //! Members run inside this process over the stand-in network, whose clock is moved by the bench;
 //! datagrams are encoded and decoded as between processes.
 
+use crate::memory::resident_bytes;
 use bpaf::Bpaf;
 use cicadastall::{members::MemberTable, name::ModelName, table::UpstreamState};
-use cicadastall_standins::network::MemberNetwork;
+use cicadastall_standins::{
+    network::MemberNetwork,
+    traffic::{NodeTraffic, TrafficParts},
+};
 use serde::Serialize;
 use std::{
     ops::Range,
@@ -36,9 +40,6 @@
 /// Nodes that fail, one after the other, in each run.
 const FAILURES: usize = 10;
 
-/// Size of a memory page, in bytes.
-const PAGE_BYTES: u64 = 4_096;
-
 /// Options of `slopes`.
 #[derive(Debug, Clone, Bpaf)]
 pub struct SlopesOptions {
@@ -64,6 +65,7 @@
     received_bytes_per_s_mean: f64,
     received_bytes_per_s_max: f64,
     sent_messages_per_s_mean: f64,
+    sent_parts_bytes_per_s_mean: TrafficParts,
     announced_bytes_per_s_mean: f64,
     core_share_per_node: f64,
     memory_kib_per_node: u64,
@@ -79,7 +81,7 @@
 /// Runs the bench and prints one line of JSON for each size.
 pub fn run(options: &SlopesOptions) -> eyre::Result<()> {
     for size in options.nodes.split(',') {
-        let report = measure_size(size.trim().parse()?, options);
+        let report = measure_size(size.trim().parse()?, options)?;
         println!("{}", serde_json::to_string(&report)?);
     }
     Ok(())
@@ -93,23 +95,25 @@
     memory: u64,
 }
 
-fn measure_size(nodes: usize, options: &SlopesOptions) -> SizeReport {
-    let before = read_memory();
+fn measure_size(nodes: usize, options: &SlopesOptions) -> eyre::Result<SizeReport> {
+    let before = resident_bytes()?;
     let mut fleet = start_fleet(nodes, options);
-    fleet.memory = read_memory().saturating_sub(before);
+    fleet.memory = resident_bytes()?.saturating_sub(before);
     fleet.network.reset_traffic();
     let started = Instant::now();
     let suspicions = count_suspicions(&mut fleet);
     let core = started.elapsed().as_secs_f64();
     let seconds = STEADY_TIME.as_secs_f64();
     let traffic: Vec<_> = (0..nodes).map(|node| fleet.network.traffic(node)).collect();
-    let rates = |value: fn(&cicadastall_standins::network::NodeTraffic) -> u64| {
+    let rates = |value: fn(&NodeTraffic) -> u64| {
         let rates: Vec<_> = traffic.iter().map(|one| value(one) as f64 / seconds).collect();
         let mean = rates.iter().sum::<f64>() / nodes as f64;
         (mean, rates.iter().copied().fold(0.0, f64::max))
     };
     let (sent_mean, sent_max) = rates(|one| one.sent_bytes);
     let (received_mean, received_max) = rates(|one| one.received_bytes);
+    let total = fleet.network.run_counting(STEADY_TIME);
+    let parts = total.map(|bytes| bytes / STEADY_TIME.as_secs() / nodes as u64);
     let (change_in_zone, change_everywhere, leaving) = measure_change(&mut fleet);
     let (mut detections, undetected) = measure_failures(&mut fleet);
     detections.sort();
@@ -117,7 +121,7 @@
         let rank = ((detections.len() as f64 * share).ceil() as usize).max(1) - 1;
         detections.get(rank).map_or(0, Duration::as_millis)
     };
-    SizeReport {
+    Ok(SizeReport {
         nodes,
         zones: fleet.zones.len(),
         upstreams: fleet.upstreams,
@@ -126,6 +130,7 @@
         received_bytes_per_s_mean: received_mean,
         received_bytes_per_s_max: received_max,
         sent_messages_per_s_mean: rates(|one| one.sent).0,
+        sent_parts_bytes_per_s_mean: parts,
         announced_bytes_per_s_mean: rates(|one| one.announced_bytes).0,
         core_share_per_node: core / seconds / nodes as f64,
         memory_kib_per_node: fleet.memory / 1_024 / nodes as u64,
@@ -136,7 +141,7 @@
         change_in_zone_ms: change_in_zone.map(|time| time.as_millis()),
         change_everywhere_ms: change_everywhere.map(|time| time.as_millis()),
         leaving_everywhere_ms: leaving.map(|time| time.as_millis()),
-    }
+    })
 }
 
 fn start_fleet(nodes: usize, options: &SlopesOptions) -> SlopeFleet {
@@ -249,10 +254,3 @@
     }
     (detections, undetected)
 }
-
-/// Resident memory of this process, in bytes; 0 where the system does not tell.
-fn read_memory() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok());
-    pages.unwrap_or(0) * PAGE_BYTES
-}
--- a/cicadastall-standins/src/lib.rs
+++ b/cicadastall-standins/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod network;
 pub mod orders;
 pub mod service;
+pub mod traffic;
--- a/cicadastall-standins/src/network.rs
+++ b/cicadastall-standins/src/network.rs
@@ -2,6 +2,7 @@
 //!
 //! Its clock is moved by [`MemberNetwork::run`]; equal seeds give equal runs.
 
+use crate::traffic::{DATAGRAM_HEADERS, NodeTraffic, TrafficParts};
 use bytes::Bytes;
 use cicadastall::{
     bulletin::{decode_packet, encode_packet},
@@ -35,9 +36,6 @@
 /// Time between two announcements of an upstream.
 const RENEW_PERIOD: Duration = Duration::from_millis(500);
 
-/// Bytes of the headers of UDP and IP in each datagram.
-pub const DATAGRAM_HEADERS: u64 = 28;
-
 /// Something that reaches a node.
 #[derive(Debug, Clone)]
 enum Delivery {
@@ -45,21 +43,6 @@
     Announcement(Box<UpstreamRecord>),
 }
 
-/// Traffic of one node.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct NodeTraffic {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes of them, headers of UDP and IP included.
-    pub sent_bytes: u64,
-    /// Datagrams received.
-    pub received: u64,
-    /// Bytes of them, headers of UDP and IP included.
-    pub received_bytes: u64,
-    /// Bytes of upstreams' announcements received, without headers of HTTP.
-    pub announced_bytes: u64,
-}
-
 #[derive(Debug)]
 struct NetworkNode {
     members: MemberTable,
@@ -97,6 +80,7 @@
     upstreams: Vec<NetworkUpstream>,
     moving: BTreeMap<(Instant, u64), (usize, Delivery)>,
     moved: u64,
+    parts: Option<TrafficParts>,
     /// Faults, which may be changed between two runs.
     pub faults: NetworkFaults,
 }
@@ -111,6 +95,7 @@
             upstreams: Vec::new(),
             moving: BTreeMap::new(),
             moved: 0,
+            parts: None,
             faults: NetworkFaults::default(),
         }
     }
@@ -214,6 +199,13 @@
         }
     }
 
+    /// Counts the parts of what all nodes send while the clock moves on by `duration`.
+    pub fn run_counting(&mut self, duration: Duration) -> TrafficParts {
+        self.parts = Some(TrafficParts::default());
+        self.run(duration);
+        self.parts.take().unwrap_or_default()
+    }
+
     /// Ends node `index` without notice.
     pub fn crash(&mut self, index: usize) {
         self.nodes[index].running = false;
@@ -351,6 +343,9 @@
     fn send(&mut self, index: usize, packets: Vec<OutgoingPacket>) {
         for OutgoingPacket { to, packet } in packets {
             let Ok(bytes) = encode_packet(&packet) else { continue };
+            if let Some(parts) = &mut self.parts {
+                parts.add(&TrafficParts::of_packet(&packet, to.len() as u64));
+            }
             for address in to {
                 self.send_bytes(index, address, bytes.clone());
             }
