--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -25,6 +25,7 @@
 mod clock;
 pub mod control;
 pub mod counted;
+pub mod crash_probe;
 pub mod decode;
 mod difference;
 mod digest;
