Wait for conditions in scenarios, and send many changes side by side

Cause: scenarios waited fixed times where they meant a condition, and one of them took 73 of the binary's 79 s. Seen under load 30 to 37: no-loops failed once in three runs, as `until=no_upstream` took an honest first answer (`ran unknown`, a forward into the silent cut) for the last word. The 200 changes took 364 ms each: the answer names the regions where a change is in force, and other control instances learn of a commit with the leader's next heartbeat (350 ms).

Ruled out: start-up. A fleet directive takes 102 ms in the mean of 25, an upstream 59 ms of 36, a put 35 ms above the heartbeat.

Change: - `executed` waits for the count of a key (at-most-once, was 1,500 ms), `answered` for answers of each loaded caller (was 1,000 ms), `zones` for the loss of a zone (was 3,000 ms; the bound of 3 s is proved on the paused clock by cut_zone_vanishes_within_3_s), `quarantined` for the spread of a quarantine, within 3 s (was 1,500 ms; two exchanges of 500 ms, of which one may be lost). - `until=CODE.RAN` waits for a refusal with its `ran`. - The cut-off zone waits until its settings were confirmed, and then until they are 4 s old and the dead entry is not listed; before, 4 s passed, and settings that were never confirmed when the cut came went unnoticed. - Stricter: wrong bytes end a wait at once; the engine that leaves while an entry is frozen must still run when the woken entry's callers were answered. - 200 changes come from operators of eight teams side by side, 25 one after another each; revision, count and restart are as before. The 4,500 ms for which an entry is frozen stay: they are the fault itself.

--- a/cicadastall-daemons/tests/scenario/caller.rs
+++ b/cicadastall-daemons/tests/scenario/caller.rs
@@ -89,10 +89,21 @@
 }
 
 impl CallerOutcome {
-    /// Whether a scenario waits for this outcome: a short name, or the region of a whole answer.
+    /// Whether a scenario waits for this outcome: a short name, the region of a whole answer, or
+    /// the code of a refusal and what is known of the execution, such as `no_upstream.no`.
     pub fn fits(&self, until: &str) -> bool {
-        let from = matches!(self, Self::Whole { region, .. } if region == until);
-        from || self.name() == until
+        match self {
+            Self::Whole { region, .. } if region == until => true,
+            Self::Refused(refusal, _) if until.contains('.') => {
+                format!("{}.{}", code(refusal), ran(refusal)) == until
+            }
+            _ => self.name() == until,
+        }
+    }
+
+    /// Whether the answer breaks a promise, whatever a scenario waits for.
+    pub fn is_wrong(&self) -> bool {
+        matches!(self, Self::Wrong(_))
     }
 
     /// Short name of an outcome.
--- a/cicadastall-daemons/tests/scenario/changes.rs
+++ b/cicadastall-daemons/tests/scenario/changes.rs
@@ -3,10 +3,13 @@
 use super::{
     TREE,
     fleet::{EVENTUALLY, Fleet, RETRY_PAUSE},
-    operator::{OwnerChange, describe, put},
+    operator::{FIRST_TEAM, OwnerChange, describe, put},
     take, take_list,
 };
-use cicadastall::http::{call_json, client};
+use cicadastall::{
+    http::{call_json, client},
+    settings_state::ChangeReply,
+};
 use datadriven::TestCase;
 use futures::future::join_all;
 use hyper::Method;
@@ -64,6 +67,7 @@
     let via = take(case, "via");
     let until = case.take_flag("until-result").expect("a flag");
     let change = OwnerChange {
+        team: FIRST_TEAM.to_owned(),
         owner: take(case, "owner"),
         expected: case.take_arg("expect").expect("expect=N"),
         operation: take(case, "operation"),
@@ -80,22 +84,49 @@
     }
 }
 
-/// `put-many`: sends `count` changes one after another; stops at the first that is not accepted.
+/// `put-many`: operators of `teams` new teams send `count` changes in all at the same time, each
+/// one after another; an operator stops at the first that is not accepted.
 pub async fn put_many(fleet: &mut Fleet, case: &mut TestCase) -> String {
     let via = take(case, "via");
-    let mut expected: u64 = case.take_arg("expect").expect("expect=N");
     let count: u64 = case.take_arg("count").expect("count=N");
+    let teams: u64 = case.take_arg("teams").expect("teams=N");
     let control = fleet.operator_address(&via);
-    for _ in 0..count {
-        let owner = format!("many-{expected}");
-        let change = OwnerChange { operation: owner.clone(), owner, expected };
-        let told = describe(put(fleet.folder(), control, TREE, &change).await.as_ref());
-        if told != format!("accepted as revision {}", expected + 1) {
-            return format!("change on version {expected}: {told}");
+    let fleet = &*fleet;
+    let puts = (0..teams).map(|team| put_one_after_another(fleet, control, team, count / teams));
+    match join_all(puts).await.into_iter().collect::<Result<Vec<_>, _>>() {
+        Ok(last) => {
+            let last = last.into_iter().max().unwrap_or_default();
+            format!("{count} accepted, the last as revision {last}")
+        }
+        Err(refused) => refused,
+    }
+}
+
+/// Sends `count` changes of one new team; returns the revision of the last.
+async fn put_one_after_another(
+    fleet: &Fleet,
+    control: SocketAddr,
+    team: u64,
+    count: u64,
+) -> Result<u64, String> {
+    let mut expected = 0;
+    for number in 0..count {
+        let change = OwnerChange {
+            team: format!("many-{team}"),
+            owner: format!("many-{team}-{number}"),
+            operation: format!("many-{team}-{number}"),
+            expected,
+        };
+        let answer = put(fleet.folder(), control, TREE, &change).await;
+        match answer.as_ref().map(|answer| &answer.reply) {
+            Some(ChangeReply::Accepted { revision }) => expected = revision.0,
+            _ => {
+                let told = describe(answer.as_ref());
+                return Err(format!("change {number} of team {team}: {told}"));
+            }
         }
-        expected += 1;
     }
-    format!("{count} accepted, the last as revision {expected}")
+    Ok(expected)
 }
 
 /// `race`: several operators change the same version at once; prints the results in order.
@@ -105,7 +136,8 @@
     let fleet = &*fleet;
     let puts = via.iter().enumerate().map(|(number, via)| async move {
         let owner = format!("racer-{expected}-{number}");
-        let change = OwnerChange { operation: owner.clone(), owner, expected };
+        let team = FIRST_TEAM.to_owned();
+        let change = OwnerChange { team, operation: owner.clone(), owner, expected };
         describe(put(fleet.folder(), fleet.operator_address(via), TREE, &change).await.as_ref())
     });
     let mut told = join_all(puts).await;
--- a/cicadastall-daemons/tests/scenario/fleet.rs
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -294,7 +294,7 @@
         loop {
             let outcome = send(&self.client, address, request).await;
             let reached = until.is_none_or(|until| outcome.fits(until));
-            if reached || Instant::now() > deadline {
+            if reached || outcome.is_wrong() || Instant::now() > deadline {
                 return outcome;
             }
             sleep(RETRY_PAUSE).await;
--- a/cicadastall-daemons/tests/scenario/load.rs
+++ b/cicadastall-daemons/tests/scenario/load.rs
@@ -1,22 +1,26 @@
 //! Callers that follow the listing of entries and ask without pause.
 
-use super::fleet::Fleet;
+use super::fleet::{EVENTUALLY, Fleet, RETRY_PAUSE};
 use crate::zone::Caller;
 use datadriven::TestCase;
 use std::{
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
 };
-use tokio::task::JoinSet;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 /// Callers that run until the scenario ends them.
 #[derive(Debug, Default)]
 pub struct LoadCallers {
     stop: Arc<AtomicBool>,
     callers: JoinSet<CallerReport>,
+    answered: Vec<Arc<AtomicU32>>,
 }
 
 /// What one caller saw.
@@ -26,12 +30,19 @@
     failures: Vec<String>,
 }
 
-async fn ask_on(entry: SocketAddr, stop: Arc<AtomicBool>) -> CallerReport {
+async fn ask_on(
+    entry: SocketAddr,
+    stop: Arc<AtomicBool>,
+    answered: Arc<AtomicU32>,
+) -> CallerReport {
     let mut caller = Caller::new(entry).await;
     let mut report = CallerReport::default();
     while !stop.load(Ordering::Relaxed) {
         match caller.ask().await {
-            Ok(()) => report.answered += 1,
+            Ok(()) => {
+                report.answered += 1;
+                answered.store(report.answered, Ordering::Relaxed);
+            }
             Err(failure) => report.failures.push(failure),
         }
     }
@@ -45,11 +56,28 @@
     let entry = fleet.address(&via);
     for _ in 0..count {
         let stop = Arc::clone(&fleet.load.stop);
-        fleet.load.callers.spawn(ask_on(entry, stop));
+        let answered = Arc::new(AtomicU32::new(0));
+        fleet.load.answered.push(Arc::clone(&answered));
+        fleet.load.callers.spawn(ask_on(entry, stop, answered));
     }
     "started".to_owned()
 }
 
+/// `answered`: once each caller got `each` more answers.
+pub async fn wait_answered(fleet: &Fleet, case: &mut TestCase) -> String {
+    let each: u32 = case.take_arg("each").expect("each=N");
+    let read = || fleet.load.answered.iter().map(|answered| answered.load(Ordering::Relaxed));
+    let before: Vec<_> = read().collect();
+    let deadline = Instant::now() + EVENTUALLY;
+    loop {
+        let least = read().zip(&before).map(|(now, before)| now - before).min().unwrap_or_default();
+        if least >= each || Instant::now() > deadline {
+            return format!("each caller got {} more answers", least.min(each));
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
 /// `load-end`: ends the callers and sums up what they saw.
 pub async fn end_load(fleet: &mut Fleet) -> String {
     let load = std::mem::take(&mut fleet.load);
--- a/cicadastall-daemons/tests/scenario/mod.rs
+++ b/cicadastall-daemons/tests/scenario/mod.rs
@@ -6,6 +6,7 @@
 pub mod link;
 pub mod load;
 pub mod operator;
+pub mod waits;
 
 use caller::CallerRequest;
 use datadriven::{TestCase, TestFile};
@@ -100,6 +101,12 @@
         "voters" => changes::count_voters(fleet, case).await,
         "load" => load::start_load(fleet, case),
         "load-end" => load::end_load(fleet).await,
+        "answered" => load::wait_answered(fleet, case).await,
+        "confirmed" => waits::wait_confirmed(fleet, case).await,
+        "executed" => waits::wait_executed(fleet, case).await,
+        "quarantined" => waits::wait_quarantined(fleet, case).await,
+        "unconfirmed" => waits::wait_unconfirmed(fleet, case).await,
+        "zones" => waits::wait_zones(fleet, case).await,
         "listed" => {
             let via: String = take(case, "via");
             let count = case.take_arg("count").expect("count=N");
--- a/cicadastall-daemons/tests/scenario/operator.rs
+++ b/cicadastall-daemons/tests/scenario/operator.rs
@@ -7,9 +7,13 @@
 
 const OPERATOR: &str = env!("CARGO_BIN_EXE_cicadastall");
 
-/// One change of the team `trust`, whose only new value is its owner.
+/// Team that the scenarios' settings hold from the start.
+pub const FIRST_TEAM: &str = "trust";
+
+/// One change of a team, whose only new value is its owner.
 #[derive(Debug, Clone)]
 pub struct OwnerChange {
+    pub team: String,
     pub owner: String,
     pub expected: u64,
     pub operation: String,
@@ -23,13 +27,18 @@
     change: &OwnerChange,
 ) -> Option<ChangeAnswer> {
     let tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
-    let mut team = tree["teams"]["trust"].clone();
+    let mut team = match &tree["teams"][&change.team] {
+        Value::Null => json!({ "pools": {}, "kinds": {}, "workspaces": {} }),
+        team => team.clone(),
+    };
     team["owner"] = json!(change.owner);
     let file = folder.write(&format!("{}.json", change.operation), &team);
     let mut command = Command::new(OPERATOR);
     command.args(["settings", "put", "--json", "--control", &control.to_string()]);
     command.args(["--operator", &change.owner, "--operation", &change.operation]);
-    command.args(["--expect", &change.expected.to_string(), "teams/trust"]).arg(file);
+    command
+        .args(["--expect", &change.expected.to_string(), &format!("teams/{}", change.team)])
+        .arg(file);
     let run = tokio::task::spawn_blocking(move || command.output());
     let output = run.await.expect("no panic").expect("run the command line");
     serde_json::from_slice(&output.stdout).ok()
