--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -66,6 +66,7 @@
 mod placement_host;
 pub mod prefix;
 mod probes;
+pub mod pulse;
 mod quarantine;
 mod relay;
 pub mod replica;
