--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -2,14 +2,16 @@
 
 use crate::{
     bulletin::{
-        DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, PacketSender, PulseLoad,
-        RowContent, RowKey, RowPulse, group_rows,
+        DigestPacket, LogRow, MemberBulletin, MemberPacket, PacketBody, RowContent, RowKey,
+        group_rows,
     },
     digest::choose_delegates,
     members::MemberTable,
     name::{InstanceName, ZoneName},
     probes::ProbeStep,
+    pulse::{PulseAge, PulseLoad, RowPulse},
     route::summary::summarize_capacity,
+    sender::{PacketSender, SenderField},
     table::{EntryRecord, EntryState, ZoneDigest},
 };
 use rand::{RngExt, seq::IteratorRandom};
@@ -29,6 +31,9 @@
 /// Time between two bulletins without urgent news.
 const BULLETIN_PERIOD: Duration = Duration::from_millis(1_200);
 
+/// One in so many bulletins names its sender with all fields.
+const FULL_SENDER_ROUNDS: u32 = 8;
+
 /// Time between two digests from one delegate to one zone.
 const DIGEST_PERIOD: Duration = Duration::from_millis(1_000);
 
@@ -77,6 +82,7 @@
     replies: Vec<(SocketAddr, PacketBody)>,
     pulls: Vec<(SocketAddr, u64)>,
     urgent: bool,
+    bulletin_rounds: u32,
     sent_number: u64,
     upstream_news: BTreeSet<u16>,
     zone_news: BTreeSet<ZoneName>,
@@ -119,6 +125,16 @@
         self.zone_news.insert(zone);
     }
 
+    /// How the next bulletin names `sender`: mostly in brief, as nearly all receivers know it.
+    fn name_sender(&mut self, sender: &PacketSender) -> SenderField {
+        let round = self.bulletin_rounds;
+        self.bulletin_rounds = round.wrapping_add(1);
+        match round % FULL_SENDER_ROUNDS {
+            0 => SenderField::Full(sender.clone()),
+            _ => sender.to_brief(),
+        }
+    }
+
     fn draw_nonce(&mut self) -> u32 {
         self.next_nonce = self.next_nonce.wrapping_add(1);
         self.next_nonce
@@ -187,7 +203,7 @@
     }
 
     fn wrap(&self, body: PacketBody) -> MemberPacket {
-        MemberPacket { sender: self.sender.clone(), body }
+        MemberPacket { sender: SenderField::Full(self.sender.clone()), body }
     }
 
     fn take_replies(&mut self, packets: &mut Vec<OutgoingPacket>, now: Instant) {
@@ -246,8 +262,10 @@
         let pulses = self.make_pulses(now);
         let sent = mem::replace(&mut self.outbox.sent_number, self.log.newest());
         let to = self.peer_addresses();
+        let sender = self.outbox.name_sender(&self.sender);
         for bulletin in self.split_rows(sent, pulses, now) {
-            let packet = self.wrap(PacketBody::Bulletin(Box::new(bulletin)));
+            let body = PacketBody::Bulletin(Box::new(bulletin));
+            let packet = MemberPacket { sender: sender.clone(), body };
             packets.push(OutgoingPacket { to: to.clone(), packet });
         }
     }
@@ -312,7 +330,7 @@
                 pulses.push(RowPulse::Upstream {
                     handle,
                     sequence: view.record.sequence,
-                    age_ms: age_millis(view.renewed_at, now),
+                    age: PulseAge::new(view.renewed_at, now),
                     load: PulseLoad::new(&view.record.load),
                 });
             }
@@ -322,8 +340,8 @@
             let handle = self.log.handle(&RowKey::Zone(zone.clone()));
             if let (Some(view), Some(handle)) = (view, handle) {
                 let sequence = view.digest.sequence;
-                let age_ms = age_millis(view.received_at, now);
-                pulses.push(RowPulse::Zone { handle, sequence, age_ms });
+                let age = PulseAge::new(view.received_at, now);
+                pulses.push(RowPulse::Zone { handle, sequence, age });
             }
         }
         pulses
