Claim a key and mark it as dispatched in one command

Cause: a booking cost three commits (claim, mark, result). The mark kept the key free where an entry was killed between the two; that moment is one round trip of three.

What the separate claim gave, and what is left of it: - an entry killed before its claim is committed leaves nothing, as before; - an entry killed between the commit and the first byte now leaves the key in progress until the deadline and 2 s, then outcome_unknown for good, where it left it free after 3 s; - a claim that was not confirmed (timeout, lost lead) lapsed after 3 s. Now its holder sends nothing, its caller is told home_unreachable, ran no, at once, and the claim is withdrawn by the holder's name in the background (12 attempts); it is only withdrawn where a host may have taken it; - a claim that is confirmed after the request's deadline is given back; - a repeated claim of the same holder is granted again, as another host may have committed it, but not across a refounding.

Ruled out: releasing an unconfirmed claim by its number (the holder does not know it); waiting for the withdrawal before the caller is answered (another second).

Also: the background withdrawal keeps a connection to a host that restarts, and the next booking met it closed and was told home_unreachable (ledger_isolated_in_silence_then_lost_then_founded_again failed so). Changes are idempotent, so the client asks such a host once more within the same second.

Tests changed, as the moment between claim and mark is gone: - ledger.rs stories: no mark; a lost reply to a claim is followed by its withdrawal. All assertions stay. - a_frozen_holder_may_not_dispatch_once_its_claim_was_taken_over becomes ..._keeps_its_key_until_it_gives_it_back: nobody takes over at all, and an older claim number can neither give back nor complete. - entry_killed_between_claim_and_dispatch and frozen_holder_of_a_claim_wakes_ after_another_booked go: their moment is that of the tests with the mark, which stay under the claim's name. New in their place: claim_that_is_not_confirmed_is_withdrawn and stop_waits_for_.... - task_that_pauses_with_a_claim: others are told unknown and nothing runs until it gives the claim back; before, another one ran it after 3 s. - mark_that_is_confirmed_after_the_deadline: the same of the claim, and the error is compared. - BookingFleet's entries stop with a grace of 50 ms (3 s before), so that a stop that does not wait is seen.

--- a/cicadastall/src/claim.rs
+++ b/cicadastall/src/claim.rs
@@ -1,4 +1,4 @@
-//! An entry's side of the ledger: claims a key, marks it as dispatched and records its result.
+//! An entry's side of the ledger: claims a key for its dispatch and records its result.
 
 use crate::{
     answer::{Ran, Refusal, RefusalCode},
@@ -8,12 +8,12 @@
         session::SessionId,
     },
     name::{IdempotencyKey, WorkspaceName},
-    peer::PeerClients,
+    peer::{PeerClients, PeerError},
+    replicated::GroupError,
     wire::CallRequest,
 };
 use std::{
     fmt,
-    marker::PhantomData,
     net::SocketAddr,
     sync::{
         Arc,
@@ -26,9 +26,6 @@
 /// Longest time to wait for one host of the ledger.
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time within which the holder of a claim marks its key as dispatched.
-const CLAIM_LEASE: Duration = Duration::from_secs(3);
-
 /// Time that a result may take beyond the request's deadline before its outcome is unknown.
 const RESULT_MARGIN: Duration = Duration::from_secs(2);
 
@@ -38,12 +35,17 @@
 /// Attempts to record a result.
 const RECORD_ATTEMPTS: u32 = 3;
 
-/// Pause between attempts to record a result.
-const RECORD_PAUSE: Duration = Duration::from_millis(250);
+/// Attempts to withdraw a claim that was not confirmed; they outlast an election.
+const WITHDRAW_ATTEMPTS: u32 = 12;
+
+/// Pause between attempts to make a change that must not be given up at once.
+const REPEAT_PAUSE: Duration = Duration::from_millis(250);
 
 /// Why the ledger did not make a change.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClaimError {
+    /// No host of the ledger took the change.
+    Unreached(String),
     /// No host of the ledger confirmed the change; it may yet be made.
     Unconfirmed(String),
     /// The ledger refused.
@@ -55,7 +57,8 @@
 impl fmt::Display for ClaimError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unconfirmed(cause) => write!(formatter, "ledger not reached: {cause}"),
+            Self::Unreached(cause) => write!(formatter, "ledger not reached: {cause}"),
+            Self::Unconfirmed(cause) => write!(formatter, "no word from the ledger: {cause}"),
             Self::Refused(refusal) => refusal.fmt(formatter),
             Self::Unexpected => formatter.write_str("the ledger's reply does not fit the change"),
         }
@@ -64,8 +67,41 @@
 
 impl std::error::Error for ClaimError {}
 
+impl ClaimError {
+    /// Whether another attempt at the change gives the same.
+    fn is_final(&self) -> bool {
+        matches!(self, Self::Refused(_) | Self::Unexpected)
+    }
+
+    /// What is known after a further host has failed with `next`.
+    fn after(self, next: Self) -> Self {
+        match (self, next) {
+            (Self::Unconfirmed(_), Self::Unreached(cause)) => Self::Unconfirmed(cause),
+            (_, next) => next,
+        }
+    }
+}
+
+impl From<GroupError> for ClaimError {
+    fn from(error: GroupError) -> Self {
+        match error {
+            GroupError::OutcomeUnknown => Self::Unconfirmed(error.to_string()),
+            error => Self::Unreached(error.to_string()),
+        }
+    }
+}
+
+impl From<PeerError> for ClaimError {
+    fn from(error: PeerError) -> Self {
+        match error {
+            PeerError::Unreachable(_) => Self::Unreached(error.to_string()),
+            PeerError::NoReply(_) => Self::Unconfirmed(error.to_string()),
+        }
+    }
+}
+
 impl From<ClaimError> for Refusal {
-    /// Without a confirmed mark no byte is sent, so an unconfirmed change is not run.
+    /// Without a confirmed claim no byte is sent, so an unconfirmed change is not run.
     fn from(error: ClaimError) -> Self {
         match error {
             ClaimError::Refused(refusal) => refusal.into(),
@@ -103,15 +139,10 @@
     /// Every change but the issue of a session is idempotent, so it may reach several hosts.
     async fn change(&self, change: LedgerChange) -> Result<LedgerReply, ClaimError> {
         let preferred = self.preferred.load(Ordering::Relaxed);
-        let mut cause = "no host is known".to_owned();
+        let mut lost = ClaimError::Unreached("no host is known".to_owned());
         for turn in 0..self.hosts.len() {
             let index = (preferred + turn) % self.hosts.len();
-            let change = change.clone();
-            let call =
-                self.clients.call(self.hosts[index], LEDGER_TIMEOUT, async |client, context| {
-                    client.change_ledger(context, change).await
-                });
-            match call.await {
+            match self.ask_host(self.hosts[index], &change).await {
                 Ok(Ok(reply)) => {
                     self.preferred.store(index, Ordering::Relaxed);
                     return match reply {
@@ -119,34 +150,70 @@
                         reply => Ok(reply),
                     };
                 }
-                Ok(Err(error)) => cause = error.to_string(),
-                Err(error) => cause = error.to_string(),
+                Ok(Err(error)) => lost = lost.after(error.into()),
+                Err(error) => lost = lost.after(error.into()),
             }
         }
-        Err(ClaimError::Unconfirmed(cause))
+        Err(lost)
     }
-}
 
-/// Stage of a key whose holder may not dispatch yet.
-#[derive(Debug)]
-pub enum Claimed {}
+    /// Asks one host, once more where the connection kept to it turns out to be closed.
+    async fn ask_host(
+        &self,
+        host: SocketAddr,
+        change: &LedgerChange,
+    ) -> Result<Result<LedgerReply, GroupError>, PeerError> {
+        let asked = Instant::now();
+        match self.call_host(host, change, LEDGER_TIMEOUT).await {
+            Err(PeerError::NoReply(_)) if asked.elapsed() < LEDGER_TIMEOUT => {
+                let rest = LEDGER_TIMEOUT.saturating_sub(asked.elapsed());
+                self.call_host(host, change, rest).await
+            }
+            replied => replied,
+        }
+    }
 
-/// Stage of a key whose holder may send it to one upstream.
-#[derive(Debug)]
-pub enum Dispatched {}
+    async fn call_host(
+        &self,
+        host: SocketAddr,
+        change: &LedgerChange,
+        bound: Duration,
+    ) -> Result<Result<LedgerReply, GroupError>, PeerError> {
+        let change = change.clone();
+        let call = self
+            .clients
+            .call(host, bound, async |client, context| client.change_ledger(context, change).await);
+        call.await
+    }
+
+    /// Makes a change in up to `attempts`, as long as no host confirms it.
+    async fn change_repeatedly(
+        &self,
+        change: LedgerChange,
+        attempts: u32,
+    ) -> Result<LedgerReply, ClaimError> {
+        for _ in 1..attempts {
+            match self.change(change.clone()).await {
+                Err(error) if !error.is_final() => log::info!("{error}"),
+                confirmed => return confirmed,
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+        self.change(change).await
+    }
+}
 
-/// A key that this entry holds.
+/// A key that this entry holds and may send to one upstream.
 #[derive(Debug)]
-pub struct ClaimHolder<S> {
+pub struct ClaimHolder {
     held: HeldKey,
-    _stage: PhantomData<S>,
 }
 
 /// What a claim led to.
 #[derive(Debug)]
 pub enum ClaimOutcome {
     /// This entry holds the key.
-    Held(ClaimHolder<Claimed>),
+    Held(ClaimHolder),
     /// The key was run; this is its result.
     Stored(serde_json::Value),
 }
@@ -171,6 +238,15 @@
         let key = plan.key.clone().ok_or_else(required)?;
         Ok(Self { session, key, digest: digest_call(plan, call) })
     }
+
+    /// Gives back what `holder` may have been granted by a claim that was not confirmed.
+    pub async fn withdraw(self, client: &LedgerClient, holder: Arc<str>) {
+        let change = LedgerChange::Withdraw { session: self.session, key: self.key, holder };
+        match client.change_repeatedly(change, WITHDRAW_ATTEMPTS).await {
+            Ok(_) | Err(ClaimError::Refused(LedgerRefusal::ClaimClosed)) => {}
+            Err(error) => log::info!("claim not withdrawn: {error}"),
+        }
+    }
 }
 
 /// Digest of what a key stands for; the same on every entry.
@@ -186,28 +262,39 @@
 /// Multiplier of the 64-bit FNV-1a hash.
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
-impl ClaimHolder<Claimed> {
-    /// Claims the key of `planned` for the attempt that `holder` names.
+impl ClaimHolder {
+    /// Claims the key of `planned` for the attempt that `holder` names; a result is expected within
+    /// `remaining`.
+    ///
+    /// A claim that was confirmed late is given back, since others may have been told that the
+    /// outcome is unknown.
     pub async fn claim(
         client: &LedgerClient,
         planned: &PlannedKey,
         plan: &RequestPlan,
         holder: Arc<str>,
+        remaining: Duration,
     ) -> Result<ClaimOutcome, ClaimError> {
         let PlannedKey { session, key, digest } = planned.clone();
+        let run = remaining + RESULT_MARGIN;
+        let proposed = Instant::now();
         let change = LedgerChange::Claim(KeyClaim {
             session: session.clone(),
             workspace: plan.workspace.clone(),
             key: key.clone(),
             digest,
             holder,
-            lease_ms: CLAIM_LEASE.as_millis() as u64,
+            run_ms: run.as_millis() as u64,
             acknowledged: plan.acknowledged.clone(),
         });
         match client.change(change).await? {
             LedgerReply::Granted(claim) => {
-                let held = HeldKey { session, key, claim };
-                Ok(ClaimOutcome::Held(Self { held, _stage: PhantomData }))
+                let holder = Self { held: HeldKey { session, key, claim } };
+                if proposed.elapsed() < remaining {
+                    return Ok(ClaimOutcome::Held(holder));
+                }
+                holder.release(client).await?;
+                Err(ClaimError::Refused(LedgerRefusal::ClaimClosed))
             }
             LedgerReply::Stored(reply) => serde_json::from_str(&reply)
                 .map(ClaimOutcome::Stored)
@@ -216,57 +303,16 @@
         }
     }
 
-    /// Marks the key as dispatched; a result is expected within `remaining`.
-    ///
-    /// A mark that was confirmed late is given back, since others may have been told that the
-    /// outcome is unknown.
-    pub async fn mark_dispatched(
-        self,
-        client: &LedgerClient,
-        remaining: Duration,
-    ) -> Result<ClaimHolder<Dispatched>, ClaimError> {
-        let run = remaining + RESULT_MARGIN;
-        let proposed = Instant::now();
-        let change =
-            LedgerChange::Dispatch { held: self.held.clone(), run_ms: run.as_millis() as u64 };
-        let holder = ClaimHolder { held: self.held, _stage: PhantomData };
-        match client.change(change).await {
-            Ok(_) if proposed.elapsed() < remaining => Ok(holder),
-            Ok(_) => {
-                holder.release(client).await?;
-                Err(ClaimError::Refused(LedgerRefusal::ClaimClosed))
-            }
-            Err(error) => {
-                if let Err(error) = holder.release(client).await {
-                    log::info!("claim not given back: {error}");
-                }
-                Err(error)
-            }
-        }
-    }
-}
-
-impl<S> ClaimHolder<S> {
     /// Gives the claim back: no upstream ran the request, and this holder will not send it.
     pub async fn release(self, client: &LedgerClient) -> Result<(), ClaimError> {
         client.change(LedgerChange::Release { held: self.held }).await.map(drop)
     }
-}
 
-impl ClaimHolder<Dispatched> {
     /// Records the result for resends.
     pub async fn record_result(self, client: &LedgerClient, result: &serde_json::Value) {
-        let reply: Arc<str> = result.to_string().into();
-        for _ in 0..RECORD_ATTEMPTS {
-            let reply = Arc::clone(&reply);
-            match client.change(LedgerChange::Complete { held: self.held.clone(), reply }).await {
-                Err(error @ ClaimError::Unconfirmed(_)) => {
-                    log::warn!("result not recorded yet: {error}");
-                    sleep(RECORD_PAUSE).await;
-                }
-                Err(error) => return log::warn!("result not recorded: {error}"),
-                Ok(_) => return,
-            }
+        let change = LedgerChange::Complete { held: self.held, reply: result.to_string().into() };
+        if let Err(error) = client.change_repeatedly(change, RECORD_ATTEMPTS).await {
+            log::warn!("result not recorded: {error}");
         }
     }
 }
--- a/cicadastall/src/ledger.rs
+++ b/cicadastall/src/ledger.rs
@@ -1,10 +1,9 @@
 //! The ledger of one region: which requests that may not be repeated were dispatched, and their
 //! replies.
 //!
-//! A key goes from claimed over dispatched to done. Only the holder of the claim may mark it as
-//! dispatched, and only the mark allows the first byte to an upstream. A claim that lapses before
-//! its mark may be taken over, since its holder's mark is then refused; a key that was marked is
-//! never claimed again.
+//! A claim marks its key as dispatched, and only a committed claim allows the first byte to an
+//! upstream. Only its holder may give it back, if no upstream ran the request; a claim whose holder
+//! is lost stays, with an unknown outcome, and its key is never granted to another.
 
 pub mod command;
 pub mod session;
@@ -57,8 +56,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum KeyStage {
-    Claimed { claim: ClaimNumber, holder: Arc<str>, until_ms: u64 },
-    Dispatched { claim: ClaimNumber, until_ms: u64 },
+    Dispatched { claim: ClaimNumber, holder: Arc<str>, until_ms: u64 },
     Done { claim: ClaimNumber, reply: Arc<str> },
     Dropped,
 }
@@ -190,18 +188,13 @@
 
     /// Founds the ledger under `epoch`, on what survived where an earlier epoch was lost.
     ///
-    /// Claims and dispatches of the lost epoch may have gone further than what survived, so none
-    /// of its keys is ever run again.
+    /// Claims of the lost epoch may have gone further than what survived, so none of its keys is
+    /// granted again: its sessions carry the earlier epoch.
     fn found(&mut self, epoch: LedgerEpoch) -> LedgerReply {
         if self.epoch.is_some_and(|known| known >= epoch) {
             return LedgerReply::Refused(LedgerRefusal::NotFounded);
         }
         self.epoch = Some(epoch);
-        for record in self.sessions.values_mut().flat_map(|session| session.keys.values_mut()) {
-            if let KeyStage::Claimed { claim, .. } = record.stage {
-                record.stage = KeyStage::Dispatched { claim, until_ms: 0 };
-            }
-        }
         LedgerReply::Accepted
     }
 
@@ -254,14 +247,16 @@
         self.replies -= drop_replies(session, &claim.acknowledged);
         match session.keys.get(&claim.key) {
             Some(record) => {
-                if let Some(reply) = judge_known(record, claim, self.clock_ms)? {
-                    return Ok(reply);
-                }
+                let reply = judge_known(record, claim, self.clock_ms)?;
+                let granted = matches!(reply, LedgerReply::Granted(_));
+                if granted && !survived { Err(LedgerRefusal::EpochLost) } else { Ok(reply) }
+            }
+            None if !survived => Err(LedgerRefusal::EpochLost),
+            None => {
+                self.reserve_key(session_key)?;
+                Ok(self.grant(claim))
             }
-            None if !survived => return Err(LedgerRefusal::EpochLost),
-            None => self.reserve_key(session_key)?,
         }
-        Ok(self.grant(claim))
     }
 
     /// Counts a key that is new to the ledger, unless a bound is reached.
@@ -280,9 +275,9 @@
 
     fn grant(&mut self, claim: &KeyClaim) -> LedgerReply {
         let number = ClaimNumber(self.take_serial());
-        let until_ms = self.clock_ms + claim.lease_ms;
+        let until_ms = self.clock_ms + claim.run_ms;
         let holder = Arc::clone(&claim.holder);
-        let stage = KeyStage::Claimed { claim: number, holder, until_ms };
+        let stage = KeyStage::Dispatched { claim: number, holder, until_ms };
         if let Some(session) = self.sessions.get_mut(&claim.session.key) {
             let record = KeyRecord { digest: claim.digest, stage };
             session.keys.insert(claim.key.clone(), record);
@@ -290,53 +285,51 @@
         LedgerReply::Granted(number)
     }
 
-    fn find_held(&mut self, held: &HeldKey) -> Result<&mut KeyRecord, LedgerRefusal> {
-        if held.session.region != self.region {
+    fn find_key(
+        &mut self,
+        session: &SessionId,
+        key: &IdempotencyKey,
+    ) -> Result<&mut KeyRecord, LedgerRefusal> {
+        if session.region != self.region {
             return Err(LedgerRefusal::ForeignSession);
         }
-        let session = self.sessions.get_mut(&held.session.key);
-        session
-            .and_then(|session| session.keys.get_mut(&held.key))
-            .ok_or(LedgerRefusal::ClaimClosed)
+        let session = self.sessions.get_mut(&session.key);
+        session.and_then(|session| session.keys.get_mut(key)).ok_or(LedgerRefusal::ClaimClosed)
     }
 
-    fn dispatch(&mut self, held: &HeldKey, run_ms: u64) -> Result<LedgerReply, LedgerRefusal> {
-        let clock_ms = self.clock_ms;
-        let record = self.find_held(held)?;
-        match &record.stage {
-            KeyStage::Claimed { claim, until_ms, .. }
-                if *claim == held.claim && *until_ms > clock_ms =>
-            {
-                let until_ms = clock_ms + run_ms;
-                record.stage = KeyStage::Dispatched { claim: held.claim, until_ms };
-                Ok(LedgerReply::Accepted)
-            }
-            KeyStage::Dispatched { claim, until_ms }
-                if *claim == held.claim && *until_ms > clock_ms =>
-            {
-                Ok(LedgerReply::Accepted)
-            }
-            _ => Err(LedgerRefusal::ClaimClosed),
+    fn release(&mut self, held: &HeldKey) -> Result<LedgerReply, LedgerRefusal> {
+        match &self.find_key(&held.session, &held.key)?.stage {
+            KeyStage::Dispatched { claim, .. } if *claim == held.claim => {}
+            _ => return Err(LedgerRefusal::ClaimClosed),
         }
+        Ok(self.free_key(&held.session, &held.key))
     }
 
-    fn release(&mut self, held: &HeldKey) -> Result<LedgerReply, LedgerRefusal> {
-        match &self.find_held(held)?.stage {
-            KeyStage::Claimed { claim, .. } | KeyStage::Dispatched { claim, .. }
-                if *claim == held.claim => {}
+    fn withdraw(
+        &mut self,
+        session: &SessionId,
+        key: &IdempotencyKey,
+        by: &Arc<str>,
+    ) -> Result<LedgerReply, LedgerRefusal> {
+        match &self.find_key(session, key)?.stage {
+            KeyStage::Dispatched { holder, .. } if holder == by => {}
             _ => return Err(LedgerRefusal::ClaimClosed),
         }
-        if let Some(session) = self.sessions.get_mut(&held.session.key) {
-            session.keys.remove(&held.key);
+        Ok(self.free_key(session, key))
+    }
+
+    fn free_key(&mut self, session: &SessionId, key: &IdempotencyKey) -> LedgerReply {
+        if let Some(session) = self.sessions.get_mut(&session.key) {
+            session.keys.remove(key);
             self.keys -= 1;
             self.replies -= 1;
         }
-        Ok(LedgerReply::Accepted)
+        LedgerReply::Accepted
     }
 
     fn complete(&mut self, held: &HeldKey, reply: &Arc<str>) -> Result<LedgerReply, LedgerRefusal> {
         let fits = reply.len() <= self.limits.reply_bytes;
-        let record = self.find_held(held)?;
+        let record = self.find_key(&held.session, &held.key)?;
         match &record.stage {
             KeyStage::Dispatched { claim, .. } if *claim == held.claim => {}
             KeyStage::Done { claim, .. } if *claim == held.claim => {
@@ -369,28 +362,26 @@
     dropped
 }
 
-/// The reply to a claim of a known key, or none if the claim may be granted.
+/// The reply to a claim of a known key.
+///
+/// A holder that asks again is granted its claim again, as it may not have learned of it.
 fn judge_known(
     record: &KeyRecord,
     wanted: &KeyClaim,
     clock_ms: u64,
-) -> Result<Option<LedgerReply>, LedgerRefusal> {
+) -> Result<LedgerReply, LedgerRefusal> {
     if record.digest != wanted.digest {
         return Err(LedgerRefusal::KeyReused);
     }
     match &record.stage {
-        KeyStage::Claimed { claim, holder, until_ms } if *until_ms > clock_ms => {
+        KeyStage::Dispatched { claim, holder, until_ms } if *until_ms > clock_ms => {
             if *holder == wanted.holder {
-                return Ok(Some(LedgerReply::Granted(*claim)));
+                return Ok(LedgerReply::Granted(*claim));
             }
             Err(LedgerRefusal::InProgress { retry_ms: until_ms - clock_ms })
         }
-        KeyStage::Claimed { .. } => Ok(None),
-        KeyStage::Dispatched { until_ms, .. } if *until_ms > clock_ms => {
-            Err(LedgerRefusal::InProgress { retry_ms: until_ms - clock_ms })
-        }
         KeyStage::Dispatched { .. } => Err(LedgerRefusal::OutcomeUnknown),
-        KeyStage::Done { reply, .. } => Ok(Some(LedgerReply::Stored(Arc::clone(reply)))),
+        KeyStage::Done { reply, .. } => Ok(LedgerReply::Stored(Arc::clone(reply))),
         KeyStage::Dropped => Err(LedgerRefusal::ReplyDropped),
     }
 }
@@ -409,8 +400,8 @@
             LedgerChange::Found => Ok(self.found(command.epoch)),
             LedgerChange::OpenSession { workspace } => self.open_session(workspace),
             LedgerChange::Claim(claim) => self.claim(claim),
-            LedgerChange::Dispatch { held, run_ms } => self.dispatch(held, *run_ms),
             LedgerChange::Release { held } => self.release(held),
+            LedgerChange::Withdraw { session, key, holder } => self.withdraw(session, key, holder),
             LedgerChange::Complete { held, reply } => self.complete(held, reply),
         };
         applied.unwrap_or_else(LedgerReply::Refused)
--- a/cicadastall/src/ledger/command.rs
+++ b/cicadastall/src/ledger/command.rs
@@ -34,20 +34,22 @@
         /// Workspace that may use it.
         workspace: WorkspaceName,
     },
-    /// Claims the right to dispatch a key.
+    /// Claims a key and marks it as dispatched; must be committed before the first byte is sent.
     Claim(KeyClaim),
-    /// Marks a claimed key as dispatched; must be committed before the first byte is sent.
-    Dispatch {
-        /// Key and claim.
-        held: HeldKey,
-        /// Time within which a result is expected, in milliseconds.
-        run_ms: u64,
-    },
     /// Gives a claim back; its holder knows that no upstream ran the request.
     Release {
         /// Key and claim.
         held: HeldKey,
     },
+    /// Gives back what a holder may have been granted without learning of it.
+    Withdraw {
+        /// Session of the key.
+        session: SessionId,
+        /// The key.
+        key: IdempotencyKey,
+        /// Who claimed.
+        holder: Arc<str>,
+    },
     /// Records the result of a dispatched key.
     Complete {
         /// Key and claim.
@@ -57,7 +59,7 @@
     },
 }
 
-/// Request for the right to dispatch a key.
+/// Request for the right to dispatch a key, once.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct KeyClaim {
     /// Session of the key.
@@ -70,8 +72,8 @@
     pub digest: u64,
     /// Who claims; unique to one attempt, so that a repeated claim is recognised.
     pub holder: Arc<str>,
-    /// Time within which the holder marks the key as dispatched, in milliseconds.
-    pub lease_ms: u64,
+    /// Time within which a result is expected, in milliseconds.
+    pub run_ms: u64,
     /// Keys of the session whose replies the caller has received.
     #[serde(default)]
     pub acknowledged: SmallVec<[IdempotencyKey; 4]>,
@@ -125,7 +127,7 @@
     KeyReused,
     /// Another attempt holds the key.
     InProgress {
-        /// Time until the claim or the run is over, in milliseconds.
+        /// Time until its outcome is unknown, in milliseconds.
         retry_ms: u64,
     },
     /// The key was dispatched and its result did not arrive in time.
@@ -150,7 +152,7 @@
             Self::OutcomeUnknown => "the key was dispatched and its outcome is not known",
             Self::ReplyDropped => "the key was run and its reply is no longer stored",
             Self::Full => "the ledger holds as many keys as it may",
-            Self::ClaimClosed => "the claim was closed before dispatch",
+            Self::ClaimClosed => "the claim was closed",
         })
     }
 }
--- a/cicadastall/src/relay/keyed.rs
+++ b/cicadastall/src/relay/keyed.rs
@@ -2,22 +2,13 @@
 
 use crate::{
     answer::{Ran, Refusal, RefusalCode},
-    claim::{ClaimError, ClaimHolder, ClaimOutcome, Dispatched, PlannedKey},
+    claim::{ClaimError, ClaimHolder, ClaimOutcome, PlannedKey},
     dispatch::AttemptError,
     relay::{AnswerSource, OpenAttempt, RequestRelay},
     wire::CallRequest,
 };
 use std::sync::Arc;
 
-/// What a claimed key allows.
-#[derive(Debug)]
-enum KeyedStart {
-    /// One dispatch.
-    Dispatch(ClaimHolder<Dispatched>),
-    /// Nothing; the key was run with this result.
-    Stored(serde_json::Value),
-}
-
 impl RequestRelay {
     /// Calls a plain service whose calls may not be repeated.
     ///
@@ -43,7 +34,7 @@
         call: &CallRequest,
     ) -> Result<(AnswerSource, serde_json::Value), Refusal> {
         let context = Arc::clone(&self.context);
-        let mut held: Option<ClaimHolder<Dispatched>> = None;
+        let mut held: Option<ClaimHolder> = None;
         loop {
             let opened = self.open_attempt().await.map_err(|refusal| self.name_cut_off(refusal));
             let forwarded = !matches!(&opened, Ok(attempt) if attempt.is_local());
@@ -53,8 +44,8 @@
             let attempt = opened?;
             if attempt.is_local() && held.is_none() {
                 match self.claim_key(planned, &attempt).await? {
-                    KeyedStart::Dispatch(holder) => held = Some(holder),
-                    KeyedStart::Stored(result) => return Ok((attempt.source, result)),
+                    ClaimOutcome::Held(holder) => held = Some(holder),
+                    ClaimOutcome::Stored(result) => return Ok((attempt.source, result)),
                 }
             }
             match self.call_target(&attempt, call).await {
@@ -83,21 +74,31 @@
         }
     }
 
-    /// Claims the key and marks it as dispatched.
+    /// Claims the key for the attempts of this request.
     async fn claim_key(
         &self,
         planned: &PlannedKey,
         attempt: &OpenAttempt,
-    ) -> Result<KeyedStart, ClaimError> {
+    ) -> Result<ClaimOutcome, ClaimError> {
         let ledger = self.context.ledger();
-        let holder = format!("{}/{}", self.context.node().instance, attempt.id).into();
-        match ClaimHolder::claim(ledger, planned, &self.plan, holder).await? {
-            ClaimOutcome::Stored(result) => Ok(KeyedStart::Stored(result)),
-            ClaimOutcome::Held(holder) => {
-                let holder = holder.mark_dispatched(ledger, self.remaining()).await?;
-                Ok(KeyedStart::Dispatch(holder))
-            }
+        let holder: Arc<str> = format!("{}/{}", self.context.node().instance, attempt.id).into();
+        let claimer = Arc::clone(&holder);
+        let claimed =
+            ClaimHolder::claim(ledger, planned, &self.plan, claimer, self.remaining()).await;
+        if let Err(ClaimError::Unconfirmed(_)) = claimed {
+            self.withdraw_later(planned.clone(), holder);
         }
+        claimed
+    }
+
+    /// Withdraws a claim while the caller is answered; a graceful stop waits for it.
+    fn withdraw_later(&self, planned: PlannedKey, holder: Arc<str>) {
+        let context = Arc::clone(&self.context);
+        let guard = context.count_request();
+        tokio::spawn(async move {
+            let _guard = guard;
+            planned.withdraw(context.ledger(), holder).await;
+        });
     }
 
     /// Says that the home region can't be reached where another region finds no way to it.
