Look a key up in the ledger where no upstream is known

Cause: an entry chose an upstream before it asked the ledger, so a resend was refused with no_upstream while none was known, although its reply was stored.

Ruled out: claiming before the choice: two commits (claim, release) for every call that is refused then, and an entry killed in between costs the key.

Change: an entry of the home region that finds no upstream at its first attempt looks the key up; the look is a command that grants nothing. Known keys are answered as a claim would be; others with no_upstream as before. The way with an upstream stays as it was. Price: a commit for such a refusal, and up to 1 s a host where the ledger is silent.

Not mended: an entry of another region, where no home entry is known to have an upstream, still answers home_unreachable.

--- a/cicadastall/src/claim.rs
+++ b/cicadastall/src/claim.rs
@@ -239,6 +239,35 @@
         Ok(Self { session, key, digest: digest_call(plan, call) })
     }
 
+    /// The claim of this key by `holder`, whose result is expected within `run`.
+    fn claim_for(&self, plan: &RequestPlan, holder: Arc<str>, run: Duration) -> KeyClaim {
+        KeyClaim {
+            session: self.session.clone(),
+            workspace: plan.workspace.clone(),
+            key: self.key.clone(),
+            digest: self.digest,
+            holder,
+            run_ms: run.as_millis() as u64,
+            acknowledged: plan.acknowledged.clone(),
+        }
+    }
+
+    /// The stored result of the key, if it was run; none if the ledger does not know the key.
+    ///
+    /// Refused where the key is known and has no stored result.
+    pub async fn find_stored(
+        &self,
+        client: &LedgerClient,
+        plan: &RequestPlan,
+    ) -> Result<Option<serde_json::Value>, ClaimError> {
+        let look = self.claim_for(plan, "".into(), Duration::ZERO);
+        match client.change(LedgerChange::Look(look)).await? {
+            LedgerReply::Free => Ok(None),
+            LedgerReply::Stored(reply) => decode_result(&reply).map(Some),
+            _ => Err(ClaimError::Unexpected),
+        }
+    }
+
     /// Gives back what `holder` may have been granted by a claim that was not confirmed.
     pub async fn withdraw(self, client: &LedgerClient, holder: Arc<str>) {
         let change = LedgerChange::Withdraw { session: self.session, key: self.key, holder };
@@ -249,6 +278,10 @@
     }
 }
 
+fn decode_result(reply: &str) -> Result<serde_json::Value, ClaimError> {
+    serde_json::from_str(reply).map_err(|_| ClaimError::Unexpected)
+}
+
 /// Digest of what a key stands for; the same on every entry.
 fn digest_call(plan: &RequestPlan, call: &CallRequest) -> u64 {
     let arguments = call.arguments.to_string();
@@ -275,20 +308,11 @@
         holder: Arc<str>,
         remaining: Duration,
     ) -> Result<ClaimOutcome, ClaimError> {
-        let PlannedKey { session, key, digest } = planned.clone();
-        let run = remaining + RESULT_MARGIN;
         let proposed = Instant::now();
-        let change = LedgerChange::Claim(KeyClaim {
-            session: session.clone(),
-            workspace: plan.workspace.clone(),
-            key: key.clone(),
-            digest,
-            holder,
-            run_ms: run.as_millis() as u64,
-            acknowledged: plan.acknowledged.clone(),
-        });
-        match client.change(change).await? {
+        let wanted = planned.claim_for(plan, holder, remaining + RESULT_MARGIN);
+        match client.change(LedgerChange::Claim(wanted)).await? {
             LedgerReply::Granted(claim) => {
+                let PlannedKey { session, key, .. } = planned.clone();
                 let holder = Self { held: HeldKey { session, key, claim } };
                 if proposed.elapsed() < remaining {
                     return Ok(ClaimOutcome::Held(holder));
@@ -296,9 +320,7 @@
                 holder.release(client).await?;
                 Err(ClaimError::Refused(LedgerRefusal::ClaimClosed))
             }
-            LedgerReply::Stored(reply) => serde_json::from_str(&reply)
-                .map(ClaimOutcome::Stored)
-                .map_err(|_| ClaimError::Unexpected),
+            LedgerReply::Stored(reply) => decode_result(&reply).map(ClaimOutcome::Stored),
             _ => Err(ClaimError::Unexpected),
         }
     }
--- a/cicadastall/src/ledger.rs
+++ b/cicadastall/src/ledger.rs
@@ -229,6 +229,15 @@
     }
 
     fn claim(&mut self, claim: &KeyClaim) -> Result<LedgerReply, LedgerRefusal> {
+        if let Some(reply) = self.judge(claim)? {
+            return Ok(reply);
+        }
+        self.reserve_key(&claim.session.key)?;
+        Ok(self.grant(claim))
+    }
+
+    /// The reply to a claim, or none if its key is new to the ledger and may be granted.
+    fn judge(&mut self, claim: &KeyClaim) -> Result<Option<LedgerReply>, LedgerRefusal> {
         let epoch = self.epoch.ok_or(LedgerRefusal::NotFounded)?;
         let SessionId { region, key: session_key } = &claim.session;
         if *region != self.region {
@@ -245,17 +254,11 @@
             return Err(LedgerRefusal::ForeignSession);
         }
         self.replies -= drop_replies(session, &claim.acknowledged);
-        match session.keys.get(&claim.key) {
-            Some(record) => {
-                let reply = judge_known(record, claim, self.clock_ms)?;
-                let granted = matches!(reply, LedgerReply::Granted(_));
-                if granted && !survived { Err(LedgerRefusal::EpochLost) } else { Ok(reply) }
-            }
-            None if !survived => Err(LedgerRefusal::EpochLost),
-            None => {
-                self.reserve_key(session_key)?;
-                Ok(self.grant(claim))
-            }
+        let known = session.keys.get(&claim.key);
+        let reply = known.map(|record| judge_known(record, claim, self.clock_ms)).transpose()?;
+        match reply {
+            None | Some(LedgerReply::Granted(_)) if !survived => Err(LedgerRefusal::EpochLost),
+            reply => Ok(reply),
         }
     }
 
@@ -400,6 +403,9 @@
             LedgerChange::Found => Ok(self.found(command.epoch)),
             LedgerChange::OpenSession { workspace } => self.open_session(workspace),
             LedgerChange::Claim(claim) => self.claim(claim),
+            LedgerChange::Look(claim) => {
+                self.judge(claim).map(|reply| reply.unwrap_or(LedgerReply::Free))
+            }
             LedgerChange::Release { held } => self.release(held),
             LedgerChange::Withdraw { session, key, holder } => self.withdraw(session, key, holder),
             LedgerChange::Complete { held, reply } => self.complete(held, reply),
--- a/cicadastall/src/ledger/command.rs
+++ b/cicadastall/src/ledger/command.rs
@@ -36,6 +36,8 @@
     },
     /// Claims a key and marks it as dispatched; must be committed before the first byte is sent.
     Claim(KeyClaim),
+    /// Asks what a claim would be told of a known key; grants nothing.
+    Look(KeyClaim),
     /// Gives a claim back; its holder knows that no upstream ran the request.
     Release {
         /// Key and claim.
@@ -105,6 +107,8 @@
     Granted(ClaimNumber),
     /// The key was run; this is its stored reply.
     Stored(Arc<str>),
+    /// The key is not known.
+    Free,
     /// The change was made, now or by an earlier copy of the command.
     Accepted,
     /// The change was refused.
--- a/cicadastall/src/relay/keyed.rs
+++ b/cicadastall/src/relay/keyed.rs
@@ -37,6 +37,12 @@
         let mut held: Option<ClaimHolder> = None;
         loop {
             let opened = self.open_attempt().await.map_err(|refusal| self.name_cut_off(refusal));
+            if let Err(refusal) = &opened
+                && refusal.code == RefusalCode::NoUpstream
+                && self.attempts == 0
+            {
+                return self.find_stored(planned, refusal.clone()).await;
+            }
             let forwarded = !matches!(&opened, Ok(attempt) if attempt.is_local());
             if forwarded && let Some(holder) = held.take() {
                 holder.release(context.ledger()).await?;
@@ -91,6 +97,22 @@
         claimed
     }
 
+    /// Answers what the ledger knows of a key that no upstream can run now, or else `refusal`.
+    async fn find_stored(
+        &self,
+        planned: &PlannedKey,
+        refusal: Refusal,
+    ) -> Result<(AnswerSource, serde_json::Value), Refusal> {
+        match planned.find_stored(self.context.ledger(), &self.plan).await {
+            Ok(Some(result)) => {
+                let region = self.context.node().region.clone();
+                Ok((AnswerSource { region, upstream: None }, result))
+            }
+            Err(error @ ClaimError::Refused(_)) => Err(error.into()),
+            Ok(None) | Err(_) => Err(refusal),
+        }
+    }
+
     /// Withdraws a claim while the caller is answered; a graceful stop waits for it.
     fn withdraw_later(&self, planned: PlannedKey, holder: Arc<str>) {
         let context = Arc::clone(&self.context);
--- a/cicadastall/tests/ledger.rs
+++ b/cicadastall/tests/ledger.rs
@@ -378,6 +378,24 @@
     assert_eq!(founded, refused(LedgerRefusal::NotFounded), "an epoch never goes back");
 }
 
+#[test]
+fn a_look_at_a_key_grants_nothing_and_tells_what_a_claim_would() {
+    let mut ledger = TestLedger::new(LedgerLimits::default());
+    let session = ledger.open();
+    let look = |key: &str| LedgerChange::Look(make_claim(&session, key, "looker"));
+    assert_eq!(ledger.apply(look("a")), LedgerReply::Free);
+    assert_eq!(ledger.state.sizes().keys, 0);
+    ledger.run(&session, "a", "1");
+    assert_eq!(ledger.apply(look("a")), LedgerReply::Stored("1".into()));
+    ledger.claim(&session, "b", "first");
+    let in_progress = refused(LedgerRefusal::InProgress { retry_ms: RUN_MS });
+    assert_eq!(ledger.apply(look("b")), in_progress);
+    ledger.now_ms += RUN_MS;
+    assert_eq!(ledger.apply(look("b")), refused(LedgerRefusal::OutcomeUnknown));
+    ledger.refound(ledger.state.clone());
+    assert_eq!(ledger.apply(look("c")), refused(LedgerRefusal::EpochLost));
+}
+
 #[test]
 fn a_proposer_held_up_while_the_group_is_founded_anew_is_refused() {
     let mut ledger = TestLedger::new(LedgerLimits::default());
