Name the holder of a claim by its entry, not after the request

Cause: a holder was named instance/attempt, and callers choose the name of a request (x-cicadastall-request), from which the attempt is named. Two requests of one name and key through one entry were the same holder: the second was granted the first's claim, and both dispatched. Since claims are withdrawn by the holder's name, the late withdrawal of a first copy also freed the key under a second one that ran.

Change: the entry makes a fresh name for each run of a request. A name does not change between the hosts that one claim is sent to, which is what a repeated claim is recognised by.

Tests: all bookings of BookingFleet are now named after their key, and one_booking_sent_through_three_entries sends a fourth copy through the first entry at the same moment.

--- a/cicadastall-daemons/tests/at_most_once.rs
+++ b/cicadastall-daemons/tests/at_most_once.rs
@@ -165,15 +165,16 @@
     let session = fleet.session(ELSEWHERE).await;
     for round in 0..20 {
         let key = format!("k{round}");
-        let (first, second, elsewhere) = tokio::join!(
+        let (first, again, second, elsewhere) = tokio::join!(
+            fleet.book(FIRST, &session, &key, json!({})),
             fleet.book(FIRST, &session, &key, json!({})),
             fleet.book(SECOND, &session, &key, json!({})),
             fleet.book(ELSEWHERE, &session, &key, json!({})),
         );
-        for told in [&first, &second, &elsewhere] {
+        for told in [&first, &again, &second, &elsewhere] {
             assert!(*told == booked() || told.code() == IN_PROGRESS, "{told:?}");
         }
-        assert!([first, second, elsewhere].contains(&booked()), "nobody got the result");
+        assert!([first, again, second, elsewhere].contains(&booked()), "nobody got the result");
         assert_eq!(fleet.resend(ELSEWHERE, &session, &key).await, booked());
         assert_eq!(fleet.executions(&key), 1);
     }
--- a/cicadastall-daemons/tests/bookings/mod.rs
+++ b/cicadastall-daemons/tests/bookings/mod.rs
@@ -20,8 +20,8 @@
     peer::PeerClients,
     replicated::GroupError,
     wire::{
-        CallAnswer, CallRequest, ErrorBody, KEY_HEADER, KIND_HEADER, RESENT_HEADER, SESSION_HEADER,
-        SessionReply, WORKSPACE_HEADER,
+        CallAnswer, CallRequest, ErrorBody, KEY_HEADER, KIND_HEADER, REQUEST_HEADER, RESENT_HEADER,
+        SESSION_HEADER, SessionReply, WORKSPACE_HEADER,
     },
 };
 use cicadastall_standins::{announce::StandinPlace, service::ServiceStandin};
@@ -482,7 +482,8 @@
     service.executions().get(key).copied().unwrap_or(0)
 }
 
-/// Sends a booking; checks that whoever is told that it did not run is told the truth.
+/// Sends a booking, named like its key; checks that whoever is told that it did not run is told the
+/// truth.
 pub async fn send_booking(
     address: SocketAddr,
     service: &ServiceStandin,
@@ -496,7 +497,8 @@
         .header(WORKSPACE_HEADER, "ba-delta")
         .header(KIND_HEADER, "muster-booking")
         .header(SESSION_HEADER, session)
-        .header(KEY_HEADER, key);
+        .header(KEY_HEADER, key)
+        .header(REQUEST_HEADER, key);
     if resent {
         request = request.header(RESENT_HEADER, "true");
     }
--- a/cicadastall/src/ledger/command.rs
+++ b/cicadastall/src/ledger/command.rs
@@ -72,7 +72,7 @@
     pub key: IdempotencyKey,
     /// Digest of the request's kind and body.
     pub digest: u64,
-    /// Who claims; unique to one attempt, so that a repeated claim is recognised.
+    /// Who claims; unique to one run of a request, so that a repeated claim is recognised.
     pub holder: Arc<str>,
     /// Time within which a result is expected, in milliseconds.
     pub run_ms: u64,
--- a/cicadastall/src/relay/keyed.rs
+++ b/cicadastall/src/relay/keyed.rs
@@ -4,7 +4,7 @@
     answer::{Ran, Refusal, RefusalCode},
     claim::{ClaimError, ClaimHolder, ClaimOutcome, PlannedKey},
     dispatch::AttemptError,
-    relay::{AnswerSource, OpenAttempt, RequestRelay},
+    relay::{AnswerSource, RequestRelay},
     wire::CallRequest,
 };
 use std::sync::Arc;
@@ -49,7 +49,7 @@
             }
             let attempt = opened?;
             if attempt.is_local() && held.is_none() {
-                match self.claim_key(planned, &attempt).await? {
+                match self.claim_key(planned).await? {
                     ClaimOutcome::Held(holder) => held = Some(holder),
                     ClaimOutcome::Stored(result) => return Ok((attempt.source, result)),
                 }
@@ -81,13 +81,11 @@
     }
 
     /// Claims the key for the attempts of this request.
-    async fn claim_key(
-        &self,
-        planned: &PlannedKey,
-        attempt: &OpenAttempt,
-    ) -> Result<ClaimOutcome, ClaimError> {
+    ///
+    /// The holder's name is made here, since callers may name two requests alike.
+    async fn claim_key(&self, planned: &PlannedKey) -> Result<ClaimOutcome, ClaimError> {
         let ledger = self.context.ledger();
-        let holder: Arc<str> = format!("{}/{}", self.context.node().instance, attempt.id).into();
+        let holder: Arc<str> = self.context.name_request().as_str().into();
         let claimer = Arc::clone(&holder);
         let claimed =
             ClaimHolder::claim(ledger, planned, &self.plan, claimer, self.remaining()).await;
