Look for a ledger's leader through a hand-over, and test stops, delays and zones

Cause: while a ledger's leader hands over, every host answers that it does not lead, and an entry asked each host once.

Ruled out: a lost proposal. The core hands over once all entries are committed, and the refused bookings were never proposed.

Change: `LedgerClient` asks the hosts again every 20 ms, for 500 ms at most, as long as one answers that it does not lead. Hosts that are silent or gone are not waited for longer than before; an election after a silence (1.2 s at least) is not waited for either. The call is safe to repeat, as each change but the issue of a session is idempotent.

Also new, each with processes: - `delay` of 25 ms one way between regions in the proxies of scenarios, used by faults/forwarded_over_25_ms, settings/in_force_over_25_ms (accepted at the first try through each control instance, in force within 2 s) and at-most-once/booked_over_25_ms (from another region). Opening a connection is not delayed. - partition/two_zones_of_one_region: two zones cut off from each other, one without a control instance, each answering its own callers. - graceful-stop/settings_leader_stops: the bound is that another one leads when the leader's process ends, which no election timeout allows. - second_replica_lost_right_after_the_repair_of_the_first (bookings, three ledger voters in one region, the first with its disk lost).

--- a/cicadastall-daemons/tests/ledger_replicas.rs
+++ b/cicadastall-daemons/tests/ledger_replicas.rs
@@ -6,14 +6,38 @@
 use bookings::{
     Told, ask_session, executions, fleet_settings, send_booking, send_signal, start_service,
 };
+use cicadastall::http::{call_json, client};
 use cicadastall_standins::service::ServiceStandin;
 use common::{CONTROL, ENTRY, Process, TestFolder, node, reserved::ReservedAddress};
+use hyper::Method;
 use serde_json::{Value, json};
-use std::{path::PathBuf, sync::Arc, time::Duration};
-use tokio::time::sleep;
+use std::{
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 const REPLICAS: usize = 3;
 
+/// The ledger's group.
+const GROUP: &str = "ledger-viti-west";
+
+/// Longest time that a planned stop takes.
+const STOP_BOUND: Duration = Duration::from_secs(20);
+
+/// Longest wait for a condition that has no bound of its own.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Callers that book without pause.
+const CALLERS: usize = 4;
+
 /// Three control instances and two entries of one region.
 struct ReplicaFleet {
     control: Vec<Process>,
@@ -114,6 +138,101 @@
     fn restart(&mut self, replica: usize) {
         self.control[replica] = start(CONTROL, &self.files[replica]);
     }
+
+    /// Stops a replica as an operator does; waits until its process has ended.
+    fn stop(&mut self, replica: usize) {
+        self.control[replica].signal("-TERM");
+        let (status, _) = self.control[replica].wait(STOP_BOUND);
+        assert!(status.success(), "replica {replica} ended with {status}");
+    }
+
+    /// Removes the data of a replica that is not running.
+    fn lose_disk(&self, replica: usize) {
+        let folder = self.files[replica].with_file_name(format!("data-{replica}"));
+        std::fs::remove_dir_all(folder).expect("the replica had a disk");
+    }
+
+    /// What a replica says of the ledger's group.
+    async fn group(&self, replica: usize) -> Value {
+        let (operator, bound) = (self.control[replica].address("operator"), Duration::from_secs(5));
+        let (path, client) = ("/v1/groups", client(1));
+        let asked = call_json(&client, Method::GET, operator, path, None::<&Value>, bound);
+        asked.await.map_or(Value::Null, |mut groups: Value| groups[GROUP].take())
+    }
+
+    /// Waits until a replica says of the group what `wanted` asks for.
+    async fn wait_group(&self, replica: usize, wanted: impl Fn(&Value) -> bool) -> Value {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let group = self.group(replica).await;
+            if wanted(&group) {
+                return group;
+            }
+            assert!(Instant::now() < deadline, "replica {replica} within {PATIENCE:?}: {group}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Starts callers that book new keys through both entries until they are ended.
+    fn start_load(&self, session: &str) -> BookingLoad {
+        let load = BookingLoad::default();
+        let mut callers = JoinSet::new();
+        for caller in 0..CALLERS {
+            let address = self.entries[caller % self.entries.len()].address("caller");
+            let (service, session) = (Arc::clone(&self.service), session.to_owned());
+            let (stop, booked) = (Arc::clone(&load.stop), Arc::clone(&load.booked));
+            callers.spawn(async move {
+                let mut told = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    let key = format!("load-{caller}-{}", told.len());
+                    let answer =
+                        send_booking(address, &service, &session, &key, json!({}), false).await;
+                    told.push((key, answer));
+                    booked.fetch_add(1, Ordering::Relaxed);
+                }
+                told
+            });
+        }
+        BookingLoad { callers, ..load }
+    }
+}
+
+/// Callers that book without pause.
+#[derive(Debug, Default)]
+struct BookingLoad {
+    stop: Arc<AtomicBool>,
+    booked: Arc<AtomicUsize>,
+    callers: JoinSet<Vec<(String, Told)>>,
+}
+
+impl BookingLoad {
+    /// Waits until the callers got `more` answers.
+    async fn wait_answers(&self, more: usize) {
+        let wanted = self.booked.load(Ordering::Relaxed) + more;
+        let deadline = Instant::now() + PATIENCE;
+        while self.booked.load(Ordering::Relaxed) < wanted {
+            assert!(Instant::now() < deadline, "not {more} more answers within {PATIENCE:?}");
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Ends the callers; returns what they were told.
+    async fn end(self) -> Vec<(String, Told)> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.callers.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+fn has_leader(group: &Value) -> bool {
+    group["leader"].is_object()
+}
+
+/// The identities of the voters, sorted, where there are as many as replicas.
+fn list_voters(group: &Value) -> Option<Vec<String>> {
+    let voters = group["configuration"]["voters"].as_array()?;
+    let mut names: Vec<_> = voters.iter().map(Value::to_string).collect();
+    names.sort();
+    (names.len() == REPLICAS).then_some(names)
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -173,3 +292,52 @@
     assert_eq!(executions(&fleet.service, "before"), 1);
     assert_eq!(executions(&fleet.service, "new"), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_of_each_replica_fails_no_booking() {
+    let mut fleet = ReplicaFleet::start("replicas-stopped", REPLICAS).await;
+    let session = fleet.session().await;
+    fleet.book(0, &session, "first-0").await;
+    fleet.book(1, &session, "first-1").await;
+    let load = fleet.start_load(&session);
+    for replica in 0..REPLICAS {
+        load.wait_answers(20).await;
+        tokio::task::block_in_place(|| fleet.stop(replica));
+        load.wait_answers(20).await;
+        fleet.restart(replica);
+        fleet.wait_group(replica, has_leader).await;
+    }
+    load.wait_answers(20).await;
+    let told = load.end().await;
+    let failed: Vec<_> = told.iter().filter(|(_, told)| !matches!(told, Told::Result(_))).collect();
+    println!("{} bookings, {} failed", told.len(), failed.len());
+    assert!(failed.is_empty(), "{} of {} failed: {:?}", failed.len(), told.len(), failed);
+    for (key, _) in &told {
+        assert_eq!(executions(&fleet.service, key), 1, "{key}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_replica_lost_right_after_the_repair_of_the_first() {
+    let mut fleet = ReplicaFleet::start("replica-repaired", REPLICAS).await;
+    let session = fleet.session().await;
+    let mut keys: Vec<_> = (0..20).map(|number| format!("before-{number}")).collect();
+    for key in &keys {
+        fleet.book(0, &session, key).await;
+    }
+    let before = fleet.wait_group(1, |group| list_voters(group).is_some()).await;
+    fleet.kill(0);
+    fleet.lose_disk(0);
+    keys.push("lost".to_owned());
+    fleet.book(1, &session, "lost").await;
+    fleet.restart(0);
+    let replaced = |group: &Value| {
+        let voters = list_voters(group);
+        voters.is_some() && voters != list_voters(&before)
+    };
+    fleet.wait_group(1, replaced).await;
+    fleet.kill(1);
+    keys.push("after-the-second".to_owned());
+    fleet.book(1, &session, "after-the-second").await;
+    fleet.check_stored(&session, &keys).await;
+}
--- a/cicadastall-daemons/tests/scenario/changes.rs
+++ b/cicadastall-daemons/tests/scenario/changes.rs
@@ -25,6 +25,12 @@
     time::{Instant, sleep, sleep_until},
 };
 
+/// Word for any control instance that runs.
+const ANY_CONTROL: &str = "any-control";
+
+/// Word for the regions in which a control instance runs.
+const CONTROLLED: &str = "controlled";
+
 /// When each entry was first seen with each revision.
 type Sightings = Arc<Mutex<BTreeMap<(String, u64), Instant>>>;
 
@@ -72,7 +78,11 @@
         expected: case.take_arg("expect").expect("expect=N"),
         operation: take(case, "operation"),
     };
-    let control = fleet.operator_address(&via);
+    let control = match via.as_str() {
+        ANY_CONTROL => fleet.controls().remove(0),
+        _ => via,
+    };
+    let control = fleet.operator_address(&control);
     let deadline = Instant::now() + EVENTUALLY;
     loop {
         fleet.watch = RevisionWatch::start(fleet.entry_operators());
@@ -149,7 +159,10 @@
 pub async fn check_revision(fleet: &mut Fleet, case: &mut TestCase) -> String {
     let revision: u64 = case.take_arg("is").expect("is=N");
     let bound = Duration::from_millis(case.take_arg("within-ms").expect("within-ms=N"));
-    let regions: Vec<String> = take_list(case, "regions");
+    let mut regions: Vec<String> = take_list(case, "regions");
+    if regions == [CONTROLLED] {
+        regions = fleet.controlled_regions();
+    }
     let deadline = fleet.watch.sent.expect("a change was sent") + bound;
     sleep_until(deadline).await;
     let seen = fleet.watch.seen.lock().expect("no panic holds the lock").clone();
@@ -180,25 +193,3 @@
         sleep(RETRY_PAUSE).await;
     }
 }
-
-/// `voters`: how many replicas vote in a group as `at` knows it, once they are `until`; with
-/// `changed`, once they also are others than at the last `voters`.
-pub async fn count_voters(fleet: &mut Fleet, case: &mut TestCase) -> String {
-    let (at, group) = (take(case, "at"), take(case, "group"));
-    let until: usize = case.take_arg("until").expect("until=N");
-    let changed = case.take_flag("changed").expect("a flag");
-    let deadline = Instant::now() + EVENTUALLY;
-    loop {
-        let groups = fleet.get(fleet.operator_address(&at), "/v1/groups").await;
-        let voters = &groups[&group]["configuration"]["voters"];
-        let count = voters.as_array().map_or(0, Vec::len);
-        if count == until && (!changed || *voters != fleet.voters) {
-            fleet.voters = voters.clone();
-            return format!("{count} voters of {group}");
-        }
-        if Instant::now() > deadline {
-            return format!("{count} VOTERS OF {group}");
-        }
-        sleep(RETRY_PAUSE).await;
-    }
-}
--- a/cicadastall-daemons/tests/scenario/fleet.rs
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -31,6 +31,9 @@
 /// Time after which an upstream that leaves may get nothing new.
 const LEAVE_BOUND_MS: u64 = 3_000;
 
+/// Most entries of a zone.
+const ZONE_NUMBERS: usize = 16;
+
 /// Pause between two tries of a caller that waits for an outcome.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -46,6 +49,20 @@
     process: Option<Process>,
 }
 
+impl Instance {
+    fn zone(&self) -> &str {
+        self.settings["zone"].as_str().expect("an instance has a zone")
+    }
+}
+
+/// Where a stand-in runs, and the pool that it serves.
+#[derive(Debug, Clone)]
+pub struct StandinZone {
+    pub region: String,
+    pub zone: String,
+    pub pool: String,
+}
+
 /// One stand-in.
 #[derive(Debug)]
 struct Standin {
@@ -71,8 +88,9 @@
 }
 
 impl Fleet {
-    /// Starts a control instance and `entries` entries in each of `regions`.
-    pub async fn start(regions: &[String], entries: usize, tree: &str) -> Self {
+    /// Starts a control instance in the first zone of each of `regions`, and `entries` entries in
+    /// each zone; `zones` are the last parts of their names.
+    pub async fn start(regions: &[String], zones: &[String], entries: usize, tree: &str) -> Self {
         let mut fleet = Self {
             folder: TestFolder::new("scenario"),
             links: LinkTable::default(),
@@ -85,13 +103,26 @@
             load: LoadCallers::default(),
             voters: Value::Null,
         };
-        let tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
+        let mut tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
+        for region in regions {
+            let names: Vec<_> = zones.iter().map(|zone| format!("{region}-{zone}")).collect();
+            tree["regions"][region]["zones"] = json!(names);
+        }
         let founding = fleet.folder.write("fleet.json", &tree);
         for (index, region) in regions.iter().enumerate() {
             fleet.add(&format!("{region}-control"), region, (index, 0), CONTROL).await;
             for number in 1..=entries {
                 fleet.add(&format!("{region}-{number}"), region, (index, number), ENTRY).await;
             }
+            for (other, zone) in zones.iter().enumerate().skip(1) {
+                let zone = format!("{region}-{zone}");
+                for number in 1..=entries {
+                    let name = format!("{zone}-{number}");
+                    fleet.add(&name, region, (index, other * ZONE_NUMBERS + number), ENTRY).await;
+                    let instance = fleet.instances.get_mut(&name).expect("the added entry");
+                    instance.settings["zone"] = json!(zone);
+                }
+            }
         }
         let controls: Vec<_> = fleet.addresses(|instance| instance.program == CONTROL);
         let seeds: Vec<_> = fleet.addresses(|_| true);
@@ -164,10 +195,12 @@
         instance.process = Some(process);
     }
 
-    /// Starts a stand-in with the arguments of its role; waits until its region's entries know it.
-    pub async fn start_upstream(&mut self, name: &str, region: &str, pool: &str, role: &[String]) {
-        let entries = self.entries_of(region);
-        let mut arguments = standin(name, region, pool, entries[0]);
+    /// Starts a stand-in with the arguments of its role; waits until its zone's entries know it.
+    pub async fn start_upstream(&mut self, name: &str, place: &StandinZone, role: &[String]) {
+        let entries = self.entries_of(&place.zone);
+        let mut arguments = standin(name, &place.region, &place.pool, entries[0]);
+        let option = arguments.iter().position(|argument| argument == "--zone");
+        arguments[option.expect("a stand-in has a zone") + 1] = place.zone.clone();
         for entry in &entries[1..] {
             arguments.extend(["--entry".to_owned(), entry.to_string()]);
         }
@@ -175,8 +208,8 @@
         let process = Some(Process::start(STANDIN, &arguments));
         let upstream = Standin { arguments, process, killed: None };
         self.standins.insert(name.to_owned(), upstream);
-        let in_region = |instance: &&Instance| instance.region == region;
-        for instance in self.instances.values().filter(in_region) {
+        let in_zone = |instance: &&Instance| instance.zone() == place.zone;
+        for instance in self.instances.values().filter(in_zone) {
             self.wait_listed(instance, name).await;
         }
     }
@@ -197,10 +230,9 @@
         }
     }
 
-    fn entries_of(&self, region: &str) -> Vec<SocketAddr> {
-        let in_region =
-            |instance: &&Instance| instance.region == region && instance.program == ENTRY;
-        let entries = self.instances.values().filter(in_region);
+    fn entries_of(&self, zone: &str) -> Vec<SocketAddr> {
+        let in_zone = |instance: &&Instance| instance.zone() == zone && instance.program == ENTRY;
+        let entries = self.instances.values().filter(in_zone);
         entries.map(|instance| instance.caller.address).collect()
     }
 
@@ -223,6 +255,19 @@
         process.expect("a running instance").address("operator")
     }
 
+    /// Names of the running control instances.
+    pub fn controls(&self) -> Vec<String> {
+        let runs = |(_, instance): &(&String, &Instance)| {
+            instance.program == CONTROL && instance.process.is_some()
+        };
+        self.instances.iter().filter(runs).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Regions with a running control instance.
+    pub fn controlled_regions(&self) -> Vec<String> {
+        self.controls().iter().map(|name| self.instances[name].region.clone()).collect()
+    }
+
     /// Names of the running entries in `regions`.
     pub fn entries_in(&self, regions: &[String]) -> Vec<String> {
         let wanted = |(_, instance): &(&String, &Instance)| {
@@ -392,7 +437,7 @@
         text
     }
 
-    /// Cuts the links between two instances or regions, one way or both.
+    /// Cuts the links between two instances, zones or regions, one way or both.
     pub fn cut(&self, from: &str, to: &str, both: bool) {
         for source in self.matching(from) {
             for target in self.matching(to) {
@@ -404,9 +449,19 @@
         }
     }
 
+    /// Delays everything between instances of different regions, one way each.
+    pub fn delay_regions(&self, delay: Duration) {
+        for source in self.instances.values() {
+            for target in self.instances.values().filter(|other| other.region != source.region) {
+                self.links.delay(source.ip, target.ip, delay);
+            }
+        }
+    }
+
     fn matching(&self, name: &str) -> Vec<IpAddr> {
-        let matches =
-            |(instance, state): &(&String, &Instance)| *instance == name || state.region == name;
+        let matches = |(instance, state): &(&String, &Instance)| {
+            *instance == name || state.region == name || state.zone() == name
+        };
         self.instances.iter().filter(matches).map(|(_, state)| state.ip).collect()
     }
 
--- /dev/null
+++ b/cicadastall-daemons/tests/scenario/groups.rs
@@ -0,0 +1,66 @@
+//! Directives about replicated groups: who leads and who votes.
+
+use super::{
+    fleet::{EVENTUALLY, Fleet, RETRY_PAUSE},
+    take,
+};
+use datadriven::TestCase;
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+/// What the running control instance `at` says of `group`.
+async fn ask_group(fleet: &Fleet, at: &str, group: &str) -> Value {
+    fleet.get(fleet.operator_address(at), "/v1/groups").await[group].take()
+}
+
+/// The running control instance that leads `group`.
+async fn find_leader(fleet: &Fleet, group: &str) -> Option<String> {
+    for control in fleet.controls() {
+        if ask_group(fleet, &control, group).await["leads"] == true {
+            return Some(control);
+        }
+    }
+    None
+}
+
+/// `stop-leader`: stops the leader of a group gracefully, and tells whether another one leads at
+/// the moment of its end, which is earlier than any election timeout that its silence could end.
+pub async fn stop_leader(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let group = take(case, "group");
+    let deadline = Instant::now() + EVENTUALLY;
+    let leader = loop {
+        if let Some(leader) = find_leader(fleet, &group).await {
+            break leader;
+        }
+        assert!(Instant::now() < deadline, "nobody leads {group} within {EVENTUALLY:?}");
+        sleep(RETRY_PAUSE).await;
+    };
+    let ended = fleet.stop(&leader).await.replace(&leader, "the leader");
+    let told = match find_leader(fleet, &group).await {
+        Some(_) => "another leads",
+        None => "NOBODY LEADS",
+    };
+    format!("{ended}, {told}")
+}
+
+/// `voters`: how many replicas vote in a group as `at` knows it, once they are `until`; with
+/// `changed`, once they also are others than at the last `voters`.
+pub async fn count_voters(fleet: &mut Fleet, case: &mut TestCase) -> String {
+    let (at, group) = (take(case, "at"), take(case, "group"));
+    let until: usize = case.take_arg("until").expect("until=N");
+    let changed = case.take_flag("changed").expect("a flag");
+    let deadline = Instant::now() + EVENTUALLY;
+    loop {
+        let groups = fleet.get(fleet.operator_address(&at), "/v1/groups").await;
+        let voters = &groups[&group]["configuration"]["voters"];
+        let count = voters.as_array().map_or(0, Vec::len);
+        if count == until && (!changed || *voters != fleet.voters) {
+            fleet.voters = voters.clone();
+            return format!("{count} voters of {group}");
+        }
+        if Instant::now() > deadline {
+            return format!("{count} VOTERS OF {group}");
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
--- a/cicadastall-daemons/tests/scenario/link.rs
+++ b/cicadastall-daemons/tests/scenario/link.rs
@@ -1,10 +1,12 @@
-//! Links between instances: each advertised address is a proxy whose bytes can be held back.
+//! Links between instances: each advertised address is a proxy whose bytes can be held back or
+//! delayed.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     io,
     net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex},
+    time::Duration,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -12,14 +14,20 @@
         TcpListener, TcpStream, UdpSocket,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::watch,
+    sync::{mpsc, watch},
     task::JoinSet,
-    time::timeout,
+    time::{Instant, sleep_until, timeout},
 };
 
 /// Most bytes moved at a time.
 const CHUNK_BYTES: usize = 64 * 1024;
 
+/// Most chunks of one direction of a connection that are under way on a delayed link.
+const CHUNKS_UNDER_WAY: usize = 1_024;
+
+/// Bytes under way, and when they arrive.
+type DelayedChunk = (Instant, Vec<u8>);
+
 /// Which direction between two instances is cut; instances are numbered by their address.
 pub type CutSet = BTreeSet<(IpAddr, IpAddr)>;
 
@@ -27,11 +35,12 @@
 #[derive(Debug, Clone)]
 pub struct LinkTable {
     cuts: Arc<watch::Sender<CutSet>>,
+    delays: Arc<Mutex<BTreeMap<(IpAddr, IpAddr), Duration>>>,
 }
 
 impl Default for LinkTable {
     fn default() -> Self {
-        Self { cuts: Arc::new(watch::Sender::new(CutSet::new())) }
+        Self { cuts: Arc::new(watch::Sender::new(CutSet::new())), delays: Arc::default() }
     }
 }
 
@@ -43,6 +52,18 @@
         });
     }
 
+    /// Delays all bytes that are sent from `from` to `to` from now on; a connection is opened
+    /// without delay.
+    pub fn delay(&self, from: IpAddr, to: IpAddr, delay: Duration) {
+        self.delays.lock().expect("no panic holds the lock").insert((from, to), delay);
+    }
+
+    /// When bytes that are sent now in `direction` arrive.
+    fn arrival(&self, direction: (IpAddr, IpAddr)) -> Instant {
+        let delays = self.delays.lock().expect("no panic holds the lock");
+        Instant::now() + delays.get(&direction).copied().unwrap_or_default()
+    }
+
     /// Lets bytes pass again.
     pub fn heal(&self) {
         self.cuts.send_modify(CutSet::clear);
@@ -91,17 +112,28 @@
     own: IpAddr,
     links: LinkTable,
 ) {
+    let socket = Arc::new(socket);
+    let mut under_way = JoinSet::new();
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let direction = (from.ip(), own);
         let target = *target.lock().expect("no panic holds the lock");
-        let cut = links.cuts.borrow().contains(&(from.ip(), own));
+        let cut = links.cuts.borrow().contains(&direction);
         if let Some(target) = target.filter(|_| !cut) {
-            let _ = socket.send_to(&buffer[..length], target).await;
+            let datagram = (links.arrival(direction), buffer[..length].to_vec());
+            under_way.spawn(give_datagram(Arc::clone(&socket), target, datagram));
         }
+        while under_way.try_join_next().is_some() {}
     }
 }
 
+async fn give_datagram(socket: Arc<UdpSocket>, target: SocketAddr, datagram: DelayedChunk) {
+    let (arrival, bytes) = datagram;
+    sleep_until(arrival).await;
+    let _ = socket.send_to(&bytes, target).await;
+}
+
 async fn accept(
     listener: TcpListener,
     target: Arc<Mutex<Option<SocketAddr>>>,
@@ -123,29 +155,56 @@
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let cuts = links.cuts.subscribe();
     tokio::join!(
-        copy(near_read, far_write, (peer, own), cuts.clone()),
-        copy(far_read, near_write, (own, peer), cuts),
+        copy(near_read, far_write, (peer, own), &links),
+        copy(far_read, near_write, (own, peer), &links),
     );
 }
 
 async fn copy(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    direction: (IpAddr, IpAddr),
+    links: &LinkTable,
+) {
+    let (sender, receiver) = mpsc::channel(CHUNKS_UNDER_WAY);
+    tokio::join!(
+        take_chunks(from, sender, direction, links),
+        give_chunks(to, receiver, direction, links.cuts.subscribe()),
+    );
+}
+
+async fn take_chunks(
     mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    sender: mpsc::Sender<DelayedChunk>,
     direction: (IpAddr, IpAddr),
-    mut cuts: watch::Receiver<CutSet>,
+    links: &LinkTable,
 ) {
     let mut buffer = vec![0; CHUNK_BYTES];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        let chunk = (links.arrival(direction), buffer[..length].to_vec());
+        if sender.send(chunk).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn give_chunks(
+    mut to: OwnedWriteHalf,
+    mut receiver: mpsc::Receiver<DelayedChunk>,
+    direction: (IpAddr, IpAddr),
+    mut cuts: watch::Receiver<CutSet>,
+) {
+    while let Some((arrival, chunk)) = receiver.recv().await {
+        sleep_until(arrival).await;
         if cuts.wait_for(|cuts| !cuts.contains(&direction)).await.is_err() {
             return;
         }
-        if to.write_all(&buffer[..length]).await.is_err() {
+        if to.write_all(&chunk).await.is_err() {
             return;
         }
     }
     if cuts.wait_for(|cuts| !cuts.contains(&direction)).await.is_ok() {
-        let _ = timeout(std::time::Duration::from_secs(1), to.shutdown()).await;
+        let _ = timeout(Duration::from_secs(1), to.shutdown()).await;
     }
 }
--- a/cicadastall-daemons/tests/scenario/mod.rs
+++ b/cicadastall-daemons/tests/scenario/mod.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod changes;
 pub mod fleet;
+pub mod groups;
 pub mod link;
 pub mod load;
 pub mod operator;
@@ -10,7 +11,7 @@
 
 use caller::CallerRequest;
 use datadriven::{TestCase, TestFile};
-use fleet::Fleet;
+use fleet::{Fleet, StandinZone};
 use std::{fmt::Write, time::Duration};
 use tokio::runtime::Runtime;
 
@@ -29,7 +30,9 @@
     if directive == "fleet" {
         let regions: Vec<String> = take_list(case, "regions");
         let entries = case.take_arg("entries").expect("entries=N");
-        *slot = Some(Fleet::start(&regions, entries, TREE).await);
+        let zones = case.try_take_args("zones").expect("zones=(..)");
+        let zones: Vec<String> = zones.unwrap_or_else(|| vec!["a".to_owned()]);
+        *slot = Some(Fleet::start(&regions, &zones, entries, TREE).await);
         return finish(case, "started".to_owned());
     }
     let fleet = slot.as_mut().expect("a scenario starts with the fleet directive");
@@ -98,7 +101,8 @@
         "race" => changes::race(fleet, case).await,
         "revision" => changes::check_revision(fleet, case).await,
         "settings" => changes::show_revision(fleet, case).await,
-        "voters" => changes::count_voters(fleet, case).await,
+        "stop-leader" => groups::stop_leader(fleet, case).await,
+        "voters" => groups::count_voters(fleet, case).await,
         "load" => load::start_load(fleet, case),
         "load-end" => load::end_load(fleet).await,
         "answered" => load::wait_answered(fleet, case).await,
@@ -120,6 +124,11 @@
             fleet.cut(&from, &to, both);
             "cut".to_owned()
         }
+        "delay" => {
+            let ms = case.take_arg("ms").expect("ms=N");
+            fleet.delay_regions(Duration::from_millis(ms));
+            format!("{ms} ms each way between regions")
+        }
         "heal" => {
             fleet.heal();
             "healed".to_owned()
@@ -143,7 +152,9 @@
 async fn start_upstream(fleet: &mut Fleet, case: &mut TestCase) -> String {
     let name: String = take(case, "name");
     let region: String = take(case, "region");
-    let pool: String = take(case, "pool");
+    let zone: Option<String> = case.try_take_arg("zone").expect("text");
+    let zone = zone.unwrap_or_else(|| format!("{region}-a"));
+    let place = StandinZone { region, zone, pool: take(case, "pool") };
     let mut role = Vec::new();
     if let Some(ms) = case.try_take_arg::<String>("linger-ms").expect("linger-ms=N") {
         role.extend(["--linger-ms".to_owned(), ms]);
@@ -162,7 +173,7 @@
             role.extend(["--call-ms".to_owned(), ms]);
         }
     }
-    fleet.start_upstream(&name, &region, &pool, &role).await;
+    fleet.start_upstream(&name, &place, &role).await;
     "started".to_owned()
 }
 
--- a/cicadastall-daemons/tests/scenarios.rs
+++ b/cicadastall-daemons/tests/scenarios.rs
@@ -27,6 +27,7 @@
     graceful_stop: "graceful-stop";
     settings: "settings";
     control_isolated_in_silence: "faults/control_isolated_in_silence.txt";
+    forwarded_over_25_ms: "faults/forwarded_over_25_ms.txt";
     operators_race_and_resend: "faults/operators_race_and_resend.txt";
     request_that_crashes_upstreams: "faults/request_that_crashes_upstreams.txt";
     restart_after_many_changes: "faults/restart_after_many_changes.txt";
--- a/cicadastall/src/claim.rs
+++ b/cicadastall/src/claim.rs
@@ -9,6 +9,7 @@
     },
     name::{IdempotencyKey, WorkspaceName},
     peer::PeerClients,
+    replicated::GroupError,
     wire::CallRequest,
 };
 use std::{
@@ -26,6 +27,13 @@
 /// Longest time to wait for one host of the ledger.
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time to look for a leader among hosts that answer but do not lead: a hand-over takes one
+/// vote, while an election after a silence takes longer and is not waited for.
+const LEADER_WAIT: Duration = Duration::from_millis(500);
+
+/// Pause between two looks for a leader.
+const LEADER_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time within which the holder of a claim marks its key as dispatched.
 const CLAIM_LEASE: Duration = Duration::from_secs(3);
 
@@ -98,12 +106,30 @@
         }
     }
 
-    /// Makes a change on the first host that confirms it, beginning with the last that did.
+    /// Makes a change; asks again for a moment while hosts answer that they do not lead, so that a
+    /// planned hand-over fails no booking.
     ///
-    /// Every change but the issue of a session is idempotent, so it may reach several hosts.
+    /// Every change but the issue of a session is idempotent, so it may reach several hosts and be
+    /// sent again.
     async fn change(&self, change: LedgerChange) -> Result<LedgerReply, ClaimError> {
+        let deadline = Instant::now() + LEADER_WAIT;
+        loop {
+            let failed = match self.ask_hosts(&change).await {
+                Ok(LedgerReply::Refused(refusal)) => return Err(ClaimError::Refused(refusal)),
+                Ok(reply) => return Ok(reply),
+                Err(failed) => failed,
+            };
+            if !failed.leaderless || Instant::now() >= deadline {
+                return Err(ClaimError::Unconfirmed(failed.cause));
+            }
+            sleep(LEADER_PAUSE).await;
+        }
+    }
+
+    /// Sends a change to the hosts in turn until one confirms it, beginning with the last that did.
+    async fn ask_hosts(&self, change: &LedgerChange) -> Result<LedgerReply, HostsFailure> {
         let preferred = self.preferred.load(Ordering::Relaxed);
-        let mut cause = "no host is known".to_owned();
+        let mut failed = HostsFailure { cause: "no host is known".to_owned(), leaderless: false };
         for turn in 0..self.hosts.len() {
             let index = (preferred + turn) % self.hosts.len();
             let change = change.clone();
@@ -114,16 +140,29 @@
             match call.await {
                 Ok(Ok(reply)) => {
                     self.preferred.store(index, Ordering::Relaxed);
-                    return match reply {
-                        LedgerReply::Refused(refusal) => Err(ClaimError::Refused(refusal)),
-                        reply => Ok(reply),
-                    };
+                    return Ok(reply);
                 }
-                Ok(Err(error)) => cause = error.to_string(),
-                Err(error) => cause = error.to_string(),
+                Ok(Err(error)) => failed.note(&error),
+                Err(error) => failed.cause = error.to_string(),
             }
         }
-        Err(ClaimError::Unconfirmed(cause))
+        Err(failed)
+    }
+}
+
+/// Why no host of the ledger confirmed a change.
+#[derive(Debug)]
+struct HostsFailure {
+    /// What the last host said.
+    cause: String,
+    /// Whether a host answered that it does not lead.
+    leaderless: bool,
+}
+
+impl HostsFailure {
+    fn note(&mut self, error: &GroupError) {
+        self.leaderless |= matches!(error, GroupError::NotLeader { .. });
+        self.cause = error.to_string();
     }
 }
 
