Open a new connection where the other side has closed the kept one

Ruled out: the hand-over (another replica led), the group (a majority was up), the wait for a leader (no host had answered that it does not lead). Change: a connection is kept with the task that dispatches its calls; once that has ended, the next call opens a new one. A call that was sent and has no reply is not sent again, as before.

--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -22,9 +22,13 @@
     sync::{Arc, Mutex},
     time::{Duration, Instant as DeadlineInstant},
 };
-use tarpc::{client, context};
+use tarpc::{
+    client::{self, NewClient},
+    context,
+};
 use tokio::{
     net::{TcpSocket, TcpStream},
+    task::JoinHandle,
     time::timeout,
 };
 use tokio_util::codec::LengthDelimitedCodec;
@@ -90,13 +94,20 @@
 #[derive(Debug, Default)]
 pub struct PeerClients {
     source: Option<IpAddr>,
-    clients: Mutex<HashMap<SocketAddr, PeerApiClient>>,
+    connections: Mutex<HashMap<SocketAddr, PeerConnection>>,
+}
+
+/// An open connection, and the task that ends when the other side closes it.
+#[derive(Debug)]
+struct PeerConnection {
+    client: PeerApiClient,
+    dispatch: JoinHandle<()>,
 }
 
 impl PeerClients {
     /// Clients that connect from `source`.
     pub fn new(source: Option<IpAddr>) -> Self {
-        Self { source, clients: Mutex::default() }
+        Self { source, connections: Mutex::default() }
     }
 
     /// Calls the instance at `address`; gives up after `bound`.
@@ -129,19 +140,27 @@
         self.lock().remove(&address);
     }
 
+    /// The kept connection, or a new one where that was closed meanwhile.
     async fn connect(&self, address: SocketAddr) -> io::Result<PeerApiClient> {
-        if let Some(client) = self.lock().get(&address) {
-            return Ok(client.clone());
+        let kept = |connection: &&PeerConnection| !connection.dispatch.is_finished();
+        if let Some(connection) = self.lock().get(&address).filter(kept) {
+            return Ok(connection.client.clone());
         }
         let stream = connect_from(self.source, address).await?;
         let transport = frame_messages(stream);
-        let client = PeerApiClient::new(client::Config::default(), transport).spawn();
-        self.lock().insert(address, client.clone());
+        let NewClient { client, dispatch } =
+            PeerApiClient::new(client::Config::default(), transport);
+        let dispatch = tokio::spawn(async move {
+            if let Err(error) = dispatch.await {
+                log::debug!("connection to {address} broke: {error}");
+            }
+        });
+        self.lock().insert(address, PeerConnection { client: client.clone(), dispatch });
         Ok(client)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, PeerApiClient>> {
-        self.clients.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, PeerConnection>> {
+        self.connections.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
