Let entries keep replicas of their region's ledger without a disk

Cause: with one control instance a region the ledger had one replica, so bookings were refused while it was down; three control instances a region are more than may be set aside at the target size. Ruled out: replicas in other regions (the data may not leave the region); a disk for entries (only a few instances have one). Change: an entry that ledger_voters names hosts a replica, hands its lead over when it stops, serves /v1/groups to operators, and keeps a replica of the placement lease where placement is on; every entry asks all voters. Conclusion: kept, off unless ledger_voters names entries.

--- a/cicadastall-daemons/tests/scenario/fleet.rs
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -56,6 +56,19 @@
     }
 }
 
+/// Instances of a fleet.
+#[derive(Debug)]
+pub struct FleetShape {
+    /// Each has a control instance in its first zone.
+    pub regions: Vec<String>,
+    /// Last parts of the names of each region's zones.
+    pub zones: Vec<String>,
+    /// Entries of each zone.
+    pub entries: usize,
+    /// Entries of each region that keep replicas of its ledger.
+    pub ledger_entries: usize,
+}
+
 /// Where a stand-in runs, and the pool that it serves.
 #[derive(Debug, Clone)]
 pub struct StandinZone {
@@ -96,9 +109,9 @@
 }
 
 impl Fleet {
-    /// Starts a control instance in the first zone of each of `regions`, and `entries` entries in
-    /// each zone; `zones` are the last parts of their names.
-    pub async fn start(regions: &[String], zones: &[String], entries: usize, tree: &str) -> Self {
+    /// Starts a fleet of the given shape with the settings `tree`.
+    pub async fn start(shape: &FleetShape, tree: &str) -> Self {
+        let FleetShape { regions, zones, entries, ledger_entries } = shape;
         let mut fleet = Self {
             folder: TestFolder::new("scenario"),
             links: LinkTable::default(),
@@ -119,12 +132,12 @@
         let founding = fleet.folder.write("fleet.json", &tree);
         for (index, region) in regions.iter().enumerate() {
             fleet.add(&format!("{region}-control"), region, (index, 0), CONTROL).await;
-            for number in 1..=entries {
+            for number in 1..=*entries {
                 fleet.add(&format!("{region}-{number}"), region, (index, number), ENTRY).await;
             }
             for (other, zone) in zones.iter().enumerate().skip(1) {
                 let zone = format!("{region}-{zone}");
-                for number in 1..=entries {
+                for number in 1..=*entries {
                     let name = format!("{zone}-{number}");
                     fleet.add(&name, region, (index, other * ZONE_NUMBERS + number), ENTRY).await;
                     let instance = fleet.instances.get_mut(&name).expect("the added entry");
@@ -139,6 +152,7 @@
             .map(|(name, address)| json!({ "instance": name, "address": address }))
             .collect();
         let folder = fleet.folder.path();
+        let members = fleet.ledger_members(*ledger_entries);
         for (name, instance) in &mut fleet.instances {
             let home = |(other, _): &&(String, SocketAddr)| other.starts_with(&instance.region);
             let own_controls: Vec<_> = controls.iter().filter(home).collect();
@@ -146,14 +160,11 @@
             settings["seeds"] = json!(seeds.iter().map(|(_, seed)| seed).collect::<Vec<_>>());
             settings["control"] =
                 json!(own_controls.iter().map(|(_, address)| address).collect::<Vec<_>>());
+            settings["ledger_voters"] = json!(members[&instance.region]);
             if instance.program == CONTROL {
                 settings["founding_settings"] = json!(founding);
                 settings["settings_voters"] = json!(voters);
                 settings["data_folder"] = json!(folder.join(name));
-                let own_voters = own_controls
-                    .iter()
-                    .map(|(name, address)| json!({ "instance": name, "address": address }));
-                settings["ledger_voters"] = json!(own_voters.collect::<Vec<_>>());
             }
         }
         let names: Vec<_> = fleet.instances.keys().cloned().collect();
@@ -186,6 +197,20 @@
         self.instances.insert(name.to_owned(), instance);
     }
 
+    /// Members of each region's ledger: its control instance and its first entries.
+    fn ledger_members(&self, entries: usize) -> BTreeMap<String, Vec<Value>> {
+        let mut members: BTreeMap<String, Vec<Value>> = BTreeMap::new();
+        let (controls, others): (Vec<_>, Vec<_>) =
+            self.instances.iter().partition(|(_, instance)| instance.program == CONTROL);
+        for (name, instance) in controls.into_iter().chain(others) {
+            let voters = members.entry(instance.region.clone()).or_default();
+            if voters.len() <= entries {
+                voters.push(json!({ "instance": name, "address": instance.peer.address }));
+            }
+        }
+        members
+    }
+
     fn addresses(&self, wanted: impl Fn(&Instance) -> bool) -> Vec<(String, SocketAddr)> {
         let chosen = self.instances.iter().filter(|(_, instance)| wanted(instance));
         chosen.map(|(name, instance)| (name.clone(), instance.peer.address)).collect()
@@ -263,6 +288,12 @@
         process.expect("a running instance").address("operator")
     }
 
+    /// Names of the running instances.
+    pub fn running(&self) -> Vec<String> {
+        let runs = self.instances.iter().filter(|(_, instance)| instance.process.is_some());
+        runs.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Names of the running control instances.
     pub fn controls(&self) -> Vec<String> {
         let runs = |(_, instance): &(&String, &Instance)| {
--- a/cicadastall-daemons/tests/scenario/groups.rs
+++ b/cicadastall-daemons/tests/scenario/groups.rs
@@ -8,16 +8,16 @@
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
-/// What the running control instance `at` says of `group`.
+/// What the running instance `at` says of `group`.
 async fn ask_group(fleet: &Fleet, at: &str, group: &str) -> Value {
     fleet.get(fleet.operator_address(at), "/v1/groups").await[group].take()
 }
 
-/// The running control instance that leads `group`.
+/// The running instance that leads `group`.
 async fn find_leader(fleet: &Fleet, group: &str) -> Option<String> {
-    for control in fleet.controls() {
-        if ask_group(fleet, &control, group).await["leads"] == true {
-            return Some(control);
+    for instance in fleet.running() {
+        if ask_group(fleet, &instance, group).await["leads"] == true {
+            return Some(instance);
         }
     }
     None
--- a/cicadastall-daemons/tests/scenario/mod.rs
+++ b/cicadastall-daemons/tests/scenario/mod.rs
@@ -11,7 +11,7 @@
 
 use caller::CallerRequest;
 use datadriven::{TestCase, TestFile};
-use fleet::{Fleet, StandinZone};
+use fleet::{Fleet, FleetShape, StandinZone};
 use std::{fmt::Write, time::Duration};
 use tokio::runtime::Runtime;
 
@@ -30,9 +30,15 @@
     if directive == "fleet" {
         let regions: Vec<String> = take_list(case, "regions");
         let entries = case.take_arg("entries").expect("entries=N");
-        let zones = case.try_take_args("zones").expect("zones=(..)");
-        let zones: Vec<String> = zones.unwrap_or_else(|| vec!["a".to_owned()]);
-        *slot = Some(Fleet::start(&regions, &zones, entries, TREE).await);
+        let zones: Option<Vec<String>> = case.try_take_args("zones").expect("zones=(..)");
+        let ledger_entries = case.try_take_arg("ledger-entries").expect("ledger-entries=N");
+        let shape = FleetShape {
+            regions,
+            zones: zones.unwrap_or_else(|| vec!["a".to_owned()]),
+            entries,
+            ledger_entries: ledger_entries.unwrap_or_default(),
+        };
+        *slot = Some(Fleet::start(&shape, TREE).await);
         return finish(case, "started".to_owned());
     }
     let fleet = slot.as_mut().expect("a scenario starts with the fleet directive");
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -132,7 +132,7 @@
             bound: self.node.stop_bound(),
             at_start: 0,
             tasks: self.tasks,
-            groups: Some(self.groups),
+            groups: self.groups,
         };
         draining.begin()
     }
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -3,8 +3,11 @@
 use crate::{
     claim::LedgerClient,
     follow::SettingsHolder,
+    group::GroupHost,
+    group_operator::{GROUPS_PATH, answer_groups},
     http::{self, AnswerBody, HttpClient, ListenerLimits, json_answer, text_answer},
     instance::{CONTROL_TIMEOUT, InstanceAddresses, InstanceCore},
+    lease::LeaseState,
     ledger_host::LedgerHosting,
     limits::CallerCounts,
     membership::MembershipMessage,
@@ -23,7 +26,9 @@
 use ractor::{ActorRef, RpcReplyPort, rpc::CallResult};
 use serde_json::json;
 use std::{
-    fmt, io,
+    fmt,
+    future::pending,
+    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -62,6 +67,7 @@
     ledger: LedgerClient,
     suspects: Arc<SuspectBoard>,
     peers: Arc<PeerClients>,
+    groups: GroupHost,
     in_flight: Arc<AtomicU32>,
     callers: Arc<CallerCounts>,
     pooled: HttpClient,
@@ -194,8 +200,8 @@
         let node = Arc::new(node);
         let caller_listener = http::bind(node.caller_listen).await?;
         let address = caller_listener.local_addr()?;
-        let core =
-            InstanceCore::start(&node, Some(address), LedgerHosting::Absent, control).await?;
+        let hosting = LedgerHosting::of_entry(&node);
+        let core = InstanceCore::start(&node, Some(address), hosting, control).await?;
         let place = RouterPlace { region: node.region.clone(), zone: node.zone.clone() };
         let peers = Arc::new(PeerClients::new(node.source_ip()));
         let context = Arc::new(EntryContext {
@@ -204,9 +210,10 @@
             router: Mutex::new(RequestRouter::new(place)),
             metrics: RequestMetrics::new(),
             membership: core.membership.clone(),
-            ledger: LedgerClient::new(node.control.clone(), Arc::clone(&peers)),
+            ledger: LedgerClient::new(node.ledger_hosts(), Arc::clone(&peers)),
             suspects: Arc::clone(&core.suspects),
             peers,
+            groups: core.groups,
             in_flight: Arc::clone(&core.in_flight),
             callers: Arc::new(CallerCounts::new(node.limits.streams_per_caller)),
             pooled: http::client_from(node.source_ip(), IDLE_CONNECTIONS),
@@ -216,6 +223,9 @@
             node: Arc::clone(&node),
         });
         let mut tasks = core.tasks;
+        if node.placement && node.is_ledger_voter() {
+            keep_placement(&mut tasks, control, &context.groups).await?;
+        }
         let (stop, stopped) = watch::channel(false);
         let operators = Arc::clone(&context);
         let handler = move |_, request| answer_operator(Arc::clone(&operators), request);
@@ -261,18 +271,40 @@
             bound: self.context.node.stop_bound(),
             at_start: 0,
             tasks: self.control_tasks,
-            groups: None,
+            groups: self.context.groups.clone(),
         };
         draining.begin()
     }
 }
 
+/// Keeps a replica of the region's placement lease, whose group has the ledger's members.
+async fn keep_placement(
+    tasks: &mut JoinSet<()>,
+    control: &Handle,
+    groups: &GroupHost,
+) -> io::Result<()> {
+    let groups = groups.clone();
+    let started = async move { groups.start_placement(LeaseState::default()).await };
+    let replica = control.spawn(started).await.map_err(io::Error::other)??;
+    tasks.spawn_on(
+        async move {
+            let _replica = replica;
+            pending::<()>().await;
+        },
+        control,
+    );
+    Ok(())
+}
+
 async fn answer_operator(
     context: Arc<EntryContext>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => text_answer(StatusCode::OK, "ok\n"),
+        (_, path) if path.starts_with(GROUPS_PATH) => {
+            answer_groups(context.groups.registry(), &request).await
+        }
         (&Method::GET, "/readyz") if context.settings.is_ready() => {
             text_answer(StatusCode::OK, "ready\n")
         }
--- a/cicadastall/src/ledger_host.rs
+++ b/cicadastall/src/ledger_host.rs
@@ -1,4 +1,4 @@
-//! Hosts a replica of the region's ledger on a control instance.
+//! Hosts a replica of the region's ledger on a control instance or an entry.
 
 use crate::{
     clock::WallClock,
@@ -86,6 +86,11 @@
 }
 
 impl LedgerHosting {
+    /// How an entry hosts the ledger: only as a configured member of the region's group.
+    pub(crate) fn of_entry(node: &NodeSettings) -> Self {
+        if node.is_ledger_voter() { Self::Replica } else { Self::Absent }
+    }
+
     /// Starts the service on the runtime of the caller, which is the control thread's.
     pub(crate) async fn start(
         self,
--- a/cicadastall/src/node.rs
+++ b/cicadastall/src/node.rs
@@ -40,7 +40,7 @@
     /// Members of the settings group; only a control instance has them.
     #[serde(default)]
     pub settings_voters: Vec<VoterSettings>,
-    /// Members of the region's ledger group.
+    /// Members of the region's ledger group; entries among them keep a replica without a disk.
     #[serde(default)]
     pub ledger_voters: Vec<VoterSettings>,
     /// Folder for durable state; only a control instance has one.
@@ -55,7 +55,8 @@
     /// Address of the platform's directory for clients, to which the zone's entries are published.
     #[serde(default)]
     pub directory: Option<SocketAddr>,
-    /// Whether a control instance may order upstreams to load models or to be parked.
+    /// Whether a control instance may order upstreams to load models or to be parked; an entry that
+    /// is a member of the ledger group keeps a replica of the placement lease too.
     #[serde(default)]
     pub placement: bool,
     /// Time for which a stopping entry still answers new requests with a refusal, in milliseconds.
@@ -129,6 +130,19 @@
         Some(self.peer_listen.ip()).filter(|ip| !ip.is_unspecified())
     }
 
+    /// Whether the instance is a member of its region's ledger group.
+    pub fn is_ledger_voter(&self) -> bool {
+        self.ledger_voters.iter().any(|voter| voter.instance == self.instance)
+    }
+
+    /// Peer addresses of the instances that may lead the region's ledger, each once.
+    pub fn ledger_hosts(&self) -> Vec<SocketAddr> {
+        let voters = self.ledger_voters.iter().map(|voter| voter.address);
+        let mut hosts = self.control.clone();
+        hosts.extend(voters.filter(|address| !self.control.contains(address)));
+        hosts
+    }
+
     /// Time for which a stopping entry still answers new requests with a refusal.
     ///
     /// Longer than the lifetime of a listing, so that no caller still uses it afterwards.
--- a/cicadastall/src/stop.rs
+++ b/cicadastall/src/stop.rs
@@ -116,7 +116,7 @@
     pub(crate) bound: Duration,
     pub(crate) at_start: u32,
     pub(crate) tasks: JoinSet<()>,
-    pub(crate) groups: Option<GroupHost>,
+    pub(crate) groups: GroupHost,
 }
 
 impl DrainingInstance {
@@ -146,9 +146,7 @@
             let _ =
                 tokio::time::timeout_at(deadline.max(Instant::now() + self.grace), callers).await;
         }
-        if let Some(groups) = &self.groups {
-            groups.registry().hand_over().await;
-        }
+        self.groups.registry().hand_over().await;
         self.farewell().await;
         self.summarize(cut_off)
     }
