Count places freed since a report as shared with the zone's entries

Cause: every entry took all that an upstream finished since its late report as room of its own; with 27 entries each of them filled the same room. The policy before stays as the baseline unreserved.

--- a/cicadastall/src/admit.rs
+++ b/cicadastall/src/admit.rs
@@ -188,13 +188,26 @@
 
     /// How far shares count, from 0 to 1, by the work of the request's rank and of ranks before it.
     fn pressure(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
+        let load = self.load(plan, capacity, now);
+        ((load - LOAD_RANGE.0) / (LOAD_RANGE.1 - LOAD_RANGE.0)).clamp(0.0, 1.0)
+    }
+
+    /// Work of the request's rank and of ranks before it that this entry sent lately, as a part of
+    /// the capacity that it may count on.
+    fn load(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
         let urgent = (plan.pool.clone(), Rank::Urgent);
         let own = (plan.pool.clone(), plan.rank);
         let groups = self.groups.range(urgent..=own);
         let work_s: f64 = groups.map(|(_, group)| group.work_s(now)).sum();
         let mean_life = USAGE_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        let load = work_s / mean_life / capacity.own_rate();
-        ((load - LOAD_RANGE.0) / (LOAD_RANGE.1 - LOAD_RANGE.0)).clamp(0.0, 1.0)
+        work_s / mean_life / capacity.own_rate()
+    }
+
+    /// Part of the requests finished since a report whose places the zone's other entries are taken
+    /// to have filled again, supposing that they send as much as this one.
+    pub fn refill(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
+        let others = 1.0 - 1.0 / capacity.entries.max(1) as f64;
+        others * self.load(plan, capacity, now).min(1.0)
     }
 
     fn flow(&mut self, plan: &RequestPlan, now: Instant) -> &mut FlowUsage {
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -210,9 +210,11 @@
             }
         }
         self.observe_caches(&candidates);
-        let predictions = self.predict_all(&candidates, plan, shape, now);
         let capacity =
             ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
+        let reserve = self.policy.reserve && !candidates.is_empty();
+        let refill = if reserve { self.gate.refill(plan, capacity, now) } else { 0.0 };
+        let predictions = self.predict_all(&candidates, plan, shape, refill, now);
         let limit = self.gate.limit(plan, capacity, now);
         let choice = ChoiceInput { table, plan, shape, tried, capacity, limit, now };
         let decision = match self.decide(&choice, &candidates, &predictions) {
@@ -383,9 +385,10 @@
         candidates: &[&UpstreamView],
         plan: &RequestPlan,
         shape: &PromptShape,
+        refill: f64,
         now: Instant,
     ) -> SmallVec<[Prediction; 16]> {
-        candidates.iter().map(|view| self.predict_on(view, plan, shape, now)).collect()
+        candidates.iter().map(|view| self.predict_on(view, plan, shape, refill, now)).collect()
     }
 
     fn sent_since(&self, view: &UpstreamView, rank: Rank) -> RecentSends {
@@ -418,6 +421,7 @@
         view: &UpstreamView,
         plan: &RequestPlan,
         shape: &PromptShape,
+        refill: f64,
         now: Instant,
     ) -> Prediction {
         let track = self.tracks.get(&view.record.name);
@@ -428,6 +432,7 @@
             uncached_tokens: self.uncached_tokens(&view.record.name, shape),
             sent: &sent,
             pace: track.map_or(1.0, |track| track.pace(plan.rank)),
+            refill,
             mean_answer_tokens: self.mean_answer_tokens,
         };
         predict(view, &input, now)
@@ -435,7 +440,7 @@
 
     /// Sends to an upstream that failed lately, where nothing else is left to try.
     fn send_to_failing(&self, view: &UpstreamView, choice: &ChoiceInput<'_>) -> RouteDecision {
-        let prediction = self.predict_on(view, choice.plan, choice.shape, choice.now);
+        let prediction = self.predict_on(view, choice.plan, choice.shape, 0.0, choice.now);
         send_to(view, choice.plan.rank, prediction)
     }
 
--- a/cicadastall/src/route/policy.rs
+++ b/cicadastall/src/route/policy.rs
@@ -26,17 +26,26 @@
     pub admission: bool,
     /// Whether requests that would miss their target go to other regions.
     pub spill: bool,
+    /// Whether admission leaves room for what a late report does not show and for flows that are
+    /// within their share.
+    pub reserve: bool,
 }
 
 impl Default for RouterPolicy {
     fn default() -> Self {
-        Self { prefix: true, admission: true, spill: true, ..Self::baseline(ChoiceRule::Predicted) }
+        Self {
+            prefix: true,
+            admission: true,
+            spill: true,
+            reserve: true,
+            ..Self::baseline(ChoiceRule::Predicted)
+        }
     }
 }
 
 impl RouterPolicy {
     /// A rule of choice without any further mechanism.
     pub fn baseline(choice: ChoiceRule) -> Self {
-        Self { choice, prefix: false, admission: false, spill: false }
+        Self { choice, prefix: false, admission: false, spill: false, reserve: false }
     }
 }
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -31,6 +31,9 @@
     pub sent: &'a [RecentSend],
     /// Observed over predicted time to first token on the upstream.
     pub pace: f64,
+    /// Part of the requests finished since the report whose places other entries are taken to have
+    /// filled again.
+    pub refill: f64,
     /// Tokens of an answer, on average over recent requests.
     pub mean_answer_tokens: f64,
 }
@@ -97,7 +100,8 @@
     let prompts = sent().zip(input.sent.iter().map(|send| send.tokens));
     let left = follow_backlog(tokens, prompts, prefill_rate, age);
     let each = sent().map(|after| (after, 1.0));
-    let running = follow_backlog(requests, each, completions, age);
+    let freed = completions * (1.0 - input.refill);
+    let running = follow_backlog(requests, each, freed, age);
     let excess = running + 1.0 - slots(view);
     let wait = (left / prefill_rate).max(excess / completions);
     let cost = f64::from(input.uncached_tokens) / prefill_rate;
--- a/cicadastall/src/route/summary.rs
+++ b/cicadastall/src/route/summary.rs
@@ -51,6 +51,7 @@
         uncached_tokens: 0,
         sent: &[],
         pace: 1.0,
+        refill: 0.0,
         mean_answer_tokens: FIRST_ANSWER_MEAN,
     };
     let waits = views.iter().map(|view| predict(view, &input, now).wait.as_secs_f64());
