Leave room for urgent work and for flows within their share in floods

The flood itself filled the last places, so one request more than a report showed made the next ones late. Change: patient work gets no more than its guaranteed share while urgent work takes over 0.9 of the capacity; urgent flows above their share leave a quarter of the places free. An upstream with one place keeps it for all.

Tests run: residency and retry.

--- a/cicadastall/src/admit.rs
+++ b/cicadastall/src/admit.rs
@@ -22,6 +22,18 @@
 /// Part of its deadline for which patient work may wait; it is of use even when late.
 const PATIENT_DEADLINE_PART: f64 = 0.5;
 
+/// Part of an upstream's places that patient work may take, so that urgent work finds one without
+/// preempting, which costs the patient prompt again.
+const PATIENT_PLACES: f64 = 0.5;
+
+/// Load of urgent work, as a part of the capacity, above which patient work gets no more than its
+/// guaranteed share.
+const URGENT_FLOOD_LOAD: f64 = 0.9;
+
+/// Part of an upstream's places that urgent flows above their share may take, so that one request
+/// more than the report showed is not late and the other flows find a place.
+const FLOOD_PLACES: f64 = 0.75;
+
 /// Loads between which shares begin to count and count in full, as parts of the capacity.
 const LOAD_RANGE: (f64, f64) = (0.6, 0.9);
 
@@ -119,11 +131,17 @@
 /// Admission state of one entry.
 #[derive(Debug, Clone, Default)]
 pub struct AdmissionGate {
+    reserve: bool,
     groups: BTreeMap<(PoolName, Rank), FlowGroup>,
     patient: BTreeMap<PoolName, PatientBucket>,
 }
 
 impl AdmissionGate {
+    /// A gate that leaves room for urgent work and for flows within their share if `reserve`.
+    pub fn new(reserve: bool) -> Self {
+        Self { reserve, ..Self::default() }
+    }
+
     /// Longest predicted time to first token with which the request is taken.
     pub fn limit(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> TokenLimit {
         let fairness = self.fairness(plan, capacity, now);
@@ -131,7 +149,18 @@
             Rank::Urgent => plan.first_token.mul_f64(TARGET_MARGIN),
             Rank::Patient => plan.first_token.max(plan.deadline.mul_f64(PATIENT_DEADLINE_PART)),
         };
-        TokenLimit { first_token: full.mul_f64(fairness), within_share: fairness >= SHARE_FAIRNESS }
+        let within_share = fairness >= SHARE_FAIRNESS;
+        let places = match plan.rank {
+            Rank::Urgent if within_share || !self.reserve => f64::INFINITY,
+            Rank::Urgent => FLOOD_PLACES,
+            Rank::Patient => self.patient_places(&plan.pool, capacity, now),
+        };
+        TokenLimit { first_token: full.mul_f64(fairness), within_share, places }
+    }
+
+    fn patient_places(&self, pool: &PoolName, capacity: ZoneCapacity, now: Instant) -> f64 {
+        let flooded = self.load(pool, Rank::Urgent, capacity, now) > URGENT_FLOOD_LOAD;
+        if self.reserve && flooded { 0.0 } else { PATIENT_PLACES }
     }
 
     /// Counts the work of a request that is sent.
@@ -188,15 +217,15 @@
 
     /// How far shares count, from 0 to 1, by the work of the request's rank and of ranks before it.
     fn pressure(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
-        let load = self.load(plan, capacity, now);
+        let load = self.load(&plan.pool, plan.rank, capacity, now);
         ((load - LOAD_RANGE.0) / (LOAD_RANGE.1 - LOAD_RANGE.0)).clamp(0.0, 1.0)
     }
 
-    /// Work of the request's rank and of ranks before it that this entry sent lately, as a part of
-    /// the capacity that it may count on.
-    fn load(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
-        let urgent = (plan.pool.clone(), Rank::Urgent);
-        let own = (plan.pool.clone(), plan.rank);
+    /// Work of `rank` and of ranks before it that this entry sent lately, as a part of the capacity
+    /// that it may count on.
+    fn load(&self, pool: &PoolName, rank: Rank, capacity: ZoneCapacity, now: Instant) -> f64 {
+        let urgent = (pool.clone(), Rank::Urgent);
+        let own = (pool.clone(), rank);
         let groups = self.groups.range(urgent..=own);
         let work_s: f64 = groups.map(|(_, group)| group.work_s(now)).sum();
         let mean_life = USAGE_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
@@ -207,7 +236,7 @@
     /// to have filled again, supposing that they send as much as this one.
     pub fn refill(&self, plan: &RequestPlan, capacity: ZoneCapacity, now: Instant) -> f64 {
         let others = 1.0 - 1.0 / capacity.entries.max(1) as f64;
-        others * self.load(plan, capacity, now).min(1.0)
+        others * self.load(&plan.pool, plan.rank, capacity, now).min(1.0)
     }
 
     fn flow(&mut self, plan: &RequestPlan, now: Instant) -> &mut FlowUsage {
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -172,6 +172,7 @@
     /// A router with a policy and a seed of its own.
     pub fn with_policy(place: RouterPlace, policy: RouterPolicy, seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
+        let gate = AdmissionGate::new(policy.reserve);
         Self {
             place,
             policy,
@@ -179,7 +180,7 @@
             rng,
             sent: 0,
             mean_answer_tokens: FIRST_ANSWER_MEAN,
-            gate: AdmissionGate::default(),
+            gate,
             forwards: ForwardTrack::default(),
             retries: RetryBudget::default(),
             map: FleetMap::default(),
--- a/cicadastall/src/route/score.rs
+++ b/cicadastall/src/route/score.rs
@@ -14,10 +14,6 @@
 /// helps nobody, however slow the upstream is.
 const IDLE_PART: f64 = 0.1;
 
-/// Part of an upstream's places that patient work may take, so that urgent work finds one without
-/// preempting, which costs the patient prompt again.
-const PATIENT_PLACES: f64 = 0.5;
-
 /// What is known of a request and an upstream beside the upstream's record.
 #[derive(Debug, Clone, Copy)]
 pub struct ScoreInput<'a> {
@@ -39,12 +35,14 @@
 }
 
 /// Longest predicted time to first token with which a request is taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TokenLimit {
     /// The time.
     pub first_token: Duration,
     /// Whether the request's flow is near enough its share.
     pub within_share: bool,
+    /// Part of an upstream's places that the request and those before it may take.
+    pub places: f64,
 }
 
 /// Predicted times of a request on one upstream.
@@ -60,8 +58,10 @@
     pub cost: Duration,
     /// Time of the upstream that the answer takes from other requests.
     pub generation: Duration,
-    /// Whether patient work holds all places that it may take.
-    pub crowded: bool,
+    /// Places of the upstream that are taken, with the request's own.
+    pub taken: f64,
+    /// Places of the upstream.
+    pub slots: f64,
     /// Prompt tokens that the upstream must process.
     pub uncached_tokens: u32,
 }
@@ -75,7 +75,13 @@
     /// Whether a request with that limit may be sent.
     pub fn is_within(&self, limit: TokenLimit) -> bool {
         let idle = limit.within_share && self.wait <= limit.first_token.mul_f64(IDLE_PART);
-        !self.crowded && (idle || self.first_token <= limit.first_token)
+        self.has_place(limit.places) && (idle || self.first_token <= limit.first_token)
+    }
+
+    /// Whether the request finds one of that part of the places; one place is always in a part that
+    /// is not empty.
+    fn has_place(&self, part: f64) -> bool {
+        part > 0.0 && self.taken <= (part * self.slots).max(1.0)
     }
 
     /// The figure by which upstreams are compared, in seconds; lower is better.
@@ -102,16 +108,17 @@
     let each = sent().map(|after| (after, 1.0));
     let freed = completions * (1.0 - input.refill);
     let running = follow_backlog(requests, each, freed, age);
-    let excess = running + 1.0 - slots(view);
+    let slots = slots(view);
+    let excess = running + 1.0 - slots;
     let wait = (left / prefill_rate).max(excess / completions);
     let cost = f64::from(input.uncached_tokens) / prefill_rate;
     let first_token = wait + cost;
     let batch = (running + 1.0).min(f64::from(rates.max_running));
     let decode_rate = rates.decode_tokens_per_s / input.pace;
     let answer = f64::from(input.shape.answer_tokens) * batch / decode_rate;
-    let crowded = input.rank == Rank::Patient && running + 1.0 > PATIENT_PLACES * slots(view);
     Prediction {
-        crowded,
+        taken: running + 1.0,
+        slots,
         uncached_tokens: input.uncached_tokens,
         wait: seconds(wait),
         first_token: seconds(first_token),
