Measure the processor time of a routing decision

Change: cicadastall-bench decisions prints JSON with the median over 40 load reports of the mean time of 50 decisions and their notes of sending.

--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod acknowledgements;
 mod bookings;
+mod decisions;
 mod group;
 mod memory;
 mod overhead;
@@ -32,6 +33,9 @@
     /// Processor time, latency and memory that an entry adds to requests and tokens
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::overhead_options))] overhead::OverheadOptions),
+    /// Processor time of a routing decision by the number of upstreams
+    #[bpaf(command)]
+    Decisions(#[bpaf(external(decisions::decision_options))] decisions::DecisionOptions),
     /// Runs one workload over the shipped policy and over baselines
     #[bpaf(command)]
     Compare(#[bpaf(external(compare_options))] CompareOptions),
@@ -55,6 +59,7 @@
         BenchCommand::Bookings(options) => bookings::run(&options),
         BenchCommand::Group(options) => group::run(&options),
         BenchCommand::Overhead(options) => overhead::run(&options),
+        BenchCommand::Decisions(options) => decisions::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
         BenchCommand::Schedules(options) => schedules::run(&options),
         BenchCommand::Placement(options) => placement::run(&options),
