--- a/cicadastall-bench/src/compare/metrics.rs
+++ b/cicadastall-bench/src/compare/metrics.rs
@@ -256,7 +256,7 @@
             self.buckets[bucket].1 += u64::from(on_time);
         }
         if !self.windows.iter().any(|(from, to)| (*from..*to).contains(&at)) {
-            self.flood.last_patient = at;
+            self.end_patient_gap(at);
             return;
         }
         let work_s = if answered { request.work_s } else { 0.0 };
@@ -282,6 +282,15 @@
         }
     }
 
+    /// Counts the time without patient answers until the end of a flood that is over at `at`.
+    fn end_patient_gap(&mut self, at: Duration) {
+        let ended = self.windows.iter().map(|window| window.1);
+        let open = ended.filter(|end| *end <= at && *end > self.flood.last_patient);
+        let gap = open.map(|end| end - self.flood.last_patient).max().unwrap_or_default();
+        self.flood.patient_gap = self.flood.patient_gap.max(gap);
+        self.flood.last_patient = at;
+    }
+
     /// All figures.
     pub fn report(&self, workload: &Workload, policy: &'static str) -> PolicyReport {
         let urgent = || {
