Take a zone's newer content although a later renewal came without it

Cause: a zone's digest reaches a member twice: with its content through the instance that passes capacities on, and as a renewal without content through the other receiver. One time served for both, so that a content older than the newest renewal was dropped. Where the second delegate's digest follows the first one's closely, that holds for each bulletin. Change: the time of the content is kept beside the time of the view. Test: changed_capacity_is_known_in_another_zone_within_5_s fails under faults-renewal-hides-content (one time for both): "not known everywhere with seed 45", and under faults-digest-changes-dropped: "seed 40". Conclusion: 5 s for a change hold with these seeds.

--- a/cicadastall-standins/tests/membership.rs
+++ b/cicadastall-standins/tests/membership.rs
@@ -231,6 +231,21 @@
     Some(table.zones.values().next()?.digest.rows.first()?.upstreams)
 }
 
+#[test]
+fn changed_capacity_is_known_in_another_zone_within_5_s() {
+    for seed in 40..46 {
+        let mut network = network(&["aqaba-a", "amman-a"], 9, seed);
+        network.faults.loss = 0.005;
+        network.add_upstream("verdicts", "model-0", [0, 1]);
+        network.run(20 * SECOND);
+        network.add_upstream("verdicts", "model-0", [2, 3]);
+        let known = network.run_until(5 * SECOND, |network| {
+            (9..18).all(|node| remote_upstreams(network, node) == Some(2))
+        });
+        assert!(known.is_some(), "not known everywhere with seed {seed}");
+    }
+}
+
 #[test]
 fn restarted_zone_asks_for_whole_digests() {
     for seed in 50..54 {
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -78,6 +78,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ZoneState {
     pub(crate) view: Option<ZoneView>,
+    content_at: Option<Instant>,
     pub(crate) direct_at: Option<Instant>,
     relayed_at: Option<Instant>,
     pub(crate) contacts: SmallVec<[SocketAddr; 4]>,
@@ -243,6 +244,8 @@
     }
 
     /// Keeps a digest of another zone that arrived at `received_at`, unless a newer one is known.
+    ///
+    /// A later renewal without content does not stand against a newer content.
     pub(crate) fn renew_zone(
         &mut self,
         digest: Arc<ZoneDigest>,
@@ -250,14 +253,21 @@
         now: Instant,
     ) {
         let state = self.zones.entry(digest.zone.clone()).or_default();
-        let known = state.view.as_ref().map(|view| view.received_at);
-        if known.is_some_and(|known| known >= received_at) {
+        if state.content_at.is_some_and(|known| known >= received_at) {
             return;
         }
+        state.content_at = Some(received_at);
+        self.renew_view(digest, received_at, now);
+    }
+
+    fn renew_view(&mut self, digest: Arc<ZoneDigest>, received_at: Instant, now: Instant) {
+        let state = self.zones.entry(digest.zone.clone()).or_default();
+        let known = state.view.as_ref().map(|view| view.received_at);
         if known.is_some_and(|known| received_at.duration_since(known) > DIGEST_EXPIRY) {
             let wait = HEALING_SPREAD.mul_f64(self.random.random_range(0.0..1.0));
             state.admitted_from = Some(now + wait);
         }
+        let received_at = known.map_or(received_at, |known| known.max(received_at));
         state.view = Some(ZoneView { digest, received_at });
     }
 
@@ -287,7 +297,7 @@
     pub(crate) fn touch_zone(&mut self, zone: &ZoneName, received_at: Instant, now: Instant) {
         let view = self.zones.get(zone).and_then(|state| state.view.as_ref());
         if let Some(digest) = view.map(|view| Arc::clone(&view.digest)) {
-            self.renew_zone(digest, received_at, now);
+            self.renew_view(digest, received_at, now);
         }
     }
 
