--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -5,14 +5,14 @@
 //! gives those that are due; neither does I/O nor reads a clock.
 
 use crate::{
-    bulletin::{RowContent, RowKey, RowLog, UpstreamRow},
+    bulletin::{DigestPacket, RowContent, RowKey, RowLog, UpstreamRow},
     name::{InstanceName, RegionName, UpstreamName, ZoneName},
     probes::ProbeTable,
     route::DIGEST_EXPIRY,
     sender::PacketSender,
     table::{
-        EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord, UpstreamState,
-        UpstreamView, ZoneDigest, ZoneView,
+        EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord, UpstreamRenewal,
+        UpstreamState, UpstreamView, ZoneDigest, ZoneView,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -78,9 +78,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct ZoneState {
     pub(crate) view: Option<ZoneView>,
+    content_at: Option<Instant>,
     pub(crate) direct_at: Option<Instant>,
     relayed_at: Option<Instant>,
     pub(crate) contacts: SmallVec<[SocketAddr; 4]>,
+    pub(crate) wholes: SmallVec<[(u32, DigestPacket); 2]>,
     admitted_from: Option<Instant>,
     held: BTreeMap<SocketAddr, (EntryFault, Instant)>,
 }
@@ -189,6 +191,20 @@
         drained
     }
 
+    /// Takes the renewal of an announcement that the upstream made to this instance before.
+    ///
+    /// Returns whether an operator has the upstream drained, or none where this instance has no
+    /// announcement of the upstream's process.
+    pub fn renew(&mut self, renewal: UpstreamRenewal, now: Instant) -> Option<bool> {
+        let UpstreamRenewal { name, incarnation, sequence, load } = renewal;
+        let known = &self.announced.get(&name)?.record;
+        if known.incarnation != incarnation {
+            return None;
+        }
+        let record = UpstreamRecord { sequence, load, ..(**known).clone() };
+        Some(self.announce(record, now))
+    }
+
     /// Keeps a record that was announced at `renewed_at`, unless a newer one is known.
     pub(crate) fn renew_upstream(&mut self, record: Arc<UpstreamRecord>, renewed_at: Instant) {
         let known = self.upstreams.get(&record.name);
@@ -242,6 +258,8 @@
     }
 
     /// Keeps a digest of another zone that arrived at `received_at`, unless a newer one is known.
+    ///
+    /// A later renewal without content does not stand against a newer content.
     pub(crate) fn renew_zone(
         &mut self,
         digest: Arc<ZoneDigest>,
@@ -249,14 +267,21 @@
         now: Instant,
     ) {
         let state = self.zones.entry(digest.zone.clone()).or_default();
-        let known = state.view.as_ref().map(|view| view.received_at);
-        if known.is_some_and(|known| known >= received_at) {
+        if state.content_at.is_some_and(|known| known >= received_at) {
             return;
         }
+        state.content_at = Some(received_at);
+        self.renew_view(digest, received_at, now);
+    }
+
+    fn renew_view(&mut self, digest: Arc<ZoneDigest>, received_at: Instant, now: Instant) {
+        let state = self.zones.entry(digest.zone.clone()).or_default();
+        let known = state.view.as_ref().map(|view| view.received_at);
         if known.is_some_and(|known| received_at.duration_since(known) > DIGEST_EXPIRY) {
             let wait = HEALING_SPREAD.mul_f64(self.random.random_range(0.0..1.0));
             state.admitted_from = Some(now + wait);
         }
+        let received_at = known.map_or(received_at, |known| known.max(received_at));
         state.view = Some(ZoneView { digest, received_at });
     }
 
@@ -286,7 +311,7 @@
     pub(crate) fn touch_zone(&mut self, zone: &ZoneName, received_at: Instant, now: Instant) {
         let view = self.zones.get(zone).and_then(|state| state.view.as_ref());
         if let Some(digest) = view.map(|view| Arc::clone(&view.digest)) {
-            self.renew_zone(digest, received_at, now);
+            self.renew_view(digest, received_at, now);
         }
     }
 
