Keep copies of one request together on few upstreams

Cause: copies of a crashing request that start before any crash is known were spread by load, and each crashed an upstream of its own. Twelve copies at the same moment through three entries crashed five engines of five. Ruled out (docs/design/ledger.md, "Copies that start at the same moment"): the first two of the order as a hard filter for every request; the filter only while a copy is in flight, as an entry knows of its own copies alone; asking an owner in the zone, worked out at 2.4 KB a second a node; holding further copies back. Change: route/copies.rs, pure. Each fingerprint orders the upstreams by rendezvous hashing, alike at every entry. Among scores within a sixteenth of the target for the first token that order decides; copies in flight at one entry stay on one upstream while they are in time there, and on two at most; a suspect follows the order alone for 500 ms, so that late copies and the isolated one meet on the next upstream too. While an entry probes an upstream that broke an answer, no other copy of that request starts there. No message is added. `compare` has the policy `copies-apart`. Changed tests: whole_answers.rs warmed both engines up with identical prompts and counted on their being spread; they differ now, and it still waits until both engines have answered. residency.rs and model.rs name the new field's default.

Partial: entries whose views of the load differ by more than the margin, and several zones of one region at the same moment, can still crash more than two upstreams.

--- a/cicadastall-bench/src/compare/policies.rs
+++ b/cicadastall-bench/src/compare/policies.rs
@@ -25,6 +25,7 @@
             policy: RouterPolicy { admission: false, spill: false, ..shipped() },
         },
         PolicyEntry { name: "admission", policy: RouterPolicy { spill: false, ..shipped() } },
+        PolicyEntry { name: "copies-apart", policy: RouterPolicy { copies: false, ..shipped() } },
         PolicyEntry { name: "shipped", policy: shipped() },
     ]
 }
--- a/cicadastall-bench/src/compare/requests.rs
+++ b/cicadastall-bench/src/compare/requests.rs
@@ -7,6 +7,7 @@
     prefix::{BLOCK_TOKENS, PromptShape, chain_block},
     route::{TriedTargets, track::SendTicket},
     settings::FleetSettings,
+    suspect::RequestFingerprint,
     wire::CallRequest,
 };
 use rand::{Rng, RngExt};
@@ -157,5 +158,6 @@
         blocks: blocks.collect(),
         tokens: kind.prompt_tokens,
         answer_tokens: kind.answer_tokens,
+        fingerprint: RequestFingerprint::compute(&RegionName::from(""), &[&unique.to_le_bytes()]),
     }
 }
--- a/cicadastall-daemons/tests/crashing_requests.rs
+++ b/cicadastall-daemons/tests/crashing_requests.rs
@@ -174,6 +174,16 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_that_start_at_the_same_moment_crash_two_upstreams() {
+    let mut fleet = CrashFleet::start("same-moment").await;
+    let copies = (0..4 * ENTRIES).map(|number| fleet.ask(number % ENTRIES, "fault:crash"));
+    let told = join_all(copies).await;
+    assert!(told.iter().all(|told| told == "quarantined"), "{told:?}");
+    assert_eq!(fleet.crashed(), 2);
+    assert_eq!(fleet.ask(2, "a short question").await, "whole");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn innocent_requests_beside_it_are_answered_and_not_quarantined() {
     let mut fleet = CrashFleet::start("innocents").await;
--- a/cicadastall-daemons/tests/whole_answers.rs
+++ b/cicadastall-daemons/tests/whole_answers.rs
@@ -84,16 +84,14 @@
     }
 
     async fn wait_until_served(&self) {
-        for _ in 0..100 {
-            let received = read_answer(self.ask("warm", "", ANSWER_TOKENS).await).await;
-            if received.whole && self.engines.iter().all(|engine| engine.finished() > 0) {
+        for round in 0..100 {
+            let prompts = [0, 1].map(|number| format!("warm {round} {number}"));
+            let asks = prompts.iter().map(|prompt| self.receive("warm", prompt, ANSWER_TOKENS));
+            let whole = join_all(asks).await.iter().all(|received| received.whole);
+            if whole && self.engines.iter().all(|engine| engine.finished() > 0) {
                 return;
             }
             sleep(Duration::from_millis(50)).await;
-            let both = [self.ask("warm", "", ANSWER_TOKENS), self.ask("warm", "", ANSWER_TOKENS)];
-            for answer in join_all(both).await {
-                read_answer(answer).await;
-            }
         }
         panic!("the engines answered nothing within 5 s");
     }
--- a/cicadastall-standins/tests/model.rs
+++ b/cicadastall-standins/tests/model.rs
@@ -81,6 +81,7 @@
         tokens: 1_024,
         answer_tokens: 10,
         blocks: job(1, 0, 1_024).blocks.to_vec(),
+        ..Default::default()
     };
     view.accept_batch(Incarnation(1), &engine.report().cache);
     engine.submit(job(1, 0, 1_024));
--- a/cicadastall/src/prefix.rs
+++ b/cicadastall/src/prefix.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     decode::RequestBody,
+    suspect::RequestFingerprint,
     table::{CacheBatch, CacheEvent, Incarnation},
 };
 use std::{
@@ -24,13 +25,15 @@
     pub answer_tokens: u32,
     /// Hash of each whole block, chained with the hashes before it.
     pub blocks: Vec<u64>,
+    /// What copies of the request have in common.
+    pub fingerprint: RequestFingerprint,
 }
 
 impl PromptShape {
     /// Measures the body of a request; a call to a plain service counts as one token.
     pub fn of(body: &RequestBody) -> Self {
         let RequestBody::Chat(chat) = body else {
-            return Self { tokens: 1, answer_tokens: 1, blocks: Vec::new() };
+            return Self { tokens: 1, answer_tokens: 1, ..Self::default() };
         };
         let mut text = Vec::new();
         for message in &chat.messages {
@@ -49,7 +52,7 @@
                 parent
             })
             .collect();
-        Self { tokens, answer_tokens: chat.max_tokens, blocks }
+        Self { tokens, answer_tokens: chat.max_tokens, blocks, ..Self::default() }
     }
 }
 
--- a/cicadastall/src/quarantine.rs
+++ b/cicadastall/src/quarantine.rs
@@ -45,12 +45,30 @@
     node: Arc<NodeSettings>,
     routing: Arc<ArcSwap<RoutingTable>>,
     table: Mutex<SuspectTable>,
+    probes: Mutex<Vec<RequestFingerprint>>,
+}
+
+/// A probe of an upstream on behalf of one request, until it is dropped.
+#[derive(Debug)]
+pub struct ProbeGuard<'a> {
+    board: &'a SuspectBoard,
+    fingerprint: RequestFingerprint,
+}
+
+impl Drop for ProbeGuard<'_> {
+    fn drop(&mut self) {
+        let mut probes = self.board.lock_probes();
+        let place = probes.iter().position(|fingerprint| *fingerprint == self.fingerprint);
+        if let Some(place) = place {
+            probes.swap_remove(place);
+        }
+    }
 }
 
 impl SuspectBoard {
     /// An empty board.
     pub fn new(node: Arc<NodeSettings>, routing: Arc<ArcSwap<RoutingTable>>) -> Self {
-        Self { node, routing, table: Mutex::default() }
+        Self { node, routing, table: Mutex::default(), probes: Mutex::default() }
     }
 
     /// Fingerprint of a request with these parts.
@@ -63,6 +81,17 @@
         self.lock().judge(fingerprint, Instant::now())
     }
 
+    /// Notes that an upstream which broke an answer to `fingerprint` is being probed.
+    pub fn begin_probe(&self, fingerprint: RequestFingerprint) -> ProbeGuard<'_> {
+        self.lock_probes().push(fingerprint);
+        ProbeGuard { board: self, fingerprint }
+    }
+
+    /// Whether an upstream is being probed that broke an answer to `fingerprint`.
+    pub fn is_probing(&self, fingerprint: RequestFingerprint) -> bool {
+        self.lock_probes().contains(&fingerprint)
+    }
+
     /// All suspects.
     pub fn list(&self) -> Vec<SuspectRecord> {
         self.lock().list(Instant::now())
@@ -162,6 +191,10 @@
         peers
     }
 
+    fn lock_probes(&self) -> MutexGuard<'_, Vec<RequestFingerprint>> {
+        self.probes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, SuspectTable> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -30,6 +30,10 @@
 /// between must choose again.
 const DISPATCH_BOUND: Duration = Duration::from_millis(500);
 
+/// Longest time for which a suspect waits for the upstream that is next in the order of its copies,
+/// before the load decides; longer than the report of a crash takes.
+const ORDER_PATIENCE: Duration = Duration::from_millis(500);
+
 /// Who gave an answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AnswerSource {
@@ -186,7 +190,7 @@
         let fingerprint = fingerprint_plan(context.suspects(), &plan);
         Self {
             context,
-            shape: PromptShape::of(&plan.body),
+            shape: PromptShape { fingerprint, ..PromptShape::of(&plan.body) },
             fingerprint,
             plan,
             trace,
@@ -352,8 +356,10 @@
     /// Chooses a target and counts the attempt.
     async fn open_attempt(&mut self) -> Result<OpenAttempt, Refusal> {
         self.report_evidence().await;
+        let ordered_until = Instant::now() + ORDER_PATIENCE;
         loop {
             let now = Instant::now();
+            self.tried.suspect = now < ordered_until && self.is_suspect();
             if now >= self.deadline {
                 return Err(self.refuse(RefusalCode::DeadlinePassed, "deadline passed"));
             }
--- a/cicadastall/src/relay/crash.rs
+++ b/cicadastall/src/relay/crash.rs
@@ -38,11 +38,22 @@
 }
 
 impl RequestRelay {
+    /// Whether a copy of the request crashed an upstream.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.context.suspects().judge(self.fingerprint) == Suspicion::Suspect
+    }
+
     /// Refuses a request in quarantine, and otherwise isolates a suspect on the upstream of `view`.
+    ///
+    /// While it is not known whether a copy of this entry crashed its upstream, no other starts.
     pub(super) async fn permit_attempt(
         &self,
         view: &UpstreamView,
     ) -> Result<AttemptPermit, Refusal> {
+        if self.context.suspects().is_probing(self.fingerprint) {
+            sleep(ISOLATION_PAUSE).await;
+            return Ok(AttemptPermit::Busy);
+        }
         match self.context.suspects().judge(self.fingerprint) {
             Suspicion::None => Ok(AttemptPermit::Free),
             Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
@@ -80,6 +91,7 @@
         let Some(upstream) = &attempt.source.upstream else {
             return Ok(());
         };
+        let _probe = self.context.suspects().begin_probe(self.fingerprint);
         let verdict = probe_upstream(*address, self.remaining()).await;
         log::info!(
             attempt = attempt.id.as_str(), upstream = upstream.as_str();
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -22,6 +22,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
+pub mod copies;
 pub mod filter;
 pub mod map;
 pub mod policy;
@@ -30,6 +31,7 @@
 pub mod summary;
 pub mod track;
 
+use copies::{CopyCandidate, CopyPlaces};
 use filter::{FilterReason, find_own_reason, find_reason};
 use map::FleetMap;
 use policy::{ChoiceRule, RouterPolicy};
@@ -68,6 +70,9 @@
     pub upstreams: SmallVec<[UpstreamName; 4]>,
     /// Zones to which the request was forwarded without a result.
     pub zones: SmallVec<[ZoneName; 4]>,
+    /// Whether a copy of the request crashed an upstream; then the order in which copies try
+    /// upstreams counts alone, not their load.
+    pub suspect: bool,
 }
 
 /// An upstream of this availability zone, and the priority to send with.
@@ -231,7 +236,7 @@
         predictions: &[Prediction],
     ) -> RouteDecision {
         let ChoiceInput { plan, capacity, limit, now, .. } = *choice;
-        let chosen = self.choose_upstream(candidates, predictions, limit);
+        let chosen = self.choose_upstream(choice, candidates, predictions);
         if let Some(place) = chosen
             && (!self.policy.admission
                 || !choice.tried.upstreams.is_empty()
@@ -310,6 +315,7 @@
             sent_at: now,
             uncached_tokens,
             urgent: plan.rank == Rank::Urgent,
+            fingerprint: shape.fingerprint,
             predicted: prediction.map(|prediction| prediction.first_token),
         });
         SendTicket { upstream: upstream.clone(), number: self.sent }
@@ -352,9 +358,9 @@
     /// Index of the chosen candidate.
     fn choose_upstream(
         &mut self,
+        choice: &ChoiceInput<'_>,
         candidates: &[&UpstreamView],
         predictions: &[Prediction],
-        limit: TokenLimit,
     ) -> Option<usize> {
         if candidates.is_empty() {
             return None;
@@ -372,11 +378,31 @@
                 let load = &candidates[*place].record.load;
                 load.running.max(own_sends(place)) + load.queued
             }),
-            ChoiceRule::Predicted => places.min_by(|a, b| {
-                let late = |place: &usize| !predictions[*place].is_within(limit);
-                let score = |place: &usize| predictions[*place].score();
-                late(a).cmp(&late(b)).then(score(a).total_cmp(&score(b)))
-            }),
+            ChoiceRule::Predicted => {
+                let candidates: SmallVec<[_; 16]> = places
+                    .map(|place| CopyCandidate {
+                        upstream: &candidates[place].record.name,
+                        score: predictions[place].score(),
+                        late: !predictions[place].is_within(choice.limit),
+                    })
+                    .collect();
+                self.place_copies(choice).choose(&candidates)
+            }
+        }
+    }
+
+    /// Where copies of the request of `choice` run, as far as this entry sent them.
+    fn place_copies(&self, choice: &ChoiceInput<'_>) -> CopyPlaces<'_> {
+        let fingerprint = choice.shape.fingerprint;
+        if !self.policy.copies {
+            return CopyPlaces::apart(fingerprint);
+        }
+        let runs = |(_, track): &(&UpstreamName, &UpstreamTrack)| track.runs_copy(fingerprint);
+        CopyPlaces {
+            fingerprint,
+            running: self.tracks.iter().filter(runs).map(|(name, _)| name).collect(),
+            margin: copies::margin(choice.plan.first_token),
+            suspect: choice.tried.suspect,
         }
     }
 
--- a/cicadastall/src/route/policy.rs
+++ b/cicadastall/src/route/policy.rs
@@ -26,17 +26,20 @@
     pub admission: bool,
     /// Whether requests that would miss their target go to other regions.
     pub spill: bool,
+    /// Whether copies of one request prefer the same upstreams.
+    pub copies: bool,
 }
 
 impl Default for RouterPolicy {
     fn default() -> Self {
-        Self { prefix: true, admission: true, spill: true, ..Self::baseline(ChoiceRule::Predicted) }
+        let baseline = Self::baseline(ChoiceRule::Predicted);
+        Self { prefix: true, admission: true, spill: true, copies: true, ..baseline }
     }
 }
 
 impl RouterPolicy {
     /// A rule of choice without any further mechanism.
     pub fn baseline(choice: ChoiceRule) -> Self {
-        Self { choice, prefix: false, admission: false, spill: false }
+        Self { choice, prefix: false, admission: false, spill: false, copies: false }
     }
 }
--- a/cicadastall/src/route/track.rs
+++ b/cicadastall/src/route/track.rs
@@ -5,6 +5,7 @@
     name::UpstreamName,
     prefix::PrefixView,
     settings::Rank,
+    suspect::RequestFingerprint,
     table::{Incarnation, UpstreamRecord},
 };
 use smallvec::SmallVec;
@@ -41,6 +42,8 @@
     pub(crate) sent_at: Instant,
     pub(crate) uncached_tokens: u32,
     pub(crate) urgent: bool,
+    /// The request of which it is one copy.
+    pub(crate) fingerprint: RequestFingerprint,
     /// Predicted time to first token, until it has come.
     pub(crate) predicted: Option<Duration>,
 }
@@ -134,6 +137,11 @@
         recent.collect()
     }
 
+    /// Whether an attempt of a copy of `fingerprint` has not ended.
+    pub(crate) fn runs_copy(&self, fingerprint: RequestFingerprint) -> bool {
+        self.sends.iter().any(|sent| sent.fingerprint == fingerprint)
+    }
+
     /// Observed over predicted time to first token for requests of `rank`.
     pub(crate) fn pace(&self, rank: Rank) -> f64 {
         if rank == Rank::Urgent { self.urgent_pace } else { self.patient_pace }
--- a/cicadastall/src/suspect.rs
+++ b/cicadastall/src/suspect.rs
@@ -29,7 +29,9 @@
 ///
 /// The key is the region's name: one content has another fingerprint in each region, and
 /// fingerprints are not sent to other regions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(try_from = "String", into = "String")]
 pub struct RequestFingerprint(u64);
 
@@ -43,6 +45,20 @@
         parts.hash(&mut hasher);
         Self(hasher.finish())
     }
+
+    /// Place of `upstream` in the order in which copies of the request try upstreams; lower is
+    /// earlier.
+    ///
+    /// Rendezvous hashing: every entry derives the same order without asking, and an upstream that
+    /// comes or goes does not change the order of the others.
+    pub fn rank_upstream(&self, upstream: &UpstreamName) -> u64 {
+        #[allow(deprecated)]
+        // the same in all processes, as for the fingerprint itself
+        let mut hasher = std::hash::SipHasher::new();
+        self.0.hash(&mut hasher);
+        upstream.as_str().hash(&mut hasher);
+        hasher.finish()
+    }
 }
 
 impl fmt::Display for RequestFingerprint {
--- a/cicadastall/tests/residency.rs
+++ b/cicadastall/tests/residency.rs
@@ -231,7 +231,12 @@
         });
         let zones = self.tried.iter().map(|number| zone(*number)).collect();
         let tried = TriedTargets { zones, ..TriedTargets::default() };
-        let shape = PromptShape { tokens: 500, answer_tokens: 50, blocks: vec![1] };
+        let shape = PromptShape {
+            tokens: 500,
+            answer_tokens: 50,
+            blocks: vec![1],
+            ..PromptShape::default()
+        };
         let decision = router.choose(&self.table(now), &self.plan(), &shape, &tried, now);
         (router, decision)
     }
