--- a/cicadastall-daemons/tests/scenario/changes.rs
+++ b/cicadastall-daemons/tests/scenario/changes.rs
@@ -3,10 +3,13 @@
 use super::{
     TREE,
     fleet::{EVENTUALLY, Fleet, RETRY_PAUSE},
-    operator::{OwnerChange, describe, put},
+    operator::{FIRST_TEAM, OwnerChange, describe, put},
     take, take_list,
 };
-use cicadastall::http::{call_json, client};
+use cicadastall::{
+    http::{call_json, client},
+    settings_state::ChangeReply,
+};
 use datadriven::TestCase;
 use futures::future::join_all;
 use hyper::Method;
@@ -22,6 +25,12 @@
     time::{Instant, sleep, sleep_until},
 };
 
+/// Word for any control instance that runs.
+const ANY_CONTROL: &str = "any-control";
+
+/// Word for the regions in which a control instance runs.
+const CONTROLLED: &str = "controlled";
+
 /// When each entry was first seen with each revision.
 type Sightings = Arc<Mutex<BTreeMap<(String, u64), Instant>>>;
 
@@ -64,11 +73,16 @@
     let via = take(case, "via");
     let until = case.take_flag("until-result").expect("a flag");
     let change = OwnerChange {
+        team: FIRST_TEAM.to_owned(),
         owner: take(case, "owner"),
         expected: case.take_arg("expect").expect("expect=N"),
         operation: take(case, "operation"),
     };
-    let control = fleet.operator_address(&via);
+    let control = match via.as_str() {
+        ANY_CONTROL => fleet.controls().remove(0),
+        _ => via,
+    };
+    let control = fleet.operator_address(&control);
     let deadline = Instant::now() + EVENTUALLY;
     loop {
         fleet.watch = RevisionWatch::start(fleet.entry_operators());
@@ -80,22 +94,49 @@
     }
 }
 
-/// `put-many`: sends `count` changes one after another; stops at the first that is not accepted.
+/// `put-many`: operators of `teams` new teams send `count` changes in all at the same time, each
+/// one after another; an operator stops at the first that is not accepted.
 pub async fn put_many(fleet: &mut Fleet, case: &mut TestCase) -> String {
     let via = take(case, "via");
-    let mut expected: u64 = case.take_arg("expect").expect("expect=N");
     let count: u64 = case.take_arg("count").expect("count=N");
+    let teams: u64 = case.take_arg("teams").expect("teams=N");
     let control = fleet.operator_address(&via);
-    for _ in 0..count {
-        let owner = format!("many-{expected}");
-        let change = OwnerChange { operation: owner.clone(), owner, expected };
-        let told = describe(put(fleet.folder(), control, TREE, &change).await.as_ref());
-        if told != format!("accepted as revision {}", expected + 1) {
-            return format!("change on version {expected}: {told}");
+    let fleet = &*fleet;
+    let puts = (0..teams).map(|team| put_one_after_another(fleet, control, team, count / teams));
+    match join_all(puts).await.into_iter().collect::<Result<Vec<_>, _>>() {
+        Ok(last) => {
+            let last = last.into_iter().max().unwrap_or_default();
+            format!("{count} accepted, the last as revision {last}")
+        }
+        Err(refused) => refused,
+    }
+}
+
+/// Sends `count` changes of one new team; returns the revision of the last.
+async fn put_one_after_another(
+    fleet: &Fleet,
+    control: SocketAddr,
+    team: u64,
+    count: u64,
+) -> Result<u64, String> {
+    let mut expected = 0;
+    for number in 0..count {
+        let change = OwnerChange {
+            team: format!("many-{team}"),
+            owner: format!("many-{team}-{number}"),
+            operation: format!("many-{team}-{number}"),
+            expected,
+        };
+        let answer = put(fleet.folder(), control, TREE, &change).await;
+        match answer.as_ref().map(|answer| &answer.reply) {
+            Some(ChangeReply::Accepted { revision }) => expected = revision.0,
+            _ => {
+                let told = describe(answer.as_ref());
+                return Err(format!("change {number} of team {team}: {told}"));
+            }
         }
-        expected += 1;
     }
-    format!("{count} accepted, the last as revision {expected}")
+    Ok(expected)
 }
 
 /// `race`: several operators change the same version at once; prints the results in order.
@@ -105,7 +146,8 @@
     let fleet = &*fleet;
     let puts = via.iter().enumerate().map(|(number, via)| async move {
         let owner = format!("racer-{expected}-{number}");
-        let change = OwnerChange { operation: owner.clone(), owner, expected };
+        let team = FIRST_TEAM.to_owned();
+        let change = OwnerChange { team, operation: owner.clone(), owner, expected };
         describe(put(fleet.folder(), fleet.operator_address(via), TREE, &change).await.as_ref())
     });
     let mut told = join_all(puts).await;
@@ -117,7 +159,10 @@
 pub async fn check_revision(fleet: &mut Fleet, case: &mut TestCase) -> String {
     let revision: u64 = case.take_arg("is").expect("is=N");
     let bound = Duration::from_millis(case.take_arg("within-ms").expect("within-ms=N"));
-    let regions: Vec<String> = take_list(case, "regions");
+    let mut regions: Vec<String> = take_list(case, "regions");
+    if regions == [CONTROLLED] {
+        regions = fleet.controlled_regions();
+    }
     let deadline = fleet.watch.sent.expect("a change was sent") + bound;
     sleep_until(deadline).await;
     let seen = fleet.watch.seen.lock().expect("no panic holds the lock").clone();
@@ -148,25 +193,3 @@
         sleep(RETRY_PAUSE).await;
     }
 }
-
-/// `voters`: how many replicas vote in a group as `at` knows it, once they are `until`; with
-/// `changed`, once they also are others than at the last `voters`.
-pub async fn count_voters(fleet: &mut Fleet, case: &mut TestCase) -> String {
-    let (at, group) = (take(case, "at"), take(case, "group"));
-    let until: usize = case.take_arg("until").expect("until=N");
-    let changed = case.take_flag("changed").expect("a flag");
-    let deadline = Instant::now() + EVENTUALLY;
-    loop {
-        let groups = fleet.get(fleet.operator_address(&at), "/v1/groups").await;
-        let voters = &groups[&group]["configuration"]["voters"];
-        let count = voters.as_array().map_or(0, Vec::len);
-        if count == until && (!changed || *voters != fleet.voters) {
-            fleet.voters = voters.clone();
-            return format!("{count} voters of {group}");
-        }
-        if Instant::now() > deadline {
-            return format!("{count} VOTERS OF {group}");
-        }
-        sleep(RETRY_PAUSE).await;
-    }
-}
