--- a/cicadastall/src/route/policy.rs
+++ b/cicadastall/src/route/policy.rs
@@ -29,6 +29,8 @@
     /// Whether admission leaves room for what a late report does not show and for flows that are
     /// within their share.
     pub reserve: bool,
+    /// Whether copies of one request prefer the same upstreams.
+    pub copies: bool,
 }
 
 impl Default for RouterPolicy {
@@ -38,6 +40,7 @@
             admission: true,
             spill: true,
             reserve: true,
+            copies: true,
             ..Self::baseline(ChoiceRule::Predicted)
         }
     }
@@ -46,6 +49,13 @@
 impl RouterPolicy {
     /// A rule of choice without any further mechanism.
     pub fn baseline(choice: ChoiceRule) -> Self {
-        Self { choice, prefix: false, admission: false, spill: false, reserve: false }
+        Self {
+            choice,
+            prefix: false,
+            admission: false,
+            spill: false,
+            reserve: false,
+            copies: false,
+        }
     }
 }
