Flood a region of processes with patient and then urgent work

Change: `flood`, `flood-end` and `calls` in scenarios, and faults/flood_of_patient_then_urgent_work: 150 callers of one workspace ask without heeding when to come back; another workspace's ten urgent calls get whole answers at the first try in the patient flood, and five within their deadline of 10 s in the urgent flood when they come back as told. Every answer to the flood is whole, or a refusal with `ran: no` and Retry-After within 1 s (a tenth of the deadline). The settings of scenarios get a patient kind.

The last two fixed waits before an engine is killed wait with `streams` now, and for the listing without the stopping entry; answers are longer (500 tokens), so that the kill comes before their end.

--- a/cicadastall-daemons/tests/scenario/fleet.rs
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -3,6 +3,7 @@
 use super::{
     caller::{CallerOutcome, CallerRequest, ask_session, send, send_counted},
     changes::RevisionWatch,
+    flood::FloodCallers,
     link::{LinkProxy, LinkTable},
     load::LoadCallers,
 };
@@ -14,7 +15,6 @@
     collections::BTreeMap,
     fmt::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    process::Command,
     time::Duration,
 };
 use tokio::{
@@ -92,6 +92,7 @@
     client: HttpClient,
     pub watch: RevisionWatch,
     pub load: LoadCallers,
+    pub flood: FloodCallers,
     pub voters: Value,
 }
 
@@ -109,6 +110,7 @@
             client: client(64),
             watch: RevisionWatch::default(),
             load: LoadCallers::default(),
+            flood: FloodCallers::default(),
             voters: Value::Null,
         };
         let mut tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
@@ -444,9 +446,7 @@
 
     /// Sends a signal to a process.
     pub fn signal(&mut self, name: &str, signal: &str) {
-        let id = self.process(name).as_ref().expect("a running process").child.id();
-        let sent = Command::new("kill").args([signal, &id.to_string()]).status();
-        assert!(sent.expect("signal a process").success());
+        self.process(name).as_ref().expect("a running process").signal(signal);
     }
 
     /// Stops a process gracefully and describes how it ended.
--- a/cicadastall-daemons/tests/scenario/mod.rs
+++ b/cicadastall-daemons/tests/scenario/mod.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod changes;
 pub mod fleet;
+pub mod flood;
 pub mod groups;
 pub mod link;
 pub mod load;
@@ -110,6 +111,9 @@
         "voters" => groups::count_voters(fleet, case).await,
         "load" => load::start_load(fleet, case),
         "load-end" => load::end_load(fleet).await,
+        "flood" => flood::start_flood(fleet, case).await,
+        "flood-end" => flood::end_flood(fleet).await,
+        "calls" => flood::call_many(fleet, case).await,
         "answered" => load::wait_answered(fleet, case).await,
         "confirmed" => waits::wait_confirmed(fleet, case).await,
         "executed" => waits::wait_executed(fleet, case).await,
