Wait until each thread of a frozen process has stopped

Seen: in one of two copies of `scenarios` at once (load 30), not-run/service_and_ledger_lost got a whole answer where its ledger's only host had been sent SIGSTOP just before: `r2: whole answer from aqaba`.

Cause, not shown by a trace: `kill` returns when the signal is sent; threads that were running stop later. `bookings` waited already until the process was shown as stopped, `Process::signal` and the scenarios' `freeze` did not.

Change: one `Process::signal`, which after SIGSTOP waits until each thread of the process is shown as stopped; scenarios and `bookings` use it. No check is eased.

--- a/cicadastall-daemons/tests/bookings/mod.rs
+++ b/cicadastall-daemons/tests/bookings/mod.rs
@@ -30,9 +30,7 @@
 use hyper::{Request, StatusCode, header::RETRY_AFTER};
 use serde_json::{Value, json};
 use std::{
-    fs::read_to_string,
     net::{Ipv4Addr, SocketAddr},
-    process::Command,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -437,13 +435,7 @@
 
 /// Sends a signal; a process that is to stop has stopped when this returns.
 pub fn send_signal(process: &Process, signal: &str) {
-    let process = process.child.id().to_string();
-    let status = Command::new("kill").args(["-s", signal, &process]).status();
-    assert!(status.expect("send a signal").success());
-    let stat = format!("/proc/{process}/stat");
-    while signal == "STOP" && !read_to_string(&stat).expect("a process").contains(") T ") {
-        std::thread::sleep(Duration::from_millis(1));
-    }
+    process.signal(&format!("-{signal}"));
 }
 
 /// Starts the service that books, announced to `entries`.
--- a/cicadastall-daemons/tests/common/mod.rs
+++ b/cicadastall-daemons/tests/common/mod.rs
@@ -77,10 +77,22 @@
         Self { child, line }
     }
 
-    /// Sends a signal, such as `-TERM`.
+    /// Sends a signal, such as `-TERM`; after `-STOP`, waits until no thread runs any more.
     pub fn signal(&self, signal: &str) {
         let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(sent.is_ok_and(|status| status.success()), "{signal} was not sent");
+        while signal == "-STOP" && !self.is_frozen() {
+            sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Whether each thread of the program is stopped by a signal.
+    fn is_frozen(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        tasks.expect("the program's threads").flatten().all(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat"));
+            stat.is_ok_and(|stat| stat.contains(") T "))
+        })
     }
 
     /// Waits until the program ends by itself; returns its status and the last line it printed.
