Show the replicated groups in the command line

Cause: whether a replaced replica votes again could only be read from the JSON of GET /v1/groups, and operators must know it before the next restart. Ruled out: a column of 'status', as an instance keeps replicas of several groups. Change: 'cicadastall groups ADDRESS...', a table or JSON; it shares the asking of instances with 'status'.

--- a/cicadastall-daemons/src/bin/cicadastall.rs
+++ b/cicadastall-daemons/src/bin/cicadastall.rs
@@ -6,8 +6,8 @@
     exit::CommandOutcome,
     settings_cli::{self, CheckOptions, SettingsOptions, check_options, settings_options},
     status_cli::{
-        self, DrainOptions, ExplainOptions, RefoundOptions, StatusOptions, drain_options,
-        explain_options, refound_options, status_options,
+        self, DrainOptions, ExplainOptions, GroupsOptions, RefoundOptions, StatusOptions,
+        drain_options, explain_options, groups_options, refound_options, status_options,
     },
 };
 use std::process::ExitCode;
@@ -39,6 +39,12 @@
     /// Example: cicadastall status 127.0.0.1:7101 127.0.0.1:7102
     #[bpaf(command)]
     Status(#[bpaf(external(status_options))] StatusOptions),
+    /// Show the replicated groups of instances: who leads and who votes
+    ///
+    ///
+    /// Example: cicadastall groups 127.0.0.1:7101 127.0.0.1:7102
+    #[bpaf(command)]
+    Groups(#[bpaf(external(groups_options))] GroupsOptions),
     /// Explain a request or an upstream
     ///
     ///
@@ -81,6 +87,7 @@
         OperatorCommand::Check(options) => settings_cli::check(&options),
         OperatorCommand::Settings(options) => settings_cli::run(&options).await,
         OperatorCommand::Status(options) => status_cli::status(&options).await,
+        OperatorCommand::Groups(options) => status_cli::groups(&options).await,
         OperatorCommand::Explain(options) => status_cli::explain(&options).await,
         OperatorCommand::Drain(options) => status_cli::drain(&options).await,
         OperatorCommand::Refound(options) => status_cli::refound(&options).await,
--- a/cicadastall-daemons/src/status_cli.rs
+++ b/cicadastall-daemons/src/status_cli.rs
@@ -27,6 +27,17 @@
     instances: Vec<SocketAddr>,
 }
 
+/// Asks instances for the replicated groups whose replicas they keep.
+#[derive(Debug, Clone, Bpaf)]
+pub struct GroupsOptions {
+    /// Print JSON
+    #[bpaf(long, switch)]
+    json: bool,
+    /// Operator addresses of control instances, and of entries that keep replicas
+    #[bpaf(positional("ADDRESS"), some("at least one ADDRESS is needed"))]
+    instances: Vec<SocketAddr>,
+}
+
 /// Asks an entry why it did what it did.
 #[derive(Debug, Clone, Bpaf)]
 pub struct ExplainOptions {
@@ -79,21 +90,36 @@
     group: String,
 }
 
+/// What instances answered, each with its address.
+struct InstanceAnswers {
+    answers: Vec<Value>,
+    /// Whether an instance gave no answer.
+    silent: bool,
+}
+
+impl InstanceAnswers {
+    /// Asks each of `instances` at `path`; an answer stands in the field `name`.
+    async fn ask(instances: &[SocketAddr], path: &str, name: &str) -> Self {
+        let client = OperatorClient::default();
+        let asked = instances.iter().map(|address| client.get::<Value>(*address, path));
+        let answers = join_all(asked).await;
+        let silent = answers.iter().any(Result::is_err);
+        let answers = instances.iter().zip(answers).map(|(address, answer)| match answer {
+            Ok(answer) => json!({ "address": address, name: answer }),
+            Err(error) => json!({ "address": address, "error": error.to_string() }),
+        });
+        Self { answers: answers.collect(), silent }
+    }
+
+    fn outcome(&self) -> CommandOutcome {
+        if self.silent { CommandOutcome::Refused } else { CommandOutcome::Done }
+    }
+}
+
 /// Runs `status`.
 pub async fn status(options: &StatusOptions) -> eyre::Result<CommandOutcome> {
-    let client = OperatorClient::default();
-    let asked = options.instances.iter().map(|address| client.get::<Value>(*address, "/v1/status"));
-    let answers = join_all(asked).await;
-    let silent = answers.iter().any(Result::is_err);
-    let answers: Vec<_> = options
-        .instances
-        .iter()
-        .zip(answers)
-        .map(|(address, answer)| match answer {
-            Ok(status) => json!({ "address": address, "status": status }),
-            Err(error) => json!({ "address": address, "error": error.to_string() }),
-        })
-        .collect();
+    let asked = InstanceAnswers::ask(&options.instances, "/v1/status", "status").await;
+    let answers = &asked.answers;
     if options.json {
         print_json(&answers)?;
     } else {
@@ -110,23 +136,61 @@
         ];
         print_table(titles, &rows)?;
     }
-    Ok(if silent { CommandOutcome::Refused } else { CommandOutcome::Done })
+    Ok(asked.outcome())
+}
+
+/// Runs `groups`.
+pub async fn groups(options: &GroupsOptions) -> eyre::Result<CommandOutcome> {
+    let asked = InstanceAnswers::ask(&options.instances, GROUPS_PATH, "groups").await;
+    if options.json {
+        print_json(&asked.answers)?;
+        return Ok(asked.outcome());
+    }
+    let rows: Vec<_> = asked.answers.iter().flat_map(list_groups).collect();
+    let titles = ["ADDRESS", "GROUP", "LEADER", "VOTERS", "LEARNERS", "TERM", "COMMIT", "FAULT"];
+    print_table(titles, &rows)?;
+    Ok(asked.outcome())
+}
+
+/// A row for each group of one instance.
+fn list_groups(answer: &Value) -> Vec<[String; 8]> {
+    if answer.get("error").is_some() {
+        return vec![describe_error(answer)];
+    }
+    let groups = answer["groups"].as_object().into_iter().flatten();
+    let row = |(name, group): (&String, &Value)| {
+        [
+            cell(answer, "/address"),
+            name.clone(),
+            cell(group, "/leader/instance"),
+            list_members(group, "/configuration/voters"),
+            list_members(group, "/configuration/learners"),
+            cell(group, "/term"),
+            cell(group, "/commit"),
+            cell(group, "/failure"),
+        ]
+    };
+    groups.map(row).collect()
+}
+
+/// Names of the instances of the members at `pointer`, or a dash if there are none.
+fn list_members(group: &Value, pointer: &str) -> String {
+    let members = group.pointer(pointer).and_then(Value::as_array).into_iter().flatten();
+    let names: Vec<_> = members.map(|member| cell(member, "/instance")).collect();
+    if names.is_empty() { "-".to_owned() } else { names.join(",") }
+}
+
+/// The row of an instance that gave no answer.
+fn describe_error(answer: &Value) -> [String; 8] {
+    let mut row = std::array::from_fn(|_| "-".to_owned());
+    row[0] = format!("{}: {}", cell(answer, "/address"), cell(answer, "/error"));
+    row
 }
 
 fn describe(answer: &Value) -> [String; 8] {
     let cell = |pointer: &str| cell(answer, pointer);
-    if let Some(error) = answer["error"].as_str() {
-        let address = cell("/address");
-        return [
-            format!("{address}: {error}"),
-            "-".into(),
-            "-".into(),
-            "-".into(),
-            "-".into(),
-            "-".into(),
-            "-".into(),
-            "-".into(),
-        ];
+    if answer.get("error").is_some() {
+        return describe_error(answer);
     }
     let confirmed = match answer.pointer("/status/settings/confirmed_age_ms") {
         Some(Value::Number(age)) => format!("{age} ms ago"),
--- a/cicadastall-daemons/tests/operators.rs
+++ b/cicadastall-daemons/tests/operators.rs
@@ -109,6 +109,7 @@
         vec!["settings", "remove"],
         vec!["settings", "history"],
         vec!["status"],
+        vec!["groups"],
         vec!["explain"],
         vec!["drain"],
         vec!["refound"],
@@ -221,6 +222,17 @@
         }
     };
     assert!(refused.contains("the group has a leader, or had one a moment ago"), "{refused}");
+    let row = loop {
+        let listed = run(&["groups", &address]);
+        assert_eq!(code(&listed), 0);
+        let row = text(&listed).lines().last().map(str::to_owned).expect("a row");
+        if !row.contains("settings  - ") || Instant::now() > end {
+            break row;
+        }
+    };
+    let cells: Vec<_> = row.split_whitespace().take(5).collect();
+    assert_eq!(cells, [&address, "settings", "aqaba-control", "aqaba-control", "-"]);
+    assert_eq!(code(&run(&["groups", "127.0.0.1:1"])), 5);
     let refused = refound(&["--accept-loss", "ledger-nowhere"]);
     assert!(refused.contains("no replica of this group runs here"), "{refused}");
 }
