--- a/cicadastall/src/claim.rs
+++ b/cicadastall/src/claim.rs
@@ -1,4 +1,4 @@
-//! An entry's side of the ledger: claims a key, marks it as dispatched and records its result.
+//! An entry's side of the ledger: claims a key for its dispatch and records its result.
 
 use crate::{
     answer::{Ran, Refusal, RefusalCode},
@@ -8,13 +8,12 @@
         session::SessionId,
     },
     name::{IdempotencyKey, WorkspaceName},
-    peer::PeerClients,
+    peer::{PeerClients, PeerError},
     replicated::GroupError,
     wire::CallRequest,
 };
 use std::{
     fmt,
-    marker::PhantomData,
     net::SocketAddr,
     sync::{
         Arc,
@@ -34,9 +33,6 @@
 /// Pause between two looks for a leader.
 const LEADER_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time within which the holder of a claim marks its key as dispatched.
-const CLAIM_LEASE: Duration = Duration::from_secs(3);
-
 /// Time that a result may take beyond the request's deadline before its outcome is unknown.
 const RESULT_MARGIN: Duration = Duration::from_secs(2);
 
@@ -46,12 +42,17 @@
 /// Attempts to record a result.
 const RECORD_ATTEMPTS: u32 = 3;
 
-/// Pause between attempts to record a result.
-const RECORD_PAUSE: Duration = Duration::from_millis(250);
+/// Attempts to withdraw a claim that was not confirmed; they outlast an election.
+const WITHDRAW_ATTEMPTS: u32 = 12;
+
+/// Pause between attempts to make a change that must not be given up at once.
+const REPEAT_PAUSE: Duration = Duration::from_millis(250);
 
 /// Why the ledger did not make a change.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClaimError {
+    /// No host of the ledger took the change.
+    Unreached(String),
     /// No host of the ledger confirmed the change; it may yet be made.
     Unconfirmed(String),
     /// The ledger refused.
@@ -63,7 +64,8 @@
 impl fmt::Display for ClaimError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unconfirmed(cause) => write!(formatter, "ledger not reached: {cause}"),
+            Self::Unreached(cause) => write!(formatter, "ledger not reached: {cause}"),
+            Self::Unconfirmed(cause) => write!(formatter, "no word from the ledger: {cause}"),
             Self::Refused(refusal) => refusal.fmt(formatter),
             Self::Unexpected => formatter.write_str("the ledger's reply does not fit the change"),
         }
@@ -72,8 +74,41 @@
 
 impl std::error::Error for ClaimError {}
 
+impl ClaimError {
+    /// Whether another attempt at the change gives the same.
+    fn is_final(&self) -> bool {
+        matches!(self, Self::Refused(_) | Self::Unexpected)
+    }
+
+    /// What is known after a further host has failed with `next`.
+    fn after(self, next: Self) -> Self {
+        match (self, next) {
+            (Self::Unconfirmed(_), Self::Unreached(cause)) => Self::Unconfirmed(cause),
+            (_, next) => next,
+        }
+    }
+}
+
+impl From<GroupError> for ClaimError {
+    fn from(error: GroupError) -> Self {
+        match error {
+            GroupError::OutcomeUnknown => Self::Unconfirmed(error.to_string()),
+            error => Self::Unreached(error.to_string()),
+        }
+    }
+}
+
+impl From<PeerError> for ClaimError {
+    fn from(error: PeerError) -> Self {
+        match error {
+            PeerError::Unreachable(_) => Self::Unreached(error.to_string()),
+            PeerError::NoReply(_) => Self::Unconfirmed(error.to_string()),
+        }
+    }
+}
+
 impl From<ClaimError> for Refusal {
-    /// Without a confirmed mark no byte is sent, so an unconfirmed change is not run.
+    /// Without a confirmed claim no byte is sent, so an unconfirmed change is not run.
     fn from(error: ClaimError) -> Self {
         match error {
             ClaimError::Refused(refusal) => refusal.into(),
@@ -113,14 +148,16 @@
     /// sent again.
     async fn change(&self, change: LedgerChange) -> Result<LedgerReply, ClaimError> {
         let deadline = Instant::now() + LEADER_WAIT;
+        let mut lost = ClaimError::Unreached("no host is known".to_owned());
         loop {
             let failed = match self.ask_hosts(&change).await {
                 Ok(LedgerReply::Refused(refusal)) => return Err(ClaimError::Refused(refusal)),
                 Ok(reply) => return Ok(reply),
                 Err(failed) => failed,
             };
+            lost = lost.after(failed.error);
             if !failed.leaderless || Instant::now() >= deadline {
-                return Err(ClaimError::Unconfirmed(failed.cause));
+                return Err(lost);
             }
             sleep(LEADER_PAUSE).await;
         }
@@ -129,7 +166,10 @@
     /// Sends a change to the hosts in turn until one confirms it, beginning with the last that did.
     async fn ask_hosts(&self, change: &LedgerChange) -> Result<LedgerReply, HostsFailure> {
         let preferred = self.preferred.load(Ordering::Relaxed);
-        let mut failed = HostsFailure { cause: "no host is known".to_owned(), leaderless: false };
+        let mut failed = HostsFailure {
+            error: ClaimError::Unreached("no host is known".to_owned()),
+            leaderless: false,
+        };
         for turn in 0..self.hosts.len() {
             let index = (preferred + turn) % self.hosts.len();
             let change = change.clone();
@@ -142,50 +182,57 @@
                     self.preferred.store(index, Ordering::Relaxed);
                     return Ok(reply);
                 }
-                Ok(Err(error)) => failed.note(&error),
-                Err(error) => failed.cause = error.to_string(),
+                Ok(Err(error)) => failed = failed.after_reply(error),
+                Err(error) => failed.error = failed.error.after(error.into()),
             }
         }
         Err(failed)
     }
+
+    /// Makes a change in up to `attempts`, as long as no host confirms it.
+    async fn change_repeatedly(
+        &self,
+        change: LedgerChange,
+        attempts: u32,
+    ) -> Result<LedgerReply, ClaimError> {
+        for _ in 1..attempts {
+            match self.change(change.clone()).await {
+                Err(error) if !error.is_final() => log::info!("{error}"),
+                confirmed => return confirmed,
+            }
+            sleep(REPEAT_PAUSE).await;
+        }
+        self.change(change).await
+    }
 }
 
 /// Why no host of the ledger confirmed a change.
 #[derive(Debug)]
 struct HostsFailure {
-    /// What the last host said.
-    cause: String,
+    error: ClaimError,
     /// Whether a host answered that it does not lead.
     leaderless: bool,
 }
 
 impl HostsFailure {
-    fn note(&mut self, error: &GroupError) {
-        self.leaderless |= matches!(error, GroupError::NotLeader { .. });
-        self.cause = error.to_string();
+    /// What is known after a host has replied with `error`.
+    fn after_reply(self, error: GroupError) -> Self {
+        let leaderless = self.leaderless || matches!(error, GroupError::NotLeader { .. });
+        Self { error: self.error.after(error.into()), leaderless }
     }
 }
 
-/// Stage of a key whose holder may not dispatch yet.
-#[derive(Debug)]
-pub enum Claimed {}
-
-/// Stage of a key whose holder may send it to one upstream.
-#[derive(Debug)]
-pub enum Dispatched {}
-
-/// A key that this entry holds.
+/// A key that this entry holds and may send to one upstream.
 #[derive(Debug)]
-pub struct ClaimHolder<S> {
+pub struct ClaimHolder {
     held: HeldKey,
-    _stage: PhantomData<S>,
 }
 
 /// What a claim led to.
 #[derive(Debug)]
 pub enum ClaimOutcome {
     /// This entry holds the key.
-    Held(ClaimHolder<Claimed>),
+    Held(ClaimHolder),
     /// The key was run; this is its result.
     Stored(serde_json::Value),
 }
@@ -210,6 +257,48 @@
         let key = plan.key.clone().ok_or_else(required)?;
         Ok(Self { session, key, digest: digest_call(plan, call) })
     }
+
+    /// The claim of this key by `holder`, whose result is expected within `run`.
+    fn claim_for(&self, plan: &RequestPlan, holder: Arc<str>, run: Duration) -> KeyClaim {
+        KeyClaim {
+            session: self.session.clone(),
+            workspace: plan.workspace.clone(),
+            key: self.key.clone(),
+            digest: self.digest,
+            holder,
+            run_ms: run.as_millis() as u64,
+            acknowledged: plan.acknowledged.clone(),
+        }
+    }
+
+    /// The stored result of the key, if it was run; none if the ledger does not know the key.
+    ///
+    /// Refused where the key is known and has no stored result.
+    pub async fn find_stored(
+        &self,
+        client: &LedgerClient,
+        plan: &RequestPlan,
+    ) -> Result<Option<serde_json::Value>, ClaimError> {
+        let look = self.claim_for(plan, "".into(), Duration::ZERO);
+        match client.change(LedgerChange::Look(look)).await? {
+            LedgerReply::Free => Ok(None),
+            LedgerReply::Stored(reply) => decode_result(&reply).map(Some),
+            _ => Err(ClaimError::Unexpected),
+        }
+    }
+
+    /// Gives back what `holder` may have been granted by a claim that was not confirmed.
+    pub async fn withdraw(self, client: &LedgerClient, holder: Arc<str>) {
+        let change = LedgerChange::Withdraw { session: self.session, key: self.key, holder };
+        match client.change_repeatedly(change, WITHDRAW_ATTEMPTS).await {
+            Ok(_) | Err(ClaimError::Refused(LedgerRefusal::ClaimClosed)) => {}
+            Err(error) => log::info!("claim not withdrawn: {error}"),
+        }
+    }
+}
+
+fn decode_result(reply: &str) -> Result<serde_json::Value, ClaimError> {
+    serde_json::from_str(reply).map_err(|_| ClaimError::Unexpected)
 }
 
 /// Digest of what a key stands for; the same on every entry.
@@ -225,87 +314,46 @@
 /// Multiplier of the 64-bit FNV-1a hash.
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
-impl ClaimHolder<Claimed> {
-    /// Claims the key of `planned` for the attempt that `holder` names.
+impl ClaimHolder {
+    /// Claims the key of `planned` for the attempt that `holder` names; a result is expected within
+    /// `remaining`.
+    ///
+    /// A claim that was confirmed late is given back, since others may have been told that the
+    /// outcome is unknown.
     pub async fn claim(
         client: &LedgerClient,
         planned: &PlannedKey,
         plan: &RequestPlan,
         holder: Arc<str>,
-    ) -> Result<ClaimOutcome, ClaimError> {
-        let PlannedKey { session, key, digest } = planned.clone();
-        let change = LedgerChange::Claim(KeyClaim {
-            session: session.clone(),
-            workspace: plan.workspace.clone(),
-            key: key.clone(),
-            digest,
-            holder,
-            lease_ms: CLAIM_LEASE.as_millis() as u64,
-            acknowledged: plan.acknowledged.clone(),
-        });
-        match client.change(change).await? {
-            LedgerReply::Granted(claim) => {
-                let held = HeldKey { session, key, claim };
-                Ok(ClaimOutcome::Held(Self { held, _stage: PhantomData }))
-            }
-            LedgerReply::Stored(reply) => serde_json::from_str(&reply)
-                .map(ClaimOutcome::Stored)
-                .map_err(|_| ClaimError::Unexpected),
-            _ => Err(ClaimError::Unexpected),
-        }
-    }
-
-    /// Marks the key as dispatched; a result is expected within `remaining`.
-    ///
-    /// A mark that was confirmed late is given back, since others may have been told that the
-    /// outcome is unknown.
-    pub async fn mark_dispatched(
-        self,
-        client: &LedgerClient,
         remaining: Duration,
-    ) -> Result<ClaimHolder<Dispatched>, ClaimError> {
-        let run = remaining + RESULT_MARGIN;
+    ) -> Result<ClaimOutcome, ClaimError> {
         let proposed = Instant::now();
-        let change =
-            LedgerChange::Dispatch { held: self.held.clone(), run_ms: run.as_millis() as u64 };
-        let holder = ClaimHolder { held: self.held, _stage: PhantomData };
-        match client.change(change).await {
-            Ok(_) if proposed.elapsed() < remaining => Ok(holder),
-            Ok(_) => {
+        let wanted = planned.claim_for(plan, holder, remaining + RESULT_MARGIN);
+        match client.change(LedgerChange::Claim(wanted)).await? {
+            LedgerReply::Granted(claim) => {
+                let PlannedKey { session, key, .. } = planned.clone();
+                let holder = Self { held: HeldKey { session, key, claim } };
+                if proposed.elapsed() < remaining {
+                    return Ok(ClaimOutcome::Held(holder));
+                }
                 holder.release(client).await?;
                 Err(ClaimError::Refused(LedgerRefusal::ClaimClosed))
             }
-            Err(error) => {
-                if let Err(error) = holder.release(client).await {
-                    log::info!("claim not given back: {error}");
-                }
-                Err(error)
-            }
+            LedgerReply::Stored(reply) => decode_result(&reply).map(ClaimOutcome::Stored),
+            _ => Err(ClaimError::Unexpected),
         }
     }
-}
 
-impl<S> ClaimHolder<S> {
     /// Gives the claim back: no upstream ran the request, and this holder will not send it.
     pub async fn release(self, client: &LedgerClient) -> Result<(), ClaimError> {
         client.change(LedgerChange::Release { held: self.held }).await.map(drop)
     }
-}
 
-impl ClaimHolder<Dispatched> {
     /// Records the result for resends.
     pub async fn record_result(self, client: &LedgerClient, result: &serde_json::Value) {
-        let reply: Arc<str> = result.to_string().into();
-        for _ in 0..RECORD_ATTEMPTS {
-            let reply = Arc::clone(&reply);
-            match client.change(LedgerChange::Complete { held: self.held.clone(), reply }).await {
-                Err(error @ ClaimError::Unconfirmed(_)) => {
-                    log::warn!("result not recorded yet: {error}");
-                    sleep(RECORD_PAUSE).await;
-                }
-                Err(error) => return log::warn!("result not recorded: {error}"),
-                Ok(_) => return,
-            }
+        let change = LedgerChange::Complete { held: self.held, reply: result.to_string().into() };
+        if let Err(error) = client.change_repeatedly(change, RECORD_ATTEMPTS).await {
+            log::warn!("result not recorded: {error}");
         }
     }
 }
--- a/cicadastall/src/route/policy.rs
+++ b/cicadastall/src/route/policy.rs
@@ -26,20 +26,36 @@
     pub admission: bool,
     /// Whether requests that would miss their target go to other regions.
     pub spill: bool,
+    /// Whether admission leaves room for what a late report does not show and for flows that are
+    /// within their share.
+    pub reserve: bool,
     /// Whether copies of one request prefer the same upstreams.
     pub copies: bool,
 }
 
 impl Default for RouterPolicy {
     fn default() -> Self {
-        let baseline = Self::baseline(ChoiceRule::Predicted);
-        Self { prefix: true, admission: true, spill: true, copies: true, ..baseline }
+        Self {
+            prefix: true,
+            admission: true,
+            spill: true,
+            reserve: true,
+            copies: true,
+            ..Self::baseline(ChoiceRule::Predicted)
+        }
     }
 }
 
 impl RouterPolicy {
     /// A rule of choice without any further mechanism.
     pub fn baseline(choice: ChoiceRule) -> Self {
-        Self { choice, prefix: false, admission: false, spill: false, copies: false }
+        Self {
+            choice,
+            prefix: false,
+            admission: false,
+            spill: false,
+            reserve: false,
+            copies: false,
+        }
     }
 }
