Count signs of life only for the process that gave them

Cause: a process numbers its start by the wall clock. After a jump back a restarted member has a lower number; it refutes the suspicion of the ended process by counting up, and where that reaches the ended one's number, its signs of life kept the ended one listed, and its own news, by the lower start, was refused for good. Ruled out: taking a lower start at once (a delayed datagram of the ended process would bring that back). Change: signs of life count for the process with the same start only; the ended one is removed after its silence, then the restarted one is taken. Wall clocks count nowhere else in membership.

--- a/cicadastall-standins/src/network.rs
+++ b/cicadastall-standins/src/network.rs
@@ -149,8 +149,14 @@
 
     /// Starts node `index` again with an empty state and the nodes `seeds`.
     pub fn restart(&mut self, index: usize, seeds: &[usize]) {
+        let started = self.nodes[index].members.own().incarnation.0 + 1_000;
+        self.restart_at(index, seeds, started);
+    }
+
+    /// Does the same where the node's wall clock shows `started_ms`, which may be an earlier time.
+    pub fn restart_at(&mut self, index: usize, seeds: &[usize], started_ms: u64) {
         let mut record = self.nodes[index].members.own().clone();
-        record.incarnation.0 += 1_000;
+        record.incarnation = Incarnation(started_ms);
         record.state = EntryState::Serving;
         let seeds = seeds.iter().map(|seed| node_address(*seed, 1)).collect();
         let node = &mut self.nodes[index];
--- a/cicadastall-standins/tests/membership.rs
+++ b/cicadastall-standins/tests/membership.rs
@@ -99,6 +99,23 @@
     assert!(back.is_some(), "the woken member is not known everywhere");
 }
 
+#[test]
+fn member_whose_wall_clock_jumped_is_taken_back_within_5_s() {
+    for started_ms in [0, 999, u64::MAX / 2] {
+        let mut network = network(&["aqaba-a"], 5, 33);
+        let upstream = network.add_upstream("verdicts", "model-0", [2, 2]);
+        network.run(20 * SECOND);
+        for started_ms in [started_ms, 1_000] {
+            network.restart_at(2, &[0], started_ms);
+            network.run(5 * SECOND);
+            let lost = network.run_until(10 * SECOND, |network| !knows_all(network, 0..5));
+            assert_eq!(lost, None, "started at {started_ms} ms by its clock");
+            let heard = (0..5).all(|node| would_dispatch(&network, node, upstream));
+            assert!(heard, "its news is not taken, started at {started_ms} ms by its clock");
+        }
+    }
+}
+
 #[test]
 fn restarted_member_without_seeds_asks_whoever_sends_it_news() {
     let mut network = network(&["aqaba-a"], 2, 31);
--- a/cicadastall/src/intake.rs
+++ b/cicadastall/src/intake.rs
@@ -82,10 +82,11 @@
     }
 
     fn hear(&mut self, sender: &PacketSender, now: Instant) {
-        if let Some(peer) = self.peers.get_mut(&sender.instance) {
-            if sender.incarnation() > peer.sender.incarnation()
-                && sender.started == peer.sender.started
-            {
+        // A sign of life of another process of that name would keep the ended one listed.
+        if let Some(peer) = self.peers.get_mut(&sender.instance)
+            && sender.started == peer.sender.started
+        {
+            if sender.incarnation() > peer.sender.incarnation() {
                 peer.sender = sender.clone();
             }
             self.probes.hear(&sender.instance, sender.incarnation(), now);
