Decide in one pass over the upstreams, and forget those that are gone

Cause: each candidate was looked up five times by name among the tracks (quarantine, cache events, own sends, cached tokens, pace), and each decision sorted and copied all candidates for its explanation. Tracks of upstreams that came and went were kept for ever. A restarted upstream left its quarantine for one decision only, as the next one had seen its incarnation. Change: tracks and table are walked together in the order of names; the 16 candidates that an explanation lists are selected before they are copied; once a second the tracks without an upstream, open attempt or quarantine go; a new incarnation ends the quarantine.

Test: route_tracks. Seen to fail: tracks never forgotten, 800 in place of 40; quarantine not ended, not used; open attempts ignored, 0 in place of 1.

--- a/cicadastall/src/admit.rs
+++ b/cicadastall/src/admit.rs
@@ -69,7 +69,7 @@
 }
 
 /// Capacity that the decision is about.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct ZoneCapacity {
     /// Upstreams that may run the request.
     pub upstreams: usize,
--- a/cicadastall/src/explain.rs
+++ b/cicadastall/src/explain.rs
@@ -14,7 +14,7 @@
 const RING_DECISIONS: usize = 256;
 
 /// Upstreams and zones that one explanation lists, the best first.
-const LISTED_CANDIDATES: usize = 16;
+pub(crate) const LISTED_CANDIDATES: usize = 16;
 
 /// One choice of a target, with everything that it was made from.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -116,14 +116,6 @@
         };
         self
     }
-
-    /// Sorts the candidates by score and keeps the best.
-    pub fn trim(mut self) -> Self {
-        self.candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
-        self.candidates.truncate(LISTED_CANDIDATES);
-        self.filtered.truncate(LISTED_CANDIDATES);
-        self
-    }
 }
 
 /// The latest decisions of one entry.
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -8,7 +8,8 @@
     answer::{Ran, Refusal, RefusalCode},
     decode::RequestPlan,
     explain::{
-        ExplainRing, ExplainedCandidate, RouteExplanation, RouteOutcome, UpstreamExplanation,
+        ExplainRing, ExplainedCandidate, LISTED_CANDIDATES, RouteExplanation, RouteOutcome,
+        UpstreamExplanation,
     },
     name::{RegionName, UpstreamName, ZoneName},
     prefix::PromptShape,
@@ -19,7 +20,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cmp::Ordering, collections::BTreeMap, iter::Peekable, net::SocketAddr, sync::Arc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 pub mod filter;
@@ -35,7 +39,7 @@
 use policy::{ChoiceRule, RouterPolicy};
 use score::{Prediction, ScoreInput, TokenLimit, predict};
 use spill::{ForwardTrack, ZoneCandidate};
-use track::{RecentSends, SendTicket, SentAttempt, UpstreamTrack};
+use track::{SendTicket, SentAttempt, UpstreamTrack};
 
 /// Time after its last announcement at which an upstream gets no new work.
 pub const UPSTREAM_EXPIRY: Duration = Duration::from_millis(2_500);
@@ -46,6 +50,9 @@
 /// Time after which a caller may try again where no upstream is known.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
 
+/// Time between two removals of what is known of upstreams that are gone.
+const FORGET_PERIOD: Duration = Duration::from_secs(1);
+
 /// Weight of one request in the mean length of answers.
 const ANSWER_MEAN_WEIGHT: f64 = 0.02;
 
@@ -101,6 +108,18 @@
     Refuse(Refusal),
 }
 
+/// The upstreams of a zone as one request finds them.
+#[derive(Debug, Default)]
+struct ZoneSurvey<'a> {
+    candidates: SmallVec<[&'a UpstreamView; 16]>,
+    /// Times on each candidate, in the order of the candidates.
+    predictions: SmallVec<[Prediction; 16]>,
+    filtered: Vec<(UpstreamName, FilterReason)>,
+    /// The first upstream that only its quarantine shuts out.
+    failing: Option<&'a UpstreamView>,
+    capacity: ZoneCapacity,
+}
+
 /// Everything that one choice is made from, beside the router's own knowledge.
 #[derive(Debug, Clone, Copy)]
 struct ChoiceInput<'a> {
@@ -122,7 +141,12 @@
         filtered: Vec<(UpstreamName, FilterReason)>,
     ) -> RouteExplanation {
         let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-        let pairs = candidates.iter().zip(predictions);
+        let explain = |place: usize| ExplainedCandidate {
+            upstream: candidates[place].record.name.clone(),
+            score: predictions[place].score(),
+            first_token_ms: millis(predictions[place].first_token),
+            wait_ms: millis(predictions[place].wait),
+        };
         RouteExplanation {
             request: self.plan.request.clone(),
             workspace: self.plan.workspace.clone(),
@@ -132,18 +156,10 @@
             regions: self.plan.regions.to_vec(),
             forwarded_from: self.plan.forwarded_from.clone(),
             limit_ms: millis(self.limit.first_token),
-            candidates: pairs
-                .map(|(view, prediction)| ExplainedCandidate {
-                    upstream: view.record.name.clone(),
-                    score: prediction.score(),
-                    first_token_ms: millis(prediction.first_token),
-                    wait_ms: millis(prediction.wait),
-                })
-                .collect(),
+            candidates: list_best(predictions).into_iter().map(explain).collect(),
             filtered,
             outcome: RouteOutcome::Waiting,
         }
-        .trim()
     }
 }
 
@@ -153,6 +169,7 @@
     place: RouterPlace,
     policy: RouterPolicy,
     tracks: BTreeMap<UpstreamName, UpstreamTrack>,
+    forgot_at: Option<Instant>,
     rng: ChaCha8Rng,
     sent: u64,
     mean_answer_tokens: f64,
@@ -177,6 +194,7 @@
             place,
             policy,
             tracks: BTreeMap::new(),
+            forgot_at: None,
             rng,
             sent: 0,
             mean_answer_tokens: FIRST_ANSWER_MEAN,
@@ -197,25 +215,9 @@
         tried: &TriedTargets,
         now: Instant,
     ) -> RouteDecision {
-        let mut candidates: SmallVec<[&UpstreamView; 16]> = SmallVec::new();
-        let mut filtered = Vec::new();
-        let mut failing = None;
-        for view in table.upstreams.values() {
-            match find_reason(view, plan, &self.place, tried, now) {
-                None if self.is_quarantined(view, now) => {
-                    failing = failing.or(Some(view));
-                    filtered.push((view.record.name.clone(), FilterReason::Quarantined));
-                }
-                None => candidates.push(view),
-                Some(reason) => filtered.push((view.record.name.clone(), reason)),
-            }
-        }
-        self.observe_caches(&candidates);
-        let capacity =
-            ZoneCapacity { upstreams: candidates.len(), entries: table.entries.len() + 1 };
-        let reserve = self.policy.reserve && !candidates.is_empty();
-        let refill = if reserve { self.gate.refill(plan, capacity, now) } else { 0.0 };
-        let predictions = self.predict_all(&candidates, plan, shape, refill, now);
+        self.observe_table(table, now);
+        let survey = self.survey(table, plan, shape, tried, now);
+        let ZoneSurvey { candidates, predictions, mut filtered, failing, capacity } = survey;
         let limit = self.gate.limit(plan, capacity, now);
         let choice = ChoiceInput { table, plan, shape, tried, capacity, limit, now };
         let decision = match self.decide(&choice, &candidates, &predictions) {
@@ -225,6 +227,7 @@
             }
             decision => decision,
         };
+        filtered.truncate(LISTED_CANDIDATES);
         let explanation = choice.explain(self.map.revision, &candidates, &predictions, filtered);
         self.ring.push(explanation.decided(&decision));
         decision
@@ -274,6 +277,11 @@
         self.ring.find(request)
     }
 
+    /// Upstreams of which something is kept.
+    pub fn count_tracks(&self) -> usize {
+        self.tracks.len()
+    }
+
     /// What is known of the upstream `view`, and whether requests are sent to it.
     pub fn explain_upstream(&self, view: &UpstreamView, now: Instant) -> UpstreamExplanation {
         let residency =
@@ -381,57 +389,93 @@
         }
     }
 
-    fn predict_all(
-        &self,
-        candidates: &[&UpstreamView],
-        plan: &RequestPlan,
-        shape: &PromptShape,
-        refill: f64,
-        now: Instant,
-    ) -> SmallVec<[Prediction; 16]> {
-        candidates.iter().map(|view| self.predict_on(view, plan, shape, refill, now)).collect()
-    }
-
-    fn sent_since(&self, view: &UpstreamView, rank: Rank) -> RecentSends {
-        let track = self.tracks.get(&view.record.name);
-        track.map(|track| track.sent_since(view.renewed_at, rank)).unwrap_or_default()
-    }
-
-    fn observe_caches(&mut self, candidates: &[&UpstreamView]) {
+    /// Takes the cache events of new announcements, and forgets upstreams that are gone.
+    fn observe_table(&mut self, table: &RoutingTable, now: Instant) {
+        self.forget_gone(table, now);
         if !self.policy.prefix {
             return;
         }
-        for view in candidates {
-            match self.tracks.get_mut(&view.record.name) {
+        let mut unknown: SmallVec<[&UpstreamView; 4]> = SmallVec::new();
+        let mut tracks = self.tracks.iter_mut().peekable();
+        for (name, view) in &table.upstreams {
+            match find_track(&mut tracks, name) {
                 Some(track) => track.observe_record(&view.record),
-                None => {
-                    let track = self.tracks.entry(view.record.name.clone()).or_default();
-                    track.observe_record(&view.record);
-                }
+                None => unknown.push(view),
             }
         }
+        for view in unknown {
+            let mut track = UpstreamTrack::default();
+            track.observe_record(&view.record);
+            self.tracks.insert(view.record.name.clone(), track);
+        }
     }
 
-    fn uncached_tokens(&self, upstream: &UpstreamName, shape: &PromptShape) -> u32 {
-        let track = self.tracks.get(upstream).filter(|_| self.policy.prefix);
-        shape.tokens - track.map_or(0, |track| track.prefix.cached_tokens(shape))
+    fn forget_gone(&mut self, table: &RoutingTable, now: Instant) {
+        if self.forgot_at.is_some_and(|at| now.saturating_duration_since(at) < FORGET_PERIOD) {
+            return;
+        }
+        self.forgot_at = Some(now);
+        self.tracks
+            .retain(|name, track| table.upstreams.contains_key(name) || track.is_needed(now));
+    }
+
+    /// Filters the upstreams of the zone and predicts the request's times on those that are left.
+    fn survey<'a>(
+        &self,
+        table: &'a RoutingTable,
+        plan: &RequestPlan,
+        shape: &PromptShape,
+        tried: &TriedTargets,
+        now: Instant,
+    ) -> ZoneSurvey<'a> {
+        let mut survey = ZoneSurvey::default();
+        let mut found: SmallVec<[Option<&UpstreamTrack>; 16]> = SmallVec::new();
+        let mut tracks = self.tracks.iter().peekable();
+        for (name, view) in &table.upstreams {
+            let track = find_track(&mut tracks, name);
+            let reason = find_reason(view, plan, &self.place, tried, now);
+            let quarantined = track.is_some_and(|track| track.is_quarantined(&view.record, now));
+            match reason {
+                None if quarantined => {
+                    survey.failing = survey.failing.or(Some(view));
+                    survey.filtered.push((name.clone(), FilterReason::Quarantined));
+                }
+                None => {
+                    survey.candidates.push(view);
+                    found.push(track);
+                }
+                Some(reason) => survey.filtered.push((name.clone(), reason)),
+            }
+        }
+        let upstreams = survey.candidates.len();
+        survey.capacity = ZoneCapacity { upstreams, entries: table.entries.len() + 1 };
+        let reserve = self.policy.reserve && upstreams > 0;
+        let refill = if reserve { self.gate.refill(plan, survey.capacity, now) } else { 0.0 };
+        let pairs = survey.candidates.iter().zip(found);
+        let predict = |(view, track): (&&UpstreamView, Option<&UpstreamTrack>)| {
+            self.predict_on(view, track, plan, shape, refill, now)
+        };
+        survey.predictions = pairs.map(predict).collect();
+        survey
     }
 
     fn predict_on(
         &self,
         view: &UpstreamView,
+        track: Option<&UpstreamTrack>,
         plan: &RequestPlan,
         shape: &PromptShape,
         refill: f64,
         now: Instant,
     ) -> Prediction {
-        let track = self.tracks.get(&view.record.name);
-        let sent = self.sent_since(view, plan.rank);
+        let sent = track.map(|track| track.sent_since(view.renewed_at, plan.rank));
+        let prefix = track.filter(|_| self.policy.prefix).map(|track| &track.prefix);
+        let cached_tokens = prefix.map_or(0, |prefix| prefix.cached_tokens(shape));
         let input = ScoreInput {
             shape,
             rank: plan.rank,
-            uncached_tokens: self.uncached_tokens(&view.record.name, shape),
-            sent: &sent,
+            uncached_tokens: shape.tokens - cached_tokens,
+            sent: &sent.unwrap_or_default(),
             pace: track.map_or(1.0, |track| track.pace(plan.rank)),
             refill,
             mean_answer_tokens: self.mean_answer_tokens,
@@ -441,7 +485,9 @@
 
     /// Sends to an upstream that failed lately, where nothing else is left to try.
     fn send_to_failing(&self, view: &UpstreamView, choice: &ChoiceInput<'_>) -> RouteDecision {
-        let prediction = self.predict_on(view, choice.plan, choice.shape, 0.0, choice.now);
+        let track = self.tracks.get(&view.record.name);
+        let ChoiceInput { plan, shape, now, .. } = *choice;
+        let prediction = self.predict_on(view, track, plan, shape, 0.0, now);
         send_to(view, choice.plan.rank, prediction)
     }
 
@@ -472,6 +518,34 @@
     }
 }
 
+/// Track of the upstream `name`, which is not before those that were found already.
+fn find_track<'a, T>(
+    tracks: &mut Peekable<impl Iterator<Item = (&'a UpstreamName, T)>>,
+    name: &UpstreamName,
+) -> Option<T> {
+    while let Some((tracked, _)) = tracks.peek() {
+        match (*tracked).cmp(name) {
+            Ordering::Less => drop(tracks.next()),
+            Ordering::Equal => return tracks.next().map(|(_, track)| track),
+            Ordering::Greater => return None,
+        }
+    }
+    None
+}
+
+/// Places of the candidates that an explanation lists, the best first.
+fn list_best(predictions: &[Prediction]) -> SmallVec<[usize; 16]> {
+    let score = |place: &usize| predictions[*place].score();
+    let order = |a: &usize, b: &usize| score(a).total_cmp(&score(b)).then(a.cmp(b));
+    let mut places: SmallVec<[usize; 16]> = (0..predictions.len()).collect();
+    if places.len() > LISTED_CANDIDATES {
+        places.select_nth_unstable_by(LISTED_CANDIDATES, order);
+        places.truncate(LISTED_CANDIDATES);
+    }
+    places.sort_unstable_by(order);
+    places
+}
+
 fn send_to(view: &UpstreamView, rank: Rank, prediction: Prediction) -> RouteDecision {
     let priority = priority_of(rank);
     RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority, prediction })
--- a/cicadastall/src/route/track.rs
+++ b/cicadastall/src/route/track.rs
@@ -88,6 +88,9 @@
     pub(crate) fn observe_record(&mut self, record: &UpstreamRecord) {
         let seen = (record.incarnation, record.sequence);
         if seen != self.seen {
+            if record.incarnation > self.seen.0 {
+                self.quarantined_until = None;
+            }
             self.seen = seen;
             self.prefix.accept_batch(record.incarnation, &record.load.cache);
         }
@@ -105,6 +108,11 @@
         record.incarnation <= self.seen.0 && self.quarantined_until.is_some_and(|until| now < until)
     }
 
+    /// Whether something of an upstream that is gone is still to be kept.
+    pub(crate) fn is_needed(&self, now: Instant) -> bool {
+        !self.sends.is_empty() || self.quarantined_until.is_some_and(|until| now < until)
+    }
+
     /// Learns the pace from an attempt whose first token came.
     pub(crate) fn note_first_token(&mut self, number: u64, now: Instant) {
         let Some(sent) = self.sends.iter_mut().find(|sent| sent.number == number) else { return };
--- /dev/null
+++ b/cicadastall/tests/route_tracks.rs
@@ -0,0 +1,124 @@
+//! What a router keeps of upstreams that restart or go.
+
+use cicadastall::{
+    decode::{RequestBody, RequestPlan},
+    prefix::PromptShape,
+    route::{RequestRouter, RouteDecision, RouterPlace, TriedTargets, policy::RouterPolicy},
+    settings::Rank,
+    table::{
+        Incarnation, LoadReport, RoutingTable, UpstreamRates, UpstreamRecord, UpstreamState,
+        UpstreamView,
+    },
+    wire::CallRequest,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Upstreams of a zone at the target size.
+const UPSTREAMS: u64 = 40;
+
+fn plan() -> RequestPlan {
+    RequestPlan {
+        request: "r".into(),
+        team: "trust".into(),
+        workspace: "aqaba-port".into(),
+        home: "aqaba".into(),
+        share: 1.0,
+        kind: "tuck-query".into(),
+        rank: Rank::Urgent,
+        worth: 1.0,
+        pool: "verdicts".into(),
+        model: None,
+        regions: ["aqaba".into()].into_iter().collect(),
+        first_token: Duration::from_secs(1),
+        deadline: Duration::from_secs(10),
+        repeatable: true,
+        forwarded_from: None,
+        session: None,
+        key: None,
+        resent: false,
+        acknowledged: Default::default(),
+        body: RequestBody::Call(CallRequest { arguments: serde_json::Value::Null }),
+    }
+}
+
+fn view(number: u64, incarnation: u64, now: Instant) -> UpstreamView {
+    let record = UpstreamRecord {
+        name: format!("m{number}").as_str().into(),
+        incarnation: Incarnation(incarnation),
+        sequence: 1,
+        region: "aqaba".into(),
+        zone: "aqaba-a".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        pool: "verdicts".into(),
+        models: Default::default(),
+        state: UpstreamState::Serving,
+        rates: UpstreamRates {
+            prefill_tokens_per_s: 2_000.0,
+            decode_tokens_per_s: 300.0,
+            max_running: 16,
+            kv_tokens: 100_000,
+        },
+        load: LoadReport::default(),
+        checks_fencing: false,
+    };
+    UpstreamView { record: Arc::new(record), renewed_at: now }
+}
+
+fn table(views: impl Iterator<Item = UpstreamView>) -> RoutingTable {
+    let upstreams = views.map(|view| (view.record.name.clone(), view)).collect();
+    RoutingTable { upstreams, ..RoutingTable::default() }
+}
+
+fn router() -> RequestRouter {
+    let place = RouterPlace { region: "aqaba".into(), zone: "aqaba-a".into() };
+    RequestRouter::with_policy(place, RouterPolicy::default(), 1)
+}
+
+fn choose(router: &mut RequestRouter, table: &RoutingTable, now: Instant) -> RouteDecision {
+    let shape = PromptShape { tokens: 100, answer_tokens: 10, blocks: Vec::new() };
+    router.choose(table, &plan(), &shape, &TriedTargets::default(), now)
+}
+
+#[test]
+fn tracks_of_upstreams_that_are_gone_are_forgotten() {
+    let (mut router, mut now) = (router(), Instant::now());
+    for generation in 0..20 {
+        let numbers = generation * UPSTREAMS..(generation + 1) * UPSTREAMS;
+        let table = table(numbers.map(|number| view(number, 1, now)));
+        choose(&mut router, &table, now);
+        now += Duration::from_secs(2);
+        choose(&mut router, &table, now);
+    }
+    assert_eq!(router.count_tracks(), UPSTREAMS as usize);
+}
+
+#[test]
+fn track_of_an_upstream_that_is_gone_is_kept_while_an_attempt_is_open() {
+    let (mut router, now) = (router(), Instant::now());
+    let shape = PromptShape { tokens: 100, answer_tokens: 10, blocks: Vec::new() };
+    let RouteDecision::Upstream(choice) =
+        choose(&mut router, &table([view(0, 1, now)].into_iter()), now)
+    else {
+        panic!("the only upstream is chosen");
+    };
+    let ticket = router.note_sent(&choice, &plan(), &shape, now);
+    let later = now + Duration::from_secs(2);
+    choose(&mut router, &RoutingTable::default(), later);
+    assert_eq!(router.count_tracks(), 1);
+    router.note_ended(&ticket);
+    choose(&mut router, &RoutingTable::default(), later + Duration::from_secs(2));
+    assert_eq!(router.count_tracks(), 0);
+}
+
+#[test]
+fn restarted_upstream_stays_out_of_quarantine() {
+    let (mut router, now) = (router(), Instant::now());
+    let before = view(0, 1, now);
+    choose(&mut router, &table([before.clone()].into_iter()), now);
+    router.note_failed(&before.record.name, now);
+    assert!(!router.explain_upstream(&before, now).used);
+    let restarted = view(0, 2, now);
+    choose(&mut router, &table([restarted.clone()].into_iter()), now);
+    assert!(router.explain_upstream(&restarted, now).used);
+}
