--- a/cicadastall-daemons/tests/scenario/fleet.rs
+++ b/cicadastall-daemons/tests/scenario/fleet.rs
@@ -3,6 +3,7 @@
 use super::{
     caller::{CallerOutcome, CallerRequest, ask_session, send, send_counted},
     changes::RevisionWatch,
+    flood::FloodCallers,
     link::{LinkProxy, LinkTable},
     load::LoadCallers,
 };
@@ -14,7 +15,6 @@
     collections::BTreeMap,
     fmt::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    process::Command,
     time::Duration,
 };
 use tokio::{
@@ -32,6 +32,9 @@
 /// Time after which an upstream that leaves may get nothing new.
 const LEAVE_BOUND_MS: u64 = 3_000;
 
+/// Most entries of a zone.
+const ZONE_NUMBERS: usize = 16;
+
 /// Pause between two tries of a caller that waits for an outcome.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -47,6 +50,33 @@
     process: Option<Process>,
 }
 
+impl Instance {
+    fn zone(&self) -> &str {
+        self.settings["zone"].as_str().expect("an instance has a zone")
+    }
+}
+
+/// Instances of a fleet.
+#[derive(Debug)]
+pub struct FleetShape {
+    /// Each has a control instance in its first zone.
+    pub regions: Vec<String>,
+    /// Last parts of the names of each region's zones.
+    pub zones: Vec<String>,
+    /// Entries of each zone.
+    pub entries: usize,
+    /// Entries of each region that keep replicas of its ledger.
+    pub ledger_entries: usize,
+}
+
+/// Where a stand-in runs, and the pool that it serves.
+#[derive(Debug, Clone)]
+pub struct StandinZone {
+    pub region: String,
+    pub zone: String,
+    pub pool: String,
+}
+
 /// One stand-in.
 #[derive(Debug)]
 struct Standin {
@@ -75,12 +105,14 @@
     client: HttpClient,
     pub watch: RevisionWatch,
     pub load: LoadCallers,
+    pub flood: FloodCallers,
     pub voters: Value,
 }
 
 impl Fleet {
-    /// Starts a control instance and `entries` entries in each of `regions`.
-    pub async fn start(regions: &[String], entries: usize, tree: &str) -> Self {
+    /// Starts a fleet of the given shape with the settings `tree`.
+    pub async fn start(shape: &FleetShape, tree: &str) -> Self {
+        let FleetShape { regions, zones, entries, ledger_entries } = shape;
         let mut fleet = Self {
             folder: TestFolder::new("scenario"),
             links: LinkTable::default(),
@@ -91,15 +123,29 @@
             client: client(64),
             watch: RevisionWatch::default(),
             load: LoadCallers::default(),
+            flood: FloodCallers::default(),
             voters: Value::Null,
         };
-        let tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
+        let mut tree: Value = serde_json::from_str(tree).expect("the scenario's settings are JSON");
+        for region in regions {
+            let names: Vec<_> = zones.iter().map(|zone| format!("{region}-{zone}")).collect();
+            tree["regions"][region]["zones"] = json!(names);
+        }
         let founding = fleet.folder.write("fleet.json", &tree);
         for (index, region) in regions.iter().enumerate() {
             fleet.add(&format!("{region}-control"), region, (index, 0), CONTROL).await;
-            for number in 1..=entries {
+            for number in 1..=*entries {
                 fleet.add(&format!("{region}-{number}"), region, (index, number), ENTRY).await;
             }
+            for (other, zone) in zones.iter().enumerate().skip(1) {
+                let zone = format!("{region}-{zone}");
+                for number in 1..=*entries {
+                    let name = format!("{zone}-{number}");
+                    fleet.add(&name, region, (index, other * ZONE_NUMBERS + number), ENTRY).await;
+                    let instance = fleet.instances.get_mut(&name).expect("the added entry");
+                    instance.settings["zone"] = json!(zone);
+                }
+            }
         }
         let controls: Vec<_> = fleet.addresses(|instance| instance.program == CONTROL);
         let seeds: Vec<_> = fleet.addresses(|_| true);
@@ -108,6 +154,7 @@
             .map(|(name, address)| json!({ "instance": name, "address": address }))
             .collect();
         let folder = fleet.folder.path();
+        let members = fleet.ledger_members(*ledger_entries);
         for (name, instance) in &mut fleet.instances {
             let home = |(other, _): &&(String, SocketAddr)| other.starts_with(&instance.region);
             let own_controls: Vec<_> = controls.iter().filter(home).collect();
@@ -115,14 +162,11 @@
             settings["seeds"] = json!(seeds.iter().map(|(_, seed)| seed).collect::<Vec<_>>());
             settings["control"] =
                 json!(own_controls.iter().map(|(_, address)| address).collect::<Vec<_>>());
+            settings["ledger_voters"] = json!(members[&instance.region]);
             if instance.program == CONTROL {
                 settings["founding_settings"] = json!(founding);
                 settings["settings_voters"] = json!(voters);
                 settings["data_folder"] = json!(folder.join(name));
-                let own_voters = own_controls
-                    .iter()
-                    .map(|(name, address)| json!({ "instance": name, "address": address }));
-                settings["ledger_voters"] = json!(own_voters.collect::<Vec<_>>());
             }
         }
         let names: Vec<_> = fleet.instances.keys().cloned().collect();
@@ -155,6 +199,20 @@
         self.instances.insert(name.to_owned(), instance);
     }
 
+    /// Members of each region's ledger: its control instance and its first entries.
+    fn ledger_members(&self, entries: usize) -> BTreeMap<String, Vec<Value>> {
+        let mut members: BTreeMap<String, Vec<Value>> = BTreeMap::new();
+        let (controls, others): (Vec<_>, Vec<_>) =
+            self.instances.iter().partition(|(_, instance)| instance.program == CONTROL);
+        for (name, instance) in controls.into_iter().chain(others) {
+            let voters = members.entry(instance.region.clone()).or_default();
+            if voters.len() <= entries {
+                voters.push(json!({ "instance": name, "address": instance.peer.address }));
+            }
+        }
+        members
+    }
+
     fn addresses(&self, wanted: impl Fn(&Instance) -> bool) -> Vec<(String, SocketAddr)> {
         let chosen = self.instances.iter().filter(|(_, instance)| wanted(instance));
         chosen.map(|(name, instance)| (name.clone(), instance.peer.address)).collect()
@@ -172,10 +230,12 @@
         instance.process = Some(process);
     }
 
-    /// Starts a stand-in with the arguments of its role; waits until its region's entries know it.
-    pub async fn start_upstream(&mut self, name: &str, region: &str, pool: &str, role: &[String]) {
-        let entries = self.entries_of(region);
-        let mut arguments = standin(name, region, pool, entries[0]);
+    /// Starts a stand-in with the arguments of its role; waits until its zone's entries know it.
+    pub async fn start_upstream(&mut self, name: &str, place: &StandinZone, role: &[String]) {
+        let entries = self.entries_of(&place.zone);
+        let mut arguments = standin(name, &place.region, &place.pool, entries[0]);
+        let option = arguments.iter().position(|argument| argument == "--zone");
+        arguments[option.expect("a stand-in has a zone") + 1] = place.zone.clone();
         for entry in &entries[1..] {
             arguments.extend(["--entry".to_owned(), entry.to_string()]);
         }
@@ -183,8 +243,8 @@
         let process = Some(Process::start(STANDIN, &arguments));
         let upstream = Standin { arguments, process, killed: None };
         self.standins.insert(name.to_owned(), upstream);
-        let in_region = |instance: &&Instance| instance.region == region;
-        for instance in self.instances.values().filter(in_region) {
+        let in_zone = |instance: &&Instance| instance.zone() == place.zone;
+        for instance in self.instances.values().filter(in_zone) {
             self.wait_listed(instance, name).await;
         }
     }
@@ -205,10 +265,9 @@
         }
     }
 
-    fn entries_of(&self, region: &str) -> Vec<SocketAddr> {
-        let in_region =
-            |instance: &&Instance| instance.region == region && instance.program == ENTRY;
-        let entries = self.instances.values().filter(in_region);
+    fn entries_of(&self, zone: &str) -> Vec<SocketAddr> {
+        let in_zone = |instance: &&Instance| instance.zone() == zone && instance.program == ENTRY;
+        let entries = self.instances.values().filter(in_zone);
         entries.map(|instance| instance.caller.address).collect()
     }
 
@@ -231,6 +290,25 @@
         process.expect("a running instance").address("operator")
     }
 
+    /// Names of the running instances.
+    pub fn running(&self) -> Vec<String> {
+        let runs = self.instances.iter().filter(|(_, instance)| instance.process.is_some());
+        runs.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Names of the running control instances.
+    pub fn controls(&self) -> Vec<String> {
+        let runs = |(_, instance): &(&String, &Instance)| {
+            instance.program == CONTROL && instance.process.is_some()
+        };
+        self.instances.iter().filter(runs).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Regions with a running control instance.
+    pub fn controlled_regions(&self) -> Vec<String> {
+        self.controls().iter().map(|name| self.instances[name].region.clone()).collect()
+    }
+
     /// Names of the running entries in `regions`.
     pub fn entries_in(&self, regions: &[String]) -> Vec<String> {
         let wanted = |(_, instance): &(&String, &Instance)| {
@@ -399,9 +477,7 @@
 
     /// Sends a signal to a process.
     pub fn signal(&mut self, name: &str, signal: &str) {
-        let id = self.process(name).as_ref().expect("a running process").child.id();
-        let sent = Command::new("kill").args([signal, &id.to_string()]).status();
-        assert!(sent.expect("signal a process").success());
+        self.process(name).as_ref().expect("a running process").signal(signal);
     }
 
     /// Stops a process gracefully and describes how it ended.
@@ -429,7 +505,7 @@
         text
     }
 
-    /// Cuts the links between two instances or regions, one way or both.
+    /// Cuts the links between two instances, zones or regions, one way or both.
     pub fn cut(&self, from: &str, to: &str, both: bool) {
         for source in self.matching(from) {
             for target in self.matching(to) {
@@ -441,9 +517,19 @@
         }
     }
 
+    /// Delays everything between instances of different regions, one way each.
+    pub fn delay_regions(&self, delay: Duration) {
+        for source in self.instances.values() {
+            for target in self.instances.values().filter(|other| other.region != source.region) {
+                self.links.delay(source.ip, target.ip, delay);
+            }
+        }
+    }
+
     fn matching(&self, name: &str) -> Vec<IpAddr> {
-        let matches =
-            |(instance, state): &(&String, &Instance)| *instance == name || state.region == name;
+        let matches = |(instance, state): &(&String, &Instance)| {
+            *instance == name || state.region == name || state.zone() == name
+        };
         self.instances.iter().filter(matches).map(|(_, state)| state.ip).collect()
     }
 
--- a/cicadastall/src/claim.rs
+++ b/cicadastall/src/claim.rs
@@ -26,6 +26,13 @@
 /// Longest time to wait for one host of the ledger.
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time to look for a leader among hosts that answer but do not lead: a hand-over takes one
+/// vote, while an election after a silence takes longer and is not waited for.
+const LEADER_WAIT: Duration = Duration::from_millis(500);
+
+/// Pause between two looks for a leader.
+const LEADER_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time that a result may take beyond the request's deadline before its outcome is unknown.
 const RESULT_MARGIN: Duration = Duration::from_secs(2);
 
@@ -134,56 +141,52 @@
         }
     }
 
-    /// Makes a change on the first host that confirms it, beginning with the last that did.
+    /// Makes a change; asks again for a moment while hosts answer that they do not lead, so that a
+    /// planned hand-over fails no booking.
     ///
-    /// Every change but the issue of a session is idempotent, so it may reach several hosts.
+    /// Every change but the issue of a session is idempotent, so it may reach several hosts and be
+    /// sent again.
     async fn change(&self, change: LedgerChange) -> Result<LedgerReply, ClaimError> {
-        let preferred = self.preferred.load(Ordering::Relaxed);
+        let deadline = Instant::now() + LEADER_WAIT;
         let mut lost = ClaimError::Unreached("no host is known".to_owned());
+        loop {
+            let failed = match self.ask_hosts(&change).await {
+                Ok(LedgerReply::Refused(refusal)) => return Err(ClaimError::Refused(refusal)),
+                Ok(reply) => return Ok(reply),
+                Err(failed) => failed,
+            };
+            lost = lost.after(failed.error);
+            if !failed.leaderless || Instant::now() >= deadline {
+                return Err(lost);
+            }
+            sleep(LEADER_PAUSE).await;
+        }
+    }
+
+    /// Sends a change to the hosts in turn until one confirms it, beginning with the last that did.
+    async fn ask_hosts(&self, change: &LedgerChange) -> Result<LedgerReply, HostsFailure> {
+        let preferred = self.preferred.load(Ordering::Relaxed);
+        let mut failed = HostsFailure {
+            error: ClaimError::Unreached("no host is known".to_owned()),
+            leaderless: false,
+        };
         for turn in 0..self.hosts.len() {
             let index = (preferred + turn) % self.hosts.len();
-            match self.ask_host(self.hosts[index], &change).await {
+            let change = change.clone();
+            let call =
+                self.clients.call(self.hosts[index], LEDGER_TIMEOUT, async |client, context| {
+                    client.change_ledger(context, change).await
+                });
+            match call.await {
                 Ok(Ok(reply)) => {
                     self.preferred.store(index, Ordering::Relaxed);
-                    return match reply {
-                        LedgerReply::Refused(refusal) => Err(ClaimError::Refused(refusal)),
-                        reply => Ok(reply),
-                    };
+                    return Ok(reply);
                 }
-                Ok(Err(error)) => lost = lost.after(error.into()),
-                Err(error) => lost = lost.after(error.into()),
+                Ok(Err(error)) => failed = failed.after_reply(error),
+                Err(error) => failed.error = failed.error.after(error.into()),
             }
         }
-        Err(lost)
-    }
-
-    /// Asks one host, once more where the connection kept to it turns out to be closed.
-    async fn ask_host(
-        &self,
-        host: SocketAddr,
-        change: &LedgerChange,
-    ) -> Result<Result<LedgerReply, GroupError>, PeerError> {
-        let asked = Instant::now();
-        match self.call_host(host, change, LEDGER_TIMEOUT).await {
-            Err(PeerError::NoReply(_)) if asked.elapsed() < LEDGER_TIMEOUT => {
-                let rest = LEDGER_TIMEOUT.saturating_sub(asked.elapsed());
-                self.call_host(host, change, rest).await
-            }
-            replied => replied,
-        }
-    }
-
-    async fn call_host(
-        &self,
-        host: SocketAddr,
-        change: &LedgerChange,
-        bound: Duration,
-    ) -> Result<Result<LedgerReply, GroupError>, PeerError> {
-        let change = change.clone();
-        let call = self
-            .clients
-            .call(host, bound, async |client, context| client.change_ledger(context, change).await);
-        call.await
+        Err(failed)
     }
 
     /// Makes a change in up to `attempts`, as long as no host confirms it.
@@ -203,6 +206,22 @@
     }
 }
 
+/// Why no host of the ledger confirmed a change.
+#[derive(Debug)]
+struct HostsFailure {
+    error: ClaimError,
+    /// Whether a host answered that it does not lead.
+    leaderless: bool,
+}
+
+impl HostsFailure {
+    /// What is known after a host has replied with `error`.
+    fn after_reply(self, error: GroupError) -> Self {
+        let leaderless = self.leaderless || matches!(error, GroupError::NotLeader { .. });
+        Self { error: self.error.after(error.into()), leaderless }
+    }
+}
+
 /// A key that this entry holds and may send to one upstream.
 #[derive(Debug)]
 pub struct ClaimHolder {
--- a/cicadastall/src/relay/crash.rs
+++ b/cicadastall/src/relay/crash.rs
@@ -38,11 +38,22 @@
 }
 
 impl RequestRelay {
+    /// Whether a copy of the request crashed an upstream.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.context.suspects().judge(self.fingerprint) == Suspicion::Suspect
+    }
+
     /// Refuses a request in quarantine, and otherwise isolates a suspect on the upstream of `view`.
+    ///
+    /// While it is not known whether a copy of this entry crashed its upstream, no other starts.
     pub(super) async fn permit_attempt(
         &self,
         view: &UpstreamView,
     ) -> Result<AttemptPermit, Refusal> {
+        if self.context.suspects().is_probing(self.fingerprint) {
+            sleep(ISOLATION_PAUSE).await;
+            return Ok(AttemptPermit::Busy);
+        }
         match self.context.suspects().judge(self.fingerprint) {
             Suspicion::None => Ok(AttemptPermit::Free),
             Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
@@ -66,7 +77,8 @@
 
     /// Finds out whether a failed attempt crashed its upstream, and tells the region if so.
     ///
-    /// A request whose deadline has passed gets its final answer at once, without a probe.
+    /// A request that was sent after the crash was known here did not run at it. A request whose
+    /// deadline has passed gets its final answer at once, without a probe.
     pub(super) async fn note_failure(
         &self,
         attempt: &OpenAttempt,
@@ -80,6 +92,7 @@
         let Some(upstream) = &attempt.source.upstream else {
             return Ok(());
         };
+        let _probe = self.context.suspects().begin_probe(self.fingerprint);
         let verdict = probe_upstream(*address, self.remaining()).await;
         log::info!(
             attempt = attempt.id.as_str(), upstream = upstream.as_str();
@@ -91,6 +104,9 @@
         let crash =
             UpstreamCrash { upstream: upstream.clone(), incarnation: attempt.incarnation.0 };
         let board = self.context.suspects();
+        if board.is_known_before(&crash, attempt.chosen_at) {
+            return Ok(());
+        }
         match board.report_crash(self.context.peer_clients(), self.fingerprint, crash).await {
             Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
             _ => Ok(()),
--- a/cicadastall/src/route/track.rs
+++ b/cicadastall/src/route/track.rs
@@ -5,6 +5,7 @@
     name::UpstreamName,
     prefix::PrefixView,
     settings::Rank,
+    suspect::RequestFingerprint,
     table::{Incarnation, UpstreamRecord},
 };
 use smallvec::SmallVec;
@@ -41,6 +42,8 @@
     pub(crate) sent_at: Instant,
     pub(crate) uncached_tokens: u32,
     pub(crate) urgent: bool,
+    /// The request of which it is one copy.
+    pub(crate) fingerprint: RequestFingerprint,
     /// Predicted time to first token, until it has come.
     pub(crate) predicted: Option<Duration>,
 }
@@ -88,6 +91,9 @@
     pub(crate) fn observe_record(&mut self, record: &UpstreamRecord) {
         let seen = (record.incarnation, record.sequence);
         if seen != self.seen {
+            if record.incarnation > self.seen.0 {
+                self.quarantined_until = None;
+            }
             self.seen = seen;
             self.prefix.accept_batch(record.incarnation, &record.load.cache);
         }
@@ -105,6 +111,11 @@
         record.incarnation <= self.seen.0 && self.quarantined_until.is_some_and(|until| now < until)
     }
 
+    /// Whether something of an upstream that is gone is still to be kept.
+    pub(crate) fn is_needed(&self, now: Instant) -> bool {
+        !self.sends.is_empty() || self.quarantined_until.is_some_and(|until| now < until)
+    }
+
     /// Learns the pace from an attempt whose first token came.
     pub(crate) fn note_first_token(&mut self, number: u64, now: Instant) {
         let Some(sent) = self.sends.iter_mut().find(|sent| sent.number == number) else { return };
@@ -134,6 +145,11 @@
         recent.collect()
     }
 
+    /// Whether an attempt of a copy of `fingerprint` has not ended.
+    pub(crate) fn runs_copy(&self, fingerprint: RequestFingerprint) -> bool {
+        self.sends.iter().any(|sent| sent.fingerprint == fingerprint)
+    }
+
     /// Observed over predicted time to first token for requests of `rank`.
     pub(crate) fn pace(&self, rank: Rank) -> f64 {
         if rank == Rank::Urgent { self.urgent_pace } else { self.patient_pace }
