Let a renewal name the announcement that it renews

Cause: an entry that was stopped drops for 0.3 s what waited in its queues, but answers it. An announcement of leaving was dropped so; the upstream took it for told, renewed it by load and sequence only, and the woken entry renewed the serving state before it, under a newer number than the zone had. Change: a renewal has the number of the whole announcement that the entry answered; an entry that has not taken that one asks for the whole. The stand-in notes the whole announcement that follows such an answer.

--- a/cicadastall-standins/src/announce.rs
+++ b/cicadastall-standins/src/announce.rs
@@ -155,11 +155,12 @@
             if reached == ANNOUNCED_ENTRIES {
                 break;
             }
-            let whole = told.get(&address).is_none_or(|told| !renews(told, &record));
-            if let Ok(reply) = announce_once(&client, address, &record, whole).await {
+            let renewed = told.get(&address).filter(|told| renews(told, &record));
+            let renewed = renewed.map(|told: &UpstreamRecord| told.sequence);
+            if let Ok(reply) = announce_once(&client, address, &record, renewed).await {
                 reached += 1;
                 pause = Duration::from_millis(reply.renew_within_ms);
-                if whole || reply.announce {
+                if renewed.is_none() || reply.announce {
                     told.insert(address, record.clone());
                 }
                 entries.extend(reply.entries);
@@ -199,21 +200,27 @@
     *record == UpstreamRecord { sequence: record.sequence, load, ..told.clone() }
 }
 
-/// Announces `record` to the entry at `address`; by a renewal, unless `whole` is set or the entry
-/// asks for the announcement.
+/// Announces `record` to the entry at `address`; by a renewal of the announcement `renewed`, unless
+/// there is none or the entry asks for the whole.
 async fn announce_once(
     client: &HttpClient,
     address: SocketAddr,
     record: &UpstreamRecord,
-    whole: bool,
+    renewed: Option<u64>,
 ) -> Result<AnnounceReply, CallError> {
-    if !whole {
-        let body = Some(&record.to_renewal());
-        let reply: AnnounceReply =
-            call_json(client, Method::POST, address, RENEW_PATH, body, ANNOUNCE_TIMEOUT).await?;
-        if !reply.announce {
-            return Ok(reply);
-        }
+    let method = Method::POST;
+    let Some(renewed) = renewed else {
+        let body = Some(record);
+        return call_json(client, method, address, ANNOUNCE_PATH, body, ANNOUNCE_TIMEOUT).await;
+    };
+    let body = Some(&record.to_renewal(renewed));
+    let reply: AnnounceReply =
+        call_json(client, method.clone(), address, RENEW_PATH, body, ANNOUNCE_TIMEOUT).await?;
+    if !reply.announce {
+        return Ok(reply);
     }
-    call_json(client, Method::POST, address, ANNOUNCE_PATH, Some(record), ANNOUNCE_TIMEOUT).await
+    let body = Some(record);
+    let whole: AnnounceReply =
+        call_json(client, method, address, ANNOUNCE_PATH, body, ANNOUNCE_TIMEOUT).await?;
+    Ok(AnnounceReply { announce: true, ..whole })
 }
--- a/cicadastall-standins/src/network.rs
+++ b/cicadastall-standins/src/network.rs
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone)]
 enum Delivery {
     Datagram(Bytes, SocketAddr),
-    Announcement { record: Box<UpstreamRecord>, whole: bool },
+    Announcement { record: Box<UpstreamRecord>, renewed: Option<u64> },
 }
 
 #[derive(Debug)]
@@ -57,16 +57,17 @@
 struct NetworkUpstream {
     record: UpstreamRecord,
     entries: [usize; 2],
-    told: bool,
+    /// Number of the announcement that its renewals renew; none where a whole one is due.
+    told: Option<u64>,
     announce_at: Instant,
     running: bool,
 }
 
 impl NetworkNode {
     /// Takes a renewal, and the announcement where it is due or the renewal is not enough.
-    fn take_announcement(&mut self, record: UpstreamRecord, whole: bool, now: Instant) {
-        if !whole {
-            let renewal = record.to_renewal();
+    fn take_announcement(&mut self, record: UpstreamRecord, renewed: Option<u64>, now: Instant) {
+        if let Some(renewed) = renewed {
+            let renewal = record.to_renewal(renewed);
             self.traffic.announced_bytes += count_json(&renewal);
             if self.members.renew(renewal, now).is_some() {
                 return;
@@ -194,7 +195,7 @@
         self.upstreams.push(NetworkUpstream {
             record,
             entries,
-            told: false,
+            told: None,
             announce_at,
             running: true,
         });
@@ -262,7 +263,7 @@
     pub fn set_upstream_state(&mut self, index: usize, state: UpstreamState) {
         let upstream = &mut self.upstreams[index];
         upstream.record.state = state;
-        upstream.told = false;
+        upstream.told = None;
         upstream.announce_at = self.now;
     }
 
@@ -333,14 +334,15 @@
                 upstream.announce_at = now + RENEW_PERIOD;
                 upstream.record.sequence += 1;
                 vary_load(&mut upstream.record.load, &mut self.random);
-                let whole = !mem::replace(&mut upstream.told, true);
-                due.push((upstream.entries, upstream.record.clone(), whole));
+                let renewed = upstream.told;
+                upstream.told.get_or_insert(upstream.record.sequence);
+                due.push((upstream.entries, upstream.record.clone(), renewed));
             }
         }
-        for (entries, record, whole) in due {
+        for (entries, record, renewed) in due {
             for entry in entries {
                 let record = Box::new(record.clone());
-                self.deliver(entry, Delivery::Announcement { record, whole });
+                self.deliver(entry, Delivery::Announcement { record, renewed });
             }
         }
     }
@@ -355,8 +357,8 @@
             return;
         }
         match delivery {
-            Delivery::Announcement { record, whole } => {
-                node.take_announcement(*record, whole, self.now);
+            Delivery::Announcement { record, renewed } => {
+                node.take_announcement(*record, renewed, self.now);
             }
             Delivery::Datagram(bytes, origin) => {
                 node.traffic.received += 1;
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -11,8 +11,8 @@
     route::DIGEST_EXPIRY,
     sender::PacketSender,
     table::{
-        EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord, UpstreamRenewal,
-        UpstreamState, UpstreamView, ZoneDigest, ZoneView,
+        AnnouncedUpstream, EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord,
+        UpstreamRenewal, UpstreamState, UpstreamView, ZoneDigest, ZoneView,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -97,7 +97,7 @@
     pub(crate) peers: BTreeMap<InstanceName, PeerState>,
     pub(crate) probes: ProbeTable,
     pub(crate) upstreams: BTreeMap<UpstreamName, UpstreamView>,
-    pub(crate) announced: BTreeMap<UpstreamName, UpstreamView>,
+    pub(crate) announced: BTreeMap<UpstreamName, AnnouncedUpstream>,
     pub(crate) drained: BTreeMap<UpstreamName, Incarnation>,
     pub(crate) zones: BTreeMap<ZoneName, ZoneState>,
     pub(crate) log: RowLog,
@@ -168,6 +168,26 @@
     ///
     /// Returns whether an operator has the upstream drained.
     pub fn announce(&mut self, record: UpstreamRecord, now: Instant) -> bool {
+        let announced = record.sequence;
+        self.take_record(record, announced, now)
+    }
+
+    /// Takes the renewal of an announcement that the upstream made to this instance before.
+    ///
+    /// Returns whether an operator has the upstream drained, or none where this instance has not
+    /// taken that announcement, as one that had been stopped does not.
+    pub fn renew(&mut self, renewal: UpstreamRenewal, now: Instant) -> Option<bool> {
+        let UpstreamRenewal { name, incarnation, announced, sequence, load } = renewal;
+        let known = self.announced.get(&name)?;
+        if (known.view.record.incarnation, known.announced) != (incarnation, announced) {
+            return None;
+        }
+        let record = UpstreamRecord { sequence, load, ..(*known.view.record).clone() };
+        Some(self.take_record(record, announced, now))
+    }
+
+    /// Keeps a record whose fields but the load came with the announcement `announced`.
+    fn take_record(&mut self, record: UpstreamRecord, announced: u64, now: Instant) -> bool {
         self.note_time(now);
         let drained = self.is_drained(&record);
         let foreign = record.zone != self.own.zone || record.region != self.own.region;
@@ -176,13 +196,14 @@
         }
         let record = Arc::new(record);
         let known = self.announced.get(&record.name);
-        if known.is_some_and(|known| !is_newer(&record, &known.record)) {
+        if known.is_some_and(|known| !is_newer(&record, &known.view.record)) {
             return drained;
         }
         let name = record.name.clone();
         self.renew_upstream(Arc::clone(&record), now);
         let content = RowContent::Upstream(Box::new(UpstreamRow::new(&record)));
-        self.announced.insert(name.clone(), UpstreamView { record, renewed_at: now });
+        let view = UpstreamView { record, renewed_at: now };
+        self.announced.insert(name.clone(), AnnouncedUpstream { view, announced });
         let (handle, changed) = self.log.set(RowKey::Upstream(name), content);
         self.outbox.note_upstream(handle);
         if changed {
@@ -191,20 +212,6 @@
         drained
     }
 
-    /// Takes the renewal of an announcement that the upstream made to this instance before.
-    ///
-    /// Returns whether an operator has the upstream drained, or none where this instance has no
-    /// announcement of the upstream's process.
-    pub fn renew(&mut self, renewal: UpstreamRenewal, now: Instant) -> Option<bool> {
-        let UpstreamRenewal { name, incarnation, sequence, load } = renewal;
-        let known = &self.announced.get(&name)?.record;
-        if known.incarnation != incarnation {
-            return None;
-        }
-        let record = UpstreamRecord { sequence, load, ..(**known).clone() };
-        Some(self.announce(record, now))
-    }
-
     /// Keeps a record that was announced at `renewed_at`, unless a newer one is known.
     pub(crate) fn renew_upstream(&mut self, record: Arc<UpstreamRecord>, renewed_at: Instant) {
         let known = self.upstreams.get(&record.name);
@@ -321,7 +328,7 @@
         self.upstreams.retain(|_, view| fresh(view.renewed_at));
         let upstreams = &self.upstreams;
         self.drained.retain(|name, _| upstreams.contains_key(name));
-        self.announced.retain(|_, view| fresh(view.renewed_at));
+        self.announced.retain(|_, upstream| fresh(upstream.view.renewed_at));
         for zone in self.zones.values_mut() {
             zone.direct_at = zone.direct_at.filter(|at| fresh(*at));
             zone.held.retain(|_, (_, until)| *until > now);
--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -8,6 +8,7 @@
     probes::ProbeStep,
     pulse::{PulseAge, PulseLoad, RowPulse},
     sender::{PacketSender, SenderField},
+    table::AnnouncedUpstream,
 };
 use rand::{RngExt, seq::IteratorRandom};
 use std::{
@@ -297,7 +298,7 @@
     /// Adds the number and age of the newest announcement to an upstream's row.
     fn fill_row(&self, mut row: LogRow, now: Instant) -> LogRow {
         if let RowContent::Upstream(upstream) = &mut row.content
-            && let Some(view) = self.announced.get(&upstream.name)
+            && let Some(AnnouncedUpstream { view, .. }) = self.announced.get(&upstream.name)
         {
             upstream.sequence = view.record.sequence;
             upstream.age_ms = age_millis(view.renewed_at, now);
@@ -308,7 +309,7 @@
     fn make_pulses(&mut self, now: Instant) -> Vec<RowPulse> {
         let mut pulses = Vec::new();
         let rows = mem::take(&mut self.outbox.upstream_news);
-        for (name, view) in &self.announced {
+        for (name, AnnouncedUpstream { view, .. }) in &self.announced {
             let handle = self.log.handle(&RowKey::Upstream(name.clone()));
             if let Some(handle) = handle.filter(|handle| rows.contains(handle)) {
                 pulses.push(RowPulse::Upstream {
--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -133,11 +133,12 @@
 }
 
 impl UpstreamRecord {
-    /// What renews the announcement, where the receiver has its other fields.
-    pub fn to_renewal(&self) -> UpstreamRenewal {
+    /// What renews the announcement `announced`, where the receiver has its other fields.
+    pub fn to_renewal(&self, announced: u64) -> UpstreamRenewal {
         UpstreamRenewal {
             name: self.name.clone(),
             incarnation: self.incarnation,
+            announced,
             sequence: self.sequence,
             load: self.load.clone(),
         }
@@ -151,12 +152,23 @@
     pub name: UpstreamName,
     /// Restart counter of the upstream.
     pub incarnation: Incarnation,
+    /// Number of the announcement that has the other fields.
+    pub announced: u64,
     /// Grows with each announcement and renewal of one incarnation.
     pub sequence: u64,
     /// Load at the time of the renewal.
     pub load: LoadReport,
 }
 
+/// An upstream that announced itself to this instance.
+#[derive(Debug, Clone)]
+pub(crate) struct AnnouncedUpstream {
+    /// The upstream, with the time of its newest announcement or renewal.
+    pub(crate) view: UpstreamView,
+    /// Number of the announcement whose fields it has.
+    pub(crate) announced: u64,
+}
+
 /// An upstream in the table, with the time of its newest announcement.
 #[derive(Debug, Clone)]
 pub struct UpstreamView {
