--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -39,7 +39,7 @@
 const HEALING_SPREAD: Duration = Duration::from_secs(3);
 
 /// Age of the digest that another member passed on, after which this one passes its own on.
-const RELAY_AFTER: Duration = Duration::from_millis(2_800);
+const RELAY_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Time for which an entry of another zone is not used after a request could not reach it.
 const UNREACHABLE_HOLD: Duration = Duration::from_secs(5);
--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -22,7 +22,7 @@
 pub const POLL_PERIOD: Duration = Duration::from_millis(100);
 
 /// Time between two bulletins without urgent news.
-const BULLETIN_PERIOD: Duration = Duration::from_millis(1_400);
+const BULLETIN_PERIOD: Duration = Duration::from_millis(1_200);
 
 /// One in so many bulletins names its sender with all fields.
 const FULL_SENDER_ROUNDS: u32 = 8;
