Revert "Let upstreams renew their announcements by what changes"

Probable, not proved: a woken entry drops the announcement of leaving in its time of distrust but answers it, and the next renewal then renews the announcement from before, as serving.

--- a/cicadastall-standins/src/announce.rs
+++ b/cicadastall-standins/src/announce.rs
@@ -1,16 +1,15 @@
 //! Announcements of a stand-in to the entries of its zone.
 
 use cicadastall::{
-    http::{CallError, HttpClient, call_json, client},
+    http::{HttpClient, call_json, client},
     name::{ModelName, PoolName, RegionName, UpstreamName, ZoneName},
-    serve::{ANNOUNCE_PATH, RENEW_PATH},
+    serve::ANNOUNCE_PATH,
     table::{Incarnation, LoadReport, UpstreamRates, UpstreamRecord, UpstreamState},
     wire::AnnounceReply,
 };
 use hyper::Method;
 use serde::Serialize;
 use std::{
-    collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{
@@ -142,7 +141,6 @@
     mut refresh: impl FnMut(&mut UpstreamRecord),
 ) {
     let client = client(ANNOUNCED_ENTRIES);
-    let mut told = BTreeMap::new();
     loop {
         record.sequence += 1;
         refresh(&mut record);
@@ -155,13 +153,9 @@
             if reached == ANNOUNCED_ENTRIES {
                 break;
             }
-            let whole = told.get(&address).is_none_or(|told| !renews(told, &record));
-            if let Ok(reply) = announce_once(&client, address, &record, whole).await {
+            if let Ok(reply) = announce_once(&client, address, &record).await {
                 reached += 1;
                 pause = Duration::from_millis(reply.renew_within_ms);
-                if whole || reply.announce {
-                    told.insert(address, record.clone());
-                }
                 entries.extend(reply.entries);
                 entries.sort_by_cached_key(|entry| rank_entry(&record, *entry));
                 entries.dedup();
@@ -193,27 +187,10 @@
     }
 }
 
-/// Whether a renewal says all in which `record` differs from `told`.
-fn renews(told: &UpstreamRecord, record: &UpstreamRecord) -> bool {
-    let load = record.load.clone();
-    *record == UpstreamRecord { sequence: record.sequence, load, ..told.clone() }
-}
-
-/// Announces `record` to the entry at `address`; by a renewal, unless `whole` is set or the entry
-/// asks for the announcement.
 async fn announce_once(
     client: &HttpClient,
     address: SocketAddr,
     record: &UpstreamRecord,
-    whole: bool,
-) -> Result<AnnounceReply, CallError> {
-    if !whole {
-        let body = Some(&record.to_renewal());
-        let reply: AnnounceReply =
-            call_json(client, Method::POST, address, RENEW_PATH, body, ANNOUNCE_TIMEOUT).await?;
-        if !reply.announce {
-            return Ok(reply);
-        }
-    }
+) -> Result<AnnounceReply, cicadastall::http::CallError> {
     call_json(client, Method::POST, address, ANNOUNCE_PATH, Some(record), ANNOUNCE_TIMEOUT).await
 }
--- a/cicadastall-standins/src/network.rs
+++ b/cicadastall-standins/src/network.rs
@@ -16,7 +16,6 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
 use std::{
     collections::{BTreeMap, BTreeSet},
     mem,
@@ -41,7 +40,7 @@
 #[derive(Debug, Clone)]
 enum Delivery {
     Datagram(Bytes, SocketAddr),
-    Announcement { record: Box<UpstreamRecord>, whole: bool },
+    Announcement(Box<UpstreamRecord>),
 }
 
 #[derive(Debug)]
@@ -57,26 +56,10 @@
 struct NetworkUpstream {
     record: UpstreamRecord,
     entries: [usize; 2],
-    told: bool,
     announce_at: Instant,
     running: bool,
 }
 
-impl NetworkNode {
-    /// Takes a renewal, and the announcement where it is due or the renewal is not enough.
-    fn take_announcement(&mut self, record: UpstreamRecord, whole: bool, now: Instant) {
-        if !whole {
-            let renewal = record.to_renewal();
-            self.traffic.announced_bytes += count_json(&renewal);
-            if self.members.renew(renewal, now).is_some() {
-                return;
-            }
-        }
-        self.traffic.announced_bytes += count_json(&record);
-        self.members.announce(record, now);
-    }
-}
-
 /// Faults of the network.
 #[derive(Debug, Clone, Default)]
 pub struct NetworkFaults {
@@ -191,13 +174,7 @@
         };
         let offset = RENEW_PERIOD.mul_f64(self.random.random_range(0.0..1.0));
         let announce_at = self.now + offset;
-        self.upstreams.push(NetworkUpstream {
-            record,
-            entries,
-            told: false,
-            announce_at,
-            running: true,
-        });
+        self.upstreams.push(NetworkUpstream { record, entries, announce_at, running: true });
         index
     }
 
@@ -262,7 +239,6 @@
     pub fn set_upstream_state(&mut self, index: usize, state: UpstreamState) {
         let upstream = &mut self.upstreams[index];
         upstream.record.state = state;
-        upstream.told = false;
         upstream.announce_at = self.now;
     }
 
@@ -333,14 +309,12 @@
                 upstream.announce_at = now + RENEW_PERIOD;
                 upstream.record.sequence += 1;
                 vary_load(&mut upstream.record.load, &mut self.random);
-                let whole = !mem::replace(&mut upstream.told, true);
-                due.push((upstream.entries, upstream.record.clone(), whole));
+                due.push((upstream.entries, upstream.record.clone()));
             }
         }
-        for (entries, record, whole) in due {
+        for (entries, record) in due {
             for entry in entries {
-                let record = Box::new(record.clone());
-                self.deliver(entry, Delivery::Announcement { record, whole });
+                self.deliver(entry, Delivery::Announcement(Box::new(record.clone())));
             }
         }
     }
@@ -355,8 +329,10 @@
             return;
         }
         match delivery {
-            Delivery::Announcement { record, whole } => {
-                node.take_announcement(*record, whole, self.now);
+            Delivery::Announcement(record) => {
+                let length = serde_json::to_vec(&record).map_or(0, |body| body.len());
+                node.traffic.announced_bytes += length as u64;
+                node.members.announce(*record, self.now);
             }
             Delivery::Datagram(bytes, origin) => {
                 node.traffic.received += 1;
@@ -413,10 +389,6 @@
     }
 }
 
-fn count_json(body: &impl Serialize) -> u64 {
-    serde_json::to_vec(body).map_or(0, |body| body.len() as u64)
-}
-
 /// Moves a load by what some hundred milliseconds of requests change.
 fn vary_load(load: &mut LoadReport, random: &mut ChaCha8Rng) {
     load.running = load.running.saturating_add_signed(random.random_range(-4..=4)).min(32);
--- a/cicadastall-standins/tests/membership.rs
+++ b/cicadastall-standins/tests/membership.rs
@@ -205,17 +205,6 @@
     }
 }
 
-#[test]
-fn restarted_entries_ask_for_what_a_renewal_leaves_out() {
-    let mut network = network(&["aqaba-a"], 3, 32);
-    let upstream = network.add_upstream("verdicts", "model-0", [0, 1]);
-    network.run(10 * SECOND);
-    network.restart(0, &[2]);
-    network.restart(1, &[2]);
-    network.run(4 * SECOND);
-    assert!((0..3).all(|node| would_dispatch(&network, node, upstream)));
-}
-
 #[test]
 fn announcement_that_waited_in_a_queue_is_no_sign_of_life() {
     let mut network = network(&["aqaba-a"], 3, 19);
--- a/cicadastall/src/members.rs
+++ b/cicadastall/src/members.rs
@@ -11,8 +11,8 @@
     route::DIGEST_EXPIRY,
     sender::PacketSender,
     table::{
-        EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord, UpstreamRenewal,
-        UpstreamState, UpstreamView, ZoneDigest, ZoneView,
+        EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord, UpstreamState,
+        UpstreamView, ZoneDigest, ZoneView,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -191,20 +191,6 @@
         drained
     }
 
-    /// Takes the renewal of an announcement that the upstream made to this instance before.
-    ///
-    /// Returns whether an operator has the upstream drained, or none where this instance has no
-    /// announcement of the upstream's process.
-    pub fn renew(&mut self, renewal: UpstreamRenewal, now: Instant) -> Option<bool> {
-        let UpstreamRenewal { name, incarnation, sequence, load } = renewal;
-        let known = &self.announced.get(&name)?.record;
-        if known.incarnation != incarnation {
-            return None;
-        }
-        let record = UpstreamRecord { sequence, load, ..(**known).clone() };
-        Some(self.announce(record, now))
-    }
-
     /// Keeps a record that was announced at `renewed_at`, unless a newer one is known.
     pub(crate) fn renew_upstream(&mut self, record: Arc<UpstreamRecord>, renewed_at: Instant) {
         let known = self.upstreams.get(&record.name);
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -10,13 +10,12 @@
     name::{UpstreamName, ZoneName},
     node::NodeSettings,
     outbox::{OutgoingPacket, POLL_PERIOD},
-    table::{EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord, UpstreamRenewal},
+    table::{EntryRecord, EntryState, Incarnation, RoutingTable, UpstreamRecord},
     wire::{AnnounceReply, EntriesReply},
 };
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use std::{
-    collections::BTreeSet,
     net::SocketAddr,
     sync::{
         Arc,
@@ -35,10 +34,6 @@
 /// Entries that the reply to an announcement names.
 const ANNOUNCE_ENTRIES: usize = 4;
 
-/// Time for which replies to renewals name the zone's entries after these changed; several times
-/// the period of renewals.
-const ENTRIES_NEWS: Duration = Duration::from_secs(5);
-
 /// Time in which a started instance learns of its zone's members and upstreams.
 const LEARN_TIME: Duration = Duration::from_millis(1_500);
 
@@ -53,8 +48,6 @@
 pub enum MembershipMessage {
     /// An upstream announces itself.
     Announce(Box<UpstreamRecord>, RpcReplyPort<AnnounceReply>),
-    /// An upstream renews its announcement.
-    Renew(Box<UpstreamRenewal>, RpcReplyPort<AnnounceReply>),
     /// A datagram arrived from another instance at the address.
     Packet(Box<MemberPacket>, SocketAddr),
     /// Changes the readiness of this instance.
@@ -104,8 +97,6 @@
     started_at: Instant,
     plan: PublishPlan,
     client: HttpClient,
-    listed: BTreeSet<SocketAddr>,
-    listed_at: Instant,
 }
 
 impl Actor for MembershipActor {
@@ -133,16 +124,7 @@
         myself.send_interval(POLL_PERIOD, || MembershipMessage::Tick);
         let client = http::client_from(arguments.node.source_ip(), 0);
         let plan = PublishPlan::default();
-        let started_at = Instant::now();
-        Ok(MembershipState {
-            arguments,
-            members,
-            started_at,
-            plan,
-            client,
-            listed: BTreeSet::new(),
-            listed_at: started_at,
-        })
+        Ok(MembershipState { arguments, members, started_at: Instant::now(), plan, client })
     }
 
     async fn handle(
@@ -158,11 +140,6 @@
                 state.publish(now);
                 let _ = reply.send(state.reply_announcement(drain, now));
             }
-            MembershipMessage::Renew(renewal, reply) => {
-                let drain = state.members.renew(*renewal, now);
-                state.publish(now);
-                let _ = reply.send(state.reply_renewal(drain, now));
-            }
             MembershipMessage::Packet(packet, origin) => {
                 state.members.accept(*packet, origin, now);
                 let replies = state.members.poll_replies(now);
@@ -246,34 +223,14 @@
     }
 
     fn reply_announcement(&self, drain: bool, now: Instant) -> AnnounceReply {
-        let mut entries = self.zone_entries(now);
-        entries.truncate(ANNOUNCE_ENTRIES);
-        let renew_within_ms = RENEW_WITHIN.as_millis() as u64;
-        AnnounceReply { renew_within_ms, entries, drain, announce: false }
-    }
-
-    /// The reply to a renewal; `drain` is none where there is no announcement to renew.
-    fn reply_renewal(&mut self, drain: Option<bool>, now: Instant) -> AnnounceReply {
-        let mut entries = self.zone_entries(now);
-        let listed = entries.iter().copied().collect();
-        if listed != self.listed {
-            self.listed = listed;
-            self.listed_at = now;
-        }
-        if now.duration_since(self.listed_at) >= ENTRIES_NEWS {
-            entries.clear();
-        }
-        entries.truncate(ANNOUNCE_ENTRIES);
-        let renew_within_ms = RENEW_WITHIN.as_millis() as u64;
-        let announce = drain.is_none();
-        AnnounceReply { renew_within_ms, entries, drain: drain.unwrap_or_default(), announce }
-    }
-
-    /// Addresses of the zone's entries, in the order of the listing.
-    fn zone_entries(&self, now: Instant) -> Vec<SocketAddr> {
         let zone = &self.members.own().zone;
         let listing = list_entries(&self.members, now).entries;
-        listing.into_iter().filter(|row| row.zone == *zone).map(|row| row.address).collect()
+        let rows = listing.into_iter().filter(|row| row.zone == *zone).take(ANNOUNCE_ENTRIES);
+        AnnounceReply {
+            renew_within_ms: RENEW_WITHIN.as_millis() as u64,
+            entries: rows.map(|row| row.address).collect(),
+            drain,
+        }
     }
 }
 
--- a/cicadastall/src/serve.rs
+++ b/cicadastall/src/serve.rs
@@ -13,11 +13,11 @@
     relay::{AnswerSource, RelayedStep, RelayedStream, RequestRelay, StreamPassage},
     sessions::{SESSIONS_PATH, issue_session},
     stream::{EventScanner, encode_event},
+    table::UpstreamRecord,
     trace::RequestTrace,
     wire::{
-        AnnounceReply, CallAnswer, CallRequest, ChatChoice, ChatChunk, ChatDelta, ChatRequest,
-        ChunkView, END_MARKER, ErrorBody, FORWARDED_HEADER, REGION_HEADER, REQUEST_HEADER,
-        UPSTREAM_HEADER,
+        CallAnswer, CallRequest, ChatChoice, ChatChunk, ChatDelta, ChatRequest, ChunkView,
+        END_MARKER, ErrorBody, FORWARDED_HEADER, REGION_HEADER, REQUEST_HEADER, UPSTREAM_HEADER,
     },
 };
 use bytes::Bytes;
@@ -27,17 +27,12 @@
     body::Incoming,
     header::{HeaderValue, RETRY_AFTER},
 };
-use ractor::RpcReplyPort;
-use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// Path of upstreams' announcements.
 pub const ANNOUNCE_PATH: &str = "/v1/announce";
 
-/// Path of renewals of upstreams' announcements.
-pub const RENEW_PATH: &str = "/v1/renew";
-
 /// Path of the listing of entries.
 pub const ENTRIES_PATH: &str = "/v1/entries";
 
@@ -78,25 +73,17 @@
     };
     match (head.method, head.uri.path()) {
         (Method::GET, ENTRIES_PATH) => list_entries(&context).await,
-        (
-            Method::POST,
-            path @ (ANNOUNCE_PATH | RENEW_PATH | SESSIONS_PATH | CHAT_PATH | CALL_PATH),
-        ) if context.stop().is_draining() => {
-            if path != ANNOUNCE_PATH && path != RENEW_PATH {
+        (Method::POST, path @ (ANNOUNCE_PATH | SESSIONS_PATH | CHAT_PATH | CALL_PATH))
+            if context.stop().is_draining() =>
+        {
+            if path != ANNOUNCE_PATH {
                 context.stop().count_refusal();
             }
             context.metrics().count_early_refusal(RefusalCode::Draining);
             context.stop().refuse(&fresh, context.other_entry())
         }
         (Method::POST, SESSIONS_PATH) => issue_session(&context, &head.headers, &fresh).await,
-        (Method::POST, ANNOUNCE_PATH) => {
-            let message = |record, reply| MembershipMessage::Announce(Box::new(record), reply);
-            announce(&context, &fresh, &body, message).await
-        }
-        (Method::POST, RENEW_PATH) => {
-            let message = |renewal, reply| MembershipMessage::Renew(Box::new(renewal), reply);
-            announce(&context, &fresh, &body, message).await
-        }
+        (Method::POST, ANNOUNCE_PATH) => announce(&context, &fresh, &body).await,
         (Method::POST, CHAT_PATH) => {
             answer_planned(context, RequestPath::Chat, &head.headers, &body, fresh).await
         }
@@ -255,21 +242,21 @@
     }
 }
 
-/// Passes an announcement or a renewal to membership as `message`.
-async fn announce<T: DeserializeOwned>(
+async fn announce(
     context: &EntryContext,
     request: &RequestId,
     body: &[u8],
-    message: impl FnOnce(T, RpcReplyPort<AnnounceReply>) -> MembershipMessage,
 ) -> Response<AnswerBody> {
-    let announced: T = match serde_json::from_slice(body) {
-        Ok(announced) => announced,
+    let record: UpstreamRecord = match serde_json::from_slice(body) {
+        Ok(record) => record,
         Err(error) => {
             let message = format!("announcement is not valid: {error}");
             return refuse(request, Refusal::not_run(RefusalCode::BadRequest, message));
         }
     };
-    match context.ask_membership(|reply| message(announced, reply)).await {
+    let asked =
+        context.ask_membership(|reply| MembershipMessage::Announce(Box::new(record), reply));
+    match asked.await {
         Some(reply) => json_answer(StatusCode::OK, &reply),
         None => refuse(request, refuse_stopping()),
     }
--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -55,24 +55,19 @@
     /// Tokens in the KV cache that running requests hold.
     pub kv_used_tokens: u64,
     /// Urgent requests that run.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     pub urgent_running: u32,
     /// Urgent requests that wait.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     pub urgent_queued: u32,
     /// Prompt tokens of urgent requests that wait for prefill.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default)]
     pub urgent_prompt_tokens: u64,
     /// The newest changes of the prefix cache; consecutive reports overlap.
     #[serde(default, skip_serializing_if = "CacheBatch::is_empty")]
     pub cache: CacheBatch,
 }
 
-/// Whether a field is left out of a report.
-fn is_zero<T: Default + PartialEq>(value: &T) -> bool {
-    *value == T::default()
-}
-
 /// Consecutive changes of one upstream's prefix cache.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct CacheBatch {
@@ -132,31 +127,6 @@
     pub checks_fencing: bool,
 }
 
-impl UpstreamRecord {
-    /// What renews the announcement, where the receiver has its other fields.
-    pub fn to_renewal(&self) -> UpstreamRenewal {
-        UpstreamRenewal {
-            name: self.name.clone(),
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            load: self.load.clone(),
-        }
-    }
-}
-
-/// Renewal of an announcement of which only the load has changed.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct UpstreamRenewal {
-    /// Name of the upstream.
-    pub name: UpstreamName,
-    /// Restart counter of the upstream.
-    pub incarnation: Incarnation,
-    /// Grows with each announcement and renewal of one incarnation.
-    pub sequence: u64,
-    /// Load at the time of the renewal.
-    pub load: LoadReport,
-}
-
 /// An upstream in the table, with the time of its newest announcement.
 #[derive(Debug, Clone)]
 pub struct UpstreamView {
--- a/cicadastall/src/wire.rs
+++ b/cicadastall/src/wire.rs
@@ -168,26 +168,16 @@
     pub error: Refusal,
 }
 
-/// Answer to an upstream's announcement or renewal.
+/// Answer to an upstream's announcement.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AnnounceReply {
-    /// Time within which to renew the announcement, in milliseconds.
+    /// Time within which to announce again, in milliseconds.
     pub renew_within_ms: u64,
-    /// Other entries of the zone that take announcements; left out of the answer to a renewal while
-    /// they don't change.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    /// Other entries of the zone that take announcements.
     pub entries: Vec<SocketAddr>,
     /// Whether an operator wants the upstream to leave.
-    #[serde(default, skip_serializing_if = "is_unset")]
+    #[serde(default)]
     pub drain: bool,
-    /// Whether the entry needs the whole announcement, as it has none to renew.
-    #[serde(default, skip_serializing_if = "is_unset")]
-    pub announce: bool,
-}
-
-/// Whether a flag is left out of an answer.
-fn is_unset(flag: &bool) -> bool {
-    !flag
 }
 
 /// One row of `GET /v1/entries`.
