Measure the patient work that an upstream of the model can do at most

Change: cicadastall-bench bound runs one upstream with urgent work at the workload's rate and two patient prompts always waiting.

--- /dev/null
+++ b/cicadastall-bench/src/bound.rs
@@ -0,0 +1,146 @@
+//! Most patient work that an upstream of the model can do beside urgent work.
+
+use bpaf::Bpaf;
+use cicadastall::settings::Rank;
+use cicadastall_bench::compare::{
+    requests::draw_shape,
+    workload::{KindLoad, Workload, load_workload},
+};
+use cicadastall_standins::model::{EngineModel, JobEvent, ModelJob};
+use eyre::{OptionExt, WrapErr};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::{collections::BTreeMap, fs, path::PathBuf, time::Duration};
+use tokio::time::Instant;
+
+/// Simulated time of a run.
+const RUN_TIME: Duration = Duration::from_secs(1_200);
+
+/// Time between two looks at the upstream.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Patient jobs that always wait.
+const WAITING: usize = 2;
+
+/// Options of `bound`.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct BoundOptions {
+    /// File of the workload whose first patient kind on engines is always waiting
+    #[bpaf(long, argument("FILE"))]
+    workload: PathBuf,
+    /// Seed of all random choices
+    #[bpaf(long, argument("N"), fallback(7))]
+    seed: u64,
+}
+
+/// Figures of a run.
+#[derive(Debug, Serialize)]
+struct BoundReport {
+    /// Urgent work over the time.
+    urgent: f64,
+    /// Patient work over the time that urgent work left.
+    patient: f64,
+}
+
+/// Runs one upstream and prints JSON.
+pub(crate) fn run(options: &BoundOptions) -> eyre::Result<()> {
+    let text = fs::read_to_string(&options.workload)
+        .wrap_err_with(|| format!("{} not read", options.workload.display()))?;
+    let report = BoundRun::new(&load_workload(&text)?, options.seed).finish()?;
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    Ok(())
+}
+
+/// One upstream that always has patient work.
+#[derive(Debug)]
+struct BoundRun<'a> {
+    workload: &'a Workload,
+    engine: EngineModel,
+    rng: ChaCha8Rng,
+    jobs: BTreeMap<u64, (Rank, f64)>,
+    jobs_submitted: u64,
+    waiting: usize,
+    work_s: BTreeMap<Rank, f64>,
+}
+
+impl<'a> BoundRun<'a> {
+    fn new(workload: &'a Workload, seed: u64) -> Self {
+        Self {
+            workload,
+            engine: EngineModel::new(workload.engine.clone(), Instant::now()),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            jobs: BTreeMap::new(),
+            jobs_submitted: 0,
+            waiting: 0,
+            work_s: BTreeMap::new(),
+        }
+    }
+
+    fn finish(mut self) -> eyre::Result<BoundReport> {
+        let kinds = || self.workload.kinds.iter().filter(|kind| kind.on_engines);
+        let urgent: Vec<_> = kinds().filter(|kind| kind.rank == Rank::Urgent).collect();
+        let patient = kinds().find(|kind| kind.rank == Rank::Patient);
+        let patient = patient.ok_or_eyre("the workload has no patient kind on engines")?;
+        let engines: u32 = self.workload.regions.iter().map(|region| region.engines).sum();
+        let mut now = Instant::now();
+        for _ in 0..RUN_TIME.as_millis() / STEP.as_millis() {
+            now += STEP;
+            self.advance(now);
+            for kind in &urgent {
+                let chance = kind.requests_per_s / f64::from(engines) * STEP.as_secs_f64();
+                if self.rng.random_bool(chance.min(1.0)) {
+                    self.submit(kind);
+                }
+            }
+            while self.waiting < WAITING {
+                self.submit(patient);
+            }
+        }
+        let share = |rank| self.work_s.get(&rank).copied().unwrap_or(0.0) / RUN_TIME.as_secs_f64();
+        let urgent = share(Rank::Urgent);
+        Ok(BoundReport { urgent, patient: share(Rank::Patient) / (1.0 - urgent) })
+    }
+
+    fn submit(&mut self, kind: &KindLoad) {
+        let shape = draw_shape(kind, 0, 0, &mut self.rng);
+        self.jobs_submitted += 1;
+        let id = self.jobs_submitted;
+        let patient = kind.rank == Rank::Patient;
+        self.waiting += usize::from(patient);
+        let decode_s = f64::from(kind.answer_tokens) / self.workload.engine.decode_tokens_per_s;
+        self.jobs.insert(id, (kind.rank, decode_s));
+        self.engine.submit(ModelJob {
+            id,
+            priority: if patient { 10 } else { 0 },
+            blocks: shape.blocks.as_slice().into(),
+            prompt_tokens: shape.tokens,
+            answer_tokens: shape.answer_tokens,
+        });
+    }
+
+    fn advance(&mut self, now: Instant) {
+        for event in self.engine.advance(now) {
+            match event {
+                JobEvent::FirstToken { id, cached_tokens } => {
+                    self.note_prefilled(id, cached_tokens)
+                }
+                JobEvent::Finished { id } => {
+                    if let Some((rank, work_s)) = self.jobs.remove(&id) {
+                        *self.work_s.entry(rank).or_default() += work_s;
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_prefilled(&mut self, id: u64, cached_tokens: u32) {
+        let Some((rank, work_s)) = self.jobs.get_mut(&id) else { return };
+        self.waiting -= usize::from(*rank == Rank::Patient);
+        let kinds = self.workload.kinds.iter();
+        let mut kinds = kinds.filter(|kind| kind.on_engines && kind.rank == *rank);
+        let prompt_tokens = kinds.next().map_or(0, |kind| kind.prompt_tokens);
+        let uncached = f64::from(prompt_tokens.saturating_sub(cached_tokens));
+        *work_s += uncached / self.workload.engine.prefill_tokens_per_s;
+    }
+}
--- a/cicadastall-bench/src/main.rs
+++ b/cicadastall-bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod acknowledgements;
 mod bookings;
+mod bound;
 mod decisions;
 mod group;
 mod memory;
@@ -33,6 +34,9 @@
     /// Processor time, latency and memory that an entry adds to requests and tokens
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::overhead_options))] overhead::OverheadOptions),
+    /// Most patient work that one upstream of the model can do beside urgent work
+    #[bpaf(command)]
+    Bound(#[bpaf(external(bound::bound_options))] bound::BoundOptions),
     /// Processor time of a routing decision by the number of upstreams
     #[bpaf(command)]
     Decisions(#[bpaf(external(decisions::decision_options))] decisions::DecisionOptions),
@@ -59,6 +63,7 @@
         BenchCommand::Bookings(options) => bookings::run(&options),
         BenchCommand::Group(options) => group::run(&options),
         BenchCommand::Overhead(options) => overhead::run(&options),
+        BenchCommand::Bound(options) => bound::run(&options),
         BenchCommand::Decisions(options) => decisions::run(&options),
         BenchCommand::Compare(options) => run_compare(&options),
         BenchCommand::Schedules(options) => schedules::run(&options),
