--- a/cicadastall-standins/tests/membership.rs
+++ b/cicadastall-standins/tests/membership.rs
@@ -99,6 +99,23 @@
     assert!(back.is_some(), "the woken member is not known everywhere");
 }
 
+#[test]
+fn member_whose_wall_clock_jumped_is_taken_back_within_5_s() {
+    for started_ms in [0, 999, u64::MAX / 2] {
+        let mut network = network(&["aqaba-a"], 5, 33);
+        let upstream = network.add_upstream("verdicts", "model-0", [2, 2]);
+        network.run(20 * SECOND);
+        for started_ms in [started_ms, 1_000] {
+            network.restart_at(2, &[0], started_ms);
+            network.run(5 * SECOND);
+            let lost = network.run_until(10 * SECOND, |network| !knows_all(network, 0..5));
+            assert_eq!(lost, None, "started at {started_ms} ms by its clock");
+            let heard = (0..5).all(|node| would_dispatch(&network, node, upstream));
+            assert!(heard, "its news is not taken, started at {started_ms} ms by its clock");
+        }
+    }
+}
+
 #[test]
 fn restarted_member_without_seeds_asks_whoever_sends_it_news() {
     let mut network = network(&["aqaba-a"], 2, 31);
@@ -188,6 +205,17 @@
     }
 }
 
+#[test]
+fn restarted_entries_ask_for_what_a_renewal_leaves_out() {
+    let mut network = network(&["aqaba-a"], 3, 32);
+    let upstream = network.add_upstream("verdicts", "model-0", [0, 1]);
+    network.run(10 * SECOND);
+    network.restart(0, &[2]);
+    network.restart(1, &[2]);
+    network.run(4 * SECOND);
+    assert!((0..3).all(|node| would_dispatch(&network, node, upstream)));
+}
+
 #[test]
 fn announcement_that_waited_in_a_queue_is_no_sign_of_life() {
     let mut network = network(&["aqaba-a"], 3, 19);
@@ -225,6 +253,41 @@
     assert!(back.is_some(), "not all entries took the zone back");
 }
 
+/// Upstreams of the first pool of the first other zone that `node` knows.
+fn remote_upstreams(network: &MemberNetwork, node: usize) -> Option<u32> {
+    let table = table(network, node);
+    Some(table.zones.values().next()?.digest.rows.first()?.upstreams)
+}
+
+#[test]
+fn changed_capacity_is_known_in_another_zone_within_5_s() {
+    for seed in 40..46 {
+        let mut network = network(&["aqaba-a", "amman-a"], 9, seed);
+        network.faults.loss = 0.005;
+        network.add_upstream("verdicts", "model-0", [0, 1]);
+        network.run(20 * SECOND);
+        network.add_upstream("verdicts", "model-0", [2, 3]);
+        let known = network.run_until(5 * SECOND, |network| {
+            (9..18).all(|node| remote_upstreams(network, node) == Some(2))
+        });
+        assert!(known.is_some(), "not known everywhere with seed {seed}");
+    }
+}
+
+#[test]
+fn restarted_zone_asks_for_whole_digests() {
+    for seed in 50..54 {
+        let mut network = network(&["aqaba-a", "amman-a"], 3, seed);
+        network.add_upstream("verdicts", "model-0", [0, 1]);
+        network.run(20 * SECOND);
+        (3..6).for_each(|node| network.restart(node, &[3]));
+        let known = network.run_until(5 * SECOND, |network| {
+            (3..6).all(|node| remote_upstreams(network, node) == Some(1))
+        });
+        assert!(known.is_some(), "not known with seed {seed}");
+    }
+}
+
 #[test]
 fn failed_forwards_take_entries_then_the_zone_out() {
     let mut network = network(&["aqaba-a", "amman-a"], 3, 21);
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod decode;
 mod difference;
 mod digest;
+mod digest_outbox;
 pub mod directory;
 pub mod dispatch;
 mod document;
