Split the router by what it is asked and told, and name renewals so

Ruled out: a change of any decision; lines were moved, names changed. Change: route/survey.rs, route/choice.rs and route/notes.rs (commands apart from queries); pulse.rs is renewal.rs, RowPulse RowRenewal and so on.

--- a/cicadastall-standins/src/traffic.rs
+++ b/cicadastall-standins/src/traffic.rs
@@ -28,12 +28,12 @@
     pub headers: u64,
     /// Fields that name the sender.
     pub senders: u64,
-    /// Bulletins without rows and pulses.
+    /// Bulletins without rows and renewals.
     pub bulletins: u64,
     /// Rows of bulletins.
     pub rows: u64,
-    /// Pulses of bulletins.
-    pub pulses: u64,
+    /// Renewals of bulletins.
+    pub renewals: u64,
     /// Digests of zones.
     pub digests: u64,
     /// Probes, questions to helpers and replies to them.
@@ -52,14 +52,14 @@
             PacketBody::Bulletin(bulletin) => {
                 let mut rest = packet.clone();
                 let mut bulletin = bulletin.clone();
-                bulletin.pulses.clear();
+                bulletin.renewals.clear();
                 rest.body = PacketBody::Bulletin(bulletin.clone());
                 let rows = length(rest.clone()).saturating_sub(sender);
                 bulletin.rows.clear();
                 rest.body = PacketBody::Bulletin(bulletin);
                 parts.bulletins = length(rest).saturating_sub(sender);
                 parts.rows = rows - parts.bulletins;
-                parts.pulses = body - rows;
+                parts.renewals = body - rows;
             }
             PacketBody::Digest(_) | PacketBody::Refresh(_) | PacketBody::AskDigest => {
                 parts.digests = body
@@ -81,7 +81,7 @@
         self.senders += other.senders;
         self.bulletins += other.bulletins;
         self.rows += other.rows;
-        self.pulses += other.pulses;
+        self.renewals += other.renewals;
         self.digests += other.digests;
         self.probes += other.probes;
         self.joins += other.joins;
@@ -94,7 +94,7 @@
             senders: change(self.senders),
             bulletins: change(self.bulletins),
             rows: change(self.rows),
-            pulses: change(self.pulses),
+            renewals: change(self.renewals),
             digests: change(self.digests),
             probes: change(self.probes),
             joins: change(self.joins),
--- a/cicadastall/src/bulletin.rs
+++ b/cicadastall/src/bulletin.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     name::{InstanceName, ModelName, PoolName, RegionName, UpstreamName, ZoneName},
-    pulse::RowPulse,
+    renewal::RowRenewal,
     sender::{PacketSender, SenderField},
     settings::Rank,
     table::{
@@ -72,7 +72,7 @@
     /// Rows changed after `since`, in the order of their numbers.
     pub rows: Vec<LogRow>,
     /// Renewals since the previous bulletin.
-    pub pulses: Vec<RowPulse>,
+    pub renewals: Vec<RowRenewal>,
     /// Members that the sender suspects to have failed.
     pub suspects: SmallVec<[(InstanceName, Incarnation); 2]>,
 }
--- a/cicadastall/src/intake.rs
+++ b/cicadastall/src/intake.rs
@@ -8,7 +8,7 @@
     digest::{apply_refresh, scan_digest, split_row},
     members::{MemberTable, PeerState},
     name::{InstanceName, ZoneName},
-    pulse::RowPulse,
+    renewal::RowRenewal,
     sender::{PacketSender, SenderField},
     table::{EntryRecord, Incarnation, ZoneDigest},
 };
@@ -110,8 +110,8 @@
             for row in bulletin.rows.into_iter().filter(|row| row.number > have) {
                 self.accept_row(&sender.instance, row, now);
             }
-            for pulse in bulletin.pulses {
-                self.accept_pulse(&sender.instance, pulse, now);
+            for renewal in bulletin.renewals {
+                self.accept_renewal(&sender.instance, renewal, now);
             }
         }
         if usize::from(bulletin.members) < self.count_members()
@@ -173,10 +173,10 @@
         }
     }
 
-    fn accept_pulse(&mut self, instance: &InstanceName, pulse: RowPulse, now: Instant) {
+    fn accept_renewal(&mut self, instance: &InstanceName, renewal: RowRenewal, now: Instant) {
         let Some(peer) = self.peers.get(instance) else { return };
-        match pulse {
-            RowPulse::Upstream { handle, sequence, age, load } => {
+        match renewal {
+            RowRenewal::Upstream { handle, sequence, age, load } => {
                 let Some(RowContent::Upstream(row)) = peer.rows.get(&handle) else { return };
                 let mut record = row.to_record(&self.own);
                 record.sequence = sequence;
@@ -185,7 +185,7 @@
                     self.renew_upstream(Arc::new(record), renewed_at);
                 }
             }
-            RowPulse::Zone { handle, sequence, age } => {
+            RowRenewal::Zone { handle, sequence, age } => {
                 let Some(RowContent::Zone(place)) = peer.rows.get(&handle) else { return };
                 let Some(received_at) = age.before(now) else { return };
                 if !place.has_rows {
--- a/cicadastall/src/outbox.rs
+++ b/cicadastall/src/outbox.rs
@@ -6,7 +6,7 @@
     members::MemberTable,
     name::{InstanceName, ZoneName},
     probes::ProbeStep,
-    pulse::{PulseAge, PulseLoad, RowPulse},
+    renewal::{RenewalAge, RenewalLoad, RowRenewal},
     sender::{PacketSender, SenderField},
     table::AnnouncedUpstream,
 };
@@ -244,19 +244,24 @@
             return;
         }
         self.outbox.urgent = false;
-        let pulses = self.make_pulses(now);
+        let renewals = self.make_renewals(now);
         let sent = mem::replace(&mut self.outbox.sent_number, self.log.newest());
         let to = self.peer_addresses();
         let sender = self.outbox.name_sender(&self.sender);
-        for bulletin in self.split_rows(sent, pulses, now) {
+        for bulletin in self.split_rows(sent, renewals, now) {
             let body = PacketBody::Bulletin(Box::new(bulletin));
             let packet = MemberPacket { sender: sender.clone(), body };
             packets.push(OutgoingPacket { to: to.clone(), packet });
         }
     }
 
-    /// Bulletins with the rows after `number`; pulses go into the last one.
-    fn split_rows(&self, number: u64, pulses: Vec<RowPulse>, now: Instant) -> Vec<MemberBulletin> {
+    /// Bulletins with the rows after `number`; renewals go into the last one.
+    fn split_rows(
+        &self,
+        number: u64,
+        renewals: Vec<RowRenewal>,
+        now: Instant,
+    ) -> Vec<MemberBulletin> {
         let members = u16::try_from(self.count_members()).unwrap_or(u16::MAX);
         let mut since = number;
         let groups = group_rows(self.log.changes_since(number));
@@ -288,7 +293,7 @@
             });
         }
         if let Some(last) = bulletins.last_mut() {
-            last.pulses = pulses;
+            last.renewals = renewals;
             let suspects = self.probes.suspects();
             last.suspects = suspects.map(|(name, number)| (name.clone(), number)).collect();
         }
@@ -306,17 +311,17 @@
         row
     }
 
-    fn make_pulses(&mut self, now: Instant) -> Vec<RowPulse> {
-        let mut pulses = Vec::new();
+    fn make_renewals(&mut self, now: Instant) -> Vec<RowRenewal> {
+        let mut renewals = Vec::new();
         let rows = mem::take(&mut self.outbox.upstream_news);
         for (name, AnnouncedUpstream { view, .. }) in &self.announced {
             let handle = self.log.handle(&RowKey::Upstream(name.clone()));
             if let Some(handle) = handle.filter(|handle| rows.contains(handle)) {
-                pulses.push(RowPulse::Upstream {
+                renewals.push(RowRenewal::Upstream {
                     handle,
                     sequence: view.record.sequence,
-                    age: PulseAge::new(view.renewed_at, now),
-                    load: PulseLoad::new(&view.record.load),
+                    age: RenewalAge::new(view.renewed_at, now),
+                    load: RenewalLoad::new(&view.record.load),
                 });
             }
         }
@@ -325,11 +330,11 @@
             let handle = self.log.handle(&RowKey::Zone(zone.clone()));
             if let (Some(view), Some(handle)) = (view, handle) {
                 let sequence = view.digest.sequence;
-                let age = PulseAge::new(view.received_at, now);
-                pulses.push(RowPulse::Zone { handle, sequence, age });
+                let age = RenewalAge::new(view.received_at, now);
+                renewals.push(RowRenewal::Zone { handle, sequence, age });
             }
         }
-        pulses
+        renewals
     }
 
     fn join_seeds(&mut self, now: Instant) {
--- a/cicadastall/src/pulse.rs
+++ b/cicadastall/src/renewal.rs
@@ -5,18 +5,18 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Unit of ages in pulses, in milliseconds.
+/// Unit of ages in renewals, in milliseconds.
 const AGE_UNIT_MS: u128 = 10;
 
-/// Unit of waiting prompt tokens in pulses.
+/// Unit of waiting prompt tokens in renewals.
 const PROMPT_UNIT_TOKENS: u64 = 128;
 
-/// Unit of tokens held in the KV cache in pulses.
+/// Unit of tokens held in the KV cache in renewals.
 const KV_UNIT_TOKENS: u64 = 1_024;
 
 /// Renewal of a row without a change of its content.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum RowPulse {
+pub enum RowRenewal {
     /// An upstream announced itself.
     Upstream {
         /// Row of the upstream.
@@ -24,9 +24,9 @@
         /// Number of the announcement.
         sequence: u64,
         /// Time since the announcement.
-        age: PulseAge,
+        age: RenewalAge,
         /// Load that it reported.
-        load: PulseLoad,
+        load: RenewalLoad,
     },
     /// A digest of another zone arrived.
     Zone {
@@ -35,16 +35,16 @@
         /// Number of the digest.
         sequence: u64,
         /// Time since its arrival.
-        age: PulseAge,
+        age: RenewalAge,
     },
 }
 
 /// Time since an event, rounded up, so that old news never looks newer than it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct PulseAge(u32);
+pub struct RenewalAge(u32);
 
-impl PulseAge {
+impl RenewalAge {
     /// Time from `at` to `now`.
     pub fn new(at: Instant, now: Instant) -> Self {
         let passed = now.saturating_duration_since(at).as_millis();
@@ -59,7 +59,7 @@
 
 /// The part of a load report that the whole zone learns.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PulseLoad {
+pub struct RenewalLoad {
     running: u32,
     queued: u32,
     prompt_units: u64,
@@ -75,7 +75,7 @@
     prompt_units: u64,
 }
 
-impl PulseLoad {
+impl RenewalLoad {
     /// The part of `load`: waiting tokens are rounded up, held ones down.
     pub fn new(load: &LoadReport) -> Self {
         let urgent = UrgentLoad {
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -1,47 +1,46 @@
 //! Choice of the upstream or region for one attempt of a request.
 //!
-//! [`filter`] names the upstreams that may run the request, [`policy`] says how to choose among
-//! them, and [`track`] keeps what the entry itself sent.
+//! [`filter`] names the upstreams that may run the request, [`score`] predicts its times on them,
+//! [`policy`] says how to choose among them, and [`track`] keeps what the entry itself sent.
 
 use crate::{
-    admit::{Admission, AdmissionGate, ZoneCapacity},
-    answer::{Ran, Refusal, RefusalCode},
+    admit::{Admission, AdmissionGate},
+    answer::{Refusal, RefusalCode},
     decode::RequestPlan,
-    explain::{
-        ExplainRing, ExplainedCandidate, LISTED_CANDIDATES, RouteExplanation, RouteOutcome,
-        UpstreamExplanation,
-    },
+    explain::{ExplainRing, LISTED_CANDIDATES, RouteExplanation, UpstreamExplanation},
     name::{RegionName, UpstreamName, ZoneName},
     prefix::PromptShape,
-    retry::{RetryBudget, permits_attempt},
-    settings::{Rank, Revision, SettingsSnapshot},
+    retry::RetryBudget,
+    settings::Rank,
     table::{RoutingTable, UpstreamView},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
-use std::{
-    cmp::Ordering, collections::BTreeMap, iter::Peekable, net::SocketAddr, sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
+mod choice;
 pub mod copies;
 pub mod filter;
 pub mod map;
+mod notes;
 pub mod policy;
 pub mod score;
 pub mod spill;
 pub mod summary;
+mod survey;
 pub mod track;
 
+use choice::ChoiceInput;
 use copies::{CopyCandidate, CopyPlaces};
-use filter::{FilterReason, find_own_reason, find_reason};
+use filter::{FilterReason, find_own_reason};
 use map::FleetMap;
 use policy::{ChoiceRule, RouterPolicy};
-use score::{Prediction, ScoreInput, TokenLimit, predict};
+use score::Prediction;
 use spill::{ForwardTrack, ZoneCandidate};
-use track::{SendTicket, SentAttempt, UpstreamTrack};
+use survey::ZoneSurvey;
+use track::UpstreamTrack;
 
 /// Time after its last announcement at which an upstream gets no new work.
 pub const UPSTREAM_EXPIRY: Duration = Duration::from_millis(2_500);
@@ -52,12 +51,6 @@
 /// Time after which a caller may try again where no upstream is known.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
 
-/// Time between two removals of what is known of upstreams that are gone.
-const FORGET_PERIOD: Duration = Duration::from_secs(1);
-
-/// Weight of one request in the mean length of answers.
-const ANSWER_MEAN_WEIGHT: f64 = 0.02;
-
 /// Mean length of answers before any request, in tokens.
 const FIRST_ANSWER_MEAN: f64 = 128.0;
 
@@ -113,61 +106,6 @@
     Refuse(Refusal),
 }
 
-/// The upstreams of a zone as one request finds them.
-#[derive(Debug, Default)]
-struct ZoneSurvey<'a> {
-    candidates: SmallVec<[&'a UpstreamView; 16]>,
-    /// Times on each candidate, in the order of the candidates.
-    predictions: SmallVec<[Prediction; 16]>,
-    filtered: Vec<(UpstreamName, FilterReason)>,
-    /// The first upstream that only its quarantine shuts out.
-    failing: Option<&'a UpstreamView>,
-    capacity: ZoneCapacity,
-}
-
-/// Everything that one choice is made from, beside the router's own knowledge.
-#[derive(Debug, Clone, Copy)]
-struct ChoiceInput<'a> {
-    table: &'a RoutingTable,
-    plan: &'a RequestPlan,
-    shape: &'a PromptShape,
-    tried: &'a TriedTargets,
-    capacity: ZoneCapacity,
-    limit: TokenLimit,
-    now: Instant,
-}
-
-impl ChoiceInput<'_> {
-    fn explain(
-        &self,
-        revision: Revision,
-        candidates: &[&UpstreamView],
-        predictions: &[Prediction],
-        filtered: Vec<(UpstreamName, FilterReason)>,
-    ) -> RouteExplanation {
-        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-        let explain = |place: usize| ExplainedCandidate {
-            upstream: candidates[place].record.name.clone(),
-            score: predictions[place].score(),
-            first_token_ms: millis(predictions[place].first_token),
-            wait_ms: millis(predictions[place].wait),
-        };
-        RouteExplanation {
-            request: self.plan.request.clone(),
-            workspace: self.plan.workspace.clone(),
-            kind: self.plan.kind.clone(),
-            rank: self.plan.rank,
-            revision,
-            regions: self.plan.regions.to_vec(),
-            forwarded_from: self.plan.forwarded_from.clone(),
-            limit_ms: millis(self.limit.first_token),
-            candidates: list_best(predictions).into_iter().map(explain).collect(),
-            filtered,
-            outcome: RouteOutcome::Waiting,
-        }
-    }
-}
-
 /// Chooses upstreams by the late load reports and by what this instance sent since.
 #[derive(Debug)]
 pub struct RequestRouter {
@@ -270,13 +208,6 @@
         }
     }
 
-    /// Takes the settings against which claims of other instances are checked.
-    pub fn note_settings(&mut self, snapshot: &SettingsSnapshot) {
-        if self.map.revision != snapshot.revision {
-            self.map = FleetMap::of(snapshot);
-        }
-    }
-
     /// The kept decisions on one request, the oldest first.
     pub fn explain(&self, request: &str) -> Vec<RouteExplanation> {
         self.ring.find(request)
@@ -302,68 +233,6 @@
         }
     }
 
-    /// Notes that a request was sent as chosen.
-    pub fn note_sent(
-        &mut self,
-        choice: &UpstreamChoice,
-        plan: &RequestPlan,
-        shape: &PromptShape,
-        now: Instant,
-    ) -> SendTicket {
-        self.sent += 1;
-        self.retries.note_first(&plan.pool);
-        self.mean_answer_tokens +=
-            ANSWER_MEAN_WEIGHT * (f64::from(shape.answer_tokens) - self.mean_answer_tokens);
-        let prediction = choice.prediction;
-        self.gate.note_sent(plan, prediction.work(), now);
-        let upstream = &choice.view.record.name;
-        let track = self.tracks.entry(upstream.clone()).or_default();
-        track.prefix.expect_blocks(shape);
-        track.sends.push(SentAttempt {
-            number: self.sent,
-            sent_at: now,
-            uncached_tokens: prediction.uncached_tokens,
-            urgent: plan.rank == Rank::Urgent,
-            fingerprint: shape.fingerprint,
-            predicted: Some(prediction.first_token),
-        });
-        SendTicket { upstream: upstream.clone(), number: self.sent }
-    }
-
-    /// Notes that the first token of an attempt came.
-    pub fn note_first_token(&mut self, ticket: &SendTicket, now: Instant) {
-        if let Some(track) = self.tracks.get_mut(&ticket.upstream) {
-            track.note_first_token(ticket.number, now);
-        }
-    }
-
-    /// Notes that an attempt ended.
-    pub fn note_ended(&mut self, ticket: &SendTicket) {
-        if let Some(track) = self.tracks.get_mut(&ticket.upstream) {
-            track.note_ended(ticket.number);
-        }
-    }
-
-    /// Whether the request may be attempted again; takes the attempt out of the retry budget.
-    pub fn permit_retry(&mut self, plan: &RequestPlan, ran: Ran, attempts: u32) -> bool {
-        permits_attempt(plan, ran, attempts) && self.retries.take_retry(&plan.pool)
-    }
-
-    /// Notes that an attempt failed; the upstream gets no new work for a while.
-    pub fn note_failed(&mut self, upstream: &UpstreamName, now: Instant) {
-        self.tracks.entry(upstream.clone()).or_default().note_failed(now);
-    }
-
-    fn is_quarantined(&self, view: &UpstreamView, now: Instant) -> bool {
-        let track = self.tracks.get(&view.record.name);
-        track.is_some_and(|track| track.is_quarantined(&view.record, now))
-    }
-
-    /// Notes that a request forwarded to `zone` came back without a result.
-    pub fn note_returned(&mut self, zone: &ZoneName, plan: &RequestPlan, now: Instant) {
-        self.forwards.note_returned(zone, plan, now);
-    }
-
     /// Index of the chosen candidate.
     fn choose_upstream(
         &mut self,
@@ -415,100 +284,6 @@
         }
     }
 
-    /// Takes the cache events of new announcements, and forgets upstreams that are gone.
-    fn observe_table(&mut self, table: &RoutingTable, now: Instant) {
-        self.forget_gone(table, now);
-        if !self.policy.prefix {
-            return;
-        }
-        let mut unknown: SmallVec<[&UpstreamView; 4]> = SmallVec::new();
-        let mut tracks = self.tracks.iter_mut().peekable();
-        for (name, view) in &table.upstreams {
-            match find_track(&mut tracks, name) {
-                Some(track) => track.observe_record(&view.record),
-                None => unknown.push(view),
-            }
-        }
-        for view in unknown {
-            let mut track = UpstreamTrack::default();
-            track.observe_record(&view.record);
-            self.tracks.insert(view.record.name.clone(), track);
-        }
-    }
-
-    fn forget_gone(&mut self, table: &RoutingTable, now: Instant) {
-        if self.forgot_at.is_some_and(|at| now.saturating_duration_since(at) < FORGET_PERIOD) {
-            return;
-        }
-        self.forgot_at = Some(now);
-        self.tracks
-            .retain(|name, track| table.upstreams.contains_key(name) || track.is_needed(now));
-    }
-
-    /// Filters the upstreams of the zone and predicts the request's times on those that are left.
-    fn survey<'a>(
-        &self,
-        table: &'a RoutingTable,
-        plan: &RequestPlan,
-        shape: &PromptShape,
-        tried: &TriedTargets,
-        now: Instant,
-    ) -> ZoneSurvey<'a> {
-        let mut survey = ZoneSurvey::default();
-        let mut found: SmallVec<[Option<&UpstreamTrack>; 16]> = SmallVec::new();
-        let mut tracks = self.tracks.iter().peekable();
-        for (name, view) in &table.upstreams {
-            let track = find_track(&mut tracks, name);
-            let reason = find_reason(view, plan, &self.place, tried, now);
-            let quarantined = track.is_some_and(|track| track.is_quarantined(&view.record, now));
-            match reason {
-                None if quarantined => {
-                    survey.failing = survey.failing.or(Some(view));
-                    survey.filtered.push((name.clone(), FilterReason::Quarantined));
-                }
-                None => {
-                    survey.candidates.push(view);
-                    found.push(track);
-                }
-                Some(reason) => survey.filtered.push((name.clone(), reason)),
-            }
-        }
-        let upstreams = survey.candidates.len();
-        survey.capacity = ZoneCapacity { upstreams, entries: table.entries.len() + 1 };
-        let reserve = self.policy.reserve && upstreams > 0;
-        let refill = if reserve { self.gate.refill(plan, survey.capacity, now) } else { 0.0 };
-        let pairs = survey.candidates.iter().zip(found);
-        let predict = |(view, track): (&&UpstreamView, Option<&UpstreamTrack>)| {
-            self.predict_on(view, track, plan, shape, refill, now)
-        };
-        survey.predictions = pairs.map(predict).collect();
-        survey
-    }
-
-    fn predict_on(
-        &self,
-        view: &UpstreamView,
-        track: Option<&UpstreamTrack>,
-        plan: &RequestPlan,
-        shape: &PromptShape,
-        refill: f64,
-        now: Instant,
-    ) -> Prediction {
-        let sent = track.map(|track| track.sent_since(view.renewed_at, plan.rank));
-        let prefix = track.filter(|_| self.policy.prefix).map(|track| &track.prefix);
-        let cached_tokens = prefix.map_or(0, |prefix| prefix.cached_tokens(shape));
-        let input = ScoreInput {
-            shape,
-            rank: plan.rank,
-            uncached_tokens: shape.tokens - cached_tokens,
-            sent: &sent.unwrap_or_default(),
-            pace: track.map_or(1.0, |track| track.pace(plan.rank)),
-            refill,
-            mean_answer_tokens: self.mean_answer_tokens,
-        };
-        predict(view, &input, now)
-    }
-
     /// Sends to an upstream that failed lately, where nothing else is left to try.
     fn send_to_failing(&self, view: &UpstreamView, choice: &ChoiceInput<'_>) -> RouteDecision {
         let track = self.tracks.get(&view.record.name);
@@ -544,34 +319,6 @@
     }
 }
 
-/// Track of the upstream `name`, which is not before those that were found already.
-fn find_track<'a, T>(
-    tracks: &mut Peekable<impl Iterator<Item = (&'a UpstreamName, T)>>,
-    name: &UpstreamName,
-) -> Option<T> {
-    while let Some((tracked, _)) = tracks.peek() {
-        match (*tracked).cmp(name) {
-            Ordering::Less => drop(tracks.next()),
-            Ordering::Equal => return tracks.next().map(|(_, track)| track),
-            Ordering::Greater => return None,
-        }
-    }
-    None
-}
-
-/// Places of the candidates that an explanation lists, the best first.
-fn list_best(predictions: &[Prediction]) -> SmallVec<[usize; 16]> {
-    let score = |place: &usize| predictions[*place].score();
-    let order = |a: &usize, b: &usize| score(a).total_cmp(&score(b)).then(a.cmp(b));
-    let mut places: SmallVec<[usize; 16]> = (0..predictions.len()).collect();
-    if places.len() > LISTED_CANDIDATES {
-        places.select_nth_unstable_by(LISTED_CANDIDATES, order);
-        places.truncate(LISTED_CANDIDATES);
-    }
-    places.sort_unstable_by(order);
-    places
-}
-
 fn send_to(view: &UpstreamView, rank: Rank, prediction: Prediction) -> RouteDecision {
     let priority = priority_of(rank);
     RouteDecision::Upstream(UpstreamChoice { view: view.clone(), priority, prediction })
--- a/cicadastall/tests/pulse.rs
+++ b/cicadastall/tests/renewal.rs
@@ -1,7 +1,7 @@
 //! Renewals keep what the router decides by, despite their rounding.
 
 use cicadastall::{
-    pulse::{PulseAge, PulseLoad},
+    renewal::{RenewalAge, RenewalLoad},
     table::LoadReport,
 };
 use std::time::Duration;
@@ -10,7 +10,7 @@
 /// The load that a receiver has of one that was reported.
 fn pass_on(load: &LoadReport) -> LoadReport {
     let mut received = LoadReport::default();
-    PulseLoad::new(load).fill(&mut received);
+    RenewalLoad::new(load).fill(&mut received);
     received
 }
 
@@ -41,7 +41,7 @@
     let now = Instant::now() + Duration::from_secs(60);
     for passed in [0, 1, 9, 10, 11, 999, 2_499, 2_500, 30_000] {
         let at = now - Duration::from_millis(passed);
-        let received = PulseAge::new(at, now).before(now).expect("a time after the clock began");
+        let received = RenewalAge::new(at, now).before(now).expect("a time after the clock began");
         assert!(received <= at && at - received < Duration::from_millis(10), "{passed} ms");
     }
 }
