--- a/cicadastall-daemons/tests/common/mod.rs
+++ b/cicadastall-daemons/tests/common/mod.rs
@@ -139,6 +139,25 @@
     })
 }
 
+/// Settings of a fleet with one zone, whose engines answer one kind within these milliseconds.
+pub fn review_settings(first_token_ms: u64, deadline_ms: u64) -> Value {
+    json!({
+        "regions": { "aqaba": { "zones": ["aqaba-a"] } },
+        "teams": { "trust": {
+            "owner": "harbour office",
+            "pools": { "verdicts": {
+                "serves": { "model_engine": { "models": ["splice-7b"] } },
+            } },
+            "kinds": { "splice-review": {
+                "pool": "verdicts", "model": "splice-7b", "rank": "urgent",
+                "first_token_ms": first_token_ms, "deadline_ms": deadline_ms,
+                "answered_in": "anywhere",
+            } },
+            "workspaces": { "aqaba-port": { "home": "aqaba", "resides_in": ["aqaba"] } },
+        } },
+    })
+}
+
 /// Arguments of a stand-in in `region`, to which its role's own are added.
 pub fn standin(name: &str, region: &str, pool: &str, entry: SocketAddr) -> Vec<String> {
     let zone = format!("{region}-a");
--- a/cicadastall-daemons/tests/crashing_requests.rs
+++ b/cicadastall-daemons/tests/crashing_requests.rs
@@ -13,7 +13,7 @@
     suspect::SuspectRecord,
     wire::{ChatMessage, ChatRequest, ErrorBody, KIND_HEADER, WORKSPACE_HEADER},
 };
-use common::{Process, STANDIN, TestFolder, node, standin};
+use common::{Process, STANDIN, TestFolder, node, review_settings, standin};
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request};
@@ -37,20 +37,7 @@
     async fn start(name: &str) -> Self {
         let folder = TestFolder::new(name);
         let thread = ControlThread::start("test-control").expect("a thread");
-        let fleet = json!({
-            "regions": { "aqaba": { "zones": ["aqaba-a"] } },
-            "teams": { "trust": {
-                "owner": "harbour office",
-                "pools": { "verdicts": {
-                    "serves": { "model_engine": { "models": ["splice-7b"] } },
-                } },
-                "kinds": { "splice-review": {
-                    "pool": "verdicts", "model": "splice-7b", "rank": "urgent",
-                    "first_token_ms": 800, "deadline_ms": 10000, "answered_in": "anywhere",
-                } },
-                "workspaces": { "aqaba-port": { "home": "aqaba", "resides_in": ["aqaba"] } },
-            } },
-        });
+        let fleet = review_settings(800, 10000);
         let mut settings = node("aqaba-control", "aqaba");
         settings["founding_settings"] = json!(folder.write("fleet.json", &fleet));
         let control: NodeSettings = serde_json::from_value(settings).expect("settings");
--- a/cicadastall-daemons/tests/whole_answers.rs
+++ b/cicadastall-daemons/tests/whole_answers.rs
@@ -20,7 +20,7 @@
     announce::StandinPlace,
     engine::{EnginePace, EngineStandin},
 };
-use common::{TestFolder, node};
+use common::{TestFolder, node, review_settings};
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming};
@@ -51,20 +51,7 @@
     async fn start(name: &str) -> Self {
         let folder = TestFolder::new(name);
         let thread = ControlThread::start("test-control").expect("a thread");
-        let fleet = json!({
-            "regions": { "aqaba": { "zones": ["aqaba-a"] } },
-            "teams": { "trust": {
-                "owner": "harbour office",
-                "pools": { "verdicts": {
-                    "serves": { "model_engine": { "models": ["splice-7b"] } },
-                } },
-                "kinds": { "splice-review": {
-                    "pool": "verdicts", "model": "splice-7b", "rank": "urgent",
-                    "first_token_ms": 3000, "deadline_ms": 3000, "answered_in": "anywhere",
-                } },
-                "workspaces": { "aqaba-port": { "home": "aqaba", "resides_in": ["aqaba"] } },
-            } },
-        });
+        let fleet = review_settings(3000, 3000);
         let mut settings = node("aqaba-control", "aqaba");
         settings["founding_settings"] = json!(folder.write("fleet.json", &fleet));
         let control: NodeSettings = serde_json::from_value(settings).expect("settings");
