Tell an entry's memory a stream apart from its caller's and upstream's

Cause: the target of 32 KB an open stream is the entry's, and the benchmark gave the memory of caller, entry and upstream together; a refusal was shown without its reason. Ruled out: counting allocations (needs unsafe code), a process of its own for the entry (a process starts no other). Change: as many streams are held at the upstream beside those through the entry; the difference is the entry's. The stand-in engine takes 16,384 connections, as 4,000 streams are open then. Refusals show their body.

--- a/cicadastall-bench/src/overhead.rs
+++ b/cicadastall-bench/src/overhead.rs
@@ -18,9 +18,17 @@
 use eyre::{WrapErr, ensure};
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
+use hyper::{Request, Response, body::Incoming};
 use serde_json::{Value, json};
-use std::{fs, net::SocketAddr, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{
     runtime::Runtime,
     task::JoinSet,
@@ -33,6 +41,9 @@
 /// Longest wait for the entry to know its upstream.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which opened or closed streams count as settled.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Options of the measurement.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct OverheadOptions {
@@ -73,7 +84,7 @@
     };
     let mut rows = Vec::new();
     for count in streams {
-        rows.push(load.block_on(measure_streams(bed.entry_address, count, options))?);
+        rows.push(load.block_on(measure_streams(&bed, count, options))?);
     }
     let report = json!({
         "rate": options.rate,
@@ -105,6 +116,7 @@
     node.control = vec![control_server.addresses().peer];
     node.seeds = node.control.clone();
     node.limits.streams_per_caller = 10_000;
+    node.limits.connections = 20_000;
     let server = entry.block_on(EntryServer::start(node, control.handle()))?;
     let entry_address = server.addresses().caller.ok_or_else(|| eyre::eyre!("no address"))?;
     let place = StandinPlace {
@@ -218,57 +230,92 @@
     Ok(times)
 }
 
+/// Fails with the body of an answer that is not a result.
+async fn take_answer(answer: Response<Incoming>) -> eyre::Result<Response<Incoming>> {
+    let status = answer.status();
+    if status.is_success() {
+        return Ok(answer);
+    }
+    let body = answer.into_body().collect().await?.to_bytes();
+    eyre::bail!("refused with {status}: {}", String::from_utf8_lossy(&body))
+}
+
 async fn time_first_token(
     client: HttpClient,
     request: Request<Full<Bytes>>,
 ) -> eyre::Result<Duration> {
     let sent = Instant::now();
-    let mut answer = client.request(request).await?;
-    ensure!(answer.status().is_success(), "refused with {}", answer.status());
+    let mut answer = take_answer(client.request(request).await?).await?;
     ensure!(answer.frame().await.is_some(), "an answer without a token");
     let elapsed = sent.elapsed();
     while answer.frame().await.is_some() {}
     Ok(elapsed)
 }
 
-/// Holds `count` streams open; gives the entry's processor time per token and memory per stream.
-async fn measure_streams(
-    address: SocketAddr,
-    count: u32,
-    options: &OverheadOptions,
-) -> eyre::Result<Value> {
-    let client = client(0);
+/// Holds `count` streams open through the entry, then as many more at the upstream; gives the
+/// entry's processor time per token and memory per stream.
+///
+/// Memory of the entry is what a stream through it takes beyond a direct one.
+async fn measure_streams(bed: &Bed, count: u32, options: &OverheadOptions) -> eyre::Result<Value> {
     let memory_before = resident_bytes()?;
-    let mut streams = JoinSet::new();
-    let (sender, mut tokens) = tokio::sync::watch::channel(0_u64);
-    for _ in 0..count {
-        let answer = client.request(make_request(address, u32::MAX)?).await?;
-        ensure!(answer.status().is_success(), "refused with {}", answer.status());
-        let sender = sender.clone();
-        streams.spawn(async move {
-            let mut body = answer.into_body();
-            while let Some(Ok(_)) = body.frame().await {
-                sender.send_modify(|tokens| *tokens += 1);
-            }
-        });
-    }
-    sleep(Duration::from_secs(1)).await;
+    let through = hold_streams(bed.entry_address, count).await?;
+    let memory_through = resident_bytes()?.saturating_sub(memory_before);
+    let direct = hold_streams(bed.engine_address, count).await?;
+    let memory_direct =
+        resident_bytes()?.saturating_sub(memory_before).saturating_sub(memory_through);
+    direct.close().await;
     let cpu_before = thread_cpu(|name| name == "entry")?;
-    let tokens_before = *tokens.borrow_and_update();
+    let tokens_before = through.count_tokens();
     sleep(Duration::from_secs(u64::from(options.seconds))).await;
-    let passed = *tokens.borrow_and_update() - tokens_before;
+    let passed = through.count_tokens() - tokens_before;
     let cpu = thread_cpu(|name| name == "entry")? - cpu_before;
-    let memory = resident_bytes()?.saturating_sub(memory_before);
-    streams.shutdown().await;
-    sleep(Duration::from_secs(1)).await;
+    through.close().await;
+    let kib_per_stream = |bytes: u64| bytes as f64 / 1024.0 / f64::from(count);
     Ok(json!({
         "streams": count,
         "tokens": passed,
         "cpu_us_per_token": cpu / passed as f64 * 1e6,
-        "process_kib_per_stream_all_roles": memory as f64 / 1024.0 / f64::from(count),
+        "kib_per_stream_all_roles": kib_per_stream(memory_through),
+        "kib_per_stream_direct": kib_per_stream(memory_direct),
+        "kib_per_stream_entry": kib_per_stream(memory_through) - kib_per_stream(memory_direct),
     }))
 }
 
+/// Streams that are read as they arrive.
+struct HeldStreams {
+    tokens: Arc<AtomicU64>,
+    readers: JoinSet<()>,
+}
+
+impl HeldStreams {
+    fn count_tokens(&self) -> u64 {
+        self.tokens.load(Ordering::Relaxed)
+    }
+
+    async fn close(mut self) {
+        self.readers.shutdown().await;
+        sleep(SETTLE_TIME).await;
+    }
+}
+
+/// Opens `count` streams at `address` and waits until they run.
+async fn hold_streams(address: SocketAddr, count: u32) -> eyre::Result<HeldStreams> {
+    let client = client(0);
+    let mut streams = HeldStreams { tokens: Arc::default(), readers: JoinSet::new() };
+    for _ in 0..count {
+        let answer = take_answer(client.request(make_request(address, u32::MAX)?).await?).await?;
+        let tokens = Arc::clone(&streams.tokens);
+        streams.readers.spawn(async move {
+            let mut body = answer.into_body();
+            while let Some(Ok(_)) = body.frame().await {
+                tokens.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    }
+    sleep(SETTLE_TIME).await;
+    Ok(streams)
+}
+
 /// Processor time so far of the threads with such names, in seconds.
 pub(crate) fn thread_cpu(is_counted: impl Fn(&str) -> bool) -> eyre::Result<f64> {
     let mut ticks = 0.0;
--- a/cicadastall-standins/src/engine.rs
+++ b/cicadastall-standins/src/engine.rs
@@ -36,6 +36,9 @@
     time::{Instant, sleep},
 };
 
+/// Most connections of an engine; benchmarks hold thousands of streams.
+const CONNECTIONS: usize = 16_384;
+
 /// Most bytes of a request.
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -164,7 +167,8 @@
             switch.note_request();
             answer(Arc::clone(&shared), request)
         };
-        tasks.spawn(serve(listener, ListenerLimits::default(), stopped, handler));
+        let limits = ListenerLimits { connections: CONNECTIONS, ..ListenerLimits::default() };
+        tasks.spawn(serve(listener, limits, stopped, handler));
         let shared = Arc::clone(&state);
         tasks.spawn(announce(record, place.entries, leave.clone(), move |record| {
             let running = shared.counters.running.load(Ordering::Relaxed);
