Write milliseconds, fingerprints, replies and lease starts once

Ruled out: a change of behaviour; no test, bound or golden file is touched. Change: clock.rs has the milliseconds, the relay reads the fingerprint of its shape, wire::is_default, placement_host::start_lease, make_reply.

--- a/cicadastall/src/answer.rs
+++ b/cicadastall/src/answer.rs
@@ -1,5 +1,6 @@
 //! Answers that are not a full result: refusals, failures, and what is known of their execution.
 
+use crate::clock::millis;
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 use std::{fmt, time::Duration};
@@ -129,7 +130,7 @@
 
     /// Adds the earliest time to send the request again.
     pub fn retry_after(mut self, delay: Duration) -> Self {
-        self.retry_after_ms = Some(u64::try_from(delay.as_millis()).unwrap_or(u64::MAX));
+        self.retry_after_ms = Some(millis(delay));
         self
     }
 }
--- a/cicadastall/src/clock.rs
+++ b/cicadastall/src/clock.rs
@@ -1,6 +1,6 @@
-//! Wall-clock time that advances with the runtime's clock.
+//! Wall-clock time that advances with the runtime's clock, and durations in milliseconds.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
 /// Reads the system's time once and then follows the clock of the runtime.
@@ -13,12 +13,26 @@
 impl WallClock {
     /// A clock that reads the system's time now.
     pub fn start() -> Self {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { started: Instant::now(), started_ms: since_epoch.as_millis() as u64 }
+        Self { started: Instant::now(), started_ms: unix_ms() }
     }
 
     /// Milliseconds since 1970.
     pub fn now_ms(&self) -> u64 {
-        self.started_ms + self.started.elapsed().as_millis() as u64
+        self.started_ms + millis(self.started.elapsed())
     }
 }
+
+/// Whole milliseconds of `duration`.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Milliseconds of `duration`, with their fraction.
+pub(crate) fn fractional_millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+/// Milliseconds since the Unix epoch, by the system's clock.
+pub(crate) fn unix_ms() -> u64 {
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
--- a/cicadastall/src/control.rs
+++ b/cicadastall/src/control.rs
@@ -11,7 +11,7 @@
     ledger_host::{LedgerHosting, LedgerService},
     membership::MembershipMessage,
     node::NodeSettings,
-    placement_host::PlacementHost,
+    placement_host::{PlacementHost, start_lease},
     replicated::{LocalGroup, ReplicatedGroup},
     settings::FleetSettings,
     settings_command::{answer_change, parse_subtree},
@@ -149,9 +149,7 @@
         tasks.spawn_on(host.run(LocalGroup::new(LeaseState::default())), control);
         return Ok(());
     }
-    let groups = groups.clone();
-    let started = async move { groups.start_placement(LeaseState::default()).await };
-    let group = control.spawn(started).await.map_err(io::Error::other)??;
+    let group = start_lease(groups, control).await?;
     tasks.spawn_on(host.run(group), control);
     Ok(())
 }
--- a/cicadastall/src/entry.rs
+++ b/cicadastall/src/entry.rs
@@ -7,7 +7,6 @@
     group_operator::{GROUPS_PATH, answer_groups},
     http::{self, AnswerBody, HttpClient, ListenerLimits, json_answer, text_answer},
     instance::{CONTROL_TIMEOUT, InstanceAddresses, InstanceCore},
-    lease::LeaseState,
     ledger_host::LedgerHosting,
     limits::CallerCounts,
     membership::MembershipMessage,
@@ -15,6 +14,7 @@
     node::NodeSettings,
     observe::RequestMetrics,
     peer::PeerClients,
+    placement_host::start_lease,
     quarantine::SuspectBoard,
     route::{RequestRouter, RouterPlace},
     serve::answer_request,
@@ -283,9 +283,7 @@
     control: &Handle,
     groups: &GroupHost,
 ) -> io::Result<()> {
-    let groups = groups.clone();
-    let started = async move { groups.start_placement(LeaseState::default()).await };
-    let replica = control.spawn(started).await.map_err(io::Error::other)??;
+    let replica = start_lease(groups, control).await?;
     tasks.spawn_on(
         async move {
             let _replica = replica;
--- a/cicadastall/src/follow.rs
+++ b/cicadastall/src/follow.rs
@@ -1,6 +1,7 @@
 //! The settings that one instance holds, and since when they are known to be the newest.
 
 use crate::{
+    clock::{millis, unix_ms},
     settings::{Revision, SettingsSnapshot},
     subtree::SettingsUpdate,
 };
@@ -8,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 use tokio::{
     sync::watch,
@@ -169,13 +170,3 @@
         self.clock.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Whole milliseconds of `duration`.
-pub(crate) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Milliseconds since the Unix epoch.
-pub(crate) fn unix_ms() -> u64 {
-    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
-}
--- a/cicadastall/src/follower.rs
+++ b/cicadastall/src/follower.rs
@@ -1,7 +1,8 @@
 //! Follows the settings: asks control instances and peers, and passes updates on within the zone.
 
 use crate::{
-    follow::{SettingsHolder, StartState, millis},
+    clock::millis,
+    follow::{SettingsHolder, StartState},
     followers::{FollowerTable, ZoneTargets},
     name::InstanceName,
     node::NodeSettings,
--- a/cicadastall/src/followers.rs
+++ b/cicadastall/src/followers.rs
@@ -1,7 +1,7 @@
 //! Which instances ask a control instance for settings, by availability zone.
 
 use crate::{
-    follow::millis,
+    clock::millis,
     name::{InstanceName, RegionName, ZoneName},
     settings_peer::{FollowerPlace, SilentInstance, ZoneReport},
 };
--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -1,6 +1,7 @@
 //! A replica of a group as its users see it: proposals, reads and status.
 
 use crate::{
+    clock::unix_ms,
     group_actor::{
         GroupActor, GroupArguments, GroupMessage, GroupStatus, ProposalReply, ReadReply,
     },
@@ -23,7 +24,7 @@
     net::SocketAddr,
     path::PathBuf,
     sync::{Arc, PoisonError, RwLock},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 use tokio::{
     sync::{oneshot, watch},
@@ -277,7 +278,7 @@
         return Err(RefoundError::LossNotAccepted);
     }
     let (reply, replied) = oneshot::channel();
-    let message = GroupMessage::Refound(Epoch(wall_clock_ms()), reply);
+    let message = GroupMessage::Refound(Epoch(unix_ms()), reply);
     actor.cast(message).map_err(|_| RefoundError::Stopped)?;
     replied.await.map_err(|_| RefoundError::Stopped)?.map_err(RefoundError::Replica)
 }
@@ -302,7 +303,7 @@
         let replica = ReplicaSettings {
             own: own.clone(),
             instances: settings.voters.iter().map(|voter| voter.instance.clone()).collect(),
-            founding: Epoch(wall_clock_ms()),
+            founding: Epoch(unix_ms()),
             timing: settings.timing,
             append_entries: APPEND_ENTRIES,
             snapshot_part: SNAPSHOT_PART_BYTES,
@@ -508,11 +509,6 @@
 
 impl std::error::Error for RefoundError {}
 
-/// Milliseconds of the wall clock, only to tell epochs apart.
-fn wall_clock_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 type OpenedStorage =
     (Option<JournalWriter>, crate::replica_message::ReplicaIdentity, StoredReplica);
 
--- a/cicadastall/src/logs.rs
+++ b/cicadastall/src/logs.rs
@@ -1,15 +1,15 @@
 //! Logs as JSON lines on standard error.
 
-use crate::name::{InstanceName, ZoneName};
+use crate::{
+    clock::unix_ms,
+    name::{InstanceName, ZoneName},
+};
 use log::{
     Record,
     kv::{Error as KvError, Key, Value, VisitSource},
 };
 use serde_json::{Map, json};
-use std::{
-    io::Write,
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::io::Write;
 
 struct FieldVisitor<'a>(&'a mut Map<String, serde_json::Value>);
 
@@ -23,9 +23,8 @@
 
 /// Encodes one record as a line of JSON without its newline.
 pub fn encode_line(record: &Record<'_>, instance: &InstanceName, zone: &ZoneName) -> String {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let mut fields = Map::new();
-    fields.insert("time_ms".into(), json!(since_epoch.as_millis() as u64));
+    fields.insert("time_ms".into(), json!(unix_ms()));
     fields.insert("level".into(), json!(record.level().as_str()));
     fields.insert("instance".into(), json!(instance));
     fields.insert("zone".into(), json!(zone));
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     bulletin::{MemberPacket, decode_packet, encode_packet},
+    clock::{millis, unix_ms},
     directory::{PublishPlan, publish},
     follow::SettingsHolder,
     http::{self, HttpClient},
@@ -22,7 +23,7 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 use tokio::{
     net::UdpSocket,
@@ -118,10 +119,9 @@
         myself: ActorRef<Self::Msg>,
         arguments: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = EntryRecord {
             instance: arguments.node.instance.clone(),
-            incarnation: Incarnation(started.as_millis() as u64),
+            incarnation: Incarnation(unix_ms()),
             region: arguments.node.region.clone(),
             zone: arguments.node.zone.clone(),
             caller_address: arguments.caller_address,
@@ -246,10 +246,7 @@
     }
 
     fn reply_announcement(&self, drain: bool, now: Instant) -> AnnounceReply {
-        let mut entries = self.zone_entries(now);
-        entries.truncate(ANNOUNCE_ENTRIES);
-        let renew_within_ms = RENEW_WITHIN.as_millis() as u64;
-        AnnounceReply { renew_within_ms, entries, drain, announce: false }
+        make_reply(self.zone_entries(now), drain, false)
     }
 
     /// The reply to a renewal; `drain` is none where there is no announcement to renew.
@@ -263,10 +260,7 @@
         if now.duration_since(self.listed_at) >= ENTRIES_NEWS {
             entries.clear();
         }
-        entries.truncate(ANNOUNCE_ENTRIES);
-        let renew_within_ms = RENEW_WITHIN.as_millis() as u64;
-        let announce = drain.is_none();
-        AnnounceReply { renew_within_ms, entries, drain: drain.unwrap_or_default(), announce }
+        make_reply(entries, drain.unwrap_or_default(), drain.is_none())
     }
 
     /// Addresses of the zone's entries, in the order of the listing.
@@ -277,6 +271,12 @@
     }
 }
 
+/// The reply to an announcement or a renewal; names the first of `entries`.
+fn make_reply(mut entries: Vec<SocketAddr>, drain: bool, announce: bool) -> AnnounceReply {
+    entries.truncate(ANNOUNCE_ENTRIES);
+    AnnounceReply { renew_within_ms: millis(RENEW_WITHIN), entries, drain, announce }
+}
+
 /// Passes the datagrams of other instances to `membership`, until its task is dropped.
 pub(crate) async fn receive_packets(
     socket: Arc<UdpSocket>,
--- a/cicadastall/src/observe.rs
+++ b/cicadastall/src/observe.rs
@@ -1,6 +1,6 @@
 //! Metrics of requests, by workspace, kind and rank.
 
-use crate::{answer::RefusalCode, decode::RequestPlan, settings::Rank};
+use crate::{answer::RefusalCode, clock::fractional_millis, decode::RequestPlan, settings::Rank};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Histogram, MeterProvider},
@@ -74,17 +74,17 @@
 
     /// Records the time that a request waited before its first attempt.
     pub fn record_queue_wait(&self, plan: &RequestPlan, wait: Duration) {
-        self.queue_wait.record(millis(wait), &labels(plan));
+        self.queue_wait.record(fractional_millis(wait), &labels(plan));
     }
 
     /// Records the time from a request's arrival to its first token.
     pub fn record_first_token(&self, plan: &RequestPlan, elapsed: Duration) {
-        self.first_token.record(millis(elapsed), &labels(plan));
+        self.first_token.record(fractional_millis(elapsed), &labels(plan));
     }
 
     /// Records the time from a request's arrival to the end of its answer.
     pub fn record_whole_answer(&self, plan: &RequestPlan, elapsed: Duration) {
-        self.whole_answer.record(millis(elapsed), &labels(plan));
+        self.whole_answer.record(fractional_millis(elapsed), &labels(plan));
     }
 
     /// Counts a request that was refused before its workspace and kind were known.
@@ -121,10 +121,6 @@
     text.as_ref().and_then(|text| text.as_str()).unwrap_or("other").to_owned()
 }
 
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
-
 fn labels(plan: &RequestPlan) -> [KeyValue; 3] {
     let rank = match plan.rank {
         Rank::Urgent => "urgent",
--- a/cicadastall/src/placement_host.rs
+++ b/cicadastall/src/placement_host.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     follow::SettingsHolder,
+    group::{GroupHandle, GroupHost},
     http::HttpClient,
     lease::{LeaseKeeper, LeaseState},
     name::{PoolName, TeamName},
@@ -15,12 +16,26 @@
 };
 use arc_swap::ArcSwap;
 use futures::future::join_all;
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep};
+use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
+use tokio::{
+    runtime::Handle,
+    time::{Instant, sleep},
+};
 
 /// Time between two rounds; the lease is renewed in each.
 const ROUND_PERIOD: Duration = Duration::from_secs(2);
 
+/// Starts a replica of the region's placement lease on `control`.
+pub(crate) async fn start_lease(
+    groups: &GroupHost,
+    control: &Handle,
+) -> io::Result<GroupHandle<LeaseState>> {
+    let groups = groups.clone();
+    let started = async move { groups.start_placement(LeaseState::default()).await };
+    let replica = control.spawn(started).await.map_err(io::Error::other)??;
+    Ok(replica)
+}
+
 /// Parts that placement uses.
 #[derive(Debug)]
 pub struct PlacementHost {
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -17,7 +17,6 @@
     relay::crash::{AttemptPermit, fingerprint_plan},
     route::{RouteDecision, TriedTargets, UpstreamChoice, track::SendTicket},
     stream::{AnswerAssembler, StreamStep, encode_event},
-    suspect::RequestFingerprint,
     table::Incarnation,
     trace::RequestTrace,
     wire::{CallRequest, ChatRequest, ChunkView},
@@ -130,7 +129,6 @@
     plan: Arc<RequestPlan>,
     trace: Arc<RequestTrace>,
     shape: PromptShape,
-    fingerprint: RequestFingerprint,
     tried: TriedTargets,
     attempts: u32,
     deadline: Instant,
@@ -191,7 +189,6 @@
         Self {
             context,
             shape: PromptShape { fingerprint, ..PromptShape::of(&plan.body) },
-            fingerprint,
             plan,
             trace,
             tried: TriedTargets::default(),
--- a/cicadastall/src/relay/crash.rs
+++ b/cicadastall/src/relay/crash.rs
@@ -40,7 +40,7 @@
 impl RequestRelay {
     /// Whether a copy of the request crashed an upstream.
     pub(super) fn is_suspect(&self) -> bool {
-        self.context.suspects().judge(self.fingerprint) == Suspicion::Suspect
+        self.context.suspects().judge(self.shape.fingerprint) == Suspicion::Suspect
     }
 
     /// Refuses a request in quarantine, and otherwise isolates a suspect on the upstream of `view`.
@@ -50,18 +50,18 @@
         &self,
         view: &UpstreamView,
     ) -> Result<AttemptPermit, Refusal> {
-        if self.context.suspects().is_probing(self.fingerprint) {
+        if self.context.suspects().is_probing(self.shape.fingerprint) {
             sleep(ISOLATION_PAUSE).await;
             return Ok(AttemptPermit::Busy);
         }
-        match self.context.suspects().judge(self.fingerprint) {
+        match self.context.suspects().judge(self.shape.fingerprint) {
             Suspicion::None => Ok(AttemptPermit::Free),
             Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
             Suspicion::Suspect => {
                 let lease = IsolationLease::acquire(
                     self.context.suspects(),
                     self.context.peer_clients(),
-                    self.fingerprint,
+                    self.shape.fingerprint,
                     view.record.name.clone(),
                     self.next_attempt(),
                     self.remaining(),
@@ -92,7 +92,7 @@
         let Some(upstream) = &attempt.source.upstream else {
             return Ok(());
         };
-        let _probe = self.context.suspects().begin_probe(self.fingerprint);
+        let _probe = self.context.suspects().begin_probe(self.shape.fingerprint);
         let verdict = probe_upstream(*address, self.remaining()).await;
         log::info!(
             attempt = attempt.id.as_str(), upstream = upstream.as_str();
@@ -107,7 +107,7 @@
         if board.is_known_before(&crash, attempt.chosen_at) {
             return Ok(());
         }
-        match board.report_crash(self.context.peer_clients(), self.fingerprint, crash).await {
+        match board.report_crash(self.context.peer_clients(), self.shape.fingerprint, crash).await {
             Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
             _ => Ok(()),
         }
@@ -117,12 +117,13 @@
     pub(super) async fn note_whole(&self, attempt: &OpenAttempt) {
         if attempt.isolation.is_some() {
             let clients = self.context.peer_clients();
-            self.context.suspects().report_whole(clients, self.fingerprint).await;
+            self.context.suspects().report_whole(clients, self.shape.fingerprint).await;
         }
     }
 
     fn refuse_quarantined(&self, remaining: Duration) -> Refusal {
-        let message = format!("the request crashed upstreams; fingerprint {}", self.fingerprint);
+        let message =
+            format!("the request crashed upstreams; fingerprint {}", self.shape.fingerprint);
         Refusal { ran: self.ran, ..Refusal::not_run(RefusalCode::Quarantined, message) }
             .retry_after(remaining)
     }
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -6,6 +6,7 @@
 use crate::{
     admit::{Admission, AdmissionGate},
     answer::{Refusal, RefusalCode},
+    clock::millis,
     decode::RequestPlan,
     explain::{ExplainRing, LISTED_CANDIDATES, RouteExplanation, UpstreamExplanation},
     name::{RegionName, UpstreamName, ZoneName},
@@ -227,7 +228,7 @@
         let age = now.saturating_duration_since(view.renewed_at);
         UpstreamExplanation {
             record: Arc::clone(&view.record),
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: millis(age),
             used: unused.is_none(),
             unused,
         }
--- a/cicadastall/src/route/choice.rs
+++ b/cicadastall/src/route/choice.rs
@@ -7,6 +7,7 @@
 };
 use crate::{
     admit::ZoneCapacity,
+    clock::millis,
     decode::RequestPlan,
     explain::{ExplainedCandidate, LISTED_CANDIDATES, RouteExplanation, RouteOutcome},
     name::UpstreamName,
@@ -15,7 +16,6 @@
     table::{RoutingTable, UpstreamView},
 };
 use smallvec::SmallVec;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Everything that one choice is made from, beside the router's own knowledge.
@@ -38,7 +38,6 @@
         predictions: &[Prediction],
         filtered: Vec<(UpstreamName, FilterReason)>,
     ) -> RouteExplanation {
-        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         let explain = |place: usize| ExplainedCandidate {
             upstream: candidates[place].record.name.clone(),
             score: predictions[place].score(),
--- a/cicadastall/src/settings_command.rs
+++ b/cicadastall/src/settings_command.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     check::{check_regions, check_team},
+    clock::unix_ms,
     fault::SettingsFault,
-    follow::unix_ms,
     http::{AnswerBody, json_answer, read_body},
     name::{OperationId, TeamName},
     replicated::{GroupError, ReplicatedGroup},
--- a/cicadastall/src/settings_host.rs
+++ b/cicadastall/src/settings_host.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     check::check_settings,
+    clock::millis,
     fault::SettingsFault,
-    follow::millis,
     follower::SettingsFollower,
     name::RegionName,
     node::NodeSettings,
--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -3,6 +3,7 @@
 use crate::{
     name::{InstanceName, ModelName, PoolName, RegionName, UpstreamName, ZoneName},
     settings::Rank,
+    wire::is_default,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -55,24 +56,19 @@
     /// Tokens in the KV cache that running requests hold.
     pub kv_used_tokens: u64,
     /// Urgent requests that run.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub urgent_running: u32,
     /// Urgent requests that wait.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub urgent_queued: u32,
     /// Prompt tokens of urgent requests that wait for prefill.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub urgent_prompt_tokens: u64,
     /// The newest changes of the prefix cache; consecutive reports overlap.
     #[serde(default, skip_serializing_if = "CacheBatch::is_empty")]
     pub cache: CacheBatch,
 }
 
-/// Whether a field is left out of a report.
-fn is_zero<T: Default + PartialEq>(value: &T) -> bool {
-    *value == T::default()
-}
-
 /// Consecutive changes of one upstream's prefix cache.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct CacheBatch {
--- a/cicadastall/src/trace.rs
+++ b/cicadastall/src/trace.rs
@@ -1,8 +1,8 @@
 //! What happened to one request, for the metrics and for the log line at its end.
 
 use crate::{
-    answer::RefusalCode, decode::RequestPlan, entry::EntryContext, observe::name_code,
-    relay::AnswerSource,
+    answer::RefusalCode, clock::fractional_millis, decode::RequestPlan, entry::EntryContext,
+    observe::name_code, relay::AnswerSource,
 };
 use std::{
     sync::{
@@ -105,9 +105,9 @@
             outcome = outcome,
             region = source.map(|source| source.region.as_str()),
             upstream = source.and_then(|source| Some(source.upstream.as_ref()?.as_str())),
-            queue_wait_ms = self.queue_wait.get().map(millis),
-            first_token_ms = self.first_token.get().map(millis),
-            whole_ms = millis(&self.arrived.elapsed());
+            queue_wait_ms = self.queue_wait.get().copied().map(fractional_millis),
+            first_token_ms = self.first_token.get().copied().map(fractional_millis),
+            whole_ms = fractional_millis(self.arrived.elapsed());
             "request ended"
         );
     }
@@ -118,7 +118,3 @@
         self.end(HUNG_UP);
     }
 }
-
-fn millis(duration: &Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
--- a/cicadastall/src/wire.rs
+++ b/cicadastall/src/wire.rs
@@ -178,16 +178,16 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub entries: Vec<SocketAddr>,
     /// Whether an operator wants the upstream to leave.
-    #[serde(default, skip_serializing_if = "is_unset")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub drain: bool,
     /// Whether the entry needs the whole announcement, as it has none to renew.
-    #[serde(default, skip_serializing_if = "is_unset")]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub announce: bool,
 }
 
-/// Whether a flag is left out of an answer.
-fn is_unset(flag: &bool) -> bool {
-    !flag
+/// Whether a field is left out of a message.
+pub(crate) fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
 
 /// One row of `GET /v1/entries`.
