Let any control instance join an open group, and replace silent voters

Cause: the members of a group were listed at its start; a control instance at a new address could not join, and one that is gone for good stayed a voter. Change: in an open group a replica is named by its address, a follower passes a join on to its leader, and a silent voter is removed only while the number of voters is even, so that removal never raises how many must answer. Only a first start may found the group. Tests: open_groups (4), which fail to compile before the change.

--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -5,12 +5,12 @@
     group_actor::{
         GroupActor, GroupArguments, GroupMessage, GroupStatus, ProposalReply, ReadReply,
     },
-    group_transport::{GroupEndpoint, GroupRegistry, GroupSenders},
+    group_transport::{GroupEndpoint, GroupRegistry, GroupSenders, find_address},
     journal::{JournalError, JournalWriter, create_identity},
     name::{GroupName, InstanceName},
     node::{NodeSettings, VoterSettings},
     peer::{PeerClients, PeerError},
-    replica::{ReplicaCore, ReplicaError, ReplicaSettings, ReplicaTiming},
+    replica::{MemberAdmission, ReplicaCore, ReplicaError, ReplicaSettings, ReplicaTiming},
     replica_message::{Epoch, LogIndex, ReplicaEnvelope, ReplicaId, StoredReplica},
     replicated::{GroupError, ReplicatedGroup, ReplicatedState},
 };
@@ -65,8 +65,10 @@
     pub group: GroupName,
     /// Instance that runs the replica.
     pub own: InstanceName,
-    /// Instances that may be members, this one among them; the first founds the group.
+    /// Instances that found the group; the first one does so in the name of all.
     pub voters: Vec<VoterSettings>,
+    /// Which instances may be members.
+    pub admission: MemberAdmission,
     /// Folder for the journal; without one the replica loses its identity when it stops.
     pub folder: Option<PathBuf>,
     /// Periods.
@@ -128,6 +130,7 @@
             group,
             own: self.node.instance.clone(),
             voters,
+            admission: MemberAdmission::Listed,
             folder: self.node.data_folder.clone(),
             timing: ReplicaTiming::default(),
         };
@@ -303,6 +306,7 @@
         let replica = ReplicaSettings {
             own: own.clone(),
             instances: settings.voters.iter().map(|voter| voter.instance.clone()).collect(),
+            admission: settings.admission,
             founding: Epoch(unix_ms()),
             timing: settings.timing,
             append_entries: APPEND_ENTRIES,
@@ -318,7 +322,7 @@
             writer,
             state: Arc::clone(&state),
             status,
-            senders: GroupSenders::start(&settings.group, &addresses, &clients),
+            senders: GroupSenders::new(settings.group.clone(), addresses.clone(), &clients),
             name: format!("journal {}", settings.group),
         };
         let (actor, _) = Actor::spawn(None, GroupActor(PhantomData), arguments)
@@ -447,7 +451,7 @@
     }
 
     fn address(&self, instance: &InstanceName) -> Option<SocketAddr> {
-        self.shared.addresses.get(instance).copied()
+        find_address(&self.shared.addresses, instance)
     }
 }
 
--- a/cicadastall/src/group_transport.rs
+++ b/cicadastall/src/group_transport.rs
@@ -127,29 +127,47 @@
     }
 }
 
+/// Address of an instance: a listed one, or that after which a member of an open group is named.
+pub(crate) fn find_address(
+    listed: &HashMap<InstanceName, SocketAddr>,
+    instance: &InstanceName,
+) -> Option<SocketAddr> {
+    listed.get(instance).copied().or_else(|| instance.as_str().parse().ok())
+}
+
 /// Queues of messages to the other members of one group.
 #[derive(Debug)]
 pub(crate) struct GroupSenders {
+    group: GroupName,
+    addresses: HashMap<InstanceName, SocketAddr>,
+    clients: Arc<PeerClients>,
     queues: HashMap<InstanceName, mpsc::Sender<ReplicaEnvelope>>,
 }
 
 impl GroupSenders {
-    /// Starts one task for each receiver; they end when this value is dropped.
-    pub(crate) fn start(
-        group: &GroupName,
-        addresses: &HashMap<InstanceName, SocketAddr>,
+    /// Sends to the instances at `addresses`, and to those that are named by their address.
+    pub(crate) fn new(
+        group: GroupName,
+        addresses: HashMap<InstanceName, SocketAddr>,
         clients: &Arc<PeerClients>,
     ) -> Self {
-        let start = |(instance, address): (&InstanceName, &SocketAddr)| {
-            let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
-            tokio::spawn(send_queued(group.clone(), *address, Arc::clone(clients), receiver));
-            (instance.clone(), sender)
-        };
-        Self { queues: addresses.iter().map(start).collect() }
+        Self { group, addresses, clients: Arc::clone(clients), queues: HashMap::new() }
     }
 
-    pub(crate) fn send(&self, envelope: ReplicaEnvelope) {
-        if let Some(queue) = self.queues.get(&envelope.to.instance) {
+    /// Queues a message; the first one to a receiver starts its task, which ends when this value is
+    /// dropped.
+    pub(crate) fn send(&mut self, envelope: ReplicaEnvelope) {
+        let instance = envelope.to.instance.clone();
+        if !self.queues.contains_key(&instance) {
+            let Some(address) = find_address(&self.addresses, &instance) else {
+                return log::warn!("no address of group member {instance}");
+            };
+            let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
+            let clients = Arc::clone(&self.clients);
+            tokio::spawn(send_queued(self.group.clone(), address, clients, receiver));
+            self.queues.insert(instance.clone(), sender);
+        }
+        if let Some(queue) = self.queues.get(&instance) {
             let _ = queue.try_send(envelope);
         }
     }
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -46,13 +46,39 @@
     }
 }
 
+/// Which instances may become members of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberAdmission {
+    /// Only those that are listed.
+    Listed,
+    /// Any that asks; each is named by the address at which the others reach it.
+    Open {
+        /// Whether this replica may found the group.
+        founding: bool,
+        /// Silence after which a voter is removed, while the number of voters is even.
+        retire_after: Duration,
+    },
+}
+
+impl MemberAdmission {
+    pub(crate) fn is_open(self) -> bool {
+        matches!(self, Self::Open { .. })
+    }
+
+    pub(crate) fn may_found(self) -> bool {
+        !matches!(self, Self::Open { founding: false, .. })
+    }
+}
+
 /// What a core is started with.
 #[derive(Debug, Clone)]
 pub struct ReplicaSettings {
     /// Instance and identity of the storage.
     pub own: ReplicaId,
-    /// Instances that may be members; the first one founds the group.
+    /// Instances that found the group, the first one in the name of all.
     pub instances: SmallVec<[InstanceName; 3]>,
+    /// Which instances may be members.
+    pub admission: MemberAdmission,
     /// Epoch of a group founded by this replica.
     pub founding: Epoch,
     /// Periods.
--- a/cicadastall/src/replica_election.rs
+++ b/cicadastall/src/replica_election.rs
@@ -78,7 +78,7 @@
         last: LogPosition,
         now: Instant,
     ) {
-        if self.is_leader() && !self.log.configuration().is_member(&from) {
+        if !self.log.configuration().is_member(&from) {
             self.consider_member(from.clone(), now);
         }
         let newer = term > self.hard.term && last >= self.log.last();
--- a/cicadastall/src/replica_founding.rs
+++ b/cicadastall/src/replica_founding.rs
@@ -36,7 +36,8 @@
 
     pub(crate) fn found_alone(&mut self, now: Instant) {
         let settings = &self.settings;
-        if settings.instances.as_slice() == [settings.own.instance.clone()] {
+        let alone = settings.instances.as_slice() == [settings.own.instance.clone()];
+        if alone && settings.admission.may_found() {
             self.found(Vec::new(), now);
         }
     }
@@ -49,13 +50,17 @@
         heard: Option<ReplicaIdentity>,
         now: Instant,
     ) {
-        if !self.settings.instances.contains(&from.instance) {
+        let founds = self.settings.instances.contains(&from.instance);
+        if !founds && !self.settings.admission.is_open() {
             return;
         }
         let own = self.settings.own.clone();
         let ReplicaRole::Absent { joins, answered } = &mut self.role else {
             return self.consider_member(from, now);
         };
+        if !founds {
+            return;
+        }
         for known in [&mut *joins, &mut *answered] {
             known.retain(|join| join.instance != from.instance);
         }
@@ -64,7 +69,8 @@
         if heard == Some(own.identity) {
             answered.push(from);
         }
-        let founder = self.settings.instances.first() == Some(&own.instance);
+        let first = self.settings.instances.first() == Some(&own.instance);
+        let founder = first && self.settings.admission.may_found();
         if founder && answered.len() + 1 == self.settings.instances.len() {
             let others = answered.clone();
             self.found(others, now);
--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -1,15 +1,18 @@
 //! The leader's part of the replication core: progress of followers, commit, reads, membership.
 
 use crate::{
-    replica::{ReplicaCore, ReplicaError, ReplicaRole, ReplicaTiming},
+    replica::{MemberAdmission, ReplicaCore, ReplicaError, ReplicaRole, ReplicaTiming},
     replica_message::{
         AppendOutcome, EntryPayload, GroupConfiguration, LogEntry, LogIndex, LogPosition,
-        ReadTicket, ReplicaId, ReplicaMessage, Term,
+        ReadTicket, ReplicaEnvelope, ReplicaId, ReplicaMessage, Term,
     },
 };
 use std::{cmp::Reverse, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
+/// Most voters of an open group; further replicas follow as learners.
+const MOST_VOTERS: usize = 7;
+
 /// Bytes of commands after which a message takes no further entry.
 const MAX_APPEND_BYTES: usize = 1024 * 1024;
 
@@ -298,10 +301,17 @@
 
 /// Membership, changed by one voter at a time.
 impl ReplicaCore {
-    /// Notes a replica that is not a member, or a member that has no state yet.
+    /// Notes a replica that is not a member, or a member that has no state yet; a follower of an
+    /// open group passes the question on to its leader.
     pub(crate) fn consider_member(&mut self, replica: ReplicaId, now: Instant) {
-        let allowed = self.settings.instances.contains(&replica.instance);
-        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        let open = self.settings.admission.is_open();
+        let allowed = open || self.settings.instances.contains(&replica.instance);
+        let ReplicaRole::Leader(state) = &mut self.role else {
+            if let Some(leader) = self.leader().filter(|_| open).cloned() {
+                self.introduce(replica, leader);
+            }
+            return;
+        };
         if let Some(peer) = state.peer(&replica) {
             peer.snapshot.get_or_insert(0);
         } else if allowed && replica != self.settings.own {
@@ -310,6 +320,13 @@
         }
     }
 
+    /// Tells the leader of a replica that wants to be a member.
+    fn introduce(&mut self, replica: ReplicaId, leader: ReplicaId) {
+        let message = ReplicaMessage::Join { heard: None };
+        let epoch = self.hard.epoch;
+        self.output.messages.push(ReplicaEnvelope { epoch, from: replica, to: leader, message });
+    }
+
     /// Starts the next change of members, unless one is under way.
     fn advance_membership(&mut self, now: Instant) {
         let ReplicaRole::Leader(state) = &mut self.role else { return };
@@ -320,6 +337,9 @@
             return;
         }
         let configuration = self.log.configuration().clone();
+        if let Some(silent) = find_silent(state, &configuration, self.settings.admission, now) {
+            return self.change_members(configuration.without(&silent), now);
+        }
         let commit = self.commit;
         let is_active = |peer: &PeerProgress| now < peer.heard + election;
         let caught_up = configuration.learners.iter().find(|learner| {
@@ -328,7 +348,7 @@
                 .iter()
                 .any(|peer| peer.replica == **learner && peer.matched >= commit && is_active(peer))
         });
-        if let Some(learner) = caught_up {
+        if let Some(learner) = caught_up.filter(|_| configuration.voters.len() < MOST_VOTERS) {
             return self.change_members(configuration.with_voter(learner.clone()), now);
         }
         let Some((joining, _)) = state.joining.first().cloned() else { return };
@@ -376,6 +396,21 @@
     }
 }
 
+/// A member of an open group to remove: a learner that is silent, or a silent voter while the
+/// number of voters is even, so that no more replicas must answer than before.
+fn find_silent(
+    state: &LeaderState,
+    configuration: &GroupConfiguration,
+    admission: MemberAdmission,
+    now: Instant,
+) -> Option<ReplicaId> {
+    let MemberAdmission::Open { retire_after, .. } = admission else { return None };
+    let even = configuration.voters.len() >= 4 && configuration.voters.len().is_multiple_of(2);
+    let removable = |peer: &&PeerProgress| even || !configuration.is_voter(&peer.replica);
+    let mut silent = state.peers.iter().filter(|peer| now >= peer.heard + retire_after);
+    silent.find(removable).map(|peer| peer.replica.clone())
+}
+
 /// The first of `entries`, at most `most` and as many bytes as one message may hold.
 fn choose_entries(entries: &[LogEntry], most: usize) -> Vec<LogEntry> {
     let mut bytes = 0;
--- a/cicadastall/tests/groups/mod.rs
+++ b/cicadastall/tests/groups/mod.rs
@@ -12,7 +12,7 @@
     name::{GroupName, InstanceName},
     node::VoterSettings,
     peer::PeerClients,
-    replica::ReplicaTiming,
+    replica::{MemberAdmission, ReplicaTiming},
     replicated::{GroupError, ReplicatedGroup, ReplicatedState},
 };
 use reserved::ReservedAddress;
@@ -79,6 +79,10 @@
     pub listen: Vec<SocketAddr>,
     /// Periods of all replicas.
     pub timing: ReplicaTiming,
+    /// Founders of an open group, whose later members are not listed; none in a closed one.
+    pub founders: Option<usize>,
+    /// Whether an open group may be founded.
+    pub founding: bool,
     folder: Option<PathBuf>,
     _reserved: Vec<ReservedAddress>,
 }
@@ -105,7 +109,32 @@
         };
         let voters = listen.iter().enumerate().map(voter).collect();
         let timing = ReplicaTiming::default();
-        Self { voters, listen, timing, folder, _reserved: reserved }
+        Self { voters, listen, timing, founders: None, founding: true, folder, _reserved: reserved }
+    }
+
+    /// An open group of which the first `founders` of `size` replicas are founders.
+    pub async fn open(size: usize, founders: usize, folder: PathBuf) -> Self {
+        let mut group = Self::new(size, Some(folder)).await;
+        for voter in &mut group.voters {
+            voter.instance = InstanceName::new(voter.address.to_string());
+        }
+        group.founders = Some(founders);
+        group
+    }
+
+    /// Name of a replica of an open group.
+    pub fn addressed(&self, index: usize) -> InstanceName {
+        InstanceName::new(self.listen[index].to_string())
+    }
+
+    fn admission(&self, index: usize) -> MemberAdmission {
+        match self.founders {
+            None => MemberAdmission::Listed,
+            Some(founders) => MemberAdmission::Open {
+                founding: self.founding && index < founders,
+                retire_after: Duration::from_secs(3),
+            },
+        }
     }
 
     pub fn folder(&self, index: usize) -> Option<PathBuf> {
@@ -120,7 +149,8 @@
         let settings = GroupSettings {
             group: GroupName::from("settings"),
             own: self.voters[index].instance.clone(),
-            voters: self.voters.clone(),
+            voters: self.voters[..self.founders.unwrap_or(self.voters.len())].to_vec(),
+            admission: self.admission(index),
             folder: self.folder(index),
             timing: self.timing,
         };
--- /dev/null
+++ b/cicadastall/tests/open_groups.rs
@@ -0,0 +1,80 @@
+//! Groups that take in any control instance: joining, replacement and lost disks.
+
+mod groups;
+
+use cicadastall::replica_message::Epoch;
+use groups::{Member, TestGroup, propose, wait_until};
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
+use tokio::time::sleep;
+
+fn folder(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("open-{name}-{}", std::process::id()))
+}
+
+async fn start(group: &TestGroup, indices: impl IntoIterator<Item = usize>) -> Vec<Member> {
+    let mut members = Vec::new();
+    for index in indices {
+        members.push(group.start(index).await.expect("start"));
+    }
+    members
+}
+
+fn voters(member: &Member) -> usize {
+    member.handle.status().configuration.voters.len()
+}
+
+async fn wait_voters(members: &[Member], count: usize) {
+    let agreed = || members.iter().all(|member| voters(member) == count);
+    wait_until("all know the voters", agreed).await;
+}
+
+#[tokio::test]
+async fn replicas_that_are_not_founders_join_and_vote() {
+    let group = TestGroup::open(5, 3, folder("join")).await;
+    let members = start(&group, 0..5).await;
+    propose(&members[4], "from a joined replica").await;
+    wait_voters(&members, 5).await;
+}
+
+#[tokio::test]
+async fn a_replica_at_a_new_address_takes_the_place_of_one_that_is_gone() {
+    let group = TestGroup::open(4, 3, folder("replace")).await;
+    let mut members = start(&group, 0..3).await;
+    propose(&members[0], "before").await;
+    members.remove(1).stop().await;
+    members.extend(start(&group, [3]).await);
+    let gone = group.addressed(1);
+    let replaced = |member: &Member| {
+        let voters = member.handle.status().configuration.voters;
+        voters.len() == 3 && voters.iter().all(|voter| voter.instance != gone)
+    };
+    wait_until("it is replaced", || members.iter().all(replaced)).await;
+    // The group stands another loss now.
+    members.remove(0).stop().await;
+    assert_eq!(propose(&members[1], "after").await, 2);
+}
+
+#[tokio::test]
+async fn a_silent_voter_stays_while_removing_it_would_not_help() {
+    let group = TestGroup::open(3, 3, folder("silent")).await;
+    let mut members = start(&group, 0..3).await;
+    propose(&members[0], "before").await;
+    members.remove(2).stop().await;
+    sleep(Duration::from_secs(4)).await;
+    wait_voters(&members, 3).await;
+    members.extend(start(&group, [2]).await);
+    members.remove(0).stop().await;
+    assert_eq!(propose(&members[1], "after").await, 2);
+}
+
+#[tokio::test]
+async fn empty_disks_found_no_group_after_the_first_start() {
+    let mut group = TestGroup::open(3, 3, folder("wiped")).await;
+    group.founding = false;
+    let members = start(&group, 0..3).await;
+    sleep(Duration::from_secs(3)).await;
+    assert!(members.iter().all(|member| member.handle.status().epoch == Epoch(0)));
+}
--- a/cicadastall/tests/replica_core.rs
+++ b/cicadastall/tests/replica_core.rs
@@ -2,7 +2,7 @@
 
 use cicadastall::{
     name::InstanceName,
-    replica::{ReplicaCore, ReplicaError, ReplicaSettings, ReplicaTiming},
+    replica::{MemberAdmission, ReplicaCore, ReplicaError, ReplicaSettings, ReplicaTiming},
     replica_message::{
         AppendOutcome, EntryPayload, Epoch, GroupConfiguration, HardState, LogEntry, LogIndex,
         LogPosition, ReadTicket, ReplicaEnvelope, ReplicaId, ReplicaIdentity, ReplicaMessage,
@@ -40,6 +40,7 @@
     let settings = ReplicaSettings {
         own: replica("b"),
         instances: voters.into_iter().map(|voter| voter.instance).collect(),
+        admission: MemberAdmission::Listed,
         founding: Epoch(9),
         timing: ReplicaTiming::default(),
         append_entries: 2,
--- a/cicadastall/tests/schedules/world.rs
+++ b/cicadastall/tests/schedules/world.rs
@@ -3,7 +3,7 @@
 use super::{actions::Action, promises::decode};
 use cicadastall::{
     name::InstanceName,
-    replica::{ReplicaCore, ReplicaSettings, ReplicaTiming},
+    replica::{MemberAdmission, ReplicaCore, ReplicaSettings, ReplicaTiming},
     replica_message::{
         EntryPayload, Epoch, JournalWrite, LogEntry, LogIndex, LogPosition, ReadTicket,
         ReplicaEnvelope, ReplicaId, ReplicaIdentity, ReplicaOutput, StoredReplica, Term,
@@ -141,6 +141,7 @@
         let settings = ReplicaSettings {
             own: id.clone(),
             instances: names.collect(),
+            admission: MemberAdmission::Listed,
             founding: Epoch(id.identity.0),
             timing: ReplicaTiming::default(),
             append_entries: 2,
