--- /dev/null
+++ b/cicadastall/src/gateway/attempt.rs
@@ -0,0 +1,426 @@
+//! One attempt of a request on an upstream, or on an entry of another region.
+
+use crate::{
+    answer::Ran,
+    gateway::{
+        call::RoutedCall,
+        choose::UpstreamChoice,
+        connections::{ConnectError, ConnectionTarget, ExchangeError, TakenConnection},
+        context::EntryContext,
+        dialect::AttemptNote,
+        headers::{read_keep_alive, strip_connection_headers},
+        hop::{HOP_HEADER, HopOrder, RAN_HEADER, read_ran},
+        outcome::{LostAttempt, Verdict, judge_head, judge_lost},
+        relay::CallRelay,
+        track::{SendEnd, SendNumber},
+    },
+    http::describe_error,
+    name::UpstreamName,
+};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, Uri,
+    body::{Body, Incoming},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, timeout};
+
+/// Longest time between the choice of an upstream and the first byte to it; a process that was
+/// stopped in between must choose again.
+const DISPATCH_BOUND: Duration = Duration::from_millis(1_500);
+
+/// Bytes of an answer that are held until it is whole; a longer one is passed on as it arrives.
+const WHOLE_BYTES: usize = 1024 * 1024;
+
+/// Longest time to read the rest of an answer that is not passed on, so that its connection can be
+/// kept.
+const DISCARD_BOUND: Duration = Duration::from_millis(50);
+
+/// Connections to one entry of another region.
+const HOP_CONNECTIONS: usize = 256;
+
+/// Attempts on kept connections that turn out to be closed.
+const STALE_CONNECTIONS: u32 = 3;
+
+/// An upstream's failure that is passed on if nothing better comes.
+#[derive(Debug)]
+pub(crate) struct KeptFailure {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// An attempt without an answer that can be passed on.
+#[derive(Debug)]
+pub(crate) struct AttemptFailure {
+    pub(crate) verdict: Verdict,
+    /// Whether the request may have reached an upstream.
+    pub(crate) arrived: bool,
+    pub(crate) cause: String,
+    pub(crate) kept: Option<Box<KeptFailure>>,
+    pub(crate) retry_after: Option<Duration>,
+    end: SendEnd,
+}
+
+impl AttemptFailure {
+    fn lost(lost: LostAttempt) -> Self {
+        let verdict = judge_lost(&lost);
+        let arrived = verdict != Verdict::NotRun;
+        let (LostAttempt::Unsent(cause) | LostAttempt::Sent(cause)) = lost;
+        Self { verdict, arrived, cause, kept: None, retry_after: None, end: SendEnd::Broken }
+    }
+}
+
+/// Keeps an upstream's record until its attempt has ended.
+#[derive(Debug)]
+pub(crate) struct SendGuard {
+    context: Arc<EntryContext>,
+    upstream: Option<(UpstreamName, SendNumber)>,
+    end: SendEnd,
+}
+
+impl SendGuard {
+    pub(crate) fn note_answering(&self) {
+        if let Some((upstream, number)) = &self.upstream {
+            self.context.chooser().note_answering(upstream, *number, Instant::now());
+        }
+    }
+
+    pub(crate) fn end(&mut self, end: SendEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for SendGuard {
+    fn drop(&mut self) {
+        if let Some((upstream, number)) = &self.upstream {
+            self.context.chooser().note_ended(upstream, *number, self.end, Instant::now());
+        }
+    }
+}
+
+/// An answer of which the start has arrived.
+#[derive(Debug)]
+pub(crate) struct OpenAnswer {
+    pub(crate) status: StatusCode,
+    /// Headers for the caller.
+    pub(crate) headers: HeaderMap,
+    /// What has arrived of the body.
+    pub(crate) first: Bytes,
+    /// Whether that is all.
+    pub(crate) whole: bool,
+    pub(crate) body: Incoming,
+    pub(crate) guard: SendGuard,
+    connection: TakenConnection,
+    keep_alive: Option<Duration>,
+}
+
+impl OpenAnswer {
+    /// Ends an answer that has been read whole.
+    pub(crate) fn finish(mut self) {
+        self.guard.end(SendEnd::Whole);
+        self.connection.keep(self.keep_alive);
+    }
+}
+
+/// Where an attempt goes.
+struct AttemptTarget {
+    connection: ConnectionTarget,
+    connections: usize,
+    upstream: Option<(UpstreamName, SendNumber)>,
+    predicted_ms: f64,
+}
+
+impl AttemptTarget {
+    fn of(choice: UpstreamChoice) -> Option<Self> {
+        match choice {
+            UpstreamChoice::Upstream { known, number, connections, predicted_ms } => {
+                let name = known.upstream.name.clone();
+                let address = known.upstream.address;
+                let connection = ConnectionTarget { address, upstream: Some(name.clone()) };
+                let upstream = Some((name, number));
+                Some(Self { connection, connections, upstream, predicted_ms })
+            }
+            UpstreamChoice::Region { entry, predicted_ms, .. } => {
+                let connection = ConnectionTarget { address: entry, upstream: None };
+                let connections = HOP_CONNECTIONS;
+                Some(Self { connection, connections, upstream: None, predicted_ms })
+            }
+            UpstreamChoice::Wait(_) | UpstreamChoice::Refuse { .. } => None,
+        }
+    }
+
+    fn describe(&self) -> String {
+        match &self.connection {
+            ConnectionTarget { upstream: Some(name), .. } => name.to_string(),
+            ConnectionTarget { address, .. } => format!("entry {address}"),
+        }
+    }
+}
+
+impl CallRelay {
+    /// Takes back a choice that is not used.
+    pub(crate) fn cancel_choice(&self, choice: &UpstreamChoice) {
+        if let UpstreamChoice::Upstream { known, number, .. } = choice {
+            let name = &known.upstream.name;
+            let now = Instant::now();
+            self.context.chooser().note_ended(name, *number, SendEnd::Cancelled, now);
+        }
+    }
+
+    /// Sends the request where `choice` says and opens the answer.
+    pub(crate) async fn attempt(
+        &mut self,
+        choice: UpstreamChoice,
+    ) -> Result<OpenAnswer, AttemptFailure> {
+        if let UpstreamChoice::Region { region, .. } = &choice {
+            self.context.metrics.count_hop(region.as_str());
+            self.tried.regions.push(region.clone());
+        }
+        let Some(target) = AttemptTarget::of(choice) else {
+            let unsent = LostAttempt::Unsent("no target was chosen".to_owned());
+            return Err(AttemptFailure::lost(unsent));
+        };
+        if let Some((name, _)) = &target.upstream {
+            self.tried.upstreams.push(name.clone());
+        }
+        let chosen_at = Instant::now();
+        let context = Arc::clone(&self.context);
+        let upstream = target.upstream.clone();
+        let mut guard = SendGuard { context, upstream, end: SendEnd::Cancelled };
+        let opened = self.open_target(&target, chosen_at).await;
+        self.sending = false;
+        match opened {
+            Ok((response, connection)) => {
+                self.read_answer(&target, chosen_at, guard, response, connection).await
+            }
+            Err(failure) => {
+                guard.end(failure.end);
+                let AttemptFailure { verdict, cause, .. } = &failure;
+                let (verdict, cause) = (*verdict, cause.clone());
+                self.note_attempt(
+                    target.describe(),
+                    verdict,
+                    &cause,
+                    target.predicted_ms,
+                    chosen_at,
+                );
+                Err(failure)
+            }
+        }
+    }
+
+    /// Connects, sends and waits for the head of the answer.
+    async fn open_target(
+        &mut self,
+        target: &AttemptTarget,
+        chosen_at: Instant,
+    ) -> Result<(Response<Incoming>, TakenConnection), AttemptFailure> {
+        let mut stale = 0;
+        loop {
+            let taken = self.context.connections.take(&target.connection, target.connections).await;
+            let mut connection = taken.map_err(|error| match error {
+                ConnectError::Exhausted => AttemptFailure {
+                    end: SendEnd::Refused,
+                    ..AttemptFailure::lost(LostAttempt::Unsent("all connections in use".into()))
+                },
+                ConnectError::Failed(cause) => AttemptFailure::lost(LostAttempt::Unsent(cause)),
+            })?;
+            if chosen_at.elapsed() > DISPATCH_BOUND {
+                let unsent = LostAttempt::Unsent("the choice is too old".to_owned());
+                return Err(AttemptFailure {
+                    end: SendEnd::Cancelled,
+                    ..AttemptFailure::lost(unsent)
+                });
+            }
+            let request = self.build_request(target);
+            self.sending = true;
+            match connection.exchange(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(ExchangeError::Unsent(cause)) => {
+                    self.sending = false;
+                    stale += 1;
+                    if stale > STALE_CONNECTIONS {
+                        return Err(AttemptFailure::lost(LostAttempt::Unsent(cause)));
+                    }
+                }
+                Err(ExchangeError::Broken(cause)) => {
+                    return Err(AttemptFailure::lost(LostAttempt::Sent(cause)));
+                }
+            }
+        }
+    }
+
+    fn build_request(&self, target: &AttemptTarget) -> Request<Full<Bytes>> {
+        let now = Instant::now();
+        let call = &self.call;
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = origin_form(&call.target);
+        *request.headers_mut() = call.headers.clone();
+        let headers = request.headers_mut();
+        match &target.upstream {
+            Some((upstream, _)) => {
+                let note = AttemptNote {
+                    attempt: &call.attempt,
+                    remaining: call.remaining(now),
+                    upstream: Some(upstream),
+                    rank: call.route.rank,
+                    resume_after: self.resume_after.as_deref(),
+                };
+                self.context.dialect.write_attempt(headers, &note);
+            }
+            None => {
+                let order = HopOrder::new(call, self.ran_on, self.resume_after.as_ref(), now);
+                match order.encode() {
+                    Some(order) => drop(headers.insert(HOP_HEADER, order)),
+                    None => log::warn!("hop order of {} not encoded", call.attempt),
+                }
+            }
+        }
+        request
+    }
+
+    /// Judges the head of an answer, and reads what must be known of its body.
+    async fn read_answer(
+        &mut self,
+        target: &AttemptTarget,
+        chosen_at: Instant,
+        mut guard: SendGuard,
+        response: Response<Incoming>,
+        connection: TakenConnection,
+    ) -> Result<OpenAnswer, AttemptFailure> {
+        let (parts, mut body) = response.into_parts();
+        let head = self.context.dialect.read_answer_head(parts.status, &parts.headers);
+        let ran = target.upstream.is_none().then(|| read_ran(&parts.headers)).flatten();
+        let verdict = match ran {
+            Some(Ran::No) => Verdict::NotRun,
+            Some(Ran::Unknown) => Verdict::Unknown,
+            None => judge_head(&head, &self.call.attempt),
+        };
+        let keep_alive = read_keep_alive(&parts.headers);
+        let mut headers = parts.headers;
+        strip_connection_headers(&mut headers);
+        headers.remove(RAN_HEADER);
+        let mut cause = format!("status {}", parts.status);
+        let mut outcome = verdict;
+        if verdict == Verdict::Answer {
+            self.sending = true;
+            match read_start(&self.call, &mut body).await {
+                Ok((first, whole)) => {
+                    self.sending = false;
+                    guard.note_answering();
+                    let predicted = target.predicted_ms;
+                    self.note_attempt(target.describe(), verdict, "", predicted, chosen_at);
+                    return Ok(OpenAnswer {
+                        status: parts.status,
+                        headers,
+                        first,
+                        whole,
+                        body,
+                        guard,
+                        connection,
+                        keep_alive,
+                    });
+                }
+                Err(broken) => {
+                    self.sending = false;
+                    cause = broken;
+                    outcome = Verdict::Unknown;
+                }
+            }
+        }
+        let mut failure = AttemptFailure {
+            verdict: outcome,
+            arrived: true,
+            cause,
+            kept: None,
+            retry_after: head.retry_after,
+            end: SendEnd::Broken,
+        };
+        match outcome {
+            Verdict::Failure => {
+                failure.end = SendEnd::Failed;
+                match collect(&mut body, WHOLE_BYTES).await {
+                    Ok((body, true)) => {
+                        connection.keep(keep_alive);
+                        let status = parts.status;
+                        failure.kept = Some(Box::new(KeptFailure { status, headers, body }));
+                    }
+                    Ok((_, false)) => failure.verdict = Verdict::Unknown,
+                    Err(cause) => {
+                        failure.verdict = Verdict::Unknown;
+                        failure.cause = cause;
+                    }
+                }
+            }
+            Verdict::NotRun if !head.misdirected => {
+                failure.end = SendEnd::Refused;
+                if let Some((upstream, _)) = &target.upstream {
+                    let now = Instant::now();
+                    self.context.chooser().note_full(upstream, head.retry_after, now);
+                }
+                if let Ok(Ok((_, true))) =
+                    timeout(DISCARD_BOUND, collect(&mut body, WHOLE_BYTES)).await
+                {
+                    connection.keep(keep_alive);
+                }
+            }
+            _ => {}
+        }
+        guard.end(failure.end);
+        let AttemptFailure { verdict, cause, .. } = &failure;
+        let (verdict, cause) = (*verdict, cause.clone());
+        self.note_attempt(target.describe(), verdict, &cause, target.predicted_ms, chosen_at);
+        Err(failure)
+    }
+}
+
+/// Reads the first part of a stream, or all of another answer; also says whether that is all.
+async fn read_start(call: &RoutedCall, body: &mut Incoming) -> Result<(Bytes, bool), String> {
+    if !call.repeat().is_stream() {
+        return collect(body, WHOLE_BYTES).await;
+    }
+    loop {
+        match body.frame().await {
+            None => return Ok((Bytes::new(), true)),
+            Some(Err(error)) => return Err(describe_error(&error)),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data()
+                    && !data.is_empty()
+                {
+                    return Ok((data, false));
+                }
+            }
+        }
+    }
+}
+
+/// Reads up to `most` bytes or a little more; also says whether that is all.
+async fn collect(body: &mut Incoming, most: usize) -> Result<(Bytes, bool), String> {
+    let mut collected = BytesMut::new();
+    loop {
+        if body.is_end_stream() {
+            return Ok((collected.freeze(), true));
+        }
+        match body.frame().await {
+            None => return Ok((collected.freeze(), true)),
+            Some(Err(error)) => return Err(describe_error(&error)),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    collected.extend_from_slice(&data);
+                }
+                if collected.len() > most {
+                    return Ok((collected.freeze(), false));
+                }
+            }
+        }
+    }
+}
+
+/// Path and query alone, as requests to a server name them.
+fn origin_form(target: &Uri) -> Uri {
+    let path = target.path_and_query().cloned();
+    path.map(Uri::from).unwrap_or_else(|| target.clone())
+}
--- /dev/null
+++ b/cicadastall/src/gateway/choose.rs
@@ -0,0 +1,516 @@
+//! Where the next attempt of a request goes. Without input or output.
+//!
+//! Of the upstreams that may run the request, the one with the least loss is taken. The loss adds how
+//! late the answer would be against the target, and what of the prompt's shared parts would have to
+//! be read again. Requests that share a part prefer the same upstream, which all entries find by the
+//! same hash. Another region is asked when no upstream here would answer in time and one there would.
+
+use crate::{
+    gateway::{
+        call::{CallHead, RoutedCall},
+        routes::PoolRule,
+        track::{OpenSend, SendEnd, SendNumber, UpstreamTrack},
+        view::{FleetView, KnownUpstream, LoadView},
+        warmup::{choose_sender, hash_pair, pause_between},
+    },
+    name::{InstanceName, PoolName, RegionName, UpstreamName},
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Part of the target up to which an answer costs nothing for its time.
+const EASY_PART: f64 = 0.5;
+
+/// Loss of an answer just at its target.
+const TARGET_LOSS: f64 = 0.3;
+
+/// Loss of an answer just past its target.
+const LATE_LOSS: f64 = 1.0;
+
+/// Loss of reading a thousand shared tokens again.
+const REREAD_LOSS: f64 = 0.1;
+
+/// Loss of a hop to another region, for its bytes and its entry's work.
+const HOP_LOSS: f64 = 0.12;
+
+/// Loss here below which no other region is asked.
+const HOP_FLOOR: f64 = 0.25;
+
+/// Time that a hop to another region adds to the first token, in milliseconds.
+const HOP_MS: f64 = 125.0;
+
+/// Loss of an upstream that only fails, over one that never does.
+const FAILING_LOSS: f64 = 2.0;
+
+/// Part of failures that is taken to lie with the requests.
+const FAILING_FLOOR: f64 = 0.35;
+
+/// Part of the time that is left within which an answer must be expected to begin.
+const WAIT_PART: f64 = 0.8;
+
+/// Time after its last answer for which an upstream whose renewals have ceased is still used.
+const SILENT_USE: Duration = Duration::from_secs(3);
+
+/// Longest wait for the next turn of a cold upstream.
+const COLD_WAIT: Duration = Duration::from_millis(400);
+
+/// Part of an upstream's connections that this region's entries share.
+const CONNECTION_PART: f64 = 0.85;
+
+/// Fewest connections to one upstream.
+const LEAST_CONNECTIONS: usize = 2;
+
+/// Time for which an upstream that has no room is left alone, where it names none.
+const FULL_BAR: Duration = Duration::from_millis(150);
+
+/// Earliest time to come back after a refusal.
+const LEAST_RETURN: Duration = Duration::from_millis(150);
+
+/// Time to come back where no upstream is known.
+const UNKNOWN_RETURN: Duration = Duration::from_millis(800);
+
+/// What was tried already.
+#[derive(Debug, Clone, Default)]
+pub struct TriedUpstreams {
+    /// Upstreams that were asked.
+    pub upstreams: SmallVec<[UpstreamName; 4]>,
+    /// Regions to whose entries the request was passed on.
+    pub regions: SmallVec<[RegionName; 2]>,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// No upstream that may run it is known.
+    NoUpstream,
+    /// All that may run it are barred after failures, cold, or without connections.
+    Unusable,
+    /// It would be answered too late.
+    Overloaded,
+}
+
+/// Where the next attempt goes.
+#[derive(Debug, Clone)]
+pub enum UpstreamChoice {
+    /// To an upstream of this region.
+    Upstream {
+        /// The upstream.
+        known: Arc<KnownUpstream>,
+        /// Names the send in the upstream's record.
+        number: SendNumber,
+        /// Connections that this entry may have to it.
+        connections: usize,
+        /// Predicted time to the first token or the whole answer, in milliseconds.
+        predicted_ms: f64,
+    },
+    /// To an entry of another region.
+    Region {
+        /// The region.
+        region: RegionName,
+        /// The entry.
+        entry: SocketAddr,
+        /// Predicted time as above.
+        predicted_ms: f64,
+    },
+    /// Nowhere before this time.
+    Wait(Instant),
+    /// Nowhere.
+    Refuse {
+        /// Why.
+        cause: RefusalCause,
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// What a choice depends on beside the chooser's own record.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoiceInput<'a> {
+    /// The request.
+    pub call: &'a RoutedCall,
+    /// Rule of its pool.
+    pub pool: Option<&'a PoolRule>,
+    /// What was tried.
+    pub tried: &'a TriedUpstreams,
+    /// The fleet.
+    pub view: &'a FleetView,
+    /// Work of others.
+    pub load: &'a LoadView,
+    /// Now.
+    pub now: Instant,
+}
+
+#[derive(Debug)]
+struct Candidate<'a> {
+    known: &'a Arc<KnownUpstream>,
+    unread_tokens: u32,
+    predicted_ms: f64,
+    loss: f64,
+    order: u64,
+    cold: bool,
+}
+
+/// Reasons why upstreams were left out, counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeftOut {
+    /// Failed lately.
+    pub barred: u32,
+    /// Cold, and another entry's turn or too soon.
+    pub cold: u32,
+    /// Tried already.
+    pub tried: u32,
+    /// Renewals have ceased, and no answer came lately.
+    pub silent: u32,
+}
+
+/// Chooses upstreams by what this entry gave them and what others told.
+#[derive(Debug)]
+pub struct UpstreamChooser {
+    own: InstanceName,
+    region: RegionName,
+    tracks: HashMap<UpstreamName, UpstreamTrack>,
+    sent: u64,
+    returns: HashMap<PoolName, Instant>,
+    random: ChaCha8Rng,
+    left_out: LeftOut,
+    cold_turn: Option<Instant>,
+}
+
+impl UpstreamChooser {
+    /// A chooser for the entry `own` in `region`; equal seeds choose equally.
+    pub fn new(own: InstanceName, region: RegionName, seed: u64) -> Self {
+        Self {
+            own,
+            region,
+            tracks: HashMap::new(),
+            sent: 0,
+            returns: HashMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            left_out: LeftOut::default(),
+            cold_turn: None,
+        }
+    }
+
+    /// Why upstreams were left out of the last choice.
+    pub fn left_out(&self) -> LeftOut {
+        self.left_out
+    }
+
+    /// Records of upstreams with open work: requests, and time to read their prompts in milliseconds.
+    pub fn work(&self, now: Instant) -> impl Iterator<Item = (&UpstreamName, u32, u32)> {
+        let busy = self.tracks.iter().filter(|(_, track)| track.open() > 0);
+        busy.map(move |(name, track)| {
+            (name, track.open() as u32, track.backlog_ms(u8::MAX, now) as u32)
+        })
+    }
+
+    /// Forgets upstreams that are gone and have no work.
+    pub fn forget(&mut self, view: &FleetView, now: Instant) {
+        let known = |name: &UpstreamName| {
+            view.pools.values().flatten().any(|known| known.upstream.name == *name)
+        };
+        self.tracks.retain(|name, track| !track.is_idle(now) || known(name));
+    }
+
+    fn track(&mut self, known: &KnownUpstream) -> &mut UpstreamTrack {
+        let started_ms = known.upstream.started_ms;
+        let track = self.tracks.entry(known.upstream.name.clone());
+        let track = track.or_insert_with(|| UpstreamTrack::new(started_ms));
+        if track.started_ms() < started_ms {
+            *track = UpstreamTrack::new(started_ms);
+        }
+        track
+    }
+
+    /// Chooses where the next attempt goes, and counts it there.
+    pub fn choose(&mut self, input: &ChoiceInput<'_>) -> UpstreamChoice {
+        self.left_out = LeftOut::default();
+        self.cold_turn = None;
+        let empty = Vec::new();
+        let upstreams = input.view.pools.get(&input.call.pool).unwrap_or(&empty);
+        let may_run_here = input.call.route.allows_region(&self.region);
+        let upstreams = if may_run_here { upstreams } else { &empty };
+        for known in upstreams {
+            self.track(known);
+        }
+        let best = self.find_best(input, upstreams);
+        let loss_here = best.as_ref().map_or(f64::INFINITY, |best| best.loss);
+        if !input.call.hopped
+            && loss_here > HOP_FLOOR
+            && let Some(choice) = self.choose_region(input, loss_here)
+        {
+            return choice;
+        }
+        let Some(best) = best else { return self.refuse_unusable(input, upstreams.is_empty()) };
+        let remaining_ms = input.call.remaining(input.now).as_secs_f64() * 1_000.0;
+        if best.predicted_ms > remaining_ms * WAIT_PART {
+            let wait_ms = best.predicted_ms - remaining_ms * WAIT_PART;
+            let retry_after = self.schedule_return(input, wait_ms);
+            return UpstreamChoice::Refuse { cause: RefusalCause::Overloaded, retry_after };
+        }
+        let Candidate { known, unread_tokens, predicted_ms, cold, .. } = best;
+        let known = Arc::clone(known);
+        self.send(input, &known, unread_tokens, predicted_ms, cold)
+    }
+
+    fn find_best<'a>(
+        &mut self,
+        input: &ChoiceInput<'a>,
+        upstreams: &'a [Arc<KnownUpstream>],
+    ) -> Option<Candidate<'a>> {
+        let head = &input.call.head;
+        let key = head.shared_parts().last().filter(|_| input.call.route.affinity);
+        let key = key.map_or_else(|| self.random.random(), |part| part.id);
+        let order = |known: &KnownUpstream| hash_pair(key, known.upstream.name.as_str());
+        let first = upstreams.iter().map(|known| order(known)).max();
+        let mut best: Option<Candidate<'a>> = None;
+        for known in upstreams {
+            let Some(cold) = self.admit(input, known) else { continue };
+            let order = order(known);
+            let preferred = Some(order) == first && input.call.route.affinity;
+            let candidate = self.score(input, known, order, preferred, cold);
+            let better = best.as_ref().is_none_or(|best| {
+                candidate.loss < best.loss
+                    || (candidate.loss == best.loss && candidate.order > best.order)
+            });
+            if better {
+                best = Some(candidate);
+            }
+        }
+        best
+    }
+
+    /// Whether the upstream may get the request now, and whether it is cold.
+    fn admit(&mut self, input: &ChoiceInput<'_>, known: &KnownUpstream) -> Option<bool> {
+        let now = input.now;
+        let name = &known.upstream.name;
+        if input.tried.upstreams.contains(name) {
+            self.left_out.tried += 1;
+            return None;
+        }
+        let track = self.tracks.get(name)?;
+        if track.is_barred(now) {
+            self.left_out.barred += 1;
+            return None;
+        }
+        if known.silent && !track.has_answered(SILENT_USE, now) {
+            self.left_out.silent += 1;
+            return None;
+        }
+        let cold = known.unconfirmed || known.cold_until.is_some_and(|until| now < until);
+        let Some(warmup) = input.pool.and_then(|pool| pool.warmup).filter(|_| cold) else {
+            return Some(false);
+        };
+        let sender = choose_sender(&input.view.entries, name, known.upstream.started_ms);
+        let next = track.next_cold().unwrap_or(now);
+        let own_turn = sender == Some(&self.own) && pause_between(warmup.per_s).is_some();
+        if !own_turn || now < next {
+            self.left_out.cold += 1;
+            if own_turn {
+                self.cold_turn = Some(self.cold_turn.map_or(next, |turn| turn.min(next)));
+            }
+            return None;
+        }
+        Some(true)
+    }
+
+    fn score<'a>(
+        &self,
+        input: &ChoiceInput<'_>,
+        known: &'a Arc<KnownUpstream>,
+        order: u64,
+        preferred: bool,
+        cold: bool,
+    ) -> Candidate<'a> {
+        let call = input.call;
+        let name = &known.upstream.name;
+        let fresh = UpstreamTrack::new(0);
+        let track = self.tracks.get(name).unwrap_or(&fresh);
+        let shared = call.head.shared_parts();
+        let cached = track.cached_tokens(shared, input.now);
+        let unread_tokens = call.head.prompt_tokens.saturating_sub(cached);
+        let (others, others_ms) = self.others_work(input, name, track);
+        let stream = call.repeat().is_stream();
+        let slots = f64::from(known.upstream.slots.max(1));
+        let over = (track.open() as f64 + others + 1.0 - slots).max(0.0);
+        let queue_ms = over * track.whole_ms(stream) / slots;
+        let own_ms = match stream {
+            true => track.first_token_ms(unread_tokens),
+            false => track.whole_ms(false) * track.slowness(),
+        };
+        let backlog_ms = track.backlog_ms(call.route.rank, input.now) + others_ms;
+        let predicted_ms = backlog_ms + queue_ms + own_ms;
+        let reread: u32 = shared.iter().map(|part| part.tokens).sum::<u32>() - cached;
+        let reread = if preferred { 0 } else { reread };
+        let time = predicted_ms / (call.route.target_ms.max(1) as f64);
+        let failing = (track.failing() - FAILING_FLOOR).max(0.0) / (1.0 - FAILING_FLOOR);
+        let loss = lateness_loss(time)
+            + f64::from(reread) / 1_000.0 * REREAD_LOSS
+            + failing * FAILING_LOSS;
+        Candidate { known, unread_tokens, predicted_ms, loss, order, cold }
+    }
+
+    /// Requests and backlog in milliseconds that other entries gave to an upstream; as much as this
+    /// one did where they do not tell.
+    fn others_work(
+        &self,
+        input: &ChoiceInput<'_>,
+        name: &UpstreamName,
+        track: &UpstreamTrack,
+    ) -> (f64, f64) {
+        if let Some(at) = input.load.work_at {
+            let (requests, backlog_ms) = input.load.work.get(name).copied().unwrap_or_default();
+            let age_ms = (input.now - at).as_secs_f64() * 1_000.0;
+            return (f64::from(requests), (f64::from(backlog_ms) - age_ms).max(0.0));
+        }
+        let others = input.view.entries.len().saturating_sub(1) as f64;
+        let backlog_ms = track.backlog_ms(input.call.route.rank, input.now);
+        (track.open() as f64 * others, backlog_ms * others)
+    }
+
+    fn send(
+        &mut self,
+        input: &ChoiceInput<'_>,
+        known: &Arc<KnownUpstream>,
+        unread_tokens: u32,
+        predicted_ms: f64,
+        cold: bool,
+    ) -> UpstreamChoice {
+        self.sent += 1;
+        let number = SendNumber(self.sent);
+        let now = input.now;
+        let send = OpenSend {
+            number,
+            sent_at: now,
+            rank: input.call.route.rank,
+            read_ms: UpstreamTrack::read_ms(unread_tokens),
+            predicted_ms: 0.0,
+            answering: false,
+        };
+        let parts = input.call.head.shared_parts();
+        let track = self.track(known);
+        let predicted = predicted_ms / track.slowness();
+        track.note_sent(OpenSend { predicted_ms: predicted, ..send }, parts);
+        let warmup = input.pool.and_then(|pool| pool.warmup).filter(|_| cold);
+        if let Some(pause) = warmup.and_then(|warmup| pause_between(warmup.per_s)) {
+            track.note_cold(pause, now);
+        }
+        let bound = input.pool.map_or(f64::INFINITY, |pool| f64::from(pool.connections));
+        let share = bound * CONNECTION_PART / input.view.entries.len().max(1) as f64;
+        let connections = (share as usize).max(LEAST_CONNECTIONS);
+        UpstreamChoice::Upstream { known: Arc::clone(known), number, connections, predicted_ms }
+    }
+
+    /// The region whose entries would lose the least, if that is less than `loss_here`.
+    fn choose_region(&mut self, input: &ChoiceInput<'_>, loss_here: f64) -> Option<UpstreamChoice> {
+        let call = input.call;
+        let mut best: Option<(f64, f64, &RegionName, &[SocketAddr])> = None;
+        for (region, (summary, at)) in &input.load.regions {
+            let pool = summary.pools.iter().find(|pool| pool.pool == call.pool);
+            let Some(pool) = pool.filter(|pool| pool.serving > 0) else { continue };
+            let tried = input.tried.regions.contains(region);
+            if tried || summary.entries.is_empty() || !call.route.allows_region(region) {
+                continue;
+            }
+            let age_ms = (input.now - *at).as_secs_f64() * 1_000.0;
+            let backlog_ms = (f64::from(pool.backlog_ms) - age_ms).max(0.0);
+            let unread = call.head.prompt_tokens;
+            let stream = call.repeat().is_stream();
+            let fresh = UpstreamTrack::new(0);
+            let own_ms = match stream {
+                true => fresh.first_token_ms(unread),
+                false => fresh.whole_ms(false),
+            };
+            let over = (f64::from(pool.requests) + 1.0 - f64::from(pool.slots)).max(0.0);
+            let queue_ms = over * fresh.whole_ms(stream) / f64::from(pool.slots.max(1));
+            let predicted_ms = HOP_MS + backlog_ms + queue_ms + own_ms;
+            let time = predicted_ms / (call.route.target_ms.max(1) as f64);
+            let loss = HOP_LOSS + lateness_loss(time);
+            if loss < loss_here && best.as_ref().is_none_or(|best| loss < best.0) {
+                best = Some((loss, predicted_ms, region, &summary.entries));
+            }
+        }
+        let (_, predicted_ms, region, entries) = best?;
+        let remaining_ms = call.remaining(input.now).as_secs_f64() * 1_000.0;
+        if predicted_ms > remaining_ms * WAIT_PART {
+            return None;
+        }
+        let entry = entries[self.random.random_range(0..entries.len())];
+        Some(UpstreamChoice::Region { region: region.clone(), entry, predicted_ms })
+    }
+
+    fn refuse_unusable(&mut self, input: &ChoiceInput<'_>, unknown: bool) -> UpstreamChoice {
+        if let Some(turn) = self.cold_turn
+            && turn <= input.now + COLD_WAIT
+            && turn < input.call.deadline
+        {
+            return UpstreamChoice::Wait(turn);
+        }
+        let cause = if unknown { RefusalCause::NoUpstream } else { RefusalCause::Unusable };
+        let spread = UNKNOWN_RETURN.mul_f64(self.random.random_range(0.7..1.5));
+        UpstreamChoice::Refuse { cause, retry_after: spread }
+    }
+
+    /// When to come back after a wait of `wait_ms`: returns to one pool follow each other at the pace
+    /// at which its upstreams can take them.
+    fn schedule_return(&mut self, input: &ChoiceInput<'_>, wait_ms: f64) -> Duration {
+        let call = input.call;
+        let upstreams = input.view.pools.get(&call.pool).map_or(1, |pool| pool.len().max(1));
+        let entries = input.view.entries.len().max(1);
+        let work_ms = UpstreamTrack::read_ms(call.head.prompt_tokens).max(1.0);
+        let step_ms = work_ms * entries as f64 / upstreams as f64;
+        let earliest =
+            input.now + LEAST_RETURN.max(Duration::from_secs_f64(wait_ms.max(0.0) / 1e3));
+        let next = self.returns.entry(call.pool.clone()).or_insert(earliest);
+        let at = (*next).max(earliest);
+        *next = at + Duration::from_secs_f64(step_ms / 1_000.0);
+        at - input.now
+    }
+
+    /// Notes that the answer to a send has begun.
+    pub fn note_answering(&mut self, upstream: &UpstreamName, number: SendNumber, now: Instant) {
+        if let Some(track) = self.tracks.get_mut(upstream) {
+            track.note_answering(number, now);
+        }
+    }
+
+    /// Notes that a send has ended.
+    pub fn note_ended(
+        &mut self,
+        upstream: &UpstreamName,
+        number: SendNumber,
+        end: SendEnd,
+        now: Instant,
+    ) {
+        if let Some(track) = self.tracks.get_mut(upstream) {
+            track.note_ended(number, end, now);
+        }
+    }
+
+    /// Notes that an upstream said that it has no room.
+    pub fn note_full(&mut self, upstream: &UpstreamName, bound: Option<Duration>, now: Instant) {
+        if let Some(track) = self.tracks.get_mut(upstream) {
+            track.note_full(bound.unwrap_or(FULL_BAR).min(FULL_BAR * 4), now);
+        }
+    }
+}
+
+/// Loss of an answer that takes `time` times its target.
+fn lateness_loss(time: f64) -> f64 {
+    if time <= EASY_PART {
+        // A little, so that of two good ones the quicker is taken.
+        time * 0.05
+    } else if time <= 1.0 {
+        0.05 + (time - EASY_PART) / (1.0 - EASY_PART) * TARGET_LOSS
+    } else {
+        LATE_LOSS + (time - 1.0) * TARGET_LOSS
+    }
+}
+
+/// Prompt tokens of `head` that other requests share.
+pub fn shared_tokens(head: &CallHead) -> u32 {
+    head.shared_parts().iter().map(|part| part.tokens).sum()
+}
--- /dev/null
+++ b/cicadastall/src/gateway/connections.rs
@@ -0,0 +1,262 @@
+//! Kept connections to upstreams and other entries, bounded for each target.
+
+use crate::{http::describe_error, name::UpstreamName};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::{Instant, timeout},
+};
+
+/// Longest time to establish a connection; a lost packet is sent again after a second.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_300);
+
+/// Time without an acknowledgement after which a connection counts as broken; several times the
+/// longest round trip between regions, and a retransmission.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Rest after which an idle connection is probed, and time between two probes.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which a connection counts as broken.
+const PROBE_COUNT: u32 = 2;
+
+/// Rest after which a kept connection is not used again, where the other side names no limit.
+const IDLE_LIMIT: Duration = Duration::from_secs(8);
+
+/// Part of the idle limit that the other side names after which a connection is not used again.
+const IDLE_PART: f64 = 0.6;
+
+/// Who is at the other side of a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ConnectionTarget {
+    /// Address.
+    pub address: SocketAddr,
+    /// The upstream; none for another entry.
+    pub upstream: Option<UpstreamName>,
+}
+
+/// Why there is no connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConnectError {
+    /// As many as may be are open.
+    Exhausted,
+    /// It could not be established.
+    Failed(String),
+}
+
+/// Why a request has no answer.
+#[derive(Debug)]
+pub enum ExchangeError {
+    /// No byte of the request was written.
+    Unsent(String),
+    /// Something may have been written.
+    Broken(String),
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    since: Instant,
+    limit: Duration,
+    /// Held until the connection is closed.
+    open: OpenCount,
+}
+
+#[derive(Debug, Default)]
+struct TargetState {
+    idle: Vec<IdleConnection>,
+    open: usize,
+}
+
+/// Connections by target.
+#[derive(Debug, Default)]
+pub struct ConnectionPool {
+    targets: Mutex<HashMap<ConnectionTarget, TargetState>>,
+}
+
+/// Counts one open connection of a target until it is dropped.
+#[derive(Debug)]
+struct OpenCount {
+    pool: Arc<ConnectionPool>,
+    target: ConnectionTarget,
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        let mut targets = self.pool.lock();
+        if let Some(state) = targets.get_mut(&self.target) {
+            state.open = state.open.saturating_sub(1);
+            if state.open == 0 && state.idle.is_empty() {
+                targets.remove(&self.target);
+            }
+        }
+    }
+}
+
+/// A connection that one request uses; dropping it closes the connection.
+#[derive(Debug)]
+pub struct TakenConnection {
+    sender: SendRequest<Full<Bytes>>,
+    open: OpenCount,
+}
+
+impl ConnectionPool {
+    /// A kept connection to `target`, or a new one while fewer than `most` are open.
+    pub async fn take(
+        self: &Arc<Self>,
+        target: &ConnectionTarget,
+        most: usize,
+    ) -> Result<TakenConnection, ConnectError> {
+        if let Some(kept) = self.take_kept(target) {
+            return Ok(kept);
+        }
+        let open = self.count_open(target, most).ok_or(ConnectError::Exhausted)?;
+        let sender = connect(target.address).await.map_err(ConnectError::Failed)?;
+        Ok(TakenConnection { sender, open })
+    }
+
+    fn take_kept(&self, target: &ConnectionTarget) -> Option<TakenConnection> {
+        let now = Instant::now();
+        let mut closed = Vec::new();
+        let mut targets = self.lock();
+        let idle = &mut targets.get_mut(target)?.idle;
+        let mut taken = None;
+        let mut index = idle.len();
+        while taken.is_none() && index > 0 {
+            index -= 1;
+            let kept = &idle[index];
+            if kept.sender.is_closed() || now >= kept.since + kept.limit {
+                closed.push(idle.remove(index));
+            } else if kept.sender.is_ready() {
+                taken = Some(idle.remove(index));
+            }
+        }
+        drop(targets);
+        drop(closed);
+        taken.map(|IdleConnection { sender, open, .. }| TakenConnection { sender, open })
+    }
+
+    fn count_open(self: &Arc<Self>, target: &ConnectionTarget, most: usize) -> Option<OpenCount> {
+        let mut targets = self.lock();
+        let state = targets.entry(target.clone()).or_default();
+        if state.open >= most {
+            return None;
+        }
+        state.open += 1;
+        Some(OpenCount { pool: Arc::clone(self), target: target.clone() })
+    }
+
+    /// Connections to `target` that are open, in use or not.
+    pub fn count(&self, target: &ConnectionTarget) -> usize {
+        self.lock().get(target).map_or(0, |state| state.open)
+    }
+
+    /// Whether a request to `target` would find a kept connection or may open another one.
+    pub fn has_room(&self, target: &ConnectionTarget, most: usize) -> bool {
+        let targets = self.lock();
+        targets.get(target).is_none_or(|state| state.open < most || !state.idle.is_empty())
+    }
+
+    /// Closes connections that rest for too long or were closed by the other side.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut closed = Vec::new();
+        for state in self.lock().values_mut() {
+            let ended = |kept: &mut IdleConnection| {
+                kept.sender.is_closed() || now >= kept.since + kept.limit
+            };
+            closed.extend(state.idle.extract_if(.., ended));
+        }
+        drop(closed);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ConnectionTarget, TargetState>> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl TakenConnection {
+    /// Sends a request and waits for the head of its answer.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        match self.sender.try_send_request(request).await {
+            Ok(answer) => Ok(answer),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let cause = describe_error(error.error());
+                Err(if unsent {
+                    ExchangeError::Unsent(cause)
+                } else {
+                    ExchangeError::Broken(cause)
+                })
+            }
+        }
+    }
+
+    /// Keeps the connection for another request; `limit` is the rest that the other side allows.
+    pub fn keep(self, limit: Option<Duration>) {
+        if self.sender.is_closed() {
+            return;
+        }
+        let limit = limit.map_or(IDLE_LIMIT, |limit| limit.mul_f64(IDLE_PART));
+        let pool = Arc::clone(&self.open.pool);
+        let target = self.open.target.clone();
+        let kept =
+            IdleConnection { sender: self.sender, since: Instant::now(), limit, open: self.open };
+        pool.lock().entry(target).or_default().idle.push(kept);
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
+    let connected = timeout(CONNECT_TIMEOUT, open_stream(address)).await;
+    let stream = connected
+        .map_err(|_| format!("not connected within {CONNECT_TIMEOUT:?}"))?
+        .map_err(|error| error.to_string())?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|error| describe_error(&error))?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to {address} ended: {}", describe_error(&error));
+        }
+    });
+    Ok(sender)
+}
+
+async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    let stream = socket.connect(address).await?;
+    guard_stream(&stream)?;
+    Ok(stream)
+}
+
+/// Lets a connection break when the other side falls silent.
+pub fn guard_stream(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD)
+        .with_retries(PROBE_COUNT);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
+}
--- /dev/null
+++ b/cicadastall/src/gateway/context.rs
@@ -0,0 +1,140 @@
+//! State that the traffic of one entry shares.
+
+use crate::{
+    answer::{Refusal, RefusalCode},
+    gateway::{
+        choose::UpstreamChooser,
+        connections::ConnectionPool,
+        dialect::CallDialect,
+        metrics::GatewayMetrics,
+        news::WorkRow,
+        retry_window::RetryWindow,
+        routes::RouteTable,
+        settings::GatewayNode,
+        view::{FleetView, LoadView},
+    },
+    name::PoolName,
+};
+use arc_swap::ArcSwap;
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Time to come back while an entry has no document, or is stopping.
+const START_RETURN: Duration = Duration::from_millis(600);
+
+/// Shared state of one entry.
+#[derive(Debug)]
+pub struct EntryContext {
+    pub(crate) node: Arc<GatewayNode>,
+    pub(crate) dialect: Arc<dyn CallDialect>,
+    pub(crate) routes: ArcSwap<RouteTable>,
+    pub(crate) view: ArcSwap<FleetView>,
+    pub(crate) load: ArcSwap<LoadView>,
+    pub(crate) connections: Arc<ConnectionPool>,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) in_flight: AtomicU32,
+    chooser: Mutex<UpstreamChooser>,
+    retries: Mutex<RetryWindow>,
+    usable: AtomicBool,
+    draining: AtomicBool,
+}
+
+/// Counts one request as in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct FlightGuard(Arc<EntryContext>);
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl EntryContext {
+    pub(crate) fn new(node: Arc<GatewayNode>, dialect: Arc<dyn CallDialect>) -> Self {
+        let chooser =
+            UpstreamChooser::new(node.instance.clone(), node.region.clone(), rand::random());
+        Self {
+            chooser: Mutex::new(chooser),
+            retries: Mutex::new(RetryWindow::new(node.retries)),
+            node,
+            dialect,
+            routes: ArcSwap::default(),
+            view: ArcSwap::default(),
+            load: ArcSwap::default(),
+            connections: Arc::default(),
+            metrics: GatewayMetrics::new(),
+            in_flight: AtomicU32::new(0),
+            usable: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn chooser(&self) -> MutexGuard<'_, UpstreamChooser> {
+        self.chooser.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryWindow> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts the first send of a request.
+    pub(crate) fn note_first(&self, pool: &PoolName) {
+        self.retries().note_first(pool, Instant::now());
+    }
+
+    /// Takes a repeat out of this entry's part of the fleet's budget.
+    pub(crate) fn take_repeat(&self, pool: &PoolName) -> bool {
+        let entries = self.view.load().fleet_entries;
+        let taken = self.retries().take_repeat(pool, entries, Instant::now());
+        if !taken {
+            self.metrics.count_budget_spent(pool);
+        }
+        taken
+    }
+
+    pub(crate) fn count_flight(self: &Arc<Self>) -> FlightGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        FlightGuard(Arc::clone(self))
+    }
+
+    /// Work that this entry has given to upstreams.
+    pub(crate) fn work(&self) -> Vec<WorkRow> {
+        let chooser = self.chooser();
+        let rows = chooser.work(Instant::now());
+        rows.map(|(name, requests, ms)| WorkRow(name.clone(), requests, ms)).collect()
+    }
+
+    /// Whether there are a confirmed document and a view of the fleet.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.usable.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_usable(&self) {
+        self.usable.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the entry is stopping.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the entry takes callers.
+    pub fn is_ready(&self) -> bool {
+        self.is_usable() && !self.is_draining()
+    }
+
+    pub(crate) fn refuse_unready(&self) -> Refusal {
+        Refusal::not_run(RefusalCode::NotReady, "no document of routes has arrived yet")
+            .retry_after(START_RETURN)
+    }
+}
--- /dev/null
+++ b/cicadastall/src/gateway/document_check.rs
@@ -0,0 +1,84 @@
+//! Faults of a document of routes: all at once, each with its place.
+
+use crate::{
+    fault::{FaultKind, SettingsFault},
+    gateway::routes::{PoolRule, RouteDocument, RouteRule},
+    name::PoolName,
+};
+use std::{
+    collections::{HashMap, HashSet},
+    fmt::Display,
+    sync::Arc,
+};
+
+/// All faults of `document`; none if it may be put in force.
+pub fn check_document(document: &RouteDocument) -> Vec<SettingsFault> {
+    let mut faults = Vec::new();
+    let mut pools = HashSet::new();
+    for (index, pool) in document.pools.iter().enumerate() {
+        check_pool(&format!("$.pools[{index}]"), pool, &mut pools, &mut faults);
+    }
+    let mut places = HashMap::new();
+    for (index, route) in document.routes.iter().enumerate() {
+        let path = format!("$.routes[{index}]");
+        check_route(&path, route, &pools, &mut faults);
+        let place = (route.host.to_ascii_lowercase(), Arc::clone(&route.prefix));
+        if let Some(other) = places.insert(place, Arc::clone(&route.name)) {
+            let found = format!("the host and prefix of route {other}");
+            let allowed = "one route for each host and prefix";
+            faults.push(fault(format!("{path}.prefix"), FaultKind::NotUnique, found, allowed));
+        }
+    }
+    faults
+}
+
+fn check_pool(
+    path: &str,
+    pool: &PoolRule,
+    names: &mut HashSet<PoolName>,
+    faults: &mut Vec<SettingsFault>,
+) {
+    if !names.insert(pool.name.clone()) {
+        let path = format!("{path}.name");
+        faults.push(fault(path, FaultKind::NotUnique, &pool.name, "one pool for each name"));
+    }
+    let Some(warmup) = pool.warmup else { return };
+    for (name, value) in [("seconds", warmup.seconds), ("per_s", warmup.per_s)] {
+        if !value.is_finite() || value < 0.0 {
+            let path = format!("{path}.warmup.{name}");
+            faults.push(fault(path, FaultKind::OutOfRange, value, "a number from 0"));
+        }
+    }
+}
+
+fn check_route(
+    path: &str,
+    route: &RouteRule,
+    pools: &HashSet<PoolName>,
+    faults: &mut Vec<SettingsFault>,
+) {
+    for (index, share) in route.pools.iter().enumerate() {
+        if !pools.contains(&share.pool) {
+            let path = format!("{path}.pools[{index}].pool");
+            let allowed = "a pool of the document";
+            faults.push(fault(path, FaultKind::UnknownReference, &share.pool, allowed));
+        }
+    }
+    if route.pools.iter().all(|share| share.weight == 0) {
+        let path = format!("{path}.pools");
+        faults.push(fault(path, FaultKind::OutOfRange, "weights of 0", "a weight above 0"));
+    }
+    if route.time_limit_ms == 0 {
+        let path = format!("{path}.time_limit_ms");
+        faults.push(fault(path, FaultKind::OutOfRange, 0, "a number above 0"));
+    }
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        let path = format!("{path}.prefix");
+        let allowed = "a path that begins and ends with a slash";
+        faults.push(fault(path, FaultKind::OutOfRange, &route.prefix, allowed));
+    }
+}
+
+fn fault(path: String, kind: FaultKind, found: impl Display, allowed: &str) -> SettingsFault {
+    SettingsFault { path, kind, found: found.to_string(), allowed: allowed.to_owned(), near: None }
+}
--- /dev/null
+++ b/cicadastall/src/gateway/events.rs
@@ -0,0 +1,91 @@
+//! Numbered events of a stream, kept whole so that another upstream can continue after any of them.
+
+use bytes::{Bytes, BytesMut};
+use std::sync::Arc;
+
+/// Most bytes of one event.
+const EVENT_BYTES: usize = 1024 * 1024;
+
+/// An event exceeds the limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OversizedEvent;
+
+/// Passes whole events on and holds the start of the next one back.
+#[derive(Debug, Default)]
+pub struct EventBuffer {
+    partial: BytesMut,
+    last: Option<Arc<str>>,
+}
+
+impl EventBuffer {
+    /// A buffer for a stream that continues after the event numbered `last`.
+    pub fn after(last: Option<Arc<str>>) -> Self {
+        Self { partial: BytesMut::new(), last }
+    }
+
+    /// Number of the last whole event.
+    pub fn last(&self) -> Option<&Arc<str>> {
+        self.last.as_ref()
+    }
+
+    /// Forgets the start of an event that will not be completed.
+    pub fn discard_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Whether the start of an event is held back.
+    pub fn has_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    /// Takes bytes in; gives the events that are whole now, without those passed on before.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, OversizedEvent> {
+        self.partial.extend_from_slice(bytes);
+        let mut whole = BytesMut::new();
+        while let Some(end) = find_end(&self.partial) {
+            let event = self.partial.split_to(end);
+            if self.accept(&event) {
+                whole.unsplit(event);
+            }
+        }
+        if self.partial.len() > EVENT_BYTES {
+            return Err(OversizedEvent);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Whether an event comes after all that were passed on.
+    fn accept(&mut self, event: &[u8]) -> bool {
+        let Some(id) = find_id(event) else { return true };
+        let number = |id: &str| id.parse::<u64>().ok();
+        if let Some(last) = &self.last
+            && let (Some(id), Some(last)) = (number(id), number(last))
+            && id <= last
+        {
+            return false;
+        }
+        self.last = Some(id.into());
+        true
+    }
+}
+
+/// End of the first whole event.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(length) = bytes[start..].iter().position(|byte| *byte == b'\n') {
+        let end = start + length;
+        let line = &bytes[start..end];
+        if line.is_empty() || line == b"\r" {
+            return Some(end + 1);
+        }
+        start = end + 1;
+    }
+    None
+}
+
+fn find_id(event: &[u8]) -> Option<&str> {
+    event.split(|byte| *byte == b'\n').find_map(|line| {
+        let id = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(id).ok().map(str::trim)
+    })
+}
--- /dev/null
+++ b/cicadastall/src/gateway/metrics.rs
@@ -0,0 +1,126 @@
+//! Counters and histograms of an entry.
+
+use crate::{clock::fractional_millis, name::PoolName};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::{fmt, sync::Arc, time::Duration};
+
+/// Upper bounds of the histograms' buckets, in milliseconds.
+const BUCKETS_MS: [f64; 12] =
+    [2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 20_000.0];
+
+/// Metrics of one process.
+pub struct GatewayMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    first_byte: Histogram<f64>,
+    whole: Histogram<f64>,
+    outcomes: Counter<u64>,
+    attempts: Counter<u64>,
+    refusals: Counter<u64>,
+    budget_spent: Counter<u64>,
+    hops: Counter<u64>,
+    document: Gauge<u64>,
+    upstreams: Gauge<u64>,
+}
+
+impl fmt::Debug for GatewayMetrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("GatewayMetrics").finish_non_exhaustive()
+    }
+}
+
+impl GatewayMetrics {
+    /// Metrics with a registry of their own.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry has no colliding metrics");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cicadastall");
+        let histogram = |name| {
+            meter.f64_histogram(name).with_unit("ms").with_boundaries(BUCKETS_MS.to_vec()).build()
+        };
+        Self {
+            first_byte: histogram("cicadastall_gateway_first_byte"),
+            whole: histogram("cicadastall_gateway_whole_answer"),
+            outcomes: meter.u64_counter("cicadastall_gateway_outcomes").build(),
+            attempts: meter.u64_counter("cicadastall_gateway_attempts").build(),
+            refusals: meter.u64_counter("cicadastall_gateway_refusals").build(),
+            budget_spent: meter.u64_counter("cicadastall_gateway_retry_budget_spent").build(),
+            hops: meter.u64_counter("cicadastall_gateway_hops").build(),
+            document: meter.u64_gauge("cicadastall_gateway_document").build(),
+            upstreams: meter.u64_gauge("cicadastall_gateway_upstreams").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Records the end of a request on `route`.
+    pub fn record_end(
+        &self,
+        route: &Arc<str>,
+        outcome: &'static str,
+        first_byte: Option<Duration>,
+        whole: Duration,
+    ) {
+        let route = KeyValue::new("route", Arc::clone(route));
+        self.outcomes.add(1, &[route.clone(), KeyValue::new("outcome", outcome)]);
+        if let Some(first_byte) = first_byte {
+            self.first_byte.record(fractional_millis(first_byte), std::slice::from_ref(&route));
+        }
+        self.whole.record(fractional_millis(whole), &[route]);
+    }
+
+    /// Counts an attempt by what its end meant.
+    pub fn count_attempt(&self, pool: &PoolName, verdict: &'static str) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        self.attempts.add(1, &[pool, KeyValue::new("verdict", verdict)]);
+    }
+
+    /// Counts a refusal of our own by its reason.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a repeat that the budget did not allow.
+    pub fn count_budget_spent(&self, pool: &PoolName) {
+        self.budget_spent.add(1, &[KeyValue::new("pool", pool.to_string())]);
+    }
+
+    /// Counts a request that was passed on to another region.
+    pub fn count_hop(&self, region: &str) {
+        self.hops.add(1, &[KeyValue::new("region", region.to_owned())]);
+    }
+
+    /// Notes the document in force.
+    pub fn note_document(&self, number: u64) {
+        self.document.record(number, &[]);
+    }
+
+    /// Notes how many upstreams of the region may get work.
+    pub fn note_upstreams(&self, pool: &PoolName, count: usize) {
+        self.upstreams.record(count as u64, &[KeyValue::new("pool", pool.to_string())]);
+    }
+
+    /// All metrics in the text format that scrapers read.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metrics not rendered: {error}");
+        }
+        text
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/cicadastall/src/gateway/registry.rs
@@ -0,0 +1,607 @@
+//! What a control instance knows of upstreams, entries and other control instances, in memory only.
+//!
+//! Upstreams renew at any control instance, which passes changes on to the others and to the entries
+//! of the upstream's region. A row is lost with the process and comes back with the next renewal.
+
+use crate::{
+    gateway::news::{
+        ControlRecord, EntryNews, NewsCursor, PoolSummary, RegionSummary, RegisteredUpstream,
+        UpstreamNews, UpstreamPhase, WorkRow,
+    },
+    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+    table::{EntryRecord, EntryState},
+};
+use smallvec::SmallVec;
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Silence after which an entry is taken to be lost; entries ask at least once a second.
+pub const ENTRY_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Silence after which another control instance is taken to be lost.
+pub const CONTROL_SILENCE: Duration = Duration::from_millis(3_500);
+
+/// Renewals that an upstream may miss before it is taken to be lost.
+const MISSED_RENEWALS: u32 = 3;
+
+/// Time for which rows of lost and departed processes are kept, so that late renewals of them are
+/// recognised.
+const ROW_RETENTION: Duration = Duration::from_secs(60);
+
+/// Least change of the end of a cold spell that is passed on.
+const COLD_STEP_MS: u64 = 300;
+
+/// Time after which an entry's report of its work no longer counts.
+const WORK_LIFETIME: Duration = Duration::from_secs(3);
+
+/// Entries that a summary of a region names.
+const SUMMARY_ENTRIES: usize = 8;
+
+/// What became of a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RenewalOutcome {
+    /// It is the newest of its upstream.
+    Taken,
+    /// A later one is known, or the upstream has gone.
+    Outdated,
+    /// Its zone is not one of the fleet's.
+    UnknownZone,
+}
+
+#[derive(Debug, Clone)]
+struct UpstreamRow {
+    upstream: Arc<RegisteredUpstream>,
+    heard_at: Instant,
+    /// Whether the newest renewal came to this instance.
+    direct: bool,
+    changed: u64,
+    silent: bool,
+    /// Version of the evacuated zones that was in force here when the renewal arrived.
+    evacuated: u64,
+    /// Whether the next renewal is passed on although it changes nothing.
+    recheck: bool,
+}
+
+#[derive(Debug, Clone)]
+struct EntryRow {
+    entry: EntryRecord,
+    heard_at: Option<Instant>,
+    /// Control instances that hear of the entry themselves.
+    witnesses: SmallVec<[SocketAddr; 6]>,
+    changed: u64,
+    silent: bool,
+    work: Vec<WorkRow>,
+    work_at: Option<Instant>,
+}
+
+#[derive(Debug, Clone)]
+struct ControlRow {
+    record: ControlRecord,
+    heard_at: Instant,
+}
+
+/// Rows of one control instance.
+#[derive(Debug)]
+pub struct FleetRegistry {
+    own: ControlRecord,
+    process: u64,
+    changes: u64,
+    silence: Duration,
+    zones: BTreeMap<ZoneName, RegionName>,
+    upstreams: BTreeMap<UpstreamName, UpstreamRow>,
+    entries: BTreeMap<InstanceName, EntryRow>,
+    controls: BTreeMap<SocketAddr, ControlRow>,
+    controls_changed: u64,
+    evacuated: u64,
+}
+
+impl FleetRegistry {
+    /// An empty registry of the process numbered `process`; upstreams renew each `renewal`.
+    pub fn new(
+        own: ControlRecord,
+        process: u64,
+        zones: BTreeMap<ZoneName, RegionName>,
+        renewal: Duration,
+    ) -> Self {
+        Self {
+            own,
+            process,
+            changes: 1,
+            silence: renewal * (MISSED_RENEWALS + 1),
+            zones,
+            upstreams: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            controls: BTreeMap::new(),
+            controls_changed: 1,
+            evacuated: 0,
+        }
+    }
+
+    /// Place up to which there is news.
+    pub fn cursor(&self) -> NewsCursor {
+        NewsCursor { process: self.process, change: self.changes }
+    }
+
+    /// Region of `zone`.
+    pub fn region(&self, zone: &ZoneName) -> Option<&RegionName> {
+        self.zones.get(zone)
+    }
+
+    fn bump(&mut self) -> u64 {
+        self.changes += 1;
+        self.changes
+    }
+
+    /// Takes the renewal of an upstream.
+    pub fn renew(&mut self, upstream: RegisteredUpstream, now: Instant) -> RenewalOutcome {
+        let news = UpstreamNews {
+            upstream: Arc::new(upstream),
+            age_ms: 0,
+            silent: false,
+            evacuated: self.evacuated,
+        };
+        self.take_upstream(news, true, now)
+    }
+
+    fn take_upstream(&mut self, news: UpstreamNews, direct: bool, now: Instant) -> RenewalOutcome {
+        let UpstreamNews { upstream, age_ms, evacuated, .. } = news;
+        let heard_at = now.checked_sub(millis(age_ms)).unwrap_or(now);
+        if !self.zones.contains_key(&upstream.zone) {
+            return RenewalOutcome::UnknownZone;
+        }
+        if let Some(row) = self.upstreams.get(&upstream.name)
+            && !is_newer(&upstream, &row.upstream)
+        {
+            return RenewalOutcome::Outdated;
+        }
+        if upstream.phase != UpstreamPhase::Gone && !self.take_address(&upstream) {
+            return RenewalOutcome::Outdated;
+        }
+        let known = self.upstreams.get(&upstream.name);
+        let quiet = known.is_some_and(|row| {
+            let stays = row.direct || !direct;
+            !row.silent && !row.recheck && stays && is_alike(&upstream, heard_at, row)
+        });
+        let unchanged = known.filter(|_| quiet).map(|row| row.changed);
+        log_change(known.map(|row| &*row.upstream), &upstream, direct, now - heard_at);
+        let changed = unchanged.unwrap_or_else(|| self.bump());
+        let name = upstream.name.clone();
+        let row = UpstreamRow {
+            upstream,
+            heard_at,
+            direct,
+            changed,
+            silent: false,
+            evacuated,
+            recheck: false,
+        };
+        self.upstreams.insert(name, row);
+        RenewalOutcome::Taken
+    }
+
+    /// Lets `upstream` have its address; false if a process that started later has it.
+    fn take_address(&mut self, upstream: &RegisteredUpstream) -> bool {
+        let others = self.upstreams.values().filter(|row| {
+            row.upstream.address == upstream.address
+                && row.upstream.name != upstream.name
+                && row.upstream.phase != UpstreamPhase::Gone
+        });
+        let others: Vec<_> = others.map(|row| Arc::clone(&row.upstream)).collect();
+        if others.iter().any(|other| other.started_ms > upstream.started_ms) {
+            return false;
+        }
+        for other in others {
+            log::info!(
+                upstream = other.name.as_str(), by = upstream.name.as_str();
+                "address taken over by another upstream"
+            );
+            self.mark_gone(&other.name);
+        }
+        true
+    }
+
+    fn mark_gone(&mut self, name: &UpstreamName) {
+        let changed = self.bump();
+        if let Some(row) = self.upstreams.get_mut(name) {
+            let gone = RegisteredUpstream { phase: UpstreamPhase::Gone, ..(*row.upstream).clone() };
+            row.upstream = Arc::new(gone);
+            row.changed = changed;
+        }
+    }
+
+    /// Notes that an upstream has deregistered; false if it is not known here.
+    pub fn leave(&mut self, name: &UpstreamName, now: Instant) -> bool {
+        let Some(row) = self.upstreams.get_mut(name) else { return false };
+        row.heard_at = now;
+        if row.upstream.phase != UpstreamPhase::Gone {
+            log::info!(upstream = name.as_str(); "upstream deregistered");
+            self.mark_gone(name);
+        }
+        true
+    }
+
+    /// Takes the news of the control instance at `from`.
+    pub fn merge(
+        &mut self,
+        from: SocketAddr,
+        upstreams: Vec<UpstreamNews>,
+        entries: Vec<EntryNews>,
+        now: Instant,
+    ) {
+        for news in upstreams {
+            let name = news.upstream.name.clone();
+            let version = news.upstream.version();
+            let silent = news.silent;
+            self.take_upstream(news, false, now);
+            if silent {
+                self.note_silent(&name, version);
+            }
+        }
+        for EntryNews { entry, silent } in entries {
+            self.merge_entry(from, entry, silent, now);
+        }
+    }
+
+    fn note_silent(&mut self, name: &UpstreamName, version: (u64, u64)) {
+        let changed = self.changes + 1;
+        let Some(row) = self.upstreams.get_mut(name) else { return };
+        if row.upstream.version() == version && !row.direct && !row.silent {
+            row.silent = true;
+            row.changed = changed;
+            self.changes = changed;
+        }
+    }
+
+    fn merge_entry(&mut self, from: SocketAddr, entry: EntryRecord, silent: bool, now: Instant) {
+        let name = entry.instance.clone();
+        let incarnation = entry.incarnation;
+        if self.entries.get(&name).is_none_or(|row| row.entry.incarnation < incarnation) {
+            self.insert_entry(entry, None, now);
+        }
+        let Some(row) = self.entries.get_mut(&name) else { return };
+        if row.entry.incarnation != incarnation {
+            return;
+        }
+        row.witnesses.retain(|witness| *witness != from);
+        if !silent {
+            row.witnesses.push(from);
+        }
+        self.judge_entry(&name, now);
+    }
+
+    fn insert_entry(&mut self, entry: EntryRecord, heard_at: Option<Instant>, now: Instant) {
+        let changed = self.bump();
+        log::info!(
+            entry = entry.instance.as_str(), state:? = entry.state, direct = heard_at.is_some();
+            "entry known"
+        );
+        let row = EntryRow {
+            heard_at,
+            witnesses: SmallVec::new(),
+            changed,
+            silent: heard_at.is_none_or(|at| now >= at + ENTRY_SILENCE),
+            work: Vec::new(),
+            work_at: None,
+            entry,
+        };
+        self.entries.insert(row.entry.instance.clone(), row);
+    }
+
+    /// Takes what an entry says of itself when it asks for news.
+    pub fn report_entry(&mut self, entry: EntryRecord, work: Vec<WorkRow>, now: Instant) {
+        let name = entry.instance.clone();
+        match self.entries.get(&name) {
+            Some(row) if row.entry.incarnation > entry.incarnation => return,
+            Some(row)
+                if row.entry.incarnation == entry.incarnation
+                    && row.entry.state == entry.state
+                    && row.heard_at.is_some() => {}
+            _ => self.insert_entry(entry.clone(), Some(now), now),
+        }
+        if let Some(row) = self.entries.get_mut(&name) {
+            row.entry.in_flight = entry.in_flight;
+            row.heard_at = Some(now);
+            row.work = work;
+            row.work_at = Some(now);
+        }
+        self.judge_entry(&name, now);
+    }
+
+    /// Updates whether the entry is taken to be lost.
+    fn judge_entry(&mut self, name: &InstanceName, now: Instant) {
+        let changed = self.changes + 1;
+        let Some(row) = self.entries.get_mut(name) else { return };
+        let direct = row.heard_at.is_some_and(|at| now < at + ENTRY_SILENCE);
+        let silent = !direct && row.witnesses.is_empty();
+        if silent != row.silent {
+            log::info!(entry = name.as_str(), silent; "entry lost or back");
+            row.silent = silent;
+            row.changed = changed;
+            self.changes = changed;
+        }
+    }
+
+    /// Takes what a control instance says of itself.
+    pub fn report_control(&mut self, record: ControlRecord, now: Instant) {
+        if record.peer_address == self.own.peer_address {
+            return;
+        }
+        let address = record.peer_address;
+        let row = ControlRow { record, heard_at: now };
+        let known = self.controls.insert(address, row.clone());
+        if known.is_none_or(|known| known.record != row.record) {
+            log::info!(control = address.to_string(); "control instance known");
+            self.controls_changed = self.bump();
+        }
+    }
+
+    /// Notes that the control instance at `address` has answered.
+    pub fn hear_control(&mut self, address: SocketAddr, now: Instant) {
+        if let Some(row) = self.controls.get_mut(&address) {
+            row.heard_at = now;
+        }
+    }
+
+    /// Whether the control instance at `address` is known and not taken to be lost.
+    pub fn knows_control(&self, address: SocketAddr) -> bool {
+        address == self.own.peer_address || self.controls.contains_key(&address)
+    }
+
+    /// Other control instances that are not taken to be lost.
+    pub fn other_controls(&self) -> impl Iterator<Item = &ControlRecord> {
+        self.controls.values().map(|row| &row.record)
+    }
+
+    /// Notes the version of the evacuated zones; the next renewals are passed on, whatever they say,
+    /// as an upstream may have become cold while its zone was evacuated.
+    pub fn note_evacuated(&mut self, version: u64) {
+        if version > self.evacuated {
+            self.evacuated = version;
+            self.upstreams.values_mut().for_each(|row| row.recheck = true);
+        }
+    }
+
+    /// Notes who has been silent for too long, and forgets those that have been for long.
+    pub fn expire(&mut self, now: Instant) {
+        let lost: Vec<_> = self
+            .controls
+            .iter()
+            .filter(|(_, row)| now >= row.heard_at + CONTROL_SILENCE)
+            .map(|(address, _)| *address)
+            .collect();
+        for address in lost {
+            log::warn!(control = address.to_string(); "control instance lost");
+            self.controls.remove(&address);
+            self.controls_changed = self.bump();
+            for row in self.entries.values_mut() {
+                row.witnesses.retain(|witness| *witness != address);
+            }
+        }
+        let names: Vec<_> = self.entries.keys().cloned().collect();
+        names.iter().for_each(|name| self.judge_entry(name, now));
+        self.expire_upstreams(now);
+        let kept = |at: Option<Instant>| at.is_some_and(|at| now < at + ROW_RETENTION);
+        self.entries.retain(|_, row| !row.silent || kept(row.heard_at));
+        self.upstreams.retain(|_, row| !row.direct || now < row.heard_at + ROW_RETENTION);
+    }
+
+    fn expire_upstreams(&mut self, now: Instant) {
+        let mut changes = self.changes;
+        for row in self.upstreams.values_mut() {
+            let silent = row.direct && now >= row.heard_at + self.silence;
+            if silent && !row.silent && row.upstream.phase != UpstreamPhase::Gone {
+                let age_ms = (now - row.heard_at).as_millis() as u64;
+                log::warn!(upstream = row.upstream.name.as_str(), age_ms; "upstream silent");
+                changes += 1;
+                row.silent = true;
+                row.changed = changes;
+            }
+        }
+        self.changes = changes;
+    }
+
+    /// Changed upstreams after `cursor`, of one region or of all.
+    pub fn changed_upstreams(
+        &self,
+        cursor: NewsCursor,
+        region: Option<&RegionName>,
+        now: Instant,
+    ) -> Vec<UpstreamNews> {
+        let after = self.place(cursor);
+        let rows = self.upstreams.values().filter(|row| {
+            row.changed > after
+                && region.is_none_or(|region| self.region(&row.upstream.zone) == Some(region))
+        });
+        rows.map(|row| UpstreamNews {
+            upstream: Arc::clone(&row.upstream),
+            age_ms: (now - row.heard_at).as_millis() as u32,
+            silent: row.silent,
+            evacuated: row.evacuated,
+        })
+        .collect()
+    }
+
+    /// Changed entries after `cursor`; for another control instance, lost are those of which this
+    /// one does not hear itself.
+    pub fn changed_entries(
+        &self,
+        cursor: NewsCursor,
+        for_control: bool,
+        now: Instant,
+    ) -> Vec<EntryNews> {
+        let after = self.place(cursor);
+        let rows = self.entries.values().filter(|row| row.changed > after);
+        rows.map(|row| {
+            let direct = row.heard_at.is_some_and(|at| now < at + ENTRY_SILENCE);
+            let silent = if for_control { !direct } else { row.silent };
+            EntryNews { entry: row.entry.clone(), silent }
+        })
+        .collect()
+    }
+
+    /// All control instances, this one first, if they changed after `cursor`.
+    pub fn changed_controls(&self, cursor: NewsCursor) -> Vec<ControlRecord> {
+        if self.controls_changed <= self.place(cursor) {
+            return Vec::new();
+        }
+        [&self.own].into_iter().chain(self.other_controls()).cloned().collect()
+    }
+
+    /// Whether a reader at `cursor` has something to learn.
+    pub fn has_news(&self, cursor: NewsCursor) -> bool {
+        self.changes > self.place(cursor)
+    }
+
+    fn place(&self, cursor: NewsCursor) -> u64 {
+        if cursor.process == self.process { cursor.change } else { 0 }
+    }
+
+    /// Entries that are not taken to be lost.
+    pub fn live_entries(&self) -> impl Iterator<Item = &EntryRecord> {
+        self.entries.values().filter(|row| !row.silent).map(|row| &row.entry)
+    }
+
+    /// Whether what this instance learns of `region`'s upstreams reaches entries there.
+    pub fn reaches(&self, region: &RegionName) -> bool {
+        !self.controls.is_empty()
+            || self.live_entries().any(|entry| entry.region == *region)
+            || self.entries.is_empty()
+    }
+
+    /// The registry that upstreams of `zone` should renew at: one of the zone, or of its region.
+    pub fn nearest_registry(&self, zone: &ZoneName) -> Option<SocketAddr> {
+        let region = self.region(zone)?;
+        let all = [&self.own].into_iter().chain(self.other_controls());
+        let near = all.filter(|control| control.region == *region);
+        let best = near.min_by_key(|control| (control.zone != *zone, control.peer_address))?;
+        Some(best.registry_address)
+    }
+
+    /// Work that the entries of `region` but `without` have given to upstreams.
+    pub fn sum_work(
+        &self,
+        region: &RegionName,
+        without: Option<&InstanceName>,
+        now: Instant,
+    ) -> Vec<WorkRow> {
+        let mut sums: HashMap<&UpstreamName, (u32, u32)> = HashMap::new();
+        for row in self.entries.values() {
+            let fresh = row.work_at.is_some_and(|at| now < at + WORK_LIFETIME);
+            let other = Some(&row.entry.instance) != without;
+            if !fresh || !other || row.silent || row.entry.region != *region {
+                continue;
+            }
+            for WorkRow(upstream, requests, backlog_ms) in &row.work {
+                let sum = sums.entry(upstream).or_default();
+                sum.0 += requests;
+                sum.1 += backlog_ms;
+            }
+        }
+        let rows =
+            sums.into_iter().map(|(name, (requests, ms))| WorkRow(name.clone(), requests, ms));
+        rows.collect()
+    }
+
+    /// Summary of this instance's region.
+    pub fn summarize(&self, now: Instant) -> RegionSummary {
+        let region = &self.own.region;
+        let work: HashMap<_, _> = self
+            .sum_work(region, None, now)
+            .into_iter()
+            .map(|WorkRow(name, requests, backlog)| (name, (requests, backlog)))
+            .collect();
+        let mut pools: BTreeMap<PoolName, PoolSummary> = BTreeMap::new();
+        for row in self.upstreams.values() {
+            let upstream = &row.upstream;
+            let serves = upstream.phase == UpstreamPhase::Serving && !row.silent;
+            if !serves || self.region(&upstream.zone) != Some(region) {
+                continue;
+            }
+            let pool = pools.entry(upstream.pool.clone()).or_insert_with(|| PoolSummary {
+                pool: upstream.pool.clone(),
+                serving: 0,
+                slots: 0,
+                requests: 0,
+                backlog_ms: 0,
+            });
+            let (requests, backlog_ms) = work.get(&upstream.name).copied().unwrap_or_default();
+            pool.serving += 1;
+            pool.slots += upstream.slots;
+            pool.requests += requests;
+            pool.backlog_ms += backlog_ms;
+        }
+        for pool in pools.values_mut() {
+            pool.backlog_ms /= pool.serving.max(1);
+        }
+        let serving = self
+            .live_entries()
+            .filter(|entry| entry.region == *region && entry.state == EntryState::Serving);
+        let mut entries: Vec<_> =
+            serving.map(|entry| (entry.in_flight, entry.peer_address)).collect();
+        entries.sort_unstable();
+        RegionSummary {
+            region: region.clone(),
+            entries: entries
+                .into_iter()
+                .take(SUMMARY_ENTRIES)
+                .map(|(_, address)| address)
+                .collect(),
+            pools: pools.into_values().collect(),
+        }
+    }
+}
+
+fn is_newer(upstream: &RegisteredUpstream, known: &RegisteredUpstream) -> bool {
+    if upstream.started_ms != known.started_ms {
+        return upstream.started_ms > known.started_ms;
+    }
+    let gone = |upstream: &RegisteredUpstream| upstream.phase == UpstreamPhase::Gone;
+    match (gone(upstream), gone(known)) {
+        (false, true) => false,
+        (true, false) => true,
+        _ => upstream.sequence > known.sequence,
+    }
+}
+
+/// Whether a renewal tells readers nothing that the row does not.
+fn is_alike(upstream: &RegisteredUpstream, heard_at: Instant, row: &UpstreamRow) -> bool {
+    let known = &row.upstream;
+    let same =
+        RegisteredUpstream { sequence: known.sequence, cold_ms: known.cold_ms, ..upstream.clone() };
+    let until = |at: Instant, cold_ms: u32| (cold_ms > 0).then(|| at + millis(cold_ms));
+    let cold = match (until(heard_at, upstream.cold_ms), until(row.heard_at, known.cold_ms)) {
+        (None, None) => true,
+        (Some(new), Some(old)) => {
+            let later = new.saturating_duration_since(old);
+            (later.as_millis() as u64) < COLD_STEP_MS
+        }
+        _ => false,
+    };
+    same == **known && cold
+}
+
+fn log_change(
+    known: Option<&RegisteredUpstream>,
+    upstream: &RegisteredUpstream,
+    direct: bool,
+    age: Duration,
+) {
+    let phase = known.map(|known| (known.started_ms, known.phase));
+    if phase != Some((upstream.started_ms, upstream.phase)) {
+        log::info!(
+            upstream = upstream.name.as_str(), phase:? = upstream.phase,
+            sequence = upstream.sequence, started_ms = upstream.started_ms,
+            cold_ms = upstream.cold_ms, direct, age_ms = age.as_millis() as u64;
+            "upstream state"
+        );
+    }
+}
+
+fn millis(age_ms: u32) -> Duration {
+    Duration::from_millis(u64::from(age_ms))
+}
--- /dev/null
+++ b/cicadastall/src/gateway/relay.rs
@@ -0,0 +1,271 @@
+//! Serves one request: attempts in turn until there is an answer or no further attempt is allowed.
+
+use crate::{
+    answer::{Ran, Refusal, RefusalCode},
+    gateway::{
+        attempt::{AttemptFailure, KeptFailure, OpenAnswer},
+        call::RoutedCall,
+        choose::{ChoiceInput, RefusalCause, TriedUpstreams, UpstreamChoice},
+        context::EntryContext,
+        headers::refuse,
+        outcome::Verdict,
+        passage::pass_stream,
+        record::{AttemptNote, CallRecord, name_verdict},
+    },
+    http::{AnswerBody, full_body},
+};
+use hyper::Response;
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Most sends of one request, those that did not run included.
+const MOST_SENDS: u32 = 4;
+
+/// Time that must be left for another attempt.
+const LEAST_REMAINING: Duration = Duration::from_millis(30);
+
+/// Why a request has no answer from an upstream.
+#[derive(Debug)]
+pub(crate) enum FinalFailure {
+    /// The best that an upstream answered is a failure of its own.
+    Upstream(Box<KeptFailure>),
+    /// Our own answer.
+    Refused(Refusal),
+}
+
+/// Serves the attempts of one request.
+#[derive(Debug)]
+pub(crate) struct CallRelay {
+    pub(crate) context: Arc<EntryContext>,
+    pub(crate) call: Arc<RoutedCall>,
+    pub(crate) record: CallRecord,
+    pub(crate) tried: TriedUpstreams,
+    /// Number of the last event that the caller has.
+    pub(crate) resume_after: Option<Arc<str>>,
+    /// Whether an attempt is under way of which something may have been written.
+    pub(crate) sending: bool,
+    sends: u32,
+    /// Upstreams that may have run the request.
+    pub(crate) ran_on: u32,
+    /// Whether a send has arrived anywhere, so that the next one is a repeat.
+    arrived: bool,
+    kept: Option<Box<KeptFailure>>,
+}
+
+/// Answers a request whose pool is decided.
+pub(crate) async fn answer_call(
+    context: Arc<EntryContext>,
+    call: RoutedCall,
+    document: u64,
+) -> Response<AnswerBody> {
+    let call = Arc::new(call);
+    let record = CallRecord::new(Arc::clone(&context), Arc::clone(&call), document);
+    let mut relay = CallRelay {
+        tried: TriedUpstreams::default(),
+        resume_after: call.head.resume_after.clone(),
+        sending: false,
+        sends: 0,
+        ran_on: call.earlier_attempts,
+        arrived: call.earlier_attempts > 0,
+        kept: None,
+        record,
+        context,
+        call,
+    };
+    if !relay.arrived {
+        relay.context.note_first(&relay.call.pool);
+    }
+    match relay.open_in_time().await {
+        Ok(answer) => relay.deliver(answer),
+        Err(failure) => relay.fail(failure),
+    }
+}
+
+impl CallRelay {
+    /// Opens an answer before the request's time is over.
+    pub(crate) async fn open_in_time(&mut self) -> Result<OpenAnswer, FinalFailure> {
+        match timeout_at(self.call.deadline, self.open()).await {
+            Ok(opened) => opened,
+            Err(_) => {
+                if self.sending {
+                    self.ran_on += 1;
+                }
+                Err(self.give_up(RefusalCode::DeadlinePassed, "its time is over"))
+            }
+        }
+    }
+
+    async fn open(&mut self) -> Result<OpenAnswer, FinalFailure> {
+        loop {
+            let choice = self.choose();
+            match choice {
+                UpstreamChoice::Wait(until) => sleep_until(until).await,
+                UpstreamChoice::Refuse { cause, retry_after } => {
+                    return Err(self.refuse_choice(cause, retry_after));
+                }
+                UpstreamChoice::Upstream { .. } | UpstreamChoice::Region { .. } => {
+                    if self.arrived && !self.context.take_repeat(&self.call.pool) {
+                        self.cancel_choice(&choice);
+                        let text = "the fleet's budget of repeats is used up";
+                        return Err(self.give_up(RefusalCode::UpstreamFailed, text));
+                    }
+                    self.sends += 1;
+                    match self.attempt(choice).await {
+                        Ok(answer) => return Ok(answer),
+                        Err(failure) => self.judge(failure)?,
+                    }
+                }
+            }
+        }
+    }
+
+    fn choose(&mut self) -> UpstreamChoice {
+        let context = &self.context;
+        let routes = context.routes.load();
+        let input = ChoiceInput {
+            call: &self.call,
+            pool: routes.pool(&self.call.pool).map(|pool| &**pool),
+            tried: &self.tried,
+            view: &context.view.load(),
+            load: &context.load.load(),
+            now: Instant::now(),
+        };
+        context.chooser().choose(&input)
+    }
+
+    /// Decides whether another attempt is allowed after a failed one.
+    fn judge(&mut self, failure: AttemptFailure) -> Result<(), FinalFailure> {
+        let AttemptFailure { verdict, arrived, cause, kept, retry_after, .. } = failure;
+        self.arrived |= arrived;
+        let repeat = self.call.repeat();
+        let in_time = self.call.remaining(Instant::now()) > LEAST_REMAINING;
+        let permitted = match verdict {
+            Verdict::NotRun => true,
+            Verdict::Unknown | Verdict::Failure => {
+                self.ran_on += 1;
+                repeat.may_repeat() && self.ran_on < self.call.route.attempts
+            }
+            Verdict::Answer => false,
+        };
+        if let Some(kept) = kept {
+            self.kept = Some(kept);
+        }
+        if permitted && in_time && self.sends < MOST_SENDS {
+            return Ok(());
+        }
+        if let Some(kept) = self.kept.take() {
+            return Err(FinalFailure::Upstream(kept));
+        }
+        let mut refusal = match self.ran_on {
+            0 => Refusal::not_run(RefusalCode::NoUpstream, cause),
+            _ => Refusal::unknown(RefusalCode::UpstreamFailed, cause),
+        };
+        if refusal.ran == Ran::No {
+            let spread = retry_after.unwrap_or(Duration::from_millis(300));
+            refusal = refusal.retry_after(spread);
+        }
+        Err(FinalFailure::Refused(refusal))
+    }
+
+    /// Notes that a stream broke off after it had begun; whether another upstream may continue it.
+    pub(crate) fn note_broken(&mut self) -> bool {
+        self.arrived = true;
+        self.ran_on += 1;
+        let in_time = self.call.remaining(Instant::now()) > LEAST_REMAINING;
+        in_time && self.ran_on < self.call.route.attempts && self.sends < MOST_SENDS
+    }
+
+    fn ran(&self) -> Ran {
+        if self.ran_on > 0 { Ran::Unknown } else { Ran::No }
+    }
+
+    fn give_up(&mut self, code: RefusalCode, message: &str) -> FinalFailure {
+        if let Some(kept) = self.kept.take() {
+            return FinalFailure::Upstream(kept);
+        }
+        let refusal = Refusal { ran: self.ran(), ..Refusal::not_run(code, message) };
+        FinalFailure::Refused(refusal)
+    }
+
+    fn refuse_choice(&mut self, cause: RefusalCause, retry_after: Duration) -> FinalFailure {
+        if let Some(kept) = self.kept.take() {
+            return FinalFailure::Upstream(kept);
+        }
+        let left_out = self.context.chooser().left_out();
+        let (code, text) = match cause {
+            RefusalCause::NoUpstream => (RefusalCode::NoUpstream, "no upstream is known"),
+            RefusalCause::Unusable => (RefusalCode::NoUpstream, "no upstream is usable"),
+            RefusalCause::Overloaded => (RefusalCode::Overloaded, "the answer would be late"),
+        };
+        let message = format!("{text}; left out: {left_out:?}");
+        let refusal = Refusal { ran: self.ran(), ..Refusal::not_run(code, message) };
+        FinalFailure::Refused(refusal.retry_after(retry_after))
+    }
+
+    pub(crate) fn note_attempt(
+        &mut self,
+        to: String,
+        verdict: Verdict,
+        cause: &str,
+        predicted_ms: f64,
+        since: Instant,
+    ) {
+        self.record.note_attempt(AttemptNote {
+            to,
+            verdict: name_verdict(verdict),
+            cause: cause.to_owned(),
+            predicted_ms: predicted_ms as u64,
+            took_ms: since.elapsed().as_millis() as u64,
+        });
+    }
+
+    /// The answer of an upstream on its way to the caller.
+    fn deliver(mut self, answer: OpenAnswer) -> Response<AnswerBody> {
+        let status = answer.status;
+        self.record.note_first(status.as_u16(), Instant::now());
+        let mut response = Response::new(());
+        *response.status_mut() = status;
+        *response.headers_mut() = answer.headers.clone();
+        let body = match answer.whole {
+            true => {
+                self.record.end("answered", status.as_u16(), "");
+                let first = answer.first.clone();
+                answer.finish();
+                full_body(first)
+            }
+            false => pass_stream(self, answer),
+        };
+        response.map(|()| body)
+    }
+
+    fn fail(mut self, failure: FinalFailure) -> Response<AnswerBody> {
+        match failure {
+            FinalFailure::Upstream(kept) => {
+                let status = kept.status;
+                self.record.end("upstream_failed", status.as_u16(), "");
+                let mut response = Response::new(full_body(kept.body));
+                *response.status_mut() = status;
+                *response.headers_mut() = kept.headers;
+                response
+            }
+            FinalFailure::Refused(refusal) => {
+                let answer = refuse(&refusal);
+                self.record.note_ran(refusal.ran);
+                self.context.metrics.count_refusal(name_refusal(refusal.code));
+                self.record.end("refused", answer.status().as_u16(), refusal.message);
+                answer
+            }
+        }
+    }
+}
+
+/// Name of a reason in metrics.
+fn name_refusal(code: RefusalCode) -> &'static str {
+    match code {
+        RefusalCode::Overloaded => "overloaded",
+        RefusalCode::NoUpstream => "no_upstream",
+        RefusalCode::DeadlinePassed => "deadline_passed",
+        RefusalCode::UpstreamFailed => "upstream_failed",
+        _ => "other",
+    }
+}
--- /dev/null
+++ b/cicadastall/src/gateway/track.rs
@@ -0,0 +1,250 @@
+//! What an entry knows of one upstream from the work that it gave it.
+
+use crate::gateway::call::PromptPart;
+use std::{collections::HashMap, time::Duration};
+use tokio::time::Instant;
+
+/// Prompt tokens that an engine reads in a millisecond, before anything is measured.
+const FIRST_READ_PACE: f64 = 30.0;
+
+/// Time from the arrival of a prompt that is read already to the first token, in milliseconds.
+const FIRST_TOKEN_MS: f64 = 45.0;
+
+/// Time of a call to a plain service before any was measured, in milliseconds.
+const FIRST_CALL_MS: f64 = 20.0;
+
+/// Time of a whole stream before any was measured, in milliseconds.
+const FIRST_STREAM_MS: f64 = 1_500.0;
+
+/// Weight of one observation in a mean.
+const OBSERVATION_WEIGHT: f64 = 0.15;
+
+/// Slowness that is believed at most and at least, relative to the prediction.
+const SLOWNESS_RANGE: (f64, f64) = (0.3, 8.0);
+
+/// First time for which an upstream that failed gets no new work; it doubles with each failure.
+const FIRST_BAR: Duration = Duration::from_millis(800);
+
+/// Doublings of that time at most.
+const BAR_DOUBLINGS: u32 = 3;
+
+/// Time for which a part of a prompt that was read is taken to be kept.
+const PART_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Parts that are remembered for one upstream.
+const REMEMBERED_PARTS: usize = 4_096;
+
+/// Names one request among those that an entry gave to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct SendNumber(pub u64);
+
+/// A request that was given to an upstream and has not ended.
+#[derive(Debug, Clone)]
+pub struct OpenSend {
+    /// Its name.
+    pub number: SendNumber,
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// Rank; 0 goes first.
+    pub rank: u8,
+    /// Time that reading its prompt takes, in milliseconds.
+    pub read_ms: f64,
+    /// Predicted time to the first token or the whole answer, in milliseconds, without slowness.
+    pub predicted_ms: f64,
+    /// Whether its answer has begun.
+    pub answering: bool,
+}
+
+/// How an attempt ended, for the upstream's record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendEnd {
+    /// With a whole answer.
+    Whole,
+    /// With a failure of the upstream's own.
+    Failed,
+    /// The upstream refused it.
+    Refused,
+    /// It could not be reached, or broke off.
+    Broken,
+    /// The caller left, or another reason of our own.
+    Cancelled,
+}
+
+/// Record of one upstream.
+#[derive(Debug)]
+pub struct UpstreamTrack {
+    started_ms: u64,
+    sends: Vec<OpenSend>,
+    slowness: f64,
+    whole_ms: Option<f64>,
+    failures: u32,
+    barred_until: Option<Instant>,
+    answered_at: Option<Instant>,
+    failing: f64,
+    parts: HashMap<u64, Instant>,
+    next_cold: Option<Instant>,
+}
+
+impl UpstreamTrack {
+    /// An empty record of the process that started at `started_ms`.
+    pub fn new(started_ms: u64) -> Self {
+        Self {
+            started_ms,
+            sends: Vec::new(),
+            slowness: 1.0,
+            whole_ms: None,
+            failures: 0,
+            barred_until: None,
+            answered_at: None,
+            failing: 0.0,
+            parts: HashMap::new(),
+            next_cold: None,
+        }
+    }
+
+    /// Start of the process that the record is about.
+    pub fn started_ms(&self) -> u64 {
+        self.started_ms
+    }
+
+    /// Requests that have not ended.
+    pub fn open(&self) -> usize {
+        self.sends.len()
+    }
+
+    /// Whether the record may be forgotten.
+    pub fn is_idle(&self, now: Instant) -> bool {
+        self.sends.is_empty() && !self.is_barred(now)
+    }
+
+    /// Time until the prompts of `rank` and of ranks before it are read, in milliseconds.
+    pub fn backlog_ms(&self, rank: u8, now: Instant) -> f64 {
+        let waiting = self.sends.iter().filter(|send| !send.answering && send.rank <= rank);
+        let mut free_at: Option<f64> = None;
+        let mut total = 0.0;
+        for send in waiting {
+            let since = (now - send.sent_at).as_secs_f64() * 1_000.0;
+            let read_ms = send.read_ms * self.slowness;
+            total += read_ms;
+            // Milliseconds from now, which are negative for what is past.
+            free_at = Some(free_at.unwrap_or(-since).max(-since) + read_ms);
+        }
+        // What is overdue is still to be read, at least in part.
+        free_at.map_or(0.0, |at| at.max(total * 0.3))
+    }
+
+    /// Time from the arrival of a prompt to its first token without others, in milliseconds.
+    pub fn first_token_ms(&self, unread_tokens: u32) -> f64 {
+        (FIRST_TOKEN_MS + f64::from(unread_tokens) / FIRST_READ_PACE) * self.slowness
+    }
+
+    /// Time that reading `unread_tokens` takes an upstream that is not slow, in milliseconds.
+    pub fn read_ms(unread_tokens: u32) -> f64 {
+        f64::from(unread_tokens) / FIRST_READ_PACE
+    }
+
+    /// Time of a whole answer, in milliseconds.
+    pub fn whole_ms(&self, stream: bool) -> f64 {
+        let first = if stream { FIRST_STREAM_MS } else { FIRST_CALL_MS };
+        self.whole_ms.unwrap_or(first)
+    }
+
+    /// Observed over predicted time.
+    pub fn slowness(&self) -> f64 {
+        self.slowness
+    }
+
+    /// Part of the newest answers that were the upstream's own failures.
+    pub fn failing(&self) -> f64 {
+        self.failing
+    }
+
+    /// Whether the upstream failed lately and gets no new work.
+    pub fn is_barred(&self, now: Instant) -> bool {
+        self.barred_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the upstream has answered within `bound`.
+    pub fn has_answered(&self, bound: Duration, now: Instant) -> bool {
+        self.answered_at.is_some_and(|at| now < at + bound)
+    }
+
+    /// Tokens of the first `parts` that the upstream is taken to have read.
+    pub fn cached_tokens(&self, parts: &[PromptPart], now: Instant) -> u32 {
+        let kept = |part: &&PromptPart| {
+            self.parts.get(&part.id).is_some_and(|at| now < *at + PART_LIFETIME)
+        };
+        parts.iter().take_while(kept).map(|part| part.tokens).sum()
+    }
+
+    /// When a cold upstream may get its next request; none if it never got one.
+    pub fn next_cold(&self) -> Option<Instant> {
+        self.next_cold
+    }
+
+    /// Notes a request that is sent to a cold upstream; the next one follows after `pause`.
+    pub fn note_cold(&mut self, pause: Duration, now: Instant) {
+        self.next_cold = Some(now + pause);
+    }
+
+    /// Notes a request that is sent.
+    pub fn note_sent(&mut self, send: OpenSend, parts: &[PromptPart]) {
+        if self.parts.len() >= REMEMBERED_PARTS {
+            let now = send.sent_at;
+            self.parts.retain(|_, at| now < *at + PART_LIFETIME / 2);
+        }
+        for part in parts {
+            self.parts.insert(part.id, send.sent_at);
+        }
+        self.sends.push(send);
+    }
+
+    /// Notes that the answer to a request has begun.
+    pub fn note_answering(&mut self, number: SendNumber, now: Instant) {
+        self.failures = 0;
+        self.barred_until = None;
+        self.answered_at = Some(now);
+        let Some(send) = self.sends.iter_mut().find(|send| send.number == number) else { return };
+        if send.answering {
+            return;
+        }
+        send.answering = true;
+        let observed = (now - send.sent_at).as_secs_f64() * 1_000.0;
+        let (least, most) = SLOWNESS_RANGE;
+        let ratio = (observed / send.predicted_ms.max(1.0)).clamp(least, most);
+        self.slowness += OBSERVATION_WEIGHT * (ratio - self.slowness);
+    }
+
+    /// Notes that a request has ended.
+    pub fn note_ended(&mut self, number: SendNumber, end: SendEnd, now: Instant) {
+        let place = self.sends.iter().position(|send| send.number == number);
+        let send = place.map(|place| self.sends.remove(place));
+        match end {
+            SendEnd::Whole | SendEnd::Failed => {
+                let failed = f64::from(u8::from(end == SendEnd::Failed));
+                self.failing += OBSERVATION_WEIGHT * (failed - self.failing);
+                self.answered_at = Some(now);
+                if let Some(send) = send {
+                    let took = (now - send.sent_at).as_secs_f64() * 1_000.0;
+                    let mean = self.whole_ms.get_or_insert(took);
+                    *mean += OBSERVATION_WEIGHT * (took - *mean);
+                }
+            }
+            SendEnd::Broken => self.note_broken(now),
+            SendEnd::Refused | SendEnd::Cancelled => {}
+        }
+    }
+
+    /// Keeps new work away for a time that grows with the failures since the last answer.
+    pub fn note_broken(&mut self, now: Instant) {
+        let doublings = self.failures.min(BAR_DOUBLINGS);
+        self.failures += 1;
+        self.barred_until = Some(now + FIRST_BAR * 2_u32.pow(doublings));
+        self.parts.clear();
+    }
+
+    /// Keeps new work away for `bound`, as the upstream says that it has no room.
+    pub fn note_full(&mut self, bound: Duration, now: Instant) {
+        self.barred_until = self.barred_until.max(Some(now + bound));
+    }
+}
--- /dev/null
+++ b/cicadastall/src/gateway/view.rs
@@ -0,0 +1,338 @@
+//! What an entry knows of the fleet, merged from the news of all control instances.
+
+use crate::{
+    gateway::{
+        document_state::EvacuatedZones,
+        news::{
+            ControlRecord, EntryNews, FleetNews, NewsCursor, RegionSummary, RegisteredUpstream,
+            UpstreamNews, UpstreamPhase, WorkRow,
+        },
+    },
+    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+    table::{EntryRecord, EntryState},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Time for which rows of a control process are kept after it was replaced by another one, whose
+/// registry starts empty.
+const CARRIED_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Time without an answer after which a control instance that no other one names is forgotten.
+const CONTROL_RETENTION: Duration = Duration::from_secs(20);
+
+/// Time after which a summary or work that was told no longer counts.
+const LOAD_LIFETIME: Duration = Duration::from_secs(4);
+
+/// An upstream that may be given work, as far as control knows.
+#[derive(Debug, Clone)]
+pub struct KnownUpstream {
+    /// Its newest renewal.
+    pub upstream: Arc<RegisteredUpstream>,
+    /// When that renewal arrived, by this instance's clock.
+    pub heard_at: Instant,
+    /// Whether its renewals have ceased.
+    pub silent: bool,
+    /// End of its cold spell.
+    pub cold_until: Option<Instant>,
+    /// Whether its zone was evacuated and no renewal has come since that ended.
+    pub unconfirmed: bool,
+}
+
+/// The fleet at one moment.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    /// Upstreams of this region that serve, by pool, in the order of their names.
+    pub pools: HashMap<PoolName, Vec<Arc<KnownUpstream>>>,
+    /// Serving entries of this region, this one included, in the order of their names.
+    pub entries: Vec<InstanceName>,
+    /// Most entries of the whole fleet that were known at the same time.
+    pub fleet_entries: usize,
+}
+
+/// Load that changes all the time.
+#[derive(Debug, Default)]
+pub struct LoadView {
+    /// Work that other entries of the region have given to upstreams.
+    pub work: HashMap<UpstreamName, (u32, u32)>,
+    /// When that was told.
+    pub work_at: Option<Instant>,
+    /// Other regions, with the time of the newest summary.
+    pub regions: BTreeMap<RegionName, (Arc<RegionSummary>, Instant)>,
+}
+
+#[derive(Debug, Clone)]
+struct HeardUpstream {
+    news: UpstreamNews,
+    heard_at: Instant,
+    carried_until: Option<Instant>,
+}
+
+/// News of one control instance.
+#[derive(Debug)]
+struct ControlView {
+    cursor: NewsCursor,
+    answered_at: Option<Instant>,
+    named_at: Instant,
+    upstreams: HashMap<UpstreamName, HeardUpstream>,
+    entries: HashMap<InstanceName, EntryNews>,
+}
+
+/// Merges the news of control instances.
+#[derive(Debug)]
+pub struct ViewState {
+    own: EntryRecord,
+    seeds: BTreeSet<SocketAddr>,
+    controls: BTreeMap<SocketAddr, ControlView>,
+    records: BTreeMap<SocketAddr, ControlRecord>,
+    evacuated: EvacuatedZones,
+    restored: HashMap<ZoneName, u64>,
+    most_entries: usize,
+    work: HashMap<UpstreamName, (u32, u32)>,
+    work_at: Option<Instant>,
+    regions: BTreeMap<RegionName, (Arc<RegionSummary>, Instant)>,
+}
+
+impl ViewState {
+    /// Knows nothing but the entry itself and the addresses of some control instances.
+    pub fn new(own: EntryRecord, seeds: &[SocketAddr], now: Instant) -> Self {
+        let mut state = Self {
+            own,
+            seeds: BTreeSet::new(),
+            controls: BTreeMap::new(),
+            records: BTreeMap::new(),
+            evacuated: EvacuatedZones::default(),
+            restored: HashMap::new(),
+            most_entries: 1,
+            work: HashMap::new(),
+            work_at: None,
+            regions: BTreeMap::new(),
+        };
+        state.set_seeds(seeds, now);
+        state
+    }
+
+    /// Replaces the addresses from the settings.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr], now: Instant) {
+        self.seeds = seeds.iter().copied().collect();
+        for seed in seeds {
+            self.name_control(*seed, now);
+        }
+    }
+
+    fn name_control(&mut self, address: SocketAddr, now: Instant) {
+        let fresh = ControlView {
+            cursor: NewsCursor::default(),
+            answered_at: None,
+            named_at: now,
+            upstreams: HashMap::new(),
+            entries: HashMap::new(),
+        };
+        self.controls.entry(address).or_insert(fresh).named_at = now;
+    }
+
+    /// Changes the readiness of the entry itself.
+    pub fn set_state(&mut self, state: EntryState) {
+        self.own.state = state;
+    }
+
+    /// The entry itself.
+    pub fn own(&self) -> &EntryRecord {
+        &self.own
+    }
+
+    /// Control instances to ask, by peer address.
+    pub fn controls(&self) -> impl Iterator<Item = SocketAddr> {
+        self.controls.keys().copied()
+    }
+
+    /// Whether the control instance at `address` is in this region; also where it is not known yet.
+    pub fn is_near(&self, address: SocketAddr) -> bool {
+        self.records.get(&address).is_none_or(|record| record.region == self.own.region)
+    }
+
+    /// Place up to which the news of the control instance at `address` is known.
+    pub fn cursor(&self, address: SocketAddr) -> NewsCursor {
+        self.controls.get(&address).map(|control| control.cursor).unwrap_or_default()
+    }
+
+    /// Version of the evacuated zones that is known.
+    pub fn evacuated(&self) -> &EvacuatedZones {
+        &self.evacuated
+    }
+
+    /// Whether any control instance has answered within `bound`.
+    pub fn has_contact(&self, bound: Duration, now: Instant) -> bool {
+        let answered = self.controls.values().filter_map(|control| control.answered_at);
+        answered.max().is_some_and(|at| now < at + bound)
+    }
+
+    /// Takes the news of the control instance at `address`; returns whether the view changes.
+    pub fn accept(&mut self, address: SocketAddr, news: FleetNews, now: Instant) -> bool {
+        let mut changed = !news.upstreams.is_empty() || !news.entries.is_empty();
+        self.name_control(address, now);
+        let Some(control) = self.controls.get_mut(&address) else { return false };
+        control.answered_at = Some(now);
+        if control.cursor.process != news.cursor.process {
+            carry_rows(control, now);
+        }
+        control.cursor = news.cursor;
+        for news in news.upstreams {
+            let heard_at = now.checked_sub(millis(news.age_ms)).unwrap_or(now);
+            let name = news.upstream.name.clone();
+            let heard = HeardUpstream { news, heard_at, carried_until: None };
+            control.upstreams.insert(name, heard);
+        }
+        for news in news.entries {
+            control.entries.insert(news.entry.instance.clone(), news);
+        }
+        if let Some(summary) = news.summary
+            && summary.region != self.own.region
+        {
+            self.regions.insert(summary.region.clone(), (Arc::new(summary), now));
+        }
+        if !news.work.is_empty() {
+            let rows = news.work.into_iter();
+            self.work = rows.map(|WorkRow(name, count, ms)| (name, (count, ms))).collect();
+            self.work_at = Some(now);
+        }
+        for record in news.controls {
+            self.name_control(record.peer_address, now);
+            self.records.insert(record.peer_address, record);
+        }
+        if let Some(evacuated) = news.evacuated {
+            changed |= self.take_evacuated(evacuated);
+        }
+        changed
+    }
+
+    fn take_evacuated(&mut self, evacuated: EvacuatedZones) -> bool {
+        if evacuated.version <= self.evacuated.version {
+            return false;
+        }
+        for zone in self.evacuated.zones.difference(&evacuated.zones) {
+            self.restored.insert(zone.clone(), evacuated.version);
+        }
+        log::info!(
+            version = evacuated.version, zones:? = evacuated.zones;
+            "evacuated zones changed"
+        );
+        self.evacuated = evacuated;
+        true
+    }
+
+    /// Forgets what is no longer of use; returns whether the view changes.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let seeds = &self.seeds;
+        self.controls.retain(|address, control| {
+            let last = control.answered_at.map_or(control.named_at, |at| at.max(control.named_at));
+            seeds.contains(address) || now < last + CONTROL_RETENTION
+        });
+        let controls = &self.controls;
+        self.records.retain(|address, _| controls.contains_key(address));
+        let mut changed = false;
+        for control in self.controls.values_mut() {
+            let before = control.upstreams.len();
+            let kept = |heard: &HeardUpstream| heard.carried_until.is_none_or(|until| now < until);
+            control.upstreams.retain(|_, heard| kept(heard));
+            changed |= control.upstreams.len() != before;
+        }
+        changed
+    }
+
+    /// The view of the fleet.
+    pub fn make_view(&mut self) -> FleetView {
+        let mut pools: HashMap<PoolName, Vec<Arc<KnownUpstream>>> = HashMap::new();
+        for heard in self.merge_upstreams().into_values() {
+            let upstream = &heard.news.upstream;
+            let evacuated = self.evacuated.zones.contains(&upstream.zone);
+            if upstream.phase != UpstreamPhase::Serving || evacuated {
+                continue;
+            }
+            let restored = self.restored.get(&upstream.zone);
+            let known = KnownUpstream {
+                heard_at: heard.heard_at,
+                silent: heard.news.silent,
+                cold_until: (upstream.cold_ms > 0)
+                    .then(|| heard.heard_at + millis(upstream.cold_ms)),
+                unconfirmed: restored.is_some_and(|version| heard.news.evacuated < *version),
+                upstream: Arc::clone(upstream),
+            };
+            pools.entry(upstream.pool.clone()).or_default().push(Arc::new(known));
+        }
+        for upstreams in pools.values_mut() {
+            upstreams.sort_by(|a, b| a.upstream.name.cmp(&b.upstream.name));
+        }
+        let live = self.merge_entries();
+        self.most_entries = self.most_entries.max(live.len());
+        let near = live.into_values().filter(|entry| entry.region == self.own.region);
+        let serving = near.filter(|entry| entry.state == EntryState::Serving);
+        let mut entries: BTreeSet<_> = serving.map(|entry| entry.instance).collect();
+        entries.insert(self.own.instance.clone());
+        FleetView {
+            pools,
+            entries: entries.into_iter().collect(),
+            fleet_entries: self.most_entries,
+        }
+    }
+
+    /// The newest row of each upstream; of equal ones, one that says that it is silent.
+    fn merge_upstreams(&self) -> BTreeMap<UpstreamName, &HeardUpstream> {
+        let mut merged: BTreeMap<UpstreamName, &HeardUpstream> = BTreeMap::new();
+        let rank = |heard: &HeardUpstream| {
+            let upstream = &heard.news.upstream;
+            let gone = upstream.phase == UpstreamPhase::Gone;
+            let UpstreamNews { silent, evacuated, .. } = heard.news;
+            (upstream.started_ms, gone, upstream.sequence, evacuated, silent)
+        };
+        for control in self.controls.values() {
+            for (name, heard) in &control.upstreams {
+                let known = merged.entry(name.clone()).or_insert(heard);
+                if rank(heard) > rank(known) {
+                    *known = heard;
+                }
+            }
+        }
+        merged
+    }
+
+    /// Entries that at least one control instance hears of.
+    fn merge_entries(&self) -> BTreeMap<InstanceName, EntryRecord> {
+        let mut live: BTreeMap<InstanceName, EntryRecord> = BTreeMap::new();
+        let news = self.controls.values().flat_map(|control| control.entries.values());
+        for EntryNews { entry, .. } in news.filter(|news| !news.silent) {
+            let known = live.get(&entry.instance);
+            if known.is_none_or(|known| known.incarnation <= entry.incarnation) {
+                live.insert(entry.instance.clone(), entry.clone());
+            }
+        }
+        live
+    }
+
+    /// The load of others.
+    pub fn make_load(&self, now: Instant) -> LoadView {
+        let fresh = |at: &Instant| now < *at + LOAD_LIFETIME;
+        let regions = self.regions.iter().filter(|(_, (_, at))| fresh(at));
+        LoadView {
+            work: self.work.clone(),
+            work_at: self.work_at.filter(fresh),
+            regions: regions.map(|(name, view)| (name.clone(), view.clone())).collect(),
+        }
+    }
+}
+
+fn carry_rows(control: &mut ControlView, now: Instant) {
+    for heard in control.upstreams.values_mut() {
+        heard.carried_until.get_or_insert(now + CARRIED_LIFETIME);
+    }
+    control.entries.clear();
+}
+
+fn millis(age_ms: u32) -> Duration {
+    Duration::from_millis(u64::from(age_ms))
+}
--- a/cicadastall/src/http.rs
+++ b/cicadastall/src/http.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     answer::{Refusal, RefusalCode},
+    gateway::connections::guard_stream,
     limits::CallerCounts,
 };
 use bytes::Bytes;
@@ -36,8 +37,26 @@
 };
 use tokio_util::task::TaskTracker;
 
+/// An answer that ends before it is whole; its connection is closed, so that it can't look whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerCut;
+
+impl fmt::Display for AnswerCut {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the answer broke off")
+    }
+}
+
+impl std::error::Error for AnswerCut {}
+
+impl From<Infallible> for AnswerCut {
+    fn from(error: Infallible) -> Self {
+        match error {}
+    }
+}
+
 /// Body of an answer.
-pub type AnswerBody = UnsyncBoxBody<Bytes, Infallible>;
+pub type AnswerBody = UnsyncBoxBody<Bytes, AnswerCut>;
 
 /// Client for requests towards upstreams and other entries.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -58,8 +77,10 @@
     pub connections: usize,
     /// Most bytes of a request's headers.
     pub header_bytes: usize,
-    /// Longest time to send the headers.
+    /// Longest time to send the headers, and longest rest between two requests.
     pub header_timeout: Duration,
+    /// Whether a connection breaks when the other side falls silent.
+    pub guarded: bool,
 }
 
 impl Default for ListenerLimits {
@@ -68,6 +89,7 @@
             connections: 4_096,
             header_bytes: 32 * 1024,
             header_timeout: Duration::from_secs(10),
+            guarded: false,
         }
     }
 }
@@ -139,7 +161,13 @@
     H: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
-    let _ = stream.set_nodelay(true);
+    let prepared = match limits.guarded {
+        true => guard_stream(&stream),
+        false => stream.set_nodelay(true),
+    };
+    if let Err(error) = prepared {
+        log::debug!("socket options of {peer} not set: {error}");
+    }
     let service = service_fn(move |request| {
         let answer = handler(peer, request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -284,14 +312,15 @@
 
 /// An answer whose body is `events`; they are dropped when the caller hangs up.
 pub fn stream_answer(events: impl Stream<Item = Bytes> + Send + 'static) -> Response<AnswerBody> {
-    let frames = events.map(|event| Ok::<_, Infallible>(Frame::data(event)));
+    let frames = events.map(|event| Ok::<_, AnswerCut>(Frame::data(event)));
     let mut answer = Response::new(UnsyncBoxBody::new(StreamBody::new(frames)));
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     answer
 }
 
-fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
-    UnsyncBoxBody::new(Full::new(bytes.into()))
+/// A body that is whole at once.
+pub(crate) fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
+    UnsyncBoxBody::new(Full::new(bytes.into()).map_err(AnswerCut::from))
 }
 
 /// Why a JSON call over HTTP failed.
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -4,6 +4,11 @@
 use crate::{
     follow::SettingsHolder,
     follower::SettingsFollower,
+    gateway::{
+        connections::guard_stream,
+        control::NewsService,
+        news::{FleetNews, NewsQuery},
+    },
     group::GroupHost,
     group_transport::GroupRegistry,
     http,
@@ -86,9 +91,18 @@
     pub(crate) ledger: Option<Arc<dyn LedgerService>>,
     /// None where only groups are served.
     pub(crate) suspects: Option<Arc<SuspectBoard>>,
+    /// None but at control instances of the pass-through gateway.
+    pub(crate) news: Option<Arc<dyn NewsService>>,
 }
 
 impl PeerApi for PeerServer {
+    async fn fleet_news(self, _: Context, query: NewsQuery) -> FleetNews {
+        match self.news {
+            Some(news) => news.answer_news(query).await,
+            None => FleetNews::default(),
+        }
+    }
+
     async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
         self.settings.map(|settings| settings.answer(request)).unwrap_or_default()
     }
@@ -217,6 +231,7 @@
                     groups: Arc::clone(groups.registry()),
                     ledger: hosting.start(&node, &groups).await?,
                     suspects: Some(Arc::clone(&suspects)),
+                    news: None,
                 };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
@@ -258,7 +273,19 @@
 /// Answers calls to the replicas in `groups`, without membership and settings, until its task is
 /// dropped.
 pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
-    let server = PeerServer { settings: None, groups, ledger: None, suspects: None };
+    let server = PeerServer { settings: None, groups, ledger: None, suspects: None, news: None };
+    serve_peers(listener, server).await;
+}
+
+/// Answers calls to the replicas in `groups` and questions for the news of the fleet, until its task
+/// is dropped.
+pub(crate) async fn serve_fleet(
+    listener: TcpListener,
+    groups: Arc<GroupRegistry>,
+    news: Arc<dyn NewsService>,
+) {
+    let news = Some(news);
+    let server = PeerServer { settings: None, groups, ledger: None, suspects: None, news };
     serve_peers(listener, server).await;
 }
 
@@ -267,7 +294,7 @@
 pub async fn serve_settings(listener: TcpListener, follower: Arc<SettingsFollower>) {
     let groups = Arc::new(GroupRegistry::default());
     let settings = Some(follower);
-    let server = PeerServer { settings, groups, ledger: None, suspects: None };
+    let server = PeerServer { settings, groups, ledger: None, suspects: None, news: None };
     serve_peers(listener, server).await;
 }
 
@@ -283,7 +310,9 @@
                 continue;
             }
         };
-        let _ = stream.set_nodelay(true);
+        if let Err(error) = guard_stream(&stream) {
+            log::debug!("socket options of a peer not set: {error}");
+        }
         let transport = frame_messages(stream);
         let calls = BaseChannel::with_defaults(transport).execute(service.clone().serve());
         while connections.try_join_next().is_some() {}
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod follow;
 pub mod follower;
 mod followers;
+pub mod gateway;
 pub mod group;
 mod group_actor;
 pub mod group_operator;
--- a/cicadastall/src/limits.rs
+++ b/cicadastall/src/limits.rs
@@ -1,6 +1,6 @@
 //! Counts what each caller has in flight, and refuses what exceeds its limit.
 
-use crate::http::AnswerBody;
+use crate::http::{AnswerBody, AnswerCut};
 use bytes::Bytes;
 use hyper::{
     Response,
@@ -8,7 +8,6 @@
 };
 use std::{
     collections::HashMap,
-    convert::Infallible,
     net::IpAddr,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -85,12 +84,12 @@
 
 impl Body for GuardedBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = AnswerCut;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         Pin::new(&mut self.body).poll_frame(context)
     }
 
--- a/cicadastall/src/logs.rs
+++ b/cicadastall/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
 
 use crate::{
     clock::unix_ms,
@@ -9,7 +9,15 @@
     kv::{Error as KvError, Key, Value, VisitSource},
 };
 use serde_json::{Map, json};
-use std::io::Write;
+use std::{
+    io::Write,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{self, SyncSender},
+    },
+    time::{Duration, Instant},
+};
 
 struct FieldVisitor<'a>(&'a mut Map<String, serde_json::Value>);
 
@@ -43,3 +51,65 @@
 ) -> std::io::Result<()> {
     writeln!(output, "{}", encode_line(record, instance, zone))
 }
+
+/// Lines that wait to be written; further ones are dropped and counted.
+const QUEUED_LINES: usize = 4_096;
+
+/// Lines that are written at once at most.
+const LINES_PER_WRITE: usize = 64;
+
+/// Time between two notes about dropped lines.
+const DROP_NOTE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Passes lines on to a thread that writes them, so that a slow reader holds nothing up.
+#[derive(Debug, Clone)]
+pub struct LineQueue {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LineQueue {
+    /// Starts the thread, which writes to `output` until the queue is dropped.
+    pub fn start(mut output: impl Write + Send + 'static) -> std::io::Result<Self> {
+        let (lines, queued) = mpsc::sync_channel::<Vec<u8>>(QUEUED_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&dropped);
+        std::thread::Builder::new().name("log".to_owned()).spawn(move || {
+            let mut noted_at = Instant::now();
+            while let Ok(mut text) = queued.recv() {
+                for line in queued.try_iter().take(LINES_PER_WRITE) {
+                    text.extend(line);
+                }
+                if noted_at.elapsed() > DROP_NOTE_PERIOD {
+                    noted_at = Instant::now();
+                    let dropped = counted.swap(0, Ordering::Relaxed);
+                    if dropped > 0 {
+                        let note = json!({
+                            "time_ms": unix_ms(),
+                            "level": "WARN",
+                            "message": "log lines dropped",
+                            "dropped": dropped,
+                        });
+                        text.extend(format!("{note}\n").into_bytes());
+                    }
+                }
+                // There is no other place to tell of a failure.
+                let _ = output.write_all(&text).and_then(|()| output.flush());
+            }
+        })?;
+        Ok(Self { lines, dropped })
+    }
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        if self.lines.try_send(bytes.to_vec()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -2,6 +2,10 @@
 
 use crate::{
     counted::CountedStream,
+    gateway::{
+        connections::guard_stream,
+        news::{FleetNews, NewsQuery},
+    },
     ledger::command::{LedgerChange, LedgerReply},
     message_codec::MessageCodec,
     name::GroupName,
@@ -66,6 +70,9 @@
     /// Applies an update of the settings; none if the receiver follows no settings.
     async fn settings_push(push: PushRequest) -> Option<ZoneReport>;
 
+    /// News of the fleet for the pass-through gateway; none where the receiver has no registry.
+    async fn fleet_news(query: NewsQuery) -> FleetNews;
+
     /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
     async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
 }
@@ -188,6 +195,6 @@
         socket.bind(SocketAddr::new(source, 0))?;
     }
     let stream = socket.connect(address).await?;
-    stream.set_nodelay(true)?;
+    guard_stream(&stream)?;
     Ok(stream)
 }
