Count attempts across hops; long and short prompts on different upstreams; longest pause in the record

The other entry now says how many upstreams may have run it; one that is lost counts as having used all.

--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod events;
 mod follow;
 mod group_keeper;
+pub mod groups;
 pub mod headers;
 pub mod hop;
 pub mod metrics;
--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
         context::EntryContext,
         dialect::AttemptNote,
         headers::{read_keep_alive, strip_connection_headers},
-        hop::{HOP_HEADER, HopOrder, RAN_HEADER, read_ran},
+        hop::{HOP_HEADER, HopOrder, RAN_HEADER, RAN_ON_HEADER, read_ran, read_ran_on},
         outcome::{LostAttempt, Verdict, judge_head, judge_lost},
         relay::CallRelay,
         track::{SendEnd, SendNumber},
@@ -57,6 +57,8 @@
     pub(crate) verdict: Verdict,
     /// Whether the request may have reached an upstream.
     pub(crate) arrived: bool,
+    /// Upstreams that may have run it, those before this attempt included.
+    pub(crate) ran_on: u32,
     pub(crate) cause: String,
     pub(crate) kept: Option<Box<KeptFailure>>,
     pub(crate) retry_after: Option<Duration>,
@@ -64,11 +66,12 @@
 }
 
 impl AttemptFailure {
-    fn lost(lost: LostAttempt) -> Self {
+    fn lost(lost: LostAttempt, ran_on: u32) -> Self {
         let verdict = judge_lost(&lost);
         let arrived = verdict != Verdict::NotRun;
         let (LostAttempt::Unsent(cause) | LostAttempt::Sent(cause)) = lost;
-        Self { verdict, arrived, cause, kept: None, retry_after: None, end: SendEnd::Broken }
+        let end = SendEnd::Broken;
+        Self { verdict, arrived, ran_on, cause, kept: None, retry_after: None, end }
     }
 }
 
@@ -180,7 +183,7 @@
         }
         let Some(target) = AttemptTarget::of(choice) else {
             let unsent = LostAttempt::Unsent("no target was chosen".to_owned());
-            return Err(AttemptFailure::lost(unsent));
+            return Err(AttemptFailure::lost(unsent, self.ran_on));
         };
         if let Some((name, _)) = &target.upstream {
             self.tried.upstreams.push(name.clone());
@@ -223,15 +226,15 @@
             let mut connection = taken.map_err(|error| match error {
                 ConnectError::Exhausted => AttemptFailure {
                     end: SendEnd::Refused,
-                    ..AttemptFailure::lost(LostAttempt::Unsent("all connections in use".into()))
+                    ..self.lose(target, LostAttempt::Unsent("all connections in use".into()))
                 },
-                ConnectError::Failed(cause) => AttemptFailure::lost(LostAttempt::Unsent(cause)),
+                ConnectError::Failed(cause) => self.lose(target, LostAttempt::Unsent(cause)),
             })?;
             if chosen_at.elapsed() > DISPATCH_BOUND {
                 let unsent = LostAttempt::Unsent("the choice is too old".to_owned());
                 return Err(AttemptFailure {
                     end: SendEnd::Cancelled,
-                    ..AttemptFailure::lost(unsent)
+                    ..self.lose(target, unsent)
                 });
             }
             let request = self.build_request(target);
@@ -242,16 +245,28 @@
                     self.sending = false;
                     stale += 1;
                     if stale > STALE_CONNECTIONS {
-                        return Err(AttemptFailure::lost(LostAttempt::Unsent(cause)));
+                        return Err(self.lose(target, LostAttempt::Unsent(cause)));
                     }
                 }
                 Err(ExchangeError::Broken(cause)) => {
-                    return Err(AttemptFailure::lost(LostAttempt::Sent(cause)));
+                    return Err(self.lose(target, LostAttempt::Sent(cause)));
                 }
             }
         }
     }
 
+    /// An attempt that ended without the head of an answer. Another entry that was lost may have
+    /// used all attempts that it was allowed.
+    fn lose(&self, target: &AttemptTarget, lost: LostAttempt) -> AttemptFailure {
+        let unsent = matches!(lost, LostAttempt::Unsent(_));
+        let ran_on = match (unsent, &target.upstream) {
+            (true, _) => self.ran_on,
+            (false, Some(_)) => self.ran_on + 1,
+            (false, None) => self.call.route.attempts.max(self.ran_on + 1),
+        };
+        AttemptFailure::lost(lost, ran_on)
+    }
+
     fn build_request(&self, target: &AttemptTarget) -> Request<Full<Bytes>> {
         let now = Instant::now();
         let call = &self.call;
@@ -303,6 +318,10 @@
         let mut headers = parts.headers;
         strip_connection_headers(&mut headers);
         headers.remove(RAN_HEADER);
+        let told = read_ran_on(&headers).filter(|_| target.upstream.is_none());
+        headers.remove(RAN_ON_HEADER);
+        let before = self.ran_on;
+        let ran_on = told.unwrap_or(before + 1).max(before);
         let mut cause = format!("status {}", parts.status);
         let mut outcome = verdict;
         if verdict == Verdict::Answer {
@@ -310,6 +329,8 @@
             match read_start(&self.call, &mut body).await {
                 Ok((first, whole)) => {
                     self.sending = false;
+                    // The answer's own upstream counts only once the answer has broken off.
+                    self.ran_on = ran_on.max(1) - 1;
                     guard.note_answering();
                     let predicted = target.predicted_ms;
                     self.note_attempt(target.describe(), verdict, "", predicted, chosen_at);
@@ -334,6 +355,7 @@
         let mut failure = AttemptFailure {
             verdict: outcome,
             arrived: true,
+            ran_on: if outcome == Verdict::NotRun { told.unwrap_or(before) } else { ran_on },
             cause,
             kept: None,
             retry_after: head.retry_after,
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -8,6 +8,7 @@
 use crate::{
     gateway::{
         call::{CallHead, RoutedCall},
+        groups::{PromptGroups, PromptSort},
         routes::PoolRule,
         track::{OpenSend, SendEnd, SendNumber, UpstreamTrack},
         view::{FleetView, KnownUpstream, LoadView},
@@ -18,7 +19,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, ops::Range, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// Part of the target up to which an answer costs nothing for its time.
@@ -42,6 +43,9 @@
 /// Time that a hop to another region adds to the first token, in milliseconds.
 const HOP_MS: f64 = 125.0;
 
+/// Loss of an upstream that takes prompts of the other sort.
+const GROUP_LOSS: f64 = 0.25;
+
 /// Loss of an upstream that only fails, over one that never does.
 const FAILING_LOSS: f64 = 2.0;
 
@@ -153,6 +157,16 @@
     cold: bool,
 }
 
+/// An upstream that may get the request now.
+#[derive(Debug, Clone, Copy)]
+struct AdmittedUpstream<'a> {
+    known: &'a Arc<KnownUpstream>,
+    order: u64,
+    /// Whether it takes prompts of the request's sort.
+    grouped: bool,
+    cold: bool,
+}
+
 /// Reasons why upstreams were left out, counted.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LeftOut {
@@ -174,6 +188,7 @@
     tracks: HashMap<UpstreamName, UpstreamTrack>,
     sent: u64,
     returns: HashMap<PoolName, Instant>,
+    groups: HashMap<PoolName, PromptGroups>,
     random: ChaCha8Rng,
     left_out: LeftOut,
     cold_turn: Option<Instant>,
@@ -188,6 +203,7 @@
             tracks: HashMap::new(),
             sent: 0,
             returns: HashMap::new(),
+            groups: HashMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             left_out: LeftOut::default(),
             cold_turn: None,
@@ -262,16 +278,24 @@
         upstreams: &'a [Arc<KnownUpstream>],
     ) -> Option<Candidate<'a>> {
         let head = &input.call.head;
-        let key = head.shared_parts().last().filter(|_| input.call.route.affinity);
+        let affinity = input.call.route.affinity;
+        let key = head.shared_parts().last().filter(|_| affinity);
         let key = key.map_or_else(|| self.random.random(), |part| part.id);
         let order = |known: &KnownUpstream| hash_pair(key, known.upstream.name.as_str());
-        let first = upstreams.iter().map(|known| order(known)).max();
+        let group = self.find_group(input, upstreams.len());
+        let mut admitted: SmallVec<[AdmittedUpstream<'a>; 16]> = SmallVec::new();
+        for (place, known) in upstreams.iter().enumerate() {
+            if let Some(cold) = self.admit(input, known) {
+                let grouped = group.contains(&place);
+                admitted.push(AdmittedUpstream { known, order: order(known), grouped, cold });
+            }
+        }
+        let rank = |admitted: &AdmittedUpstream<'_>| (admitted.grouped, admitted.order);
+        let first = admitted.iter().map(rank).max().filter(|_| affinity);
         let mut best: Option<Candidate<'a>> = None;
-        for known in upstreams {
-            let Some(cold) = self.admit(input, known) else { continue };
-            let order = order(known);
-            let preferred = Some(order) == first && input.call.route.affinity;
-            let candidate = self.score(input, known, order, preferred, cold);
+        for admitted in &admitted {
+            let preferred = Some(rank(admitted)) == first;
+            let candidate = self.score(input, admitted, preferred);
             let better = best.as_ref().is_none_or(|best| {
                 candidate.loss < best.loss
                     || (candidate.loss == best.loss && candidate.order > best.order)
@@ -283,6 +307,25 @@
         best
     }
 
+    /// Places of the upstreams that take prompts of the request's sort.
+    fn find_group(&mut self, input: &ChoiceInput<'_>, upstreams: usize) -> Range<usize> {
+        if input.pool.is_none_or(|pool| pool.engine.is_none()) {
+            return 0..upstreams;
+        }
+        let tokens = input.call.head.prompt_tokens;
+        let sort = PromptSort::of(tokens);
+        let unshared = tokens.saturating_sub(shared_tokens(&input.call.head));
+        let groups = self.groups.entry(input.call.pool.clone());
+        let groups = groups.or_insert_with(|| PromptGroups::new(input.now));
+        groups.note(sort, UpstreamTrack::read_ms(unshared), input.now);
+        let long = groups.count_long(upstreams);
+        match sort {
+            _ if long == 0 => 0..upstreams,
+            PromptSort::Long => 0..long,
+            PromptSort::Short => long..upstreams,
+        }
+    }
+
     /// Whether the upstream may get the request now, and whether it is cold.
     fn admit(&mut self, input: &ChoiceInput<'_>, known: &KnownUpstream) -> Option<bool> {
         let now = input.now;
@@ -320,11 +363,10 @@
     fn score<'a>(
         &self,
         input: &ChoiceInput<'_>,
-        known: &'a Arc<KnownUpstream>,
-        order: u64,
+        admitted: &AdmittedUpstream<'a>,
         preferred: bool,
-        cold: bool,
     ) -> Candidate<'a> {
+        let AdmittedUpstream { known, order, grouped, cold } = *admitted;
         let call = input.call;
         let name = &known.upstream.name;
         let fresh = UpstreamTrack::new(0);
@@ -349,7 +391,8 @@
         let failing = (track.failing() - FAILING_FLOOR).max(0.0) / (1.0 - FAILING_FLOOR);
         let loss = lateness_loss(time)
             + f64::from(reread) / 1_000.0 * REREAD_LOSS
-            + failing * FAILING_LOSS;
+            + failing * FAILING_LOSS
+            + if grouped { 0.0 } else { GROUP_LOSS };
         Candidate { known, unread_tokens, predicted_ms, loss, order, cold }
     }
 
--- a/cicadastall/src/gateway/hop.rs
+++ b/cicadastall/src/gateway/hop.rs
@@ -20,6 +20,9 @@
 /// Header of an answer without a result: whether the request may have run.
 pub const RAN_HEADER: &str = "x-cicadastall-ran";
 
+/// Header of an answer to another entry: how many upstreams may have run the request in all.
+pub const RAN_ON_HEADER: &str = "x-cicadastall-ran-on";
+
 /// How a request is to be answered, as the entry that took it from its caller decided.
 ///
 /// The receiver does not look for a route of its own: its document may be older.
@@ -118,6 +121,11 @@
     }
 }
 
+/// How many upstreams may have run a request, as another entry says.
+pub fn read_ran_on(headers: &HeaderMap) -> Option<u32> {
+    headers.get(RAN_ON_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 /// What an answer of another entry says of the request's execution; none where it passes an
 /// upstream's answer on.
 pub fn read_ran(headers: &HeaderMap) -> Option<Ran> {
--- a/cicadastall/src/gateway/metrics.rs
+++ b/cicadastall/src/gateway/metrics.rs
@@ -18,6 +18,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     first_byte: Histogram<f64>,
+    pause: Histogram<f64>,
     whole: Histogram<f64>,
     outcomes: Counter<u64>,
     attempts: Counter<u64>,
@@ -49,6 +50,7 @@
         };
         Self {
             first_byte: histogram("cicadastall_gateway_first_byte"),
+            pause: histogram("cicadastall_gateway_longest_pause"),
             whole: histogram("cicadastall_gateway_whole_answer"),
             outcomes: meter.u64_counter("cicadastall_gateway_outcomes").build(),
             attempts: meter.u64_counter("cicadastall_gateway_attempts").build(),
@@ -68,6 +70,7 @@
         route: &Arc<str>,
         outcome: &'static str,
         first_byte: Option<Duration>,
+        pause: Option<Duration>,
         whole: Duration,
     ) {
         let route = KeyValue::new("route", Arc::clone(route));
@@ -75,6 +78,9 @@
         if let Some(first_byte) = first_byte {
             self.first_byte.record(fractional_millis(first_byte), std::slice::from_ref(&route));
         }
+        if let Some(pause) = pause {
+            self.pause.record(fractional_millis(pause), std::slice::from_ref(&route));
+        }
         self.whole.record(fractional_millis(whole), &[route]);
     }
 
--- a/cicadastall/src/gateway/passage.rs
+++ b/cicadastall/src/gateway/passage.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use std::mem;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 /// What is passed on next.
 enum PassageStep {
@@ -56,7 +56,10 @@
         loop {
             match self.step().await {
                 PassageStep::Data(data) if data.is_empty() => {}
-                PassageStep::Data(data) => return Ok(Some(data)),
+                PassageStep::Data(data) => {
+                    self.relay.record.note_data(Instant::now());
+                    return Ok(Some(data));
+                }
                 PassageStep::End => {
                     if let Some(answer) = self.answer.take() {
                         answer.finish();
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -14,9 +14,12 @@
 };
 use serde::Serialize;
 use smallvec::SmallVec;
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 use tokio::time::Instant;
 
@@ -50,6 +53,8 @@
     document: u64,
     attempts: SmallVec<[AttemptNote; 2]>,
     first_at: Option<Instant>,
+    data_at: Option<Instant>,
+    longest_pause: Duration,
     status: u16,
     ran: Ran,
     outcome: &'static str,
@@ -66,6 +71,8 @@
             document,
             attempts: SmallVec::new(),
             first_at: None,
+            data_at: None,
+            longest_pause: Duration::ZERO,
             status: 0,
             ran: Ran::No,
             outcome: "caller_left",
@@ -83,6 +90,13 @@
         self.first_at = Some(now);
     }
 
+    /// Notes that a part of a stream was passed on.
+    pub(crate) fn note_data(&mut self, now: Instant) {
+        if let Some(before) = self.data_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - before);
+        }
+    }
+
     pub(crate) fn note_ran(&mut self, ran: Ran) {
         self.ran = ran;
     }
@@ -95,7 +109,9 @@
 
     fn is_good(&self, whole_ms: u64) -> bool {
         let first_ms = self.first_at.map_or(whole_ms, |at| millis(at - self.call.arrived));
-        let on_time = first_ms <= self.call.route.target_ms;
+        let pause_ms = millis(self.longest_pause);
+        let steady = self.call.route.longest_pause_ms.is_none_or(|longest| pause_ms <= longest);
+        let on_time = first_ms <= self.call.route.target_ms && steady;
         self.outcome == "answered" && on_time && self.attempts.len() == 1
     }
 }
@@ -106,7 +122,8 @@
         let whole = now - self.call.arrived;
         let first = self.first_at.map(|at| at - self.call.arrived);
         let route = &self.call.route;
-        self.context.metrics.record_end(&route.name, self.outcome, first, whole);
+        let pause = self.data_at.map(|_| self.longest_pause);
+        self.context.metrics.record_end(&route.name, self.outcome, first, pause, whole);
         if self.is_good(millis(whole)) && !take_good_line() {
             return;
         }
@@ -116,7 +133,7 @@
             pool = self.call.pool.as_str(), document = self.document, rank = route.rank,
             hopped = self.call.hopped, outcome = self.outcome, status = self.status,
             ran:serde = self.ran, reason = self.reason.as_str(), attempts = attempts.as_str(),
-            first_ms = first.map_or(0, millis), whole_ms = millis(whole),
+            first_ms = first.map_or(0, millis), pause_ms = millis(self.longest_pause), whole_ms = millis(whole),
             allowed_ms = millis(self.call.deadline - self.call.arrived);
             "request ended"
         );
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -8,13 +8,14 @@
         choose::{ChoiceInput, RefusalCause, TriedUpstreams, UpstreamChoice},
         context::EntryContext,
         headers::refuse,
+        hop::RAN_ON_HEADER,
         outcome::Verdict,
         passage::pass_stream,
         record::{AttemptNote, CallRecord, name_verdict},
     },
     http::{AnswerBody, full_body},
 };
-use hyper::Response;
+use hyper::{Response, header::HeaderValue};
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -135,14 +136,14 @@
 
     /// Decides whether another attempt is allowed after a failed one.
     fn judge(&mut self, failure: AttemptFailure) -> Result<(), FinalFailure> {
-        let AttemptFailure { verdict, arrived, cause, kept, retry_after, .. } = failure;
+        let AttemptFailure { verdict, arrived, ran_on, cause, kept, retry_after, .. } = failure;
+        self.ran_on = ran_on;
         self.arrived |= arrived;
         let repeat = self.call.repeat();
         let in_time = self.call.remaining(Instant::now()) > LEAST_REMAINING;
         let permitted = match verdict {
             Verdict::NotRun => true,
             Verdict::Unknown | Verdict::Failure => {
-                self.ran_on += 1;
                 repeat.may_repeat() && self.ran_on < self.call.route.attempts
             }
             Verdict::Answer => false,
@@ -226,6 +227,7 @@
         let mut response = Response::new(());
         *response.status_mut() = status;
         *response.headers_mut() = answer.headers.clone();
+        self.tell_hop(&mut response, self.ran_on + 1);
         let body = match answer.whole {
             true => {
                 self.record.end("answered", status.as_u16(), "");
@@ -238,6 +240,13 @@
         response.map(|()| body)
     }
 
+    /// Tells the entry that passed the request on how many upstreams may have run it.
+    fn tell_hop<T>(&self, answer: &mut Response<T>, ran_on: u32) {
+        if self.call.hopped {
+            answer.headers_mut().insert(RAN_ON_HEADER, HeaderValue::from(ran_on));
+        }
+    }
+
     fn fail(mut self, failure: FinalFailure) -> Response<AnswerBody> {
         match failure {
             FinalFailure::Upstream(kept) => {
@@ -246,10 +255,12 @@
                 let mut response = Response::new(full_body(kept.body));
                 *response.status_mut() = status;
                 *response.headers_mut() = kept.headers;
+                self.tell_hop(&mut response, self.ran_on);
                 response
             }
             FinalFailure::Refused(refusal) => {
-                let answer = refuse(&refusal);
+                let mut answer = refuse(&refusal);
+                self.tell_hop(&mut answer, self.ran_on);
                 self.record.note_ran(refusal.ran);
                 self.context.metrics.count_refusal(name_refusal(refusal.code));
                 self.record.end("refused", answer.status().as_u16(), refusal.message);
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -7,6 +7,7 @@
             ControlRecord, EntryNews, FleetNews, NewsCursor, RegionSummary, RegisteredUpstream,
             UpstreamNews, UpstreamPhase, WorkRow,
         },
+        warmup::hash_pair,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
     table::{EntryRecord, EntryState},
@@ -47,7 +48,7 @@
 /// The fleet at one moment.
 #[derive(Debug, Default)]
 pub struct FleetView {
-    /// Upstreams of this region that serve, by pool, in the order of their names.
+    /// Upstreams of this region that serve, by pool, in an order that all entries share.
     pub pools: HashMap<PoolName, Vec<Arc<KnownUpstream>>>,
     /// Serving entries of this region, this one included, in the order of their names.
     pub entries: Vec<InstanceName>,
@@ -266,7 +267,7 @@
             pools.entry(upstream.pool.clone()).or_default().push(Arc::new(known));
         }
         for upstreams in pools.values_mut() {
-            upstreams.sort_by(|a, b| a.upstream.name.cmp(&b.upstream.name));
+            upstreams.sort_by_key(|known| hash_pair(known.upstream.name.as_str(), 0));
         }
         let live = self.merge_entries();
         self.most_entries = self.most_entries.max(live.len());
