Let a request wait while the streams on its upstream would pause

Cause: prompts that follow each other keep an engine reading for more than five steps, and its streams pause for over 400 ms.

--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -52,6 +52,24 @@
 /// Part of failures that is taken to lie with the requests.
 const FAILING_FLOOR: f64 = 0.35;
 
+/// Reading without a break, in milliseconds, that makes no running stream pause for too long.
+const EASY_STRETCH_MS: f64 = 230.0;
+
+/// Further reading without a break after which every running stream has paused for too long.
+const HARD_STRETCH_MS: f64 = 170.0;
+
+/// Loss of one running stream that pauses for too long.
+const PAUSE_LOSS: f64 = 0.15;
+
+/// Loss for running streams above which a request rather waits until less is to be read.
+const WAIT_LOSS: f64 = 0.1;
+
+/// Part of the target up to which a request waits so.
+const WAIT_TARGET_PART: f64 = 0.45;
+
+/// Shortest and longest wait before the choice is made again, in milliseconds.
+const WAIT_RANGE_MS: (f64, f64) = (15.0, 80.0);
+
 /// Part of the time that is left within which an answer must be expected to begin.
 const WAIT_PART: f64 = 0.8;
 
@@ -153,6 +171,9 @@
     unread_tokens: u32,
     predicted_ms: f64,
     loss: f64,
+    /// Part of the loss that is borne by streams that run already.
+    pause_loss: f64,
+    stretch_ms: f64,
     order: u64,
     cold: bool,
 }
@@ -267,11 +288,27 @@
             let retry_after = self.schedule_return(input, wait_ms);
             return UpstreamChoice::Refuse { cause: RefusalCause::Overloaded, retry_after };
         }
+        if let Some(until) = self.wait_for_reading(input, &best) {
+            return UpstreamChoice::Wait(until);
+        }
         let Candidate { known, unread_tokens, predicted_ms, cold, .. } = best;
         let known = Arc::clone(known);
         self.send(input, &known, unread_tokens, predicted_ms, cold)
     }
 
+    /// Until when a request waits, so that the streams that run on its upstream do not pause.
+    fn wait_for_reading(&self, input: &ChoiceInput<'_>, best: &Candidate<'_>) -> Option<Instant> {
+        let (least, most) = WAIT_RANGE_MS;
+        let wait_ms = (best.stretch_ms - EASY_STRETCH_MS).clamp(least, most);
+        let waited_ms = (input.now - input.call.arrived).as_secs_f64() * 1_000.0;
+        let allowed_ms = input.call.route.target_ms as f64 * WAIT_TARGET_PART;
+        let alone = UpstreamTrack::read_ms(best.unread_tokens) >= best.stretch_ms;
+        let waits = best.pause_loss > WAIT_LOSS
+            && !alone
+            && waited_ms + wait_ms + best.predicted_ms < allowed_ms;
+        waits.then(|| input.now + Duration::from_secs_f64(wait_ms / 1_000.0))
+    }
+
     fn find_best<'a>(
         &mut self,
         input: &ChoiceInput<'a>,
@@ -389,11 +426,19 @@
         let reread = if preferred { 0 } else { reread };
         let time = predicted_ms / (call.route.target_ms.max(1) as f64);
         let failing = (track.failing() - FAILING_FLOOR).max(0.0) / (1.0 - FAILING_FLOOR);
+        let read_ms = UpstreamTrack::read_ms(unread_tokens) * track.slowness();
+        let engine = input.pool.is_some_and(|pool| pool.engine.is_some());
+        let stretch_ms = match engine {
+            true => track.backlog_ms(u8::MAX, input.now) + others_ms + read_ms,
+            false => 0.0,
+        };
+        let pause_loss = pause_loss(stretch_ms, track.open() as f64 + others);
         let loss = lateness_loss(time)
+            + pause_loss
             + f64::from(reread) / 1_000.0 * REREAD_LOSS
             + failing * FAILING_LOSS
             + if grouped { 0.0 } else { GROUP_LOSS };
-        Candidate { known, unread_tokens, predicted_ms, loss, order, cold }
+        Candidate { known, unread_tokens, predicted_ms, loss, pause_loss, stretch_ms, order, cold }
     }
 
     /// Requests and backlog in milliseconds that other entries gave to an upstream; as much as this
@@ -471,7 +516,9 @@
             let queue_ms = over * fresh.whole_ms(stream) / f64::from(pool.slots.max(1));
             let predicted_ms = HOP_MS + backlog_ms + queue_ms + own_ms;
             let time = predicted_ms / (call.route.target_ms.max(1) as f64);
-            let loss = HOP_LOSS + lateness_loss(time);
+            let stretch_ms = backlog_ms + UpstreamTrack::read_ms(unread);
+            let streams = f64::from(pool.requests) / f64::from(pool.serving);
+            let loss = HOP_LOSS + lateness_loss(time) + pause_loss(stretch_ms, streams);
             if loss < loss_here && best.as_ref().is_none_or(|best| loss < best.0) {
                 best = Some((loss, predicted_ms, region, &summary.entries));
             }
@@ -553,6 +600,12 @@
     }
 }
 
+/// Loss of `streams` that run while an engine reads for `stretch_ms` without a break.
+fn pause_loss(stretch_ms: f64, streams: f64) -> f64 {
+    let part = ((stretch_ms - EASY_STRETCH_MS) / HARD_STRETCH_MS).clamp(0.0, 1.0);
+    part * streams * PAUSE_LOSS
+}
+
 /// Prompt tokens of `head` that other requests share.
 pub fn shared_tokens(head: &CallHead) -> u32 {
     head.shared_parts().iter().map(|part| part.tokens).sum()
