--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -9,7 +9,10 @@
         context::EntryContext,
         dialect::AttemptNote,
         headers::{read_keep_alive, strip_connection_headers},
-        hop::{HOP_HEADER, HopOrder, RAN_HEADER, RAN_ON_HEADER, read_ran, read_ran_on},
+        hop::{
+            ARRIVED_HEADER, HOP_HEADER, HopOrder, RAN_HEADER, RAN_ON_HEADER, read_arrived,
+            read_ran, read_ran_on,
+        },
         outcome::{LostAttempt, Verdict, judge_head, judge_lost},
         relay::CallRelay,
         track::{SendEnd, SendNumber},
@@ -319,7 +322,10 @@
         strip_connection_headers(&mut headers);
         headers.remove(RAN_HEADER);
         let told = read_ran_on(&headers).filter(|_| target.upstream.is_none());
+        let hop = target.upstream.is_none();
+        let arrived = !hop || read_arrived(&headers).unwrap_or(true);
         headers.remove(RAN_ON_HEADER);
+        headers.remove(ARRIVED_HEADER);
         let before = self.ran_on;
         let ran_on = told.unwrap_or(before + 1).max(before);
         let mut cause = format!("status {}", parts.status);
@@ -354,7 +360,7 @@
         }
         let mut failure = AttemptFailure {
             verdict: outcome,
-            arrived: true,
+            arrived,
             ran_on: if outcome == Verdict::NotRun { told.unwrap_or(before) } else { ran_on },
             cause,
             kept: None,
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -270,7 +270,7 @@
                 };
                 FleetNews {
                     document: newest.map(|stored| Arc::clone(&stored.document)),
-                    summary: (!near).then(|| registry.summarize(now)),
+                    summary: (!near).then(|| registry.summarize(&state.evacuated().zones, now)),
                     work,
                     ..shared(Some(&entry.region), false)
                 }
--- a/cicadastall/src/gateway/headers.rs
+++ b/cicadastall/src/gateway/headers.rs
@@ -52,7 +52,8 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// An answer that carries `refusal`; a request that may have run gets no status that says otherwise.
+/// An answer that carries `refusal`. Its status says that the request has not run exactly if that is
+/// so, as far as it concerns requests that were accepted.
 pub fn refuse(refusal: &Refusal) -> Response<AnswerBody> {
     let status = refusal.code.status();
     let promises = [
@@ -63,6 +64,7 @@
     ];
     let status = match refusal.ran {
         Ran::Unknown if promises.contains(&status) => StatusCode::BAD_GATEWAY,
+        Ran::No if status.is_server_error() => StatusCode::SERVICE_UNAVAILABLE,
         _ => status,
     };
     let mut answer = json_answer(status, &serde_json::json!({ "error": refusal }));
--- a/cicadastall/src/gateway/hop.rs
+++ b/cicadastall/src/gateway/hop.rs
@@ -23,6 +23,9 @@
 /// Header of an answer to another entry: how many upstreams may have run the request in all.
 pub const RAN_ON_HEADER: &str = "x-cicadastall-ran-on";
 
+/// Header of an answer to another entry: whether the request has reached any upstream.
+pub const ARRIVED_HEADER: &str = "x-cicadastall-arrived";
+
 /// How a request is to be answered, as the entry that took it from its caller decided.
 ///
 /// The receiver does not look for a route of its own: its document may be older.
@@ -126,6 +129,11 @@
     headers.get(RAN_ON_HEADER)?.to_str().ok()?.parse().ok()
 }
 
+/// Whether a request has reached any upstream, as another entry says.
+pub fn read_arrived(headers: &HeaderMap) -> Option<bool> {
+    headers.get(ARRIVED_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 /// What an answer of another entry says of the request's execution; none where it passes an
 /// upstream's answer on.
 pub fn read_ran(headers: &HeaderMap) -> Option<Ran> {
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -13,7 +13,7 @@
 };
 use smallvec::SmallVec;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -507,8 +507,8 @@
         rows.collect()
     }
 
-    /// Summary of this instance's region.
-    pub fn summarize(&self, now: Instant) -> RegionSummary {
+    /// Summary of this instance's region, without upstreams in `evacuated` zones.
+    pub fn summarize(&self, evacuated: &BTreeSet<ZoneName>, now: Instant) -> RegionSummary {
         let region = &self.own.region;
         let work: HashMap<_, _> = self
             .sum_work(region, None, now)
@@ -518,7 +518,9 @@
         let mut pools: BTreeMap<PoolName, PoolSummary> = BTreeMap::new();
         for row in self.upstreams.values() {
             let upstream = &row.upstream;
-            let serves = upstream.phase == UpstreamPhase::Serving && !row.silent;
+            let serves = upstream.phase == UpstreamPhase::Serving
+                && !row.silent
+                && !evacuated.contains(&upstream.zone);
             if !serves || self.region(&upstream.zone) != Some(region) {
                 continue;
             }
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -8,7 +8,7 @@
         choose::{ChoiceInput, RefusalCause, TriedUpstreams, UpstreamChoice},
         context::EntryContext,
         headers::refuse,
-        hop::RAN_ON_HEADER,
+        hop::{ARRIVED_HEADER, RAN_ON_HEADER},
         outcome::Verdict,
         passage::pass_stream,
         record::{AttemptNote, CallRecord, name_verdict},
@@ -22,6 +22,9 @@
 /// Most sends of one request, those that did not run included.
 const MOST_SENDS: u32 = 4;
 
+/// Time to come back after a request was given up that no upstream has run.
+const GIVE_UP_RETURN: Duration = Duration::from_millis(300);
+
 /// Time that must be left for another attempt.
 const LEAST_REMAINING: Duration = Duration::from_millis(30);
 
@@ -162,7 +165,7 @@
             _ => Refusal::unknown(RefusalCode::UpstreamFailed, cause),
         };
         if refusal.ran == Ran::No {
-            let spread = retry_after.unwrap_or(Duration::from_millis(300));
+            let spread = retry_after.unwrap_or(GIVE_UP_RETURN);
             refusal = refusal.retry_after(spread);
         }
         Err(FinalFailure::Refused(refusal))
@@ -185,7 +188,10 @@
             return FinalFailure::Upstream(kept);
         }
         let refusal = Refusal { ran: self.ran(), ..Refusal::not_run(code, message) };
-        FinalFailure::Refused(refusal)
+        match refusal.ran {
+            Ran::No => FinalFailure::Refused(refusal.retry_after(GIVE_UP_RETURN)),
+            Ran::Unknown => FinalFailure::Refused(refusal),
+        }
     }
 
     fn refuse_choice(&mut self, cause: RefusalCause, retry_after: Duration) -> FinalFailure {
@@ -243,7 +249,10 @@
     /// Tells the entry that passed the request on how many upstreams may have run it.
     fn tell_hop<T>(&self, answer: &mut Response<T>, ran_on: u32) {
         if self.call.hopped {
-            answer.headers_mut().insert(RAN_ON_HEADER, HeaderValue::from(ran_on));
+            let arrived = if self.arrived { "true" } else { "false" };
+            let headers = answer.headers_mut();
+            headers.insert(RAN_ON_HEADER, HeaderValue::from(ran_on));
+            headers.insert(ARRIVED_HEADER, HeaderValue::from_static(arrived));
         }
     }
 
