--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod groups;
 pub mod headers;
 pub mod hop;
+pub mod listing;
 pub mod metrics;
 pub mod news;
 pub mod outcome;
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -7,6 +7,7 @@
         document_state::{DocumentCommand, StoredDocument},
         follow::{FollowTasks, NewsFollower},
         group_keeper::GroupKeeper,
+        listing::list_near,
         news::{ControlRecord, FleetNews, NewsCursor, NewsQuery, NewsReader, RegisteredUpstream},
         registry::{FleetRegistry, RenewalOutcome},
         settings::GatewayNode,
@@ -17,10 +18,8 @@
     name::{RegionName, UpstreamName, ZoneName},
     peer::{PeerClients, PeerError},
     replicated::GroupError,
-    table::{EntryRecord, EntryState},
 };
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use rand::seq::SliceRandom;
 use std::{
     collections::{BTreeSet, HashMap},
     future::Future,
@@ -54,12 +53,6 @@
 /// Longest wait of another control instance for news.
 const CONTROL_WAIT_MS: u32 = 900;
 
-/// Entries of a caller's own zone below which it is told of others too.
-const ENOUGH_ENTRIES: usize = 2;
-
-/// Most entries of a listing.
-const LISTED_ENTRIES: usize = 64;
-
 /// Time for which a stopping instance still answers, so that calls under way get their answer.
 const STOP_GRACE: Duration = Duration::from_millis(500);
 
@@ -222,24 +215,8 @@
         }
     }
 
-    /// Serving entries near `place`, in random order.
     fn list_entries(&self, place: &CallerPlace) -> ControlReply {
-        let mut near: [Vec<SocketAddr>; 3] = Default::default();
-        let registry = self.registry();
-        for entry in registry.live_entries().filter(|entry| entry.state == EntryState::Serving) {
-            let Some(address) = entry.caller_address else { continue };
-            near[distance(entry, place, &self.node)].push(address);
-        }
-        drop(registry);
-        let mut listed: Vec<SocketAddr> = Vec::new();
-        for mut addresses in near {
-            if listed.len() >= ENOUGH_ENTRIES {
-                break;
-            }
-            addresses.shuffle(&mut rand::rng());
-            listed.extend(addresses);
-        }
-        listed.truncate(LISTED_ENTRIES);
+        let listed = list_near(self.registry().live_entries(), place, &self.node.zones);
         ControlReply::Entries(listed, Duration::from_millis(self.node.listing_ms))
     }
 
@@ -349,19 +326,6 @@
     }
 }
 
-/// Whether an entry is in the caller's zone (0), in its region (1) or elsewhere (2).
-fn distance(entry: &EntryRecord, place: &CallerPlace, node: &GatewayNode) -> usize {
-    let by_zone = place.zone.as_ref().and_then(|zone| node.zones.get(zone));
-    let region = by_zone.or(place.region.as_ref());
-    if place.zone.as_ref() == Some(&entry.zone) {
-        0
-    } else if region == Some(&entry.region) {
-        1
-    } else {
-        2
-    }
-}
-
 impl NewsService for FleetControl {
     fn answer_news(
         self: Arc<Self>,
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -6,10 +6,12 @@
     gateway::{
         call::{CallHead, RoutedCall},
         context::EntryContext,
+        control_call::{CallFault, ControlCall, ControlDialect, ControlReply},
         dialect::CallDialect,
         follow::{FollowTasks, NewsFollower},
         headers::{refuse, strip_connection_headers},
         hop::HopOrder,
+        listing::list_near,
         news::{FleetNews, NewsQuery, NewsReader},
         relay::answer_call,
         routes::{CallerBounds, RouteTable},
@@ -22,8 +24,9 @@
     peer::{PeerClients, PeerError},
     table::{EntryRecord, EntryState, Incarnation},
 };
+use bytes::Bytes;
 use hyper::{
-    Request, Response, StatusCode,
+    Method, Request, Response, StatusCode, Uri,
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
     http::request::Parts,
@@ -31,6 +34,7 @@
 use serde_json::json;
 use std::{
     collections::BTreeSet,
+    future::ready,
     io,
     net::SocketAddr,
     sync::{
@@ -116,6 +120,7 @@
             self.confirmed.store(true, Ordering::Relaxed);
             self.context.set_usable();
             self.state().set_state(EntryState::Serving);
+            self.publish(true);
             log::info!(confirmed; "entry takes callers");
         }
     }
@@ -196,11 +201,12 @@
 }
 
 impl EntryServer {
-    /// Starts an entry whose callers and upstreams speak `dialect`: traffic on the current runtime,
-    /// the view of the fleet on `control`.
+    /// Starts an entry whose callers and upstreams speak `dialect`, and where they ask for entries
+    /// `directory`: traffic on the current runtime, the view of the fleet on `control`.
     pub async fn start(
         node: GatewayNode,
         dialect: Arc<dyn CallDialect>,
+        directory: Arc<dyn ControlDialect>,
         control: &Handle,
     ) -> io::Result<Self> {
         let node = Arc::new(node);
@@ -244,6 +250,17 @@
             let limits = ListenerLimits::default();
             tasks.spawn(http::serve(listener, limits, ready_closed.clone(), handler));
         }
+        if let Some(address) = node.directory_listen {
+            let listener = http::bind(address).await?;
+            let shared = Arc::clone(&context);
+            let handler = move |_, request: Request<Incoming>| {
+                let answer =
+                    answer_directory(&shared, &*directory, request.method(), request.uri());
+                ready(answer)
+            };
+            let limits = ListenerLimits::default();
+            tasks.spawn(http::serve(listener, limits, ready_closed.clone(), handler));
+        }
         let listener = http::bind(node.status_listen).await?;
         let shared = Arc::clone(&context);
         let handler = move |_, request| answer_status(Arc::clone(&shared), request);
@@ -268,6 +285,7 @@
         log::info!(in_flight; "entry stopping");
         self.context.set_draining();
         self.keeper.state().set_state(EntryState::Draining);
+        self.keeper.publish(true);
         sleep(STOP_ACCEPT).await;
         self.close.send_replace(true);
         let ended = async {
@@ -453,6 +471,23 @@
     }
 }
 
+fn answer_directory(
+    context: &EntryContext,
+    dialect: &dyn ControlDialect,
+    method: &Method,
+    target: &Uri,
+) -> Response<AnswerBody> {
+    let reply = match dialect.read_control(method, target, &Bytes::new()) {
+        Ok(ControlCall::List(place)) => {
+            let listed = list_near(&context.view.load().live, &place, &context.node.zones);
+            ControlReply::Entries(listed, Duration::from_millis(context.node.listing_ms))
+        }
+        Ok(_) => ControlReply::Fault(CallFault::NotFound),
+        Err(fault) => ControlReply::Fault(fault),
+    };
+    dialect.write_control(reply)
+}
+
 async fn answer_status(
     context: Arc<EntryContext>,
     request: Request<Incoming>,
--- a/cicadastall/src/gateway/group_keeper.rs
+++ b/cicadastall/src/gateway/group_keeper.rs
@@ -33,8 +33,8 @@
 /// Periods of the group. Without a lease, each read asks a majority: an instance may be suspended
 /// while its clock stands still.
 const TIMING: ReplicaTiming = ReplicaTiming {
-    heartbeat: Duration::from_millis(300),
-    election: Duration::from_millis(1_000),
+    heartbeat: Duration::from_millis(200),
+    election: Duration::from_millis(700),
     lease: Duration::ZERO,
 };
 
--- a/cicadastall/src/gateway/settings.rs
+++ b/cicadastall/src/gateway/settings.rs
@@ -34,7 +34,7 @@
     /// Address for upstreams and operators; only a control instance has one.
     #[serde(default)]
     pub registry_listen: Option<SocketAddr>,
-    /// Address at which callers ask for entries; only a control instance has one.
+    /// Address at which callers ask for entries.
     #[serde(default)]
     pub directory_listen: Option<SocketAddr>,
     /// Folder for durable state; only a control instance has one.
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -52,6 +52,8 @@
     pub pools: HashMap<PoolName, Vec<Arc<KnownUpstream>>>,
     /// Serving entries of this region, this one included, in the order of their names.
     pub entries: Vec<InstanceName>,
+    /// Entries of all regions that are not taken to be lost, this one included.
+    pub live: Vec<EntryRecord>,
     /// Most entries of the whole fleet that were known at the same time.
     pub fleet_entries: usize,
 }
@@ -269,15 +271,17 @@
         for upstreams in pools.values_mut() {
             upstreams.sort_by_key(|known| hash_pair(known.upstream.name.as_str(), 0));
         }
-        let live = self.merge_entries();
+        let mut live = self.merge_entries();
+        live.insert(self.own.instance.clone(), self.own.clone());
         self.most_entries = self.most_entries.max(live.len());
-        let near = live.into_values().filter(|entry| entry.region == self.own.region);
+        let near = live.values().filter(|entry| entry.region == self.own.region);
         let serving = near.filter(|entry| entry.state == EntryState::Serving);
-        let mut entries: BTreeSet<_> = serving.map(|entry| entry.instance).collect();
+        let mut entries: BTreeSet<_> = serving.map(|entry| entry.instance.clone()).collect();
         entries.insert(self.own.instance.clone());
         FleetView {
             pools,
             entries: entries.into_iter().collect(),
+            live: live.into_values().collect(),
             fleet_entries: self.most_entries,
         }
     }
