--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -79,6 +79,12 @@
 /// Longest wait for the next turn of a cold upstream.
 const COLD_WAIT: Duration = Duration::from_millis(400);
 
+/// Longest wait for the first upstream of a pool after the entry's start.
+const YOUNG_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Pause between two looks for it.
+const YOUNG_PAUSE: Duration = Duration::from_millis(50);
+
 /// Part of an upstream's connections that this region's entries share.
 const CONNECTION_PART: f64 = 0.85;
 
@@ -161,6 +167,8 @@
     pub view: &'a FleetView,
     /// Work of others.
     pub load: &'a LoadView,
+    /// Whether upstreams may not be known yet, as the entry has just started.
+    pub young: bool,
     /// Now.
     pub now: Instant,
 }
@@ -449,10 +457,10 @@
         name: &UpstreamName,
         track: &UpstreamTrack,
     ) -> (f64, f64) {
-        if let Some(at) = input.load.work_at {
+        // What others gave it since they told is taken to be as much as it has read since.
+        if input.load.work_at.is_some() {
             let (requests, backlog_ms) = input.load.work.get(name).copied().unwrap_or_default();
-            let age_ms = (input.now - at).as_secs_f64() * 1_000.0;
-            return (f64::from(requests), (f64::from(backlog_ms) - age_ms).max(0.0));
+            return (f64::from(requests), f64::from(backlog_ms));
         }
         let others = input.view.entries.len().saturating_sub(1) as f64;
         let backlog_ms = track.backlog_ms(input.call.route.rank, input.now);
@@ -496,15 +504,14 @@
     fn choose_region(&mut self, input: &ChoiceInput<'_>, loss_here: f64) -> Option<UpstreamChoice> {
         let call = input.call;
         let mut best: Option<(f64, f64, &RegionName, &[SocketAddr])> = None;
-        for (region, (summary, at)) in &input.load.regions {
+        for (region, (summary, _)) in &input.load.regions {
             let pool = summary.pools.iter().find(|pool| pool.pool == call.pool);
             let Some(pool) = pool.filter(|pool| pool.serving > 0) else { continue };
             let tried = input.tried.regions.contains(region);
             if tried || summary.entries.is_empty() || !call.route.allows_region(region) {
                 continue;
             }
-            let age_ms = (input.now - *at).as_secs_f64() * 1_000.0;
-            let backlog_ms = (f64::from(pool.backlog_ms) - age_ms).max(0.0);
+            let backlog_ms = f64::from(pool.backlog_ms);
             let unread = call.head.prompt_tokens;
             let stream = call.repeat().is_stream();
             let fresh = UpstreamTrack::new(0);
@@ -539,6 +546,12 @@
         {
             return UpstreamChoice::Wait(turn);
         }
+        if input.young && unknown {
+            let waited = input.now - input.call.arrived;
+            if waited < YOUNG_WAIT && waited * 4 < input.call.deadline - input.call.arrived {
+                return UpstreamChoice::Wait(input.now + YOUNG_PAUSE);
+            }
+        }
         let cause = if unknown { RefusalCause::NoUpstream } else { RefusalCause::Unusable };
         let spread = UNKNOWN_RETURN.mul_f64(self.random.random_range(0.7..1.5));
         UpstreamChoice::Refuse { cause, retry_after: spread }
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -23,10 +23,25 @@
     },
     time::Duration,
 };
-use tokio::time::Instant;
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout},
+};
+
+/// Time that an entry usually takes from its start until it takes callers, when control starts too.
+const START_TIME: Duration = Duration::from_millis(2_200);
+
+/// Earliest time to come back while an entry is starting.
+const LEAST_RETURN: Duration = Duration::from_millis(400);
+
+/// Longest time for which a request waits for a starting entry.
+const START_HOLD: Duration = Duration::from_millis(1_200);
+
+/// Part of a request's time for which it waits so at most.
+const START_HOLD_PART: u32 = 4;
 
-/// Time to come back while an entry has no document, or is stopping.
-const START_RETURN: Duration = Duration::from_millis(600);
+/// Time after its start for which an entry may not have heard of all upstreams.
+const YOUNG_TIME: Duration = Duration::from_secs(4);
 
 /// Shared state of one entry.
 #[derive(Debug)]
@@ -41,7 +56,8 @@
     pub(crate) in_flight: AtomicU32,
     chooser: Mutex<UpstreamChooser>,
     retries: Mutex<RetryWindow>,
-    usable: AtomicBool,
+    usable: watch::Sender<bool>,
+    started_at: Instant,
     draining: AtomicBool,
 }
 
@@ -70,7 +86,8 @@
             connections: Arc::default(),
             metrics: GatewayMetrics::new(),
             in_flight: AtomicU32::new(0),
-            usable: AtomicBool::new(false),
+            usable: watch::Sender::new(false),
+            started_at: Instant::now(),
             draining: AtomicBool::new(false),
         }
     }
@@ -112,11 +129,24 @@
 
     /// Whether there are a confirmed document and a view of the fleet.
     pub(crate) fn is_usable(&self) -> bool {
-        self.usable.load(Ordering::Relaxed)
+        *self.usable.borrow()
+    }
+
+    /// Waits until the entry takes callers, for a part of the time that a request has; returns
+    /// whether it does.
+    pub(crate) async fn wait_usable(&self, allowed: Option<Duration>) -> bool {
+        let hold = allowed.map_or(START_HOLD, |allowed| START_HOLD.min(allowed / START_HOLD_PART));
+        let mut usable = self.usable.subscribe();
+        timeout(hold, usable.wait_for(|usable| *usable)).await.is_ok_and(|usable| usable.is_ok())
+    }
+
+    /// Whether the entry may not have heard of all upstreams yet.
+    pub(crate) fn is_young(&self) -> bool {
+        self.started_at.elapsed() < YOUNG_TIME
     }
 
     pub(crate) fn set_usable(&self) {
-        self.usable.store(true, Ordering::Relaxed);
+        self.usable.send_replace(true);
     }
 
     /// Whether the entry is stopping.
@@ -135,6 +165,6 @@
 
     pub(crate) fn refuse_unready(&self) -> Refusal {
         Refusal::not_run(RefusalCode::NotReady, "no document of routes has arrived yet")
-            .retry_after(START_RETURN)
+            .retry_after(START_TIME.saturating_sub(self.started_at.elapsed()).max(LEAST_RETURN))
     }
 }
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -344,7 +344,8 @@
 ) -> Result<(RoutedCall, u64), Refusal> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    if !context.is_usable() {
+    let read = read_call(context, &head)?;
+    if !context.is_usable() && !context.wait_usable(read.remaining).await {
         return Err(context.refuse_unready());
     }
     let routes = context.routes.load_full();
@@ -356,7 +357,6 @@
         let message = format!("document {} has no route for {host}{path}", document.number);
         Refusal::not_run(RefusalCode::NotFound, message)
     })?;
-    let read = read_call(context, &head)?;
     let remaining = read.remaining.map(|left| left.saturating_sub(DEADLINE_MARGIN));
     let limit = route.time_limit();
     let allowed = remaining.map_or(limit, |remaining| remaining.min(limit));
--- a/cicadastall/src/gateway/groups.rs
+++ b/cicadastall/src/gateway/groups.rs
@@ -14,6 +14,13 @@
 /// Time after which reading counts half.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Time of a step in which an engine reads a short prompt beside the tokens that it generates, in
+/// milliseconds.
+const STEP_MS: f64 = 7.0;
+
+/// Weight of reading short prompts, whose requests wait for less and generate for longer.
+const SHORT_WEIGHT: f64 = 1.4;
+
 /// Sort of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PromptSort {
@@ -53,7 +60,7 @@
         self.counted_at = now;
         match sort {
             PromptSort::Long => self.long_ms += read_ms,
-            PromptSort::Short => self.short_ms += read_ms,
+            PromptSort::Short => self.short_ms += (read_ms + STEP_MS) * SHORT_WEIGHT,
         }
     }
 
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -132,6 +132,7 @@
             tried: &self.tried,
             view: &context.view.load(),
             load: &context.load.load(),
+            young: context.is_young(),
             now: Instant::now(),
         };
         context.chooser().choose(&input)
