--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -29,6 +29,7 @@
 pub mod metrics;
 pub mod news;
 pub mod outcome;
+pub mod own_control;
 mod passage;
 mod record;
 pub mod registry;
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -43,6 +43,9 @@
 /// Time that a hop to another region adds to the first token, in milliseconds.
 const HOP_MS: f64 = 125.0;
 
+/// Difference of two losses that counts as none.
+const TIE_LOSS: f64 = 0.005;
+
 /// Loss of an upstream that takes prompts of the other sort.
 const GROUP_LOSS: f64 = 0.25;
 
@@ -76,6 +79,9 @@
 /// Time after its last answer for which an upstream whose renewals have ceased is still used.
 const SILENT_USE: Duration = Duration::from_secs(3);
 
+/// Time of a call to an idle plain service that counts for all alike, in milliseconds.
+const FIRST_CALL_MS: f64 = 20.0;
+
 /// Longest wait for the next turn of a cold upstream.
 const COLD_WAIT: Duration = Duration::from_millis(400);
 
@@ -342,8 +348,8 @@
             let preferred = Some(rank(admitted)) == first;
             let candidate = self.score(input, admitted, preferred);
             let better = best.as_ref().is_none_or(|best| {
-                candidate.loss < best.loss
-                    || (candidate.loss == best.loss && candidate.order > best.order)
+                let gain = best.loss - candidate.loss;
+                gain > TIE_LOSS || (gain > -TIE_LOSS && candidate.order > best.order)
             });
             if better {
                 best = Some(candidate);
@@ -426,7 +432,11 @@
         let queue_ms = over * track.whole_ms(stream) / slots;
         let own_ms = match stream {
             true => track.first_token_ms(unread_tokens),
-            false => track.whole_ms(false) * track.slowness(),
+            // Of idle upstreams, requests that may go anywhere are spread over all alike.
+            false => {
+                let load = (track.open() as f64 + others) / slots;
+                (FIRST_CALL_MS + load * track.whole_ms(false)) * track.slowness()
+            }
         };
         let backlog_ms = track.backlog_ms(call.route.rank, input.now) + others_ms;
         let predicted_ms = backlog_ms + queue_ms + own_ms;
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -77,7 +77,7 @@
             UpstreamChooser::new(node.instance.clone(), node.region.clone(), rand::random());
         Self {
             chooser: Mutex::new(chooser),
-            retries: Mutex::new(RetryWindow::new(node.retries)),
+            retries: Mutex::new(RetryWindow::new(node.retries, Instant::now())),
             node,
             dialect,
             routes: ArcSwap::default(),
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -240,6 +240,7 @@
             NewsReader::Control(_) => FleetNews { evacuated: None, ..shared(None, true) },
             NewsReader::Entry(entry) => {
                 let near = entry.region == self.own.region;
+                let told = registry.told_regions(&entry.region);
                 let work = if near {
                     registry.sum_work(&entry.region, Some(&entry.instance), now)
                 } else {
@@ -247,7 +248,10 @@
                 };
                 FleetNews {
                     document: newest.map(|stored| Arc::clone(&stored.document)),
-                    summary: (!near).then(|| registry.summarize(&state.evacuated().zones, now)),
+                    summaries: told
+                        .iter()
+                        .map(|region| registry.summarize(region, &state.evacuated().zones, now))
+                        .collect(),
                     work,
                     ..shared(Some(&entry.region), false)
                 }
--- a/cicadastall/src/gateway/news.rs
+++ b/cicadastall/src/gateway/news.rs
@@ -26,6 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegisteredUpstream {
     /// Name; another process may have had it before.
+    #[serde(default = "unnamed")]
     pub name: UpstreamName,
     /// Start of the process, in milliseconds since the Unix epoch by its own clock.
     pub started_ms: u64,
@@ -46,6 +47,10 @@
     pub cold_ms: u32,
 }
 
+fn unnamed() -> UpstreamName {
+    UpstreamName::from("")
+}
+
 impl RegisteredUpstream {
     /// Order of two renewals of one name: the higher is the newer.
     pub fn version(&self) -> (u64, u64) {
@@ -157,7 +162,7 @@
     pub backlog_ms: u32,
 }
 
-/// What a control instance knows of its own region.
+/// What a control instance knows of a region.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegionSummary {
     /// The region.
@@ -191,9 +196,9 @@
     /// Newer evacuated zones.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuated: Option<EvacuatedZones>,
-    /// The answering instance's region.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub summary: Option<RegionSummary>,
+    /// The answering instance's region, and those without a control instance of their own.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub summaries: Vec<RegionSummary>,
     /// Work that the other entries of the reader's region have given to upstreams.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub work: Vec<WorkRow>,
--- /dev/null
+++ b/cicadastall/src/gateway/own_control.rs
@@ -0,0 +1,129 @@
+//! Our own names for what upstreams, operators and callers ask of a control instance.
+
+use crate::{
+    fault::{FaultKind, SettingsFault},
+    gateway::{
+        control_call::{CallFault, CallerPlace, ControlCall, ControlDialect, ControlReply},
+        document_state::StoredDocument,
+        news::RegisteredUpstream,
+        routes::RouteDocument,
+    },
+    http::{AnswerBody, json_answer, text_answer},
+    name::{RegionName, UpstreamName, ZoneName},
+};
+use bytes::Bytes;
+use hyper::{
+    Method, Response, StatusCode, Uri,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::sync::Arc;
+
+/// Paths under `/v1` with JSON bodies.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OwnControl;
+
+impl ControlDialect for OwnControl {
+    fn read_control(
+        &self,
+        method: &Method,
+        target: &Uri,
+        body: &Bytes,
+    ) -> Result<ControlCall, CallFault> {
+        let parts: Vec<&str> = target.path().split('/').skip(1).collect();
+        match (method, parts.as_slice()) {
+            (&Method::PUT, ["v1", "upstreams", name]) => {
+                let upstream: RegisteredUpstream = decode_body(body)?;
+                Ok(ControlCall::Renew(Box::new(RegisteredUpstream {
+                    name: UpstreamName::from(*name),
+                    ..upstream
+                })))
+            }
+            (&Method::DELETE, ["v1", "upstreams", name]) => {
+                Ok(ControlCall::Leave(UpstreamName::from(*name)))
+            }
+            (&Method::PUT, ["v1", "document"]) => {
+                let document: RouteDocument = decode_body(body)?;
+                let source = String::from_utf8_lossy(body).into();
+                Ok(ControlCall::Replace(StoredDocument { source, document: Arc::new(document) }))
+            }
+            (&Method::GET, ["v1", "document"]) => Ok(ControlCall::Read),
+            (&Method::PUT, ["v1", "evacuations", zone]) => {
+                Ok(ControlCall::Evacuate(ZoneName::from(*zone)))
+            }
+            (&Method::DELETE, ["v1", "evacuations", zone]) => {
+                Ok(ControlCall::Restore(ZoneName::from(*zone)))
+            }
+            (&Method::GET, ["v1", "entries"]) => Ok(ControlCall::List(read_place(target))),
+            _ => Err(CallFault::NotFound),
+        }
+    }
+
+    fn write_control(&self, reply: ControlReply) -> Response<AnswerBody> {
+        match reply {
+            ControlReply::Renewed(registry) => {
+                json_answer(StatusCode::OK, &json!({ "registry": registry }))
+            }
+            ControlReply::Left | ControlReply::ZoneChanged => {
+                json_answer(StatusCode::OK, &json!({}))
+            }
+            ControlReply::Replaced(number) => {
+                json_answer(StatusCode::OK, &json!({ "number": number }))
+            }
+            ControlReply::Document(source) => {
+                let mut answer = text_answer(StatusCode::OK, Bytes::from(source.to_string()));
+                let json = HeaderValue::from_static("application/json");
+                answer.headers_mut().insert(CONTENT_TYPE, json);
+                answer
+            }
+            ControlReply::NoDocument => {
+                json_answer(StatusCode::NOT_FOUND, &json!({ "error": "there is no document" }))
+            }
+            ControlReply::Entries(entries, lifetime) => {
+                let lifetime_ms = lifetime.as_millis() as u64;
+                let listing = json!({ "entries": entries, "lifetime_ms": lifetime_ms });
+                json_answer(StatusCode::OK, &listing)
+            }
+            ControlReply::Fault(CallFault::NotFound) => {
+                json_answer(StatusCode::NOT_FOUND, &json!({ "error": "no such path" }))
+            }
+            ControlReply::Fault(CallFault::Invalid(faults)) => {
+                json_answer(StatusCode::UNPROCESSABLE_ENTITY, &json!({ "faults": faults }))
+            }
+            ControlReply::Unavailable(cause) => {
+                json_answer(StatusCode::SERVICE_UNAVAILABLE, &json!({ "error": cause }))
+            }
+            ControlReply::Unknown => {
+                let error = json!({ "error": "the change may yet come into force" });
+                json_answer(StatusCode::GATEWAY_TIMEOUT, &error)
+            }
+        }
+    }
+}
+
+/// Decodes a JSON body; what can't be decoded is one fault of the whole body.
+pub fn decode_body<T: DeserializeOwned>(body: &Bytes) -> Result<T, CallFault> {
+    serde_json::from_slice(body).map_err(|error| {
+        CallFault::Invalid(vec![SettingsFault {
+            path: "$".to_owned(),
+            kind: if error.is_data() { FaultKind::WrongType } else { FaultKind::Syntax },
+            found: error.to_string(),
+            allowed: "a body of the documented form".to_owned(),
+            near: None,
+        }])
+    })
+}
+
+/// Place of a caller from the `region` and `zone` of a query.
+pub fn read_place(target: &Uri) -> CallerPlace {
+    let mut place = CallerPlace::default();
+    for pair in target.query().unwrap_or_default().split('&') {
+        match pair.split_once('=') {
+            Some(("region", region)) => place.region = Some(RegionName::from(region)),
+            Some(("zone", zone)) => place.zone = Some(ZoneName::from(zone)),
+            _ => {}
+        }
+    }
+    place
+}
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -507,9 +507,24 @@
         rows.collect()
     }
 
-    /// Summary of this instance's region, without upstreams in `evacuated` zones.
-    pub fn summarize(&self, evacuated: &BTreeSet<ZoneName>, now: Instant) -> RegionSummary {
-        let region = &self.own.region;
+    /// Regions that this instance tells entries of `reader` about: its own, and those without a
+    /// control instance.
+    pub fn told_regions(&self, reader: &RegionName) -> BTreeSet<RegionName> {
+        let mut told: BTreeSet<_> = self.zones.values().cloned().collect();
+        for other in self.other_controls().filter(|other| other.region != self.own.region) {
+            told.remove(&other.region);
+        }
+        told.remove(reader);
+        told
+    }
+
+    /// Summary of a region, without upstreams in `evacuated` zones.
+    pub fn summarize(
+        &self,
+        region: &RegionName,
+        evacuated: &BTreeSet<ZoneName>,
+        now: Instant,
+    ) -> RegionSummary {
         let work: HashMap<_, _> = self
             .sum_work(region, None, now)
             .into_iter()
--- a/cicadastall/src/gateway/retry_window.rs
+++ b/cicadastall/src/gateway/retry_window.rs
@@ -66,12 +66,13 @@
 pub struct RetryWindow {
     bounds: RetryBounds,
     pools: HashMap<PoolName, PoolWindow>,
+    started_at: Instant,
 }
 
 impl RetryWindow {
-    /// A window without any request.
-    pub fn new(bounds: RetryBounds) -> Self {
-        Self { bounds, pools: HashMap::new() }
+    /// A window of a process that has just started, at `now`.
+    pub fn new(bounds: RetryBounds, now: Instant) -> Self {
+        Self { bounds, pools: HashMap::new(), started_at: now }
     }
 
     fn window(&self) -> Duration {
@@ -90,6 +91,8 @@
     pub fn take_repeat(&mut self, pool: &PoolName, entries: usize, now: Instant) -> bool {
         let window = self.window();
         let RetryBounds { ratio, extra, .. } = self.bounds;
+        // A process before this one may have used its share, and the fleet may not be known yet.
+        let extra = if now >= self.started_at + window { extra } else { 0.0 };
         let pool = self.pools.entry(pool.clone()).or_default();
         pool.slice(now, window);
         let (requests, repeats) = pool.sums();
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -194,9 +194,7 @@
         for news in news.entries {
             control.entries.insert(news.entry.instance.clone(), news);
         }
-        if let Some(summary) = news.summary
-            && summary.region != self.own.region
-        {
+        for summary in news.summaries {
             self.regions.insert(summary.region.clone(), (Arc::new(summary), now));
         }
         if !news.work.is_empty() {
--- a/cicadastall/src/gateway/warmup.rs
+++ b/cicadastall/src/gateway/warmup.rs
@@ -10,8 +10,9 @@
     time::Duration,
 };
 
-/// Part of the tolerated pace that the sending entry uses.
-const PACE_PART: f64 = 0.9;
+/// Part of the tolerated pace that the sending entry uses, so that two that do not know of each other
+/// stay within half as much again, and some on top.
+const PACE_PART: f64 = 0.7;
 
 /// The entry that sends to `upstream` while it is cold.
 pub fn choose_sender<'a>(
--- /dev/null
+++ b/cicadastall/tests/gateway/mod.rs
@@ -0,0 +1,456 @@
+//! A small fleet of the pass-through gateway in one process, with stand-ins for upstreams.
+
+#![allow(dead_code)] // each test file uses a part of this module
+
+#[path = "../reserved/mod.rs"]
+pub mod reserved;
+pub mod upstream;
+
+use bytes::Bytes;
+use cicadastall::{
+    gateway::{
+        control::ControlServer,
+        dialect::OwnDialect,
+        entry::{EntryServer, wait_ready},
+        news::{RegisteredUpstream, UpstreamPhase},
+        own_control::OwnControl,
+        retry_window::RetryBounds,
+        routes::{
+            CallerBounds, PoolRule, PoolShare, RepeatRule, RouteDocument, RouteRule, WarmupRule,
+        },
+        settings::GatewayNode,
+    },
+    instance::ControlThread,
+    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+};
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, StatusCode, client::conn::http1, header::HOST};
+use hyper_util::rt::TokioIo;
+use reserved::ReservedAddress;
+use smallvec::smallvec;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+use upstream::Upstream;
+
+/// Longest wait for anything.
+pub const WAIT: Duration = Duration::from_secs(20);
+
+/// Host of all routes.
+pub const ROUTED_HOST: &str = "example.test";
+
+/// Two regions with a zone each.
+pub const ZONES: [(&str, &str); 2] = [("west-a", "west"), ("east-a", "east")];
+
+/// What a caller got.
+#[derive(Debug, Clone)]
+pub struct CallerAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// The body, or what had arrived before the connection broke.
+    pub body: Bytes,
+    /// Whether the body was whole.
+    pub whole: bool,
+    pub took: Duration,
+}
+
+impl CallerAnswer {
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    pub method: Method,
+    pub path: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Bytes,
+}
+
+static ATTEMPTS: AtomicU64 = AtomicU64::new(1);
+
+impl CallerRequest {
+    pub fn post(path: &str) -> Self {
+        let attempt = format!("attempt-{}", ATTEMPTS.fetch_add(1, Ordering::Relaxed));
+        Self {
+            method: Method::POST,
+            path: path.to_owned(),
+            headers: vec![
+                ("x-cicadastall-attempt", attempt),
+                ("x-cicadastall-remaining-ms", "5000".to_owned()),
+            ],
+            body: Bytes::from_static(b"body"),
+        }
+    }
+
+    pub fn attempt(&self) -> &str {
+        &self.headers[0].1
+    }
+
+    pub fn remaining(mut self, remaining: Duration) -> Self {
+        self.headers[1].1 = remaining.as_millis().to_string();
+        self
+    }
+
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    /// The same, for a task of its own.
+    pub async fn send_owned(self, address: SocketAddr) -> CallerAnswer {
+        self.send(address).await
+    }
+
+    /// Sends the request to the entry at `address` and reads the whole answer.
+    pub async fn send(&self, address: SocketAddr) -> CallerAnswer {
+        let started = Instant::now();
+        let stream = TcpStream::connect(address).await.expect("connect");
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.expect("handshake");
+        let connection = tokio::spawn(connection);
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(&self.path)
+            .header(HOST, ROUTED_HOST);
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        let request = request.body(Full::new(self.body.clone())).expect("request");
+        let answer = timeout(WAIT, sender.send_request(request)).await.expect("an answer in time");
+        let (head, mut body) = answer.expect("an answer").into_parts();
+        let mut collected = Vec::new();
+        let mut whole = true;
+        while let Some(frame) = timeout(WAIT, body.frame()).await.expect("a frame in time") {
+            match frame {
+                Ok(frame) => collected.extend(frame.into_data().unwrap_or_default()),
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        connection.abort();
+        CallerAnswer {
+            status: head.status,
+            headers: head.headers,
+            body: collected.into(),
+            whole,
+            took: started.elapsed(),
+        }
+    }
+}
+
+/// A pool with the usual rules.
+pub fn pool(name: &str) -> PoolRule {
+    PoolRule {
+        name: PoolName::from(name),
+        health_path: "/healthz".into(),
+        connections: 100,
+        warmup: None,
+        engine: None,
+    }
+}
+
+/// A pool whose upstreams are cold at first.
+pub fn cold_pool(name: &str, per_s: f64) -> PoolRule {
+    PoolRule { warmup: Some(WarmupRule { seconds: 3.0, per_s }), ..pool(name) }
+}
+
+/// A route `/NAME/` to the pool `service`.
+pub fn route(name: &str, repeat: RepeatRule) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        host: ROUTED_HOST.into(),
+        prefix: format!("/{name}/").into(),
+        repeat,
+        time_limit_ms: 4_000,
+        target_ms: 500,
+        longest_pause_ms: None,
+        rank: 0,
+        pools: smallvec![PoolShare { pool: PoolName::from("service"), weight: 1 }],
+        attempts: 2,
+        affinity: false,
+        homes: smallvec![],
+    }
+}
+
+/// Routes of each sort to the pool `service`.
+pub fn document(number: u64) -> RouteDocument {
+    let routes = [
+        route("read", RepeatRule::Repeatable),
+        route("book", RepeatRule::Once),
+        route("stream", RepeatRule::Stream),
+        route("resume", RepeatRule::ResumableStream),
+    ];
+    RouteDocument {
+        number,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        pools: vec![Arc::new(pool("service"))],
+        limits: CallerBounds::default(),
+    }
+}
+
+/// A control instance.
+pub struct Control {
+    pub node: GatewayNode,
+    server: Option<ControlServer>,
+    _reserved: Vec<ReservedAddress>,
+}
+
+/// An entry.
+pub struct Entry {
+    pub node: GatewayNode,
+    pub server: Option<EntryServer>,
+    _thread: ControlThread,
+    _reserved: Vec<ReservedAddress>,
+}
+
+impl Entry {
+    pub fn address(&self) -> SocketAddr {
+        self.node.caller_listen.expect("an entry's address")
+    }
+}
+
+/// A fleet.
+pub struct Fleet {
+    pub controls: Vec<Control>,
+    pub entries: Vec<Entry>,
+    folder: PathBuf,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn node(name: &str, zone: &str, reserved: &[ReservedAddress]) -> GatewayNode {
+    let zones: BTreeMap<_, _> = ZONES
+        .iter()
+        .map(|(zone, region)| (ZoneName::from(*zone), RegionName::from(*region)))
+        .collect();
+    GatewayNode {
+        instance: InstanceName::from(name),
+        region: zones[&ZoneName::from(zone)].clone(),
+        zone: ZoneName::from(zone),
+        zones,
+        peer_listen: reserved[0].address,
+        status_listen: reserved[1].address,
+        seeds: Vec::new(),
+        caller_listen: None,
+        ready_listen: None,
+        registry_listen: None,
+        directory_listen: None,
+        data_folder: None,
+        founding: true,
+        renewal_ms: 5_000,
+        stop_s: 8.0,
+        connections: 1_000,
+        listing_ms: 500,
+        retries: RetryBounds::default(),
+        limits: CallerBounds::default(),
+    }
+}
+
+impl Fleet {
+    /// Starts `controls` control instances, alternately in the two regions, and an entry in each of
+    /// `zones`, which is ready once a document is in force.
+    pub async fn start(name: &str, controls: usize, zones: &[&str]) -> Self {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("gateway-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let mut fleet = Self { controls: Vec::new(), entries: Vec::new(), folder };
+        let mut reserved: Vec<_> = (0..controls).map(|_| ReservedAddress::group(4)).collect();
+        let seeds: Vec<_> = reserved.iter().map(|reserved| reserved[0].address).collect();
+        for (index, reserved) in reserved.drain(..).enumerate() {
+            let zone = ZONES[index % 2].0;
+            let node = GatewayNode {
+                registry_listen: Some(reserved[2].address),
+                directory_listen: Some(reserved[3].address),
+                data_folder: Some(fleet.folder.join(index.to_string())),
+                seeds: seeds.clone(),
+                ..node(&format!("control-{index}"), zone, &reserved)
+            };
+            fleet.controls.push(Control { node, server: None, _reserved: reserved });
+            fleet.start_control(index).await;
+        }
+        for (index, zone) in zones.iter().enumerate() {
+            fleet.add_entry(&format!("entry-{index}"), zone).await;
+        }
+        fleet
+    }
+
+    /// A fleet of one control instance with a document in force at an entry of each zone in `zones`.
+    pub async fn ready(name: &str, document: RouteDocument, zones: &[&str]) -> Self {
+        let fleet = Self::start(name, 1, zones).await;
+        fleet.put_document(&document).await;
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    pub async fn start_control(&mut self, index: usize) {
+        let node = self.controls[index].node.clone();
+        let server = ControlServer::start(node, Arc::new(OwnControl)).await.expect("control");
+        self.controls[index].server = Some(server);
+    }
+
+    /// Ends a control instance at once, without a word.
+    pub async fn kill_control(&mut self, index: usize) {
+        drop(self.controls[index].server.take());
+        sleep(Duration::from_millis(100)).await;
+    }
+
+    pub async fn add_entry(&mut self, name: &str, zone: &str) {
+        let reserved = ReservedAddress::group(5);
+        let node = GatewayNode {
+            caller_listen: Some(reserved[2].address),
+            ready_listen: Some(reserved[3].address),
+            directory_listen: Some(reserved[4].address),
+            seeds: self.controls.iter().map(|control| control.node.peer_listen).collect(),
+            ..node(name, zone, &reserved)
+        };
+        let thread = ControlThread::start("control").expect("thread");
+        let (calls, orders) = (Arc::new(OwnDialect), Arc::new(OwnControl));
+        let server = EntryServer::start(node.clone(), calls, orders, thread.handle()).await;
+        let server = Some(server.expect("entry"));
+        self.entries.push(Entry { node, server, _thread: thread, _reserved: reserved });
+    }
+
+    pub async fn wait_ready(&self) {
+        for entry in &self.entries {
+            let server = entry.server.as_ref().expect("a running entry");
+            assert!(wait_ready(server, WAIT).await, "{} is not ready", entry.node.instance);
+        }
+    }
+
+    fn registry(&self, index: usize) -> SocketAddr {
+        self.controls[index].node.registry_listen.expect("an address")
+    }
+
+    /// Sends a call to a control instance.
+    pub async fn call(&self, index: usize, method: Method, path: &str, body: &str) -> CallerAnswer {
+        let request = CallerRequest {
+            method,
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Bytes::from(body.to_owned()),
+        };
+        request.send(self.registry(index)).await
+    }
+
+    /// Puts a document in force, once the group has a leader.
+    pub async fn put_document(&self, document: &RouteDocument) {
+        let body = serde_json::to_string(document).expect("json");
+        let end = Instant::now() + WAIT;
+        loop {
+            let answer = self.call(0, Method::PUT, "/v1/document", &body).await;
+            if answer.status.is_success() {
+                return;
+            }
+            assert!(Instant::now() < end, "document not accepted: {}", answer.text());
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// What an entry says of itself.
+    pub async fn status(&self, entry: usize) -> serde_json::Value {
+        let request = CallerRequest {
+            method: Method::GET,
+            path: "/v1/status".to_owned(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        };
+        let answer = request.send(self.entries[entry].node.status_listen).await;
+        serde_json::from_slice(&answer.body).expect("json")
+    }
+
+    /// Renews `upstream` at a control instance.
+    pub async fn renew(&self, control: usize, upstream: &RegisteredUpstream) -> CallerAnswer {
+        let path = format!("/v1/upstreams/{}", upstream.name);
+        let body = serde_json::to_string(upstream).expect("json");
+        self.call(control, Method::PUT, &path, &body).await
+    }
+
+    /// Registers a stand-in and waits until the entries of its region know it.
+    pub async fn register(&self, upstream: &Upstream, zone: &str) -> RegisteredUpstream {
+        let registered = describe(upstream, zone, 1);
+        let answer = self.renew(0, &registered).await;
+        assert!(answer.status.is_success(), "{}", answer.text());
+        let region = &self.controls[0].node.zones[&ZoneName::from(zone)];
+        for (index, entry) in self.entries.iter().enumerate() {
+            if entry.node.region == *region {
+                self.wait_known(index, &upstream.name, true).await;
+            }
+        }
+        registered
+    }
+
+    /// Waits until an entry gives the upstream work, or none.
+    pub async fn wait_known(&self, entry: usize, name: &str, known: bool) {
+        let end = Instant::now() + WAIT;
+        loop {
+            let status = self.status(entry).await;
+            let listed = status["upstreams"]
+                .as_array()
+                .is_some_and(|upstreams| upstreams.iter().any(|upstream| upstream["name"] == name));
+            if listed == known {
+                return;
+            }
+            assert!(Instant::now() < end, "{name}: {status}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until the document of that number is in force at all entries.
+    pub async fn wait_document(&self, number: u64) {
+        let end = Instant::now() + WAIT;
+        for entry in 0..self.entries.len() {
+            while self.status(entry).await["document"] != number {
+                assert!(Instant::now() < end, "document {number} not in force");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// A renewal of a stand-in in the pool `service`.
+pub fn describe(upstream: &Upstream, zone: &str, sequence: u64) -> RegisteredUpstream {
+    RegisteredUpstream {
+        name: UpstreamName::from(upstream.name.as_str()),
+        started_ms: 1,
+        sequence,
+        pool: PoolName::from("service"),
+        address: upstream.address,
+        zone: ZoneName::from(zone),
+        slots: 8,
+        phase: UpstreamPhase::Serving,
+        cold_ms: 0,
+    }
+}
+
+/// Waits until `met` holds.
+pub async fn wait_until(what: &str, met: impl Fn() -> bool) {
+    let end = Instant::now() + WAIT;
+    while !met() {
+        assert!(Instant::now() < end, "not met within {WAIT:?}: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/cicadastall/tests/gateway_answers.rs
@@ -0,0 +1,286 @@
+//! Each way in which an upstream's answer can end, on real sockets: what the caller gets, and how
+//! often the request runs.
+
+mod gateway;
+
+use gateway::{
+    CallerRequest, Fleet, document,
+    upstream::{Ending, Script, Upstream, event, whole_text},
+};
+use std::time::Duration;
+use tokio::time::sleep;
+
+const SHORT: Duration = Duration::from_millis(30);
+
+async fn start(name: &str, upstreams: usize) -> (Fleet, Vec<Upstream>) {
+    let fleet = Fleet::ready(name, document(1), &["west-a"]).await;
+    let mut started = Vec::new();
+    for _ in 0..upstreams {
+        let upstream = Upstream::start(Script::whole("200 OK", "usual")).await;
+        fleet.register(&upstream, "west-a").await;
+        started.push(upstream);
+    }
+    (fleet, started)
+}
+
+fn total_runs(upstreams: &[Upstream], request: &CallerRequest) -> usize {
+    upstreams.iter().map(|upstream| upstream.runs(request.attempt())).sum()
+}
+
+#[tokio::test]
+async fn a_request_and_its_answer_pass_unchanged() {
+    let (fleet, upstreams) = start("unchanged", 1).await;
+    let request = CallerRequest::post("/read/a%20b?c=d&e=%2f")
+        .header("x-own", "kept")
+        .header("connection", "x-named")
+        .header("x-named", "dropped")
+        .header("x-cicadastall-upstream", "forged")
+        .header("x-cicadastall-rank", "0");
+    let answer = request.send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.text().as_str()), (200, "usual"));
+    assert_eq!(answer.header("x-cicadastall-stamp"), Some(upstreams[0].name.as_str()));
+    let seen = upstreams[0].seen().remove(0);
+    assert!(seen.head.starts_with("POST /read/a%20b?c=d&e=%2f HTTP/1.1\r\n"), "{}", seen.head);
+    assert_eq!(seen.body, "body");
+    assert_eq!(seen.header("host").as_deref(), Some(gateway::ROUTED_HOST));
+    assert_eq!(seen.header("x-own").as_deref(), Some("kept"));
+    assert_eq!(seen.header("x-named"), None);
+    assert_eq!(seen.header("x-cicadastall-upstream").as_deref(), Some(&*upstreams[0].name));
+    let left: u64 = seen.header("x-cicadastall-remaining-ms").expect("time").parse().expect("ms");
+    assert!((3_000..=4_000).contains(&left), "the route allows 4 s, the caller 5 s: {left}");
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_is_whole_when_it_is_closed_in_order() {
+    let (fleet, upstreams) = start("no-length", 1).await;
+    let text = "HTTP/1.1 200 OK\r\nx-cicadastall-attempt: {attempt}\r\n\
+                x-cicadastall-stamp: {name}\r\n\r\nall of it";
+    upstreams[0].next([Script::raw(text, Ending::Close)]);
+    let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.text().as_str()), (200, "all of it"));
+}
+
+#[tokio::test]
+async fn a_reset_is_never_the_end_of_an_answer() {
+    let (fleet, upstreams) = start("reset", 1).await;
+    let text = "HTTP/1.1 200 OK\r\nx-cicadastall-attempt: {attempt}\r\n\
+                x-cicadastall-stamp: {name}\r\n\r\na part";
+    upstreams[0].next([Script::raw(text, Ending::Keep).then(SHORT, "").ending(Ending::Reset)]);
+    let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 502);
+    assert_eq!(answer.header("x-cicadastall-ran"), Some("unknown"));
+}
+
+#[tokio::test]
+async fn a_truncated_answer_is_not_passed_on() {
+    let (fleet, upstreams) = start("truncated", 1).await;
+    let text = whole_text("200 OK", "0123456789").replace("0123456789", "0123");
+    upstreams[0].next([Script::raw(&text, Ending::Close)]);
+    let request = CallerRequest::post("/book/1");
+    let answer = request.send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 502);
+    assert_eq!(total_runs(&upstreams, &request), 1);
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_sent_again_when_its_connection_breaks() {
+    let (fleet, upstreams) = start("once", 2).await;
+    for upstream in &upstreams {
+        upstream.next([Script::raw("", Ending::Reset), Script::raw("", Ending::Close)]);
+    }
+    for _ in 0..2 {
+        let request = CallerRequest::post("/book/1");
+        let answer = request.send(fleet.entries[0].address()).await;
+        assert_eq!(answer.status.as_u16(), 502);
+        assert_eq!(answer.header("retry-after"), None);
+        assert_eq!(total_runs(&upstreams, &request), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_may_be_repeated_is_sent_to_another_upstream() {
+    let (fleet, upstreams) = start("repeatable", 2).await;
+    let address = fleet.entries[0].address();
+    // First requests fill the budget of repeats, of which a new process has none.
+    for _ in 0..40 {
+        assert_eq!(CallerRequest::post("/read/1").send(address).await.status.as_u16(), 200);
+    }
+    upstreams[0].next([Script::raw("", Ending::Reset)]);
+    let mut twice = 0;
+    for _ in 0..10 {
+        let request = CallerRequest::post("/read/1");
+        assert_eq!(request.send(address).await.status.as_u16(), 200);
+        twice += total_runs(&upstreams, &request) - 1;
+    }
+    assert_eq!(twice, 1);
+}
+
+#[tokio::test]
+async fn an_upstream_that_refuses_gives_way_to_another() {
+    let (fleet, upstreams) = start("refused", 2).await;
+    let address = fleet.entries[0].address();
+    for _ in 0..40 {
+        CallerRequest::post("/book/1").send(address).await;
+    }
+    for upstream in &upstreams {
+        upstream.next([Script::refused()]);
+    }
+    let request = CallerRequest::post("/book/1");
+    let answer = request.send(address).await;
+    assert_eq!(answer.status.as_u16(), 503, "both refuse");
+    assert_eq!(answer.header("x-cicadastall-ran"), Some("no"));
+    assert!(answer.header("retry-after").is_some());
+    sleep(Duration::from_millis(700)).await;
+    upstreams[0].next([Script::refused()]);
+    let request = CallerRequest::post("/book/1");
+    assert_eq!(request.send(address).await.status.as_u16(), 200);
+}
+
+#[tokio::test]
+async fn a_failure_of_the_upstream_is_passed_on_with_its_stamp() {
+    let (fleet, upstreams) = start("failure", 1).await;
+    upstreams[0].next([Script::whole("500 Internal Server Error", "its own words")]);
+    let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.text().as_str()), (500, "its own words"));
+    assert!(answer.header("x-cicadastall-stamp").is_some());
+}
+
+#[tokio::test]
+async fn a_failure_without_a_stamp_says_nothing_of_the_request() {
+    let (fleet, upstreams) = start("unstamped", 1).await;
+    let text = "HTTP/1.1 503 Service Unavailable\r\nx-cicadastall-attempt: {attempt}\r\n\
+                content-length: 0\r\n\r\n";
+    upstreams[0].next([Script::raw(text, Ending::Keep)]);
+    let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 502);
+    assert_eq!(answer.header("x-cicadastall-ran"), Some("unknown"));
+}
+
+#[tokio::test]
+async fn a_success_without_a_stamp_or_for_another_attempt_is_not_passed_on() {
+    let (fleet, upstreams) = start("foreign", 1).await;
+    let stampless = "HTTP/1.1 200 OK\r\nx-cicadastall-attempt: {attempt}\r\n\
+                     content-length: 3\r\n\r\nbad";
+    let foreign = whole_text("200 OK", "bad").replace("{attempt}", "another");
+    let encoded = whole_text("200 OK", "bad")
+        .replace("content-length", "content-encoding: gzip\r\ncontent-length");
+    upstreams[0].next([stampless, &foreign, &encoded].map(|text| Script::raw(text, Ending::Keep)));
+    for _ in 0..3 {
+        let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+        assert_eq!(answer.status.as_u16(), 502, "{}", answer.text());
+        sleep(Duration::from_millis(1_700)).await;
+    }
+}
+
+#[tokio::test]
+async fn bytes_after_an_answer_belong_to_no_request() {
+    let (fleet, upstreams) = start("extra", 1).await;
+    let twice = whole_text("200 OK", "usual") + &whole_text("200 OK", "extra");
+    upstreams[0].next([Script::raw(&twice, Ending::Keep)]);
+    for _ in 0..3 {
+        let answer = CallerRequest::post("/read/1").send(fleet.entries[0].address()).await;
+        assert_eq!((answer.status.as_u16(), answer.text().as_str()), (200, "usual"));
+        sleep(SHORT).await;
+    }
+}
+
+#[tokio::test]
+async fn a_late_refusal_of_an_earlier_request_is_not_taken_for_one_of_the_next() {
+    let (fleet, upstreams) = start("late-refusal", 1).await;
+    let late = "HTTP/1.1 503 Service Unavailable\r\nx-cicadastall-refused: 1\r\n\
+                x-cicadastall-attempt: an-earlier-one\r\ncontent-length: 0\r\n\r\n";
+    upstreams[0].next([Script::raw(late, Ending::Keep)]);
+    let request = CallerRequest::post("/book/1");
+    let answer = request.send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 502);
+    assert_eq!(total_runs(&upstreams, &request), 1);
+}
+
+#[tokio::test]
+async fn an_upstream_at_a_reused_address_does_not_run_the_request() {
+    let (fleet, upstreams) = start("misdirected", 1).await;
+    let text = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+    upstreams[0].next([Script::raw(text, Ending::Keep)]);
+    let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 503);
+    assert_eq!(answer.header("x-cicadastall-ran"), Some("no"));
+}
+
+#[tokio::test]
+async fn an_unreachable_upstream_has_not_run_the_request() {
+    let (fleet, mut upstreams) = start("unreachable", 1).await;
+    drop(upstreams.remove(0));
+    sleep(SHORT).await;
+    let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 503);
+    assert_eq!(answer.header("x-cicadastall-ran"), Some("no"));
+}
+
+#[tokio::test]
+async fn a_silent_upstream_is_given_up_on_at_the_time_limit_and_told_so() {
+    let (fleet, upstreams) = start("silent", 1).await;
+    upstreams[0].next([Script::raw("", Ending::Hang)]);
+    let request = CallerRequest::post("/book/1").remaining(Duration::from_millis(800));
+    let answer = request.send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 504);
+    assert_eq!(answer.header("x-cicadastall-ran"), Some("unknown"));
+    assert!(answer.took < Duration::from_millis(1_100), "{:?}", answer.took);
+    upstreams[0].wait_left(1).await;
+}
+
+#[tokio::test]
+async fn events_are_passed_on_as_they_arrive() {
+    let (fleet, upstreams) = start("events", 1).await;
+    let stream = Script::stream().event(SHORT, 1).event(SHORT, 2).event(SHORT, 3).end();
+    upstreams[0].next([stream]);
+    let answer = CallerRequest::post("/stream/1").send(fleet.entries[0].address()).await;
+    assert!(answer.whole);
+    assert_eq!(answer.text(), (1..=3).map(event).collect::<String>());
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_never_looks_whole() {
+    let (fleet, upstreams) = start("cut-stream", 2).await;
+    for upstream in &upstreams {
+        let broken = Script::stream().event(SHORT, 1).then(SHORT, "10\r\nid: 2\n");
+        upstream.next([broken.then(SHORT, "").ending(Ending::Close)]);
+    }
+    let request = CallerRequest::post("/stream/1");
+    let answer = request.send(fleet.entries[0].address()).await;
+    assert!(!answer.whole);
+    assert!(answer.text().starts_with(&event(1)));
+    assert_eq!(total_runs(&upstreams, &request), 1);
+}
+
+#[tokio::test]
+async fn a_stream_that_may_be_resumed_goes_on_at_another_upstream() {
+    let (fleet, upstreams) = start("resumed", 2).await;
+    let address = fleet.entries[0].address();
+    for _ in 0..40 {
+        CallerRequest::post("/read/1").send(address).await;
+    }
+    let rest = Script::stream().event(SHORT, 2).event(SHORT, 3).event(SHORT, 4).end();
+    for upstream in &upstreams {
+        let half = "8\r\nid: 3\nda\r\n";
+        let broken = Script::stream().event(SHORT, 1).event(SHORT, 2).then(SHORT, half);
+        upstream.next([broken.then(SHORT, "").ending(Ending::Reset), rest.clone()]);
+    }
+    // The second upstream's first answer is the rest, whichever it is.
+    let request = CallerRequest::post("/resume/1");
+    for upstream in &upstreams {
+        upstream.next([rest.clone()]);
+    }
+    let answer = request.send(address).await;
+    let runs: Vec<_> = upstreams.iter().map(|upstream| upstream.runs(request.attempt())).collect();
+    assert_eq!(runs.iter().sum::<usize>(), 2, "{runs:?}");
+    assert!(answer.text().starts_with(&(1..=2).map(event).collect::<String>()));
+    let resumed = upstreams
+        .iter()
+        .flat_map(Upstream::seen)
+        .filter(|request| request.header("last-event-id").is_some());
+    assert_eq!(
+        resumed.map(|request| request.header("last-event-id")).last().flatten().as_deref(),
+        Some("2")
+    );
+    assert!(!answer.text().contains("da\r\n") && !answer.text().ends_with("da"));
+}
--- /dev/null
+++ b/cicadastall/tests/gateway_bounds.rs
@@ -0,0 +1,108 @@
+//! Bounds that must hold when summed over a fleet whose entries can't talk to each other.
+
+use cicadastall::{
+    gateway::{
+        retry_window::{RetryBounds, RetryWindow},
+        warmup::{choose_sender, pause_between},
+    },
+    name::{InstanceName, PoolName, UpstreamName},
+};
+use quickcheck::{Gen, QuickCheck};
+use std::{collections::BTreeSet, time::Duration};
+use tokio::time::Instant;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn checker() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(80, 4_121_207)).tests(20)
+}
+
+/// Requests in each tenth of a second, with whether each is sent again as often as is allowed.
+fn count_repeats(
+    entries: usize,
+    steps: &[(u8, u8)],
+    restart: usize,
+    bounds: RetryBounds,
+) -> Vec<(Instant, u32, u32)> {
+    let start = Instant::now();
+    let pool = PoolName::from("pool");
+    let mut windows: Vec<_> = (0..entries).map(|_| RetryWindow::new(bounds, start)).collect();
+    let mut counts = Vec::new();
+    for (step, (requests, wanted)) in steps.iter().enumerate() {
+        let now = start + WINDOW * 2 + Duration::from_millis(100) * step as u32;
+        if step == restart {
+            // All processes end at once, and the next ones know nothing of their repeats.
+            windows = (0..entries).map(|_| RetryWindow::new(bounds, now)).collect();
+        }
+        let (mut sent, mut repeats) = (0, 0);
+        for window in &mut windows {
+            for _ in 0..requests % 4 {
+                window.note_first(&pool, now);
+                sent += 1;
+            }
+            for _ in 0..wanted % 4 {
+                repeats += u32::from(window.take_repeat(&pool, entries, now));
+            }
+        }
+        counts.push((now, sent, repeats));
+    }
+    counts
+}
+
+#[test]
+fn repeats_of_a_whole_fleet_stay_within_the_bound_of_any_window() {
+    fn property(entries: u16, steps: Vec<(u8, u8)>, restart: usize) -> bool {
+        let entries = usize::from(entries % 398) + 3;
+        let bounds = RetryBounds { ratio: 0.2, extra: 58.0, window_s: 10.0 };
+        let steps: Vec<_> = steps.iter().cycle().take(250).copied().collect();
+        let counts = count_repeats(entries, &steps, restart % 250, bounds);
+        counts.iter().all(|(from, ..)| {
+            let within = |(at, ..): &&(Instant, u32, u32)| *at >= *from && *at < *from + WINDOW;
+            let window = counts.iter().filter(within);
+            let (requests, repeats) = window.fold((0, 0), |(a, b), (_, c, d)| (a + c, b + d));
+            let before = |(at, ..): &&(Instant, u32, u32)| *at < *from && *at + WINDOW >= *from;
+            let earlier: u32 = counts.iter().filter(before).map(|(_, sent, _)| sent).sum();
+            let most = f64::from(requests.max(earlier));
+            f64::from(repeats) <= bounds.ratio * most + bounds.extra
+        })
+    }
+    checker().quickcheck(property as fn(u16, Vec<(u8, u8)>, usize) -> bool);
+}
+
+#[test]
+fn an_entry_of_a_small_fleet_may_repeat_some_requests() {
+    let start = Instant::now();
+    let bounds = RetryBounds { ratio: 0.2, extra: 58.0, window_s: 10.0 };
+    let mut window = RetryWindow::new(bounds, start);
+    let (pool, now) = (PoolName::from("pool"), start + WINDOW * 2);
+    window.note_first(&pool, now);
+    let taken = (0..100).filter(|_| window.take_repeat(&pool, 9, now)).count();
+    assert!((2..=6).contains(&taken), "{taken}");
+}
+
+fn names(views: &[u16]) -> Vec<InstanceName> {
+    let set: BTreeSet<_> = views.iter().map(|view| format!("entry-{}", view % 30)).collect();
+    set.into_iter().map(|name| InstanceName::from(name.as_str())).collect()
+}
+
+#[test]
+fn entries_with_the_same_view_agree_on_one_sender() {
+    fn property(view: Vec<u16>, upstream: u16) -> bool {
+        let entries = names(&view);
+        let upstream = UpstreamName::new(format!("upstream-{upstream}"));
+        let senders =
+            entries.iter().filter(|entry| choose_sender(&entries, &upstream, 1) == Some(*entry));
+        senders.count() == usize::from(!entries.is_empty())
+    }
+    checker().quickcheck(property as fn(Vec<u16>, u16) -> bool);
+}
+
+#[test]
+fn two_halves_that_do_not_see_each_other_stay_within_the_pace() {
+    for per_s in [0.5, 1.5, 2.8, 3.1, 20.0] {
+        let pause = pause_between(per_s).expect("a pace").as_secs_f64();
+        let in_a_second = (1.0 / pause).floor() + 1.0;
+        assert!(2.0 * in_a_second <= per_s * 1.5 + 3.0, "{per_s}: {in_a_second}");
+    }
+    assert_eq!(pause_between(0.0), None);
+}
--- /dev/null
+++ b/cicadastall/tests/gateway_fleet.rs
@@ -0,0 +1,357 @@
+//! A fleet of two regions: hops, residency, documents, registration, evacuation, stops.
+
+mod gateway;
+
+use cicadastall::{
+    gateway::{
+        news::{RegisteredUpstream, UpstreamPhase},
+        routes::{RepeatRule, RouteDocument},
+    },
+    name::RegionName,
+};
+use gateway::{
+    CallerRequest, Fleet, ROUTED_HOST, WAIT, cold_pool, describe, document, route,
+    upstream::{Ending, Script, Upstream, event},
+};
+use hyper::Method;
+use smallvec::smallvec;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+
+const BOTH: [&str; 2] = ["west-a", "east-a"];
+
+const SHORT: Duration = Duration::from_millis(30);
+
+/// Time in which a caller's leaving must reach an upstream.
+const LEAVE_BOUND: Duration = Duration::from_millis(500);
+
+async fn upstream() -> Upstream {
+    Upstream::start(Script::whole("200 OK", "usual")).await
+}
+
+/// Sends until the answer is a success; entries learn of other regions after a moment.
+async fn send_until_answered(fleet: &Fleet, entry: usize, path: &str) -> CallerRequest {
+    let end = Instant::now() + WAIT;
+    loop {
+        let request = CallerRequest::post(path);
+        let answer = request.send(fleet.entries[entry].address()).await;
+        if answer.status.is_success() {
+            return request;
+        }
+        assert!(Instant::now() < end, "{}", answer.text());
+        sleep(SHORT).await;
+    }
+}
+
+#[tokio::test]
+async fn an_entry_without_upstreams_asks_another_region_once() {
+    let fleet = Fleet::ready("hop", document(1), &BOTH).await;
+    let east = upstream().await;
+    fleet.register(&east, "east-a").await;
+    let request = send_until_answered(&fleet, 0, "/book/1").await;
+    assert_eq!(east.runs(request.attempt()), 1);
+    let seen = east.seen();
+    let hopped = seen.iter().find(|seen| seen.attempt() == request.attempt()).expect("seen");
+    assert_eq!(hopped.header("x-cicadastall-hop"), None);
+    let left = hopped.header("x-cicadastall-remaining-ms").and_then(|text| text.parse().ok());
+    assert!(left.is_some_and(|left: u64| left < 4_000), "{left:?}");
+}
+
+#[tokio::test]
+async fn a_request_bound_to_its_home_is_not_passed_on_elsewhere() {
+    let mut bound = document(1);
+    let mut home = route("home", RepeatRule::Repeatable);
+    home.homes = smallvec![RegionName::from("west")];
+    bound.routes.push(Arc::new(home));
+    let fleet = Fleet::ready("home", bound, &BOTH).await;
+    let east = upstream().await;
+    fleet.register(&east, "east-a").await;
+    send_until_answered(&fleet, 0, "/read/1").await;
+    for entry in 0..2 {
+        let request = CallerRequest::post("/home/1");
+        let answer = request.send(fleet.entries[entry].address()).await;
+        assert_eq!(answer.status.as_u16(), 503);
+        assert_eq!(answer.header("x-cicadastall-ran"), Some("no"));
+        assert_eq!(east.runs(request.attempt()), 0);
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_behind_a_hop_is_told_as_not_run_and_a_loss_as_unknown() {
+    let fleet = Fleet::ready("hop-truth", document(1), &BOTH).await;
+    let east = upstream().await;
+    fleet.register(&east, "east-a").await;
+    send_until_answered(&fleet, 0, "/read/1").await;
+    east.next([Script::refused()]);
+    let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.header("x-cicadastall-ran")), (503, Some("no")));
+    sleep(Duration::from_secs(1)).await;
+    east.next([Script::raw("", Ending::Reset)]);
+    let request = CallerRequest::post("/book/1");
+    let answer = request.send(fleet.entries[0].address()).await;
+    assert_eq!(answer.header("x-cicadastall-ran"), Some("unknown"));
+    assert_eq!((answer.status.as_u16(), east.runs(request.attempt())), (502, 1));
+}
+
+#[tokio::test]
+async fn attempts_count_across_a_hop() {
+    let fleet = Fleet::ready("hop-attempts", document(1), &BOTH).await;
+    let failure = Script::whole("500 Internal Server Error", "no");
+    let mut east = Vec::new();
+    for _ in 0..3 {
+        let upstream = Upstream::start(failure.clone()).await;
+        fleet.register(&upstream, "east-a").await;
+        east.push(upstream);
+    }
+    for _ in 0..60 {
+        let request = CallerRequest::post("/read/1");
+        request.send(fleet.entries[0].address()).await;
+        let runs: usize = east.iter().map(|east| east.runs(request.attempt())).sum();
+        assert!(runs <= 2, "{runs} runs of 2 allowed");
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_is_told_to_the_upstream_through_a_hop_too() {
+    let fleet = Fleet::ready("leave", document(1), &BOTH).await;
+    let east = upstream().await;
+    fleet.register(&east, "east-a").await;
+    send_until_answered(&fleet, 0, "/read/1").await;
+    for (entry, script) in [
+        (0, Script::raw("", Ending::Hang)),
+        (0, Script::stream().event(SHORT, 1).ending(Ending::Hang)),
+        (1, Script::raw("", Ending::Hang)),
+    ] {
+        let (left, seen) = (east.left(), east.seen().len());
+        east.next([script]);
+        let request = CallerRequest::post("/stream/1");
+        let address = fleet.entries[entry].address();
+        let sending = tokio::spawn(async move { request.send(address).await });
+        east.wait_seen(seen + 1).await;
+        sleep(4 * SHORT).await;
+        sending.abort();
+        let gone = timeout(LEAVE_BOUND, east.wait_left(left + 1)).await;
+        assert!(gone.is_ok(), "still at work {LEAVE_BOUND:?} after its caller left");
+    }
+}
+
+#[tokio::test]
+async fn the_highest_number_wins_and_resends_change_nothing() {
+    let fleet = Fleet::ready("document", document(5), &["west-a"]).await;
+    let put = async |document: &RouteDocument| {
+        let body = serde_json::to_string(document).expect("json");
+        fleet.call(0, Method::PUT, "/v1/document", &body).await
+    };
+    let read = async || {
+        let answer = fleet.call(0, Method::GET, "/v1/document", "").await;
+        serde_json::from_slice::<RouteDocument>(&answer.body).expect("a document")
+    };
+    let mut other = document(5);
+    other.routes.pop();
+    for held in [document(5), document(3), other] {
+        assert!(put(&held).await.status.is_success());
+        assert_eq!(read().await, document(5));
+    }
+    let mut next = document(9);
+    next.routes.remove(0);
+    assert!(put(&next).await.status.is_success());
+    assert_eq!(read().await, next);
+    fleet.wait_document(9).await;
+    let answer = CallerRequest::post("/read/1").send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 404);
+}
+
+#[tokio::test]
+async fn a_document_with_faults_is_refused_with_each_of_them() {
+    let fleet = Fleet::ready("faults", document(1), &["west-a"]).await;
+    let mut faulty = document(2);
+    let mut routes: Vec<_> = faulty.routes.iter().map(|route| (**route).clone()).collect();
+    routes[0].pools[0].pool = "unknown".into();
+    routes[1].pools[0].weight = 0;
+    routes[2].time_limit_ms = 0;
+    routes[3].prefix = routes[2].prefix.clone();
+    faulty.routes = routes.into_iter().map(Arc::new).collect();
+    let body = serde_json::to_string(&faulty).expect("json");
+    let answer = fleet.call(0, Method::PUT, "/v1/document", &body).await;
+    assert_eq!(answer.status.as_u16(), 422);
+    let faults: serde_json::Value = serde_json::from_slice(&answer.body).expect("json");
+    assert_eq!(faults["faults"].as_array().map(Vec::len), Some(4), "{faults}");
+    let cut = &body[..body.len() / 2];
+    let answer = fleet.call(0, Method::PUT, "/v1/document", cut).await;
+    assert_eq!(answer.status.as_u16(), 422);
+    assert_eq!(fleet.status(0).await["document"], 1);
+}
+
+#[tokio::test]
+async fn an_upstream_that_leaves_gets_no_more_work() {
+    let fleet = Fleet::ready("leaving", document(1), &["west-a"]).await;
+    let [first, second] = [upstream().await, upstream().await];
+    let registered = fleet.register(&first, "west-a").await;
+    fleet.register(&second, "west-a").await;
+    let leaving =
+        RegisteredUpstream { sequence: 2, phase: UpstreamPhase::Leaving, ..registered.clone() };
+    let acknowledged = Instant::now();
+    assert!(fleet.renew(0, &leaving).await.status.is_success());
+    fleet.wait_known(0, &first.name, false).await;
+    assert!(acknowledged.elapsed() < Duration::from_secs(1));
+    // A renewal from before that was held up on its way changes nothing.
+    fleet.renew(0, &registered).await;
+    sleep(2 * SHORT).await;
+    fleet.wait_known(0, &first.name, false).await;
+    let path = format!("/v1/upstreams/{}", second.name);
+    assert!(fleet.call(0, Method::DELETE, &path, "").await.status.is_success());
+    fleet.wait_known(0, &second.name, false).await;
+    let again = RegisteredUpstream { sequence: 9, ..describe(&second, "west-a", 9) };
+    assert!(fleet.renew(0, &again).await.status.is_success());
+    sleep(4 * SHORT).await;
+    fleet.wait_known(0, &second.name, false).await;
+    let restarted = RegisteredUpstream { started_ms: 2, sequence: 1, ..again };
+    fleet.renew(0, &restarted).await;
+    fleet.wait_known(0, &second.name, true).await;
+}
+
+#[tokio::test]
+async fn an_evacuated_zone_gets_no_work_until_that_is_withdrawn() {
+    let fleet = Fleet::ready("evacuated", document(1), &["west-a"]).await;
+    let west = upstream().await;
+    fleet.register(&west, "west-a").await;
+    let answer = fleet.call(0, Method::PUT, "/v1/evacuations/west-a", "").await;
+    assert!(answer.status.is_success());
+    fleet.wait_known(0, &west.name, false).await;
+    let answer = CallerRequest::post("/book/1").send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.header("x-cicadastall-ran")), (503, Some("no")));
+    let answer = fleet.call(0, Method::DELETE, "/v1/evacuations/west-a", "").await;
+    assert!(answer.status.is_success());
+    fleet.wait_known(0, &west.name, true).await;
+}
+
+#[tokio::test]
+async fn a_zone_taken_back_counts_as_cold_until_its_upstreams_have_renewed() {
+    let mut cold = document(1);
+    cold.pools = vec![Arc::new(cold_pool("service", 2.0))];
+    let fleet = Fleet::ready("cold-return", cold, &["west-a"]).await;
+    let west = upstream().await;
+    let registered = fleet.register(&west, "west-a").await;
+    fleet.call(0, Method::PUT, "/v1/evacuations/west-a", "").await;
+    fleet.wait_known(0, &west.name, false).await;
+    fleet.call(0, Method::DELETE, "/v1/evacuations/west-a", "").await;
+    fleet.wait_known(0, &west.name, true).await;
+    let burst = async || {
+        let started = Instant::now();
+        let mut answered = 0;
+        while started.elapsed() < Duration::from_secs(1) {
+            let request = CallerRequest::post("/book/1").remaining(Duration::from_millis(100));
+            let answer = request.send(fleet.entries[0].address()).await;
+            answered += usize::from(answer.status.is_success());
+            sleep(Duration::from_millis(10)).await;
+        }
+        answered
+    };
+    let answered = burst().await;
+    assert!(answered <= 3, "{answered} in a second, at a pace of 2");
+    fleet.renew(0, &RegisteredUpstream { sequence: 2, ..registered }).await;
+    sleep(Duration::from_secs(1)).await;
+    let answered = burst().await;
+    assert!(answered > 10, "{answered} in a second, though it is warm");
+}
+
+#[tokio::test]
+async fn the_directory_names_ready_entries_near_the_caller_and_not_one_that_stops() {
+    let mut fleet = Fleet::ready("directory", document(1), &["west-a", "west-a", "east-a"]).await;
+    let directory = fleet.entries[2].node.directory_listen.expect("an address");
+    let list = async || {
+        let request = CallerRequest {
+            method: Method::GET,
+            path: "/v1/entries?region=west&zone=west-a".to_owned(),
+            headers: Vec::new(),
+            body: Default::default(),
+        };
+        let answer = request.send(directory).await;
+        let listing: serde_json::Value = serde_json::from_slice(&answer.body).expect("json");
+        listing["entries"].as_array().expect("entries").len()
+    };
+    let end = Instant::now() + WAIT;
+    while list().await != 2 {
+        assert!(Instant::now() < end, "not both entries of the zone are listed");
+        sleep(SHORT).await;
+    }
+    let server = fleet.entries[0].server.take().expect("running");
+    let stopping = tokio::spawn(server.stop());
+    sleep(Duration::from_millis(1_500)).await;
+    // One entry of the zone is not enough, so the other region's is named too.
+    assert_eq!(list().await, 2);
+    let ready = CallerRequest { method: Method::GET, ..CallerRequest::post("/readyz") };
+    let address = fleet.entries[0].node.ready_listen.expect("an address");
+    assert_eq!(ready.send(address).await.status.as_u16(), 503);
+    stopping.await.expect("stopped");
+}
+
+#[tokio::test]
+async fn a_stopping_entry_finishes_its_streams_and_closes_kept_connections_with_an_answer() {
+    let mut fleet = Fleet::ready("stop", document(1), &["west-a"]).await;
+    let west = upstream().await;
+    fleet.register(&west, "west-a").await;
+    let slow =
+        (1..=30).fold(Script::stream(), |script, id| script.event(Duration::from_millis(100), id));
+    west.next([slow.end()]);
+    let address = fleet.entries[0].address();
+    let streaming = tokio::spawn(CallerRequest::post("/stream/1").send_owned(address));
+    west.wait_seen(1).await;
+    let mut kept = TcpStream::connect(address).await.expect("connect");
+    let server = fleet.entries[0].server.take().expect("running");
+    let stopping = tokio::spawn(server.stop());
+    sleep(4 * SHORT).await;
+    let request =
+        format!("POST /read/1 HTTP/1.1\r\nhost: {ROUTED_HOST}\r\ncontent-length: 0\r\n\r\n");
+    kept.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    kept.read_to_string(&mut answer).await.expect("an answer and an orderly end");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
+    let streamed = streaming.await.expect("streamed");
+    assert!(streamed.whole);
+    assert_eq!(streamed.text(), (1..=30).map(event).collect::<String>());
+    stopping.await.expect("stopped");
+    assert!(TcpStream::connect(address).await.is_err());
+}
+
+#[tokio::test]
+async fn documents_survive_control_instances_that_are_lost_and_replaced() {
+    let mut fleet = Fleet::start("controls", 3, &BOTH).await;
+    fleet.put_document(&document(1)).await;
+    fleet.wait_ready().await;
+    fleet.kill_control(1).await;
+    fleet.put_document(&document(2)).await;
+    fleet.wait_document(2).await;
+    fleet.start_control(1).await;
+    fleet.kill_control(0).await;
+    let end = Instant::now() + WAIT;
+    loop {
+        let answer = fleet.call(1, Method::GET, "/v1/document", "").await;
+        if answer.status.is_success() {
+            let read: RouteDocument = serde_json::from_slice(&answer.body).expect("a document");
+            assert_eq!(read.number, 2);
+            break;
+        }
+        assert_eq!(answer.status.as_u16(), 503, "not sure is not an old document");
+        assert!(Instant::now() < end, "never read again");
+        sleep(SHORT).await;
+    }
+}
+
+#[tokio::test]
+async fn a_control_instance_without_a_majority_neither_reads_nor_accepts() {
+    let mut fleet = Fleet::start("minority", 3, &["west-a"]).await;
+    fleet.put_document(&document(1)).await;
+    fleet.kill_control(1).await;
+    fleet.kill_control(2).await;
+    let read = fleet.call(0, Method::GET, "/v1/document", "").await;
+    assert_eq!(read.status.as_u16(), 503);
+    let body = serde_json::to_string(&document(2)).expect("json");
+    let put = fleet.call(0, Method::PUT, "/v1/document", &body).await;
+    assert!(put.status.is_server_error(), "{}", put.status);
+}
--- /dev/null
+++ b/cicadastall/tests/gateway_pure.rs
@@ -0,0 +1,244 @@
+//! Stages of the pass-through gateway that need no network: routes, documents, events, outcomes.
+
+use cicadastall::{
+    gateway::{
+        dialect::{AnswerHead, CallDialect, OwnDialect},
+        document_check::check_document,
+        document_state::{DocumentCommand, DocumentState, StoredDocument},
+        events::EventBuffer,
+        outcome::{LostAttempt, Verdict, judge_head, judge_lost},
+        routes::{
+            CallerBounds, PoolRule, PoolShare, RepeatRule, RouteDocument, RouteRule, RouteTable,
+        },
+    },
+    name::{AttemptId, PoolName, ZoneName},
+    replicated::ReplicatedState,
+};
+use hyper::{HeaderMap, StatusCode, header::HeaderValue};
+use quickcheck::{Gen, QuickCheck};
+use smallvec::{SmallVec, smallvec};
+use std::sync::Arc;
+
+fn checker() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, 20_261_204)).tests(300)
+}
+
+fn route(host: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: RepeatRule::Repeatable,
+        time_limit_ms: 1_000,
+        target_ms: 100,
+        longest_pause_ms: None,
+        rank: 0,
+        pools: smallvec![PoolShare { pool: PoolName::from("pool"), weight: 1 }],
+        attempts: 1,
+        affinity: false,
+        homes: smallvec![],
+    }
+}
+
+fn document(number: u64, routes: Vec<RouteRule>) -> RouteDocument {
+    let pool = PoolRule {
+        name: PoolName::from("pool"),
+        health_path: "/".into(),
+        connections: 10,
+        warmup: None,
+        engine: None,
+    };
+    RouteDocument {
+        number,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        pools: vec![Arc::new(pool)],
+        limits: CallerBounds::default(),
+    }
+}
+
+fn found(table: &RouteTable, host: &str, path: &str) -> Option<String> {
+    table.find(host, path).map(|route| route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![route("a", "/"), route("a", "/x/"), route("a", "/x/y/"), route("b", "/x/")];
+    let table = RouteTable::new(Arc::new(document(1, routes)));
+    let cases = [
+        ("a", "/", Some("a/")),
+        ("a", "/x", Some("a/")),
+        ("a", "/x/", Some("a/x/")),
+        ("a", "/x/z", Some("a/x/")),
+        ("a", "/x/y/z/w", Some("a/x/y/")),
+        ("A:8080", "/x/y/", Some("a/x/y/")),
+        ("a.", "/x/1", Some("a/x/")),
+        ("b", "/", None),
+        ("b", "/x/1", Some("b/x/")),
+        ("c", "/x/1", None),
+        ("", "", None),
+    ];
+    for (host, path, expected) in cases {
+        assert_eq!(found(&table, host, path).as_deref(), expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn requests_are_split_by_weight_and_equal_numbers_go_alike() {
+    let mut split = route("a", "/");
+    let share = |pool: &str, weight| PoolShare { pool: PoolName::from(pool), weight };
+    split.pools = smallvec![share("x", 3), share("y", 1), share("z", 0)];
+    let count = |pool: &str| {
+        let chosen = (0..400).filter_map(|number| split.choose_pool(number));
+        chosen.filter(|chosen| chosen.as_str() == pool).count()
+    };
+    assert_eq!((count("x"), count("y"), count("z")), (300, 100, 0));
+    split.pools = SmallVec::new();
+    assert_eq!(split.choose_pool(1), None);
+}
+
+#[test]
+fn every_fault_of_a_document_is_told_with_its_path() {
+    let mut faulty = document(1, vec![route("a", "/x/"), route("A", "/x/"), route("a", "y")]);
+    let last = Arc::make_mut(&mut faulty.routes[2]);
+    last.time_limit_ms = 0;
+    last.pools = smallvec![PoolShare { pool: PoolName::from("other"), weight: 0 }];
+    faulty.pools.push(Arc::clone(&faulty.pools[0]));
+    let paths: Vec<_> = check_document(&faulty).into_iter().map(|fault| fault.path).collect();
+    let expected = [
+        "$.pools[1].name",
+        "$.routes[1].prefix",
+        "$.routes[2].pools[0].pool",
+        "$.routes[2].pools",
+        "$.routes[2].time_limit_ms",
+        "$.routes[2].prefix",
+    ];
+    assert_eq!(paths, expected);
+    assert!(check_document(&document(1, vec![route("a", "/")])).is_empty());
+}
+
+#[test]
+fn the_document_with_the_highest_number_is_kept_whatever_the_order() {
+    fn property(numbers: Vec<u8>) -> bool {
+        let mut state = DocumentState::default();
+        let mut highest: Option<(u8, usize)> = None;
+        for (place, number) in numbers.iter().enumerate() {
+            let mut sent = document(u64::from(*number), Vec::new());
+            sent.limits.body_bytes = place;
+            let source = place.to_string().into();
+            let stored = StoredDocument { source, document: Arc::new(sent) };
+            state.apply(&DocumentCommand::Replace(stored));
+            if highest.is_none_or(|(held, _)| *number > held) {
+                highest = Some((*number, place));
+            }
+        }
+        let restored = DocumentState::restore(&state.snapshot()).expect("a snapshot");
+        let kept = restored.newest().map(|stored| (stored.number(), stored.source.to_string()));
+        kept == highest.map(|(number, place)| (u64::from(number), place.to_string()))
+    }
+    checker().quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn each_order_about_a_zone_that_changes_something_has_a_version() {
+    let mut state = DocumentState::default();
+    let zone = ZoneName::from("a");
+    let mut versions = Vec::new();
+    let orders = [
+        DocumentCommand::Evacuate(zone.clone()),
+        DocumentCommand::Evacuate(zone.clone()),
+        DocumentCommand::Restore(zone.clone()),
+        DocumentCommand::Restore(zone),
+    ];
+    for order in orders {
+        state.apply(&order);
+        versions.push((state.evacuated().version, state.evacuated().zones.len()));
+    }
+    assert_eq!(versions, [(1, 1), (1, 1), (2, 0), (2, 0)]);
+}
+
+#[test]
+fn events_come_out_whole_and_once_however_the_bytes_are_cut() {
+    fn property(cuts: Vec<u8>, again: u8) -> bool {
+        let event = |id: u32| format!("id: {id}\ndata: {}\n\n", "x".repeat(id as usize % 7));
+        let text: String = (1..=20).map(event).collect();
+        let mut buffer = EventBuffer::default();
+        let mut out = Vec::new();
+        let mut rest = text.as_bytes();
+        for cut in cuts {
+            let (part, after) = rest.split_at(usize::from(cut).min(rest.len()));
+            let events = buffer.push(part).expect("small events");
+            if !events.is_empty() && !events.ends_with(b"\n\n") {
+                return false;
+            }
+            out.extend_from_slice(&events);
+            rest = after;
+        }
+        // The stream breaks off, and another upstream repeats some events before it goes on.
+        buffer.discard_partial();
+        let last: u32 = buffer.last().map_or(0, |last| last.parse().unwrap_or(0));
+        let from = last.saturating_sub(u32::from(again % 3)) + 1;
+        let resumed: String = (from..=20).map(event).collect();
+        out.extend_from_slice(&buffer.push(resumed.as_bytes()).expect("small events"));
+        out == text.as_bytes()
+    }
+    checker().quickcheck(property as fn(Vec<u8>, u8) -> bool);
+}
+
+fn head(status: u16, attempt: Option<&str>) -> AnswerHead {
+    AnswerHead {
+        status: StatusCode::from_u16(status).expect("a status"),
+        attempt: attempt.map(AttemptId::from),
+        stamped: true,
+        ..AnswerHead::default()
+    }
+}
+
+#[test]
+fn each_end_of_an_attempt_has_one_meaning() {
+    let ours = AttemptId::from("ours");
+    assert_eq!(judge_lost(&LostAttempt::Unsent("".into())), Verdict::NotRun);
+    assert_eq!(judge_lost(&LostAttempt::Sent("".into())), Verdict::Unknown);
+    let usual = head(200, Some("ours"));
+    let cases = [
+        (usual.clone(), Verdict::Answer),
+        (head(206, Some("ours")), Verdict::Answer),
+        (head(500, Some("ours")), Verdict::Failure),
+        (head(404, Some("ours")), Verdict::Failure),
+        (head(200, Some("theirs")), Verdict::Unknown),
+        (head(200, None), Verdict::Unknown),
+        (AnswerHead { stamped: false, ..usual.clone() }, Verdict::Unknown),
+        (AnswerHead { encoded: true, ..usual.clone() }, Verdict::Unknown),
+        (AnswerHead { stamped: false, ..head(503, Some("ours")) }, Verdict::Unknown),
+        (AnswerHead { stamped: false, ..head(429, None) }, Verdict::Unknown),
+        (AnswerHead { refused: true, ..head(503, None) }, Verdict::NotRun),
+        (AnswerHead { refused: true, ..head(503, Some("ours")) }, Verdict::NotRun),
+        (AnswerHead { refused: true, ..head(503, Some("theirs")) }, Verdict::Unknown),
+        (AnswerHead { misdirected: true, ..head(421, None) }, Verdict::NotRun),
+        (AnswerHead { misdirected: true, ..head(421, Some("theirs")) }, Verdict::Unknown),
+    ];
+    for (head, expected) in cases {
+        assert_eq!(judge_head(&head, &ours), expected, "{head:?}");
+    }
+}
+
+#[test]
+fn our_own_headers_never_make_the_decoder_panic() {
+    fn property(tokens: String, parts: String, remaining: String) -> bool {
+        let mut headers = HeaderMap::new();
+        let named = [
+            ("x-cicadastall-tokens", &tokens),
+            ("x-cicadastall-prompt-parts", &parts),
+            ("x-cicadastall-remaining-ms", &remaining),
+        ];
+        for (name, text) in named {
+            if let Ok(value) = HeaderValue::from_str(text) {
+                headers.insert(name, value);
+            }
+        }
+        match OwnDialect.read_call(&headers) {
+            Ok(head) => head.parts.len() <= parts.split(',').count(),
+            Err(fault) => !fault.allowed.is_empty(),
+        }
+    }
+    checker().quickcheck(property as fn(String, String, String) -> bool);
+}
