--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
         track::{SendEnd, SendNumber},
     },
     http::describe_error,
-    name::UpstreamName,
+    name::{PoolName, UpstreamName},
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -82,6 +82,7 @@
 #[derive(Debug)]
 pub(crate) struct SendGuard {
     context: Arc<EntryContext>,
+    pool: PoolName,
     upstream: Option<(UpstreamName, SendNumber)>,
     end: SendEnd,
 }
@@ -101,7 +102,8 @@
 impl Drop for SendGuard {
     fn drop(&mut self) {
         if let Some((upstream, number)) = &self.upstream {
-            self.context.chooser().note_ended(upstream, *number, self.end, Instant::now());
+            let now = Instant::now();
+            self.context.chooser().note_ended(&self.pool, upstream, *number, self.end, now);
         }
     }
 }
@@ -171,7 +173,8 @@
         if let UpstreamChoice::Upstream { known, number, .. } = choice {
             let name = &known.upstream.name;
             let now = Instant::now();
-            self.context.chooser().note_ended(name, *number, SendEnd::Cancelled, now);
+            let mut chooser = self.context.chooser();
+            chooser.note_ended(&self.call.pool, name, *number, SendEnd::Cancelled, now);
         }
     }
 
@@ -194,7 +197,8 @@
         let chosen_at = Instant::now();
         let context = Arc::clone(&self.context);
         let upstream = target.upstream.clone();
-        let mut guard = SendGuard { context, upstream, end: SendEnd::Cancelled };
+        let pool = self.call.pool.clone();
+        let mut guard = SendGuard { context, pool, upstream, end: SendEnd::Cancelled };
         let opened = self.open_target(&target, chosen_at).await;
         self.sending = false;
         match opened {
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -79,6 +79,12 @@
 /// Time after its last answer for which an upstream whose renewals have ceased is still used.
 const SILENT_USE: Duration = Duration::from_secs(3);
 
+/// Weight of one answer in the mean time of whole answers.
+const WHOLE_WEIGHT: f64 = 0.05;
+
+/// Time of a whole stream before any was measured, in milliseconds.
+const FIRST_STREAM_MS: f64 = 1_000.0;
+
 /// Time of a call to an idle plain service that counts for all alike, in milliseconds.
 const FIRST_CALL_MS: f64 = 20.0;
 
@@ -224,6 +230,7 @@
     sent: u64,
     returns: HashMap<PoolName, Instant>,
     groups: HashMap<PoolName, PromptGroups>,
+    whole_ms: HashMap<(PoolName, PromptSort), f64>,
     random: ChaCha8Rng,
     left_out: LeftOut,
     cold_turn: Option<Instant>,
@@ -239,6 +246,7 @@
             sent: 0,
             returns: HashMap::new(),
             groups: HashMap::new(),
+            whole_ms: HashMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             left_out: LeftOut::default(),
             cold_turn: None,
@@ -368,7 +376,11 @@
         let unshared = tokens.saturating_sub(shared_tokens(&input.call.head));
         let groups = self.groups.entry(input.call.pool.clone());
         let groups = groups.or_insert_with(|| PromptGroups::new(input.now));
-        groups.note(sort, UpstreamTrack::read_ms(unshared), input.now);
+        let read_ms = UpstreamTrack::read_ms(unshared);
+        let slots = input.pool.and_then(|pool| pool.engine).map_or(1, |engine| engine.slots.max(1));
+        let whole_ms = self.whole_ms.get(&(input.call.pool.clone(), sort));
+        let whole_ms = whole_ms.copied().unwrap_or(FIRST_STREAM_MS);
+        groups.note(sort, read_ms, whole_ms, f64::from(slots), input.now);
         let long = groups.count_long(upstreams);
         match sort {
             _ if long == 0 => 0..upstreams,
@@ -492,6 +504,7 @@
             number,
             sent_at: now,
             rank: input.call.route.rank,
+            sort: PromptSort::of(input.call.head.prompt_tokens),
             read_ms: UpstreamTrack::read_ms(unread_tokens),
             predicted_ms: 0.0,
             answering: false,
@@ -593,13 +606,16 @@
     /// Notes that a send has ended.
     pub fn note_ended(
         &mut self,
+        pool: &PoolName,
         upstream: &UpstreamName,
         number: SendNumber,
         end: SendEnd,
         now: Instant,
     ) {
-        if let Some(track) = self.tracks.get_mut(upstream) {
-            track.note_ended(number, end, now);
+        let Some(track) = self.tracks.get_mut(upstream) else { return };
+        if let Some((sort, took_ms)) = track.note_ended(number, end, now) {
+            let mean = self.whole_ms.entry((pool.clone(), sort)).or_insert(took_ms);
+            *mean += WHOLE_WEIGHT * (took_ms - *mean);
         }
     }
 
--- a/cicadastall/src/gateway/groups.rs
+++ b/cicadastall/src/gateway/groups.rs
@@ -2,7 +2,7 @@
 //!
 //! An engine that reads a long prompt makes every stream that it answers wait for each chunk of it. So
 //! long prompts and short ones go to different upstreams where there are several, as many for each as
-//! the reading of the last seconds needs. All entries number the upstreams alike, so that they choose
+//! the work of the last seconds needs. All entries number the upstreams alike, so that they choose
 //! the same ones without a word.
 
 use std::time::Duration;
@@ -18,11 +18,11 @@
 /// milliseconds.
 const STEP_MS: f64 = 7.0;
 
-/// Weight of reading short prompts, whose requests wait for less and generate for longer.
-const SHORT_WEIGHT: f64 = 1.4;
+/// Weight of the work for short prompts, whose requests wait for less.
+const SHORT_WEIGHT: f64 = 1.3;
 
 /// Sort of a prompt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum PromptSort {
     /// Read in several steps.
     Long,
@@ -37,7 +37,7 @@
     }
 }
 
-/// Reading of one pool in the last seconds.
+/// Work of one pool in the last seconds.
 #[derive(Debug, Clone, Copy)]
 pub struct PromptGroups {
     long_ms: f64,
@@ -46,21 +46,30 @@
 }
 
 impl PromptGroups {
-    /// Nothing was read before `now`.
+    /// There was no work before `now`.
     pub fn new(now: Instant) -> Self {
         Self { long_ms: 0.0, short_ms: 0.0, counted_at: now }
     }
 
-    /// Counts a prompt that takes `read_ms` to read.
-    pub fn note(&mut self, sort: PromptSort, read_ms: f64, now: Instant) {
+    /// Counts a request whose prompt takes `read_ms` to read, and which holds one of `slots` places
+    /// of its upstream for `whole_ms`.
+    pub fn note(
+        &mut self,
+        sort: PromptSort,
+        read_ms: f64,
+        whole_ms: f64,
+        slots: f64,
+        now: Instant,
+    ) {
         let halves = (now - self.counted_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         let kept = (-halves).exp2();
         self.long_ms *= kept;
         self.short_ms *= kept;
         self.counted_at = now;
+        let work_ms = read_ms + STEP_MS + whole_ms / slots;
         match sort {
-            PromptSort::Long => self.long_ms += read_ms,
-            PromptSort::Short => self.short_ms += (read_ms + STEP_MS) * SHORT_WEIGHT,
+            PromptSort::Long => self.long_ms += work_ms,
+            PromptSort::Short => self.short_ms += work_ms * SHORT_WEIGHT,
         }
     }
 
--- a/cicadastall/src/gateway/track.rs
+++ b/cicadastall/src/gateway/track.rs
@@ -1,6 +1,6 @@
 //! What an entry knows of one upstream from the work that it gave it.
 
-use crate::gateway::call::PromptPart;
+use crate::gateway::{call::PromptPart, groups::PromptSort};
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
@@ -47,6 +47,8 @@
     pub sent_at: Instant,
     /// Rank; 0 goes first.
     pub rank: u8,
+    /// Sort of its prompt.
+    pub sort: PromptSort,
     /// Time that reading its prompt takes, in milliseconds.
     pub read_ms: f64,
     /// Predicted time to the first token or the whole answer, in milliseconds, without slowness.
@@ -215,8 +217,14 @@
         self.slowness += OBSERVATION_WEIGHT * (ratio - self.slowness);
     }
 
-    /// Notes that a request has ended.
-    pub fn note_ended(&mut self, number: SendNumber, end: SendEnd, now: Instant) {
+    /// Notes that a request has ended; the sort of its prompt and its whole time in milliseconds, if
+    /// it was answered.
+    pub fn note_ended(
+        &mut self,
+        number: SendNumber,
+        end: SendEnd,
+        now: Instant,
+    ) -> Option<(PromptSort, f64)> {
         let place = self.sends.iter().position(|send| send.number == number);
         let send = place.map(|place| self.sends.remove(place));
         match end {
@@ -224,15 +232,16 @@
                 let failed = f64::from(u8::from(end == SendEnd::Failed));
                 self.failing += OBSERVATION_WEIGHT * (failed - self.failing);
                 self.answered_at = Some(now);
-                if let Some(send) = send {
-                    let took = (now - send.sent_at).as_secs_f64() * 1_000.0;
-                    let mean = self.whole_ms.get_or_insert(took);
-                    *mean += OBSERVATION_WEIGHT * (took - *mean);
-                }
+                let send = send?;
+                let took = (now - send.sent_at).as_secs_f64() * 1_000.0;
+                let mean = self.whole_ms.get_or_insert(took);
+                *mean += OBSERVATION_WEIGHT * (took - *mean);
+                return Some((send.sort, took));
             }
             SendEnd::Broken => self.note_broken(now),
             SendEnd::Refused | SendEnd::Cancelled => {}
         }
+        None
     }
 
     /// Keeps new work away for a time that grows with the failures since the last answer.
