--- a/cicadastall/src/gateway/call.rs
+++ b/cicadastall/src/gateway/call.rs
@@ -35,6 +35,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub answer_tokens: u32,
+    /// Tokens of the answer as the caller guesses.
+    pub guessed_tokens: Option<u32>,
     /// Parts of the prompt.
     pub parts: PromptParts,
     /// Number of the last event that the caller has of an answer that broke off.
@@ -42,6 +44,11 @@
 }
 
 impl CallHead {
+    /// Tokens that the answer is expected to have.
+    pub fn expected_tokens(&self) -> u32 {
+        self.guessed_tokens.unwrap_or(self.answer_tokens / 2).min(self.answer_tokens.max(1))
+    }
+
     /// The parts that other requests may share.
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -8,7 +8,7 @@
 use crate::{
     gateway::{
         call::{CallHead, RoutedCall},
-        groups::{PromptGroups, PromptSort},
+        groups::{PromptGroups, PromptSort, PromptWork},
         routes::PoolRule,
         track::{OpenSend, SendEnd, SendNumber, UpstreamTrack},
         view::{FleetView, KnownUpstream, LoadView},
@@ -49,6 +49,9 @@
 /// Loss of an upstream that takes prompts of the other sort.
 const GROUP_LOSS: f64 = 0.25;
 
+/// Loss of one stream of the other sort that a long prompt slows down.
+const SLOWED_LOSS: f64 = 0.15;
+
 /// Loss of an upstream that only fails, over one that never does.
 const FAILING_LOSS: f64 = 2.0;
 
@@ -76,6 +79,9 @@
 /// Part of the time that is left within which an answer must be expected to begin.
 const WAIT_PART: f64 = 0.8;
 
+/// Part of the time that is left within which an answer must be expected to end.
+const WHOLE_PART: f64 = 0.9;
+
 /// Time after its last answer for which an upstream whose renewals have ceased is still used.
 const SILENT_USE: Duration = Duration::from_secs(3);
 
@@ -190,6 +196,8 @@
     known: &'a Arc<KnownUpstream>,
     unread_tokens: u32,
     predicted_ms: f64,
+    /// Predicted time of the whole answer, in milliseconds.
+    whole_ms: f64,
     loss: f64,
     /// Part of the loss that is borne by streams that run already.
     pause_loss: f64,
@@ -305,8 +313,10 @@
         }
         let Some(best) = best else { return self.refuse_unusable(input, upstreams.is_empty()) };
         let remaining_ms = input.call.remaining(input.now).as_secs_f64() * 1_000.0;
-        if best.predicted_ms > remaining_ms * WAIT_PART {
-            let wait_ms = best.predicted_ms - remaining_ms * WAIT_PART;
+        let late_ms = (best.predicted_ms - remaining_ms * WAIT_PART)
+            .max(best.whole_ms - remaining_ms * WHOLE_PART);
+        if late_ms > 0.0 {
+            let wait_ms = late_ms;
             let retry_after = self.schedule_return(input, wait_ms);
             return UpstreamChoice::Refuse { cause: RefusalCause::Overloaded, retry_after };
         }
@@ -380,10 +390,12 @@
         let slots = input.pool.and_then(|pool| pool.engine).map_or(1, |engine| engine.slots.max(1));
         let whole_ms = self.whole_ms.get(&(input.call.pool.clone(), sort));
         let whole_ms = whole_ms.copied().unwrap_or(FIRST_STREAM_MS);
-        groups.note(sort, read_ms, whole_ms, f64::from(slots), input.now);
-        let long = groups.count_long(upstreams);
+        let rank = input.call.route.rank;
+        let work = PromptWork { read_ms, whole_ms, slots: f64::from(slots), rank };
+        groups.note(sort, work, input.now);
+        let long = groups.count_long(upstreams, input.view.entries.len());
         match sort {
-            _ if long == 0 => 0..upstreams,
+            _ if long == 0 || long == upstreams => 0..upstreams,
             PromptSort::Long => 0..long,
             PromptSort::Short => long..upstreams,
         }
@@ -467,8 +479,22 @@
             + pause_loss
             + f64::from(reread) / 1_000.0 * REREAD_LOSS
             + failing * FAILING_LOSS
-            + if grouped { 0.0 } else { GROUP_LOSS };
-        Candidate { known, unread_tokens, predicted_ms, loss, pause_loss, stretch_ms, order, cold }
+            + if grouped { 0.0 } else { group_loss(call, track.open() as f64 + others) };
+        let tail_ms = match stream {
+            true => track.token_ms() * f64::from(call.head.expected_tokens()),
+            false => 0.0,
+        };
+        Candidate {
+            known,
+            unread_tokens,
+            predicted_ms,
+            whole_ms: predicted_ms + tail_ms,
+            loss,
+            pause_loss,
+            stretch_ms,
+            order,
+            cold,
+        }
     }
 
     /// Requests and backlog in milliseconds that other entries gave to an upstream; as much as this
@@ -505,9 +531,10 @@
             sent_at: now,
             rank: input.call.route.rank,
             sort: PromptSort::of(input.call.head.prompt_tokens),
+            expected_tokens: input.call.head.expected_tokens(),
             read_ms: UpstreamTrack::read_ms(unread_tokens),
             predicted_ms: 0.0,
-            answering: false,
+            answering: None,
         };
         let parts = input.call.head.shared_parts();
         let track = self.track(known);
@@ -639,6 +666,15 @@
     }
 }
 
+/// Loss at an upstream with `streams` that takes prompts of the other sort: a long prompt holds each
+/// of its streams up.
+fn group_loss(call: &RoutedCall, streams: f64) -> f64 {
+    match PromptSort::of(call.head.prompt_tokens) {
+        PromptSort::Long => GROUP_LOSS + streams * SLOWED_LOSS,
+        PromptSort::Short => GROUP_LOSS,
+    }
+}
+
 /// Loss of `streams` that run while an engine reads for `stretch_ms` without a break.
 fn pause_loss(stretch_ms: f64, streams: f64) -> f64 {
     let part = ((stretch_ms - EASY_STRETCH_MS) / HARD_STRETCH_MS).clamp(0.0, 1.0);
--- a/cicadastall/src/gateway/dialect.rs
+++ b/cicadastall/src/gateway/dialect.rs
@@ -94,6 +94,7 @@
             model: None,
             prompt_tokens,
             answer_tokens,
+            guessed_tokens: None,
             parts: read_header(headers, PARTS_HEADER, "parts as NAME:TOKENS", parse_parts)?
                 .unwrap_or_default(),
             resume_after: headers.get(RESUME_HEADER).and_then(read_text).map(Arc::from),
--- a/cicadastall/src/gateway/track.rs
+++ b/cicadastall/src/gateway/track.rs
@@ -16,6 +16,9 @@
 /// Time of a whole stream before any was measured, in milliseconds.
 const FIRST_STREAM_MS: f64 = 1_500.0;
 
+/// Time between two tokens before any was measured, in milliseconds.
+const FIRST_TOKEN_PAUSE_MS: f64 = 8.0;
+
 /// Weight of one observation in a mean.
 const OBSERVATION_WEIGHT: f64 = 0.15;
 
@@ -49,12 +52,14 @@
     pub rank: u8,
     /// Sort of its prompt.
     pub sort: PromptSort,
+    /// Tokens that its answer is expected to have.
+    pub expected_tokens: u32,
     /// Time that reading its prompt takes, in milliseconds.
     pub read_ms: f64,
     /// Predicted time to the first token or the whole answer, in milliseconds, without slowness.
     pub predicted_ms: f64,
-    /// Whether its answer has begun.
-    pub answering: bool,
+    /// When its answer began.
+    pub answering: Option<Instant>,
 }
 
 /// How an attempt ended, for the upstream's record.
@@ -79,6 +84,7 @@
     sends: Vec<OpenSend>,
     slowness: f64,
     whole_ms: Option<f64>,
+    token_ms: f64,
     failures: u32,
     barred_until: Option<Instant>,
     answered_at: Option<Instant>,
@@ -95,6 +101,7 @@
             sends: Vec::new(),
             slowness: 1.0,
             whole_ms: None,
+            token_ms: FIRST_TOKEN_PAUSE_MS,
             failures: 0,
             barred_until: None,
             answered_at: None,
@@ -121,7 +128,8 @@
 
     /// Time until the prompts of `rank` and of ranks before it are read, in milliseconds.
     pub fn backlog_ms(&self, rank: u8, now: Instant) -> f64 {
-        let waiting = self.sends.iter().filter(|send| !send.answering && send.rank <= rank);
+        let waiting =
+            self.sends.iter().filter(|send| send.answering.is_none() && send.rank <= rank);
         let mut free_at: Option<f64> = None;
         let mut total = 0.0;
         for send in waiting {
@@ -151,6 +159,11 @@
         self.whole_ms.unwrap_or(first)
     }
 
+    /// Time between two tokens of an answer, in milliseconds.
+    pub fn token_ms(&self) -> f64 {
+        self.token_ms
+    }
+
     /// Observed over predicted time.
     pub fn slowness(&self) -> f64 {
         self.slowness
@@ -207,10 +220,10 @@
         self.barred_until = None;
         self.answered_at = Some(now);
         let Some(send) = self.sends.iter_mut().find(|send| send.number == number) else { return };
-        if send.answering {
+        if send.answering.is_some() {
             return;
         }
-        send.answering = true;
+        send.answering = Some(now);
         let observed = (now - send.sent_at).as_secs_f64() * 1_000.0;
         let (least, most) = SLOWNESS_RANGE;
         let ratio = (observed / send.predicted_ms.max(1.0)).clamp(least, most);
@@ -233,6 +246,11 @@
                 self.failing += OBSERVATION_WEIGHT * (failed - self.failing);
                 self.answered_at = Some(now);
                 let send = send?;
+                if let Some(began) = send.answering {
+                    let tail_ms = (now - began).as_secs_f64() * 1_000.0;
+                    let token_ms = tail_ms / f64::from(send.expected_tokens.max(1));
+                    self.token_ms += OBSERVATION_WEIGHT * (token_ms - self.token_ms);
+                }
                 let took = (now - send.sent_at).as_secs_f64() * 1_000.0;
                 let mean = self.whole_ms.get_or_insert(took);
                 *mean += OBSERVATION_WEIGHT * (took - *mean);
