--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -207,6 +207,11 @@
             }
             Err(failure) => {
                 guard.end(failure.end);
+                if let Some(region) =
+                    self.tried.regions.last().filter(|_| target.upstream.is_none())
+                {
+                    self.context.chooser().note_cut_off(region, Instant::now());
+                }
                 let AttemptFailure { verdict, cause, .. } = &failure;
                 let (verdict, cause) = (*verdict, cause.clone());
                 self.note_attempt(
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -112,6 +112,9 @@
 /// Time for which an upstream that has no room is left alone, where it names none.
 const FULL_BAR: Duration = Duration::from_millis(150);
 
+/// Time for which a region is left alone after none of its entries could be reached.
+const CUT_OFF_BAR: Duration = Duration::from_secs(2);
+
 /// Earliest time to come back after a refusal.
 const LEAST_RETURN: Duration = Duration::from_millis(150);
 
@@ -237,6 +240,7 @@
     tracks: HashMap<UpstreamName, UpstreamTrack>,
     sent: u64,
     returns: HashMap<PoolName, Instant>,
+    cut_off: HashMap<RegionName, Instant>,
     groups: HashMap<PoolName, PromptGroups>,
     whole_ms: HashMap<(PoolName, PromptSort), f64>,
     random: ChaCha8Rng,
@@ -253,6 +257,7 @@
             tracks: HashMap::new(),
             sent: 0,
             returns: HashMap::new(),
+            cut_off: HashMap::new(),
             groups: HashMap::new(),
             whole_ms: HashMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -558,7 +563,8 @@
             let pool = summary.pools.iter().find(|pool| pool.pool == call.pool);
             let Some(pool) = pool.filter(|pool| pool.serving > 0) else { continue };
             let tried = input.tried.regions.contains(region);
-            if tried || summary.entries.is_empty() || !call.route.allows_region(region) {
+            let cut_off = self.cut_off.get(region).is_some_and(|until| input.now < *until);
+            if tried || cut_off || summary.entries.is_empty() || !call.route.allows_region(region) {
                 continue;
             }
             let backlog_ms = f64::from(pool.backlog_ms);
@@ -646,6 +652,11 @@
         }
     }
 
+    /// Notes that no entry of a region could be reached.
+    pub fn note_cut_off(&mut self, region: &RegionName, now: Instant) {
+        self.cut_off.insert(region.clone(), now + CUT_OFF_BAR);
+    }
+
     /// Notes that an upstream said that it has no room.
     pub fn note_full(&mut self, upstream: &UpstreamName, bound: Option<Duration>, now: Instant) {
         if let Some(track) = self.tracks.get_mut(upstream) {
