--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -8,13 +8,13 @@
 use crate::{
     gateway::{
         call::{CallHead, RoutedCall},
-        groups::{PromptGroups, PromptSort, PromptWork},
+        groups::{PromptDemand, PromptGroups, PromptSort, PromptWork},
         routes::PoolRule,
         track::{OpenSend, SendEnd, SendNumber, UpstreamTrack},
         view::{FleetView, KnownUpstream, LoadView},
         warmup::{choose_sender, hash_pair, pause_between},
     },
-    name::{InstanceName, PoolName, RegionName, UpstreamName},
+    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -34,6 +34,13 @@
 /// Loss of reading a thousand shared tokens again.
 const REREAD_LOSS: f64 = 0.1;
 
+/// Loss of an upstream in another zone, for the bytes.
+const ZONE_LOSS: f64 = 0.05;
+
+/// Parts of the shared prompt that the first and second upstream of each zone by the hash are taken to
+/// have read.
+const KEPT_PARTS: [f64; 2] = [1.0, 0.5];
+
 /// Loss of a hop to another region, for its bytes and its entry's work.
 const HOP_LOSS: f64 = 0.12;
 
@@ -237,6 +244,7 @@
 pub struct UpstreamChooser {
     own: InstanceName,
     region: RegionName,
+    zone: ZoneName,
     tracks: HashMap<UpstreamName, UpstreamTrack>,
     sent: u64,
     returns: HashMap<PoolName, Instant>,
@@ -249,11 +257,12 @@
 }
 
 impl UpstreamChooser {
-    /// A chooser for the entry `own` in `region`; equal seeds choose equally.
-    pub fn new(own: InstanceName, region: RegionName, seed: u64) -> Self {
+    /// A chooser for the entry `own` in `zone` of `region`; equal seeds choose equally.
+    pub fn new(own: InstanceName, region: RegionName, zone: ZoneName, seed: u64) -> Self {
         Self {
             own,
             region,
+            zone,
             tracks: HashMap::new(),
             sent: 0,
             returns: HashMap::new(),
@@ -279,6 +288,12 @@
         })
     }
 
+    /// Work that this entry gets, by pool.
+    pub fn demand(&mut self, now: Instant) -> Vec<(PoolName, PromptDemand)> {
+        let groups = self.groups.iter_mut();
+        groups.map(|(pool, groups)| (pool.clone(), groups.demand(now))).collect()
+    }
+
     /// Forgets upstreams that are gone and have no work.
     pub fn forget(&mut self, view: &FleetView, now: Instant) {
         let known = |name: &UpstreamName| {
@@ -364,12 +379,11 @@
                 admitted.push(AdmittedUpstream { known, order: order(known), grouped, cold });
             }
         }
-        let rank = |admitted: &AdmittedUpstream<'_>| (admitted.grouped, admitted.order);
-        let first = admitted.iter().map(rank).max().filter(|_| affinity);
+        let kept = if affinity { keep_places(&admitted) } else { SmallVec::new() };
         let mut best: Option<Candidate<'a>> = None;
-        for admitted in &admitted {
-            let preferred = Some(rank(admitted)) == first;
-            let candidate = self.score(input, admitted, preferred);
+        for (place, admitted) in admitted.iter().enumerate() {
+            let kept = kept.get(place).copied().unwrap_or_default();
+            let candidate = self.score(input, admitted, kept);
             let better = best.as_ref().is_none_or(|best| {
                 let gain = best.loss - candidate.loss;
                 gain > TIE_LOSS || (gain > -TIE_LOSS && candidate.order > best.order)
@@ -398,7 +412,10 @@
         let rank = input.call.route.rank;
         let work = PromptWork { read_ms, whole_ms, slots: f64::from(slots), rank };
         groups.note(sort, work, input.now);
-        let long = groups.count_long(upstreams, input.view.entries.len());
+        let own = groups.demand(input.now);
+        let told = input.load.demand.get(&input.call.pool).filter(|_| input.load.work_at.is_some());
+        let demand = told.copied().unwrap_or_else(|| own.times(input.view.entries.len() as f64));
+        let long = groups.count_long(upstreams, &demand);
         match sort {
             _ if long == 0 || long == upstreams => 0..upstreams,
             PromptSort::Long => 0..long,
@@ -444,15 +461,18 @@
         &self,
         input: &ChoiceInput<'_>,
         admitted: &AdmittedUpstream<'a>,
-        preferred: bool,
+        kept: f64,
     ) -> Candidate<'a> {
         let AdmittedUpstream { known, order, grouped, cold } = *admitted;
+        let known_zone = &known.upstream.zone;
         let call = input.call;
         let name = &known.upstream.name;
         let fresh = UpstreamTrack::new(0);
         let track = self.tracks.get(name).unwrap_or(&fresh);
         let shared = call.head.shared_parts();
-        let cached = track.cached_tokens(shared, input.now);
+        let all_shared: u32 = shared.iter().map(|part| part.tokens).sum();
+        let read_here = track.cached_tokens(shared, input.now);
+        let cached = read_here.max((f64::from(all_shared) * kept) as u32);
         let unread_tokens = call.head.prompt_tokens.saturating_sub(cached);
         let (others, others_ms) = self.others_work(input, name, track);
         let stream = call.repeat().is_stream();
@@ -469,8 +489,7 @@
         };
         let backlog_ms = track.backlog_ms(call.route.rank, input.now) + others_ms;
         let predicted_ms = backlog_ms + queue_ms + own_ms;
-        let reread: u32 = shared.iter().map(|part| part.tokens).sum::<u32>() - cached;
-        let reread = if preferred { 0 } else { reread };
+        let reread = all_shared.saturating_sub(cached);
         let time = predicted_ms / (call.route.target_ms.max(1) as f64);
         let failing = (track.failing() - FAILING_FLOOR).max(0.0) / (1.0 - FAILING_FLOOR);
         let read_ms = UpstreamTrack::read_ms(unread_tokens) * track.slowness();
@@ -484,6 +503,7 @@
             + pause_loss
             + f64::from(reread) / 1_000.0 * REREAD_LOSS
             + failing * FAILING_LOSS
+            + if known_zone == &self.zone { 0.0 } else { ZONE_LOSS }
             + if grouped { 0.0 } else { group_loss(call, track.open() as f64 + others) };
         let tail_ms = match stream {
             true => track.token_ms() * f64::from(call.head.expected_tokens()),
@@ -677,6 +697,35 @@
     }
 }
 
+/// Parts of the shared prompt that each upstream is taken to have read: the first ones of each zone by
+/// the hash, since the entries of that zone send such prompts there.
+fn keep_places(admitted: &[AdmittedUpstream<'_>]) -> SmallVec<[f64; 16]> {
+    let rank = |upstream: &AdmittedUpstream<'_>| (upstream.grouped, upstream.order);
+    let mut firsts: SmallVec<[(&ZoneName, [Option<(bool, u64)>; KEPT_PARTS.len()]); 4]> =
+        SmallVec::new();
+    for upstream in admitted {
+        let zone = &upstream.known.upstream.zone;
+        let place = firsts.iter().position(|(known, _)| *known == zone).unwrap_or_else(|| {
+            firsts.push((zone, [None; KEPT_PARTS.len()]));
+            firsts.len() - 1
+        });
+        let mut next = Some(rank(upstream));
+        for held in &mut firsts[place].1 {
+            if next > *held {
+                std::mem::swap(held, &mut next);
+            }
+        }
+    }
+    let kept = admitted.iter().map(|upstream| {
+        let zone = &upstream.known.upstream.zone;
+        let held = firsts.iter().find(|(known, _)| *known == zone);
+        let place =
+            held.and_then(|(_, held)| held.iter().position(|held| *held == Some(rank(upstream))));
+        place.map_or(0.0, |place| KEPT_PARTS[place])
+    });
+    kept.collect()
+}
+
 /// Loss at an upstream with `streams` that takes prompts of the other sort: a long prompt holds each
 /// of its streams up.
 fn group_loss(call: &RoutedCall, streams: f64) -> f64 {
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -6,6 +6,7 @@
         choose::UpstreamChooser,
         connections::ConnectionPool,
         dialect::CallDialect,
+        groups::PromptDemand,
         metrics::GatewayMetrics,
         news::WorkRow,
         retry_window::RetryWindow,
@@ -73,8 +74,12 @@
 
 impl EntryContext {
     pub(crate) fn new(node: Arc<GatewayNode>, dialect: Arc<dyn CallDialect>) -> Self {
-        let chooser =
-            UpstreamChooser::new(node.instance.clone(), node.region.clone(), rand::random());
+        let chooser = UpstreamChooser::new(
+            node.instance.clone(),
+            node.region.clone(),
+            node.zone.clone(),
+            rand::random(),
+        );
         Self {
             chooser: Mutex::new(chooser),
             retries: Mutex::new(RetryWindow::new(node.retries, Instant::now())),
@@ -127,6 +132,11 @@
         rows.map(|(name, requests, ms)| WorkRow(name.clone(), requests, ms)).collect()
     }
 
+    /// Work that this entry gets, by pool.
+    pub(crate) fn demand(&self) -> Vec<(PoolName, PromptDemand)> {
+        self.chooser().demand(Instant::now())
+    }
+
     /// Whether there are a confirmed document and a view of the fleet.
     pub(crate) fn is_usable(&self) -> bool {
         *self.usable.borrow()
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -9,7 +9,7 @@
         group_keeper::GroupKeeper,
         listing::list_near,
         news::{ControlRecord, FleetNews, NewsCursor, NewsQuery, NewsReader, RegisteredUpstream},
-        registry::{FleetRegistry, RenewalOutcome},
+        registry::{EntryLoad, FleetRegistry, RenewalOutcome},
         settings::GatewayNode,
     },
     group_transport::GroupRegistry,
@@ -241,10 +241,11 @@
             NewsReader::Entry(entry) => {
                 let near = entry.region == self.own.region;
                 let told = registry.told_regions(&entry.region);
-                let work = if near {
-                    registry.sum_work(&entry.region, Some(&entry.instance), now)
+                let (work, demand) = if near {
+                    let work = registry.sum_work(&entry.region, Some(&entry.instance), now);
+                    (work, registry.sum_demand(&entry.region, now))
                 } else {
-                    Vec::new()
+                    (Vec::new(), Vec::new())
                 };
                 FleetNews {
                     document: newest.map(|stored| Arc::clone(&stored.document)),
@@ -253,6 +254,7 @@
                         .map(|region| registry.summarize(region, &state.evacuated().zones, now))
                         .collect(),
                     work,
+                    demand,
                     ..shared(Some(&entry.region), false)
                 }
             }
@@ -280,8 +282,9 @@
     async fn answer(&self, mut query: NewsQuery) -> FleetNews {
         let now = Instant::now();
         let work = std::mem::take(&mut query.work);
+        let load = EntryLoad { work, demand: std::mem::take(&mut query.demand) };
         self.change_registry(|registry| match &query.reader {
-            NewsReader::Entry(entry) => registry.report_entry(entry.clone(), work, now),
+            NewsReader::Entry(entry) => registry.report_entry(entry.clone(), load, now),
             NewsReader::Control(control) => registry.report_control(control.clone(), now),
         });
         let confirmed = query.confirm && self.keeper.read(READ_BOUND).await.is_ok();
@@ -349,6 +352,7 @@
             wait_ms: CONTROL_WAIT_MS,
             confirm: false,
             work: Vec::new(),
+            demand: Vec::new(),
         }
     }
 
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -170,6 +170,7 @@
             wait_ms: if near { NEAR_WAIT_MS } else { FAR_WAIT_MS },
             confirm,
             work: if near { self.context.work() } else { Vec::new() },
+            demand: if near { self.context.demand() } else { Vec::new() },
             reader: NewsReader::Entry(own),
         }
     }
--- a/cicadastall/src/gateway/groups.rs
+++ b/cicadastall/src/gateway/groups.rs
@@ -3,8 +3,9 @@
 //! An engine that reads a long prompt makes every stream that it answers wait for each chunk of it. So
 //! long prompts and short ones go to different upstreams where there are several. The more urgent sort
 //! gets as many as its work of the last seconds needs, the other one the rest. All entries number the
-//! upstreams alike, so that they choose the same ones without a word.
+//! upstreams alike and are told the work of their region, so that they choose the same ones.
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -31,6 +32,12 @@
 /// Difference of mean ranks from which one sort is more urgent.
 const RANK_DIFFERENCE: f64 = 0.5;
 
+/// Difference to the exact number of upstreams for long prompts below which it is not changed.
+const COUNT_SLACK: f64 = 0.7;
+
+/// The same as a part of all upstreams.
+const COUNT_SLACK_PART: f64 = 0.06;
+
 /// Sort of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum PromptSort {
@@ -60,6 +67,62 @@
     pub rank: u8,
 }
 
+/// Work of one sort of prompts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct SortDemand {
+    /// Milliseconds of an upstream's time in each second.
+    pub busy_ms: f64,
+    /// Mean rank of its requests.
+    pub rank: f64,
+}
+
+impl SortDemand {
+    fn add(&mut self, other: &Self) {
+        let sum = self.busy_ms + other.busy_ms;
+        if sum > 0.0 {
+            self.rank = (self.rank * self.busy_ms + other.rank * other.busy_ms) / sum;
+        }
+        self.busy_ms = sum;
+    }
+}
+
+/// Work of one pool, of one entry or of a region.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct PromptDemand {
+    /// Long prompts.
+    pub long: SortDemand,
+    /// Short prompts.
+    pub short: SortDemand,
+}
+
+impl PromptDemand {
+    /// Adds the work of others.
+    pub fn add(&mut self, other: &Self) {
+        self.long.add(&other.long);
+        self.short.add(&other.short);
+    }
+
+    /// The work of `factor` entries like this one.
+    pub fn times(self, factor: f64) -> Self {
+        let scale = |sort: SortDemand| SortDemand { busy_ms: sort.busy_ms * factor, ..sort };
+        Self { long: scale(self.long), short: scale(self.short) }
+    }
+
+    /// How many of `upstreams` read long prompts, as a number that need not be whole.
+    fn share_long(&self, upstreams: f64) -> f64 {
+        let needed = |sort: &SortDemand| sort.busy_ms / 1_000.0 / URGENT_USE;
+        let (long, short) = (needed(&self.long), needed(&self.short));
+        let shared = upstreams * long / (long + short);
+        if self.short.rank + RANK_DIFFERENCE < self.long.rank {
+            shared.min(upstreams - short)
+        } else if self.long.rank + RANK_DIFFERENCE < self.short.rank {
+            shared.max(long.min(upstreams))
+        } else {
+            shared
+        }
+    }
+}
+
 /// Work of one sort in the last seconds.
 #[derive(Debug, Clone, Copy, Default)]
 struct SortWork {
@@ -67,27 +130,33 @@
     rank: Option<f64>,
 }
 
-/// Work of one pool in the last seconds.
+/// Work that one entry has given to a pool in the last seconds, and the split of its upstreams.
 #[derive(Debug, Clone, Copy)]
 pub struct PromptGroups {
     long: SortWork,
     short: SortWork,
     counted_at: Instant,
+    count: Option<(usize, usize)>,
 }
 
 impl PromptGroups {
     /// There was no work before `now`.
     pub fn new(now: Instant) -> Self {
-        Self { long: SortWork::default(), short: SortWork::default(), counted_at: now }
+        let (long, short) = (SortWork::default(), SortWork::default());
+        Self { long, short, counted_at: now, count: None }
     }
 
-    /// Counts a request.
-    pub fn note(&mut self, sort: PromptSort, work: PromptWork, now: Instant) {
+    fn decay(&mut self, now: Instant) {
         let halves = (now - self.counted_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         let kept = (-halves).exp2();
         self.long.sum_ms *= kept;
         self.short.sum_ms *= kept;
         self.counted_at = now;
+    }
+
+    /// Counts a request.
+    pub fn note(&mut self, sort: PromptSort, work: PromptWork, now: Instant) {
+        self.decay(now);
         let own = match sort {
             PromptSort::Long => &mut self.long,
             PromptSort::Short => &mut self.short,
@@ -98,28 +167,39 @@
         *mean += RANK_WEIGHT * (rank - *mean);
     }
 
-    /// How many of `upstreams`, which `entries` share, read long prompts: those with the lowest
-    /// numbers. At least one for each sort that there is, and none where one must do both.
-    pub fn count_long(&self, upstreams: usize, entries: usize) -> usize {
-        let (Some(long_rank), Some(short_rank)) = (self.long.rank, self.short.rank) else {
-            return if self.long.rank.is_some() { upstreams } else { 0 };
+    /// Work of this entry.
+    pub fn demand(&mut self, now: Instant) -> PromptDemand {
+        self.decay(now);
+        let mean_life_s = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        let demand = |work: &SortWork| SortDemand {
+            busy_ms: work.sum_ms / mean_life_s,
+            rank: work.rank.unwrap_or_default(),
         };
-        if upstreams < 2 {
+        PromptDemand { long: demand(&self.long), short: demand(&self.short) }
+    }
+
+    /// How many of `upstreams` read long prompts under the work `demand` of the region: those with the
+    /// lowest numbers. At least one for each sort that there is, and none where one must do both.
+    ///
+    /// The number changes only where the work has clearly changed, so that prompts stay where their
+    /// shared parts are.
+    pub fn count_long(&mut self, upstreams: usize, demand: &PromptDemand) -> usize {
+        let (long, short) = (demand.long.busy_ms, demand.short.busy_ms);
+        if upstreams < 2 || long <= 0.0 {
             return 0;
         }
-        // Work of the last seconds as the number of upstreams that it keeps busy.
-        let mean_life_ms = HALF_LIFE.as_secs_f64() * 1_000.0 / std::f64::consts::LN_2;
-        let busy = |work: &SortWork| work.sum_ms * entries as f64 / mean_life_ms / URGENT_USE;
-        let (long, short) = (busy(&self.long), busy(&self.short));
-        let all = upstreams as f64;
-        let shared = if long + short > 0.0 { all * long / (long + short) } else { 0.0 };
-        let exact = if short_rank + RANK_DIFFERENCE < long_rank {
-            shared.min(all - short)
-        } else if long_rank + RANK_DIFFERENCE < short_rank {
-            shared.max(long.min(all))
-        } else {
-            shared
-        };
-        (exact.max(0.0).round() as usize).clamp(1, upstreams - 1)
+        if short <= 0.0 {
+            return upstreams;
+        }
+        let exact = demand.share_long(upstreams as f64).max(0.0);
+        if let Some((of, count)) = self.count
+            && of == upstreams
+            && (exact - count as f64).abs() < COUNT_SLACK.max(upstreams as f64 * COUNT_SLACK_PART)
+        {
+            return count;
+        }
+        let count = (exact.round() as usize).clamp(1, upstreams - 1);
+        self.count = Some((upstreams, count));
+        count
     }
 }
--- a/cicadastall/src/gateway/news.rs
+++ b/cicadastall/src/gateway/news.rs
@@ -1,7 +1,7 @@
 //! What control instances tell each other and entries about the fleet.
 
 use crate::{
-    gateway::{document_state::EvacuatedZones, routes::RouteDocument},
+    gateway::{document_state::EvacuatedZones, groups::PromptDemand, routes::RouteDocument},
     name::{PoolName, RegionName, UpstreamName, ZoneName},
     table::EntryRecord,
     wire::is_default,
@@ -142,9 +142,12 @@
     /// Whether the answer must hold what a majority of control agrees on now.
     #[serde(default, skip_serializing_if = "is_default")]
     pub confirm: bool,
-    /// Work of the reader's region, as far as the reader gave it.
+    /// Work that the reader has given to upstreams.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub work: Vec<WorkRow>,
+    /// Work that the reader gets, by pool.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<(PoolName, PromptDemand)>,
 }
 
 /// Capacity of one pool in one region.
@@ -199,6 +202,9 @@
     /// The answering instance's region, and those without a control instance of their own.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub summaries: Vec<RegionSummary>,
+    /// Work that all entries of the reader's region get, by pool.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<(PoolName, PromptDemand)>,
     /// Work that the other entries of the reader's region have given to upstreams.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub work: Vec<WorkRow>,
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -4,9 +4,12 @@
 //! of the upstream's region. A row is lost with the process and comes back with the next renewal.
 
 use crate::{
-    gateway::news::{
-        ControlRecord, EntryNews, NewsCursor, PoolSummary, RegionSummary, RegisteredUpstream,
-        UpstreamNews, UpstreamPhase, WorkRow,
+    gateway::{
+        groups::PromptDemand,
+        news::{
+            ControlRecord, EntryNews, NewsCursor, PoolSummary, RegionSummary, RegisteredUpstream,
+            UpstreamNews, UpstreamPhase, WorkRow,
+        },
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
     table::{EntryRecord, EntryState},
@@ -75,8 +78,17 @@
     witnesses: SmallVec<[SocketAddr; 6]>,
     changed: u64,
     silent: bool,
-    work: Vec<WorkRow>,
-    work_at: Option<Instant>,
+    load: EntryLoad,
+    load_at: Option<Instant>,
+}
+
+/// What an entry tells of its work.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct EntryLoad {
+    /// Work that it has given to upstreams.
+    pub work: Vec<WorkRow>,
+    /// Work that it gets, by pool.
+    pub demand: Vec<(PoolName, PromptDemand)>,
 }
 
 #[derive(Debug, Clone)]
@@ -285,15 +297,15 @@
             witnesses: SmallVec::new(),
             changed,
             silent: heard_at.is_none_or(|at| now >= at + ENTRY_SILENCE),
-            work: Vec::new(),
-            work_at: None,
+            load: EntryLoad::default(),
+            load_at: None,
             entry,
         };
         self.entries.insert(row.entry.instance.clone(), row);
     }
 
     /// Takes what an entry says of itself when it asks for news.
-    pub fn report_entry(&mut self, entry: EntryRecord, work: Vec<WorkRow>, now: Instant) {
+    pub fn report_entry(&mut self, entry: EntryRecord, load: EntryLoad, now: Instant) {
         let name = entry.instance.clone();
         match self.entries.get(&name) {
             Some(row) if row.entry.incarnation > entry.incarnation => return,
@@ -306,8 +318,8 @@
         if let Some(row) = self.entries.get_mut(&name) {
             row.entry.in_flight = entry.in_flight;
             row.heard_at = Some(now);
-            row.work = work;
-            row.work_at = Some(now);
+            row.load = load;
+            row.load_at = Some(now);
         }
         self.judge_entry(&name, now);
     }
@@ -490,13 +502,11 @@
         now: Instant,
     ) -> Vec<WorkRow> {
         let mut sums: HashMap<&UpstreamName, (u32, u32)> = HashMap::new();
-        for row in self.entries.values() {
-            let fresh = row.work_at.is_some_and(|at| now < at + WORK_LIFETIME);
-            let other = Some(&row.entry.instance) != without;
-            if !fresh || !other || row.silent || row.entry.region != *region {
+        for row in self.loaded_entries(region, now) {
+            if Some(&row.entry.instance) == without {
                 continue;
             }
-            for WorkRow(upstream, requests, backlog_ms) in &row.work {
+            for WorkRow(upstream, requests, backlog_ms) in &row.load.work {
                 let sum = sums.entry(upstream).or_default();
                 sum.0 += requests;
                 sum.1 += backlog_ms;
@@ -507,6 +517,23 @@
         rows.collect()
     }
 
+    /// Entries of `region` that have told of their work lately.
+    fn loaded_entries(&self, region: &RegionName, now: Instant) -> impl Iterator<Item = &EntryRow> {
+        self.entries.values().filter(move |row| {
+            let fresh = row.load_at.is_some_and(|at| now < at + WORK_LIFETIME);
+            fresh && !row.silent && row.entry.region == *region
+        })
+    }
+
+    /// Work that the entries of `region` get, by pool.
+    pub fn sum_demand(&self, region: &RegionName, now: Instant) -> Vec<(PoolName, PromptDemand)> {
+        let mut sums: BTreeMap<PoolName, PromptDemand> = BTreeMap::new();
+        for (pool, demand) in self.loaded_entries(region, now).flat_map(|row| &row.load.demand) {
+            sums.entry(pool.clone()).or_default().add(demand);
+        }
+        sums.into_iter().collect()
+    }
+
     /// Regions that this instance tells entries of `reader` about: its own, and those without a
     /// control instance.
     pub fn told_regions(&self, reader: &RegionName) -> BTreeSet<RegionName> {
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -3,6 +3,7 @@
 use crate::{
     gateway::{
         document_state::EvacuatedZones,
+        groups::PromptDemand,
         news::{
             ControlRecord, EntryNews, FleetNews, NewsCursor, RegionSummary, RegisteredUpstream,
             UpstreamNews, UpstreamPhase, WorkRow,
@@ -65,6 +66,8 @@
     pub work: HashMap<UpstreamName, (u32, u32)>,
     /// When that was told.
     pub work_at: Option<Instant>,
+    /// Work that all entries of the region get, by pool.
+    pub demand: HashMap<PoolName, PromptDemand>,
     /// Other regions, with the time of the newest summary.
     pub regions: BTreeMap<RegionName, (Arc<RegionSummary>, Instant)>,
 }
@@ -98,6 +101,7 @@
     most_entries: usize,
     work: HashMap<UpstreamName, (u32, u32)>,
     work_at: Option<Instant>,
+    demand: HashMap<PoolName, PromptDemand>,
     regions: BTreeMap<RegionName, (Arc<RegionSummary>, Instant)>,
 }
 
@@ -114,6 +118,7 @@
             most_entries: 1,
             work: HashMap::new(),
             work_at: None,
+            demand: HashMap::new(),
             regions: BTreeMap::new(),
         };
         state.set_seeds(seeds, now);
@@ -202,6 +207,9 @@
             self.work = rows.map(|WorkRow(name, count, ms)| (name, (count, ms))).collect();
             self.work_at = Some(now);
         }
+        if !news.demand.is_empty() {
+            self.demand = news.demand.into_iter().collect();
+        }
         for record in news.controls {
             self.name_control(record.peer_address, now);
             self.records.insert(record.peer_address, record);
@@ -324,6 +332,7 @@
         LoadView {
             work: self.work.clone(),
             work_at: self.work_at.filter(fresh),
+            demand: self.demand.clone(),
             regions: regions.map(|(name, view)| (name.clone(), view.clone())).collect(),
         }
     }
