Count the work of a request once, give the urgent sort more room, and explain choices in the log

Change: UpstreamChooser::note_arrival counts a request once. The urgent sort is given twice its work (URGENT_USE 0.5), the other 1.33 times (PATIENT_USE). REREAD_LOSS 0.2 and an assumed 80 % of the shared prompt in other regions. Each attempt in a request's log line carries what decided for it.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
     answer::Ran,
     gateway::{
         call::RoutedCall,
-        choose::UpstreamChoice,
+        choose::{ChoiceBasis, UpstreamChoice},
         connections::{ConnectError, ConnectionTarget, ExchangeError, TakenConnection},
         context::EntryContext,
         dialect::AttemptNote,
@@ -137,23 +137,23 @@
     connection: ConnectionTarget,
     connections: usize,
     upstream: Option<(UpstreamName, SendNumber)>,
-    predicted_ms: f64,
+    basis: ChoiceBasis,
 }
 
 impl AttemptTarget {
     fn of(choice: UpstreamChoice) -> Option<Self> {
         match choice {
-            UpstreamChoice::Upstream { known, number, connections, predicted_ms } => {
+            UpstreamChoice::Upstream { known, number, connections, basis } => {
                 let name = known.upstream.name.clone();
                 let address = known.upstream.address;
                 let connection = ConnectionTarget { address, upstream: Some(name.clone()) };
                 let upstream = Some((name, number));
-                Some(Self { connection, connections, upstream, predicted_ms })
+                Some(Self { connection, connections, upstream, basis })
             }
-            UpstreamChoice::Region { entry, predicted_ms, .. } => {
+            UpstreamChoice::Region { entry, basis, .. } => {
                 let connection = ConnectionTarget { address: entry, upstream: None };
                 let connections = HOP_CONNECTIONS;
-                Some(Self { connection, connections, upstream: None, predicted_ms })
+                Some(Self { connection, connections, upstream: None, basis })
             }
             UpstreamChoice::Wait(_) | UpstreamChoice::Refuse { .. } => None,
         }
@@ -214,13 +214,7 @@
                 }
                 let AttemptFailure { verdict, cause, .. } = &failure;
                 let (verdict, cause) = (*verdict, cause.clone());
-                self.note_attempt(
-                    target.describe(),
-                    verdict,
-                    &cause,
-                    target.predicted_ms,
-                    chosen_at,
-                );
+                self.note_attempt(target.describe(), verdict, &cause, target.basis, chosen_at);
                 Err(failure)
             }
         }
@@ -347,8 +341,7 @@
                     // The answer's own upstream counts only once the answer has broken off.
                     self.ran_on = ran_on.max(1) - 1;
                     guard.note_answering();
-                    let predicted = target.predicted_ms;
-                    self.note_attempt(target.describe(), verdict, "", predicted, chosen_at);
+                    self.note_attempt(target.describe(), verdict, "", target.basis, chosen_at);
                     return Ok(OpenAnswer {
                         status: parts.status,
                         headers,
@@ -409,7 +402,7 @@
         guard.end(failure.end);
         let AttemptFailure { verdict, cause, .. } = &failure;
         let (verdict, cause) = (*verdict, cause.clone());
-        self.note_attempt(target.describe(), verdict, &cause, target.predicted_ms, chosen_at);
+        self.note_attempt(target.describe(), verdict, &cause, target.basis, chosen_at);
         Err(failure)
     }
 }
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -18,6 +18,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
 use smallvec::SmallVec;
 use std::{collections::HashMap, net::SocketAddr, ops::Range, sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -32,7 +33,7 @@
 const LATE_LOSS: f64 = 1.0;
 
 /// Loss of reading a thousand shared tokens again.
-const REREAD_LOSS: f64 = 0.1;
+const REREAD_LOSS: f64 = 0.2;
 
 /// Loss of an upstream in another zone, for the bytes.
 const ZONE_LOSS: f64 = 0.05;
@@ -41,6 +42,10 @@
 /// have read.
 const KEPT_PARTS: [f64; 2] = [1.0, 0.5];
 
+/// Part of the shared prompt that an upstream of another region is taken to have read for its own
+/// callers.
+const KEPT_ELSEWHERE: f64 = 0.8;
+
 /// Loss of a hop to another region, for its bytes and its entry's work.
 const HOP_LOSS: f64 = 0.12;
 
@@ -148,6 +153,25 @@
     Overloaded,
 }
 
+/// What decided for a target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct ChoiceBasis {
+    /// Predicted time to the first token or the whole answer, in milliseconds.
+    pub predicted_ms: u32,
+    /// Loss, in thousandths.
+    pub loss: u32,
+    /// Prompt tokens that are to be read.
+    pub unread: u32,
+    /// Requests that it is taken to have.
+    pub requests: u32,
+    /// Part of the shared prompt that it is taken to hold, in hundredths.
+    pub kept: u32,
+    /// Whether it takes prompts of the request's sort.
+    pub grouped: bool,
+    /// Age of what others told, in milliseconds.
+    pub told_ms: u32,
+}
+
 /// Where the next attempt goes.
 #[derive(Debug, Clone)]
 pub enum UpstreamChoice {
@@ -159,8 +183,8 @@
         number: SendNumber,
         /// Connections that this entry may have to it.
         connections: usize,
-        /// Predicted time to the first token or the whole answer, in milliseconds.
-        predicted_ms: f64,
+        /// What decided.
+        basis: ChoiceBasis,
     },
     /// To an entry of another region.
     Region {
@@ -168,8 +192,8 @@
         region: RegionName,
         /// The entry.
         entry: SocketAddr,
-        /// Predicted time as above.
-        predicted_ms: f64,
+        /// What decided.
+        basis: ChoiceBasis,
     },
     /// Nowhere before this time.
     Wait(Instant),
@@ -206,6 +230,7 @@
     known: &'a Arc<KnownUpstream>,
     unread_tokens: u32,
     predicted_ms: f64,
+    basis: ChoiceBasis,
     /// Predicted time of the whole answer, in milliseconds.
     whole_ms: f64,
     loss: f64,
@@ -343,9 +368,11 @@
         if let Some(until) = self.wait_for_reading(input, &best) {
             return UpstreamChoice::Wait(until);
         }
-        let Candidate { known, unread_tokens, predicted_ms, cold, .. } = best;
-        let known = Arc::clone(known);
-        self.send(input, &known, unread_tokens, predicted_ms, cold)
+        let known = Arc::clone(best.known);
+        let Candidate { unread_tokens, predicted_ms, basis, cold, .. } = best;
+        let number = self.send(input, &known, unread_tokens, predicted_ms, cold);
+        let connections = share_connections(input);
+        UpstreamChoice::Upstream { known, number, connections, basis }
     }
 
     /// Until when a request waits, so that the streams that run on its upstream do not pause.
@@ -395,23 +422,30 @@
         best
     }
 
+    /// Counts the work of a request that has arrived.
+    pub fn note_arrival(&mut self, call: &RoutedCall, pool: Option<&PoolRule>, now: Instant) {
+        let Some(engine) = pool.and_then(|pool| pool.engine) else { return };
+        let tokens = call.head.prompt_tokens;
+        let sort = PromptSort::of(tokens);
+        let whole_ms = self.whole_ms.get(&(call.pool.clone(), sort));
+        let work = PromptWork {
+            read_ms: UpstreamTrack::read_ms(tokens.saturating_sub(shared_tokens(&call.head))),
+            whole_ms: whole_ms.copied().unwrap_or(FIRST_STREAM_MS),
+            slots: f64::from(engine.slots.max(1)),
+            rank: call.route.rank,
+        };
+        let groups = self.groups.entry(call.pool.clone());
+        groups.or_insert_with(|| PromptGroups::new(now)).note(sort, work, now);
+    }
+
     /// Places of the upstreams that take prompts of the request's sort.
     fn find_group(&mut self, input: &ChoiceInput<'_>, upstreams: usize) -> Range<usize> {
         if input.pool.is_none_or(|pool| pool.engine.is_none()) {
             return 0..upstreams;
         }
-        let tokens = input.call.head.prompt_tokens;
-        let sort = PromptSort::of(tokens);
-        let unshared = tokens.saturating_sub(shared_tokens(&input.call.head));
+        let sort = PromptSort::of(input.call.head.prompt_tokens);
         let groups = self.groups.entry(input.call.pool.clone());
         let groups = groups.or_insert_with(|| PromptGroups::new(input.now));
-        let read_ms = UpstreamTrack::read_ms(unshared);
-        let slots = input.pool.and_then(|pool| pool.engine).map_or(1, |engine| engine.slots.max(1));
-        let whole_ms = self.whole_ms.get(&(input.call.pool.clone(), sort));
-        let whole_ms = whole_ms.copied().unwrap_or(FIRST_STREAM_MS);
-        let rank = input.call.route.rank;
-        let work = PromptWork { read_ms, whole_ms, slots: f64::from(slots), rank };
-        groups.note(sort, work, input.now);
         let own = groups.demand(input.now);
         let told = input.load.demand.get(&input.call.pool).filter(|_| input.load.work_at.is_some());
         let demand = told.copied().unwrap_or_else(|| own.times(input.view.entries.len() as f64));
@@ -513,6 +547,15 @@
             known,
             unread_tokens,
             predicted_ms,
+            basis: ChoiceBasis {
+                predicted_ms: predicted_ms as u32,
+                loss: (loss * 1_000.0) as u32,
+                unread: unread_tokens,
+                requests: track.open() as u32 + others as u32,
+                kept: (kept * 100.0) as u32,
+                grouped,
+                told_ms: tell_age(input),
+            },
             whole_ms: predicted_ms + tail_ms,
             loss,
             pause_loss,
@@ -547,7 +590,7 @@
         unread_tokens: u32,
         predicted_ms: f64,
         cold: bool,
-    ) -> UpstreamChoice {
+    ) -> SendNumber {
         self.sent += 1;
         let number = SendNumber(self.sent);
         let now = input.now;
@@ -569,17 +612,14 @@
         if let Some(pause) = warmup.and_then(|warmup| pause_between(warmup.per_s)) {
             track.note_cold(pause, now);
         }
-        let bound = input.pool.map_or(f64::INFINITY, |pool| f64::from(pool.connections));
-        let share = bound * CONNECTION_PART / input.view.entries.len().max(1) as f64;
-        let connections = (share as usize).max(LEAST_CONNECTIONS);
-        UpstreamChoice::Upstream { known: Arc::clone(known), number, connections, predicted_ms }
+        number
     }
 
     /// The region whose entries would lose the least, if that is less than `loss_here`.
     fn choose_region(&mut self, input: &ChoiceInput<'_>, loss_here: f64) -> Option<UpstreamChoice> {
         let call = input.call;
-        let mut best: Option<(f64, f64, &RegionName, &[SocketAddr])> = None;
-        for (region, (summary, _)) in &input.load.regions {
+        let mut best: Option<(f64, f64, ChoiceBasis, &RegionName, &[SocketAddr])> = None;
+        for (region, (summary, at)) in &input.load.regions {
             let pool = summary.pools.iter().find(|pool| pool.pool == call.pool);
             let Some(pool) = pool.filter(|pool| pool.serving > 0) else { continue };
             let tried = input.tried.regions.contains(region);
@@ -588,7 +628,9 @@
                 continue;
             }
             let backlog_ms = f64::from(pool.backlog_ms);
-            let unread = call.head.prompt_tokens;
+            let shared = f64::from(shared_tokens(&call.head));
+            let reread = if call.route.affinity { shared * (1.0 - KEPT_ELSEWHERE) } else { shared };
+            let unread = call.head.prompt_tokens.saturating_sub((shared - reread) as u32);
             let stream = call.repeat().is_stream();
             let fresh = UpstreamTrack::new(0);
             let own_ms = match stream {
@@ -601,18 +643,29 @@
             let time = predicted_ms / (call.route.target_ms.max(1) as f64);
             let stretch_ms = backlog_ms + UpstreamTrack::read_ms(unread);
             let streams = f64::from(pool.requests) / f64::from(pool.serving);
-            let loss = HOP_LOSS + lateness_loss(time) + pause_loss(stretch_ms, streams);
+            let loss = HOP_LOSS
+                + lateness_loss(time)
+                + pause_loss(stretch_ms, streams)
+                + reread / 1_000.0 * REREAD_LOSS;
             if loss < loss_here && best.as_ref().is_none_or(|best| loss < best.0) {
-                best = Some((loss, predicted_ms, region, &summary.entries));
+                let basis = ChoiceBasis {
+                    predicted_ms: predicted_ms as u32,
+                    loss: (loss * 1_000.0) as u32,
+                    unread,
+                    requests: pool.requests,
+                    told_ms: (input.now - *at).as_millis() as u32,
+                    ..ChoiceBasis::default()
+                };
+                best = Some((loss, predicted_ms, basis, region, &summary.entries));
             }
         }
-        let (_, predicted_ms, region, entries) = best?;
+        let (_, predicted_ms, basis, region, entries) = best?;
         let remaining_ms = call.remaining(input.now).as_secs_f64() * 1_000.0;
         if predicted_ms > remaining_ms * WAIT_PART {
             return None;
         }
         let entry = entries[self.random.random_range(0..entries.len())];
-        Some(UpstreamChoice::Region { region: region.clone(), entry, predicted_ms })
+        Some(UpstreamChoice::Region { region: region.clone(), entry, basis })
     }
 
     fn refuse_unusable(&mut self, input: &ChoiceInput<'_>, unknown: bool) -> UpstreamChoice {
@@ -697,12 +750,27 @@
     }
 }
 
+/// Connections that this entry may have to one upstream of the pool.
+fn share_connections(input: &ChoiceInput<'_>) -> usize {
+    let bound = input.pool.map_or(f64::INFINITY, |pool| f64::from(pool.connections));
+    let share = bound * CONNECTION_PART / input.view.entries.len().max(1) as f64;
+    (share as usize).max(LEAST_CONNECTIONS)
+}
+
+/// Age of what other entries told of their work, in milliseconds.
+fn tell_age(input: &ChoiceInput<'_>) -> u32 {
+    input.load.work_at.map_or(u32::MAX, |at| (input.now - at).as_millis() as u32)
+}
+
+/// Ranks of the upstreams of a zone that are taken to hold a shared prompt, best first: whether it
+/// takes prompts of the sort, and its hash.
+type KeptRanks = [Option<(bool, u64)>; KEPT_PARTS.len()];
+
 /// Parts of the shared prompt that each upstream is taken to have read: the first ones of each zone by
 /// the hash, since the entries of that zone send such prompts there.
 fn keep_places(admitted: &[AdmittedUpstream<'_>]) -> SmallVec<[f64; 16]> {
     let rank = |upstream: &AdmittedUpstream<'_>| (upstream.grouped, upstream.order);
-    let mut firsts: SmallVec<[(&ZoneName, [Option<(bool, u64)>; KEPT_PARTS.len()]); 4]> =
-        SmallVec::new();
+    let mut firsts: SmallVec<[(&ZoneName, KeptRanks); 4]> = SmallVec::new();
     for upstream in admitted {
         let zone = &upstream.known.upstream.zone;
         let place = firsts.iter().position(|(known, _)| *known == zone).unwrap_or_else(|| {
--- a/cicadastall/src/gateway/groups.rs
+++ b/cicadastall/src/gateway/groups.rs
@@ -24,7 +24,10 @@
 const MOST_WHOLE_MS: f64 = 2_500.0;
 
 /// Part of its time that an upstream of the more urgent sort works.
-const URGENT_USE: f64 = 0.65;
+const URGENT_USE: f64 = 0.5;
+
+/// The same for the other sort.
+const PATIENT_USE: f64 = 0.75;
 
 /// Weight of the rank of one request in the mean of its sort.
 const RANK_WEIGHT: f64 = 0.05;
@@ -110,8 +113,12 @@
 
     /// How many of `upstreams` read long prompts, as a number that need not be whole.
     fn share_long(&self, upstreams: f64) -> f64 {
-        let needed = |sort: &SortDemand| sort.busy_ms / 1_000.0 / URGENT_USE;
-        let (long, short) = (needed(&self.long), needed(&self.short));
+        let needed = |sort: &SortDemand, other: &SortDemand| {
+            let urgent = sort.rank + RANK_DIFFERENCE < other.rank;
+            sort.busy_ms / 1_000.0 / if urgent { URGENT_USE } else { PATIENT_USE }
+        };
+        let long = needed(&self.long, &self.short);
+        let short = needed(&self.short, &self.long);
         let shared = upstreams * long / (long + short);
         if self.short.rank + RANK_DIFFERENCE < self.long.rank {
             shared.min(upstreams - short)
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -8,6 +8,7 @@
     clock::millis,
     gateway::{
         call::RoutedCall,
+        choose::ChoiceBasis,
         context::{EntryContext, FlightGuard},
         outcome::Verdict,
     },
@@ -39,8 +40,9 @@
     /// Cause, where it has no answer.
     #[serde(skip_serializing_if = "String::is_empty")]
     pub(crate) cause: String,
-    /// Predicted time to the first token or the whole answer, in milliseconds.
-    pub(crate) predicted_ms: u64,
+    /// What decided for it.
+    #[serde(flatten)]
+    pub(crate) basis: ChoiceBasis,
     /// Time of the whole attempt, or until its answer began.
     pub(crate) took_ms: u64,
 }
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -5,7 +5,7 @@
     gateway::{
         attempt::{AttemptFailure, KeptFailure, OpenAnswer},
         call::RoutedCall,
-        choose::{ChoiceInput, RefusalCause, TriedUpstreams, UpstreamChoice},
+        choose::{ChoiceBasis, ChoiceInput, RefusalCause, TriedUpstreams, UpstreamChoice},
         context::EntryContext,
         headers::refuse,
         hop::{ARRIVED_HEADER, RAN_ON_HEADER},
@@ -79,6 +79,7 @@
     if !relay.arrived {
         relay.context.note_first(&relay.call.pool);
     }
+    relay.note_arrival();
     match relay.open_in_time().await {
         Ok(answer) => relay.deliver(answer),
         Err(failure) => relay.fail(failure),
@@ -123,6 +124,12 @@
         }
     }
 
+    fn note_arrival(&self) {
+        let routes = self.context.routes.load();
+        let pool = routes.pool(&self.call.pool).map(|pool| &**pool);
+        self.context.chooser().note_arrival(&self.call, pool, Instant::now());
+    }
+
     fn choose(&mut self) -> UpstreamChoice {
         let context = &self.context;
         let routes = context.routes.load();
@@ -215,14 +222,14 @@
         to: String,
         verdict: Verdict,
         cause: &str,
-        predicted_ms: f64,
+        basis: ChoiceBasis,
         since: Instant,
     ) {
         self.record.note_attempt(AttemptNote {
             to,
             verdict: name_verdict(verdict),
             cause: cause.to_owned(),
-            predicted_ms: predicted_ms as u64,
+            basis,
             took_ms: since.elapsed().as_millis() as u64,
         });
     }
--- a/cicadastall/tests/gateway_answers.rs
+++ b/cicadastall/tests/gateway_answers.rs
@@ -274,13 +274,8 @@
     let runs: Vec<_> = upstreams.iter().map(|upstream| upstream.runs(request.attempt())).collect();
     assert_eq!(runs.iter().sum::<usize>(), 2, "{runs:?}");
     assert!(answer.text().starts_with(&(1..=2).map(event).collect::<String>()));
-    let resumed = upstreams
-        .iter()
-        .flat_map(Upstream::seen)
-        .filter(|request| request.header("last-event-id").is_some());
-    assert_eq!(
-        resumed.map(|request| request.header("last-event-id")).last().flatten().as_deref(),
-        Some("2")
-    );
+    let seen = upstreams.iter().flat_map(Upstream::seen);
+    let resumed = seen.filter_map(|request| request.header("last-event-id")).collect::<Vec<_>>();
+    assert_eq!(resumed.last().map(|number| &**number), Some("2"));
     assert!(!answer.text().contains("da\r\n") && !answer.text().ends_with("da"));
 }
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -9,7 +9,7 @@
             ControlRecord, EntryNews, FleetNews, NewsCursor, RegisteredUpstream, UpstreamNews,
             UpstreamPhase, WorkRow,
         },
-        registry::{CONTROL_SILENCE, ENTRY_SILENCE, FleetRegistry, RenewalOutcome},
+        registry::{CONTROL_SILENCE, ENTRY_SILENCE, EntryLoad, FleetRegistry, RenewalOutcome},
         view::ViewState,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
@@ -195,7 +195,7 @@
 fn an_entry_is_lost_once_no_control_instance_hears_of_it() {
     let now = Instant::now();
     let [mut first, mut second] = [registry(1), registry(11)];
-    first.report_entry(entry("e", "west-a"), Vec::new(), now);
+    first.report_entry(entry("e", "west-a"), EntryLoad::default(), now);
     second.report_control(control(1, "west"), now);
     let told =
         |registry: &FleetRegistry, at| registry.changed_entries(NewsCursor::default(), true, at);
@@ -221,7 +221,8 @@
     registry.renew(upstream("u", 1, 1), now);
     for (entry_name, zone) in [("a", "west-a"), ("b", "west-b"), ("c", "east-a")] {
         let work = vec![WorkRow(name.clone(), 2, 100)];
-        registry.report_entry(entry(entry_name, zone), work, now);
+        let load = EntryLoad { work, demand: Vec::new() };
+        registry.report_entry(entry(entry_name, zone), load, now);
     }
     let west = RegionName::from("west");
     let reader = InstanceName::from("a");
