Connect anew sooner, elect sooner after a restart, and say what a refusal was based on

Cause: after power_off_all every entry reached its control instance 1.0 s after its own start, as the first SYN went to a machine that was still off and the operating system repeats it after 1 s; and the replicas elected 1.1 s after their start, as a restarted replica refuses votes for the time of a lease that this group does not grant, and repeats pre-votes only after an election timeout. Ruled out: the arrival of renewals (all upstreams were known 0.5 s after the start of control).

Change: PeerClients begins an attempt to connect anew after 350 ms, doubling. A replica without leases stands for pre-vote within 1.5 heartbeats of its start, and repeats pre-votes as soon. Refusals tell what was predicted at the best upstream.

--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -20,7 +20,14 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use smallvec::SmallVec;
-use std::{collections::HashMap, net::SocketAddr, ops::Range, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    fmt::{self, Display, Formatter},
+    net::SocketAddr,
+    ops::Range,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Part of the target up to which an answer costs nothing for its time.
@@ -158,6 +165,8 @@
 pub struct ChoiceBasis {
     /// Predicted time to the first token or the whole answer, in milliseconds.
     pub predicted_ms: u32,
+    /// Predicted time of the whole answer, in milliseconds.
+    pub answer_ms: u32,
     /// Loss, in thousandths.
     pub loss: u32,
     /// Prompt tokens that are to be read.
@@ -203,6 +212,10 @@
         cause: RefusalCause,
         /// When to come back.
         retry_after: Duration,
+        /// Reasons why upstreams were left out.
+        left_out: LeftOut,
+        /// What decided against the best of the others.
+        basis: Option<ChoiceBasis>,
     },
 }
 
@@ -264,6 +277,13 @@
     pub silent: u32,
 }
 
+impl Display for LeftOut {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let Self { barred, cold, tried, silent } = self;
+        write!(formatter, "{barred} barred, {cold} cold, {tried} tried, {silent} silent")
+    }
+}
+
 /// Chooses upstreams by what this entry gave them and what others told.
 #[derive(Debug)]
 pub struct UpstreamChooser {
@@ -300,11 +320,6 @@
         }
     }
 
-    /// Why upstreams were left out of the last choice.
-    pub fn left_out(&self) -> LeftOut {
-        self.left_out
-    }
-
     /// Records of upstreams with open work: requests, and time to read their prompts in milliseconds.
     pub fn work(&self, now: Instant) -> impl Iterator<Item = (&UpstreamName, u32, u32)> {
         let busy = self.tracks.iter().filter(|(_, track)| track.open() > 0);
@@ -361,9 +376,13 @@
         let late_ms = (best.predicted_ms - remaining_ms * WAIT_PART)
             .max(best.whole_ms - remaining_ms * WHOLE_PART);
         if late_ms > 0.0 {
-            let wait_ms = late_ms;
-            let retry_after = self.schedule_return(input, wait_ms);
-            return UpstreamChoice::Refuse { cause: RefusalCause::Overloaded, retry_after };
+            let retry_after = self.schedule_return(input, late_ms);
+            return UpstreamChoice::Refuse {
+                cause: RefusalCause::Overloaded,
+                retry_after,
+                left_out: self.left_out,
+                basis: Some(best.basis),
+            };
         }
         if let Some(until) = self.wait_for_reading(input, &best) {
             return UpstreamChoice::Wait(until);
@@ -549,6 +568,7 @@
             predicted_ms,
             basis: ChoiceBasis {
                 predicted_ms: predicted_ms as u32,
+                answer_ms: (predicted_ms + tail_ms) as u32,
                 loss: (loss * 1_000.0) as u32,
                 unread: unread_tokens,
                 requests: track.open() as u32 + others as u32,
@@ -683,7 +703,8 @@
         }
         let cause = if unknown { RefusalCause::NoUpstream } else { RefusalCause::Unusable };
         let spread = UNKNOWN_RETURN.mul_f64(self.random.random_range(0.7..1.5));
-        UpstreamChoice::Refuse { cause, retry_after: spread }
+        let left_out = self.left_out;
+        UpstreamChoice::Refuse { cause, retry_after: spread, left_out, basis: None }
     }
 
     /// When to come back after a wait of `wait_ms`: returns to one pool follow each other at the pace
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -5,7 +5,7 @@
     gateway::{
         attempt::{AttemptFailure, KeptFailure, OpenAnswer},
         call::RoutedCall,
-        choose::{ChoiceBasis, ChoiceInput, RefusalCause, TriedUpstreams, UpstreamChoice},
+        choose::{ChoiceBasis, ChoiceInput, LeftOut, RefusalCause, TriedUpstreams, UpstreamChoice},
         context::EntryContext,
         headers::refuse,
         hop::{ARRIVED_HEADER, RAN_ON_HEADER},
@@ -105,8 +105,9 @@
             let choice = self.choose();
             match choice {
                 UpstreamChoice::Wait(until) => sleep_until(until).await,
-                UpstreamChoice::Refuse { cause, retry_after } => {
-                    return Err(self.refuse_choice(cause, retry_after));
+                UpstreamChoice::Refuse { cause, retry_after, left_out, basis } => {
+                    let text = describe_refusal(cause, left_out, basis);
+                    return Err(self.refuse_choice(cause, text, retry_after));
                 }
                 UpstreamChoice::Upstream { .. } | UpstreamChoice::Region { .. } => {
                     if self.arrived && !self.context.take_repeat(&self.call.pool) {
@@ -202,18 +203,20 @@
         }
     }
 
-    fn refuse_choice(&mut self, cause: RefusalCause, retry_after: Duration) -> FinalFailure {
+    fn refuse_choice(
+        &mut self,
+        cause: RefusalCause,
+        text: String,
+        retry_after: Duration,
+    ) -> FinalFailure {
         if let Some(kept) = self.kept.take() {
             return FinalFailure::Upstream(kept);
         }
-        let left_out = self.context.chooser().left_out();
-        let (code, text) = match cause {
-            RefusalCause::NoUpstream => (RefusalCode::NoUpstream, "no upstream is known"),
-            RefusalCause::Unusable => (RefusalCode::NoUpstream, "no upstream is usable"),
-            RefusalCause::Overloaded => (RefusalCode::Overloaded, "the answer would be late"),
+        let code = match cause {
+            RefusalCause::NoUpstream | RefusalCause::Unusable => RefusalCode::NoUpstream,
+            RefusalCause::Overloaded => RefusalCode::Overloaded,
         };
-        let message = format!("{text}; left out: {left_out:?}");
-        let refusal = Refusal { ran: self.ran(), ..Refusal::not_run(code, message) };
+        let refusal = Refusal { ran: self.ran(), ..Refusal::not_run(code, text) };
         FinalFailure::Refused(refusal.retry_after(retry_after))
     }
 
@@ -297,3 +300,18 @@
         _ => "other",
     }
 }
+
+fn describe_refusal(cause: RefusalCause, left_out: LeftOut, basis: Option<ChoiceBasis>) -> String {
+    let text = match cause {
+        RefusalCause::NoUpstream => "no upstream is known",
+        RefusalCause::Unusable => "no upstream is usable",
+        RefusalCause::Overloaded => "the answer would be late",
+    };
+    let best = basis.map(|basis| {
+        let ChoiceBasis { predicted_ms, answer_ms, requests, .. } = basis;
+        format!(
+            ", at best begun in {predicted_ms} ms and whole in {answer_ms} ms beside {requests}"
+        )
+    });
+    format!("{text}{}; left out: {left_out}", best.unwrap_or_default())
+}
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -97,6 +97,9 @@
 
 impl std::error::Error for PeerError {}
 
+/// Time after which an attempt to connect is begun anew, above any round trip; it doubles each time.
+const FIRST_CONNECT_BOUND: Duration = Duration::from_millis(350);
+
 /// Connections to other instances, opened at the first call and kept.
 #[derive(Debug, Default)]
 pub struct PeerClients {
@@ -148,12 +151,21 @@
     }
 
     /// The kept connection, or a new one where that was closed meanwhile.
+    ///
+    /// An attempt to connect is given up and begun anew before the operating system would repeat it,
+    /// so that an instance that was switched off is found soon after its return.
     async fn connect(&self, address: SocketAddr) -> io::Result<PeerApiClient> {
         let kept = |connection: &&PeerConnection| !connection.dispatch.is_finished();
         if let Some(connection) = self.lock().get(&address).filter(kept) {
             return Ok(connection.client.clone());
         }
-        let stream = connect_from(self.source, address).await?;
+        let mut bound = FIRST_CONNECT_BOUND;
+        let stream = loop {
+            match timeout(bound, connect_from(self.source, address)).await {
+                Ok(stream) => break stream?,
+                Err(_) => bound *= 2,
+            }
+        };
         let transport = frame_messages(stream);
         let NewClient { client, dispatch } =
             PeerApiClient::new(client::Config::default(), transport);
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -152,7 +152,7 @@
     pub(crate) synced: LogIndex,
     pub(crate) random: ChaCha8Rng,
     pub(crate) delivered: LogIndex,
-    /// Time of the last message of a leader, or of the start.
+    /// Time of the last message of a leader, or of the start where leases are granted.
     pub(crate) heard: Option<Instant>,
     /// Time since which no leader is known; at the earliest the start.
     pub(crate) leaderless: Instant,
@@ -184,8 +184,7 @@
             log,
             output: ReplicaOutput::default(),
             random: ChaCha8Rng::seed_from_u64(settings.seed),
-            // An answer given before the restart may have renewed a lease.
-            heard: (!matches!(role, ReplicaRole::Absent { .. })).then_some(now),
+            heard: None,
             role,
             leaderless: now,
             deadline: now,
@@ -197,7 +196,14 @@
             superseded: None,
             settings,
         };
-        if !core.is_absent() {
+        if core.is_absent() {
+            return core;
+        }
+        if core.settings.timing.lease.is_zero() {
+            core.reset_pre_vote(now);
+        } else {
+            // An answer given before the restart may have renewed a lease.
+            core.heard = Some(now);
             core.reset_deadline(now);
         }
         core
@@ -434,6 +440,13 @@
         self.deadline = now + shortest + Duration::from_micros(extra);
     }
 
+    /// Sets the time of the next round of pre-votes, which change nothing where a leader is heard.
+    pub(crate) fn reset_pre_vote(&mut self, now: Instant) {
+        let heartbeat = self.settings.timing.heartbeat.as_micros() as u64;
+        let pause = self.random.random_range(heartbeat / 2..=heartbeat * 3 / 2);
+        self.deadline = now + Duration::from_micros(pause);
+    }
+
     /// Gives up any other role in favour of a follower's, in `term` or the present one.
     pub(crate) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>, now: Instant) {
         if term > self.hard.term {
--- a/cicadastall/src/replica_election.rs
+++ b/cicadastall/src/replica_election.rs
@@ -20,7 +20,7 @@
     }
 
     pub(crate) fn start_pre_vote(&mut self, now: Instant) {
-        self.reset_deadline(now);
+        self.reset_pre_vote(now);
         if !self.log.configuration().is_voter(&self.settings.own) {
             self.role = ReplicaRole::Follower { leader: None };
             return;
