--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -9,7 +9,7 @@
     gateway::{
         call::{CallHead, RoutedCall},
         groups::{PromptDemand, PromptGroups, PromptSort, PromptWork},
-        routes::PoolRule,
+        routes::{EngineRule, PoolRule},
         track::{OpenSend, SendEnd, SendNumber, UpstreamTrack},
         view::{FleetView, KnownUpstream, LoadView},
         warmup::{choose_sender, hash_pair, pause_between},
@@ -113,6 +113,9 @@
 /// Time of a call to an idle plain service that counts for all alike, in milliseconds.
 const FIRST_CALL_MS: f64 = 20.0;
 
+/// Part of an engine's memory that running requests are to take; shared parts are kept in the rest.
+const RUNNING_PART: f64 = 0.6;
+
 /// Longest wait for the next turn of a cold upstream.
 const COLD_WAIT: Duration = Duration::from_millis(400);
 
@@ -529,9 +532,14 @@
         let unread_tokens = call.head.prompt_tokens.saturating_sub(cached);
         let (others, others_ms) = self.others_work(input, name, track);
         let stream = call.repeat().is_stream();
+        let requests = track.open() as f64 + others;
         let slots = f64::from(known.upstream.slots.max(1));
-        let over = (track.open() as f64 + others + 1.0 - slots).max(0.0);
-        let queue_ms = over * track.whole_ms(stream) / slots;
+        let places = match input.pool.and_then(|pool| pool.engine) {
+            Some(engine) => slots.min(count_places(engine, track.mean_tokens(&call.head))),
+            None => slots,
+        };
+        let over = (requests + 1.0 - places).max(0.0);
+        let queue_ms = over * track.whole_ms(stream) / places;
         let own_ms = match stream {
             true => track.first_token_ms(unread_tokens),
             // Of idle upstreams, requests that may go anywhere are spread over all alike.
@@ -619,6 +627,7 @@
             sent_at: now,
             rank: input.call.route.rank,
             sort: PromptSort::of(input.call.head.prompt_tokens),
+            prompt_tokens: input.call.head.prompt_tokens,
             expected_tokens: input.call.head.expected_tokens(),
             read_ms: UpstreamTrack::read_ms(unread_tokens),
             predicted_ms: 0.0,
@@ -771,6 +780,11 @@
     }
 }
 
+/// Requests of `tokens` that run in an engine at the same time and leave room for shared parts.
+fn count_places(engine: EngineRule, tokens: f64) -> f64 {
+    (engine.kv_tokens as f64 * RUNNING_PART / tokens.max(1.0)).max(1.0)
+}
+
 /// Connections that this entry may have to one upstream of the pool.
 fn share_connections(input: &ChoiceInput<'_>) -> usize {
     let bound = input.pool.map_or(f64::INFINITY, |pool| f64::from(pool.connections));
--- a/cicadastall/src/gateway/track.rs
+++ b/cicadastall/src/gateway/track.rs
@@ -1,6 +1,9 @@
 //! What an entry knows of one upstream from the work that it gave it.
 
-use crate::gateway::{call::PromptPart, groups::PromptSort};
+use crate::gateway::{
+    call::{CallHead, PromptPart},
+    groups::PromptSort,
+};
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
@@ -52,6 +55,8 @@
     pub rank: u8,
     /// Sort of its prompt.
     pub sort: PromptSort,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
     /// Tokens that its answer is expected to have.
     pub expected_tokens: u32,
     /// Time that reading its prompt takes, in milliseconds.
@@ -121,6 +126,13 @@
         self.sends.len()
     }
 
+    /// Mean tokens of the requests that have not ended and of one more.
+    pub fn mean_tokens(&self, more: &CallHead) -> f64 {
+        let open = self.sends.iter().map(|send| send.prompt_tokens + send.expected_tokens);
+        let sum = open.sum::<u32>() + more.prompt_tokens + more.expected_tokens();
+        f64::from(sum) / (self.sends.len() + 1) as f64
+    }
+
     /// Whether the record may be forgotten.
     pub fn is_idle(&self, now: Instant) -> bool {
         self.sends.is_empty() && !self.is_barred(now)
