--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -43,7 +43,7 @@
 const REREAD_LOSS: f64 = 0.2;
 
 /// Loss of an upstream in another zone, for the bytes.
-const ZONE_LOSS: f64 = 0.05;
+const ZONE_LOSS: f64 = 0.02;
 
 /// Parts of the shared prompt that the first and second upstream of each zone by the hash are taken to
 /// have read.
@@ -804,26 +804,18 @@
 /// Parts of the shared prompt that each upstream is taken to have read: the first ones of each zone by
 /// the hash, since the entries of that zone send such prompts there.
 fn keep_places(admitted: &[AdmittedUpstream<'_>]) -> SmallVec<[f64; 16]> {
-    let rank = |upstream: &AdmittedUpstream<'_>| (upstream.grouped, upstream.order);
-    let mut firsts: SmallVec<[(&ZoneName, KeptRanks); 4]> = SmallVec::new();
+    let rank = |upstream: &AdmittedUpstream<'_>| Some((upstream.grouped, upstream.order));
+    let mut held = KeptRanks::default();
     for upstream in admitted {
-        let zone = &upstream.known.upstream.zone;
-        let place = firsts.iter().position(|(known, _)| *known == zone).unwrap_or_else(|| {
-            firsts.push((zone, [None; KEPT_PARTS.len()]));
-            firsts.len() - 1
-        });
-        let mut next = Some(rank(upstream));
-        for held in &mut firsts[place].1 {
+        let mut next = rank(upstream);
+        for held in &mut held {
             if next > *held {
                 std::mem::swap(held, &mut next);
             }
         }
     }
     let kept = admitted.iter().map(|upstream| {
-        let zone = &upstream.known.upstream.zone;
-        let held = firsts.iter().find(|(known, _)| *known == zone);
-        let place =
-            held.and_then(|(_, held)| held.iter().position(|held| *held == Some(rank(upstream))));
+        let place = held.iter().position(|held| *held == rank(upstream));
         place.map_or(0.0, |place| KEPT_PARTS[place])
     });
     kept.collect()
