--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -40,7 +40,7 @@
 const LATE_LOSS: f64 = 1.0;
 
 /// Loss of reading a thousand shared tokens again.
-const REREAD_LOSS: f64 = 0.2;
+const REREAD_LOSS: f64 = 0.12;
 
 /// Loss of an upstream in another zone, for the bytes.
 const ZONE_LOSS: f64 = 0.02;
--- a/cicadastall/src/gateway/track.rs
+++ b/cicadastall/src/gateway/track.rs
@@ -28,6 +28,9 @@
 /// Slowness that is believed at most and at least, relative to the prediction.
 const SLOWNESS_RANGE: (f64, f64) = (0.3, 8.0);
 
+/// Part of an overdue prompt that is taken to be still unread.
+const OVERDUE_PART: f64 = 0.3;
+
 /// First time for which an upstream that failed gets no new work; it doubles with each failure.
 const FIRST_BAR: Duration = Duration::from_millis(800);
 
@@ -138,21 +141,20 @@
         self.sends.is_empty() && !self.is_barred(now)
     }
 
-    /// Time until the prompts of `rank` and of ranks before it are read, in milliseconds.
+    /// Time that reading the prompts of `rank` and of ranks before it still takes, in milliseconds.
+    ///
+    /// A prompt waits for those of other entries too, so that it is taken to be read in the last part
+    /// of the time that was predicted for it, and overdue ones to be read in part.
     pub fn backlog_ms(&self, rank: u8, now: Instant) -> f64 {
         let waiting =
             self.sends.iter().filter(|send| send.answering.is_none() && send.rank <= rank);
-        let mut free_at: Option<f64> = None;
-        let mut total = 0.0;
-        for send in waiting {
+        let rest = waiting.map(|send| {
             let since = (now - send.sent_at).as_secs_f64() * 1_000.0;
+            let due_ms = send.predicted_ms * self.slowness - since;
             let read_ms = send.read_ms * self.slowness;
-            total += read_ms;
-            // Milliseconds from now, which are negative for what is past.
-            free_at = Some(free_at.unwrap_or(-since).max(-since) + read_ms);
-        }
-        // What is overdue is still to be read, at least in part.
-        free_at.map_or(0.0, |at| at.max(total * 0.3))
+            due_ms.clamp(read_ms * OVERDUE_PART, read_ms)
+        });
+        rest.sum()
     }
 
     /// Time from the arrival of a prompt to its first token without others, in milliseconds.
