--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -96,10 +96,10 @@
 const WAIT_RANGE_MS: (f64, f64) = (15.0, 80.0);
 
 /// Part of the time that is left within which an answer must be expected to begin.
-const WAIT_PART: f64 = 0.8;
+const WAIT_PART: f64 = 0.85;
 
 /// Part of the time that is left within which an answer must be expected to end.
-const WHOLE_PART: f64 = 0.9;
+const WHOLE_PART: f64 = 1.0;
 
 /// Time after its last answer for which an upstream whose renewals have ceased is still used.
 const SILENT_USE: Duration = Duration::from_secs(3);
