--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -243,9 +243,9 @@
                 let told = registry.told_regions(&entry.region);
                 let (work, demand) = if near {
                     let work = registry.sum_work(&entry.region, Some(&entry.instance), now);
-                    (work, registry.sum_demand(&entry.region, now))
+                    (Some(work), registry.sum_demand(&entry.region, now))
                 } else {
-                    (Vec::new(), Vec::new())
+                    (None, Vec::new())
                 };
                 FleetNews {
                     document: newest.map(|stored| Arc::clone(&stored.document)),
--- a/cicadastall/src/gateway/news.rs
+++ b/cicadastall/src/gateway/news.rs
@@ -205,7 +205,8 @@
     /// Work that all entries of the reader's region get, by pool.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<(PoolName, PromptDemand)>,
-    /// Work that the other entries of the reader's region have given to upstreams.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub work: Vec<WorkRow>,
+    /// Work that the other entries of the reader's region have given to upstreams; absent where the
+    /// answering instance is not told.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub work: Option<Vec<WorkRow>>,
 }
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -202,8 +202,8 @@
         for summary in news.summaries {
             self.regions.insert(summary.region.clone(), (Arc::new(summary), now));
         }
-        if !news.work.is_empty() {
-            let rows = news.work.into_iter();
+        if let Some(work) = news.work {
+            let rows = work.into_iter();
             self.work = rows.map(|WorkRow(name, count, ms)| (name, (count, ms))).collect();
             self.work_at = Some(now);
         }
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -248,6 +248,23 @@
     assert_eq!(registry.told_regions(&west), BTreeSet::from([east]));
 }
 
+#[test]
+fn work_of_others_is_forgotten_once_they_have_none() {
+    let now = Instant::now();
+    let own = entry("e", "west-a");
+    let mut state = ViewState::new(own, &[address(1)], now);
+    let told = |work| FleetNews { work, ..FleetNews::default() };
+    let row = WorkRow(UpstreamName::from("u"), 3, 200);
+    state.accept(address(1), told(Some(vec![row])), now);
+    assert_eq!(state.make_load(now).work.len(), 1);
+    // An instance that is not told says nothing of it.
+    state.accept(address(1), told(None), now);
+    assert_eq!(state.make_load(now).work.len(), 1);
+    state.accept(address(1), told(Some(Vec::new())), now);
+    let load = state.make_load(now);
+    assert!(load.work.is_empty() && load.work_at == Some(now));
+}
+
 fn news(process: u64, upstreams: Vec<RegisteredUpstream>, silent: bool) -> FleetNews {
     let upstreams = upstreams.into_iter().map(|upstream| UpstreamNews {
         upstream: Arc::new(upstream),
--- a/cicadastall/tests/replica_core.rs
+++ b/cicadastall/tests/replica_core.rs
@@ -9,7 +9,7 @@
         SnapshotImage, StoredReplica, Term,
     },
 };
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 fn replica(name: &str) -> ReplicaId {
@@ -22,6 +22,10 @@
 
 /// Replica `b` of three with `entries` entries of term 2.
 fn start_core(entries: u64, now: Instant) -> ReplicaCore {
+    start_timed(entries, ReplicaTiming::default(), now)
+}
+
+fn start_timed(entries: u64, timing: ReplicaTiming, now: Instant) -> ReplicaCore {
     let voters = ["a", "b", "c"].map(replica);
     let configuration = GroupConfiguration {
         voters: voters.iter().cloned().collect(),
@@ -42,7 +46,7 @@
         instances: voters.into_iter().map(|voter| voter.instance).collect(),
         admission: MemberAdmission::Listed,
         founding: Epoch(9),
-        timing: ReplicaTiming::default(),
+        timing,
         append_entries: 2,
         snapshot_part: 1_024,
         seed: 1,
@@ -212,3 +216,40 @@
     let vote = ReplicaMessage::Vote { term: Term(3), last, given_up: Some(Term(2)) };
     assert_eq!(sent.iter().filter(|sent| sent.message == vote).count(), 2);
 }
+
+/// Receivers of the pre-votes that the replica sends now.
+fn pre_votes(core: &mut ReplicaCore, now: Instant) -> usize {
+    let sent = core.take_output(now).messages;
+    sent.iter().filter(|sent| matches!(sent.message, ReplicaMessage::PreVote { .. })).count()
+}
+
+#[test]
+fn a_restarted_replica_without_leases_asks_for_votes_soon_and_gives_its_own_at_once() {
+    let now = Instant::now();
+    let timing = ReplicaTiming { lease: Duration::ZERO, ..ReplicaTiming::default() };
+    let mut core = start_timed(3, timing, now);
+    let ask = ReplicaMessage::PreVote { term: Term(3), last: position(2, 3) };
+    core.receive(from_leader(ask), now);
+    let output = core.take_output(now);
+    core.mark_synced(output.sequence, now);
+    let replies = output.messages.into_iter().chain(core.take_output(now).messages);
+    let granted = ReplicaMessage::PreVoteReply { term: Term(3), granted: true };
+    assert!(replies.map(|sent| sent.message).any(|message| message == granted));
+    // Others may not run yet, so that it asks again and again.
+    let mut at = now;
+    for _ in 0..3 {
+        at += timing.heartbeat * 3 / 2;
+        core.tick(at);
+        assert_eq!(pre_votes(&mut core, at), 2);
+    }
+    assert_eq!(core.term(), Term(2));
+}
+
+#[test]
+fn a_restarted_replica_with_leases_asks_for_votes_only_after_an_election_timeout() {
+    let now = Instant::now();
+    let timing = ReplicaTiming::default();
+    let mut core = start_timed(3, timing, now);
+    core.tick(now + timing.election - Duration::from_millis(1));
+    assert_eq!(pre_votes(&mut core, now), 0);
+}
