Streams between entries: no bytes after a gap

Ruled out: the reader's buffer of events (it passes on what it reads), the upstream's stream (whole at the hop).

Change: accepted connections are given up after 8 s of silence, over three times as long as the side that opened them waits. EventBuffer takes a jump in numbers that rose by one so far for a loss; the stream is continued from another upstream after the last event. Tests in gateway_pure.rs, which fail before (117 passed on after 5).

--- a/cicadastall/src/gateway/connections.rs
+++ b/cicadastall/src/gateway/connections.rs
@@ -29,6 +29,9 @@
 /// longest round trip between regions, and a retransmission.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The same for accepted connections: over three times as long, so that the other side notices first.
+pub const ACCEPTED_SILENCE: Duration = Duration::from_secs(8);
+
 /// Rest after which an idle connection is probed, and time between two probes.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -249,8 +252,19 @@
     Ok(stream)
 }
 
-/// Lets a connection break when the other side falls silent.
+/// Lets a connection that was opened here break when the other side falls silent.
 pub fn guard_stream(stream: &TcpStream) -> io::Result<()> {
+    guard_for(stream, SILENCE_TIMEOUT)
+}
+
+/// Lets an accepted connection break when the other side has been silent for so long that it has given
+/// the connection up itself: what is written before a silence and after it must not be read in one
+/// answer that misses a part.
+pub fn guard_accepted(stream: &TcpStream) -> io::Result<()> {
+    guard_for(stream, ACCEPTED_SILENCE)
+}
+
+fn guard_for(stream: &TcpStream, silence: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
@@ -258,5 +272,5 @@
         .with_interval(PROBE_PERIOD)
         .with_retries(PROBE_COUNT);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(silence))
 }
--- a/cicadastall/src/gateway/events.rs
+++ b/cicadastall/src/gateway/events.rs
@@ -10,17 +10,23 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OversizedEvent;
 
+/// Events numbered one after the other from which a jump of the numbers is taken for a loss.
+const COUNTED_EVENTS: u32 = 3;
+
 /// Passes whole events on and holds the start of the next one back.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     partial: BytesMut,
     last: Option<Arc<str>>,
+    /// Events of this answer whose number followed the one before.
+    counted: u32,
+    has_gap: bool,
 }
 
 impl EventBuffer {
     /// A buffer for a stream that continues after the event numbered `last`.
     pub fn after(last: Option<Arc<str>>) -> Self {
-        Self { partial: BytesMut::new(), last }
+        Self { last, ..Self::default() }
     }
 
     /// Number of the last whole event.
@@ -28,9 +34,16 @@
         self.last.as_ref()
     }
 
-    /// Forgets the start of an event that will not be completed.
-    pub fn discard_partial(&mut self) {
+    /// Starts anew for the answer of another upstream, which continues after the last whole event.
+    pub fn start_answer(&mut self) {
         self.partial.clear();
+        self.counted = 0;
+        self.has_gap = false;
+    }
+
+    /// Whether events are missing after the last one that was passed on.
+    pub fn has_gap(&self) -> bool {
+        self.has_gap
     }
 
     /// Whether the start of an event is held back.
@@ -44,6 +57,11 @@
         let mut whole = BytesMut::new();
         while let Some(end) = find_end(&self.partial) {
             let event = self.partial.split_to(end);
+            self.has_gap |= self.is_after_gap(&event);
+            if self.has_gap {
+                self.partial.clear();
+                break;
+            }
             if self.accept(&event) {
                 whole.unsplit(event);
             }
@@ -54,6 +72,18 @@
         Ok(whole.freeze())
     }
 
+    /// Whether events are missing before this one, where all numbers so far rose by one.
+    fn is_after_gap(&mut self, event: &[u8]) -> bool {
+        let number = |id: &str| id.parse::<u64>().ok();
+        let last = self.last.as_deref().and_then(number);
+        let (Some(id), Some(last)) = (find_id(event).and_then(number), last) else { return false };
+        if id == last + 1 {
+            self.counted = self.counted.saturating_add(1);
+            return false;
+        }
+        id > last && self.counted >= COUNTED_EVENTS
+    }
+
     /// Whether an event comes after all that were passed on.
     fn accept(&mut self, event: &[u8]) -> bool {
         let Some(id) = find_id(event) else { return true };
--- a/cicadastall/src/gateway/passage.rs
+++ b/cicadastall/src/gateway/passage.rs
@@ -77,6 +77,9 @@
 
     async fn step(&mut self) -> PassageStep {
         let Some(answer) = &mut self.answer else { return PassageStep::End };
+        if self.buffer.as_ref().is_some_and(EventBuffer::has_gap) {
+            return PassageStep::Broken("events are missing".to_owned());
+        }
         let data = if self.first.is_empty() {
             match timeout_at(self.relay.call.deadline, answer.body.frame()).await {
                 Err(_) => return PassageStep::TimeOver,
@@ -107,7 +110,7 @@
         let Some(buffer) = &mut self.buffer else {
             return Err(self.cut(cause, SendEnd::Broken));
         };
-        buffer.discard_partial();
+        buffer.start_answer();
         let last = buffer.last().cloned();
         log::info!(
             request = self.relay.call.attempt.as_str(), cause = cause.as_str(),
--- a/cicadastall/src/http.rs
+++ b/cicadastall/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     answer::{Refusal, RefusalCode},
-    gateway::connections::guard_stream,
+    gateway::connections::guard_accepted,
     limits::CallerCounts,
 };
 use bytes::Bytes;
@@ -162,7 +162,7 @@
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
     let prepared = match limits.guarded {
-        true => guard_stream(&stream),
+        true => guard_accepted(&stream),
         false => stream.set_nodelay(true),
     };
     if let Err(error) = prepared {
--- a/cicadastall/tests/gateway_pure.rs
+++ b/cicadastall/tests/gateway_pure.rs
@@ -174,7 +174,7 @@
             rest = after;
         }
         // The stream breaks off, and another upstream repeats some events before it goes on.
-        buffer.discard_partial();
+        buffer.start_answer();
         let last: u32 = buffer.last().map_or(0, |last| last.parse().unwrap_or(0));
         let from = last.saturating_sub(u32::from(again % 3)) + 1;
         let resumed: String = (from..=20).map(event).collect();
@@ -184,6 +184,30 @@
     checker().quickcheck(property as fn(Vec<u8>, u8) -> bool);
 }
 
+#[test]
+fn nothing_is_passed_on_after_events_that_are_missing() {
+    let event = |id: u32| format!("id: {id}\ndata: x\n\n");
+    let events = |ids: &[u32]| ids.iter().copied().map(event).collect::<String>();
+    let mut buffer = EventBuffer::default();
+    let out = buffer.push(events(&[1, 2, 3, 4, 5, 117, 118]).as_bytes()).expect("small events");
+    assert_eq!(out, events(&[1, 2, 3, 4, 5]));
+    assert!(buffer.has_gap());
+    assert_eq!(buffer.last().map(|last| &**last), Some("5"));
+    // Another upstream goes on after the last event that was passed on.
+    buffer.start_answer();
+    let out = buffer.push(events(&[6, 7]).as_bytes()).expect("small events");
+    assert!(!buffer.has_gap() && out == events(&[6, 7]));
+}
+
+#[test]
+fn numbers_that_do_not_rise_by_one_are_no_loss() {
+    let event = |id: u32| format!("id: {id}\ndata: x\n\n");
+    let text: String = [10, 20, 25, 26, 40].into_iter().map(event).collect();
+    let mut buffer = EventBuffer::default();
+    assert_eq!(buffer.push(text.as_bytes()).expect("small events"), text);
+    assert!(!buffer.has_gap());
+}
+
 fn head(status: u16, attempt: Option<&str>) -> AnswerHead {
     AnswerHead {
         status: StatusCode::from_u16(status).expect("a status"),
