Refuse by the guessed length only beyond twice the time; say why a stream was not continued and whether it ran

The guess is right at the median and often far off. Lines of cut streams said neither why no other upstream went on, nor that the request had run.

Change: WHOLE_PART 2.0; the reason of a cut stream names the refusal; ran is yes, no or unknown.

--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -102,7 +102,7 @@
 const WAIT_PART: f64 = 0.85;
 
 /// Part of the time that is left within which an answer must be expected to end.
-const WHOLE_PART: f64 = 1.0;
+const WHOLE_PART: f64 = 2.0;
 
 /// Time after its last answer for which an upstream whose renewals have ceased is still used.
 const SILENT_USE: Duration = Duration::from_secs(3);
--- a/cicadastall/src/gateway/passage.rs
+++ b/cicadastall/src/gateway/passage.rs
@@ -127,7 +127,10 @@
                 self.answer = Some(answer);
                 Ok(())
             }
-            Err(_) => Err(self.cut(cause, SendEnd::Broken)),
+            Err(failure) => {
+                let cause = format!("{cause}; not continued: {}", failure.describe());
+                Err(self.cut(cause, SendEnd::Broken))
+            }
         }
     }
 
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -109,6 +109,15 @@
         self.reason = reason.into();
     }
 
+    /// Whether an upstream ran the request, as far as this entry knows.
+    fn describe_ran(&self) -> &'static str {
+        match (self.outcome, self.ran) {
+            ("answered" | "cut" | "upstream_failed", _) => "yes",
+            ("refused", Ran::No) => "no",
+            _ => "unknown",
+        }
+    }
+
     fn is_good(&self, whole_ms: u64) -> bool {
         let first_ms = self.first_at.map_or(whole_ms, |at| millis(at - self.call.arrived));
         let pause_ms = millis(self.longest_pause);
@@ -134,7 +143,7 @@
             request = self.call.attempt.as_str(), route = &*route.name,
             pool = self.call.pool.as_str(), document = self.document, rank = route.rank,
             hopped = self.call.hopped, outcome = self.outcome, status = self.status,
-            ran:serde = self.ran, reason = self.reason.as_str(), attempts = attempts.as_str(),
+            ran = self.describe_ran(), reason = self.reason.as_str(), attempts = attempts.as_str(),
             first_ms = first.map_or(0, millis), pause_ms = millis(self.longest_pause), whole_ms = millis(whole),
             allowed_ms = millis(self.call.deadline - self.call.arrived);
             "request ended"
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -37,6 +37,16 @@
     Refused(Refusal),
 }
 
+impl FinalFailure {
+    /// Why there is no answer.
+    pub(crate) fn describe(&self) -> String {
+        match self {
+            Self::Upstream(kept) => format!("status {} of an upstream", kept.status),
+            Self::Refused(refusal) => refusal.message.to_string(),
+        }
+    }
+}
+
 /// Serves the attempts of one request.
 #[derive(Debug)]
 pub(crate) struct CallRelay {
