--- a/cicadastall/src/clock.rs
+++ b/cicadastall/src/clock.rs
@@ -27,6 +27,11 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Duration of `count` milliseconds.
+pub(crate) fn from_millis(count: u32) -> Duration {
+    Duration::from_millis(u64::from(count))
+}
+
 /// Milliseconds of `duration`, with their fraction.
 pub(crate) fn fractional_millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -10,6 +10,7 @@
 
 mod attempt;
 pub mod call;
+pub mod choice;
 pub mod choose;
 pub mod connections;
 pub mod context;
@@ -32,10 +33,12 @@
 pub mod own_control;
 mod passage;
 mod record;
+pub mod region_load;
 pub mod registry;
 mod relay;
 pub mod retry_window;
 pub mod routes;
+mod score;
 pub mod settings;
 pub mod track;
 pub mod view;
--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
     answer::Ran,
     gateway::{
         call::RoutedCall,
-        choose::{ChoiceBasis, UpstreamChoice},
+        choice::{ChoiceBasis, UpstreamChoice},
         connections::{ConnectError, ConnectionTarget, ExchangeError, TakenConnection},
         context::EntryContext,
         dialect::AttemptNote,
@@ -212,10 +212,7 @@
                 {
                     self.context.chooser().note_cut_off(region, Instant::now());
                 }
-                let AttemptFailure { verdict, cause, .. } = &failure;
-                let (verdict, cause) = (*verdict, cause.clone());
-                self.note_attempt(target.describe(), verdict, &cause, target.basis, chosen_at);
-                Err(failure)
+                Err(self.note_failure(&target, failure, chosen_at))
             }
         }
     }
@@ -314,7 +311,8 @@
     ) -> Result<OpenAnswer, AttemptFailure> {
         let (parts, mut body) = response.into_parts();
         let head = self.context.dialect.read_answer_head(parts.status, &parts.headers);
-        let ran = target.upstream.is_none().then(|| read_ran(&parts.headers)).flatten();
+        let hop = target.upstream.is_none();
+        let ran = hop.then(|| read_ran(&parts.headers)).flatten();
         let verdict = match ran {
             Some(Ran::No) => Verdict::NotRun,
             Some(Ran::Unknown) => Verdict::Unknown,
@@ -324,8 +322,7 @@
         let mut headers = parts.headers;
         strip_connection_headers(&mut headers);
         headers.remove(RAN_HEADER);
-        let told = read_ran_on(&headers).filter(|_| target.upstream.is_none());
-        let hop = target.upstream.is_none();
+        let told = read_ran_on(&headers).filter(|_| hop);
         let arrived = !hop || read_arrived(&headers).unwrap_or(true);
         headers.remove(RAN_ON_HEADER);
         headers.remove(ARRIVED_HEADER);
@@ -400,10 +397,18 @@
             _ => {}
         }
         guard.end(failure.end);
+        Err(self.note_failure(target, failure, chosen_at))
+    }
+
+    fn note_failure(
+        &mut self,
+        target: &AttemptTarget,
+        failure: AttemptFailure,
+        chosen_at: Instant,
+    ) -> AttemptFailure {
         let AttemptFailure { verdict, cause, .. } = &failure;
-        let (verdict, cause) = (*verdict, cause.clone());
-        self.note_attempt(target.describe(), verdict, &cause, target.basis, chosen_at);
-        Err(failure)
+        self.note_attempt(target.describe(), *verdict, cause, target.basis, chosen_at);
+        failure
     }
 }
 
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -7,22 +7,25 @@
 
 use crate::{
     gateway::{
-        call::{CallHead, RoutedCall},
+        call::RoutedCall,
+        choice::{ChoiceBasis, ChoiceInput, LeftOut, RefusalCause, UpstreamChoice},
         groups::{PromptDemand, PromptGroups, PromptSort, PromptWork},
-        routes::{EngineRule, PoolRule},
+        routes::PoolRule,
+        score::{
+            AdmittedUpstream, Candidate, EASY_STRETCH_MS, REREAD_LOSS, keep_places, lateness_loss,
+            pause_loss, score_upstream, shared_tokens,
+        },
         track::{OpenSend, SendEnd, SendNumber, UpstreamTrack},
-        view::{FleetView, KnownUpstream, LoadView},
+        view::{FleetView, KnownUpstream},
         warmup::{choose_sender, hash_pair, pause_between},
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
 use smallvec::SmallVec;
 use std::{
-    collections::HashMap,
-    fmt::{self, Display, Formatter},
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     ops::Range,
     sync::Arc,
@@ -30,25 +33,6 @@
 };
 use tokio::time::Instant;
 
-/// Part of the target up to which an answer costs nothing for its time.
-const EASY_PART: f64 = 0.5;
-
-/// Loss of an answer just at its target.
-const TARGET_LOSS: f64 = 0.3;
-
-/// Loss of an answer just past its target.
-const LATE_LOSS: f64 = 1.0;
-
-/// Loss of reading a thousand shared tokens again.
-const REREAD_LOSS: f64 = 0.12;
-
-/// Loss of an upstream in another zone, for the bytes.
-const ZONE_LOSS: f64 = 0.02;
-
-/// Parts of the shared prompt that the first and second upstream of each zone by the hash are taken to
-/// have read.
-const KEPT_PARTS: [f64; 2] = [1.0, 0.5];
-
 /// Part of the shared prompt that an upstream of another region is taken to have read for its own
 /// callers.
 const KEPT_ELSEWHERE: f64 = 0.8;
@@ -62,33 +46,6 @@
 /// Time that a hop to another region adds to the first token, in milliseconds.
 const HOP_MS: f64 = 125.0;
 
-/// Difference of two losses that counts as none.
-const TIE_LOSS: f64 = 0.005;
-
-/// Loss of an upstream that takes prompts of the other sort.
-const GROUP_LOSS: f64 = 0.1;
-
-/// Loss of one stream of the other sort that a long prompt slows down in a full engine.
-const SLOWED_LOSS: f64 = 0.3;
-
-/// Loss of an upstream that only fails, over one that never does.
-const FAILING_LOSS: f64 = 2.0;
-
-/// Part of failures that is taken to lie with the requests.
-const FAILING_FLOOR: f64 = 0.35;
-
-/// Reading without a break, in milliseconds, that makes no running stream pause for too long.
-const EASY_STRETCH_MS: f64 = 230.0;
-
-/// Further reading without a break after which every running stream has paused for too long.
-const HARD_STRETCH_MS: f64 = 170.0;
-
-/// Loss of an engine whose places are all taken, for what others send to it meanwhile.
-const FILL_LOSS: f64 = 0.2;
-
-/// Loss of one running stream that pauses for too long.
-const PAUSE_LOSS: f64 = 0.05;
-
 /// Loss for running streams above which a request rather waits until less is to be read.
 const WAIT_LOSS: f64 = 0.1;
 
@@ -113,12 +70,6 @@
 /// Time of a whole stream before any was measured, in milliseconds.
 const FIRST_STREAM_MS: f64 = 1_000.0;
 
-/// Time of a call to an idle plain service that counts for all alike, in milliseconds.
-const FIRST_CALL_MS: f64 = 20.0;
-
-/// Part of an engine's memory that running requests are to take; shared parts are kept in the rest.
-const RUNNING_PART: f64 = 0.6;
-
 /// Longest wait for the next turn of a cold upstream.
 const COLD_WAIT: Duration = Duration::from_millis(400);
 
@@ -146,150 +97,6 @@
 /// Time to come back where no upstream is known.
 const UNKNOWN_RETURN: Duration = Duration::from_millis(800);
 
-/// What was tried already.
-#[derive(Debug, Clone, Default)]
-pub struct TriedUpstreams {
-    /// Upstreams that were asked.
-    pub upstreams: SmallVec<[UpstreamName; 4]>,
-    /// Regions to whose entries the request was passed on.
-    pub regions: SmallVec<[RegionName; 2]>,
-}
-
-/// Why a request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RefusalCause {
-    /// No upstream that may run it is known.
-    NoUpstream,
-    /// All that may run it are barred after failures, cold, or without connections.
-    Unusable,
-    /// It would be answered too late.
-    Overloaded,
-}
-
-/// What decided for a target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
-pub struct ChoiceBasis {
-    /// Predicted time to the first token or the whole answer, in milliseconds.
-    pub predicted_ms: u32,
-    /// Predicted time of the whole answer, in milliseconds.
-    pub answer_ms: u32,
-    /// Loss, in thousandths.
-    pub loss: u32,
-    /// Prompt tokens that are to be read.
-    pub unread: u32,
-    /// Requests that it is taken to have.
-    pub requests: u32,
-    /// Part of the shared prompt that it is taken to hold, in hundredths.
-    pub kept: u32,
-    /// Whether it takes prompts of the request's sort.
-    pub grouped: bool,
-    /// Age of what others told, in milliseconds.
-    pub told_ms: u32,
-}
-
-/// Where the next attempt goes.
-#[derive(Debug, Clone)]
-pub enum UpstreamChoice {
-    /// To an upstream of this region.
-    Upstream {
-        /// The upstream.
-        known: Arc<KnownUpstream>,
-        /// Names the send in the upstream's record.
-        number: SendNumber,
-        /// Connections that this entry may have to it.
-        connections: usize,
-        /// What decided.
-        basis: ChoiceBasis,
-    },
-    /// To an entry of another region.
-    Region {
-        /// The region.
-        region: RegionName,
-        /// The entry.
-        entry: SocketAddr,
-        /// What decided.
-        basis: ChoiceBasis,
-    },
-    /// Nowhere before this time.
-    Wait(Instant),
-    /// Nowhere.
-    Refuse {
-        /// Why.
-        cause: RefusalCause,
-        /// When to come back.
-        retry_after: Duration,
-        /// Reasons why upstreams were left out.
-        left_out: LeftOut,
-        /// What decided against the best of the others.
-        basis: Option<ChoiceBasis>,
-    },
-}
-
-/// What a choice depends on beside the chooser's own record.
-#[derive(Debug, Clone, Copy)]
-pub struct ChoiceInput<'a> {
-    /// The request.
-    pub call: &'a RoutedCall,
-    /// Rule of its pool.
-    pub pool: Option<&'a PoolRule>,
-    /// What was tried.
-    pub tried: &'a TriedUpstreams,
-    /// The fleet.
-    pub view: &'a FleetView,
-    /// Work of others.
-    pub load: &'a LoadView,
-    /// Whether upstreams may not be known yet, as the entry has just started.
-    pub young: bool,
-    /// Now.
-    pub now: Instant,
-}
-
-#[derive(Debug)]
-struct Candidate<'a> {
-    known: &'a Arc<KnownUpstream>,
-    unread_tokens: u32,
-    predicted_ms: f64,
-    basis: ChoiceBasis,
-    /// Predicted time of the whole answer, in milliseconds.
-    whole_ms: f64,
-    loss: f64,
-    /// Part of the loss that is borne by streams that run already.
-    pause_loss: f64,
-    stretch_ms: f64,
-    order: u64,
-    cold: bool,
-}
-
-/// An upstream that may get the request now.
-#[derive(Debug, Clone, Copy)]
-struct AdmittedUpstream<'a> {
-    known: &'a Arc<KnownUpstream>,
-    order: u64,
-    /// Whether it takes prompts of the request's sort.
-    grouped: bool,
-    cold: bool,
-}
-
-/// Reasons why upstreams were left out, counted.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct LeftOut {
-    /// Failed lately.
-    pub barred: u32,
-    /// Cold, and another entry's turn or too soon.
-    pub cold: u32,
-    /// Tried already.
-    pub tried: u32,
-    /// Renewals have ceased, and no answer came lately.
-    pub silent: u32,
-}
-
-impl Display for LeftOut {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let Self { barred, cold, tried, silent } = self;
-        write!(formatter, "{barred} barred, {cold} cold, {tried} tried, {silent} silent")
-    }
-}
-
 /// Chooses upstreams by what this entry gave them and what others told.
 #[derive(Debug)]
 pub struct UpstreamChooser {
@@ -342,10 +149,9 @@
 
     /// Forgets upstreams that are gone and have no work.
     pub fn forget(&mut self, view: &FleetView, now: Instant) {
-        let known = |name: &UpstreamName| {
-            view.pools.values().flatten().any(|known| known.upstream.name == *name)
-        };
-        self.tracks.retain(|name, track| !track.is_idle(now) || known(name));
+        let known: HashSet<_> =
+            view.pools.values().flatten().map(|known| &known.upstream.name).collect();
+        self.tracks.retain(|name, track| !track.is_idle(now) || known.contains(name));
     }
 
     fn track(&mut self, known: &KnownUpstream) -> &mut UpstreamTrack {
@@ -435,12 +241,9 @@
         let mut best: Option<Candidate<'a>> = None;
         for (place, admitted) in admitted.iter().enumerate() {
             let kept = kept.get(place).copied().unwrap_or_default();
-            let candidate = self.score(input, admitted, kept);
-            let better = best.as_ref().is_none_or(|best| {
-                let gain = best.loss - candidate.loss;
-                gain > TIE_LOSS || (gain > -TIE_LOSS && candidate.order > best.order)
-            });
-            if better {
+            let Some(track) = self.tracks.get(&admitted.known.upstream.name) else { continue };
+            let candidate = score_upstream(input, &self.zone, track, admitted, kept);
+            if best.as_ref().is_none_or(|best| candidate.is_better(best)) {
                 best = Some(candidate);
             }
         }
@@ -471,9 +274,10 @@
         let sort = PromptSort::of(input.call.head.prompt_tokens);
         let groups = self.groups.entry(input.call.pool.clone());
         let groups = groups.or_insert_with(|| PromptGroups::new(input.now));
-        let own = groups.demand(input.now);
         let told = input.load.demand.get(&input.call.pool).filter(|_| input.load.work_at.is_some());
-        let demand = told.copied().unwrap_or_else(|| own.times(input.view.entries.len() as f64));
+        let entries = input.view.entries.len() as f64;
+        let own = groups.demand(input.now);
+        let demand = told.copied().unwrap_or_else(|| own.times(entries));
         let long = groups.count_long(upstreams, &demand);
         match sort {
             _ if long == 0 || long == upstreams => 0..upstreams,
@@ -516,107 +320,6 @@
         Some(true)
     }
 
-    fn score<'a>(
-        &self,
-        input: &ChoiceInput<'_>,
-        admitted: &AdmittedUpstream<'a>,
-        kept: f64,
-    ) -> Candidate<'a> {
-        let AdmittedUpstream { known, order, grouped, cold } = *admitted;
-        let known_zone = &known.upstream.zone;
-        let call = input.call;
-        let name = &known.upstream.name;
-        let fresh = UpstreamTrack::new(0);
-        let track = self.tracks.get(name).unwrap_or(&fresh);
-        let shared = call.head.shared_parts();
-        let all_shared: u32 = shared.iter().map(|part| part.tokens).sum();
-        let read_here = track.cached_tokens(shared, input.now);
-        let cached = read_here.max((f64::from(all_shared) * kept) as u32);
-        let unread_tokens = call.head.prompt_tokens.saturating_sub(cached);
-        let (others, others_ms) = self.others_work(input, name, track);
-        let stream = call.repeat().is_stream();
-        let requests = track.open() as f64 + others;
-        let slots = f64::from(known.upstream.slots.max(1));
-        let places = match input.pool.and_then(|pool| pool.engine) {
-            Some(engine) => slots.min(count_places(engine, track.mean_tokens(&call.head))),
-            None => slots,
-        };
-        let over = (requests + 1.0 - places).max(0.0);
-        let queue_ms = over * track.whole_ms(stream) / places;
-        let own_ms = match stream {
-            true => track.first_token_ms(unread_tokens),
-            // Of idle upstreams, requests that may go anywhere are spread over all alike.
-            false => {
-                let load = (track.open() as f64 + others) / slots;
-                (FIRST_CALL_MS + load * track.whole_ms(false)) * track.slowness()
-            }
-        };
-        let backlog_ms = track.backlog_ms(call.route.rank, input.now) + others_ms;
-        let predicted_ms = backlog_ms + queue_ms + own_ms;
-        let reread = all_shared.saturating_sub(cached);
-        let time = predicted_ms / (call.route.target_ms.max(1) as f64);
-        let failing = (track.failing() - FAILING_FLOOR).max(0.0) / (1.0 - FAILING_FLOOR);
-        let read_ms = UpstreamTrack::read_ms(unread_tokens) * track.slowness();
-        let engine = input.pool.is_some_and(|pool| pool.engine.is_some());
-        let stretch_ms = match engine {
-            true => track.backlog_ms(u8::MAX, input.now) + others_ms + read_ms,
-            false => 0.0,
-        };
-        let pause_loss = pause_loss(stretch_ms, track.open() as f64 + others);
-        let fill = (requests + 1.0) / places;
-        let fill_loss = if engine { FILL_LOSS * fill * fill } else { 0.0 };
-        let loss = lateness_loss(time)
-            + pause_loss
-            + fill_loss
-            + f64::from(reread) / 1_000.0 * REREAD_LOSS
-            + failing * FAILING_LOSS
-            + if known_zone == &self.zone { 0.0 } else { ZONE_LOSS }
-            + if grouped { 0.0 } else { group_loss(call, requests, fill) };
-        let tail_ms = match stream {
-            true => track.token_ms() * f64::from(call.head.expected_tokens()),
-            false => 0.0,
-        };
-        Candidate {
-            known,
-            unread_tokens,
-            predicted_ms,
-            basis: ChoiceBasis {
-                predicted_ms: predicted_ms as u32,
-                answer_ms: (predicted_ms + tail_ms) as u32,
-                loss: (loss * 1_000.0) as u32,
-                unread: unread_tokens,
-                requests: track.open() as u32 + others as u32,
-                kept: (kept * 100.0) as u32,
-                grouped,
-                told_ms: tell_age(input),
-            },
-            whole_ms: predicted_ms + tail_ms,
-            loss,
-            pause_loss,
-            stretch_ms,
-            order,
-            cold,
-        }
-    }
-
-    /// Requests and backlog in milliseconds that other entries gave to an upstream; as much as this
-    /// one did where they do not tell.
-    fn others_work(
-        &self,
-        input: &ChoiceInput<'_>,
-        name: &UpstreamName,
-        track: &UpstreamTrack,
-    ) -> (f64, f64) {
-        // What others gave it since they told is taken to be as much as it has read since.
-        if input.load.work_at.is_some() {
-            let (requests, backlog_ms) = input.load.work.get(name).copied().unwrap_or_default();
-            return (f64::from(requests), f64::from(backlog_ms));
-        }
-        let others = input.view.entries.len().saturating_sub(1) as f64;
-        let backlog_ms = track.backlog_ms(input.call.route.rank, input.now);
-        (track.open() as f64 * others, backlog_ms * others)
-    }
-
     fn send(
         &mut self,
         input: &ChoiceInput<'_>,
@@ -774,75 +477,9 @@
     }
 }
 
-/// Loss of an answer that takes `time` times its target.
-fn lateness_loss(time: f64) -> f64 {
-    if time <= EASY_PART {
-        // A little, so that of two good ones the quicker is taken.
-        time * 0.05
-    } else if time <= 1.0 {
-        0.05 + (time - EASY_PART) / (1.0 - EASY_PART) * TARGET_LOSS
-    } else {
-        LATE_LOSS + (time - 1.0) * TARGET_LOSS
-    }
-}
-
-/// Requests of `tokens` that run in an engine at the same time and leave room for shared parts.
-fn count_places(engine: EngineRule, tokens: f64) -> f64 {
-    (engine.kv_tokens as f64 * RUNNING_PART / tokens.max(1.0)).max(1.0)
-}
-
 /// Connections that this entry may have to one upstream of the pool.
 fn share_connections(input: &ChoiceInput<'_>) -> usize {
     let bound = input.pool.map_or(f64::INFINITY, |pool| f64::from(pool.connections));
     let share = bound * CONNECTION_PART / input.view.entries.len().max(1) as f64;
     (share as usize).max(LEAST_CONNECTIONS)
 }
-
-/// Age of what other entries told of their work, in milliseconds.
-fn tell_age(input: &ChoiceInput<'_>) -> u32 {
-    input.load.work_at.map_or(u32::MAX, |at| (input.now - at).as_millis() as u32)
-}
-
-/// Ranks of the upstreams of a zone that are taken to hold a shared prompt, best first: whether it
-/// takes prompts of the sort, and its hash.
-type KeptRanks = [Option<(bool, u64)>; KEPT_PARTS.len()];
-
-/// Parts of the shared prompt that each upstream is taken to have read: the first ones of each zone by
-/// the hash, since the entries of that zone send such prompts there.
-fn keep_places(admitted: &[AdmittedUpstream<'_>]) -> SmallVec<[f64; 16]> {
-    let rank = |upstream: &AdmittedUpstream<'_>| Some((upstream.grouped, upstream.order));
-    let mut held = KeptRanks::default();
-    for upstream in admitted {
-        let mut next = rank(upstream);
-        for held in &mut held {
-            if next > *held {
-                std::mem::swap(held, &mut next);
-            }
-        }
-    }
-    let kept = admitted.iter().map(|upstream| {
-        let place = held.iter().position(|held| *held == rank(upstream));
-        place.map_or(0.0, |place| KEPT_PARTS[place])
-    });
-    kept.collect()
-}
-
-/// Loss at an upstream with `streams` that takes prompts of the other sort: a long prompt holds each
-/// of its streams up, which costs the more the more of its places are taken.
-fn group_loss(call: &RoutedCall, streams: f64, fill: f64) -> f64 {
-    match PromptSort::of(call.head.prompt_tokens) {
-        PromptSort::Long => GROUP_LOSS + streams * fill * fill * SLOWED_LOSS,
-        PromptSort::Short => GROUP_LOSS,
-    }
-}
-
-/// Loss of `streams` that run while an engine reads for `stretch_ms` without a break.
-fn pause_loss(stretch_ms: f64, streams: f64) -> f64 {
-    let part = ((stretch_ms - EASY_STRETCH_MS) / HARD_STRETCH_MS).clamp(0.0, 1.0);
-    part * streams * PAUSE_LOSS
-}
-
-/// Prompt tokens of `head` that other requests share.
-pub fn shared_tokens(head: &CallHead) -> u32 {
-    head.shared_parts().iter().map(|part| part.tokens).sum()
-}
--- a/cicadastall/src/gateway/connections.rs
+++ b/cicadastall/src/gateway/connections.rs
@@ -1,6 +1,6 @@
 //! Kept connections to upstreams and other entries, bounded for each target.
 
-use crate::{http::describe_error, name::UpstreamName};
+use crate::{http::describe_error, name::UpstreamName, sockets::open_stream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -9,35 +9,17 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use std::{
     collections::HashMap,
-    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    time::{Instant, timeout},
-};
+use tokio::time::{Instant, timeout};
 
 /// Longest time to establish a connection; a lost packet is sent again after a second.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_300);
 
-/// Time without an acknowledgement after which a connection counts as broken; several times the
-/// longest round trip between regions, and a retransmission.
-pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// The same for accepted connections: over three times as long, so that the other side notices first.
-pub const ACCEPTED_SILENCE: Duration = Duration::from_secs(8);
-
-/// Rest after which an idle connection is probed, and time between two probes.
-const PROBE_PERIOD: Duration = Duration::from_secs(1);
-
-/// Unanswered probes after which a connection counts as broken.
-const PROBE_COUNT: u32 = 2;
-
 /// Rest after which a kept connection is not used again, where the other side names no limit.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
 
@@ -228,7 +210,7 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
-    let connected = timeout(CONNECT_TIMEOUT, open_stream(address)).await;
+    let connected = timeout(CONNECT_TIMEOUT, open_stream(None, address)).await;
     let stream = connected
         .map_err(|_| format!("not connected within {CONNECT_TIMEOUT:?}"))?
         .map_err(|error| error.to_string())?;
@@ -241,36 +223,3 @@
     });
     Ok(sender)
 }
-
-async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    let stream = socket.connect(address).await?;
-    guard_stream(&stream)?;
-    Ok(stream)
-}
-
-/// Lets a connection that was opened here break when the other side falls silent.
-pub fn guard_stream(stream: &TcpStream) -> io::Result<()> {
-    guard_for(stream, SILENCE_TIMEOUT)
-}
-
-/// Lets an accepted connection break when the other side has been silent for so long that it has given
-/// the connection up itself: what is written before a silence and after it must not be read in one
-/// answer that misses a part.
-pub fn guard_accepted(stream: &TcpStream) -> io::Result<()> {
-    guard_for(stream, ACCEPTED_SILENCE)
-}
-
-fn guard_for(stream: &TcpStream, silence: Duration) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_PERIOD)
-        .with_interval(PROBE_PERIOD)
-        .with_retries(PROBE_COUNT);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(silence))
-}
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -37,10 +37,7 @@
     future::ready,
     io,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
     time::Duration,
 };
 use tokio::{
@@ -84,7 +81,6 @@
 struct ViewKeeper {
     context: Arc<EntryContext>,
     state: Mutex<ViewState>,
-    confirmed: AtomicBool,
     first_document: Mutex<Option<Instant>>,
 }
 
@@ -116,8 +112,7 @@
         }
         let first = *self.first_document.lock().unwrap_or_else(PoisonError::into_inner);
         let waited = first.is_some_and(|at| at.elapsed() > UNCONFIRMED_AFTER);
-        if confirmed || (first.is_some() && waited) {
-            self.confirmed.store(true, Ordering::Relaxed);
+        if confirmed || waited {
             self.context.set_usable();
             self.state().set_state(EntryState::Serving);
             self.publish(true);
@@ -160,7 +155,6 @@
     fn ask(&self, address: SocketAddr) -> NewsQuery {
         let state = self.state();
         let near = state.is_near(address);
-        let confirm = !self.confirmed.load(Ordering::Relaxed);
         let mut own = state.own().clone();
         own.in_flight = self.context.in_flight.load(Ordering::Relaxed);
         NewsQuery {
@@ -168,7 +162,7 @@
             document: self.context.routes.load().document().number,
             evacuated: state.evacuated().version,
             wait_ms: if near { NEAR_WAIT_MS } else { FAR_WAIT_MS },
-            confirm,
+            confirm: !self.context.is_usable(),
             work: if near { self.context.work() } else { Vec::new() },
             demand: if near { self.context.demand() } else { Vec::new() },
             reader: NewsReader::Entry(own),
@@ -227,7 +221,6 @@
         let keeper = Arc::new(ViewKeeper {
             context: Arc::clone(&context),
             state: Mutex::new(ViewState::new(own, &node.seeds, Instant::now())),
-            confirmed: AtomicBool::new(false),
             first_document: Mutex::new(None),
         });
         let (close, closed) = watch::channel(false);
@@ -361,9 +354,7 @@
     let remaining = read.remaining.map(|left| left.saturating_sub(DEADLINE_MARGIN));
     let limit = route.time_limit();
     let allowed = remaining.map_or(limit, |remaining| remaining.min(limit));
-    let bound = allowed.min(BODY_BOUND);
-    let body = read_body(body, document.limits.body_bytes, bound).await;
-    let body = body.map_err(|error| refuse_body(error, document.limits.body_bytes))?;
+    let body = take_body(body, document.limits.body_bytes, allowed).await?;
     let attempt = read.attempt.clone().unwrap_or_else(|| name_attempt(context));
     let number = hash_pair(attempt.as_str(), document.number);
     let pool = route.choose_pool(number).cloned().ok_or_else(|| {
@@ -396,14 +387,16 @@
     })
 }
 
-fn refuse_body(error: BodyError, limit: usize) -> Refusal {
-    match error {
+/// Reads a body of at most `limit` bytes within `allowed`.
+async fn take_body(body: Incoming, limit: usize, allowed: Duration) -> Result<Bytes, Refusal> {
+    let read = read_body(body, limit, allowed.min(BODY_BOUND)).await;
+    read.map_err(|error| match error {
         BodyError::TooLarge => {
             Refusal::not_run(RefusalCode::TooLarge, format!("body exceeds {limit} bytes"))
         }
         BodyError::TooSlow => Refusal::not_run(RefusalCode::TooSlow, "body was not sent in time"),
         BodyError::Broken => Refusal::not_run(RefusalCode::BadRequest, "body was cut off"),
-    }
+    })
 }
 
 fn name_attempt(context: &EntryContext) -> AttemptId {
@@ -438,9 +431,7 @@
     })?;
     let read = order.complete_head(read_call(context, &head)?);
     let document = Arc::clone(context.routes.load().document());
-    let limit = document.limits.body_bytes;
-    let body = read_body(body, limit, order.remaining().min(BODY_BOUND)).await;
-    let body = body.map_err(|error| refuse_body(error, limit))?;
+    let body = take_body(body, document.limits.body_bytes, order.remaining()).await?;
     let Parts { method, uri, mut headers, .. } = head;
     strip_connection_headers(&mut headers);
     let call = RoutedCall {
--- a/cicadastall/src/gateway/metrics.rs
+++ b/cicadastall/src/gateway/metrics.rs
@@ -1,22 +1,24 @@
 //! Counters and histograms of an entry.
 
-use crate::{clock::fractional_millis, name::PoolName};
+use crate::{
+    clock::fractional_millis,
+    name::PoolName,
+    scrape::{ScrapeRegistry, time_histogram},
+};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use std::{fmt, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 /// Upper bounds of the histograms' buckets, in milliseconds.
 const BUCKETS_MS: [f64; 12] =
     [2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 20_000.0];
 
 /// Metrics of one process.
+#[derive(Debug)]
 pub struct GatewayMetrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    scrape: ScrapeRegistry,
     first_byte: Histogram<f64>,
     pause: Histogram<f64>,
     whole: Histogram<f64>,
@@ -29,25 +31,12 @@
     upstreams: Gauge<u64>,
 }
 
-impl fmt::Debug for GatewayMetrics {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("GatewayMetrics").finish_non_exhaustive()
-    }
-}
-
 impl GatewayMetrics {
     /// Metrics with a registry of their own.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a new registry has no colliding metrics");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("cicadastall");
-        let histogram = |name| {
-            meter.f64_histogram(name).with_unit("ms").with_boundaries(BUCKETS_MS.to_vec()).build()
-        };
+        let scrape = ScrapeRegistry::new(|builder| builder);
+        let meter = scrape.meter();
+        let histogram = |name| time_histogram(&meter, name, &BUCKETS_MS);
         Self {
             first_byte: histogram("cicadastall_gateway_first_byte"),
             pause: histogram("cicadastall_gateway_longest_pause"),
@@ -59,8 +48,7 @@
             hops: meter.u64_counter("cicadastall_gateway_hops").build(),
             document: meter.u64_gauge("cicadastall_gateway_document").build(),
             upstreams: meter.u64_gauge("cicadastall_gateway_upstreams").build(),
-            registry,
-            _provider: provider,
+            scrape,
         }
     }
 
@@ -117,11 +105,7 @@
 
     /// All metrics in the text format that scrapers read.
     pub fn render(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("metrics not rendered: {error}");
-        }
-        text
+        self.scrape.render()
     }
 }
 
--- a/cicadastall/src/gateway/own_control.rs
+++ b/cicadastall/src/gateway/own_control.rs
@@ -8,14 +8,11 @@
         news::RegisteredUpstream,
         routes::RouteDocument,
     },
-    http::{AnswerBody, json_answer, text_answer},
+    http::{AnswerBody, encoded_answer, json_answer},
     name::{RegionName, UpstreamName, ZoneName},
 };
 use bytes::Bytes;
-use hyper::{
-    Method, Response, StatusCode, Uri,
-    header::{CONTENT_TYPE, HeaderValue},
-};
+use hyper::{Method, Response, StatusCode, Uri};
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use std::sync::Arc;
@@ -71,12 +68,7 @@
             ControlReply::Replaced(number) => {
                 json_answer(StatusCode::OK, &json!({ "number": number }))
             }
-            ControlReply::Document(source) => {
-                let mut answer = text_answer(StatusCode::OK, Bytes::from(source.to_string()));
-                let json = HeaderValue::from_static("application/json");
-                answer.headers_mut().insert(CONTENT_TYPE, json);
-                answer
-            }
+            ControlReply::Document(source) => encoded_answer(StatusCode::OK, source.to_string()),
             ControlReply::NoDocument => {
                 json_answer(StatusCode::NOT_FOUND, &json!({ "error": "there is no document" }))
             }
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -8,7 +8,7 @@
     clock::millis,
     gateway::{
         call::RoutedCall,
-        choose::ChoiceBasis,
+        choice::ChoiceBasis,
         context::{EntryContext, FlightGuard},
         outcome::Verdict,
     },
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -4,23 +4,18 @@
 //! of the upstream's region. A row is lost with the process and comes back with the next renewal.
 
 use crate::{
+    clock::from_millis,
     gateway::{
-        groups::PromptDemand,
         news::{
-            ControlRecord, EntryNews, NewsCursor, PoolSummary, RegionSummary, RegisteredUpstream,
-            UpstreamNews, UpstreamPhase, WorkRow,
+            ControlRecord, EntryNews, NewsCursor, RegisteredUpstream, UpstreamNews, UpstreamPhase,
         },
+        region_load::EntryLoad,
     },
-    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
-    table::{EntryRecord, EntryState},
+    name::{InstanceName, RegionName, UpstreamName, ZoneName},
+    table::EntryRecord,
 };
 use smallvec::SmallVec;
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::Instant;
 
 /// Silence after which an entry is taken to be lost; entries ask at least once a second.
@@ -39,12 +34,6 @@
 /// Least change of the end of a cold spell that is passed on.
 const COLD_STEP_MS: u64 = 300;
 
-/// Time after which an entry's report of its work no longer counts.
-const WORK_LIFETIME: Duration = Duration::from_secs(3);
-
-/// Entries that a summary of a region names.
-const SUMMARY_ENTRIES: usize = 8;
-
 /// What became of a renewal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RenewalOutcome {
@@ -57,13 +46,13 @@
 }
 
 #[derive(Debug, Clone)]
-struct UpstreamRow {
-    upstream: Arc<RegisteredUpstream>,
+pub(super) struct UpstreamRow {
+    pub(super) upstream: Arc<RegisteredUpstream>,
     heard_at: Instant,
     /// Whether the newest renewal came to this instance.
     direct: bool,
     changed: u64,
-    silent: bool,
+    pub(super) silent: bool,
     /// Version of the evacuated zones that was in force here when the renewal arrived.
     evacuated: u64,
     /// Whether the next renewal is passed on although it changes nothing.
@@ -71,24 +60,14 @@
 }
 
 #[derive(Debug, Clone)]
-struct EntryRow {
-    entry: EntryRecord,
-    heard_at: Option<Instant>,
+pub(super) struct EntryRow {
+    pub(super) entry: EntryRecord,
+    pub(super) heard_at: Option<Instant>,
     /// Control instances that hear of the entry themselves.
     witnesses: SmallVec<[SocketAddr; 6]>,
     changed: u64,
-    silent: bool,
-    load: EntryLoad,
-    load_at: Option<Instant>,
-}
-
-/// What an entry tells of its work.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct EntryLoad {
-    /// Work that it has given to upstreams.
-    pub work: Vec<WorkRow>,
-    /// Work that it gets, by pool.
-    pub demand: Vec<(PoolName, PromptDemand)>,
+    pub(super) silent: bool,
+    pub(super) load: EntryLoad,
 }
 
 #[derive(Debug, Clone)]
@@ -100,13 +79,13 @@
 /// Rows of one control instance.
 #[derive(Debug)]
 pub struct FleetRegistry {
-    own: ControlRecord,
+    pub(super) own: ControlRecord,
     process: u64,
     changes: u64,
     silence: Duration,
-    zones: BTreeMap<ZoneName, RegionName>,
-    upstreams: BTreeMap<UpstreamName, UpstreamRow>,
-    entries: BTreeMap<InstanceName, EntryRow>,
+    pub(super) zones: BTreeMap<ZoneName, RegionName>,
+    pub(super) upstreams: BTreeMap<UpstreamName, UpstreamRow>,
+    pub(super) entries: BTreeMap<InstanceName, EntryRow>,
     controls: BTreeMap<SocketAddr, ControlRow>,
     controls_changed: u64,
     evacuated: u64,
@@ -162,7 +141,7 @@
 
     fn take_upstream(&mut self, news: UpstreamNews, direct: bool, now: Instant) -> RenewalOutcome {
         let UpstreamNews { upstream, age_ms, evacuated, .. } = news;
-        let heard_at = now.checked_sub(millis(age_ms)).unwrap_or(now);
+        let heard_at = now.checked_sub(from_millis(age_ms)).unwrap_or(now);
         if !self.zones.contains_key(&upstream.zone) {
             return RenewalOutcome::UnknownZone;
         }
@@ -298,7 +277,6 @@
             changed,
             silent: heard_at.is_none_or(|at| now >= at + ENTRY_SILENCE),
             load: EntryLoad::default(),
-            load_at: None,
             entry,
         };
         self.entries.insert(row.entry.instance.clone(), row);
@@ -319,7 +297,6 @@
             row.entry.in_flight = entry.in_flight;
             row.heard_at = Some(now);
             row.load = load;
-            row.load_at = Some(now);
         }
         self.judge_entry(&name, now);
     }
@@ -493,111 +470,6 @@
         let best = near.min_by_key(|control| (control.zone != *zone, control.peer_address))?;
         Some(best.registry_address)
     }
-
-    /// Work that the entries of `region` but `without` have given to upstreams.
-    pub fn sum_work(
-        &self,
-        region: &RegionName,
-        without: Option<&InstanceName>,
-        now: Instant,
-    ) -> Vec<WorkRow> {
-        let mut sums: HashMap<&UpstreamName, (u32, u32)> = HashMap::new();
-        for row in self.loaded_entries(region, now) {
-            if Some(&row.entry.instance) == without {
-                continue;
-            }
-            for WorkRow(upstream, requests, backlog_ms) in &row.load.work {
-                let sum = sums.entry(upstream).or_default();
-                sum.0 += requests;
-                sum.1 += backlog_ms;
-            }
-        }
-        let rows =
-            sums.into_iter().map(|(name, (requests, ms))| WorkRow(name.clone(), requests, ms));
-        rows.collect()
-    }
-
-    /// Entries of `region` that have told of their work lately.
-    fn loaded_entries(&self, region: &RegionName, now: Instant) -> impl Iterator<Item = &EntryRow> {
-        self.entries.values().filter(move |row| {
-            let fresh = row.load_at.is_some_and(|at| now < at + WORK_LIFETIME);
-            fresh && !row.silent && row.entry.region == *region
-        })
-    }
-
-    /// Work that the entries of `region` get, by pool.
-    pub fn sum_demand(&self, region: &RegionName, now: Instant) -> Vec<(PoolName, PromptDemand)> {
-        let mut sums: BTreeMap<PoolName, PromptDemand> = BTreeMap::new();
-        for (pool, demand) in self.loaded_entries(region, now).flat_map(|row| &row.load.demand) {
-            sums.entry(pool.clone()).or_default().add(demand);
-        }
-        sums.into_iter().collect()
-    }
-
-    /// Regions that this instance tells entries of `reader` about: its own, and those without a
-    /// control instance.
-    pub fn told_regions(&self, reader: &RegionName) -> BTreeSet<RegionName> {
-        let mut told: BTreeSet<_> = self.zones.values().cloned().collect();
-        for other in self.other_controls().filter(|other| other.region != self.own.region) {
-            told.remove(&other.region);
-        }
-        told.remove(reader);
-        told
-    }
-
-    /// Summary of a region, without upstreams in `evacuated` zones.
-    pub fn summarize(
-        &self,
-        region: &RegionName,
-        evacuated: &BTreeSet<ZoneName>,
-        now: Instant,
-    ) -> RegionSummary {
-        let work: HashMap<_, _> = self
-            .sum_work(region, None, now)
-            .into_iter()
-            .map(|WorkRow(name, requests, backlog)| (name, (requests, backlog)))
-            .collect();
-        let mut pools: BTreeMap<PoolName, PoolSummary> = BTreeMap::new();
-        for row in self.upstreams.values() {
-            let upstream = &row.upstream;
-            let serves = upstream.phase == UpstreamPhase::Serving
-                && !row.silent
-                && !evacuated.contains(&upstream.zone);
-            if !serves || self.region(&upstream.zone) != Some(region) {
-                continue;
-            }
-            let pool = pools.entry(upstream.pool.clone()).or_insert_with(|| PoolSummary {
-                pool: upstream.pool.clone(),
-                serving: 0,
-                slots: 0,
-                requests: 0,
-                backlog_ms: 0,
-            });
-            let (requests, backlog_ms) = work.get(&upstream.name).copied().unwrap_or_default();
-            pool.serving += 1;
-            pool.slots += upstream.slots;
-            pool.requests += requests;
-            pool.backlog_ms += backlog_ms;
-        }
-        for pool in pools.values_mut() {
-            pool.backlog_ms /= pool.serving.max(1);
-        }
-        let serving = self
-            .live_entries()
-            .filter(|entry| entry.region == *region && entry.state == EntryState::Serving);
-        let mut entries: Vec<_> =
-            serving.map(|entry| (entry.in_flight, entry.peer_address)).collect();
-        entries.sort_unstable();
-        RegionSummary {
-            region: region.clone(),
-            entries: entries
-                .into_iter()
-                .take(SUMMARY_ENTRIES)
-                .map(|(_, address)| address)
-                .collect(),
-            pools: pools.into_values().collect(),
-        }
-    }
 }
 
 fn is_newer(upstream: &RegisteredUpstream, known: &RegisteredUpstream) -> bool {
@@ -617,7 +489,7 @@
     let known = &row.upstream;
     let same =
         RegisteredUpstream { sequence: known.sequence, cold_ms: known.cold_ms, ..upstream.clone() };
-    let until = |at: Instant, cold_ms: u32| (cold_ms > 0).then(|| at + millis(cold_ms));
+    let until = |at: Instant, cold_ms: u32| (cold_ms > 0).then(|| at + from_millis(cold_ms));
     let cold = match (until(heard_at, upstream.cold_ms), until(row.heard_at, known.cold_ms)) {
         (None, None) => true,
         (Some(new), Some(old)) => {
@@ -645,7 +517,3 @@
         );
     }
 }
-
-fn millis(age_ms: u32) -> Duration {
-    Duration::from_millis(u64::from(age_ms))
-}
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -5,7 +5,7 @@
     gateway::{
         attempt::{AttemptFailure, KeptFailure, OpenAnswer},
         call::RoutedCall,
-        choose::{ChoiceBasis, ChoiceInput, LeftOut, RefusalCause, TriedUpstreams, UpstreamChoice},
+        choice::{ChoiceBasis, ChoiceInput, LeftOut, RefusalCause, TriedUpstreams, UpstreamChoice},
         context::EntryContext,
         headers::refuse,
         hop::{ARRIVED_HEADER, RAN_ON_HEADER},
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of the fleet, merged from the news of all control instances.
 
 use crate::{
+    clock::from_millis,
     gateway::{
         document_state::EvacuatedZones,
         groups::PromptDemand,
@@ -191,7 +192,7 @@
         }
         control.cursor = news.cursor;
         for news in news.upstreams {
-            let heard_at = now.checked_sub(millis(news.age_ms)).unwrap_or(now);
+            let heard_at = now.checked_sub(from_millis(news.age_ms)).unwrap_or(now);
             let name = news.upstream.name.clone();
             let heard = HeardUpstream { news, heard_at, carried_until: None };
             control.upstreams.insert(name, heard);
@@ -268,7 +269,7 @@
                 heard_at: heard.heard_at,
                 silent: heard.news.silent,
                 cold_until: (upstream.cold_ms > 0)
-                    .then(|| heard.heard_at + millis(upstream.cold_ms)),
+                    .then(|| heard.heard_at + from_millis(upstream.cold_ms)),
                 unconfirmed: restored.is_some_and(|version| heard.news.evacuated < *version),
                 upstream: Arc::clone(upstream),
             };
@@ -344,7 +345,3 @@
     }
     control.entries.clear();
 }
-
-fn millis(age_ms: u32) -> Duration {
-    Duration::from_millis(u64::from(age_ms))
-}
--- a/cicadastall/src/http.rs
+++ b/cicadastall/src/http.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     answer::{Refusal, RefusalCode},
-    gateway::connections::guard_accepted,
     limits::CallerCounts,
+    sockets::guard_accepted,
 };
 use bytes::Bytes;
 use futures::stream::{self, Stream, StreamExt};
@@ -286,18 +286,23 @@
 
 /// An answer with `value` as JSON.
 pub fn json_answer<T: Serialize>(status: StatusCode, value: &T) -> Response<AnswerBody> {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut answer = Response::new(full_body(body));
-    *answer.status_mut() = status;
-    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    answer
+    encoded_answer(status, serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// An answer with a value that is encoded as JSON already.
+pub fn encoded_answer(status: StatusCode, json: impl Into<Bytes>) -> Response<AnswerBody> {
+    typed_answer(status, "application/json", json.into())
 }
 
 /// An answer with plain text.
 pub fn text_answer(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerBody> {
-    let mut answer = Response::new(full_body(text));
+    typed_answer(status, "text/plain", text.into())
+}
+
+fn typed_answer(status: StatusCode, content: &'static str, body: Bytes) -> Response<AnswerBody> {
+    let mut answer = Response::new(full_body(body));
     *answer.status_mut() = status;
-    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content));
     answer
 }
 
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -5,7 +5,6 @@
     follow::SettingsHolder,
     follower::SettingsFollower,
     gateway::{
-        connections::guard_stream,
         control::NewsService,
         news::{FleetNews, NewsQuery},
     },
@@ -23,6 +22,7 @@
     replicated::GroupError,
     settings::Revision,
     settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
+    sockets::guard_stream,
     suspect::{IsolationReply, IsolationRequest, SuspectRecord},
     table::RoutingTable,
 };
--- a/cicadastall/src/intake.rs
+++ b/cicadastall/src/intake.rs
@@ -5,6 +5,7 @@
         DigestPacket, DigestRefresh, LogRow, MemberBulletin, MemberPacket, PacketBody, RowContent,
         RowKey, ZonePlace,
     },
+    clock::from_millis,
     digest::{apply_refresh, scan_digest, split_row},
     members::{MemberTable, PeerState},
     name::{InstanceName, ZoneName},
@@ -14,7 +15,7 @@
 };
 use rand::RngExt;
 use smallvec::SmallVec;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 use tokio::time::Instant;
 
 /// Addresses kept for each other zone.
@@ -143,7 +144,7 @@
         match &content {
             RowContent::Own(record) => self.keep_record(instance, record.clone()),
             RowContent::Upstream(row) => {
-                if let Some(renewed_at) = now.checked_sub(millis(row.age_ms)) {
+                if let Some(renewed_at) = now.checked_sub(from_millis(row.age_ms)) {
                     self.renew_upstream(Arc::new(row.to_record(&self.own)), renewed_at);
                 }
             }
@@ -350,7 +351,3 @@
         self.outbox.note_zone(zone);
     }
 }
-
-fn millis(age_ms: u32) -> Duration {
-    Duration::from_millis(u64::from(age_ms))
-}
--- a/cicadastall/src/observe.rs
+++ b/cicadastall/src/observe.rs
@@ -1,13 +1,18 @@
 //! Metrics of requests, by workspace, kind and rank.
 
-use crate::{answer::RefusalCode, clock::fractional_millis, decode::RequestPlan, settings::Rank};
+use crate::{
+    answer::RefusalCode,
+    clock::fractional_millis,
+    decode::RequestPlan,
+    scrape::{ScrapeRegistry, time_histogram},
+    settings::Rank,
+};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Histogram},
 };
-use opentelemetry_sdk::metrics::{Instrument, SdkMeterProvider, Stream};
-use prometheus::{Encoder, Registry, TextEncoder};
-use std::{fmt, time::Duration};
+use opentelemetry_sdk::metrics::{Instrument, Stream};
+use std::time::Duration;
 
 /// Upper bounds of the histograms' buckets, in milliseconds.
 const BUCKETS_MS: [f64; 14] = [
@@ -25,9 +30,9 @@
 const OUTCOMES: &str = "cicadastall_outcomes";
 
 /// Metrics of one instance.
+#[derive(Debug)]
 pub struct RequestMetrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    scrape: ScrapeRegistry,
     queue_wait: Histogram<f64>,
     first_token: Histogram<f64>,
     whole_answer: Histogram<f64>,
@@ -35,12 +40,6 @@
     early_refusals: Counter<u64>,
 }
 
-impl fmt::Debug for RequestMetrics {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("RequestMetrics").finish_non_exhaustive()
-    }
-}
-
 impl Default for RequestMetrics {
     fn default() -> Self {
         Self::new()
@@ -50,25 +49,16 @@
 impl RequestMetrics {
     /// Metrics with a registry of their own.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a new registry has no colliding metrics");
-        let provider =
-            SdkMeterProvider::builder().with_reader(exporter).with_view(limit_series).build();
-        let meter = provider.meter("cicadastall");
-        let histogram = |name| {
-            meter.f64_histogram(name).with_unit("ms").with_boundaries(BUCKETS_MS.to_vec()).build()
-        };
+        let scrape = ScrapeRegistry::new(|builder| builder.with_view(limit_series));
+        let meter = scrape.meter();
+        let histogram = |name| time_histogram(&meter, name, &BUCKETS_MS);
         Self {
             queue_wait: histogram("cicadastall_queue_wait"),
             first_token: histogram("cicadastall_first_token"),
             whole_answer: histogram("cicadastall_whole_answer"),
             outcomes: meter.u64_counter(OUTCOMES).build(),
             early_refusals: meter.u64_counter("cicadastall_early_refusals").build(),
-            registry,
-            _provider: provider,
+            scrape,
         }
     }
 
@@ -94,11 +84,7 @@
 
     /// All metrics in the text format that scrapers read.
     pub fn render(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("metrics not rendered: {error}");
-        }
-        text
+        self.scrape.render()
     }
 
     /// Counts the end of a request: `answered`, `hung_up`, or the code of its refusal.
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -2,10 +2,7 @@
 
 use crate::{
     counted::CountedStream,
-    gateway::{
-        connections::guard_stream,
-        news::{FleetNews, NewsQuery},
-    },
+    gateway::news::{FleetNews, NewsQuery},
     ledger::command::{LedgerChange, LedgerReply},
     message_codec::MessageCodec,
     name::GroupName,
@@ -14,6 +11,7 @@
     replicated::GroupError,
     settings::Revision,
     settings_peer::{FollowReply, FollowRequest, PushRequest, ZoneReport},
+    sockets::open_stream,
     suspect::{IsolationReply, IsolationRequest, SuspectRecord},
 };
 use serde::{Deserialize, Serialize};
@@ -30,11 +28,7 @@
     client::{self, NewClient},
     context,
 };
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    task::JoinHandle,
-    time::timeout,
-};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// Most bytes of one message.
@@ -161,7 +155,7 @@
         }
         let mut bound = FIRST_CONNECT_BOUND;
         let stream = loop {
-            match timeout(bound, connect_from(self.source, address)).await {
+            match timeout(bound, open_stream(self.source, address)).await {
                 Ok(stream) => break stream?,
                 Err(_) => bound *= 2,
             }
@@ -197,16 +191,3 @@
     codec.max_frame_length(MAX_MESSAGE_BYTES);
     tarpc::serde_transport::new(codec.new_framed(CountedStream(stream)), MessageCodec::default())
 }
-
-async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    if let Some(source) = source.filter(|source| source.is_ipv4() == address.is_ipv4()) {
-        socket.bind(SocketAddr::new(source, 0))?;
-    }
-    let stream = socket.connect(address).await?;
-    guard_stream(&stream)?;
-    Ok(stream)
-}
--- a/cicadastall/tests/load/mod.rs
+++ b/cicadastall/tests/load/mod.rs
@@ -4,7 +4,8 @@
 use cicadastall::{
     gateway::{
         call::{CallHead, PromptPart, RoutedCall},
-        choose::{ChoiceInput, TriedUpstreams, UpstreamChoice, UpstreamChooser},
+        choice::{ChoiceInput, TriedUpstreams, UpstreamChoice},
+        choose::UpstreamChooser,
         groups::PromptDemand,
         news::{RegisteredUpstream, UpstreamPhase},
         routes::{EngineRule, PoolRule, PoolShare, RepeatRule, RouteRule},
--- a/cicadastall/tests/peer_connect.rs
+++ b/cicadastall/tests/peer_connect.rs
@@ -1,9 +1,9 @@
 //! Connections between instances while the other side does not take them.
 
 use cicadastall::{
-    gateway::news::{NewsCursor, NewsQuery, NewsReader},
+    gateway::news::{ControlRecord, NewsCursor, NewsQuery, NewsReader},
     name::{RegionName, ZoneName},
-    peer::PeerClients,
+    peer::{PeerApiClient, PeerClients},
 };
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
@@ -15,7 +15,7 @@
 const FILLERS: usize = 2;
 
 fn query(address: SocketAddr) -> NewsQuery {
-    let control = cicadastall::gateway::news::ControlRecord {
+    let control = ControlRecord {
         peer_address: address,
         registry_address: address,
         region: RegionName::from("west"),
@@ -50,7 +50,7 @@
     let call = tokio::spawn(async move {
         let clients = PeerClients::new(None);
         let bound = Duration::from_secs(3);
-        let ask = async move |client: cicadastall::peer::PeerApiClient, context| {
+        let ask = async move |client: PeerApiClient, context| {
             client.fleet_news(context, query(address)).await
         };
         clients.call(address, bound, ask).await
