Leave upstreams alone that say in an answer that they leave or want nothing

Cause: entries learnt that an upstream leaves from control only, and cut the time for which a full one wants nothing to 600 ms. An answer that began, or a failure, shortened that time further.

Ruled out: a phase in the registry's row (a late renewal that says ready undoes it); the bar after failures as the place of the time (an answer lifts it).

Change: a departure is kept for the start of the upstream that told it, obeyed by the entry without control, told to control and from there to the other entries of the region. A time named with 503 is kept beside the bar after failures, up to five minutes, and checked again just before a request is written. Callers that are refused for it are told the time at which it ends, spread over 0.6 s.

--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod context;
 pub mod control;
 pub mod control_call;
+pub mod departures;
 pub mod dialect;
 pub mod document_check;
 pub mod document_state;
--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
         choice::{ChoiceBasis, UpstreamChoice},
         connections::{ConnectError, ConnectionTarget, ExchangeError, TakenConnection},
         context::EntryContext,
-        dialect::AttemptNote,
+        dialect::{AnswerHead, AttemptNote},
         headers::{read_keep_alive, strip_connection_headers},
         hop::{
             ARRIVED_HEADER, HOP_HEADER, HopOrder, RAN_HEADER, RAN_ON_HEADER, read_arrived,
@@ -16,6 +16,7 @@
         outcome::{LostAttempt, Verdict, judge_head, judge_lost},
         relay::CallRelay,
         track::{SendEnd, SendNumber},
+        view::KnownUpstream,
     },
     http::describe_error,
     name::{PoolName, UpstreamName},
@@ -136,7 +137,8 @@
 struct AttemptTarget {
     connection: ConnectionTarget,
     connections: usize,
-    upstream: Option<(UpstreamName, SendNumber)>,
+    /// The upstream; none where another entry is asked.
+    upstream: Option<(Arc<KnownUpstream>, SendNumber)>,
     basis: ChoiceBasis,
 }
 
@@ -146,8 +148,8 @@
             UpstreamChoice::Upstream { known, number, connections, basis } => {
                 let name = known.upstream.name.clone();
                 let address = known.upstream.address;
-                let connection = ConnectionTarget { address, upstream: Some(name.clone()) };
-                let upstream = Some((name, number));
+                let connection = ConnectionTarget { address, upstream: Some(name) };
+                let upstream = Some((known, number));
                 Some(Self { connection, connections, upstream, basis })
             }
             UpstreamChoice::Region { entry, basis, .. } => {
@@ -191,12 +193,13 @@
             let unsent = LostAttempt::Unsent("no target was chosen".to_owned());
             return Err(AttemptFailure::lost(unsent, self.ran_on));
         };
-        if let Some((name, _)) = &target.upstream {
-            self.tried.upstreams.push(name.clone());
+        if let Some((known, _)) = &target.upstream {
+            self.tried.upstreams.push(known.upstream.name.clone());
         }
         let chosen_at = Instant::now();
         let context = Arc::clone(&self.context);
-        let upstream = target.upstream.clone();
+        let upstream = target.upstream.as_ref();
+        let upstream = upstream.map(|(known, number)| (known.upstream.name.clone(), *number));
         let pool = self.call.pool.clone();
         let mut guard = SendGuard { context, pool, upstream, end: SendEnd::Cancelled };
         let opened = self.open_target(&target, chosen_at).await;
@@ -240,6 +243,15 @@
                     ..self.lose(target, unsent)
                 });
             }
+            if let Some((known, _)) = &target.upstream
+                && !self.context.chooser().may_send(&known.upstream, Instant::now())
+            {
+                let unsent = LostAttempt::Unsent("the upstream wants no more work".to_owned());
+                return Err(AttemptFailure {
+                    end: SendEnd::Cancelled,
+                    ..self.lose(target, unsent)
+                });
+            }
             let request = self.build_request(target);
             self.sending = true;
             match connection.exchange(request).await {
@@ -279,11 +291,11 @@
         *request.headers_mut() = call.headers.clone();
         let headers = request.headers_mut();
         match &target.upstream {
-            Some((upstream, _)) => {
+            Some((known, _)) => {
                 let note = AttemptNote {
                     attempt: &call.attempt,
                     remaining: call.remaining(now),
-                    upstream: Some(upstream),
+                    upstream: Some(&known.upstream.name),
                     rank: call.route.rank,
                     resume_after: self.resume_after.as_deref(),
                 };
@@ -300,6 +312,22 @@
         request
     }
 
+    /// Takes what an upstream's answer says of the upstream itself.
+    fn note_upstream(&self, known: &KnownUpstream, head: &AnswerHead) {
+        if head.misdirected {
+            // Another upstream has the address.
+            return;
+        }
+        let now = Instant::now();
+        let upstream = &known.upstream;
+        if head.leaving {
+            self.context.chooser().note_leaving(&upstream.name, upstream.started_ms, now);
+        }
+        if let Some(pause) = head.pause() {
+            self.context.chooser().note_pause(&upstream.name, pause, now);
+        }
+    }
+
     /// Judges the head of an answer, and reads what must be known of its body.
     async fn read_answer(
         &mut self,
@@ -311,6 +339,9 @@
     ) -> Result<OpenAnswer, AttemptFailure> {
         let (parts, mut body) = response.into_parts();
         let head = self.context.dialect.read_answer_head(parts.status, &parts.headers);
+        if let Some((known, _)) = &target.upstream {
+            self.note_upstream(known, &head);
+        }
         let hop = target.upstream.is_none();
         let ran = hop.then(|| read_ran(&parts.headers)).flatten();
         let verdict = match ran {
@@ -384,9 +415,11 @@
             }
             Verdict::NotRun if !head.misdirected => {
                 failure.end = SendEnd::Refused;
-                if let Some((upstream, _)) = &target.upstream {
-                    let now = Instant::now();
-                    self.context.chooser().note_full(upstream, head.retry_after, now);
+                if let Some((known, _)) = &target.upstream
+                    && head.pause().is_none()
+                {
+                    let name = &known.upstream.name;
+                    self.context.chooser().note_full(name, Instant::now());
                 }
                 if let Ok(Ok((_, true))) =
                     timeout(DISCARD_BOUND, collect(&mut body, WHOLE_BYTES)).await
--- a/cicadastall/src/gateway/choice.rs
+++ b/cicadastall/src/gateway/choice.rs
@@ -128,11 +128,19 @@
     pub tried: u32,
     /// Renewals have ceased, and no answer came lately.
     pub silent: u32,
+    /// Want no work for a time that they named.
+    pub paused: u32,
+    /// Said in an answer that they leave.
+    pub leaving: u32,
 }
 
 impl Display for LeftOut {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let Self { barred, cold, tried, silent } = self;
-        write!(formatter, "{barred} barred, {cold} cold, {tried} tried, {silent} silent")
+        let Self { barred, cold, tried, silent, paused, leaving } = self;
+        write!(
+            formatter,
+            "{barred} barred, {cold} cold, {tried} tried, {silent} silent, {paused} paused, \
+             {leaving} leaving"
+        )
     }
 }
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -9,7 +9,9 @@
     gateway::{
         call::RoutedCall,
         choice::{ChoiceBasis, ChoiceInput, LeftOut, RefusalCause, UpstreamChoice},
+        departures::DepartureLog,
         groups::{PromptDemand, PromptGroups, PromptSort, PromptWork},
+        news::{DepartedUpstream, RegisteredUpstream},
         routes::PoolRule,
         score::{
             AdmittedUpstream, Candidate, EASY_STRETCH_MS, REREAD_LOSS, keep_places, lateness_loss,
@@ -109,6 +111,12 @@
 /// Earliest time to come back after a refusal.
 const LEAST_RETURN: Duration = Duration::from_millis(150);
 
+/// Time over which those return that were refused until an upstream wants work again.
+const PAUSE_RETURN: Duration = Duration::from_millis(600);
+
+/// Longest time for which an upstream is believed to want no work; beyond that a person must look.
+const MOST_PAUSE: Duration = Duration::from_secs(300);
+
 /// Time to come back where no upstream is known.
 const UNKNOWN_RETURN: Duration = Duration::from_millis(800);
 
@@ -127,6 +135,9 @@
     random: ChaCha8Rng,
     left_out: LeftOut,
     cold_turn: Option<Instant>,
+    /// When the first of the upstreams that want no work for some time wants work again.
+    pause_end: Option<Instant>,
+    departures: DepartureLog,
 }
 
 impl UpstreamChooser {
@@ -145,6 +156,8 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             left_out: LeftOut::default(),
             cold_turn: None,
+            pause_end: None,
+            departures: DepartureLog::default(),
         }
     }
 
@@ -164,11 +177,16 @@
 
     /// Forgets upstreams that are gone and have no work.
     pub fn forget(&mut self, view: &FleetView, now: Instant) {
-        let known: HashSet<_> =
-            view.pools.values().flatten().map(|known| &known.upstream.name).collect();
+        self.departures.forget(view.upstreams(), now);
+        let known: HashSet<_> = view.upstreams().map(|upstream| &upstream.name).collect();
         self.tracks.retain(|name, track| !track.is_idle(now) || known.contains(name));
     }
 
+    /// Upstreams that said that they leave, and that are listed all the same.
+    pub fn departed(&self, view: &FleetView) -> Vec<DepartedUpstream> {
+        self.departures.list(view.upstreams())
+    }
+
     fn track(&mut self, known: &KnownUpstream) -> &mut UpstreamTrack {
         let started_ms = known.upstream.started_ms;
         let track = self.tracks.entry(known.upstream.name.clone());
@@ -183,6 +201,7 @@
     pub fn choose(&mut self, input: &ChoiceInput<'_>) -> UpstreamChoice {
         self.left_out = LeftOut::default();
         self.cold_turn = None;
+        self.pause_end = None;
         let empty = Vec::new();
         let upstreams = input.view.pools.get(&input.call.pool).unwrap_or(&empty);
         let may_run_here = input.call.route.allows_region(&self.region);
@@ -319,7 +338,16 @@
             self.left_out.tried += 1;
             return None;
         }
+        if self.departures.contains(&known.upstream) {
+            self.left_out.leaving += 1;
+            return None;
+        }
         let track = self.tracks.get(name)?;
+        if let Some(end) = track.pause_end(now) {
+            self.left_out.paused += 1;
+            self.pause_end = Some(self.pause_end.map_or(end, |first| first.min(end)));
+            return None;
+        }
         if track.is_barred(now) {
             self.left_out.barred += 1;
             return None;
@@ -446,8 +474,15 @@
         }
         let cause = if unknown { RefusalCause::NoUpstream } else { RefusalCause::Unusable };
         let spread = UNKNOWN_RETURN.mul_f64(self.random.random_range(0.7..1.5));
-        let left_out = self.left_out;
-        UpstreamChoice::Refuse { cause, retry_after: spread, left_out, basis: None }
+        // Where nothing but time keeps an upstream away, callers come back just after it.
+        let LeftOut { barred, cold, .. } = self.left_out;
+        let retry_after = match self.pause_end.filter(|_| barred == 0 && cold == 0) {
+            Some(end) => {
+                (end - input.now) + PAUSE_RETURN.mul_f64(self.random.random_range(0.0..1.0))
+            }
+            None => spread,
+        };
+        UpstreamChoice::Refuse { cause, retry_after, left_out: self.left_out, basis: None }
     }
 
     /// When to come back after a wait of `wait_ms`: returns to one pool follow each other at the pace
@@ -495,11 +530,39 @@
     }
 
     /// Notes that an upstream said that it has no room.
-    pub fn note_full(&mut self, upstream: &UpstreamName, bound: Option<Duration>, now: Instant) {
+    pub fn note_full(&mut self, upstream: &UpstreamName, now: Instant) {
         if let Some(track) = self.tracks.get_mut(upstream) {
-            track.note_full(bound.unwrap_or(FULL_BAR).min(FULL_BAR * 4), now);
+            track.note_full(FULL_BAR, now);
         }
     }
+
+    /// Notes that an upstream wants no work for `bound`.
+    pub fn note_pause(&mut self, upstream: &UpstreamName, bound: Duration, now: Instant) {
+        if bound > MOST_PAUSE {
+            log::warn!(
+                upstream = upstream.as_str(), seconds = bound.as_secs(), most_s = MOST_PAUSE.as_secs();
+                "an upstream wants no work for longer than is believed"
+            );
+        }
+        if let Some(track) = self.tracks.get_mut(upstream) {
+            track.note_pause(bound.min(MOST_PAUSE), now);
+        }
+    }
+
+    /// Notes that the process of an upstream that started at `started_ms` said that it leaves.
+    pub fn note_leaving(&mut self, upstream: &UpstreamName, started_ms: u64, now: Instant) {
+        if self.departures.note(upstream, started_ms, now) {
+            log::info!(upstream = upstream.as_str(), started_ms; "upstream says that it leaves");
+        }
+    }
+
+    /// Whether an upstream that was chosen may still be sent to: it has neither said since that it
+    /// leaves nor that it wants no work.
+    pub fn may_send(&self, upstream: &RegisteredUpstream, now: Instant) -> bool {
+        let track = self.tracks.get(&upstream.name);
+        let paused = track.is_some_and(|track| track.pause_end(now).is_some());
+        !paused && !self.departures.contains(upstream)
+    }
 }
 
 /// Time by which an answer of `candidate` would come too late to be worth its work, in milliseconds.
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -8,7 +8,7 @@
         dialect::CallDialect,
         groups::PromptDemand,
         metrics::GatewayMetrics,
-        news::WorkRow,
+        news::{DepartedUpstream, WorkRow},
         retry_window::RetryWindow,
         routes::RouteTable,
         settings::GatewayNode,
@@ -137,6 +137,11 @@
         self.chooser().demand(Instant::now())
     }
 
+    /// Upstreams that told this entry that they leave, and that it still takes to be serving otherwise.
+    pub(crate) fn departed(&self) -> Vec<DepartedUpstream> {
+        self.chooser().departed(&self.view.load())
+    }
+
     /// Whether there are a confirmed document and a view of the fleet.
     pub(crate) fn is_usable(&self) -> bool {
         *self.usable.borrow()
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -8,7 +8,10 @@
         follow::{FollowTasks, NewsFollower},
         group_keeper::GroupKeeper,
         listing::list_near,
-        news::{ControlRecord, FleetNews, NewsCursor, NewsQuery, NewsReader, RegisteredUpstream},
+        news::{
+            ControlRecord, DepartedUpstream, FleetNews, NewsCursor, NewsQuery, NewsReader,
+            RegisteredUpstream,
+        },
         region_load::EntryLoad,
         registry::{FleetRegistry, RenewalOutcome},
         settings::GatewayNode,
@@ -286,9 +289,14 @@
         let now = Instant::now();
         let work = std::mem::take(&mut query.work);
         let load = EntryLoad { work, demand: std::mem::take(&mut query.demand) };
-        self.change_registry(|registry| match &query.reader {
-            NewsReader::Entry(entry) => registry.report_entry(entry.clone(), load, now),
-            NewsReader::Control(control) => registry.report_control(control.clone(), now),
+        self.change_registry(|registry| {
+            match &query.reader {
+                NewsReader::Entry(entry) => registry.report_entry(entry.clone(), load, now),
+                NewsReader::Control(control) => registry.report_control(control.clone(), now),
+            }
+            for DepartedUpstream(name, started_ms) in &query.departed {
+                registry.note_departed(name, *started_ms);
+            }
         });
         let confirmed = query.confirm && self.keeper.read(READ_BOUND).await.is_ok();
         if !query.confirm {
@@ -357,6 +365,7 @@
             number_only: true,
             work: Vec::new(),
             demand: Vec::new(),
+            departed: Vec::new(),
         }
     }
 
--- a/cicadastall/src/gateway/dialect.rs
+++ b/cicadastall/src/gateway/dialect.rs
@@ -3,7 +3,7 @@
 use crate::{
     gateway::call::{CallHead, HeadFault, PromptPart, PromptParts},
     name::{AttemptId, UpstreamName},
-    wire::{ATTEMPT_HEADER, REFUSED_HEADER, REMAINING_HEADER, UPSTREAM_HEADER},
+    wire::{ATTEMPT_HEADER, LEAVING_HEADER, REFUSED_HEADER, REMAINING_HEADER, UPSTREAM_HEADER},
 };
 use hyper::{
     HeaderMap, StatusCode,
@@ -58,6 +58,15 @@
     pub retry_after: Option<Duration>,
     /// Whether the body is encoded, which no upstream does.
     pub encoded: bool,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
+}
+
+impl AnswerHead {
+    /// Time for which an upstream that has no room wants no more work, if it names one.
+    pub fn pause(&self) -> Option<Duration> {
+        self.retry_after.filter(|_| self.status == StatusCode::SERVICE_UNAVAILABLE)
+    }
 }
 
 /// Translation of the gateway's terms to and from headers.
@@ -123,6 +132,7 @@
             misdirected: status == StatusCode::MISDIRECTED_REQUEST,
             retry_after: read_retry_after(headers),
             encoded: headers.contains_key(hyper::header::CONTENT_ENCODING),
+            leaving: headers.contains_key(LEAVING_HEADER),
         }
     }
 }
@@ -164,10 +174,16 @@
     parts.collect()
 }
 
-/// Seconds, possibly with a fraction, after which to come back.
+/// Seconds, possibly with a fraction, after which to come back; none where the header holds no such
+/// number.
 pub fn read_retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let seconds: f64 = headers.get(RETRY_AFTER).and_then(read_text)?.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
+    let text = read_text(headers.get(RETRY_AFTER)?)?.trim();
+    let seconds = text.parse().ok().filter(|seconds: &f64| *seconds >= 0.0);
+    let Some(seconds) = seconds else {
+        log::warn!(retry_after = text; "retry-after of an upstream not understood");
+        return None;
+    };
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
 
 /// Sets a header to a text that may be written there; a text that may not is left out.
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -172,6 +172,7 @@
             confirm: !self.context.is_usable(),
             work: if near { self.context.work() } else { Vec::new() },
             demand: if near { self.context.demand() } else { Vec::new() },
+            departed: if near { self.context.departed() } else { Vec::new() },
             reader: NewsReader::Entry(own),
         }
     }
--- a/cicadastall/src/gateway/news.rs
+++ b/cicadastall/src/gateway/news.rs
@@ -71,6 +71,9 @@
     /// Version of the evacuated zones that was in force where the renewal arrived.
     #[serde(default, skip_serializing_if = "is_default")]
     pub evacuated: u64,
+    /// Whether this start of it told an entry that it leaves, whatever its renewals say.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub departed: bool,
 }
 
 /// An entry on its way.
@@ -126,6 +129,15 @@
     pub u32,
 );
 
+/// An upstream that said in an answer that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartedUpstream(
+    /// The upstream.
+    pub UpstreamName,
+    /// Start of the process that leaves, in milliseconds since the Unix epoch by its own clock.
+    pub u64,
+);
+
 /// Question for news.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct NewsQuery {
@@ -151,6 +163,9 @@
     /// Work that the reader gets, by pool.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<(PoolName, PromptDemand)>,
+    /// Upstreams that told the reader that they leave, and that it was not told so of.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub departed: Vec<DepartedUpstream>,
 }
 
 /// Capacity of one pool in one region.
--- a/cicadastall/src/gateway/region_load.rs
+++ b/cicadastall/src/gateway/region_load.rs
@@ -101,6 +101,7 @@
             let upstream = &row.upstream;
             let serves = upstream.phase == UpstreamPhase::Serving
                 && !row.silent
+                && !row.departed
                 && !evacuated.contains(&upstream.zone);
             if !serves || self.region(&upstream.zone) != Some(region) {
                 continue;
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -55,6 +55,8 @@
     pub(super) silent: bool,
     /// Version of the evacuated zones that was in force here when the renewal arrived.
     evacuated: u64,
+    /// Whether it told an entry that it leaves.
+    pub(super) departed: bool,
     /// Whether the next renewal is passed on although it changes nothing.
     recheck: bool,
 }
@@ -135,6 +137,7 @@
             age_ms: 0,
             silent: false,
             evacuated: self.evacuated,
+            departed: false,
         };
         self.take_upstream(news, true, now)
     }
@@ -160,6 +163,8 @@
         });
         let unchanged = known.filter(|_| quiet).map(|row| row.changed);
         log_change(known.map(|row| &*row.upstream), &upstream, direct, now - heard_at);
+        let departed =
+            known.is_some_and(|row| row.departed && row.upstream.started_ms >= upstream.started_ms);
         let changed = unchanged.unwrap_or_else(|| self.bump());
         let name = upstream.name.clone();
         let row = UpstreamRow {
@@ -169,6 +174,7 @@
             changed,
             silent: false,
             evacuated,
+            departed,
             recheck: false,
         };
         self.upstreams.insert(name, row);
@@ -227,17 +233,34 @@
         for news in upstreams {
             let name = news.upstream.name.clone();
             let version = news.upstream.version();
-            let silent = news.silent;
+            let UpstreamNews { silent, departed, .. } = news;
             self.take_upstream(news, false, now);
             if silent {
                 self.note_silent(&name, version);
             }
+            if departed {
+                self.note_departed(&name, version.0);
+            }
         }
         for EntryNews { entry, silent } in entries {
             self.merge_entry(from, entry, silent, now);
         }
     }
 
+    /// Notes that the process of an upstream that started at `started_ms` told an entry that it leaves.
+    /// Its renewals do not change that.
+    pub fn note_departed(&mut self, name: &UpstreamName, started_ms: u64) {
+        let changed = self.changes + 1;
+        let Some(row) = self.upstreams.get_mut(name) else { return };
+        if row.departed || row.upstream.started_ms != started_ms {
+            return;
+        }
+        log::info!(upstream = name.as_str(), started_ms; "upstream told an entry that it leaves");
+        row.departed = true;
+        row.changed = changed;
+        self.changes = changed;
+    }
+
     fn note_silent(&mut self, name: &UpstreamName, version: (u64, u64)) {
         let changed = self.changes + 1;
         let Some(row) = self.upstreams.get_mut(name) else { return };
@@ -411,6 +434,7 @@
             age_ms: (now - row.heard_at).as_millis() as u32,
             silent: row.silent,
             evacuated: row.evacuated,
+            departed: row.departed,
         })
         .collect()
     }
--- a/cicadastall/src/gateway/track.rs
+++ b/cicadastall/src/gateway/track.rs
@@ -95,6 +95,7 @@
     token_ms: f64,
     failures: u32,
     barred_until: Option<Instant>,
+    paused_until: Option<Instant>,
     answered_at: Option<Instant>,
     failing: f64,
     parts: HashMap<u64, Instant>,
@@ -112,6 +113,7 @@
             token_ms: FIRST_TOKEN_PAUSE_MS,
             failures: 0,
             barred_until: None,
+            paused_until: None,
             answered_at: None,
             failing: 0.0,
             parts: HashMap::new(),
@@ -138,7 +140,7 @@
 
     /// Whether the record may be forgotten.
     pub fn is_idle(&self, now: Instant) -> bool {
-        self.sends.is_empty() && !self.is_barred(now)
+        self.sends.is_empty() && !self.is_barred(now) && self.pause_end(now).is_none()
     }
 
     /// Time that reading the prompts of `rank` and of ranks before it still takes, in milliseconds.
@@ -193,6 +195,11 @@
         self.barred_until.is_some_and(|until| now < until)
     }
 
+    /// When the time for which the upstream wants no work ends, if it has not.
+    pub fn pause_end(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|until| now < *until)
+    }
+
     /// Whether the upstream has answered within `bound`.
     pub fn has_answered(&self, bound: Duration, now: Instant) -> bool {
         self.answered_at.is_some_and(|at| now < at + bound)
@@ -284,8 +291,14 @@
         self.parts.clear();
     }
 
-    /// Keeps new work away for `bound`, as the upstream says that it has no room.
+    /// Keeps new work away for `bound`, as the upstream has no room.
     pub fn note_full(&mut self, bound: Duration, now: Instant) {
         self.barred_until = self.barred_until.max(Some(now + bound));
     }
+
+    /// Keeps new work away for `bound`, for which the upstream wants none. Nothing that is learned
+    /// meanwhile shortens that time.
+    pub fn note_pause(&mut self, bound: Duration, now: Instant) {
+        self.paused_until = self.paused_until.max(Some(now + bound));
+    }
 }
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -64,6 +64,13 @@
     pub fleet_entries: usize,
 }
 
+impl FleetView {
+    /// Upstreams of this region that serve, of all pools.
+    pub fn upstreams(&self) -> impl Iterator<Item = &RegisteredUpstream> {
+        self.pools.values().flatten().map(|known| &*known.upstream)
+    }
+}
+
 /// Load that changes all the time.
 #[derive(Debug, Default)]
 pub struct LoadView {
@@ -295,10 +302,11 @@
     /// The view of the fleet.
     pub fn make_view(&mut self) -> FleetView {
         let mut pools: HashMap<PoolName, Vec<Arc<KnownUpstream>>> = HashMap::new();
-        for heard in self.merge_upstreams().into_values() {
+        for (name, heard) in self.merge_upstreams() {
             let upstream = &heard.news.upstream;
             let evacuated = self.evacuated.zones.contains(&upstream.zone);
-            if upstream.phase != UpstreamPhase::Serving || evacuated {
+            let departed = self.has_departed(&name, upstream.started_ms);
+            if upstream.phase != UpstreamPhase::Serving || evacuated || departed {
                 continue;
             }
             let restored = self.restored.get(&upstream.zone);
@@ -350,6 +358,13 @@
         merged
     }
 
+    /// Whether any control instance was told that this start of an upstream leaves.
+    fn has_departed(&self, name: &UpstreamName, started_ms: u64) -> bool {
+        let rows = self.controls.values().filter_map(|control| control.upstreams.get(name));
+        rows.map(|heard| &heard.news)
+            .any(|news| news.departed && news.upstream.started_ms >= started_ms)
+    }
+
     /// Entries that at least one control instance hears of.
     fn merge_entries(&self) -> BTreeMap<InstanceName, EntryRecord> {
         let mut live: BTreeMap<InstanceName, EntryRecord> = BTreeMap::new();
--- a/cicadastall/src/wire.rs
+++ b/cicadastall/src/wire.rs
@@ -36,6 +36,8 @@
 pub const ENTRY_HEADER: &str = "x-cicadastall-entry";
 /// Header by which an upstream says that it refused a call without running it.
 pub const REFUSED_HEADER: &str = "x-cicadastall-refused";
+/// Header of an answer by which an upstream says that it leaves.
+pub const LEAVING_HEADER: &str = "x-cicadastall-leaving";
 /// Data of the event that ends a complete stream.
 pub const END_MARKER: &str = "[DONE]";
 
--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -47,6 +47,9 @@
 /// Longest wait for anything.
 pub const WAIT: Duration = Duration::from_secs(20);
 
+/// Bytes of an answer that are kept at most, or a little more.
+const KEPT_BYTES: usize = 1024 * 1024;
+
 /// Host of all routes.
 pub const ROUTED_HOST: &str = "example.test";
 
@@ -140,7 +143,10 @@
         let mut whole = true;
         while let Some(frame) = timeout(WAIT, body.frame()).await.expect("a frame in time") {
             match frame {
-                Ok(frame) => collected.extend(frame.into_data().unwrap_or_default()),
+                Ok(frame) if collected.len() < KEPT_BYTES => {
+                    collected.extend(frame.into_data().unwrap_or_default());
+                }
+                Ok(_) => {}
                 Err(_) => {
                     whole = false;
                     break;
--- a/cicadastall/tests/gateway/upstream.rs
+++ b/cicadastall/tests/gateway/upstream.rs
@@ -14,7 +14,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     task::JoinHandle,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 static NAMES: AtomicU64 = AtomicU64::new(1);
@@ -37,13 +37,21 @@
 pub struct Script {
     /// Texts to write, each after a pause.
     pub parts: Vec<(Duration, String)>,
+    /// A text to write after that again and again, each time after a pause, until the caller leaves.
+    pub endless: Option<(Duration, String)>,
     /// What becomes of the connection.
     pub ending: Ending,
 }
 
 impl Script {
     pub fn raw(text: &str, ending: Ending) -> Self {
-        Self { parts: vec![(Duration::ZERO, text.to_owned())], ending }
+        Self { parts: vec![(Duration::ZERO, text.to_owned())], endless: None, ending }
+    }
+
+    /// Writes `text` again and again once all parts are written.
+    pub fn endless(mut self, pause: Duration, text: &str) -> Self {
+        self.endless = Some((pause, text.to_owned()));
+        self
     }
 
     pub fn then(mut self, pause: Duration, text: &str) -> Self {
@@ -131,6 +139,7 @@
     seen: Vec<SeenRequest>,
     left: u32,
     connections: u32,
+    endless_for: Duration,
 }
 
 /// A stand-in; it stops when it is dropped.
@@ -193,6 +202,11 @@
         self.state().connections
     }
 
+    /// Longest time for which a caller took an endless answer.
+    pub fn endless_for(&self) -> Duration {
+        self.state().endless_for
+    }
+
     pub async fn wait_left(&self, count: u32) {
         wait_until("the caller has left", || self.left() >= count).await;
     }
@@ -231,6 +245,16 @@
                 return;
             }
         }
+        if let Some((pause, text)) = &script.endless {
+            let started = Instant::now();
+            while wait_present(&mut stream, *pause).await
+                && stream.write_all(text.as_bytes()).await.is_ok()
+            {}
+            let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.left += 1;
+            state.endless_for = state.endless_for.max(started.elapsed());
+            return;
+        }
         match script.ending {
             Ending::Keep => {}
             Ending::Close => {
--- a/cicadastall/tests/gateway_pure.rs
+++ b/cicadastall/tests/gateway_pure.rs
@@ -2,22 +2,25 @@
 
 use cicadastall::{
     gateway::{
+        departures::DepartureLog,
         dialect::{AnswerHead, CallDialect, OwnDialect},
         document_check::check_document,
         document_state::{DocumentCommand, DocumentState, StoredDocument},
         events::EventBuffer,
+        news::{DepartedUpstream, RegisteredUpstream, UpstreamPhase},
         outcome::{LostAttempt, Verdict, judge_head, judge_lost},
         routes::{
             CallerBounds, PoolRule, PoolShare, RepeatRule, RouteDocument, RouteRule, RouteTable,
         },
     },
-    name::{AttemptId, PoolName, ZoneName},
+    name::{AttemptId, PoolName, UpstreamName, ZoneName},
     replicated::ReplicatedState,
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use quickcheck::{Gen, QuickCheck};
 use smallvec::{SmallVec, smallvec};
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 fn checker() -> QuickCheck {
     QuickCheck::new().rng(Gen::from_size_and_seed(60, 20_261_204)).tests(300)
@@ -266,3 +269,74 @@
     }
     checker().quickcheck(property as fn(String, String, String) -> bool);
 }
+
+#[test]
+fn only_an_upstream_without_room_names_a_time_for_which_it_wants_nothing() {
+    let head = |status: u16, text: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("retry-after", HeaderValue::from_str(text).expect("a value"));
+        OwnDialect.read_answer_head(StatusCode::from_u16(status).expect("a status"), &headers)
+    };
+    let cases = [
+        (503, "2", Some(Duration::from_secs(2))),
+        (503, " 0.25 ", Some(Duration::from_millis(250))),
+        (503, "0", Some(Duration::ZERO)),
+        (503, "1e300", Some(Duration::MAX)),
+        (503, "inf", Some(Duration::MAX)),
+        (503, "-1", None),
+        (503, "NaN", None),
+        (503, "Fri, 04 Dec 2026 12:00:00 GMT", None),
+        (503, "", None),
+        (429, "2", None),
+        (200, "2", None),
+        (500, "2", None),
+    ];
+    for (status, text, expected) in cases {
+        assert_eq!(head(status, text).pause(), expected, "{status} {text:?}");
+    }
+}
+
+fn upstream(name: &str, started_ms: u64) -> RegisteredUpstream {
+    RegisteredUpstream {
+        name: UpstreamName::from(name),
+        started_ms,
+        sequence: 1,
+        pool: PoolName::from("pool"),
+        address: SocketAddr::from(([10, 0, 0, 1], 1)),
+        zone: ZoneName::from("zone"),
+        slots: 1,
+        phase: UpstreamPhase::Serving,
+        cold_ms: 0,
+    }
+}
+
+#[test]
+fn a_departure_holds_for_one_start_of_an_upstream_and_while_it_is_named() {
+    let now = Instant::now();
+    let mut log = DepartureLog::default();
+    let [first, second, other] = [upstream("a", 5), upstream("a", 6), upstream("b", 5)];
+    assert!(log.note(&first.name, 5, now));
+    assert!(!log.note(&first.name, 5, now) && !log.note(&first.name, 4, now));
+    let listed = |log: &DepartureLog| log.list([&first, &second, &other].into_iter());
+    assert_eq!(listed(&log), [DepartedUpstream(first.name.clone(), 5)]);
+    assert!(log.note(&first.name, 6, now));
+    assert!(log.contains(&second) && log.contains(&first) && !log.contains(&other));
+    let minutes = |count: u64| now + Duration::from_secs(60 * count);
+    log.forget([&second].into_iter(), minutes(30));
+    assert!(log.contains(&second), "it is still named");
+    log.forget(std::iter::empty(), minutes(39));
+    assert!(log.contains(&second), "a renewal may still be on its way");
+    log.forget(std::iter::empty(), minutes(41));
+    assert!(!log.contains(&second));
+}
+
+#[test]
+fn departures_are_bounded_and_the_oldest_goes_first() {
+    let now = Instant::now();
+    let mut log = DepartureLog::default();
+    for number in 0..5_000_u64 {
+        let name = UpstreamName::new(format!("u-{number}"));
+        log.note(&name, 1, now + Duration::from_millis(number));
+    }
+    assert!(!log.contains(&upstream("u-0", 1)) && log.contains(&upstream("u-4999", 1)));
+}
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -293,6 +293,7 @@
         age_ms: 0,
         silent,
         evacuated: 0,
+        departed: false,
     });
     FleetNews {
         cursor: NewsCursor { process, change: 1 },
@@ -301,6 +302,43 @@
     }
 }
 
+#[test]
+fn a_departure_is_passed_on_and_outlives_renewals_but_not_the_process() {
+    let now = Instant::now();
+    let (mut near, mut far) = (registry(1), registry(11));
+    near.renew(upstream("u", 5, 1), now);
+    let first = near.cursor();
+    near.note_departed(&UpstreamName::from("u"), 5);
+    near.renew(upstream("u", 5, 2), now);
+    let told = near.changed_upstreams(first, None, now);
+    assert!(told.len() == 1 && told[0].departed);
+    // The other instance has the same renewal already, from the upstream itself.
+    far.renew(upstream("u", 5, 2), now);
+    far.merge(address(1), told, Vec::new(), now);
+    far.renew(upstream("u", 5, 3), now);
+    assert!(all_news(&far, now)[0].departed);
+    // Nothing is said of another start.
+    far.note_departed(&UpstreamName::from("u"), 4);
+    far.renew(upstream("u", 6, 1), now);
+    far.note_departed(&UpstreamName::from("u"), 5);
+    assert!(!all_news(&far, now)[0].departed);
+}
+
+#[test]
+fn an_upstream_that_any_control_instance_knows_to_leave_is_not_used() {
+    let now = Instant::now();
+    let mut view = view(now);
+    let departed = |mut news: FleetNews| {
+        news.upstreams.iter_mut().for_each(|row| row.departed = true);
+        news
+    };
+    view.accept(address(1), departed(news(1, vec![upstream("u", 5, 1)], false)), now);
+    view.accept(address(11), news(2, vec![upstream("u", 5, 9)], false), now);
+    assert_eq!(known(&mut view), []);
+    view.accept(address(11), news(2, vec![upstream("u", 6, 1)], false), now);
+    assert_eq!(known(&mut view).len(), 1);
+}
+
 fn view(now: Instant) -> ViewState {
     ViewState::new(entry("own", "west-a"), &[address(1), address(11)], now)
 }
--- a/cicadastall/tests/peer_connect.rs
+++ b/cicadastall/tests/peer_connect.rs
@@ -31,6 +31,7 @@
         confirm: false,
         work: Vec::new(),
         demand: Vec::new(),
+        departed: Vec::new(),
     }
 }
 
