Bound answers that never end, and say of a failure without end that it may have run

Cause: while the body of an upstream's failure was read, the request counted as not sent. A body that did not end before the request's time was over was answered with "not run" although it had run, and it used up the time in which another upstream could have answered. Heads and bodies were bounded by 400 KiB and 1 MiB a connection, too much for some hundred connections in 160 MB.

Change: a failure's body must end within 0.5 s and 256 KiB, or the attempt is unknown; buffers of a connection hold 64 KiB. Everything else that never ends was bounded by the request's time already.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -34,8 +34,13 @@
 /// stopped in between must choose again.
 const DISPATCH_BOUND: Duration = Duration::from_millis(1_500);
 
-/// Bytes of an answer that are held until it is whole; a longer one is passed on as it arrives.
-const WHOLE_BYTES: usize = 1024 * 1024;
+/// Bytes of an answer that are held until it is whole; a longer one is passed on as it arrives. Some
+/// hundred answers must fit into a small instance's memory.
+const WHOLE_BYTES: usize = 256 * 1024;
+
+/// Longest time to read the body of an upstream's failure. It comes with the head; where it does not, the
+/// request is better asked elsewhere.
+const FAILURE_BOUND: Duration = Duration::from_millis(500);
 
 /// Longest time to read the rest of an answer that is not passed on, so that its connection can be
 /// kept.
@@ -399,14 +404,22 @@
         };
         match outcome {
             Verdict::Failure => {
-                failure.end = SendEnd::Failed;
-                match collect(&mut body, WHOLE_BYTES).await {
+                self.sending = true;
+                let read = timeout(FAILURE_BOUND, collect(&mut body, WHOLE_BYTES)).await;
+                self.sending = false;
+                match read
+                    .unwrap_or_else(|_| Err(format!("{}, its body did not end", failure.cause)))
+                {
                     Ok((body, true)) => {
                         connection.keep(keep_alive);
+                        failure.end = SendEnd::Failed;
                         let status = parts.status;
                         failure.kept = Some(Box::new(KeptFailure { status, headers, body }));
                     }
-                    Ok((_, false)) => failure.verdict = Verdict::Unknown,
+                    Ok((_, false)) => {
+                        failure.verdict = Verdict::Unknown;
+                        failure.cause = format!("{}, its body is too large", failure.cause);
+                    }
                     Err(cause) => {
                         failure.verdict = Verdict::Unknown;
                         failure.cause = cause;
--- a/cicadastall/src/gateway/connections.rs
+++ b/cicadastall/src/gateway/connections.rs
@@ -26,6 +26,10 @@
 /// Part of the idle limit that the other side names after which a connection is not used again.
 const IDLE_PART: f64 = 0.6;
 
+/// Most bytes of an answer's head, and of what is read ahead of its body, on one connection. Some
+/// hundred connections must fit into a small instance's memory.
+const ANSWER_BUFFER: usize = 64 * 1024;
+
 /// Who is at the other side of a connection.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ConnectionTarget {
@@ -214,7 +218,9 @@
     let stream = connected
         .map_err(|_| format!("not connected within {CONNECT_TIMEOUT:?}"))?
         .map_err(|error| error.to_string())?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(ANSWER_BUFFER);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| describe_error(&error))?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
