--- a/cicadastall-bench/src/compare/fleet.rs
+++ b/cicadastall-bench/src/compare/fleet.rs
@@ -140,6 +140,7 @@
     let entries = (1..workload.entries_per_zone).map(|number| {
         let address = make_address(zone, number);
         let record = EntryRecord {
+            grant_address: None,
             instance: format!("{}-e{number}", region.name).as_str().into(),
             incarnation: Incarnation(1),
             region: region.name.clone(),
--- a/cicadastall-bench/src/settings_bench.rs
+++ b/cicadastall-bench/src/settings_bench.rs
@@ -164,6 +164,7 @@
 
 fn make_record(node: &BenchNode) -> EntryRecord {
     EntryRecord {
+        grant_address: None,
         instance: node.node.instance.clone(),
         incarnation: Incarnation(1),
         region: node.node.region.clone(),
--- a/cicadastall-standins/src/network.rs
+++ b/cicadastall-standins/src/network.rs
@@ -127,6 +127,7 @@
     pub fn add_node(&mut self, zone: &str, seeds: &[usize]) -> usize {
         let index = self.nodes.len();
         let record = EntryRecord {
+            grant_address: None,
             instance: format!("{zone}-{index}").as_str().into(),
             incarnation: Incarnation(1_000),
             region: region_of(zone),
--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
         choice::{ChoiceBasis, UpstreamChoice},
         connections::{ConnectError, ConnectionTarget, ExchangeError, TakenConnection},
         context::EntryContext,
+        desk::GrantTicket,
         dialect::{AnswerHead, AttemptNote},
         headers::{read_keep_alive, strip_connection_headers},
         hop::{
@@ -90,6 +91,7 @@
     context: Arc<EntryContext>,
     pool: PoolName,
     upstream: Option<(UpstreamName, SendNumber)>,
+    ticket: Option<GrantTicket>,
     end: SendEnd,
 }
 
@@ -98,6 +100,9 @@
         if let Some((upstream, number)) = &self.upstream {
             self.context.chooser().note_answering(upstream, *number, Instant::now());
         }
+        if let Some(ticket) = self.ticket {
+            self.context.grants.book().note_began(ticket);
+        }
     }
 
     pub(crate) fn end(&mut self, end: SendEnd) {
@@ -111,6 +116,9 @@
             let now = Instant::now();
             self.context.chooser().note_ended(&self.pool, upstream, *number, self.end, now);
         }
+        if let Some(ticket) = self.ticket {
+            self.context.grants.book().end(ticket, self.end);
+        }
     }
 }
 
@@ -144,23 +152,24 @@
     connections: usize,
     /// The upstream; none where another entry is asked.
     upstream: Option<(Arc<KnownUpstream>, SendNumber)>,
+    ticket: Option<GrantTicket>,
     basis: ChoiceBasis,
 }
 
 impl AttemptTarget {
     fn of(choice: UpstreamChoice) -> Option<Self> {
         match choice {
-            UpstreamChoice::Upstream { known, number, connections, basis } => {
+            UpstreamChoice::Upstream { known, number, connections, basis, ticket } => {
                 let name = known.upstream.name.clone();
                 let address = known.upstream.address;
                 let connection = ConnectionTarget { address, upstream: Some(name) };
                 let upstream = Some((known, number));
-                Some(Self { connection, connections, upstream, basis })
+                Some(Self { connection, connections, upstream, ticket, basis })
             }
             UpstreamChoice::Region { entry, basis, .. } => {
                 let connection = ConnectionTarget { address: entry, upstream: None };
                 let connections = HOP_CONNECTIONS;
-                Some(Self { connection, connections, upstream: None, basis })
+                Some(Self { connection, connections, upstream: None, ticket: None, basis })
             }
             UpstreamChoice::Wait(_) | UpstreamChoice::Refuse { .. } => None,
         }
@@ -177,7 +186,10 @@
 impl CallRelay {
     /// Takes back a choice that is not used.
     pub(crate) fn cancel_choice(&self, choice: &UpstreamChoice) {
-        if let UpstreamChoice::Upstream { known, number, .. } = choice {
+        if let UpstreamChoice::Upstream { known, number, ticket, .. } = choice {
+            if let Some(ticket) = ticket {
+                self.context.grants.book().end(*ticket, SendEnd::Cancelled);
+            }
             let name = &known.upstream.name;
             let now = Instant::now();
             let mut chooser = self.context.chooser();
@@ -206,7 +218,8 @@
         let upstream = target.upstream.as_ref();
         let upstream = upstream.map(|(known, number)| (known.upstream.name.clone(), *number));
         let pool = self.call.pool.clone();
-        let mut guard = SendGuard { context, pool, upstream, end: SendEnd::Cancelled };
+        let ticket = target.ticket;
+        let mut guard = SendGuard { context, pool, upstream, ticket, end: SendEnd::Cancelled };
         let opened = self.open_target(&target, chosen_at).await;
         self.sending = false;
         match opened {
@@ -318,7 +331,7 @@
     }
 
     /// Takes what an upstream's answer says of the upstream itself.
-    fn note_upstream(&self, known: &KnownUpstream, head: &AnswerHead) {
+    fn note_upstream(&self, target: &AttemptTarget, known: &KnownUpstream, head: &AnswerHead) {
         if head.misdirected {
             // Another upstream has the address.
             return;
@@ -330,6 +343,9 @@
         }
         if let Some(pause) = head.pause() {
             self.context.chooser().note_pause(&upstream.name, pause, now);
+            if let Some(ticket) = target.ticket {
+                self.context.grants.book().note_paused(ticket, pause);
+            }
         }
     }
 
@@ -345,7 +361,7 @@
         let (parts, mut body) = response.into_parts();
         let head = self.context.dialect.read_answer_head(parts.status, &parts.headers);
         if let Some((known, _)) = &target.upstream {
-            self.note_upstream(known, &head);
+            self.note_upstream(target, known, &head);
         }
         let hop = target.upstream.is_none();
         let ran = hop.then(|| read_ran(&parts.headers)).flatten();
--- a/cicadastall/src/gateway/choice.rs
+++ b/cicadastall/src/gateway/choice.rs
@@ -3,13 +3,14 @@
 use crate::{
     gateway::{
         call::RoutedCall,
+        desk::GrantTicket,
         routes::PoolRule,
         track::SendNumber,
         view::{FleetView, KnownUpstream, LoadView},
     },
-    name::{RegionName, UpstreamName},
+    name::{RegionName, UpstreamName, ZoneName},
 };
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::{
     fmt::{self, Display, Formatter},
@@ -29,7 +30,8 @@
 }
 
 /// Why a request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RefusalCause {
     /// No upstream that may run it is known.
     NoUpstream,
@@ -40,7 +42,7 @@
 }
 
 /// What decided for a target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct ChoiceBasis {
     /// Predicted time to the first token or the whole answer, in milliseconds.
     pub predicted_ms: u32,
@@ -73,6 +75,8 @@
         connections: usize,
         /// What decided.
         basis: ChoiceBasis,
+        /// Names the place, where the upstreams of the pool have owners.
+        ticket: Option<GrantTicket>,
     },
     /// To an entry of another region.
     Region {
@@ -113,12 +117,16 @@
     pub load: &'a LoadView,
     /// Whether upstreams may not be known yet, as the entry has just started.
     pub young: bool,
+    /// Zone of the entry that sends, where another one chooses.
+    pub zone: Option<&'a ZoneName>,
+    /// Whether all work of the upstreams in the view was given by this chooser.
+    pub sole: bool,
     /// Now.
     pub now: Instant,
 }
 
 /// Reasons why upstreams were left out, counted.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeftOut {
     /// Failed lately.
     pub barred: u32,
--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -10,6 +10,7 @@
         call::RoutedCall,
         choice::{ChoiceBasis, ChoiceInput, LeftOut, RefusalCause, UpstreamChoice},
         departures::DepartureLog,
+        desk::TakenPlace,
         groups::{PromptDemand, PromptGroups, PromptSort, PromptWork},
         news::{DepartedUpstream, RegisteredUpstream},
         routes::PoolRule,
@@ -80,6 +81,10 @@
 /// Time of a whole stream before any was measured, in milliseconds.
 const FIRST_STREAM_MS: f64 = 1_000.0;
 
+/// Part of its places up to which an upstream that takes the other sort of prompts is given a prompt for
+/// which its own upstreams have no room.
+const SPARE_PART: f64 = 0.8;
+
 /// Longest wait for the next turn of a cold upstream.
 const COLD_WAIT: Duration = Duration::from_millis(400);
 
@@ -188,8 +193,12 @@
     }
 
     fn track(&mut self, known: &KnownUpstream) -> &mut UpstreamTrack {
-        let started_ms = known.upstream.started_ms;
-        let track = self.tracks.entry(known.upstream.name.clone());
+        self.track_start(&known.upstream.name, known.upstream.started_ms)
+    }
+
+    /// The record of an upstream, empty if its process started after the one that the record is about.
+    fn track_start(&mut self, upstream: &UpstreamName, started_ms: u64) -> &mut UpstreamTrack {
+        let track = self.tracks.entry(upstream.clone());
         let track = track.or_insert_with(|| UpstreamTrack::new(started_ms));
         if track.started_ms() < started_ms {
             *track = UpstreamTrack::new(started_ms);
@@ -234,7 +243,48 @@
         let Candidate { unread_tokens, predicted_ms, basis, cold, .. } = best;
         let number = self.send(input, &known, unread_tokens, predicted_ms, cold);
         let connections = share_connections(input);
-        UpstreamChoice::Upstream { known, number, connections, basis }
+        UpstreamChoice::Upstream { known, number, connections, basis, ticket: None }
+    }
+
+    /// Counts a request at the upstream that its owner granted; none if this entry may not send to it.
+    pub fn take_granted(
+        &mut self,
+        input: &ChoiceInput<'_>,
+        known: &Arc<KnownUpstream>,
+        basis: ChoiceBasis,
+    ) -> Option<UpstreamChoice> {
+        self.track(known);
+        let track = self.tracks.get(&known.upstream.name);
+        let paused = track.is_none_or(|track| track.pause_end(input.now).is_some());
+        if paused || self.departures.contains(&known.upstream) {
+            return None;
+        }
+        let predicted_ms = f64::from(basis.predicted_ms);
+        let number = self.send(input, known, basis.unread, predicted_ms, false);
+        let connections = share_connections(input);
+        let known = Arc::clone(known);
+        Some(UpstreamChoice::Upstream { known, number, connections, basis, ticket: None })
+    }
+
+    /// Counts a request that an upstream has got without this chooser.
+    pub fn note_taken(&mut self, place: &TakenPlace, now: Instant) -> SendNumber {
+        self.sent += 1;
+        let number = SendNumber(self.sent);
+        let sent_at = now.checked_sub(Duration::from_millis(u64::from(place.elapsed_ms)));
+        let track = self.track_start(&place.upstream, place.started_ms);
+        let send = OpenSend {
+            number,
+            sent_at: sent_at.unwrap_or(now),
+            rank: place.rank,
+            sort: PromptSort::of(place.prompt_tokens),
+            prompt_tokens: place.prompt_tokens,
+            expected_tokens: place.expected_tokens,
+            read_ms: UpstreamTrack::read_ms(place.unread_tokens),
+            predicted_ms: f64::from(place.predicted_ms) / track.slowness(),
+            answering: place.began.then_some(now),
+        };
+        track.note_sent(send, &[]);
+        number
     }
 
     /// Until when a request waits, so that the streams that run on its upstream do not pause.
@@ -272,13 +322,14 @@
         let others = input.view.entries.len().saturating_sub(1) as f64;
         let others_part = others * others / (others * others + SPREAD_OTHERS * SPREAD_OTHERS);
         let engine = input.pool.is_some_and(|pool| pool.engine.is_some());
-        let spread_loss = if engine { SPREAD_LOSS * others_part } else { 0.0 };
+        let spread_loss = if engine && !input.sole { SPREAD_LOSS * others_part } else { 0.0 };
         // Best of the upstreams that take the other sort of prompts, and of those that take this one.
         let mut best: [Option<Candidate<'a>>; 2] = [None, None];
         for (place, admitted) in admitted.iter().enumerate() {
             let kept = kept.get(place).copied().unwrap_or_default();
             let Some(track) = self.tracks.get(&admitted.known.upstream.name) else { continue };
-            let mut candidate = score_upstream(input, &self.zone, track, admitted, kept);
+            let mut candidate =
+                score_upstream(input, input.zone.unwrap_or(&self.zone), track, admitted, kept);
             candidate.late_ms = count_late(input, &candidate);
             let chance: f64 = self.random.random_range(f64::EPSILON..1.0);
             candidate.spread_loss = -chance.ln() * spread_loss;
@@ -288,7 +339,12 @@
             }
         }
         let [other, grouped] = best;
+        let spare = |other: &Candidate<'_>| {
+            let slots = f64::from(other.known.upstream.slots);
+            input.sole && other.late_ms <= 0.0 && other.requests < slots * SPARE_PART
+        };
         match (other, grouped) {
+            (Some(other), Some(grouped)) if grouped.late_ms > 0.0 && spare(&other) => Some(other),
             (Some(other), Some(grouped)) if other.loss < grouped.loss => Some(other),
             (other, grouped) => grouped.or(other),
         }
@@ -318,11 +374,12 @@
         let sort = PromptSort::of(input.call.head.prompt_tokens);
         let groups = self.groups.entry(input.call.pool.clone());
         let groups = groups.or_insert_with(|| PromptGroups::new(input.now));
-        let told = input.load.demand.get(&input.call.pool).filter(|_| input.load.work_at.is_some());
+        let told = input.load.work_at.filter(|_| !input.sole);
+        let told = told.and_then(|_| input.load.demand.get(&input.call.pool));
         let entries = input.view.entries.len() as f64;
         let own = groups.demand(input.now);
         let demand = told.copied().unwrap_or_else(|| own.times(entries));
-        let long = groups.count_long(upstreams, &demand);
+        let long = groups.count_long(upstreams, &demand, input.sole);
         match sort {
             _ if long == 0 || long == upstreams => 0..upstreams,
             PromptSort::Long => 0..long,
@@ -356,13 +413,15 @@
             self.left_out.silent += 1;
             return None;
         }
+        // The owner of a cold engine keeps its pace, and nobody else sends to it.
+        let owned = input.view.owners.is_shared(&input.call.pool);
         let cold = known.unconfirmed || known.cold_until.is_some_and(|until| now < until);
         let Some(warmup) = input.pool.and_then(|pool| pool.warmup).filter(|_| cold) else {
             return Some(false);
         };
         let sender = choose_sender(&input.view.entries, name, known.upstream.started_ms);
         let next = track.next_cold().unwrap_or(now);
-        let own_turn = sender == Some(&self.own) && pause_between(warmup.per_s).is_some();
+        let own_turn = !owned && sender == Some(&self.own) && pause_between(warmup.per_s).is_some();
         if !own_turn || now < next {
             self.left_out.cold += 1;
             if own_turn {
@@ -529,6 +588,11 @@
         self.cut_off.insert(region.clone(), now + CUT_OFF_BAR);
     }
 
+    /// Regions that are left alone, as none of their entries could be reached.
+    pub fn cut_off(&self, now: Instant) -> impl Iterator<Item = &RegionName> {
+        self.cut_off.iter().filter(move |(_, until)| now < **until).map(|(region, _)| region)
+    }
+
     /// Notes that an upstream said that it has no room.
     pub fn note_full(&mut self, upstream: &UpstreamName, now: Instant) {
         if let Some(track) = self.tracks.get_mut(upstream) {
@@ -571,6 +635,8 @@
     let begin_ms = candidate.predicted_ms - remaining_ms * WAIT_PART;
     let end_ms = candidate.whole_ms - remaining_ms * WHOLE_PART;
     let queue_ms = match input.pool.and_then(|pool| pool.engine) {
+        // Places beyond those that the engine queues would only be refused.
+        Some(_) if input.sole => candidate.excess_ms,
         Some(_) => {
             let entries = input.view.entries.len().max(1) as f64;
             let part = QUEUE_PART + KNOWN_QUEUE_PART / (entries * entries);
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -6,6 +6,7 @@
         choose::UpstreamChooser,
         connections::ConnectionPool,
         dialect::CallDialect,
+        grant_call::EngineGrants,
         groups::PromptDemand,
         metrics::GatewayMetrics,
         news::{DepartedUpstream, WorkRow},
@@ -55,6 +56,7 @@
     pub(crate) connections: Arc<ConnectionPool>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) in_flight: AtomicU32,
+    pub(crate) grants: EngineGrants,
     chooser: Mutex<UpstreamChooser>,
     retries: Mutex<RetryWindow>,
     usable: watch::Sender<bool>,
@@ -80,7 +82,9 @@
             node.zone.clone(),
             rand::random(),
         );
+        let grants = EngineGrants::new(&node);
         Self {
+            grants,
             chooser: Mutex::new(chooser),
             retries: Mutex::new(RetryWindow::new(node.retries, Instant::now())),
             node,
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -9,6 +9,7 @@
         control_call::{CallFault, ControlCall, ControlDialect, ControlReply},
         dialect::CallDialect,
         follow::{FollowTasks, NewsFollower},
+        grant_call::GrantService,
         headers::{refuse, strip_connection_headers},
         hop::HopOrder,
         listing::list_near,
@@ -20,6 +21,7 @@
         warmup::hash_pair,
     },
     http::{self, AnswerBody, BodyError, ListenerLimits, json_answer, read_body, text_answer},
+    instance::serve_grants,
     name::AttemptId,
     peer::{PeerClients, PeerError},
     table::{EntryRecord, EntryState, Incarnation},
@@ -93,11 +95,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Puts the document of `news` in force unless a newer one is.
-    fn take_document(&self, news: &mut FleetNews) {
+    /// Puts the document of `news` in force unless a newer one is; returns whether it did.
+    fn take_document(&self, news: &mut FleetNews) -> bool {
         let held = self.context.routes.load().document().number;
         let Some(document) = news.document.take().filter(|document| document.number > held) else {
-            return;
+            return false;
         };
         log::info!(
             document = document.number, previous = held, routes = document.routes.len(),
@@ -108,6 +110,7 @@
         self.context.routes.store(Arc::new(RouteTable::new(document)));
         let mut first = self.first_document.lock().unwrap_or_else(PoisonError::into_inner);
         first.get_or_insert(Instant::now());
+        true
     }
 
     fn judge_usable(&self, confirmed: bool) {
@@ -127,11 +130,13 @@
     fn publish(&self, view_changed: bool) {
         let mut state = self.state();
         if view_changed {
-            let view = state.make_view();
+            let routes = self.context.routes.load();
+            let view = state.make_view(routes.engine_pools(), self.context.node.least_owners);
             for (pool, upstreams) in &view.pools {
                 self.context.metrics.note_upstreams(pool, upstreams.len());
             }
             self.context.chooser().forget(&view, Instant::now());
+            self.context.grants.set_view(&view, state.own());
             self.context.view.store(Arc::new(view));
         }
         self.context.load.store(Arc::new(state.make_load(Instant::now())));
@@ -150,6 +155,7 @@
             self.publish(changed);
             self.judge_usable(false);
             self.context.connections.sweep();
+            self.context.expire_grants();
             sleep(LOOK_PERIOD).await;
         }
     }
@@ -179,9 +185,9 @@
 
     fn take(&self, address: SocketAddr, mut news: FleetNews) {
         let (confirmed, newest) = (news.confirmed, news.document_number);
-        self.take_document(&mut news);
+        let replaced = self.take_document(&mut news);
         let held = self.context.routes.load().document().number;
-        let changed = self.state().accept(address, news, Instant::now());
+        let changed = replaced | self.state().accept(address, news, Instant::now());
         self.publish(changed);
         self.judge_usable(confirmed && held > 0 && held >= newest);
     }
@@ -224,6 +230,7 @@
             zone: node.zone.clone(),
             caller_address: Some(caller_address),
             peer_address: node.peer_address(),
+            grant_address: node.grant_listen,
             state: EntryState::Starting,
             in_flight: 0,
         };
@@ -264,6 +271,13 @@
             let limits = ListenerLimits::default();
             tasks.spawn(http::serve(listener, limits, ready_closed.clone(), handler));
         }
+        if let Some(address) = node.grant_listen {
+            let listener = http::bind(address).await?;
+            let service: Arc<dyn GrantService> = Arc::<EntryContext>::clone(&context);
+            tasks.spawn(serve_grants(listener, service));
+            let shared = Arc::clone(&context);
+            tasks.spawn(async move { shared.tell_owners().await });
+        }
         let listener = http::bind(node.status_listen).await?;
         let shared = Arc::clone(&context);
         let handler = move |_, request| answer_status(Arc::clone(&shared), request);
@@ -515,6 +529,7 @@
         "upstreams": upstreams.collect::<Vec<_>>(),
         "entries": view.entries,
         "fleet_entries": view.fleet_entries,
+        "owners": view.owners.names(),
     })
 }
 
--- a/cicadastall/src/gateway/groups.rs
+++ b/cicadastall/src/gateway/groups.rs
@@ -26,6 +26,9 @@
 /// Part of its time that an upstream of the more urgent sort works.
 const URGENT_USE: f64 = 0.5;
 
+/// The same where one chooser knows all work, so that no place has to be kept for what others send.
+const KNOWN_URGENT_USE: f64 = 0.85;
+
 /// The same for the other sort.
 const PATIENT_USE: f64 = 0.75;
 
@@ -112,10 +115,11 @@
     }
 
     /// How many of `upstreams` read long prompts, as a number that need not be whole.
-    fn share_long(&self, upstreams: f64) -> f64 {
+    fn share_long(&self, upstreams: f64, sole: bool) -> f64 {
+        let urgent_use = if sole { KNOWN_URGENT_USE } else { URGENT_USE };
         let needed = |sort: &SortDemand, other: &SortDemand| {
             let urgent = sort.rank + RANK_DIFFERENCE < other.rank;
-            sort.busy_ms / 1_000.0 / if urgent { URGENT_USE } else { PATIENT_USE }
+            sort.busy_ms / 1_000.0 / if urgent { urgent_use } else { PATIENT_USE }
         };
         let long = needed(&self.long, &self.short);
         let short = needed(&self.short, &self.long);
@@ -189,8 +193,8 @@
     /// lowest numbers. At least one for each sort that there is, and none where one must do both.
     ///
     /// The number changes only where the work has clearly changed, so that prompts stay where their
-    /// shared parts are.
-    pub fn count_long(&mut self, upstreams: usize, demand: &PromptDemand) -> usize {
+    /// shared parts are. `sole` says that one chooser knows all work of the upstreams.
+    pub fn count_long(&mut self, upstreams: usize, demand: &PromptDemand, sole: bool) -> usize {
         let (long, short) = (demand.long.busy_ms, demand.short.busy_ms);
         if upstreams < 2 || long <= 0.0 {
             return 0;
@@ -198,7 +202,7 @@
         if short <= 0.0 {
             return upstreams;
         }
-        let exact = demand.share_long(upstreams as f64).max(0.0);
+        let exact = demand.share_long(upstreams as f64, sole).max(0.0);
         if let Some((of, count)) = self.count
             && of == upstreams
             && (exact - count as f64).abs() < COUNT_SLACK.max(upstreams as f64 * COUNT_SLACK_PART)
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -56,6 +56,8 @@
     pub(crate) tried: TriedUpstreams,
     /// Number of the last event that the caller has.
     pub(crate) resume_after: Option<Arc<str>>,
+    /// Whether owners of engines were asked for a place before.
+    pub(crate) asked: bool,
     /// Whether an attempt is under way of which something may have been written.
     pub(crate) sending: bool,
     sends: u32,
@@ -77,6 +79,7 @@
     let mut relay = CallRelay {
         tried: TriedUpstreams::default(),
         resume_after: call.head.resume_after.clone(),
+        asked: false,
         sending: false,
         sends: 0,
         ran_on: call.earlier_attempts,
@@ -112,7 +115,7 @@
 
     async fn open(&mut self) -> Result<OpenAnswer, FinalFailure> {
         loop {
-            let choice = self.choose();
+            let choice = self.choose().await;
             match choice {
                 UpstreamChoice::Wait(until) => sleep_until(until).await,
                 UpstreamChoice::Refuse { cause, retry_after, left_out, basis } => {
@@ -141,7 +144,16 @@
         self.context.chooser().note_arrival(&self.call, pool, Instant::now());
     }
 
-    fn choose(&mut self) -> UpstreamChoice {
+    /// Where the next attempt goes: the engine that its owner grants, or one of this entry's choice where
+    /// engines have no owners or none of them answers.
+    async fn choose(&mut self) -> UpstreamChoice {
+        match self.ask_owners().await {
+            Some(choice) => choice,
+            None => self.choose_here(),
+        }
+    }
+
+    fn choose_here(&mut self) -> UpstreamChoice {
         let context = &self.context;
         let routes = context.routes.load();
         let input = ChoiceInput {
@@ -151,9 +163,12 @@
             view: &context.view.load(),
             load: &context.load.load(),
             young: context.is_young(),
+            zone: None,
+            sole: false,
             now: Instant::now(),
         };
-        context.chooser().choose(&input)
+        let choice = context.chooser().choose(&input);
+        self.hold_place(choice, None)
     }
 
     /// Decides whether another attempt is allowed after a failed one.
--- a/cicadastall/src/gateway/routes.rs
+++ b/cicadastall/src/gateway/routes.rs
@@ -188,6 +188,7 @@
     document: Arc<RouteDocument>,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteRule>>>,
     pools: HashMap<PoolName, Arc<PoolRule>>,
+    engine_pools: Vec<PoolName>,
 }
 
 impl RouteTable {
@@ -199,7 +200,14 @@
             hosts.entry(host).or_default().insert(Arc::clone(&route.prefix), Arc::clone(route));
         }
         let pools = document.pools.iter().map(|pool| (pool.name.clone(), Arc::clone(pool)));
-        Self { hosts, pools: pools.collect(), document }
+        let engine_pools = document.pools.iter().filter(|pool| pool.engine.is_some());
+        let engine_pools = engine_pools.map(|pool| pool.name.clone()).collect();
+        Self { hosts, pools: pools.collect(), engine_pools, document }
+    }
+
+    /// Pools whose upstreams are model engines.
+    pub fn engine_pools(&self) -> &[PoolName] {
+        &self.engine_pools
     }
 
     /// The document.
--- a/cicadastall/src/gateway/score.rs
+++ b/cicadastall/src/gateway/score.rs
@@ -64,6 +64,12 @@
 /// Part of an engine's memory that running requests are to take; shared parts are kept in the rest.
 const RUNNING_PART: f64 = 0.6;
 
+/// Requests that an engine is given beyond its places by its owner. It queues a few more itself.
+const QUEUE_ROOM: f64 = 2.0;
+
+/// Least time after which one of an engine's places is taken to be free, in milliseconds.
+const LEAST_PLACE_MS: f64 = 1.0;
+
 /// Difference of two losses that counts as none.
 const TIE_LOSS: f64 = 0.005;
 
@@ -77,6 +83,10 @@
     pub(super) basis: ChoiceBasis,
     /// Predicted time of the whole answer, in milliseconds.
     pub(super) whole_ms: f64,
+    /// Requests that the upstream has.
+    pub(super) requests: f64,
+    /// Time until the engine has room for it in its queue, in milliseconds.
+    pub(super) excess_ms: f64,
     /// Time by which its answer would come too late to be worth its work, in milliseconds.
     pub(super) late_ms: f64,
     pub(super) loss: f64,
@@ -157,6 +167,7 @@
     let time = predicted_ms / (call.route.target_ms.max(1) as f64);
     let failing = (track.failing() - FAILING_FLOOR).max(0.0) / (1.0 - FAILING_FLOOR);
     let fill = (requests + 1.0) / places;
+    let excess = (requests + 1.0 - slots - QUEUE_ROOM).max(0.0);
     let (stretch_ms, fill_loss) = match engine {
         Some(_) => {
             let read_ms = UpstreamTrack::read_ms(unread_tokens) * track.slowness();
@@ -190,6 +201,8 @@
         predicted_ms,
         basis,
         whole_ms,
+        requests,
+        excess_ms: excess * (track.whole_ms(stream) / slots).max(LEAST_PLACE_MS),
         late_ms: 0.0,
         spread_loss: 0.0,
         loss,
@@ -203,6 +216,9 @@
 /// Requests and backlog in milliseconds that other entries gave to an upstream; as much as this one
 /// did where they do not tell.
 fn others_work(input: &ChoiceInput<'_>, name: &UpstreamName, track: &UpstreamTrack) -> (f64, f64) {
+    if input.sole {
+        return (0.0, 0.0);
+    }
     // What others gave it since they told is taken to be as much as it has read since.
     if input.load.work_at.is_some() {
         let (requests, backlog_ms) = input.load.work.get(name).copied().unwrap_or_default();
--- a/cicadastall/src/gateway/settings.rs
+++ b/cicadastall/src/gateway/settings.rs
@@ -24,6 +24,13 @@
     /// Address at which other instances reach `peer_listen`, where it differs.
     #[serde(default)]
     pub peer_advertise: Option<SocketAddr>,
+    /// Address at which an entry grants places in engines that it owns; where it has none, it owns none.
+    #[serde(default)]
+    pub grant_listen: Option<SocketAddr>,
+    /// Fewest entries of a region among which its engines are shared out. Fewer know enough of each
+    /// other's work.
+    #[serde(default = "default_least_owners")]
+    pub least_owners: usize,
     /// Address for metrics and status.
     pub status_listen: SocketAddr,
     /// Peer addresses of some control instances.
@@ -66,6 +73,10 @@
     pub limits: CallerBounds,
 }
 
+fn default_least_owners() -> usize {
+    8
+}
+
 fn default_renewal_ms() -> u64 {
     1_000
 }
--- a/cicadastall/src/gateway/track.rs
+++ b/cicadastall/src/gateway/track.rs
@@ -4,6 +4,7 @@
     call::{CallHead, PromptPart},
     groups::PromptSort,
 };
+use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
@@ -71,7 +72,8 @@
 }
 
 /// How an attempt ended, for the upstream's record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum SendEnd {
     /// With a whole answer.
     Whole,
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -9,6 +9,7 @@
             ControlRecord, EntryNews, FleetNews, NewsCursor, RegionSummary, RegisteredUpstream,
             UpstreamNews, UpstreamPhase, WorkRow,
         },
+        owners::{EntryProcess, OwnerRing},
         warmup::hash_pair,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
@@ -62,9 +63,31 @@
     pub live: Vec<EntryRecord>,
     /// Most entries of the whole fleet that were known at the same time.
     pub fleet_entries: usize,
+    /// Owners of the region's engines.
+    pub owners: OwnerRing,
 }
 
 impl FleetView {
+    /// The part of the view in which `own` alone gives work to upstreams, as their owner.
+    pub fn shard_of(&self, own: &EntryRecord) -> FleetView {
+        let owned = self.owners.engines_of(&EntryProcess::of(own));
+        let pools = self.pools.iter().filter_map(|(pool, upstreams)| {
+            let upstreams: Vec<_> = upstreams
+                .iter()
+                .filter(|known| owned.contains(&known.upstream.name) && self.owners.is_shared(pool))
+                .cloned()
+                .collect();
+            (!upstreams.is_empty()).then(|| (pool.clone(), upstreams))
+        });
+        FleetView {
+            pools: pools.collect(),
+            entries: vec![own.instance.clone()],
+            live: Vec::new(),
+            fleet_entries: self.fleet_entries,
+            owners: OwnerRing::default(),
+        }
+    }
+
     /// Upstreams of this region that serve, of all pools.
     pub fn upstreams(&self) -> impl Iterator<Item = &RegisteredUpstream> {
         self.pools.values().flatten().map(|known| &*known.upstream)
@@ -299,8 +322,9 @@
         changed
     }
 
-    /// The view of the fleet.
-    pub fn make_view(&mut self) -> FleetView {
+    /// The view of the fleet, in which the engines of `engine_pools` are shared out among entries if
+    /// the region has at least `least_owners`.
+    pub fn make_view(&mut self, engine_pools: &[PoolName], least_owners: usize) -> FleetView {
         let mut pools: HashMap<PoolName, Vec<Arc<KnownUpstream>>> = HashMap::new();
         for (name, heard) in self.merge_upstreams() {
             let upstream = &heard.news.upstream;
@@ -326,8 +350,11 @@
         let mut live = self.merge_entries();
         live.insert(self.own.instance.clone(), self.own.clone());
         self.most_entries = self.most_entries.max(live.len());
-        let near = live.values().filter(|entry| entry.region == self.own.region);
-        let serving = near.filter(|entry| entry.state == EntryState::Serving);
+        let near: Vec<_> = live.values().filter(|entry| entry.region == self.own.region).collect();
+        let shared = pools.iter().filter(|(pool, _)| engine_pools.contains(pool));
+        let shared = shared.map(|(pool, upstreams)| (pool, &**upstreams));
+        let owners = OwnerRing::new(shared, &near, least_owners);
+        let serving = near.into_iter().filter(|entry| entry.state == EntryState::Serving);
         let mut entries: BTreeSet<_> = serving.map(|entry| entry.instance.clone()).collect();
         entries.insert(self.own.instance.clone());
         FleetView {
@@ -335,6 +362,7 @@
             entries: entries.into_iter().collect(),
             live: live.into_values().collect(),
             fleet_entries: self.most_entries,
+            owners,
         }
     }
 
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -6,6 +6,8 @@
     follower::SettingsFollower,
     gateway::{
         control::NewsService,
+        desk::{GrantNotes, GrantQuery, GrantReply},
+        grant_call::GrantService,
         news::{FleetNews, NewsQuery},
     },
     group::GroupHost,
@@ -93,6 +95,8 @@
     pub(crate) suspects: Option<Arc<SuspectBoard>>,
     /// None but at control instances of the pass-through gateway.
     pub(crate) news: Option<Arc<dyn NewsService>>,
+    /// None but at entries of the pass-through gateway.
+    pub(crate) grants: Option<Arc<dyn GrantService>>,
 }
 
 impl PeerApi for PeerServer {
@@ -103,6 +107,19 @@
         }
     }
 
+    async fn grant_place(self, _: Context, query: GrantQuery) -> GrantReply {
+        match self.grants {
+            Some(grants) => grants.grant(query).await,
+            None => GrantReply::NotOwner,
+        }
+    }
+
+    async fn note_places(self, _: Context, notes: GrantNotes) {
+        if let Some(grants) = self.grants {
+            grants.note(notes);
+        }
+    }
+
     async fn settings_after(self, _: Context, request: FollowRequest) -> FollowReply {
         self.settings.map(|settings| settings.answer(request)).unwrap_or_default()
     }
@@ -232,6 +249,7 @@
                     ledger: hosting.start(&node, &groups).await?,
                     suspects: Some(Arc::clone(&suspects)),
                     news: None,
+                    grants: None,
                 };
                 let mut tasks = JoinSet::new();
                 tasks.spawn(serve_peers(peers, server));
@@ -273,7 +291,14 @@
 /// Answers calls to the replicas in `groups`, without membership and settings, until its task is
 /// dropped.
 pub async fn serve_groups(listener: TcpListener, groups: Arc<GroupRegistry>) {
-    let server = PeerServer { settings: None, groups, ledger: None, suspects: None, news: None };
+    let server = PeerServer {
+        settings: None,
+        groups,
+        ledger: None,
+        suspects: None,
+        news: None,
+        grants: None,
+    };
     serve_peers(listener, server).await;
 }
 
@@ -285,7 +310,17 @@
     news: Arc<dyn NewsService>,
 ) {
     let news = Some(news);
-    let server = PeerServer { settings: None, groups, ledger: None, suspects: None, news };
+    let server =
+        PeerServer { settings: None, groups, ledger: None, suspects: None, news, grants: None };
+    serve_peers(listener, server).await;
+}
+
+/// Answers questions for places in the engines of an entry, until its task is dropped.
+pub(crate) async fn serve_grants(listener: TcpListener, grants: Arc<dyn GrantService>) {
+    let groups = Arc::new(GroupRegistry::default());
+    let grants = Some(grants);
+    let server =
+        PeerServer { settings: None, groups, ledger: None, suspects: None, news: None, grants };
     serve_peers(listener, server).await;
 }
 
@@ -294,7 +329,8 @@
 pub async fn serve_settings(listener: TcpListener, follower: Arc<SettingsFollower>) {
     let groups = Arc::new(GroupRegistry::default());
     let settings = Some(follower);
-    let server = PeerServer { settings, groups, ledger: None, suspects: None, news: None };
+    let server =
+        PeerServer { settings, groups, ledger: None, suspects: None, news: None, grants: None };
     serve_peers(listener, server).await;
 }
 
--- a/cicadastall/src/membership.rs
+++ b/cicadastall/src/membership.rs
@@ -120,6 +120,7 @@
         arguments: Self::Arguments,
     ) -> Result<Self::State, ActorProcessingErr> {
         let own = EntryRecord {
+            grant_address: None,
             instance: arguments.node.instance.clone(),
             incarnation: Incarnation(unix_ms()),
             region: arguments.node.region.clone(),
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     counted::CountedStream,
-    gateway::news::{FleetNews, NewsQuery},
+    gateway::{
+        desk::{GrantNotes, GrantQuery, GrantReply},
+        news::{FleetNews, NewsQuery},
+    },
     ledger::command::{LedgerChange, LedgerReply},
     message_codec::MessageCodec,
     name::GroupName,
@@ -67,6 +70,12 @@
     /// News of the fleet for the pass-through gateway; none where the receiver has no registry.
     async fn fleet_news(query: NewsQuery) -> FleetNews;
 
+    /// A place in an engine that the receiver owns.
+    async fn grant_place(query: GrantQuery) -> GrantReply;
+
+    /// Tells the receiver what became of places in its engines.
+    async fn note_places(notes: GrantNotes);
+
     /// Where a revision is in force in the receiver, a control instance, and its followers' zones.
     async fn settings_confirm(revision: Revision) -> Vec<ZoneReport>;
 }
--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -201,6 +201,9 @@
     pub caller_address: Option<SocketAddr>,
     /// Address for other instances.
     pub peer_address: SocketAddr,
+    /// Address at which the instance grants places in engines.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub grant_address: Option<SocketAddr>,
     /// Readiness.
     pub state: EntryState,
     /// Requests in flight.
--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -16,7 +16,8 @@
         own_control::OwnControl,
         retry_window::RetryBounds,
         routes::{
-            CallerBounds, PoolRule, PoolShare, RepeatRule, RouteDocument, RouteRule, WarmupRule,
+            CallerBounds, EngineRule, PoolRule, PoolShare, RepeatRule, RouteDocument, RouteRule,
+            WarmupRule,
         },
         settings::GatewayNode,
     },
@@ -180,6 +181,12 @@
     PoolRule { warmup: Some(WarmupRule { seconds: 3.0, per_s }), ..pool(name) }
 }
 
+/// A pool of model engines.
+pub fn engine_pool(name: &str, slots: u32) -> PoolRule {
+    let engine = EngineRule { slots, kv_tokens: 100_000, event_tokens: 5 };
+    PoolRule { engine: Some(engine), ..pool(name) }
+}
+
 /// A route `/NAME/` to the pool `service`.
 pub fn route(name: &str, repeat: RepeatRule) -> RouteRule {
     RouteRule {
@@ -239,6 +246,8 @@
 pub struct Fleet {
     pub controls: Vec<Control>,
     pub entries: Vec<Entry>,
+    /// Whether engines are shared out among the entries that are added.
+    pub shares_engines: bool,
     folder: PathBuf,
 }
 
@@ -260,6 +269,8 @@
         zones,
         peer_listen: reserved[0].address,
         peer_advertise: None,
+        grant_listen: None,
+        least_owners: 8,
         status_listen: reserved[1].address,
         seeds: Vec::new(),
         caller_listen: None,
@@ -284,7 +295,8 @@
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("gateway-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
-        let mut fleet = Self { controls: Vec::new(), entries: Vec::new(), folder };
+        let mut fleet =
+            Self { controls: Vec::new(), entries: Vec::new(), shares_engines: false, folder };
         let mut reserved: Vec<_> = (0..controls).map(|_| ReservedAddress::group(4)).collect();
         let seeds: Vec<_> = reserved.iter().map(|reserved| reserved[0].address).collect();
         for (index, reserved) in reserved.drain(..).enumerate() {
@@ -326,11 +338,13 @@
     }
 
     pub async fn add_entry(&mut self, name: &str, zone: &str) {
-        let reserved = ReservedAddress::group(5);
+        let reserved = ReservedAddress::group(6);
         let node = GatewayNode {
             caller_listen: Some(reserved[2].address),
             ready_listen: Some(reserved[3].address),
             directory_listen: Some(reserved[4].address),
+            grant_listen: self.shares_engines.then_some(reserved[5].address),
+            least_owners: 2,
             seeds: self.controls.iter().map(|control| control.node.peer_listen).collect(),
             ..node(name, zone, &reserved)
         };
@@ -341,6 +355,12 @@
         self.entries.push(Entry { node, server, _thread: thread, _reserved: reserved });
     }
 
+    /// Ends an entry at once, without a word.
+    pub async fn kill_entry(&mut self, index: usize) {
+        drop(self.entries[index].server.take());
+        sleep(Duration::from_millis(100)).await;
+    }
+
     pub async fn wait_ready(&self) {
         for entry in &self.entries {
             let server = entry.server.as_ref().expect("a running entry");
--- a/cicadastall/tests/gateway/upstream.rs
+++ b/cicadastall/tests/gateway/upstream.rs
@@ -91,6 +91,12 @@
         self.then(Duration::ZERO, "0\r\n\r\n")
     }
 
+    /// Writes nothing before `pause` is over.
+    pub fn delayed(mut self, pause: Duration) -> Self {
+        self.parts[0].0 = pause;
+        self
+    }
+
     pub fn ending(mut self, ending: Ending) -> Self {
         self.ending = ending;
         self
@@ -140,6 +146,8 @@
     left: u32,
     connections: u32,
     endless_for: Duration,
+    open: u32,
+    most_open: u32,
 }
 
 /// A stand-in; it stops when it is dropped.
@@ -202,6 +210,11 @@
         self.state().connections
     }
 
+    /// Most requests that were under way at the same time.
+    pub fn most_open(&self) -> u32 {
+        self.state().most_open
+    }
+
     /// Longest time for which a caller took an endless answer.
     pub fn endless_for(&self) -> Duration {
         self.state().endless_for
@@ -231,6 +244,8 @@
         let script = {
             let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
             state.seen.push(request.clone());
+            state.open += 1;
+            state.most_open = state.most_open.max(state.open);
             state.scripts.pop_front().or_else(|| state.usual.clone())
         };
         let Some(script) = script else { return };
@@ -255,6 +270,7 @@
             state.endless_for = state.endless_for.max(started.elapsed());
             return;
         }
+        state.lock().unwrap_or_else(PoisonError::into_inner).open -= 1;
         match script.ending {
             Ending::Keep => {}
             Ending::Close => {
--- /dev/null
+++ b/cicadastall/tests/gateway_owners.rs
@@ -0,0 +1,500 @@
+//! Engines that are shared out among entries: who owns them, what owners grant, and what becomes of places
+//! when processes are lost.
+
+mod gateway;
+
+use cicadastall::{
+    gateway::{
+        choose::UpstreamChooser,
+        desk::{
+            DeskInput, GrantChange, GrantDesk, GrantNote, GrantQuery, GrantReply, GrantTicket,
+            TakenPlace,
+        },
+        grants::GrantBook,
+        news::{RegisteredUpstream, UpstreamPhase},
+        owners::{EntryProcess, OwnerRing},
+        routes::{PoolRule, RepeatRule, RouteDocument},
+        track::SendEnd,
+        view::{FleetView, KnownUpstream, LoadView},
+    },
+    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+    table::{EntryRecord, EntryState, Incarnation},
+};
+use gateway::{
+    CallerRequest, Fleet, WAIT, engine_pool, route,
+    upstream::{Script, Upstream},
+};
+use quickcheck::{Gen, QuickCheck};
+use smallvec::{SmallVec, smallvec};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+const SLOTS: u32 = 2;
+
+/// Requests that an engine gets at most beyond its places.
+const QUEUED: usize = 2;
+
+const SHORT: Duration = Duration::from_millis(30);
+
+fn checker() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, 20_261_205)).tests(100)
+}
+
+fn pool() -> PoolName {
+    PoolName::from("service")
+}
+
+fn entry(number: usize, incarnation: u64) -> EntryRecord {
+    EntryRecord {
+        instance: InstanceName::from(format!("entry-{number}").as_str()),
+        incarnation: Incarnation(incarnation),
+        region: RegionName::from("west"),
+        zone: ZoneName::from("west-a"),
+        caller_address: None,
+        peer_address: address(1_000 + number),
+        grant_address: Some(address(2_000 + number)),
+        state: EntryState::Serving,
+        in_flight: 0,
+    }
+}
+
+fn address(port: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port as u16))
+}
+
+fn engine(number: usize) -> Arc<KnownUpstream> {
+    let upstream = RegisteredUpstream {
+        name: UpstreamName::from(format!("engine-{number}").as_str()),
+        started_ms: 1,
+        sequence: 1,
+        pool: pool(),
+        address: address(3_000 + number),
+        zone: ZoneName::from("west-a"),
+        slots: SLOTS,
+        phase: UpstreamPhase::Serving,
+        cold_ms: 0,
+    };
+    Arc::new(KnownUpstream {
+        upstream: Arc::new(upstream),
+        heard_at: Instant::now(),
+        silent: false,
+        cold_until: None,
+        unconfirmed: false,
+    })
+}
+
+fn engines(count: usize) -> Vec<Arc<KnownUpstream>> {
+    (0..count).map(engine).collect()
+}
+
+fn ring(engines: &[Arc<KnownUpstream>], entries: &[EntryRecord]) -> OwnerRing {
+    let entries: Vec<_> = entries.iter().collect();
+    OwnerRing::new([(&pool(), engines)], &entries, 2)
+}
+
+#[test]
+fn every_engine_has_one_owner_which_all_entries_find() {
+    fn property(present: Vec<u8>, count: u8, keys: Vec<u64>) -> bool {
+        let engines = engines(usize::from(count) + 1);
+        let numbers: BTreeSet<_> = present.iter().map(|number| usize::from(number % 100)).collect();
+        let mut entries: Vec<_> = numbers.into_iter().map(|number| entry(number, 1)).collect();
+        let ring = self::ring(&engines, &entries);
+        entries.reverse();
+        let other = self::ring(&engines, &entries);
+        let owner = |ring: &OwnerRing, engine: &Arc<KnownUpstream>| {
+            ring.owner(&pool(), &engine.upstream.name).cloned()
+        };
+        if entries.len() < 2 {
+            return !ring.is_shared(&pool()) && ring.choose(&pool(), 1).is_empty();
+        }
+        let owners: Vec<_> = engines.iter().map(|engine| owner(&ring, engine)).collect();
+        let same =
+            engines.iter().zip(&owners).all(|(engine, first)| owner(&other, engine) == *first);
+        let alike = keys.iter().all(|key| {
+            let [a, b] = [&ring, &other].map(|ring| ring.choose(&pool(), *key));
+            let distinct = a.len() < 2 || a[0].process != a[1].process;
+            !a.is_empty() && distinct && a.iter().eq(b.iter())
+        });
+        same && alike && owners.iter().all(Option::is_some)
+    }
+    checker().quickcheck(property as fn(Vec<u8>, u8, Vec<u64>) -> bool);
+}
+
+#[test]
+fn the_loss_of_an_entry_moves_its_engines_only() {
+    let engines = engines(100);
+    let entries: Vec<_> = (0..40).map(|number| entry(number, 1)).collect();
+    let before = ring(&engines, &entries);
+    let owner = |ring: &OwnerRing, engine: &Arc<KnownUpstream>| {
+        ring.owner(&pool(), &engine.upstream.name).map(|owner| owner.process.clone())
+    };
+    let lost = owner(&before, &engines[0]).expect("an owner");
+    let rest: Vec<_> =
+        entries.into_iter().filter(|entry| EntryProcess::of(entry) != lost).collect();
+    let after = ring(&engines, &rest);
+    let moved = engines.iter().filter(|engine| {
+        let owner_before = owner(&before, engine);
+        owner_before.as_ref() != Some(&lost) && owner(&after, engine) != owner_before
+    });
+    // The entry that becomes an owner in its place takes its engines, and some of the others'.
+    assert!(moved.count() <= engines.len() / 4);
+    assert!(engines.iter().all(|engine| owner(&after, engine).is_some_and(|owner| owner != lost)));
+}
+
+struct Desk {
+    desk: GrantDesk,
+    shard: FleetView,
+    load: LoadView,
+    rule: PoolRule,
+    now: Instant,
+    tickets: u64,
+}
+
+impl Desk {
+    fn new(count: usize) -> Self {
+        let own = InstanceName::from("entry-0");
+        let chooser = UpstreamChooser::new(
+            own.clone(),
+            RegionName::from("west"),
+            ZoneName::from("west-a"),
+            7,
+        );
+        let pools = HashMap::from([(pool(), engines(count))]);
+        Self {
+            desk: GrantDesk::new(chooser),
+            shard: FleetView { pools, entries: vec![own], ..FleetView::default() },
+            load: LoadView::default(),
+            rule: engine_pool("service", SLOTS),
+            now: Instant::now(),
+            tickets: 0,
+        }
+    }
+
+    fn ask(&mut self, holder: &EntryRecord, notes: Vec<GrantNote>) -> (GrantTicket, GrantReply) {
+        self.tickets += 1;
+        let ticket = GrantTicket(self.tickets);
+        let query = GrantQuery {
+            holder: EntryProcess::of(holder),
+            ticket,
+            zone: ZoneName::from("west-a"),
+            pool: pool(),
+            repeat: RepeatRule::ResumableStream,
+            rank: 0,
+            target_ms: 800,
+            elapsed_ms: 0,
+            remaining_ms: 10_000,
+            affinity: true,
+            hopped: false,
+            again: false,
+            prompt_tokens: 20,
+            expected_tokens: 5,
+            parts: smallvec![(1, 10), (self.tickets, 10)],
+            tried: SmallVec::new(),
+            tried_regions: SmallVec::new(),
+            homes: SmallVec::new(),
+            notes,
+        };
+        let input = DeskInput {
+            rule: Some(&self.rule),
+            shard: &self.shard,
+            load: &self.load,
+            young: false,
+            now: self.now,
+        };
+        (ticket, self.desk.grant(&query, &input))
+    }
+
+    /// Engines that are granted until there is no place left.
+    fn fill(&mut self, holder: &EntryRecord) -> Vec<(GrantTicket, UpstreamName)> {
+        let mut granted = Vec::new();
+        loop {
+            match self.ask(holder, Vec::new()) {
+                (ticket, GrantReply::Granted { upstream, .. }) => granted.push((ticket, upstream)),
+                (_, GrantReply::Refused { retry_after_ms, .. }) => {
+                    assert!(retry_after_ms > 0);
+                    return granted;
+                }
+                (_, reply) => panic!("{reply:?}"),
+            }
+        }
+    }
+
+    fn note(&mut self, holder: &EntryRecord, ticket: GrantTicket, change: GrantChange) {
+        let notes = [GrantNote { ticket, change }];
+        self.desk.take_notes(&EntryProcess::of(holder), &notes, self.now);
+    }
+}
+
+fn most(count: usize) -> usize {
+    count * (SLOTS as usize + QUEUED)
+}
+
+#[test]
+fn an_owner_grants_no_more_than_its_engines_run_and_queue() {
+    let mut desk = Desk::new(3);
+    let [one, two] = [entry(1, 1), entry(2, 1)];
+    let granted = desk.fill(&one);
+    assert_eq!(granted.len(), most(3));
+    for number in 0..3 {
+        let name = engine(number).upstream.name.clone();
+        assert_eq!(granted.iter().filter(|(_, upstream)| *upstream == name).count(), most(1));
+    }
+    assert!(desk.fill(&two).is_empty());
+    // A place that is given back goes to the next, whoever asks; a second word changes nothing.
+    let (ticket, freed) = granted[4].clone();
+    desk.note(&two, ticket, GrantChange::Ended(SendEnd::Whole));
+    assert!(desk.fill(&two).is_empty(), "another holder's place is not freed");
+    desk.note(&one, ticket, GrantChange::Ended(SendEnd::Whole));
+    desk.note(&one, ticket, GrantChange::Ended(SendEnd::Whole));
+    let again = desk.fill(&two);
+    assert!(again.len() == 1 && again[0].1 == freed, "{again:?}");
+}
+
+#[test]
+fn places_of_lost_entries_and_of_requests_whose_time_is_over_are_freed() {
+    let mut desk = Desk::new(2);
+    let [one, two, reborn] = [entry(1, 1), entry(2, 1), entry(1, 2)];
+    assert_eq!(desk.fill(&one).len(), most(2));
+    desk.desk.expire(&[one.clone(), two.clone()], desk.now);
+    assert_eq!(desk.desk.open(), most(2));
+    desk.desk.expire(&[reborn.clone(), two.clone()], desk.now);
+    assert_eq!((desk.desk.open(), desk.fill(&two).len()), (0, most(2)));
+    desk.now += Duration::from_secs(12);
+    desk.desk.expire(&[reborn, two], desk.now);
+    assert_eq!(desk.desk.open(), 0);
+}
+
+#[test]
+fn a_place_that_another_owner_granted_counts_once_it_is_told() {
+    let mut desk = Desk::new(1);
+    let holder = entry(1, 1);
+    let mut book = GrantBook::default();
+    let owners = [entry(0, 1), entry(9, 1)];
+    let engines = engines(1);
+    let ring = ring(&engines, &owners);
+    let place = TakenPlace {
+        pool: pool(),
+        upstream: engines[0].upstream.name.clone(),
+        started_ms: 1,
+        rank: 0,
+        prompt_tokens: 200,
+        expected_tokens: 50,
+        unread_tokens: 200,
+        predicted_ms: 100,
+        elapsed_ms: 0,
+        remaining_ms: 5_000,
+        began: false,
+    };
+    let held: Vec<_> = (0..3).map(|_| book.take_ticket()).collect();
+    held.iter().for_each(|ticket| book.hold(*ticket, place.clone(), None, desk.now));
+    let [owner] = book
+        .waiting()
+        .is_empty()
+        .then(|| {
+            book.settle(&ring, desk.now);
+            book.settle(&ring, desk.now);
+            book.waiting()
+        })
+        .expect("nothing is told before there is an owner")
+        .try_into()
+        .expect("one owner");
+    let notes = book.take_notes(owner);
+    assert_eq!(notes.len(), 3, "each place is told once");
+    desk.desk.take_notes(&EntryProcess::of(&holder), &notes, desk.now);
+    assert_eq!(desk.desk.open(), 3);
+    desk.tickets = 100;
+    assert_eq!(desk.fill(&holder).len(), most(1) - 3);
+    book.end(held[0], SendEnd::Whole);
+    desk.desk.take_notes(&EntryProcess::of(&holder), &book.take_notes(owner), desk.now);
+    assert_eq!(desk.fill(&holder).len(), 1);
+}
+
+#[test]
+fn an_engine_that_wants_nothing_for_some_time_is_granted_to_nobody() {
+    let mut desk = Desk::new(1);
+    let [one, two] = [entry(1, 1), entry(2, 1)];
+    let (ticket, reply) = desk.ask(&one, Vec::new());
+    assert!(matches!(reply, GrantReply::Granted { .. }), "{reply:?}");
+    desk.note(&one, ticket, GrantChange::Paused(3_000));
+    desk.note(&one, ticket, GrantChange::Ended(SendEnd::Refused));
+    desk.now += Duration::from_millis(2_900);
+    let (_, reply) = desk.ask(&two, Vec::new());
+    assert!(matches!(reply, GrantReply::Refused { .. }), "{reply:?}");
+    desk.now += Duration::from_millis(200);
+    let (_, reply) = desk.ask(&two, Vec::new());
+    assert!(matches!(reply, GrantReply::Granted { .. }), "{reply:?}");
+}
+
+/// Whatever is said in whatever order, by holders that come and go: no engine has more requests than its
+/// owner knows of and it may have, and all places are free in the end.
+#[test]
+fn places_are_never_lost_and_never_granted_twice() {
+    fn property(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut desk = Desk::new(2);
+        let holders: Vec<_> = (1..4).map(|number| entry(number, 1)).collect();
+        let mut open: Vec<(usize, GrantTicket, UpstreamName)> = Vec::new();
+        for (what, who, which) in steps {
+            let who = usize::from(who) % holders.len();
+            desk.now += Duration::from_millis(u64::from(which));
+            match what % 4 {
+                0 | 1 => {
+                    if let (ticket, GrantReply::Granted { upstream, .. }) =
+                        desk.ask(&holders[who], Vec::new())
+                    {
+                        open.push((who, ticket, upstream));
+                    }
+                }
+                2 if !open.is_empty() => {
+                    let (who, ticket, _) = open.swap_remove(usize::from(which) % open.len());
+                    desk.note(&holders[who], ticket, GrantChange::Began);
+                    desk.note(&holders[who], ticket, GrantChange::Ended(SendEnd::Whole));
+                }
+                _ => {
+                    let live: Vec<_> = holders
+                        .iter()
+                        .enumerate()
+                        .filter(|(place, _)| *place != who)
+                        .map(|(_, holder)| holder.clone())
+                        .collect();
+                    desk.desk.expire(&live, desk.now);
+                    open.retain(|(holder, ..)| *holder != who);
+                }
+            }
+            let fits = (0..2).all(|number| {
+                let name = &engine(number).upstream.name;
+                open.iter().filter(|(.., upstream)| upstream == name).count() <= most(1)
+            });
+            if !fits || desk.desk.open() > open.len() {
+                return false;
+            }
+        }
+        desk.desk.expire(&[], desk.now);
+        desk.desk.open() == 0
+    }
+    checker().quickcheck(property as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+#[test]
+fn an_owner_that_does_not_answer_is_asked_again_after_a_growing_time() {
+    let mut book = GrantBook::default();
+    let now = Instant::now();
+    let at = |millis: u64| now + Duration::from_millis(millis);
+    assert!(!book.is_silent(address(1), now));
+    assert!(book.note_silent(address(1), now));
+    assert!(book.is_silent(address(1), at(499)) && !book.is_silent(address(1), at(501)));
+    assert!(!book.note_silent(address(1), at(501)));
+    assert!(book.is_silent(address(1), at(1_500)) && !book.is_silent(address(1), at(1_502)));
+    book.note_answered(address(1));
+    assert!(!book.is_silent(address(1), at(502)));
+}
+
+/// Routes to engines, for requests that may be repeated and for those that may not.
+fn engine_document() -> RouteDocument {
+    let routes = [route("read", RepeatRule::Repeatable), route("book", RepeatRule::Once)];
+    RouteDocument {
+        number: 1,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        pools: vec![Arc::new(engine_pool("service", SLOTS))],
+        ..RouteDocument::default()
+    }
+}
+
+async fn start_fleet(name: &str, entries: usize) -> (Fleet, Vec<Upstream>) {
+    let mut fleet = Fleet::start(name, 1, &[]).await;
+    fleet.shares_engines = true;
+    for number in 0..entries {
+        fleet.add_entry(&format!("entry-{number}"), "west-a").await;
+    }
+    fleet.put_document(&engine_document()).await;
+    fleet.wait_ready().await;
+    let mut upstreams = Vec::new();
+    for _ in 0..3 {
+        let slow = Script::whole("200 OK", "usual").delayed(Duration::from_millis(300));
+        let upstream = Upstream::start(slow).await;
+        let registered =
+            RegisteredUpstream { slots: SLOTS, ..gateway::describe(&upstream, "west-a", 1) };
+        assert!(fleet.renew(0, &registered).await.status.is_success());
+        upstreams.push(upstream);
+    }
+    for number in 0..entries {
+        for upstream in &upstreams {
+            fleet.wait_known(number, &upstream.name, true).await;
+        }
+    }
+    // Entries learn of each other after a moment.
+    sleep(Duration::from_millis(1_500)).await;
+    (fleet, upstreams)
+}
+
+async fn flood(fleet: &Fleet, entries: &[usize], count: usize) -> (usize, usize) {
+    let requests = (0..count).map(|number| {
+        let address = fleet.entries[entries[number % entries.len()]].address();
+        let request = CallerRequest::post("/book/1");
+        tokio::spawn(async move { request.send_owned(address).await })
+    });
+    let requests: Vec<_> = requests.collect();
+    let (mut answered, mut refused) = (0, 0);
+    for request in requests {
+        let answer = request.await.expect("an answer");
+        match answer.status.as_u16() {
+            200 => answered += 1,
+            429 | 503 => {
+                assert_eq!(answer.header("x-cicadastall-ran"), Some("no"));
+                assert!(answer.header("retry-after").is_some());
+                assert!(answer.took < Duration::from_millis(700), "{:?}", answer.took);
+                refused += 1;
+            }
+            status => panic!("{status}: {}", answer.text()),
+        }
+    }
+    (answered, refused)
+}
+
+#[tokio::test]
+async fn many_entries_together_give_an_engine_no_more_than_it_takes() {
+    let (fleet, upstreams) = start_fleet("owners", 4).await;
+    let (answered, refused) = flood(&fleet, &[0, 1, 2, 3], 40).await;
+    assert_eq!((answered, refused), (most(3), 40 - most(3)));
+    for upstream in &upstreams {
+        assert_eq!(upstream.most_open(), most(1) as u32, "{}", upstream.name);
+    }
+    // All places are free again.
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(flood(&fleet, &[0, 1, 2, 3], 12).await, (12, 0));
+}
+
+#[tokio::test]
+async fn requests_are_answered_while_owners_are_lost_and_others_take_over() {
+    let (mut fleet, _upstreams) = start_fleet("owner-lost", 3).await;
+    let status = fleet.status(0).await;
+    let names: Vec<String> = status["owners"]
+        .as_array()
+        .expect("owners")
+        .iter()
+        .map(|name| name.as_str().expect("a name").to_owned())
+        .collect();
+    let lost =
+        (0..3).find(|entry| names.contains(&fleet.entries[*entry].node.instance.to_string()));
+    let lost = lost.expect("an owner");
+    let left: Vec<_> = (0..3).filter(|entry| *entry != lost).collect();
+    fleet.kill_entry(lost).await;
+    let end = Instant::now() + WAIT;
+    loop {
+        let (answered, _) = flood(&fleet, &left, 2).await;
+        assert_eq!(answered, 2, "nothing is refused while there is room");
+        let status = fleet.status(left[0]).await;
+        let owners = status["owners"].as_array().expect("owners").clone();
+        if owners.iter().all(|name| *name != names[0].as_str()) {
+            break;
+        }
+        assert!(Instant::now() < end, "no other owner: {status}");
+        sleep(SHORT).await;
+    }
+    let (answered, refused) = flood(&fleet, &left, 30).await;
+    assert_eq!((answered, refused), (most(3), 30 - most(3)));
+}
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -68,6 +68,7 @@
 
 fn entry(name: &str, zone: &str) -> EntryRecord {
     EntryRecord {
+        grant_address: None,
         instance: InstanceName::from(name),
         incarnation: Incarnation(1),
         region: RegionName::from(zone.split('-').next().unwrap_or_default()),
@@ -344,7 +345,7 @@
 }
 
 fn known(view: &mut ViewState) -> Vec<(String, bool)> {
-    let made = view.make_view();
+    let made = view.make_view(&[], 1);
     let upstreams = made.pools.values().flatten();
     upstreams.map(|known| (known.upstream.name.to_string(), known.silent)).collect()
 }
@@ -393,13 +394,13 @@
     assert!(known(&mut view).is_empty());
     view.accept(address(1), order(2, &[]), now);
     view.accept(address(11), order(1, &["west-a"]), now);
-    let made = view.make_view();
+    let made = view.make_view(&[], 1);
     let upstreams: Vec<_> = made.pools.values().flatten().collect();
     assert!(upstreams[0].unconfirmed, "it may have become cold meanwhile");
     let mut renewed = news(1, vec![upstream("u", 1, 6)], false);
     renewed.upstreams[0].evacuated = 2;
     view.accept(address(1), renewed, now);
-    assert!(!view.make_view().pools.values().flatten().next().expect("known").unconfirmed);
+    assert!(!view.make_view(&[], 1).pools.values().flatten().next().expect("known").unconfirmed);
 }
 
 #[test]
@@ -415,9 +416,9 @@
         ..FleetNews::default()
     };
     view.accept(address(1), told(&["a", "b", "c"], false), now);
-    assert_eq!(view.make_view().fleet_entries, 4);
+    assert_eq!(view.make_view(&[], 1).fleet_entries, 4);
     view.accept(address(1), told(&["a", "b", "c"], true), now);
-    let made = view.make_view();
+    let made = view.make_view(&[], 1);
     assert_eq!((made.fleet_entries, made.live.len(), made.entries.len()), (4, 1, 1));
 }
 
--- a/cicadastall/tests/load/mod.rs
+++ b/cicadastall/tests/load/mod.rs
@@ -250,6 +250,7 @@
         entries: (0..size.entries).map(entry_name).collect(),
         live: Vec::new(),
         fleet_entries: size.entries,
+        ..FleetView::default()
     }
 }
 
@@ -448,6 +449,8 @@
             view: &self.view,
             load: &self.loads[request.entry],
             young: false,
+            zone: None,
+            sole: self.choosers.len() == 1,
             now: self.base + now,
         };
         if self.rule == ChooserKind::FewestRequests {
