Count a request that is passed on once for the budget of repeats, and use more of the ratio

Cause: both the entry that passes a request on and the one that takes it counted it, so that a fleet with many hops could have repeated more than the bound; and 0.6 of the ratio was used though an entry counts both sides of it itself.

Change: the entry that sends a request to an upstream or refuses it counts it. 0.85 of the ratio is used; 0.6 of the number on top as before.

--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -56,6 +56,8 @@
     pub(crate) tried: TriedUpstreams,
     /// Number of the last event that the caller has.
     pub(crate) resume_after: Option<Arc<str>>,
+    /// Whether the request is counted for the budget of repeats.
+    counted: bool,
     /// Whether owners of engines were asked for a place before.
     pub(crate) asked: bool,
     /// Whether an attempt is under way of which something may have been written.
@@ -79,6 +81,7 @@
     let mut relay = CallRelay {
         tried: TriedUpstreams::default(),
         resume_after: call.head.resume_after.clone(),
+        counted: call.earlier_attempts > 0,
         asked: false,
         sending: false,
         sends: 0,
@@ -89,9 +92,6 @@
         context,
         call,
     };
-    if !relay.arrived {
-        relay.context.note_first(&relay.call.pool);
-    }
     relay.note_arrival();
     match relay.open_in_time().await {
         Ok(answer) => relay.deliver(answer),
@@ -116,6 +116,7 @@
     async fn open(&mut self) -> Result<OpenAnswer, FinalFailure> {
         loop {
             let choice = self.choose().await;
+            self.count_first(&choice);
             match choice {
                 UpstreamChoice::Wait(until) => sleep_until(until).await,
                 UpstreamChoice::Refuse { cause, retry_after, left_out, basis } => {
@@ -144,6 +145,16 @@
         self.context.chooser().note_arrival(&self.call, pool, Instant::now());
     }
 
+    /// Counts the request for the budget of repeats, unless the entry that it is passed on to does.
+    fn count_first(&mut self, choice: &UpstreamChoice) {
+        let stays =
+            matches!(choice, UpstreamChoice::Upstream { .. } | UpstreamChoice::Refuse { .. });
+        if stays && !self.counted {
+            self.counted = true;
+            self.context.note_first(&self.call.pool);
+        }
+    }
+
     /// Where the next attempt goes: the engine that its owner grants, or one of this entry's choice where
     /// engines have no owners or none of them answers.
     async fn choose(&mut self) -> UpstreamChoice {
--- a/cicadastall/src/gateway/retry_window.rs
+++ b/cicadastall/src/gateway/retry_window.rs
@@ -12,9 +12,13 @@
 };
 use tokio::time::Instant;
 
-/// Part of the fleet's bound that is used, as an entry that restarts forgets what it has sent, and
+/// Part of the number on top that is used, as an entry that restarts forgets what it has sent, and
 /// entries that do not know each other count the fleet differently.
-const USED_PART: f64 = 0.6;
+const EXTRA_PART: f64 = 0.6;
+
+/// Part of the ratio that is used. An entry counts both sides of it itself; the rest is for requests at the
+/// edge of a window.
+const RATIO_PART: f64 = 0.85;
 
 /// Slices into which a window is cut.
 const WINDOW_SLICES: u32 = 20;
@@ -96,8 +100,9 @@
         let pool = self.pools.entry(pool.clone()).or_default();
         pool.slice(now, window);
         let (requests, repeats) = pool.sums();
-        let bound = ratio * f64::from(requests) + extra / entries.max(1) as f64;
-        let taken = f64::from(repeats + 1) <= bound * USED_PART;
+        let own = ratio * RATIO_PART * f64::from(requests);
+        let bound = own + extra * EXTRA_PART / entries.max(1) as f64;
+        let taken = f64::from(repeats + 1) <= bound;
         if taken {
             pool.slice(now, window).2 += 1;
         }
--- a/cicadastall/tests/gateway_fleet.rs
+++ b/cicadastall/tests/gateway_fleet.rs
@@ -375,3 +375,31 @@
     let put = fleet.call(0, Method::PUT, "/v1/document", &body).await;
     assert!(put.status.is_server_error(), "{}", put.status);
 }
+
+/// A request that is passed on to another region is one request, not one at each of the two entries.
+#[tokio::test]
+async fn a_request_that_is_passed_on_counts_once_for_the_budget_of_repeats() {
+    let fleet = Fleet::ready("hop-budget", document(1), &BOTH).await;
+    let east = upstream().await;
+    fleet.register(&east, "east-a").await;
+    for _ in 0..60 {
+        send_until_answered(&fleet, 0, "/read/1").await;
+    }
+    // The budget is a tenth of its requests, and the entry that passed them on has none of its own.
+    let west = upstream().await;
+    fleet.register(&west, "west-a").await;
+    let other = upstream().await;
+    fleet.register(&other, "west-a").await;
+    let mut again = 0;
+    for _ in 0..4 {
+        for upstream in [&west, &other] {
+            upstream.next([Script::raw("", Ending::Reset)]);
+        }
+        let request = CallerRequest::post("/read/1");
+        request.send(fleet.entries[0].address()).await;
+        let runs = west.runs(request.attempt()) + other.runs(request.attempt());
+        again += runs.saturating_sub(1);
+        sleep(Duration::from_millis(2_000)).await;
+    }
+    assert_eq!(again, 0);
+}
