Follow the control instances of the own region, which pass on what others tell

Cause: every entry followed every control instance.

Change: an entry that takes callers follows control of its region only, as long as one of them has answered within 1.3 s and hears of more than half of the control instances that were ever heard of together, and all of them otherwise. Control instances tell each other the summary of their region and pass on those of others.

Ruled out: one far control instance per region (half of the bytes, and no fewer faults to think of).

Tests: gateway_registry (who is followed, what was known elsewhere, summaries).

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -10,7 +10,7 @@
         listing::list_near,
         news::{
             ControlRecord, DepartedUpstream, FleetNews, NewsCursor, NewsQuery, NewsReader,
-            RegisteredUpstream,
+            RegionSummary, RegisteredUpstream,
         },
         region_load::EntryLoad,
         registry::{FleetRegistry, RenewalOutcome},
@@ -233,6 +233,7 @@
         let newer = |number: u64| !query.number_only && number > query.document;
         let newest = state.newest().filter(|stored| newer(stored.number()));
         let shared = |region: Option<&RegionName>, for_control: bool| FleetNews {
+            controls_heard: registry.controls_heard(),
             cursor: registry.cursor(),
             confirmed,
             upstreams: registry.changed_upstreams(cursor, region, now),
@@ -241,11 +242,23 @@
             evacuated: newer_zones.then(|| state.evacuated().clone()),
             ..FleetNews::default()
         };
+        let summarize = |reader: &RegionName| -> Vec<RegionSummary> {
+            let zones = &state.evacuated().zones;
+            let told = registry.told_regions(reader);
+            told.iter().map(|region| registry.summarize(region, zones, now)).collect()
+        };
         match &query.reader {
-            NewsReader::Control(_) => FleetNews { evacuated: None, ..shared(None, true) },
+            NewsReader::Control(control) => FleetNews {
+                evacuated: None,
+                summaries: summarize(&control.region),
+                ..shared(None, true)
+            },
             NewsReader::Entry(entry) => {
                 let near = entry.region == self.own.region;
-                let told = registry.told_regions(&entry.region);
+                let mut summaries = summarize(&entry.region);
+                if near {
+                    summaries.extend(registry.relayed_summaries(now));
+                }
                 let (work, demand) = if near {
                     let work = registry.sum_work(&entry.region, Some(&entry.instance), now);
                     (Some(work), registry.sum_demand(&entry.region, now))
@@ -255,10 +268,7 @@
                 FleetNews {
                     document_number: state.number(),
                     document: newest.map(|stored| Arc::clone(&stored.document)),
-                    summaries: told
-                        .iter()
-                        .map(|region| registry.summarize(region, &state.evacuated().zones, now))
-                        .collect(),
+                    summaries,
                     work,
                     demand,
                     ..shared(Some(&entry.region), false)
@@ -372,9 +382,10 @@
     fn take(&self, address: SocketAddr, news: FleetNews) {
         let now = Instant::now();
         self.cursors().insert(address, news.cursor);
-        let FleetNews { upstreams, entries, controls, .. } = news;
+        let FleetNews { upstreams, entries, controls, summaries, .. } = news;
         self.change_registry(|registry| {
             registry.hear_control(address, now);
+            registry.keep_summaries(summaries, now);
             // Only the answering instance speaks of itself; the others are asked on their own.
             for (place, control) in controls.into_iter().enumerate() {
                 if place == 0 || !registry.knows_control(control.peer_address) {
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -35,7 +35,6 @@
 };
 use serde_json::json;
 use std::{
-    collections::BTreeSet,
     future::ready,
     io,
     net::SocketAddr,
@@ -148,8 +147,9 @@
         loop {
             let (addresses, changed) = {
                 let mut state = self.state();
-                let changed = state.expire(Instant::now());
-                (state.controls().collect::<BTreeSet<_>>(), changed)
+                let now = Instant::now();
+                let changed = state.expire(now);
+                (state.follow(!self.context.is_usable(), now), changed)
             };
             tasks.set(addresses, self, &clients);
             self.publish(changed);
@@ -405,7 +405,8 @@
 }
 
 fn read_call(context: &EntryContext, head: &Parts) -> Result<CallHead, Refusal> {
-    context.dialect.read_call(&head.headers).map_err(|fault| {
+    let read = context.dialect.read_call(&head.headers);
+    read.map_err(|fault| {
         let message = format!("header {} must hold {}", fault.header, fault.allowed);
         Refusal::not_run(RefusalCode::BadRequest, message)
     })
--- a/cicadastall/src/gateway/news.rs
+++ b/cicadastall/src/gateway/news.rs
@@ -211,6 +211,9 @@
     /// Control instances, the answering one first; empty where they have not changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub controls: Vec<ControlRecord>,
+    /// Control instances that the answering one hears of, itself included.
+    #[serde(default)]
+    pub controls_heard: u32,
     /// Number of the newest document that the answering instance has.
     #[serde(default)]
     pub document_number: u64,
@@ -220,7 +223,8 @@
     /// Newer evacuated zones.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuated: Option<EvacuatedZones>,
-    /// The answering instance's region, and those without a control instance of their own.
+    /// For an entry of the answering instance's region, all other regions; for others that region, and
+    /// those without a control instance of their own.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub summaries: Vec<RegionSummary>,
     /// Work that all entries of the reader's region get, by pool.
--- a/cicadastall/src/gateway/region_load.rs
+++ b/cicadastall/src/gateway/region_load.rs
@@ -18,6 +18,10 @@
 /// Time after which an entry's report of its work no longer counts.
 const WORK_LIFETIME: Duration = Duration::from_secs(3);
 
+/// Time after which a summary of another region is not passed on; other control instances answer at least
+/// once a second.
+const SUMMARY_LIFETIME: Duration = Duration::from_secs(3);
+
 /// Entries that a summary of a region names.
 const SUMMARY_ENTRIES: usize = 8;
 
@@ -88,6 +92,19 @@
         told
     }
 
+    /// Keeps what another control instance told of its region.
+    pub fn keep_summaries(&mut self, summaries: Vec<RegionSummary>, now: Instant) {
+        for summary in summaries.into_iter().filter(|summary| summary.region != self.own.region) {
+            self.summaries.insert(summary.region.clone(), (summary, now));
+        }
+    }
+
+    /// What control instances of other regions told lately, for entries of this one.
+    pub fn relayed_summaries(&self, now: Instant) -> impl Iterator<Item = RegionSummary> {
+        let fresh = self.summaries.values().filter(move |(_, at)| now < *at + SUMMARY_LIFETIME);
+        fresh.map(|(summary, _)| summary.clone())
+    }
+
     /// Summary of a region, without upstreams in `evacuated` zones.
     pub fn summarize(
         &self,
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -7,7 +7,8 @@
     clock::from_millis,
     gateway::{
         news::{
-            ControlRecord, EntryNews, NewsCursor, RegisteredUpstream, UpstreamNews, UpstreamPhase,
+            ControlRecord, EntryNews, NewsCursor, RegionSummary, RegisteredUpstream, UpstreamNews,
+            UpstreamPhase,
         },
         region_load::EntryLoad,
     },
@@ -91,6 +92,8 @@
     controls: BTreeMap<SocketAddr, ControlRow>,
     controls_changed: u64,
     evacuated: u64,
+    /// What control instances of other regions told of those.
+    pub(super) summaries: BTreeMap<RegionName, (RegionSummary, Instant)>,
 }
 
 impl FleetRegistry {
@@ -112,6 +115,7 @@
             controls: BTreeMap::new(),
             controls_changed: 1,
             evacuated: 0,
+            summaries: BTreeMap::new(),
         }
     }
 
@@ -457,6 +461,11 @@
         .collect()
     }
 
+    /// Control instances that this one hears of, itself included.
+    pub fn controls_heard(&self) -> u32 {
+        self.controls.len() as u32 + 1
+    }
+
     /// All control instances, this one first, if they changed after `cursor`.
     pub fn changed_controls(&self, cursor: NewsCursor) -> Vec<ControlRecord> {
         if self.controls_changed <= self.place(cursor) {
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -30,6 +30,10 @@
 /// Time without an answer after which a control instance that no other one names is forgotten.
 const CONTROL_RETENTION: Duration = Duration::from_secs(20);
 
+/// Silence of all control instances of the region after which those of others are asked too. They answer
+/// within 0.4 s, and what they tell must reach entries within seconds.
+const NEAR_SILENCE: Duration = Duration::from_millis(1_300);
+
 /// Time after which a summary or work that was told no longer counts.
 const LOAD_LIFETIME: Duration = Duration::from_secs(4);
 
@@ -119,6 +123,10 @@
 struct ControlView {
     cursor: NewsCursor,
     answered_at: Option<Instant>,
+    /// Control instances that it heard of when it answered, itself included.
+    heard: u32,
+    /// Whether it is asked for news.
+    followed: bool,
     /// Number of the newest document that it has.
     document: u64,
     named_at: Instant,
@@ -136,6 +144,8 @@
     evacuated: EvacuatedZones,
     restored: HashMap<ZoneName, u64>,
     most_entries: usize,
+    /// Most control instances that any of them heard of at the same time.
+    most_controls: u32,
     /// Control instance that was asked for its document, and when.
     fetch: Option<(SocketAddr, Instant)>,
     work: HashMap<UpstreamName, (u32, u32)>,
@@ -155,6 +165,7 @@
             evacuated: EvacuatedZones::default(),
             restored: HashMap::new(),
             most_entries: 1,
+            most_controls: 1,
             fetch: None,
             work: HashMap::new(),
             work_at: None,
@@ -177,6 +188,8 @@
         let fresh = ControlView {
             cursor: NewsCursor::default(),
             answered_at: None,
+            heard: 0,
+            followed: false,
             document: 0,
             named_at: now,
             upstreams: HashMap::new(),
@@ -195,9 +208,40 @@
         &self.own
     }
 
-    /// Control instances to ask, by peer address.
-    pub fn controls(&self) -> impl Iterator<Item = SocketAddr> {
-        self.controls.keys().copied()
+    /// Control instances to ask, by peer address: those of this region while they answer and hear of most
+    /// others, all of them otherwise or if `all`.
+    pub fn follow(&mut self, all: bool, now: Instant) -> BTreeSet<SocketAddr> {
+        let all = all || !self.is_near_enough(now);
+        let near = |address: &SocketAddr, records: &BTreeMap<SocketAddr, ControlRecord>| {
+            records.get(address).is_none_or(|record| record.region == self.own.region)
+        };
+        let mut followed = BTreeSet::new();
+        for (address, control) in &mut self.controls {
+            let follows = all || near(address, &self.records);
+            if control.followed && !follows {
+                // What it told grows old; those that are followed have it too.
+                carry_rows(control, now);
+                control.cursor = NewsCursor::default();
+            }
+            if follows && !control.followed {
+                control.named_at = now;
+            }
+            control.followed = follows;
+            if follows {
+                followed.insert(*address);
+            }
+        }
+        followed
+    }
+
+    /// Whether control instances of this region answer and hear of most others.
+    fn is_near_enough(&self, now: Instant) -> bool {
+        self.controls.iter().any(|(address, control)| {
+            let near = self.records.get(address);
+            near.is_some_and(|record| record.region == self.own.region)
+                && control.answered_at.is_some_and(|at| now < at + NEAR_SILENCE)
+                && control.heard * 2 > self.most_controls
+        })
     }
 
     /// Whether the control instance at `address` is in this region; also where it is not known yet.
@@ -253,6 +297,8 @@
         self.end_fetch(address);
         let Some(control) = self.controls.get_mut(&address) else { return false };
         control.answered_at = Some(now);
+        control.heard = news.controls_heard;
+        self.most_controls = self.most_controls.max(news.controls_heard);
         control.document = news.document_number;
         if control.cursor.process != news.cursor.process {
             carry_rows(control, now);
@@ -308,7 +354,7 @@
         let seeds = &self.seeds;
         self.controls.retain(|address, control| {
             let last = control.answered_at.map_or(control.named_at, |at| at.max(control.named_at));
-            seeds.contains(address) || now < last + CONTROL_RETENTION
+            !control.followed || seeds.contains(address) || now < last + CONTROL_RETENTION
         });
         let controls = &self.controls;
         self.records.retain(|address, _| controls.contains_key(address));
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -377,6 +377,72 @@
     assert!(known(&mut view).is_empty(), "it has not renewed since");
 }
 
+/// News of the control instance at `address`, which hears of `heard` and names two of each region.
+fn answer(process: u64, heard: u32, upstreams: Vec<RegisteredUpstream>) -> FleetNews {
+    let named = [(1, "west"), (11, "west"), (21, "east"), (31, "east")];
+    FleetNews {
+        controls: named.map(|(port, region)| control(port, region)).to_vec(),
+        controls_heard: heard,
+        ..news(process, upstreams, false)
+    }
+}
+
+#[test]
+fn control_of_the_region_is_asked_alone_while_it_answers_and_hears_of_most_others() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut view = view(start);
+    let all = [1, 11, 21, 31].map(address);
+    let near = [1, 11].map(address);
+    let follow =
+        |view: &mut ViewState, now| -> Vec<_> { view.follow(false, now).into_iter().collect() };
+    assert_eq!(follow(&mut view, start), near, "the seeds, of which nothing is known yet");
+    view.accept(address(1), answer(1, 4, Vec::new()), at(10));
+    assert_eq!(follow(&mut view, at(20)), near);
+    assert_eq!(view.follow(true, at(20)).len(), 4, "all while the entry takes no callers");
+    assert_eq!(follow(&mut view, at(1_000)), near);
+    assert_eq!(follow(&mut view, at(1_400)), all, "none of the region answers");
+    view.accept(address(11), answer(11, 4, Vec::new()), at(1_500));
+    assert_eq!(follow(&mut view, at(1_500)), near);
+    // One that is cut off from the others may not know what they know.
+    view.accept(address(11), answer(11, 2, Vec::new()), at(1_600));
+    assert_eq!(follow(&mut view, at(1_600)), all);
+    view.accept(address(1), answer(1, 3, Vec::new()), at(1_700));
+    assert_eq!(follow(&mut view, at(1_700)), near);
+}
+
+#[test]
+fn an_upstream_that_left_does_not_come_back_by_what_was_known_of_it_elsewhere() {
+    let now = Instant::now();
+    let later = |seconds: u64| now + Duration::from_secs(seconds);
+    let mut view = view(now);
+    view.accept(address(21), answer(21, 4, vec![upstream("u", 5, 1)]), now);
+    view.accept(address(1), answer(1, 4, vec![upstream("u", 5, 1)]), now);
+    view.follow(true, now);
+    view.follow(false, now);
+    let gone = RegisteredUpstream { phase: UpstreamPhase::Gone, ..upstream("u", 5, 2) };
+    view.accept(address(1), answer(1, 4, vec![gone]), later(5));
+    assert_eq!(known(&mut view), []);
+    // The instance of the region starts anew and knows nothing of it.
+    view.accept(address(1), answer(2, 4, Vec::new()), later(70));
+    view.expire(later(81));
+    assert_eq!(known(&mut view), []);
+    assert_eq!(view.cursor(address(21)), NewsCursor::default());
+}
+
+#[test]
+fn summaries_of_other_regions_are_passed_on_while_they_are_fresh() {
+    let now = Instant::now();
+    let (mut near, far) = (registry(1), registry(11));
+    let west = RegionName::from("west");
+    let summary = far.summarize(&RegionName::from("east"), &BTreeSet::new(), now);
+    let own = far.summarize(&west, &BTreeSet::new(), now);
+    near.keep_summaries(vec![summary, own], now);
+    let relayed = |at| near.relayed_summaries(at).map(|summary| summary.region).collect::<Vec<_>>();
+    assert_eq!(relayed(now + Duration::from_secs(2)), [RegionName::from("east")]);
+    assert!(relayed(now + Duration::from_secs(4)).is_empty());
+}
+
 #[test]
 fn an_evacuation_is_obeyed_in_the_order_of_its_versions() {
     let now = Instant::now();
