Bound the figures of a caller's prompt; tests of slow, stalled and absurd requests

Cause: tokens of a prompt's parts are summed as 32 bits. A caller that names four thousand million tokens ended its request's task in a build with overflow checks, and gave a small sum in others.

Change: figures over a million tokens and parts beyond 64 are cut when a request's head is read, and when an owner is asked for a place.

Tests: the property over questions for places and a request with absurd figures failed before.

--- a/cicadastall/src/gateway/call.rs
+++ b/cicadastall/src/gateway/call.rs
@@ -43,7 +43,26 @@
     pub resume_after: Option<Arc<str>>,
 }
 
+/// Tokens of a prompt, of a part of it or of an answer that are believed at most; several times what any
+/// engine holds.
+const MOST_TOKENS: u32 = 1_000_000;
+
+/// Parts of a prompt that are read at most.
+const MOST_PARTS: usize = 64;
+
 impl CallHead {
+    /// The same without figures that no prompt can have, so that sums of them hold.
+    pub fn bounded(mut self) -> Self {
+        self.prompt_tokens = self.prompt_tokens.min(MOST_TOKENS);
+        self.answer_tokens = self.answer_tokens.min(MOST_TOKENS);
+        self.guessed_tokens = self.guessed_tokens.map(|tokens| tokens.min(MOST_TOKENS));
+        self.parts.truncate(MOST_PARTS);
+        for part in &mut self.parts {
+            part.tokens = part.tokens.min(MOST_TOKENS);
+        }
+        self
+    }
+
     /// Tokens that the answer is expected to have.
     pub fn expected_tokens(&self) -> u32 {
         self.guessed_tokens.unwrap_or(self.answer_tokens / 2).min(self.answer_tokens.max(1))
--- a/cicadastall/src/gateway/desk.rs
+++ b/cicadastall/src/gateway/desk.rs
@@ -373,7 +373,8 @@
             guessed_tokens: Some(query.expected_tokens),
             parts,
             ..CallHead::default()
-        },
+        }
+        .bounded(),
         attempt: AttemptId::from(""),
         route: Arc::new(route),
         pool: query.pool.clone(),
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -405,7 +405,7 @@
 }
 
 fn read_call(context: &EntryContext, head: &Parts) -> Result<CallHead, Refusal> {
-    let read = context.dialect.read_call(&head.headers);
+    let read = context.dialect.read_call(&head.headers).map(CallHead::bounded);
     read.map_err(|fault| {
         let message = format!("header {} must hold {}", fault.header, fault.allowed);
         Refusal::not_run(RefusalCode::BadRequest, message)
--- a/cicadastall/src/gateway/grant_call.rs
+++ b/cicadastall/src/gateway/grant_call.rs
@@ -140,7 +140,7 @@
             let waited_ms = asked_at.elapsed().as_millis() as u32;
             query.notes.clear();
             query.again = true;
-            query.elapsed_ms += waited_ms;
+            query.elapsed_ms = query.elapsed_ms.saturating_add(waited_ms);
             query.remaining_ms = query.remaining_ms.saturating_sub(waited_ms);
         }
     }
--- a/cicadastall/tests/gateway_answers.rs
+++ b/cicadastall/tests/gateway_answers.rs
@@ -279,3 +279,37 @@
     assert_eq!(resumed.last().map(|number| &**number), Some("2"));
     assert!(!answer.text().contains("da\r\n") && !answer.text().ends_with("da"));
 }
+
+/// Events come slowly, with pauses far over the target, but they come: nothing is cut.
+#[tokio::test]
+async fn a_slow_but_sound_stream_is_passed_on_whole() {
+    let (fleet, upstreams) = start("slow-stream", 1).await;
+    let pause = Duration::from_millis(850);
+    for path in ["/stream/1", "/resume/1"] {
+        let slow = (1..=4).fold(Script::stream(), |stream, id| stream.event(pause, id));
+        upstreams[0].next([slow.end()]);
+        let request = CallerRequest::post(path);
+        let answer = request.send(fleet.entries[0].address()).await;
+        assert!(answer.whole, "{path}");
+        assert_eq!(answer.text(), (1..=4).map(event).collect::<String>());
+        assert_eq!(total_runs(&upstreams, &request), 1);
+    }
+}
+
+/// A byte now and then is no progress: the stream ends with the time that its caller allows, and never
+/// looks whole.
+#[tokio::test]
+async fn a_stalled_stream_ends_with_its_time() {
+    let (fleet, upstreams) = start("stalled-stream", 1).await;
+    let allowed = Duration::from_millis(1_500);
+    for path in ["/stream/1", "/resume/1"] {
+        let stalled = Script::stream().event(SHORT, 1);
+        upstreams[0].next([stalled.endless(Duration::from_millis(200), "1\r\n:\r\n")]);
+        let request = CallerRequest::post(path).remaining(allowed);
+        let answer = request.send(fleet.entries[0].address()).await;
+        assert!(!answer.whole, "{path}");
+        assert!(answer.text().starts_with(&event(1)), "{path}: {}", answer.text());
+        assert!(answer.took < allowed + Duration::from_millis(400), "{path}: {:?}", answer.took);
+    }
+    upstreams[0].wait_left(2).await;
+}
--- a/cicadastall/tests/gateway_load.rs
+++ b/cicadastall/tests/gateway_load.rs
@@ -32,11 +32,27 @@
 
 const LENGTH: Duration = Duration::from_secs(20);
 
+/// Time between two tellings in a small region.
+const TELL_PERIOD: Duration = Duration::from_millis(150);
+
+/// The same where many entries ask few control instances: their longest wait for news.
+const LATE_TELL_PERIOD: Duration = Duration::from_millis(400);
+
 /// A few entries before a few engines.
-const FEW: RegionSize = RegionSize { entries: 6, engines: 8 };
+const FEW: RegionSize =
+    RegionSize { entries: 6, engines: 8, queue: usize::MAX, tell_period: TELL_PERIOD };
 
 /// As many entries as there are engines, nearly, which all know the same late report.
-const MANY: RegionSize = RegionSize { entries: 21, engines: 24 };
+const MANY: RegionSize =
+    RegionSize { entries: 21, engines: 24, queue: usize::MAX, tell_period: TELL_PERIOD };
+
+/// An owner and its engines, which refuse what they can't queue.
+const OWNER: RegionSize =
+    RegionSize { entries: 1, engines: 16, queue: 4, tell_period: LATE_TELL_PERIOD };
+
+/// Entries that choose among such engines without owners.
+const ALONE: RegionSize =
+    RegionSize { entries: 48, engines: 64, queue: 4, tell_period: LATE_TELL_PERIOD };
 
 fn play(kinds: &[CallKind], rule: ChooserKind, length: Duration, seed: u64) -> LoadResult {
     load::play(FEW, kinds, rule, length, seed)
@@ -130,3 +146,50 @@
         assert!(on_time >= least, "seed {seed}: {twice:?} {thrice:?}");
     }
 }
+
+/// The load of a region of hundreds of machines for each engine, from the users' sheet.
+const WIDE_SHORT: CallKind = CallKind { per_s: 1.85, contents: [160, 1_656], ..SHORT };
+
+/// The same for long prompts, of which an engine holds few.
+const WIDE_LONG: CallKind =
+    CallKind { target_ms: 2_500, per_s: 1.49, contents: [4, 2_997], ..LONG };
+
+fn play_wide(size: RegionSize, factor: f64, seed: u64) -> [load::KindResult; 2] {
+    let kinds = [WIDE_SHORT, WIDE_LONG].map(|kind| {
+        // Prompts are shared out with the engines.
+        let part = size.engines as f64 / ALONE.engines as f64;
+        let second = (kind.contents[1] as f64 * part).ceil() as u64;
+        let per_s = kind.per_s * factor * size.engines as f64;
+        CallKind { per_s, contents: [kind.contents[0], second], ..kind }
+    });
+    let result = load::play(size, &kinds, ChooserKind::Product, Duration::from_secs(12), seed);
+    [result.kinds[0], result.kinds[1]]
+}
+
+/// Part of the callers' worth that is served on time, by the worth of each kind in the users' sheet.
+fn worth_part([urgent, long]: [load::KindResult; 2]) -> f64 {
+    let [urgent_worth, long_worth] = [3.6, 1.2];
+    let sum =
+        |[urgent, long]: [u32; 2]| f64::from(urgent) * urgent_worth + f64::from(long) * long_worth;
+    sum([urgent.on_time, long.on_time]) / sum([urgent.asked, long.asked])
+}
+
+/// One and a half times and three times what the engines of hundreds of machines usually get: an owner,
+/// which knows what its engines run, sends them nothing that they refuse, and serves more than entries
+/// that choose alone. At the lesser load all urgent requests are on time.
+#[test]
+fn owners_of_engines_serve_more_than_many_entries_that_choose_alone() {
+    for seed in 1..3 {
+        for factor in [1.5, 3.0] {
+            let owner = play_wide(OWNER, factor, seed);
+            let alone = play_wide(ALONE, factor, seed);
+            let text = format!("seed {seed}, factor {factor}: {owner:?} {alone:?}");
+            let [urgent, long] = owner;
+            assert!(worth_part(owner) > worth_part(alone), "{text}");
+            assert!(urgent.full + long.full <= (urgent.asked + long.asked) / 50, "{text}");
+            if factor < 2.0 {
+                assert!(urgent.good_part() >= TARGET_PART, "{text}");
+            }
+        }
+    }
+}
--- a/cicadastall/tests/gateway_owners.rs
+++ b/cicadastall/tests/gateway_owners.rs
@@ -175,10 +175,8 @@
         }
     }
 
-    fn ask(&mut self, holder: &EntryRecord, notes: Vec<GrantNote>) -> (GrantTicket, GrantReply) {
-        self.tickets += 1;
-        let ticket = GrantTicket(self.tickets);
-        let query = GrantQuery {
+    fn query(&self, holder: &EntryRecord, ticket: GrantTicket) -> GrantQuery {
+        GrantQuery {
             holder: EntryProcess::of(holder),
             ticket,
             zone: ZoneName::from("west-a"),
@@ -193,12 +191,15 @@
             again: false,
             prompt_tokens: 20,
             expected_tokens: 5,
-            parts: smallvec![(1, 10), (self.tickets, 10)],
+            parts: smallvec![(1, 10), (ticket.0, 10)],
             tried: SmallVec::new(),
             tried_regions: SmallVec::new(),
             homes: SmallVec::new(),
-            notes,
-        };
+            notes: Vec::new(),
+        }
+    }
+
+    fn answer(&mut self, query: &GrantQuery) -> GrantReply {
         let input = DeskInput {
             rule: Some(&self.rule),
             shard: &self.shard,
@@ -206,14 +207,21 @@
             young: false,
             now: self.now,
         };
-        (ticket, self.desk.grant(&query, &input))
+        self.desk.grant(query, &input)
+    }
+
+    fn ask(&mut self, holder: &EntryRecord) -> (GrantTicket, GrantReply) {
+        self.tickets += 1;
+        let ticket = GrantTicket(self.tickets);
+        let query = self.query(holder, ticket);
+        (ticket, self.answer(&query))
     }
 
     /// Engines that are granted until there is no place left.
     fn fill(&mut self, holder: &EntryRecord) -> Vec<(GrantTicket, UpstreamName)> {
         let mut granted = Vec::new();
         loop {
-            match self.ask(holder, Vec::new()) {
+            match self.ask(holder) {
                 (ticket, GrantReply::Granted { upstream, .. }) => granted.push((ticket, upstream)),
                 (_, GrantReply::Refused { retry_after_ms, .. }) => {
                     assert!(retry_after_ms > 0);
@@ -318,15 +326,15 @@
 fn an_engine_that_wants_nothing_for_some_time_is_granted_to_nobody() {
     let mut desk = Desk::new(1);
     let [one, two] = [entry(1, 1), entry(2, 1)];
-    let (ticket, reply) = desk.ask(&one, Vec::new());
+    let (ticket, reply) = desk.ask(&one);
     assert!(matches!(reply, GrantReply::Granted { .. }), "{reply:?}");
     desk.note(&one, ticket, GrantChange::Paused(3_000));
     desk.note(&one, ticket, GrantChange::Ended(SendEnd::Refused));
     desk.now += Duration::from_millis(2_900);
-    let (_, reply) = desk.ask(&two, Vec::new());
+    let (_, reply) = desk.ask(&two);
     assert!(matches!(reply, GrantReply::Refused { .. }), "{reply:?}");
     desk.now += Duration::from_millis(200);
-    let (_, reply) = desk.ask(&two, Vec::new());
+    let (_, reply) = desk.ask(&two);
     assert!(matches!(reply, GrantReply::Granted { .. }), "{reply:?}");
 }
 
@@ -343,8 +351,7 @@
             desk.now += Duration::from_millis(u64::from(which));
             match what % 4 {
                 0 | 1 => {
-                    if let (ticket, GrantReply::Granted { upstream, .. }) =
-                        desk.ask(&holders[who], Vec::new())
+                    if let (ticket, GrantReply::Granted { upstream, .. }) = desk.ask(&holders[who])
                     {
                         open.push((who, ticket, upstream));
                     }
@@ -498,3 +505,44 @@
     let (answered, refused) = flood(&fleet, &left, 30).await;
     assert_eq!((answered, refused), (most(3), 30 - most(3)));
 }
+
+/// Figures of a caller that no prompt can have are no reason to end, for the entry that takes the request or
+/// for the owner of its engine.
+#[tokio::test]
+async fn absurd_figures_of_a_caller_end_no_process() {
+    let (fleet, _upstreams) = start_fleet("owners-absurd", 2).await;
+    let most = u32::MAX;
+    for entry in [0, 1, 0, 1] {
+        let request = CallerRequest::post("/book/1")
+            .header("x-cicadastall-tokens", &format!("{most},{most}"))
+            .header("x-cicadastall-prompt-parts", &format!("1:{most},2:{most},3:{most}"));
+        let answer = request.send(fleet.entries[entry].address()).await;
+        assert!([200, 429, 503].contains(&answer.status.as_u16()), "{}", answer.text());
+    }
+    sleep(Duration::from_millis(600)).await;
+    assert_eq!(flood(&fleet, &[0, 1], 6).await, (6, 0));
+}
+
+/// What another entry says may be anything that can be decoded.
+#[test]
+fn no_question_for_a_place_makes_an_owner_panic() {
+    fn property(figures: (u32, u32, u32, u32), parts: Vec<(u64, u32)>, target_ms: u64) -> bool {
+        let mut desk = Desk::new(2);
+        let holder = entry(1, 1);
+        let (elapsed_ms, remaining_ms, prompt_tokens, expected_tokens) = figures;
+        for ticket in 1..4 {
+            let query = GrantQuery {
+                elapsed_ms,
+                remaining_ms,
+                prompt_tokens,
+                expected_tokens,
+                target_ms,
+                parts: parts.iter().copied().collect(),
+                ..desk.query(&holder, GrantTicket(ticket))
+            };
+            desk.answer(&query);
+        }
+        desk.desk.open() <= 3
+    }
+    checker().quickcheck(property as fn((u32, u32, u32, u32), Vec<(u64, u32)>, u64) -> bool);
+}
--- a/cicadastall/tests/load/mod.rs
+++ b/cicadastall/tests/load/mod.rs
@@ -32,10 +32,14 @@
 pub struct RegionSize {
     pub entries: usize,
     pub engines: usize,
+    /// Requests that wait in an engine at most; it refuses others.
+    pub queue: usize,
+    /// Time between two tellings of each other's work.
+    pub tell_period: Duration,
 }
 
-/// Time between two tellings of each other's work.
-const TELL_PERIOD: Duration = Duration::from_millis(150);
+/// Sends of one request at most.
+const MOST_SENDS: u32 = 2;
 
 /// Resolution of the model.
 const TICK: Duration = Duration::from_millis(2);
@@ -84,6 +88,8 @@
     pub refused: u32,
     /// Longest time until a refusal.
     pub slowest_refusal: Duration,
+    /// Sends that a full engine refused.
+    pub full: u32,
 }
 
 /// What became of a load.
@@ -135,6 +141,7 @@
     call: Arc<RoutedCall>,
     entry: usize,
     arrived: Duration,
+    sends: u32,
     /// Engine that has it, and the name of the send where the product chose.
     sent: Option<(usize, Option<SendNumber>)>,
 }
@@ -322,6 +329,7 @@
     kinds: &'a [CallKind],
     rule: ChooserKind,
     base: Instant,
+    queue: usize,
     view: FleetView,
     pool: PoolRule,
     choosers: Vec<UpstreamChooser>,
@@ -345,13 +353,14 @@
     length: Duration,
     seed: u64,
 ) -> LoadResult {
-    let RegionSize { entries, engines } = size;
+    let RegionSize { entries, engines, .. } = size;
     let base = Instant::now();
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut play = LoadPlay {
         kinds,
         rule,
         base,
+        queue: size.queue,
         view: view(size, base),
         pool: pool_rule(),
         choosers: (0..entries).map(chooser).collect(),
@@ -369,11 +378,13 @@
     while now < length + Duration::from_secs(5) {
         if now >= tell_at {
             play.tell(now);
-            tell_at += TELL_PERIOD;
+            tell_at += size.tell_period;
         }
         if now < length {
             for (place, kind) in kinds.iter().enumerate() {
-                if random.random_bool(kind.per_s * TICK.as_secs_f64()) {
+                let mean = kind.per_s * TICK.as_secs_f64();
+                let count = mean as u32 + u32::from(random.random_bool(mean.fract()));
+                for _ in 0..count {
                     play.arrive(place, &mut random, now);
                 }
             }
@@ -429,7 +440,14 @@
         let entry = random.random_range(0..self.choosers.len());
         self.choosers[entry].note_arrival(&call, Some(&self.pool), self.base + now);
         self.result.kinds[kind].asked += 1;
-        self.requests.push(Request { kind, call: Arc::new(call), entry, arrived: now, sent: None });
+        self.requests.push(Request {
+            kind,
+            call: Arc::new(call),
+            entry,
+            arrived: now,
+            sends: 0,
+            sent: None,
+        });
         self.due.insert((now, number), ());
     }
 
@@ -456,28 +474,52 @@
         if self.rule == ChooserKind::FewestRequests {
             let (open, told) = (&self.open[request.entry], &self.told[request.entry]);
             let fewest = (0..self.engines.len()).min_by_key(|place| open[*place] + told[*place]);
-            return self.send(number, fewest.unwrap_or_default(), None);
+            return self.send(number, fewest.unwrap_or_default(), None, now);
         }
         match self.choosers[request.entry].choose(&input) {
             UpstreamChoice::Upstream { known, number: send, .. } => {
                 let name = known.upstream.name.as_str().trim_start_matches("engine-");
                 let place = name.parse().expect("an engine's name ends with its place");
-                self.send(number, place, Some(send));
+                self.send(number, place, Some(send), now);
             }
             UpstreamChoice::Wait(until) => {
                 self.due.insert(((until - self.base).max(now + TICK), number), ());
             }
-            UpstreamChoice::Refuse { .. } => {
-                let result = &mut self.result.kinds[request.kind];
-                result.refused += 1;
-                result.slowest_refusal = result.slowest_refusal.max(now - request.arrived);
-            }
+            UpstreamChoice::Refuse { .. } => self.refuse(number, now),
             UpstreamChoice::Region { .. } => panic!("there is one region"),
         }
     }
 
-    fn send(&mut self, number: usize, place: usize, send: Option<SendNumber>) {
+    fn refuse(&mut self, number: usize, now: Duration) {
+        let request = &self.requests[number];
+        let result = &mut self.result.kinds[request.kind];
+        result.refused += 1;
+        result.slowest_refusal = result.slowest_refusal.max(now - request.arrived);
+    }
+
+    /// Takes the refusal of a full engine: the request is sent again elsewhere, or refused.
+    fn note_full(&mut self, number: usize, place: usize, send: Option<SendNumber>, now: Duration) {
         let request = &mut self.requests[number];
+        self.result.kinds[request.kind].full += 1;
+        if let Some(send) = send {
+            let name = UpstreamName::from(format!("engine-{place}").as_str());
+            let chooser = &mut self.choosers[request.entry];
+            let pool = &request.call.pool;
+            chooser.note_ended(pool, &name, send, SendEnd::Refused, self.base + now);
+            chooser.note_full(&name, self.base + now);
+        }
+        match request.sends >= MOST_SENDS {
+            true => self.refuse(number, now),
+            false => drop(self.due.insert((now + TICK, number), ())),
+        }
+    }
+
+    fn send(&mut self, number: usize, place: usize, send: Option<SendNumber>, now: Duration) {
+        let request = &mut self.requests[number];
+        request.sends += 1;
+        if self.engines[place].waiting.len() >= self.queue {
+            return self.note_full(number, place, send, now);
+        }
         request.sent = Some((place, send));
         self.open[request.entry][place] += 1;
         let head = &request.call.head;
