Wait for a cold engine for a bounded time, and name more entries of other regions for hops

And all hops to a region went to eight entries of a hundred, whose links of 10 Mbit/s carry 10 MB/s together.

Change: a request waits for such a turn for 0.4 s from its arrival, and is refused with the time to come back then. A region's summary names 24 entries.

Test: a_request_waits_for_a_cold_engine_only_so_long (failed before: told to wait 357 ms after 1 s).

--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -85,7 +85,8 @@
 /// which its own upstreams have no room.
 const SPARE_PART: f64 = 0.8;
 
-/// Longest wait for the next turn of a cold upstream.
+/// Longest wait for the next turn of a cold upstream, from the arrival of the request: others wait for the
+/// same turns.
 const COLD_WAIT: Duration = Duration::from_millis(400);
 
 /// Longest wait for the first upstream of a pool after the entry's start.
@@ -520,7 +521,7 @@
 
     fn refuse_unusable(&mut self, input: &ChoiceInput<'_>, unknown: bool) -> UpstreamChoice {
         if let Some(turn) = self.cold_turn
-            && turn <= input.now + COLD_WAIT
+            && turn <= input.call.arrived + COLD_WAIT
             && turn < input.call.deadline
         {
             return UpstreamChoice::Wait(turn);
--- a/cicadastall/src/gateway/region_load.rs
+++ b/cicadastall/src/gateway/region_load.rs
@@ -22,8 +22,8 @@
 /// once a second.
 const SUMMARY_LIFETIME: Duration = Duration::from_secs(3);
 
-/// Entries that a summary of a region names.
-const SUMMARY_ENTRIES: usize = 8;
+/// Entries that a summary of a region names; their links carry what other regions pass on.
+const SUMMARY_ENTRIES: usize = 24;
 
 /// What an entry tells of its work.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/cicadastall/tests/gateway_owners.rs
+++ b/cicadastall/tests/gateway_owners.rs
@@ -13,7 +13,7 @@
         grants::GrantBook,
         news::{RegisteredUpstream, UpstreamPhase},
         owners::{EntryProcess, OwnerRing},
-        routes::{PoolRule, RepeatRule, RouteDocument},
+        routes::{PoolRule, RepeatRule, RouteDocument, WarmupRule},
         track::SendEnd,
         view::{FleetView, KnownUpstream, LoadView},
     },
@@ -546,3 +546,22 @@
     }
     checker().quickcheck(property as fn((u32, u32, u32, u32), Vec<(u64, u32)>, u64) -> bool);
 }
+
+/// Many requests wait for the turns of the same cold engines. One that has waited for long is told when to
+/// come back, rather than to wait until its time is over.
+#[test]
+fn a_request_waits_for_a_cold_engine_only_so_long() {
+    let mut desk = Desk::new(1);
+    desk.rule.warmup = Some(WarmupRule { seconds: 60.0, per_s: 4.0 });
+    let cold_until = Some(desk.now + Duration::from_secs(60));
+    let cold = KnownUpstream { cold_until, ..(*engine(0)).clone() };
+    desk.shard.pools.insert(pool(), vec![Arc::new(cold)]);
+    let holder = entry(1, 1);
+    assert!(matches!(desk.ask(&holder).1, GrantReply::Granted { .. }));
+    let (_, reply) = desk.ask(&holder);
+    assert!(matches!(reply, GrantReply::Wait(_)), "{reply:?}");
+    let waited = GrantQuery { elapsed_ms: 1_000, ..desk.query(&holder, GrantTicket(9)) };
+    let reply = desk.answer(&waited);
+    let GrantReply::Refused { retry_after_ms, .. } = reply else { panic!("{reply:?}") };
+    assert!(retry_after_ms > 0);
+}
