--- a/cicadastall/src/gateway/grant_call.rs
+++ b/cicadastall/src/gateway/grant_call.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     gateway::{
-        choice::{ChoiceInput, UpstreamChoice},
+        choice::{ChoiceBasis, ChoiceInput, UpstreamChoice},
         choose::UpstreamChooser,
         context::EntryContext,
         desk::{DeskInput, GrantDesk, GrantNotes, GrantQuery, GrantReply, GrantTicket, TakenPlace},
@@ -12,7 +12,8 @@
         settings::GatewayNode,
         view::FleetView,
     },
-    peer::{PeerClients, PeerError},
+    name::UpstreamName,
+    peer::{PeerApiClient, PeerClients, PeerError},
     table::EntryRecord,
 };
 use arc_swap::ArcSwap;
@@ -176,9 +177,8 @@
     async fn tell_owner(self: Arc<Self>, address: SocketAddr, holder: EntryProcess) {
         let notes = self.grants.book().take_notes(address);
         let told = GrantNotes { holder, notes: notes.clone() };
-        let call = async move |client: crate::peer::PeerApiClient, context| {
-            client.note_places(context, told).await
-        };
+        let call =
+            async move |client: PeerApiClient, context| client.note_places(context, told).await;
         if let Err(error) = self.grants.clients.call(address, TELL_BOUND, call).await {
             self.grants.book().put_back(address, notes);
             self.note_silent(address, &error);
@@ -203,9 +203,8 @@
         let ticket = query.ticket;
         let notes = self.grants.book().take_notes(owner.address);
         query.notes = notes.clone();
-        let call = async move |client: crate::peer::PeerApiClient, context| {
-            client.grant_place(context, query).await
-        };
+        let call =
+            async move |client: PeerApiClient, context| client.grant_place(context, query).await;
         let bound = HOLD_BOUND + ANSWER_BOUND;
         match self.grants.clients.call(owner.address, bound, call).await {
             Ok(reply) => {
@@ -253,6 +252,18 @@
     }
 }
 
+/// What an owner's answer means for the request.
+enum OwnerAnswer {
+    /// The next step is decided.
+    Decided(UpstreamChoice),
+    /// This owner has no place.
+    Refused(UpstreamChoice),
+    /// The owner did not answer, or is none.
+    Silent,
+    /// This entry knows better than to use the place.
+    Declined(UpstreamName),
+}
+
 impl CallRelay {
     /// Asks the owners of the pool's engines for a place; none where there are none or they do not answer.
     pub(crate) async fn ask_owners(&mut self) -> Option<UpstreamChoice> {
@@ -271,67 +282,88 @@
         let mut declined = 0;
         for owner in view.owners.choose(&self.call.pool, key) {
             loop {
-                let query = self.make_query(holder.clone());
-                let ticket = query.ticket;
-                let mut pending = PendingGrant { context: &context, ticket, owner, settled: false };
-                let reply = context.ask_owner(owner, query).await;
-                pending.settled = !matches!(reply, Some(GrantReply::Granted { .. }));
-                self.asked = true;
-                match reply {
-                    Some(GrantReply::Granted { upstream, basis }) => {
-                        let known = view.pools.get(&self.call.pool).and_then(|upstreams| {
-                            upstreams.iter().find(|known| known.upstream.name == upstream)
-                        });
-                        let taken = known.and_then(|known| {
-                            let routes = context.routes.load();
-                            let input = ChoiceInput {
-                                call: &self.call,
-                                pool: routes.pool(&self.call.pool).map(|pool| &**pool),
-                                tried: &self.tried,
-                                view: &view,
-                                load: &context.load.load(),
-                                young: false,
-                                zone: None,
-                                sole: false,
-                                now: Instant::now(),
-                            };
-                            context.chooser().take_granted(&input, known, basis)
-                        });
-                        if let Some(choice) = taken {
-                            pending.settled = true;
-                            return Some(self.hold_place(choice, Some((ticket, owner))));
-                        }
-                        drop(pending);
+                match self.ask_owner(&context, &view, owner, &holder).await {
+                    OwnerAnswer::Decided(choice) => return Some(choice),
+                    OwnerAnswer::Refused(choice) => {
+                        refused.get_or_insert(choice);
+                        break;
+                    }
+                    OwnerAnswer::Silent => break,
+                    OwnerAnswer::Declined(_) if declined >= MOST_DECLINED => return None,
+                    OwnerAnswer::Declined(upstream) => {
                         self.tried.upstreams.push(upstream);
                         declined += 1;
-                        if declined > MOST_DECLINED {
-                            return None;
-                        }
-                    }
-                    Some(GrantReply::Region { region, entry, basis }) => {
-                        return Some(UpstreamChoice::Region { region, entry, basis });
                     }
-                    Some(GrantReply::Wait(wait_ms)) => {
-                        let pause = Duration::from_millis(u64::from(wait_ms));
-                        return Some(UpstreamChoice::Wait(Instant::now() + pause));
-                    }
-                    Some(GrantReply::Refused { cause, retry_after_ms, left_out, basis }) => {
-                        let retry_after = Duration::from_millis(u64::from(retry_after_ms));
-                        refused = refused.or(Some(UpstreamChoice::Refuse {
-                            cause,
-                            retry_after,
-                            left_out,
-                            basis,
-                        }));
-                        break;
-                    }
-                    Some(GrantReply::NotOwner) | None => break,
                 }
             }
         }
         refused
     }
 
+    async fn ask_owner(
+        &mut self,
+        context: &EntryContext,
+        view: &FleetView,
+        owner: &EngineOwner,
+        holder: &EntryProcess,
+    ) -> OwnerAnswer {
+        let query = self.make_query(holder.clone());
+        let ticket = query.ticket;
+        let mut pending = PendingGrant { context, ticket, owner, settled: false };
+        let reply = context.ask_owner(owner, query).await;
+        self.asked = true;
+        // An owner that did not answer may have granted all the same, and was told so.
+        pending.settled = !matches!(reply, Some(GrantReply::Granted { .. }));
+        match reply {
+            Some(GrantReply::Granted { upstream, basis }) => {
+                match self.take_place(view, &upstream, basis) {
+                    Some(choice) => {
+                        pending.settled = true;
+                        OwnerAnswer::Decided(self.hold_place(choice, Some((ticket, owner))))
+                    }
+                    None => OwnerAnswer::Declined(upstream),
+                }
+            }
+            Some(GrantReply::Region { region, entry, basis }) => {
+                OwnerAnswer::Decided(UpstreamChoice::Region { region, entry, basis })
+            }
+            Some(GrantReply::Wait(wait_ms)) => {
+                let pause = Duration::from_millis(u64::from(wait_ms));
+                OwnerAnswer::Decided(UpstreamChoice::Wait(Instant::now() + pause))
+            }
+            Some(GrantReply::Refused { cause, retry_after_ms, left_out, basis }) => {
+                let retry_after = Duration::from_millis(u64::from(retry_after_ms));
+                OwnerAnswer::Refused(UpstreamChoice::Refuse { cause, retry_after, left_out, basis })
+            }
+            Some(GrantReply::NotOwner) | None => OwnerAnswer::Silent,
+        }
+    }
+
+    /// Counts the request at the granted upstream, if this entry may send to it.
+    fn take_place(
+        &self,
+        view: &FleetView,
+        upstream: &UpstreamName,
+        basis: ChoiceBasis,
+    ) -> Option<UpstreamChoice> {
+        let context = &self.context;
+        let upstreams = view.pools.get(&self.call.pool)?;
+        let known = upstreams.iter().find(|known| known.upstream.name == *upstream)?;
+        let routes = context.routes.load();
+        let input = ChoiceInput {
+            call: &self.call,
+            pool: routes.pool(&self.call.pool).map(|pool| &**pool),
+            tried: &self.tried,
+            view,
+            load: &context.load.load(),
+            young: false,
+            zone: None,
+            sole: false,
+            now: Instant::now(),
+        };
+        context.chooser().take_granted(&input, known, basis)
+    }
+
     fn make_query(&self, holder: EntryProcess) -> GrantQuery {
         let context = &self.context;
         let call = &self.call;
