--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -201,8 +201,8 @@
     pub caller_address: Option<SocketAddr>,
     /// Address for other instances.
     pub peer_address: SocketAddr,
-    /// Address at which the instance grants places in engines.
-    #[serde(default, skip_serializing_if = "is_default")]
+    /// Address at which the instance grants places in engines. Datagrams carry fields by their place, so
+    /// that none is left out.
     pub grant_address: Option<SocketAddr>,
     /// Readiness.
     pub state: EntryState,
