Wait a second before the first request to a cold engine, as its owner or as a young entry

A region of a hundred entries had been lost and started again, with its engines cold. Entries that start together know few of the others at first, so that several take themselves for the sender or the owner; and each new owner of an engine began at once, without knowledge of what the one before had sent.

Change: an owner, or an entry within four seconds of its start, sends nothing to an upstream for 1.1 s after it learnt that it is cold.

--- a/cicadastall/src/gateway/choose.rs
+++ b/cicadastall/src/gateway/choose.rs
@@ -81,6 +81,11 @@
 /// Time of a whole stream before any was measured, in milliseconds.
 const FIRST_STREAM_MS: f64 = 1_000.0;
 
+/// Time for which an owner, or an entry that has just started, sends nothing to an upstream that it learns to
+/// be cold: what itself or another sender has sent counts for the second in which it arrived, and entries
+/// that start together do not know each other at first.
+const SENDER_PAUSE: Duration = Duration::from_millis(1_100);
+
 /// Part of its places up to which an upstream that takes the other sort of prompts is given a prompt for
 /// which its own upstreams have no room.
 const SPARE_PART: f64 = 0.8;
@@ -400,7 +405,9 @@
             self.left_out.leaving += 1;
             return None;
         }
-        let track = self.tracks.get(name)?;
+        let cold = known.unconfirmed || known.cold_until.is_some_and(|until| now < until);
+        let track = self.tracks.get_mut(name)?;
+        let cold_since = track.note_cold_state(cold, now);
         if let Some(end) = track.pause_end(now) {
             self.left_out.paused += 1;
             self.pause_end = Some(self.pause_end.map_or(end, |first| first.min(end)));
@@ -416,12 +423,14 @@
         }
         // The owner of a cold engine keeps its pace, and nobody else sends to it.
         let owned = input.view.owners.is_shared(&input.call.pool);
-        let cold = known.unconfirmed || known.cold_until.is_some_and(|until| now < until);
         let Some(warmup) = input.pool.and_then(|pool| pool.warmup).filter(|_| cold) else {
             return Some(false);
         };
         let sender = choose_sender(&input.view.entries, name, known.upstream.started_ms);
-        let next = track.next_cold().unwrap_or(now);
+        let mut next = track.next_cold().unwrap_or(now);
+        if let Some(since) = cold_since.filter(|_| input.sole || input.young) {
+            next = next.max(since + SENDER_PAUSE);
+        }
         let own_turn = !owned && sender == Some(&self.own) && pause_between(warmup.per_s).is_some();
         if !own_turn || now < next {
             self.left_out.cold += 1;
--- a/cicadastall/src/gateway/track.rs
+++ b/cicadastall/src/gateway/track.rs
@@ -102,6 +102,7 @@
     failing: f64,
     parts: HashMap<u64, Instant>,
     next_cold: Option<Instant>,
+    cold_since: Option<Instant>,
 }
 
 impl UpstreamTrack {
@@ -120,6 +121,7 @@
             failing: 0.0,
             parts: HashMap::new(),
             next_cold: None,
+            cold_since: None,
         }
     }
 
@@ -215,6 +217,17 @@
         parts.iter().take_while(kept).map(|part| part.tokens).sum()
     }
 
+    /// Notes whether the upstream is cold; since when it is known to be.
+    pub fn note_cold_state(&mut self, cold: bool, now: Instant) -> Option<Instant> {
+        match cold {
+            true => Some(*self.cold_since.get_or_insert(now)),
+            false => {
+                self.cold_since = None;
+                None
+            }
+        }
+    }
+
     /// When a cold upstream may get its next request; none if it never got one.
     pub fn next_cold(&self) -> Option<Instant> {
         self.next_cold
--- a/cicadastall/tests/gateway_owners.rs
+++ b/cicadastall/tests/gateway_owners.rs
@@ -547,16 +547,24 @@
     checker().quickcheck(property as fn((u32, u32, u32, u32), Vec<(u64, u32)>, u64) -> bool);
 }
 
-/// Many requests wait for the turns of the same cold engines. One that has waited for long is told when to
-/// come back, rather than to wait until its time is over.
-#[test]
-fn a_request_waits_for_a_cold_engine_only_so_long() {
+/// A desk with one engine that is cold for long and tolerates four requests a second.
+fn cold_desk() -> Desk {
     let mut desk = Desk::new(1);
     desk.rule.warmup = Some(WarmupRule { seconds: 60.0, per_s: 4.0 });
     let cold_until = Some(desk.now + Duration::from_secs(60));
     let cold = KnownUpstream { cold_until, ..(*engine(0)).clone() };
     desk.shard.pools.insert(pool(), vec![Arc::new(cold)]);
+    desk
+}
+
+/// Many requests wait for the turns of the same cold engines. One that has waited for long is told when to
+/// come back, rather than to wait until its time is over.
+#[test]
+fn a_request_waits_for_a_cold_engine_only_so_long() {
+    let mut desk = cold_desk();
     let holder = entry(1, 1);
+    desk.ask(&holder);
+    desk.now += Duration::from_secs(2);
     assert!(matches!(desk.ask(&holder).1, GrantReply::Granted { .. }));
     let (_, reply) = desk.ask(&holder);
     assert!(matches!(reply, GrantReply::Wait(_)), "{reply:?}");
@@ -565,3 +573,37 @@
     let GrantReply::Refused { retry_after_ms, .. } = reply else { panic!("{reply:?}") };
     assert!(retry_after_ms > 0);
 }
+
+/// Entries that stop and start one after the other make others the owner of a cold engine. However often
+/// that happens, it gets no more in any second than its pace, half as much again and three.
+#[test]
+fn a_cold_engine_keeps_its_pace_while_its_owners_change() {
+    let mut sent: Vec<Duration> = Vec::new();
+    let holder = entry(1, 1);
+    let per_s = 4.0;
+    for change_ms in [100, 300, 700, 1_500, 4_000] {
+        let mut desk = cold_desk();
+        let start = desk.now;
+        let mut changed = start;
+        for step in 0..1_200_u64 {
+            let now = start + Duration::from_millis(10 * step);
+            if now - changed >= Duration::from_millis(change_ms) {
+                desk = cold_desk();
+                changed = now;
+            }
+            desk.now = now;
+            if let (_, GrantReply::Granted { .. }) = desk.ask(&holder) {
+                sent.push(now - start);
+            }
+        }
+        for from in &sent {
+            let end = *from + Duration::from_secs(1);
+            let count = sent.iter().filter(|at| *at >= from && **at < end).count();
+            assert!(count as f64 <= per_s * 1.5 + 3.0, "{change_ms} ms: {count} from {from:?}");
+        }
+        if change_ms >= 4_000 {
+            assert!(sent.len() >= 8, "its owner uses the pace: {}", sent.len());
+        }
+        sent.clear();
+    }
+}
