--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -254,20 +254,10 @@
                 },
                 ConnectError::Failed(cause) => self.lose(target, LostAttempt::Unsent(cause)),
             })?;
-            if chosen_at.elapsed() > DISPATCH_BOUND {
-                let unsent = LostAttempt::Unsent("the choice is too old".to_owned());
+            if let Some(cause) = self.outdated(target, chosen_at) {
                 return Err(AttemptFailure {
                     end: SendEnd::Cancelled,
-                    ..self.lose(target, unsent)
-                });
-            }
-            if let Some((known, _)) = &target.upstream
-                && !self.context.chooser().may_send(&known.upstream, Instant::now())
-            {
-                let unsent = LostAttempt::Unsent("the upstream wants no more work".to_owned());
-                return Err(AttemptFailure {
-                    end: SendEnd::Cancelled,
-                    ..self.lose(target, unsent)
+                    ..self.lose(target, LostAttempt::Unsent(cause.to_owned()))
                 });
             }
             let request = self.build_request(target);
@@ -288,6 +278,16 @@
         }
     }
 
+    /// Why a choice may not be used any more, if so.
+    fn outdated(&self, target: &AttemptTarget, chosen_at: Instant) -> Option<&'static str> {
+        if chosen_at.elapsed() > DISPATCH_BOUND {
+            return Some("the choice is too old");
+        }
+        let (known, _) = target.upstream.as_ref()?;
+        let may_send = self.context.chooser().may_send(&known.upstream, Instant::now());
+        (!may_send).then_some("the upstream wants no more work")
+    }
+
     /// An attempt that ended without the head of an answer. Another entry that was lost may have
     /// used all attempts that it was allowed.
     fn lose(&self, target: &AttemptTarget, lost: LostAttempt) -> AttemptFailure {
--- a/cicadastall/src/gateway/grants.rs
+++ b/cicadastall/src/gateway/grants.rs
@@ -97,9 +97,7 @@
     fn tell(&mut self, address: SocketAddr, ticket: GrantTicket, change: GrantChange) {
         let notes = self.outbox.entry(address).or_default();
         if notes.len() >= MOST_NOTES {
-            if notes.len() == MOST_NOTES {
-                log::warn!(owner = address.to_string(); "too many changes wait for an owner");
-            }
+            log::warn!(owner = address.to_string(); "too many changes wait for an owner");
             return;
         }
         notes.push(GrantNote { ticket, change });
--- a/cicadastall/src/gateway/owners.rs
+++ b/cicadastall/src/gateway/owners.rs
@@ -117,16 +117,6 @@
         let owners = self.pools.values().flat_map(|pool| &pool.owners);
         owners.map(|owner| &owner.process.instance).collect()
     }
-
-    /// Engines of which `process` is the owner.
-    pub fn engines_of(&self, process: &EntryProcess) -> BTreeSet<UpstreamName> {
-        let pools = self.pools.values();
-        let engines = pools.flat_map(|pool| {
-            let owned = pool.by_engine.iter();
-            owned.filter(|(_, place)| pool.owners[**place].process == *process)
-        });
-        engines.map(|(engine, _)| engine.clone()).collect()
-    }
 }
 
 fn share_out(
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -74,13 +74,14 @@
 impl FleetView {
     /// The part of the view in which `own` alone gives work to upstreams, as their owner.
     pub fn shard_of(&self, own: &EntryRecord) -> FleetView {
-        let owned = self.owners.engines_of(&EntryProcess::of(own));
+        let process = EntryProcess::of(own);
+        let owns = |pool: &PoolName, known: &Arc<KnownUpstream>| {
+            let owner = self.owners.owner(pool, &known.upstream.name);
+            owner.is_some_and(|owner| owner.process == process)
+        };
         let pools = self.pools.iter().filter_map(|(pool, upstreams)| {
-            let upstreams: Vec<_> = upstreams
-                .iter()
-                .filter(|known| owned.contains(&known.upstream.name) && self.owners.is_shared(pool))
-                .cloned()
-                .collect();
+            let upstreams: Vec<_> =
+                upstreams.iter().filter(|known| owns(pool, known)).cloned().collect();
             (!upstreams.is_empty()).then(|| (pool.clone(), upstreams))
         });
         FleetView {
@@ -212,12 +213,11 @@
     /// others, all of them otherwise or if `all`.
     pub fn follow(&mut self, all: bool, now: Instant) -> BTreeSet<SocketAddr> {
         let all = all || !self.is_near_enough(now);
-        let near = |address: &SocketAddr, records: &BTreeMap<SocketAddr, ControlRecord>| {
-            records.get(address).is_none_or(|record| record.region == self.own.region)
-        };
-        let mut followed = BTreeSet::new();
+        let addresses = self.controls.keys().copied();
+        let followed: BTreeSet<_> =
+            addresses.filter(|address| all || self.is_near(*address)).collect();
         for (address, control) in &mut self.controls {
-            let follows = all || near(address, &self.records);
+            let follows = followed.contains(address);
             if control.followed && !follows {
                 // What it told grows old; those that are followed have it too.
                 carry_rows(control, now);
@@ -227,9 +227,6 @@
                 control.named_at = now;
             }
             control.followed = follows;
-            if follows {
-                followed.insert(*address);
-            }
         }
         followed
     }
