Name the shared prompt parts in the log line of a request

Cause: the line named attempts and their ends, but nothing of the content, so crashes by load and crashes by one prompt part could not be told apart.

--- a/cicadastall/src/gateway/call.rs
+++ b/cicadastall/src/gateway/call.rs
@@ -50,6 +50,9 @@
 /// Maximum number of prompt parts; further ones are ignored.
 const MAX_PARTS: usize = 64;
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 impl CallHead {
     /// Limits token counts and the number of parts to plausible values, so that sums of them cannot
     /// overflow.
@@ -73,6 +76,12 @@
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
+
+    /// Identifiers of the first shared parts for log lines: hexadecimal, separated by commas.
+    pub fn describe_shared(&self) -> String {
+        let parts = self.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        parts.map(|part| format!("{:x}", part.id)).collect::<Vec<_>>().join(",")
+    }
 }
 
 /// A header of a request that could not be parsed.
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -140,11 +140,13 @@
             return;
         }
         let attempts = serde_json::to_string(&self.attempts).unwrap_or_default();
+        let parts = self.call.head.describe_shared();
         log::info!(
             request = self.call.attempt.as_str(), route = &*route.name,
             pool = self.call.pool.as_str(), document = self.document, rank = route.rank,
             hopped = self.call.hopped, outcome = self.outcome, status = self.status,
             ran = self.ran_value(), reason = self.reason.as_str(), attempts = attempts.as_str(),
+            parts = parts.as_str(),
             first_ms = first.map_or(0, millis), pause_ms = millis(self.longest_pause), whole_ms = millis(whole),
             allowed_ms = millis(self.call.deadline - self.call.received_at);
             "request ended"
--- a/cicadastall/tests/gateway_pure.rs
+++ b/cicadastall/tests/gateway_pure.rs
@@ -341,3 +341,16 @@
     }
     assert!(!log.contains(&upstream("u-0", 1)) && log.contains(&upstream("u-4999", 1)));
 }
+
+#[test]
+fn a_log_line_names_the_shared_parts_of_a_prompt_and_no_more_than_eight() {
+    let call = |text: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-cicadastall-prompt-parts", HeaderValue::from_str(text).expect("header"));
+        NativeHeaders.read_call(&headers).expect("a valid call")
+    };
+    assert_eq!(call("5c1e:800,91bd:410,e440:250").describe_shared(), "5c1e,91bd");
+    assert_eq!(call("e440:250").describe_shared(), "");
+    let many: Vec<_> = (0..20).map(|id| format!("{id:x}:1")).collect();
+    assert_eq!(call(&many.join(",")).describe_shared(), "0,1,2,3,4,5,6,7");
+}
