--- /dev/null
+++ b/cicadastall/tests/gateway/crashing.rs
@@ -0,0 +1,178 @@
+//! A stub of an upstream whose process ends when it begins to answer a deadly request.
+
+use super::{
+    CallerRequest, describe_at,
+    reserved::ReservedAddress,
+    upstream::{ReceivedRequest, ScriptedAnswer, read_request},
+};
+use bytes::Bytes;
+use hyper::Method;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::mpsc,
+    task::{JoinHandle, JoinSet},
+    time::{Instant, sleep},
+};
+
+/// Text in a request's head or body that ends the process.
+pub const DEADLY_TEXT: &str = "dead";
+
+/// Time until the first event of an answer, or until the process ends.
+const FIRST_EVENT_DELAY: Duration = Duration::from_millis(30);
+
+static NAMES: AtomicU64 = AtomicU64::new(1);
+
+#[derive(Debug, Default)]
+struct CrashState {
+    received: Vec<(Instant, ReceivedRequest)>,
+    crashes: Vec<Instant>,
+}
+
+/// A running stub; it stops when dropped.
+#[derive(Debug)]
+pub struct CrashingUpstream {
+    pub name: String,
+    pub address: SocketAddr,
+    state: Arc<Mutex<CrashState>>,
+    task: JoinHandle<()>,
+    _reserved: ReservedAddress,
+}
+
+impl Drop for CrashingUpstream {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl CrashingUpstream {
+    /// Starts a stub in `zone` that registers at the control instance at `registry` and is down for
+    /// `down` after each crash.
+    pub fn start(registry: SocketAddr, zone: &'static str, down: Duration) -> Self {
+        let name = format!("crashing-{}", NAMES.fetch_add(1, Ordering::Relaxed));
+        let reserved = ReservedAddress::group(1).remove(0);
+        let address = reserved.address;
+        let state = Arc::new(Mutex::new(CrashState::default()));
+        let task = tokio::spawn(run(name.clone(), address, registry, zone, down, state.clone()));
+        Self { name, address, state, task, _reserved: reserved }
+    }
+
+    fn state(&self) -> MutexGuard<'_, CrashState> {
+        lock(&self.state)
+    }
+
+    /// Number of crashes.
+    pub fn crashes(&self) -> usize {
+        self.state().crashes.len()
+    }
+
+    /// Number of requests that contained `text` and arrived after `since`.
+    pub fn received(&self, text: &str, since: Instant) -> usize {
+        let holds =
+            |request: &ReceivedRequest| request.head.contains(text) || request.body.contains(text);
+        let state = self.state();
+        state.received.iter().filter(|(at, request)| *at > since && holds(request)).count()
+    }
+}
+
+fn lock(state: &Mutex<CrashState>) -> MutexGuard<'_, CrashState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn run(
+    name: String,
+    address: SocketAddr,
+    registry: SocketAddr,
+    zone: &'static str,
+    down: Duration,
+    state: Arc<Mutex<CrashState>>,
+) {
+    for started_ms in 1.. {
+        let socket = TcpSocket::new_v4().expect("socket");
+        socket.set_reuseaddr(true).expect("reuse");
+        socket.bind(address).expect("bind");
+        let listener = socket.listen(64).expect("listen");
+        let renewals = tokio::spawn(renew(name.clone(), address, registry, zone, started_ms));
+        serve(listener, &name, &state).await;
+        renewals.abort();
+        lock(&state).crashes.push(Instant::now());
+        sleep(down).await;
+    }
+}
+
+async fn renew(
+    name: String,
+    address: SocketAddr,
+    registry: SocketAddr,
+    zone: &'static str,
+    started_ms: u64,
+) {
+    for sequence in 1.. {
+        let upstream = describe_at(&name, address, zone, started_ms, sequence);
+        let request = CallerRequest {
+            method: Method::PUT,
+            path: format!("/v1/upstreams/{name}"),
+            headers: Vec::new(),
+            body: Bytes::from(serde_json::to_string(&upstream).expect("json")),
+        };
+        request.send(registry).await;
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Serves connections until the process ends; all of them break then.
+async fn serve(listener: TcpListener, name: &str, state: &Arc<Mutex<CrashState>>) {
+    let (crash, mut crashed) = mpsc::channel(1);
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { return };
+                let (name, state) = (name.to_owned(), Arc::clone(state));
+                connections.spawn(serve_connection(stream, name, state, crash.clone()));
+            }
+            _ = crashed.recv() => return,
+        }
+    }
+}
+
+async fn serve_connection(
+    mut stream: TcpStream,
+    name: String,
+    state: Arc<Mutex<CrashState>>,
+    crash: mpsc::Sender<()>,
+) {
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        let deadly = request.head.contains(DEADLY_TEXT) || request.body.contains(DEADLY_TEXT);
+        lock(&state).received.push((Instant::now(), request.clone()));
+        let streams = !request.head.contains("/read/") && !request.head.contains("/book/");
+        let script = match streams {
+            true => ScriptedAnswer::stream().event(FIRST_EVENT_DELAY, 1).end(),
+            false => ScriptedAnswer::whole("200 OK", "usual"),
+        };
+        if deadly && !streams {
+            let _ = crash.send(()).await;
+            return;
+        }
+        for (index, (pause, text)) in script.parts.iter().enumerate() {
+            sleep(*pause).await;
+            if deadly && index > 0 {
+                let _ = crash.send(()).await;
+                return;
+            }
+            let text = text.replace("{attempt}", &request.attempt()).replace("{name}", &name);
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // each test file uses a part of this module
 
+pub mod crashing;
 #[path = "../reserved/mod.rs"]
 pub mod reserved;
 pub mod upstream;
@@ -371,7 +372,8 @@
         }
     }
 
-    fn registry(&self, index: usize) -> SocketAddr {
+    /// Registry address of a control instance.
+    pub fn registry(&self, index: usize) -> SocketAddr {
         self.controls[index].node.registry_listen.expect("an address")
     }
 
@@ -463,12 +465,23 @@
 
 /// A renewal of a stub in the pool `service`.
 pub fn describe(upstream: &UpstreamStub, zone: &str, sequence: u64) -> RegisteredUpstream {
+    describe_at(&upstream.name, upstream.address, zone, 1, sequence)
+}
+
+/// A renewal of the process at `address` that started at `started_ms`, in the pool `service`.
+pub fn describe_at(
+    name: &str,
+    address: SocketAddr,
+    zone: &str,
+    started_ms: u64,
+    sequence: u64,
+) -> RegisteredUpstream {
     RegisteredUpstream {
-        name: UpstreamName::from(upstream.name.as_str()),
-        started_ms: 1,
+        name: UpstreamName::from(name),
+        started_ms,
         sequence,
         pool: PoolName::from("service"),
-        address: upstream.address,
+        address,
         zone: ZoneName::from(zone),
         slots: 8,
         phase: UpstreamPhase::Serving,
--- a/cicadastall/tests/gateway/upstream.rs
+++ b/cicadastall/tests/gateway/upstream.rs
@@ -307,7 +307,8 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
+/// Reads the next request of a connection; `None` at its end.
+pub async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
     loop {
         if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
--- a/cicadastall/tests/gateway_answers.rs
+++ b/cicadastall/tests/gateway_answers.rs
@@ -332,3 +332,33 @@
     }
     upstreams[0].wait_disconnects(2).await;
 }
+
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_looks_complete() {
+    let (fleet, upstreams) = start_fleet("inside", 1).await;
+    let head = "HTTP/1.1 200 OK\r\nx-cicadastall-attempt: {attempt}\r\n\
+                x-cicadastall-stamp: {name}\r\ncontent-type: text/event-stream\r\n\r\n";
+    let cut = format!("{}id: 2\ndata: tok", event(1));
+    let inside = ScriptedAnswer::raw(head, ConnectionEnd::Close).then(SHORT_PAUSE, &cut);
+    let nothing = ScriptedAnswer::raw(head, ConnectionEnd::Close);
+    let whole = ScriptedAnswer::raw(head, ConnectionEnd::Close)
+        .then(SHORT_PAUSE, &format!("{}{}", event(1), event(2)));
+    let address = fleet.entries[0].address();
+
+    upstreams[0].next([inside]);
+    let answer = CallerRequest::post("/stream/1").send(address).await;
+    assert_eq!((answer.status.as_u16(), answer.whole), (200, false), "cut inside an event");
+    assert!(answer.text().starts_with(&event(1)), "{}", answer.text());
+
+    upstreams[0].next([nothing]);
+    let request = CallerRequest::post("/stream/1");
+    let answer = request.send(address).await;
+    assert_eq!(answer.status.as_u16(), 502, "ended before its first event");
+    assert_eq!(answer.header("x-cicadastall-ran"), Some("unknown"));
+    assert_eq!(total_runs(&upstreams, &request), 1);
+
+    upstreams[0].next([whole]);
+    let answer = CallerRequest::post("/stream/1").send(address).await;
+    assert_eq!((answer.status.as_u16(), answer.whole), (200, true), "ended between events");
+    assert_eq!(answer.text(), format!("{}{}", event(1), event(2)));
+}
