Quarantine requests by the traits that they share when they crash upstreams

Cause: the pass-through path remembered nothing of what an upstream was working on when it ended. The other interface quarantines a request by its whole content, which does not help where no two are alike.

Evidence: with the parts in the log, one part was in requests broken at 12 of 13 upstreams and in no answer that began; the parts beside it were in 9 and 334. Ruled out: load (one part at all crashes), repeats by the gateway (no attempt at two crashes).

Change: traits of requests that broke before their answer began are charged with the crash, once the upstream's port refuses connections; an answer that begins acquits its traits; a trait with three crashes that no other culprit explains is refused with 503, not run. Evidence spreads through control.

--- a/cicadastall/src/crash_probe.rs
+++ b/cicadastall/src/crash_probe.rs
@@ -74,6 +74,28 @@
     }
 }
 
+/// Delays before the connections of [`probe_listener`].
+const LISTENER_DELAYS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
+
+/// Probes the upstream at `address` by connecting only, without a request that it would have to run.
+///
+/// An upstream that accepts the last connection is considered alive, also one that was restarted in
+/// between.
+pub async fn probe_listener(address: SocketAddr) -> ProbeVerdict {
+    for delay in LISTENER_DELAYS {
+        sleep(delay).await;
+        match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => match classify_connect_error(error.kind()) {
+                ProbeStep::Done(verdict) => return verdict,
+                ProbeStep::Retry => {}
+            },
+            Err(_) => return ProbeVerdict::Unknown,
+        }
+    }
+    ProbeVerdict::Alive
+}
+
 async fn probe_once(address: SocketAddr) -> ProbeStep {
     let mut stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod context;
 pub mod control;
 pub mod control_call;
+pub mod crash_watch;
 pub mod departures;
 pub mod dialect;
 pub mod document_check;
--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -11,8 +11,8 @@
         grant_allocator::GrantTicket,
         headers::{read_keep_alive, strip_connection_headers},
         hop::{
-            ARRIVED_HEADER, HOP_HEADER, HopMetadata, RAN_HEADER, RAN_ON_HEADER, read_arrived,
-            read_ran, read_ran_on,
+            ARRIVED_HEADER, HOP_HEADER, HopMetadata, QUARANTINED_HEADER, RAN_HEADER, RAN_ON_HEADER,
+            read_arrived, read_ran, read_ran_on,
         },
         outcome::{LostAttempt, Verdict, classify_head, classify_loss},
         relay::CallRelay,
@@ -71,6 +71,8 @@
     pub(crate) cause: String,
     pub(crate) upstream_failure: Option<Box<UpstreamFailure>>,
     pub(crate) retry_after: Option<Duration>,
+    /// Whether another entry refused the request because it is quarantined.
+    pub(crate) quarantined: bool,
     end: SendEnd,
 }
 
@@ -87,6 +89,7 @@
             cause,
             upstream_failure: None,
             retry_after: None,
+            quarantined: false,
             end,
         }
     }
@@ -141,6 +144,8 @@
     pub(crate) complete: bool,
     pub(crate) body: Incoming,
     pub(crate) guard: SendGuard,
+    /// The upstream that answers; none if another entry forwards its answer.
+    pub(crate) upstream: Option<Arc<KnownUpstream>>,
     connection: PooledConnection,
     keep_alive: Option<Duration>,
 }
@@ -234,6 +239,11 @@
                 self.read_answer(&target, chosen_at, guard, response, connection).await
             }
             Err(failure) => {
+                if let Some((known, _)) = &target.upstream
+                    && failure.verdict == Verdict::Unknown
+                {
+                    self.note_broken(known);
+                }
                 guard.end(failure.end);
                 if let Some(region) =
                     self.tried.regions.last().filter(|_| target.upstream.is_none())
@@ -393,6 +403,7 @@
         let may_have_arrived = !is_hop || read_arrived(&headers).unwrap_or(true);
         headers.remove(RAN_ON_HEADER);
         headers.remove(ARRIVED_HEADER);
+        let quarantined = headers.remove(QUARANTINED_HEADER).is_some() && is_hop;
         let earlier_runs = self.possible_runs;
         let possible_runs = reported_runs.unwrap_or(earlier_runs + 1).max(earlier_runs);
         let mut cause = format!("status {}", parts.status);
@@ -402,6 +413,9 @@
             match read_first_part(&self.call, &mut body).await {
                 Ok((received, complete)) => {
                     self.sending = false;
+                    if !self.call.repeat().is_stream() {
+                        self.note_began();
+                    }
                     // The answering upstream is counted only if its answer breaks off.
                     self.possible_runs = possible_runs.max(1) - 1;
                     guard.note_answering();
@@ -413,12 +427,16 @@
                         complete,
                         body,
                         guard,
+                        upstream: target.upstream.as_ref().map(|(known, _)| Arc::clone(known)),
                         connection,
                         keep_alive,
                     });
                 }
                 Err(error) => {
                     self.sending = false;
+                    if let Some((known, _)) = &target.upstream {
+                        self.note_broken(known);
+                    }
                     cause = error;
                     outcome = Verdict::Unknown;
                 }
@@ -435,10 +453,12 @@
             cause,
             upstream_failure: None,
             retry_after: head.retry_after,
+            quarantined,
             end: SendEnd::Broken,
         };
         match outcome {
             Verdict::Failure => {
+                self.note_began();
                 self.sending = true;
                 let read =
                     timeout(FAILURE_BODY_TIMEOUT, read_bounded(&mut body, MAX_BUFFERED_BYTES))
@@ -484,6 +504,11 @@
         Err(self.record_failure(target, failure, chosen_at))
     }
 
+    /// Records that the connection to an upstream broke before its answer had begun.
+    pub(crate) fn note_broken(&self, known: &KnownUpstream) {
+        self.context.crashes.note_broken(known, self.traits());
+    }
+
     fn record_failure(
         &mut self,
         target: &AttemptTarget,
--- a/cicadastall/src/gateway/call.rs
+++ b/cicadastall/src/gateway/call.rs
@@ -3,6 +3,7 @@
 use crate::{
     gateway::routes::{RepeatRule, RouteRule},
     name::{AttemptId, ModelName, PoolName},
+    suspect::RequestFingerprint,
 };
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
@@ -19,6 +20,9 @@
     pub tokens: u32,
 }
 
+/// Traits by which a request may be to blame for crashes of upstreams.
+pub type RequestTraits = SmallVec<[RequestFingerprint; 4]>;
+
 /// Parts of a prompt in order; the last part is used only by this request or its session.
 pub type PromptParts = SmallVec<[PromptPart; 4]>;
 
@@ -128,6 +132,30 @@
         self.route.repeat
     }
 
+    /// Traits that other requests may share: the shared parts of the prompt for the model, whatever
+    /// precedes them, and the whole content, which only copies of the request share.
+    ///
+    /// The pool is no part of them, as the document may move the route to another one.
+    pub fn traits(&self) -> RequestTraits {
+        let model = self.head.model.as_ref().map_or("", |model| model.as_str());
+        let part = |part: &PromptPart| {
+            let id = part.id.to_be_bytes();
+            RequestFingerprint::compute_shared(&[b"part", model.as_bytes(), &id])
+        };
+        let mut traits: RequestTraits = self.head.shared_parts().iter().map(part).collect();
+        let ids: Vec<u8> = self.head.parts.iter().flat_map(|part| part.id.to_be_bytes()).collect();
+        let target = self.target.path_and_query().map_or("", |target| target.as_str());
+        traits.push(RequestFingerprint::compute_shared(&[
+            b"request",
+            model.as_bytes(),
+            self.method.as_str().as_bytes(),
+            target.as_bytes(),
+            &ids,
+            &self.body,
+        ]));
+        traits
+    }
+
     /// Time until the deadline.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -5,6 +5,7 @@
     gateway::{
         chooser::UpstreamChooser,
         connections::ConnectionPool,
+        crash_watch::CrashWatch,
         dialect::CallDialect,
         engine_grants::EngineGrants,
         fleet_update::{DepartedUpstream, WorkRow},
@@ -57,6 +58,7 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) in_flight: AtomicU32,
     pub(crate) grants: EngineGrants,
+    pub(crate) crashes: Arc<CrashWatch>,
     chooser: Mutex<UpstreamChooser>,
     retries: Mutex<RetryWindow>,
     usable: watch::Sender<bool>,
@@ -83,8 +85,10 @@
             rand::random(),
         );
         let grants = EngineGrants::new(&node);
+        let metrics = GatewayMetrics::new();
         Self {
             grants,
+            crashes: Arc::new(CrashWatch::new(metrics.crash_checks())),
             chooser: Mutex::new(chooser),
             retries: Mutex::new(RetryWindow::new(node.retries, Instant::now())),
             node,
@@ -93,7 +97,7 @@
             view: ArcSwap::default(),
             load: ArcSwap::default(),
             connections: Arc::default(),
-            metrics: GatewayMetrics::new(),
+            metrics,
             in_flight: AtomicU32::new(0),
             usable: watch::Sender::new(false),
             started_at: Instant::now(),
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -239,6 +239,7 @@
             upstreams: registry.changed_upstreams(cursor, region, now),
             entries: registry.changed_entries(cursor, for_control, now),
             controls: registry.changed_controls(cursor),
+            suspects: registry.changed_suspects(cursor, now),
             evacuated: newer_zones.then(|| state.evacuated().clone()),
             ..FleetUpdate::default()
         };
@@ -299,7 +300,9 @@
         let now = Instant::now();
         let work = std::mem::take(&mut query.work);
         let load = EntryLoad { work, demand: std::mem::take(&mut query.demand) };
+        let suspects = std::mem::take(&mut query.suspects);
         self.change_registry(|registry| {
+            registry.merge_suspects(suspects, now);
             match &query.reader {
                 FleetReader::Entry(entry) => registry.report_entry(entry.clone(), load, now),
                 FleetReader::Control(control) => registry.report_control(control.clone(), now),
@@ -376,14 +379,16 @@
             work: Vec::new(),
             demand: Vec::new(),
             departed: Vec::new(),
+            suspects: Vec::new(),
         }
     }
 
     fn accept_update(&self, address: SocketAddr, update: FleetUpdate) {
         let now = Instant::now();
         self.cursors().insert(address, update.cursor);
-        let FleetUpdate { upstreams, entries, controls, summaries, .. } = update;
+        let FleetUpdate { upstreams, entries, controls, summaries, suspects, .. } = update;
         self.change_registry(|registry| {
+            registry.merge_suspects(suspects, now);
             registry.mark_control_seen(address, now);
             registry.store_summaries(summaries, now);
             // The first record is that of the sender. Known instances are polled directly, so their
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -79,6 +79,9 @@
 /// Longest time to read a request's body, even if the request allows more.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Path of the status listener at which operators list quarantined traits and release them.
+const QUARANTINE_PATH: &str = "/v1/quarantine";
+
 /// Maximum number of connections from other entries.
 const MAX_HOP_CONNECTIONS: usize = 1_024;
 
@@ -161,6 +164,8 @@
             self.update_readiness(false);
             self.context.connections.close_expired();
             self.context.expire_grants();
+            self.context.crashes.expire();
+            self.context.metrics.set_quarantined(self.context.crashes.list().len());
             sleep(UPKEEP_PERIOD).await;
         }
     }
@@ -170,6 +175,8 @@
     fn next_query(&self, address: SocketAddr) -> FleetQuery {
         let current = self.context.routes.load().document().number;
         let mut state = self.state();
+        let (change, suspects) = self.context.crashes.list_observed(state.reported(address));
+        state.begin_report(address, change);
         let fetches = state.begin_fetch(address, current, Instant::now());
         let near = state.is_local(address);
         let mut own = state.own().clone();
@@ -188,6 +195,7 @@
             work: if near { self.context.work() } else { Vec::new() },
             demand: if near { self.context.demand() } else { Vec::new() },
             departed: if near { self.context.departed() } else { Vec::new() },
+            suspects,
             reader: FleetReader::Entry(own),
         }
     }
@@ -195,6 +203,7 @@
     fn accept_update(&self, address: SocketAddr, mut update: FleetUpdate) {
         let (confirmed, newest) = (update.confirmed, update.document_number);
         let replaced = self.apply_document(&mut update);
+        self.context.crashes.merge(std::mem::take(&mut update.suspects));
         let current = self.context.routes.load().document().number;
         let changed = replaced | self.state().apply_update(address, update, Instant::now());
         self.publish(changed);
@@ -524,14 +533,30 @@
     context: Arc<EntryContext>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    match request.uri().path() {
-        "/healthz" => text_answer(StatusCode::OK, "ok\n"),
-        "/metrics" => text_answer(StatusCode::OK, context.metrics.render()),
-        "/v1/status" => json_answer(StatusCode::OK, &describe_entry(&context)),
+    let path = request.uri().path();
+    match (request.method(), path) {
+        (_, "/healthz") => text_answer(StatusCode::OK, "ok\n"),
+        (_, "/metrics") => text_answer(StatusCode::OK, context.metrics.render()),
+        (_, "/v1/status") => json_answer(StatusCode::OK, &describe_entry(&context)),
+        (&Method::GET, QUARANTINE_PATH) => json_answer(StatusCode::OK, &context.crashes.list()),
+        (&Method::DELETE, _) if path.starts_with(QUARANTINE_PATH) => {
+            release_trait(&context, &path[QUARANTINE_PATH.len()..])
+        }
         _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
+/// Ends the quarantine of the trait whose fingerprint follows the slash in `path`.
+fn release_trait(context: &EntryContext, path: &str) -> Response<AnswerBody> {
+    let Some(fingerprint) = path.strip_prefix('/').and_then(|text| text.parse().ok()) else {
+        return text_answer(StatusCode::BAD_REQUEST, "not a fingerprint\n");
+    };
+    match context.crashes.release(fingerprint) {
+        true => text_answer(StatusCode::OK, "released\n"),
+        false => text_answer(StatusCode::NOT_FOUND, "no such suspect\n"),
+    }
+}
+
 fn describe_entry(context: &EntryContext) -> serde_json::Value {
     let view = context.view.load();
     let upstreams = view.pools.values().flatten().map(|known| &*known.upstream);
@@ -541,6 +566,7 @@
         "zone": context.node.zone,
         "ready": context.is_ready(),
         "document": context.routes.load().document().number,
+        "quarantined": context.crashes.list(),
         "in_flight": context.in_flight.load(Ordering::Relaxed),
         "upstreams": upstreams.collect::<Vec<_>>(),
         "entries": view.entries,
--- a/cicadastall/src/gateway/events.rs
+++ b/cicadastall/src/gateway/events.rs
@@ -14,6 +14,47 @@
 /// Number of consecutively numbered events after which a jump in the numbers counts as a loss.
 const MIN_CONSECUTIVE_EVENTS: u32 = 3;
 
+/// Counts the events of a stream that is forwarded as it arrives.
+#[derive(Debug, Clone, Copy)]
+pub struct EventCounter {
+    whole: u32,
+    at_line_start: bool,
+    inside_event: bool,
+}
+
+impl Default for EventCounter {
+    fn default() -> Self {
+        Self { whole: 0, at_line_start: true, inside_event: false }
+    }
+}
+
+impl EventCounter {
+    /// Adds received bytes.
+    pub fn add(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                b'\n' if self.at_line_start => {
+                    self.whole = self.whole.saturating_add(u32::from(self.inside_event));
+                    self.inside_event = false;
+                }
+                b'\n' => self.at_line_start = true,
+                b'\r' => {}
+                _ => (self.at_line_start, self.inside_event) = (false, true),
+            }
+        }
+    }
+
+    /// Number of whole events.
+    pub fn whole(&self) -> u32 {
+        self.whole
+    }
+
+    /// Whether the last event is incomplete.
+    pub fn is_inside_event(&self) -> bool {
+        self.inside_event
+    }
+}
+
 /// Passes on whole events and holds back the start of the next one.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
--- a/cicadastall/src/gateway/fleet_update.rs
+++ b/cicadastall/src/gateway/fleet_update.rs
@@ -5,6 +5,7 @@
         document_state::EvacuatedZones, pool_partition::PromptDemand, routes::RouteDocument,
     },
     name::{PoolName, RegionName, UpstreamName, ZoneName},
+    suspect::SuspectRecord,
     table::EntryRecord,
     wire::is_default,
 };
@@ -169,6 +170,9 @@
     /// Upstreams that told the reader that they are leaving, and that control still reports as serving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub departed: Vec<DepartedUpstream>,
+    /// Suspects that the reader itself changed since it last reported them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<SuspectRecord>,
 }
 
 /// Capacity of one pool in one region.
@@ -237,4 +241,7 @@
     /// report it to the sender.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub work: Option<Vec<WorkRow>>,
+    /// Traits of requests that are suspected of crashing upstreams, as far as they changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<SuspectRecord>,
 }
--- a/cicadastall/src/gateway/headers.rs
+++ b/cicadastall/src/gateway/headers.rs
@@ -1,7 +1,7 @@
 //! Connection-specific headers, and answers that the gateway gives itself.
 
 use crate::{
-    answer::{Ran, Refusal},
+    answer::{Ran, Refusal, RefusalCode},
     gateway::hop::RAN_HEADER,
     http::{AnswerBody, json_answer},
 };
@@ -55,7 +55,11 @@
 /// Builds the answer for `refusal`. For accepted requests the status alone tells whether the request
 /// may have run: statuses that callers read as not run are used only if no upstream has run it.
 pub fn refuse(refusal: &Refusal) -> Response<AnswerBody> {
-    let status = refusal.code.status();
+    let status = match refusal.code {
+        // For callers, its own status would say nothing about whether the request has run.
+        RefusalCode::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+        code => code.status(),
+    };
     let not_run_statuses = [
         StatusCode::REQUEST_TIMEOUT,
         StatusCode::MISDIRECTED_REQUEST,
--- a/cicadastall/src/gateway/hop.rs
+++ b/cicadastall/src/gateway/hop.rs
@@ -26,6 +26,9 @@
 /// Header of an answer to another entry: whether the request may have reached any upstream.
 pub const ARRIVED_HEADER: &str = "x-cicadastall-arrived";
 
+/// Header of a refusal to another entry: the request is quarantined.
+pub const QUARANTINED_HEADER: &str = "x-cicadastall-quarantined";
+
 /// Route and limits of a forwarded request, as decided by the entry that its caller sent it to.
 ///
 /// The receiving entry does not look up a route, as its document may be older.
--- a/cicadastall/src/gateway/metrics.rs
+++ b/cicadastall/src/gateway/metrics.rs
@@ -29,6 +29,8 @@
     hops: Counter<u64>,
     document: Gauge<u64>,
     upstreams: Gauge<u64>,
+    crash_checks: Counter<u64>,
+    quarantined: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -48,10 +50,22 @@
             hops: meter.u64_counter("cicadastall_gateway_hops").build(),
             document: meter.u64_gauge("cicadastall_gateway_document").build(),
             upstreams: meter.u64_gauge("cicadastall_gateway_upstreams").build(),
+            crash_checks: meter.u64_counter("cicadastall_gateway_crash_checks").build(),
+            quarantined: meter.u64_gauge("cicadastall_gateway_quarantined").build(),
             scrape,
         }
     }
 
+    /// Counter of upstreams that were checked after they broke off requests, by verdict.
+    pub fn crash_checks(&self) -> Counter<u64> {
+        self.crash_checks.clone()
+    }
+
+    /// Sets the number of quarantined traits or groups of them.
+    pub fn set_quarantined(&self, count: usize) {
+        self.quarantined.record(count as u64, &[]);
+    }
+
     /// Records the end of a request on `route`.
     pub fn record_request(
         &self,
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -14,10 +14,16 @@
         region_load::EntryLoad,
     },
     name::{InstanceName, RegionName, UpstreamName, ZoneName},
+    suspect::{SuspectRecord, SuspectTable},
     table::EntryRecord,
 };
 use smallvec::SmallVec;
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Time without a poll after which an entry is considered lost; entries poll at least once a second.
@@ -36,6 +42,9 @@
 /// Minimum delay of the end of a warm-up that is forwarded to readers, in milliseconds.
 const MIN_COLD_CHANGE_MS: u64 = 300;
 
+/// Number of merges of suspects that readers can catch up with; readers further behind get all.
+const MAX_SUSPECT_CHANGES: usize = 256;
+
 /// Result of a renewal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RenewalOutcome {
@@ -95,6 +104,11 @@
     evacuated: u64,
     /// Summaries of other regions, received from their control instances, with arrival times.
     pub(super) summaries: BTreeMap<RegionName, (RegionSummary, Instant)>,
+    suspects: SuspectTable,
+    /// Changes of this registry with the changes of the suspects that they consist of, oldest first.
+    suspect_changes: VecDeque<(u64, u64)>,
+    /// Newest change that `suspect_changes` does not hold any more.
+    suspect_floor: u64,
 }
 
 impl FleetRegistry {
@@ -118,6 +132,9 @@
             controls_changed: 1,
             evacuated: 0,
             summaries: BTreeMap::new(),
+            suspects: SuspectTable::default(),
+            suspect_changes: VecDeque::new(),
+            suspect_floor: 0,
         }
     }
 
@@ -471,6 +488,33 @@
         .collect()
     }
 
+    /// Merges the suspects of an entry or of another control instance.
+    pub fn merge_suspects(&mut self, records: Vec<SuspectRecord>, now: Instant) {
+        if records.is_empty() {
+            return;
+        }
+        let before = self.suspects.changes();
+        if self.suspects.merge(records, now) {
+            let changed = self.next_change();
+            if self.suspect_changes.len() >= MAX_SUSPECT_CHANGES
+                && let Some((dropped, _)) = self.suspect_changes.pop_front()
+            {
+                self.suspect_floor = dropped;
+            }
+            self.suspect_changes.push_back((changed, before));
+        }
+    }
+
+    /// Suspects that changed after `cursor`.
+    pub fn changed_suspects(&self, cursor: FleetCursor, now: Instant) -> Vec<SuspectRecord> {
+        let after = self.position(cursor);
+        if after < self.suspect_floor {
+            return self.suspects.list(now);
+        }
+        let missed = self.suspect_changes.iter().find(|(changed, _)| *changed > after);
+        missed.map_or_else(Vec::new, |(_, before)| self.suspects.list_changed(*before, now))
+    }
+
     /// Number of control instances that are not considered lost, including this one.
     pub fn count_controls(&self) -> u32 {
         self.controls.len() as u32 + 1
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -4,13 +4,13 @@
     answer::{Ran, Refusal, RefusalCode},
     gateway::{
         attempt::{AttemptFailure, StartedAnswer, UpstreamFailure},
-        call::RoutedCall,
+        call::{RequestTraits, RoutedCall},
         choice::{
             ChoiceBasis, ChoiceInput, LeftOutCounts, RefusalCause, TriedUpstreams, UpstreamChoice,
         },
         context::EntryContext,
         headers::refuse,
-        hop::{ARRIVED_HEADER, RAN_ON_HEADER},
+        hop::{ARRIVED_HEADER, QUARANTINED_HEADER, RAN_ON_HEADER},
         outcome::Verdict,
         record::{AttemptEntry, CallRecord, verdict_name},
         stream_forwarder::stream_body,
@@ -18,7 +18,10 @@
     http::{AnswerBody, full_body},
 };
 use hyper::{Response, header::HeaderValue};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Maximum number of sends of one request, including those that no upstream ran.
@@ -70,6 +73,8 @@
     /// Whether an earlier send may have reached an upstream, so that the next one is a retry.
     may_have_arrived: bool,
     upstream_failure: Option<Box<UpstreamFailure>>,
+    /// Traits of the request, computed when they are first needed.
+    traits: OnceLock<RequestTraits>,
 }
 
 /// Answers a request whose pool has been chosen; `document` is the number of its document.
@@ -90,6 +95,7 @@
         possible_runs: call.earlier_attempts,
         may_have_arrived: call.earlier_attempts > 0,
         upstream_failure: None,
+        traits: OnceLock::new(),
         record,
         context,
         call,
@@ -117,6 +123,7 @@
 
     async fn open_answer(&mut self) -> Result<StartedAnswer, FinalFailure> {
         loop {
+            self.check_quarantine()?;
             let choice = self.choose().await;
             self.count_in_budget(&choice);
             match choice {
@@ -141,6 +148,41 @@
         }
     }
 
+    /// Traits by which the request may be to blame for crashes of upstreams.
+    pub(crate) fn traits(&self) -> &RequestTraits {
+        self.traits.get_or_init(|| self.call.traits())
+    }
+
+    /// Records that an upstream has begun to answer the request, which no culprit survives.
+    pub(crate) fn note_began(&self) {
+        if self.context.crashes.is_active() {
+            self.context.crashes.note_began(self.traits());
+        }
+    }
+
+    /// Fails if the request is quarantined.
+    fn check_quarantine(&mut self) -> Result<(), FinalFailure> {
+        let crashes = &self.context.crashes;
+        if !crashes.is_active() {
+            return Ok(());
+        }
+        let Some((group, remaining)) = crashes.find_quarantine(self.traits()) else {
+            return Ok(());
+        };
+        let traits: Vec<_> = group.iter().map(ToString::to_string).collect();
+        let message = format!("the request crashes upstreams; traits {}", traits.join(","));
+        Err(self.refuse_quarantined(message, remaining))
+    }
+
+    fn refuse_quarantined(&mut self, message: String, remaining: Duration) -> FinalFailure {
+        if let Some(upstream_failure) = self.upstream_failure.take() {
+            return FinalFailure::Upstream(upstream_failure);
+        }
+        let refusal =
+            Refusal { ran: self.ran(), ..Refusal::not_run(RefusalCode::Quarantined, message) };
+        FinalFailure::Refused(refusal.retry_after(remaining))
+    }
+
     fn note_arrival(&self) {
         let routes = self.context.routes.load();
         let pool = routes.pool(&self.call.pool).map(|pool| &**pool);
@@ -194,10 +236,17 @@
             cause,
             upstream_failure,
             retry_after,
+            quarantined,
             ..
         } = failure;
         self.possible_runs = possible_runs;
         self.may_have_arrived |= may_have_arrived;
+        if quarantined {
+            let message = format!("the request crashes upstreams; {cause} of another entry");
+            return Err(
+                self.refuse_quarantined(message, retry_after.unwrap_or(DEFAULT_RETRY_AFTER))
+            );
+        }
         let repeat = self.call.repeat();
         let in_time = self.call.remaining(Instant::now()) > MIN_REMAINING;
         let permitted = match verdict {
@@ -330,6 +379,10 @@
             FinalFailure::Refused(refusal) => {
                 let mut answer = refuse(&refusal);
                 self.set_hop_headers(&mut answer, self.possible_runs);
+                if self.call.hopped && refusal.code == RefusalCode::Quarantined {
+                    let value = HeaderValue::from_static("true");
+                    answer.headers_mut().insert(QUARANTINED_HEADER, value);
+                }
                 self.record.set_ran(refusal.ran);
                 self.context.metrics.count_refusal(refusal_reason(refusal.code));
                 self.record.end("refused", answer.status().as_u16(), refusal.message);
@@ -346,6 +399,7 @@
         RefusalCode::NoUpstream => "no_upstream",
         RefusalCode::DeadlinePassed => "deadline_passed",
         RefusalCode::UpstreamFailed => "upstream_failed",
+        RefusalCode::Quarantined => "quarantined",
         _ => "other",
     }
 }
--- a/cicadastall/src/gateway/stream_forwarder.rs
+++ b/cicadastall/src/gateway/stream_forwarder.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     gateway::{
-        attempt::StartedAnswer, events::EventBuffer, relay::CallRelay, routes::RepeatRule,
+        attempt::StartedAnswer,
+        events::{EventBuffer, EventCounter},
+        relay::CallRelay,
+        routes::RepeatRule,
         tracker::SendEnd,
     },
     http::{AnswerBody, TruncatedAnswer, describe_error},
@@ -28,6 +31,10 @@
     answer: Option<StartedAnswer>,
     /// Holds back incomplete events, if another upstream can continue the stream.
     buffer: Option<EventBuffer>,
+    /// Events of the current upstream's answer.
+    events: EventCounter,
+    /// Whether the current upstream has sent a whole event.
+    began: bool,
     received: Bytes,
     status: u16,
 }
@@ -38,7 +45,15 @@
     let buffer = resumable.then(|| EventBuffer::after(relay.resume_after.clone()));
     let received = mem::take(&mut answer.received);
     let status = answer.status.as_u16();
-    let forwarder = StreamForwarder { relay, answer: Some(answer), buffer, received, status };
+    let forwarder = StreamForwarder {
+        relay,
+        answer: Some(answer),
+        buffer,
+        events: EventCounter::default(),
+        began: false,
+        received,
+        status,
+    };
     let frames = stream::unfold(Some(forwarder), |forwarder| async {
         let mut forwarder = forwarder?;
         match forwarder.next().await {
@@ -94,6 +109,11 @@
         } else {
             mem::take(&mut self.received)
         };
+        self.events.add(&data);
+        if !self.began && self.events.whole() > 0 {
+            self.began = true;
+            self.relay.note_began();
+        }
         match &mut self.buffer {
             None => StreamStep::Data(data),
             Some(buffer) => match buffer.push(&data) {
@@ -106,8 +126,13 @@
     /// Continues on another upstream after the last complete event.
     async fn resume(&mut self, cause: String) -> Result<(), TruncatedAnswer> {
         if let Some(mut answer) = self.answer.take() {
+            if let Some(known) = answer.upstream.as_ref().filter(|_| !self.began) {
+                self.relay.note_broken(known);
+            }
             answer.guard.end(SendEnd::Broken);
         }
+        self.events = EventCounter::default();
+        self.began = false;
         let Some(buffer) = &mut self.buffer else {
             return Err(self.cut(cause, SendEnd::Broken));
         };
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -132,6 +132,10 @@
     polled: bool,
     /// Number of the newest document that it reported.
     document: u64,
+    /// Change of this entry's suspects up to which the open query reports, and up to which it has
+    /// received reports.
+    reporting: u64,
+    reported: u64,
     listed_at: Instant,
     upstreams: HashMap<UpstreamName, ReceivedUpstream>,
     entries: HashMap<InstanceName, EntryUpdate>,
@@ -195,6 +199,8 @@
             known_controls: 0,
             polled: false,
             document: 0,
+            reporting: 0,
+            reported: 0,
             listed_at: now,
             upstreams: HashMap::new(),
             entries: HashMap::new(),
@@ -280,6 +286,19 @@
         self.controls.get(&address).map_or(0, |control| control.document)
     }
 
+    /// Change of this entry's suspects up to which the control instance at `address` has received
+    /// reports.
+    pub fn reported(&self, address: SocketAddr) -> u64 {
+        self.controls.get(&address).map_or(0, |control| control.reported)
+    }
+
+    /// Records that the next query to `address` reports suspects up to change `change`.
+    pub fn begin_report(&mut self, address: SocketAddr, change: u64) {
+        if let Some(control) = self.controls.get_mut(&address) {
+            control.reporting = change;
+        }
+    }
+
     /// The newest known evacuated zones.
     pub fn evacuated(&self) -> &EvacuatedZones {
         &self.evacuated
@@ -301,7 +320,10 @@
         control.known_controls = update.controls_heard;
         self.peak_controls = self.peak_controls.max(update.controls_heard);
         control.document = update.document_number;
+        control.reported = control.reporting;
         if control.cursor.process != update.cursor.process {
+            // A new process has received this report only.
+            control.reported = 0;
             retain_rows(control, now);
         }
         control.cursor = update.cursor;
--- a/cicadastall/src/lib.rs
+++ b/cicadastall/src/lib.rs
@@ -25,6 +25,7 @@
 mod clock;
 pub mod control;
 pub mod counted_stream;
+pub mod crash_blame;
 pub mod crash_probe;
 pub mod decode;
 mod difference;
--- a/cicadastall/src/suspect.rs
+++ b/cicadastall/src/suspect.rs
@@ -3,6 +3,9 @@
 //! Every request that was running on an upstream when it crashed becomes a suspect. An upstream
 //! runs at most one suspect at a time. A suspect that is answered completely is cleared, and a
 //! suspect that was running at a second crash is quarantined.
+//!
+//! The table is bounded in size and time. Merging is idempotent and independent of order, so instances
+//! may exchange records in any way.
 
 use crate::name::{RegionName, UpstreamName};
 use serde::{Deserialize, Serialize};
@@ -22,8 +25,11 @@
 /// Lifetime of a suspicion or a quarantine after its last crash.
 pub const SUSPICION_LIFETIME: Duration = Duration::from_secs(1_800);
 
-/// Maximum number of suspects of one region; further ones are not recorded.
-const MAX_SUSPECTS: usize = 4_096;
+/// Maximum number of suspects; beyond it, the one with the fewest crashes is evicted.
+pub const MAX_SUSPECTS: usize = 4_096;
+
+/// Maximum number of crashes that are stored for one suspect.
+const MAX_CRASHES: usize = 16;
 
 /// Time after learning of a crash during which requests may still be sent to the upstream, because
 /// its listener or its announcement outlives the process.
@@ -42,11 +48,19 @@
 impl RequestFingerprint {
     /// Computes the fingerprint of `parts` in `region`.
     pub fn compute(region: &RegionName, parts: &[&[u8]]) -> Self {
+        Self::hash_all((region.as_str(), parts))
+    }
+
+    /// Computes a fingerprint of `parts` that is the same in all regions.
+    pub fn compute_shared(parts: &[&[u8]]) -> Self {
+        Self::hash_all(parts)
+    }
+
+    fn hash_all(value: impl Hash) -> Self {
         #[allow(deprecated)]
         // the only keyed hash of the standard library that is the same in all processes
         let mut hasher = std::hash::SipHasher::new();
-        region.as_str().hash(&mut hasher);
-        parts.hash(&mut hasher);
+        value.hash(&mut hasher);
         Self(hasher.finish())
     }
 
@@ -94,7 +108,7 @@
 }
 
 /// A crash of one upstream, identified by the incarnation of its process.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct UpstreamCrash {
     /// The upstream.
     pub upstream: UpstreamName,
@@ -158,6 +172,29 @@
     generation: u64,
     crashes: SmallVec<[UpstreamCrash; 2]>,
     expires_at: Instant,
+    /// Number of the newest change of this entry.
+    changed: u64,
+    /// Number of the newest change that this instance made itself; 0 if there is none.
+    observed: u64,
+}
+
+impl SuspectEntry {
+    fn add_crash(&mut self, crash: UpstreamCrash) -> bool {
+        let added = self.crashes.len() < MAX_CRASHES && !self.crashes.contains(&crash);
+        if added {
+            self.crashes.push(crash);
+        }
+        added
+    }
+
+    fn to_record(&self, fingerprint: RequestFingerprint, now: Instant) -> SuspectRecord {
+        SuspectRecord {
+            fingerprint,
+            generation: self.generation,
+            crashes: self.crashes.clone(),
+            expires_in_ms: self.expires_at.saturating_duration_since(now).as_millis() as u64,
+        }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -179,6 +216,7 @@
     entries: BTreeMap<RequestFingerprint, SuspectEntry>,
     crashes: Vec<KnownCrash>,
     grants: Vec<IsolationGrant>,
+    changes: u64,
 }
 
 /// Queries.
@@ -211,14 +249,39 @@
 
     /// Lists the records to send to other instances of the region.
     pub fn list(&self, now: Instant) -> Vec<SuspectRecord> {
-        let live = self.entries.iter().filter(|(_, entry)| entry.expires_at > now);
-        live.map(|(fingerprint, entry)| SuspectRecord {
-            fingerprint: *fingerprint,
-            generation: entry.generation,
-            crashes: entry.crashes.clone(),
-            expires_in_ms: (entry.expires_at - now).as_millis() as u64,
-        })
-        .collect()
+        self.list_where(now, |_| true)
+    }
+
+    /// Lists the records that changed after change number `after`.
+    pub fn list_changed(&self, after: u64, now: Instant) -> Vec<SuspectRecord> {
+        self.list_where(now, |entry| entry.changed > after)
+    }
+
+    /// Lists the records that this instance itself changed after change number `after`.
+    pub fn list_observed(&self, after: u64, now: Instant) -> Vec<SuspectRecord> {
+        self.list_where(now, |entry| entry.observed > after)
+    }
+
+    fn list_where(
+        &self,
+        now: Instant,
+        listed: impl Fn(&SuspectEntry) -> bool,
+    ) -> Vec<SuspectRecord> {
+        let live = self.entries.iter().filter(|(_, entry)| entry.expires_at > now && listed(entry));
+        live.map(|(fingerprint, entry)| entry.to_record(*fingerprint, now)).collect()
+    }
+
+    /// Suspects with their crashes and the end of the suspicion.
+    pub fn suspects(
+        &self,
+    ) -> impl Iterator<Item = (RequestFingerprint, &[UpstreamCrash], Instant)> {
+        let suspects = self.entries.iter().filter(|(_, entry)| !entry.crashes.is_empty());
+        suspects.map(|(fingerprint, entry)| (*fingerprint, &*entry.crashes, entry.expires_at))
+    }
+
+    /// Number of the newest change; changes of entries are numbered in order.
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
 }
 
@@ -233,17 +296,31 @@
     ) {
         self.remove_expired(now);
         record_known_crash(&mut self.crashes, &crash, now);
-        if self.entries.len() >= MAX_SUSPECTS && !self.entries.contains_key(&fingerprint) {
-            return;
-        }
+        self.make_room(fingerprint);
+        self.changes += 1;
         let entry = self.entries.entry(fingerprint).or_insert(SuspectEntry {
             generation: 0,
             crashes: SmallVec::new(),
             expires_at: now,
+            changed: 0,
+            observed: 0,
         });
         entry.expires_at = now + SUSPICION_LIFETIME;
-        if !entry.crashes.contains(&crash) {
-            entry.crashes.push(crash);
+        entry.add_crash(crash);
+        entry.changed = self.changes;
+        entry.observed = self.changes;
+    }
+
+    /// Evicts an entry if the table is full and lacks `fingerprint`: one with the fewest crashes, and of
+    /// these the one that expires first.
+    fn make_room(&mut self, fingerprint: RequestFingerprint) {
+        if self.entries.len() < MAX_SUSPECTS || self.entries.contains_key(&fingerprint) {
+            return;
+        }
+        let least =
+            self.entries.iter().min_by_key(|(_, entry)| (entry.crashes.len(), entry.expires_at));
+        if let Some(evicted) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.entries.remove(&evicted);
         }
     }
 
@@ -260,39 +337,58 @@
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return false;
         };
+        self.changes += 1;
         entry.generation += 1;
         entry.crashes.clear();
+        entry.changed = self.changes;
+        entry.observed = self.changes;
         true
     }
 
-    /// Merges the records of another instance of the region.
-    pub fn merge(&mut self, records: Vec<SuspectRecord>, now: Instant) {
+    /// Ends the suspicion of a request that an upstream began to answer, whatever the number of crashes
+    /// before; returns whether there was one.
+    pub fn acquit(&mut self, fingerprint: RequestFingerprint) -> bool {
+        let suspected =
+            self.entries.get(&fingerprint).is_some_and(|entry| !entry.crashes.is_empty());
+        suspected && self.release(fingerprint)
+    }
+
+    /// Merges the records of another instance; returns whether this changed anything.
+    pub fn merge(&mut self, records: Vec<SuspectRecord>, now: Instant) -> bool {
         self.remove_expired(now);
+        let before = self.changes;
         for record in records {
             let lifetime = Duration::from_millis(record.expires_in_ms).min(SUSPICION_LIFETIME);
             let expires_at = now + lifetime;
-            let SuspectRecord { fingerprint, generation, crashes, .. } = record;
-            let known = self.entries.entry(fingerprint).or_insert_with(|| SuspectEntry {
-                generation,
-                crashes: SmallVec::new(),
-                expires_at,
-            });
-            if known.generation > generation {
+            let SuspectRecord { fingerprint, generation, mut crashes, .. } = record;
+            crashes.truncate(MAX_CRASHES);
+            let known = self.entries.get(&fingerprint).map(|known| known.generation);
+            if known.is_some_and(|known| known > generation) {
                 continue;
             }
-            if known.generation < generation {
-                crashes.iter().for_each(|crash| record_known_crash(&mut self.crashes, crash, now));
-                *known = SuspectEntry { generation, crashes, expires_at };
+            crashes.iter().for_each(|crash| record_known_crash(&mut self.crashes, crash, now));
+            self.make_room(fingerprint);
+            let next = self.changes + 1;
+            let Some(known) = self.entries.get_mut(&fingerprint) else {
+                let entry =
+                    SuspectEntry { generation, crashes, expires_at, changed: next, observed: 0 };
+                self.entries.insert(fingerprint, entry);
+                self.changes = next;
                 continue;
-            }
-            for crash in crashes {
-                record_known_crash(&mut self.crashes, &crash, now);
-                if !known.crashes.contains(&crash) {
-                    known.crashes.push(crash);
-                    known.expires_at = known.expires_at.max(expires_at);
-                }
+            };
+            let changed = if known.generation < generation {
+                *known = SuspectEntry { generation, crashes, expires_at, ..*known };
+                true
+            } else {
+                crashes.into_iter().filter(|crash| known.add_crash(crash.clone())).count() > 0
+            };
+            if changed {
+                known.expires_at = known.expires_at.max(expires_at);
+                known.changed = next;
+                self.changes = next;
             }
         }
+        self.changes != before
     }
 
     /// Grants an upstream to one suspect at a time, or revokes the grant of the attempt.
@@ -316,7 +412,8 @@
         IsolationReply::Granted
     }
 
-    fn remove_expired(&mut self, now: Instant) {
+    /// Removes entries whose lifetime is over.
+    pub fn remove_expired(&mut self, now: Instant) {
         self.entries.retain(|_, entry| entry.expires_at > now);
         self.crashes.retain(|known| now < known.learned_at + KNOWN_CRASH_LIFETIME);
     }
--- a/cicadastall/tests/peer_connect.rs
+++ b/cicadastall/tests/peer_connect.rs
@@ -31,6 +31,7 @@
         confirm: false,
         work: Vec::new(),
         demand: Vec::new(),
+        suspects: Vec::new(),
         departed: Vec::new(),
     }
 }
