Break off a stream that its upstream ends inside an event

What callers saw: a stream that may not be resumed, ended by its upstream inside an event, reached the caller as complete; so did one without length and chunks that ended before its first event.

Cause: the ends of events were only looked for where the stream may be resumed; elsewhere the end of the body was taken for the end of the stream.

Change: events of all streams are counted as they pass. A stream that ends inside one is cut, or resumed where that is allowed. An unframed stream without any event is a broken answer (502, ran unknown). An unframed stream that ends between events is complete, one that is reset is not, as before.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -27,10 +27,14 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Uri,
     body::{Body, Incoming},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, timeout};
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Longest time between the choice of a target and the first byte sent to it. A process that was
 /// suspended in between must choose again.
 const MAX_DISPATCH_DELAY: Duration = Duration::from_millis(1_500);
@@ -144,6 +148,8 @@
     pub(crate) complete: bool,
     pub(crate) body: Incoming,
     pub(crate) guard: SendGuard,
+    /// Whether the body is a stream of events.
+    pub(crate) has_events: bool,
     /// The upstream that answers; none if another entry forwards its answer.
     pub(crate) upstream: Option<Arc<KnownUpstream>>,
     connection: PooledConnection,
@@ -396,6 +402,8 @@
             None => classify_head(&head, &self.call.attempt),
         };
         let keep_alive = read_keep_alive(&parts.headers);
+        let has_events = has_events(&parts.headers);
+        let framed = is_framed(&parts.headers);
         let mut headers = parts.headers;
         strip_connection_headers(&mut headers);
         headers.remove(RAN_HEADER);
@@ -410,7 +418,20 @@
         let mut outcome = verdict;
         if verdict == Verdict::Answer {
             self.sending = true;
-            match read_first_part(&self.call, &mut body).await {
+            let first = read_first_part(&self.call, &mut body).await;
+            let ended_early = |received: &Bytes, complete: bool| {
+                let streams = has_events && self.call.repeat().is_stream();
+                streams && !framed && complete && received.is_empty()
+            };
+            match first {
+                Ok((received, complete)) if ended_early(&received, complete) => {
+                    self.sending = false;
+                    if let Some((known, _)) = &target.upstream {
+                        self.note_broken(known);
+                    }
+                    cause = "the stream ended before its first event".to_owned();
+                    outcome = Verdict::Unknown;
+                }
                 Ok((received, complete)) => {
                     self.sending = false;
                     if !self.call.repeat().is_stream() {
@@ -427,6 +448,7 @@
                         complete,
                         body,
                         guard,
+                        has_events,
                         upstream: target.upstream.as_ref().map(|(known, _)| Arc::clone(known)),
                         connection,
                         keep_alive,
@@ -521,6 +543,18 @@
     }
 }
 
+/// Whether the body is a stream of events, by its type.
+fn has_events(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.trim_start().to_ascii_lowercase().starts_with(EVENT_STREAM))
+}
+
+/// Whether the end of the body shows from its length or its chunks; otherwise it ends with the
+/// connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Reads the first data of a stream, or up to [`MAX_BUFFERED_BYTES`] of any other answer. The flag
 /// tells whether the body is complete.
 async fn read_first_part(call: &RoutedCall, body: &mut Incoming) -> Result<(Bytes, bool), String> {
--- a/cicadastall/src/gateway/stream_forwarder.rs
+++ b/cicadastall/src/gateway/stream_forwarder.rs
@@ -99,6 +99,9 @@
         let data = if self.received.is_empty() {
             match timeout_at(self.relay.call.deadline, answer.body.frame()).await {
                 Err(_) => return StreamStep::TimeOver,
+                Ok(None) if answer.has_events && self.events.is_inside_event() => {
+                    return StreamStep::Broken("the stream ended within an event".to_owned());
+                }
                 Ok(None) if self.buffer.as_ref().is_some_and(EventBuffer::has_partial) => {
                     return StreamStep::Broken("the stream ended within an event".to_owned());
                 }
--- a/cicadastall/tests/gateway/upstream.rs
+++ b/cicadastall/tests/gateway/upstream.rs
@@ -142,6 +142,7 @@
 struct UpstreamState {
     scripts: VecDeque<ScriptedAnswer>,
     default_answer: Option<ScriptedAnswer>,
+    resumed_answer: Option<ScriptedAnswer>,
     received: Vec<ReceivedRequest>,
     disconnects: u32,
     connections: u32,
@@ -192,6 +193,11 @@
         self.state().scripts.extend(scripts);
     }
 
+    /// Sets the answer to requests that resume a stream.
+    pub fn set_resumed(&self, answer: ScriptedAnswer) {
+        self.state().resumed_answer = Some(answer);
+    }
+
     /// Requests that were received completely.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.state().received.clone()
@@ -248,7 +254,10 @@
             state.received.push(request.clone());
             state.open += 1;
             state.max_open = state.max_open.max(state.open);
-            state.scripts.pop_front().or_else(|| state.default_answer.clone())
+            let resumes = request.header("last-event-id").is_some();
+            let resumed = state.resumed_answer.clone().filter(|_| resumes);
+            let script = resumed.or_else(|| state.scripts.pop_front());
+            script.or_else(|| state.default_answer.clone())
         };
         let Some(script) = script else { return };
         for (pause, text) in &script.parts {
--- a/cicadastall/tests/gateway_answers.rs
+++ b/cicadastall/tests/gateway_answers.rs
@@ -333,32 +333,94 @@
     upstreams[0].wait_disconnects(2).await;
 }
 
+/// Head of an event stream without length and chunks.
+const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\nx-cicadastall-attempt: {attempt}\r\n\
+                             x-cicadastall-stamp: {name}\r\n\
+                             content-type: text/event-stream\r\n\r\n";
+
 #[tokio::test]
 async fn a_stream_that_ends_inside_an_event_looks_complete() {
     let (fleet, upstreams) = start_fleet("inside", 1).await;
-    let head = "HTTP/1.1 200 OK\r\nx-cicadastall-attempt: {attempt}\r\n\
-                x-cicadastall-stamp: {name}\r\ncontent-type: text/event-stream\r\n\r\n";
     let cut = format!("{}id: 2\ndata: tok", event(1));
-    let inside = ScriptedAnswer::raw(head, ConnectionEnd::Close).then(SHORT_PAUSE, &cut);
-    let nothing = ScriptedAnswer::raw(head, ConnectionEnd::Close);
-    let whole = ScriptedAnswer::raw(head, ConnectionEnd::Close)
-        .then(SHORT_PAUSE, &format!("{}{}", event(1), event(2)));
-    let address = fleet.entries[0].address();
+    let unframed = ScriptedAnswer::raw(UNFRAMED_HEAD, ConnectionEnd::Close).then(SHORT_PAUSE, &cut);
+    upstreams[0].next([unframed]);
+    let answer = CallerRequest::post("/stream/1").send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.whole), (200, false));
+    assert_eq!(answer.text(), cut);
+}
 
-    upstreams[0].next([inside]);
-    let answer = CallerRequest::post("/stream/1").send(address).await;
-    assert_eq!((answer.status.as_u16(), answer.whole), (200, false), "cut inside an event");
-    assert!(answer.text().starts_with(&event(1)), "{}", answer.text());
+#[tokio::test]
+async fn a_framed_stream_that_ends_inside_an_event_looks_complete() {
+    let (fleet, upstreams) = start_fleet("framed", 1).await;
+    let cut = "id: 2\ndata: tok";
+    let chunked = ScriptedAnswer::stream()
+        .event(SHORT_PAUSE, 1)
+        .then(SHORT_PAUSE, &format!("{:x}\r\n{cut}\r\n", cut.len()))
+        .end();
+    upstreams[0].next([chunked]);
+    let answer = CallerRequest::post("/stream/1").send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.whole), (200, false));
+    assert_eq!(answer.text(), format!("{}{cut}", event(1)));
+}
 
-    upstreams[0].next([nothing]);
+#[tokio::test]
+async fn a_stream_that_ends_before_its_first_event_looks_complete() {
+    let (fleet, upstreams) = start_fleet("before", 1).await;
+    upstreams[0].next([ScriptedAnswer::raw(UNFRAMED_HEAD, ConnectionEnd::Close)]);
     let request = CallerRequest::post("/stream/1");
-    let answer = request.send(address).await;
-    assert_eq!(answer.status.as_u16(), 502, "ended before its first event");
+    let answer = request.send(fleet.entries[0].address()).await;
+    assert_eq!(answer.status.as_u16(), 502);
     assert_eq!(answer.header("x-cicadastall-ran"), Some("unknown"));
     assert_eq!(total_runs(&upstreams, &request), 1);
+}
+
+#[tokio::test]
+async fn a_stream_without_length_and_chunks_is_complete_if_it_ends_between_events() {
+    let (fleet, upstreams) = start_fleet("between", 1).await;
+    let whole = format!("{}{}", event(1), event(2));
+    for path in ["/stream/1", "/resume/1"] {
+        let unframed =
+            ScriptedAnswer::raw(UNFRAMED_HEAD, ConnectionEnd::Close).then(SHORT_PAUSE, &whole);
+        upstreams[0].next([unframed]);
+        let answer = CallerRequest::post(path).send(fleet.entries[0].address()).await;
+        assert_eq!((answer.status.as_u16(), answer.whole), (200, true), "{path}");
+        assert_eq!(answer.text(), whole, "{path}");
+    }
+}
 
-    upstreams[0].next([whole]);
-    let answer = CallerRequest::post("/stream/1").send(address).await;
-    assert_eq!((answer.status.as_u16(), answer.whole), (200, true), "ended between events");
-    assert_eq!(answer.text(), format!("{}{}", event(1), event(2)));
+#[tokio::test]
+async fn a_stream_without_length_that_is_reset_between_events_looks_complete() {
+    let (fleet, upstreams) = start_fleet("unframed-reset", 1).await;
+    let reset = ScriptedAnswer::raw(UNFRAMED_HEAD, ConnectionEnd::Reset)
+        .then(SHORT_PAUSE, &event(1))
+        .then(SHORT_PAUSE, "");
+    upstreams[0].next([reset]);
+    let answer = CallerRequest::post("/stream/1").send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.whole), (200, false));
+    assert_eq!(answer.text(), event(1));
+}
+
+#[tokio::test]
+async fn a_resumable_stream_without_length_continues_elsewhere_when_it_ends_inside_an_event() {
+    let (fleet, upstreams) = start_fleet("resumed", 2).await;
+    let address = fleet.entries[0].address();
+    // The retry budget is a share of first requests, and a new process has none.
+    for _ in 0..40 {
+        assert_eq!(CallerRequest::post("/read/1").send(address).await.status.as_u16(), 200);
+    }
+    let request = CallerRequest::post("/resume/1");
+    let cut = format!("{}id: 2\ndata: tok", event(1));
+    for (upstream, other) in [(0, 1), (1, 0)] {
+        // Whichever upstream is chosen first breaks off, and the other one continues.
+        let unframed =
+            ScriptedAnswer::raw(UNFRAMED_HEAD, ConnectionEnd::Close).then(SHORT_PAUSE, &cut);
+        upstreams[upstream].next([unframed]);
+        let rest = ScriptedAnswer::raw(UNFRAMED_HEAD, ConnectionEnd::Close)
+            .then(SHORT_PAUSE, &format!("{}{}", event(2), event(3)));
+        upstreams[other].set_resumed(rest);
+    }
+    let answer = request.send(address).await;
+    assert_eq!((answer.status.as_u16(), answer.whole), (200, true));
+    assert_eq!(answer.text(), format!("{}{}{}", event(1), event(2), event(3)));
+    assert_eq!(total_runs(&upstreams, &request), 2);
 }
--- a/cicadastall/tests/gateway_pure.rs
+++ b/cicadastall/tests/gateway_pure.rs
@@ -7,7 +7,7 @@
         dialect::{AnswerHead, CallDialect, NativeHeaders},
         document_check::check_document,
         document_state::{DocumentCommand, DocumentState, StoredDocument},
-        events::EventBuffer,
+        events::{EventBuffer, EventCounter},
         fleet_update::{DepartedUpstream, RegisteredUpstream, UpstreamPhase},
         outcome::{LostAttempt, Verdict, classify_head, classify_loss},
         routes::{
@@ -354,3 +354,26 @@
     let many: Vec<_> = (0..20).map(|id| format!("{id:x}:1")).collect();
     assert_eq!(call(&many.join(",")).describe_shared(), "0,1,2,3,4,5,6,7");
 }
+
+#[test]
+fn events_are_counted_however_they_are_cut_into_pieces() {
+    fn counts(pieces: Vec<usize>) -> bool {
+        let text = b"id: 1\ndata: a\n\n\n: comment\r\n\r\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata";
+        let mut counter = EventCounter::default();
+        let mut rest = &text[..];
+        for piece in pieces {
+            let (now, later) = rest.split_at((piece % 7).min(rest.len()));
+            counter.add(now);
+            rest = later;
+        }
+        counter.add(rest);
+        counter.whole() == 3 && counter.is_inside_event()
+    }
+    checker().quickcheck(counts as fn(Vec<usize>) -> bool);
+    let mut counter = EventCounter::default();
+    assert!(!counter.is_inside_event());
+    counter.add(b"id: 1\n");
+    assert!(counter.is_inside_event(), "a line without the empty line after it");
+    counter.add(b"\n");
+    assert_eq!((counter.whole(), counter.is_inside_event()), (1, false));
+}
