--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -90,6 +90,7 @@
 }
 
 static ATTEMPTS: AtomicU64 = AtomicU64::new(1);
+static FLEETS: AtomicU64 = AtomicU64::new(1);
 
 impl CallerRequest {
     pub fn post(path: &str) -> Self {
@@ -295,8 +296,9 @@
     /// Starts `controls` control instances, alternating between the two regions, and an entry in each
     /// of `zones`. Entries become ready once a document is in force.
     pub async fn start(name: &str, controls: usize, zones: &[&str]) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
-            .join(format!("gateway-{name}-{}", std::process::id()));
+            .join(format!("gateway-{name}-{}-{number}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         let mut fleet =
             Self { controls: Vec::new(), entries: Vec::new(), shares_engines: false, folder };
