Quarantine messages that crash upstreams on the chat interface too

What callers saw (stand-ins): requests that share a message under which an upstream ends, no two alike, ended all five engines of a region one after the other; then every caller got no_upstream.

Cause: the same class as on the pass-through path. A request is quarantined by its whole content, and a new request with the message is as good as any other.

Evidence: requests_that_share_a_message_that_crashes_upstreams_crash_them_all failed before, with 'no upstream of pool verdicts is ready' for a sound request at turn 2.

Change: shared messages are charged with the crashes of requests whose answer had not begun, acquitted by any answer that begins, and exchanged with the other suspects of the region; a culprit is refused before it is sent. The decision is that of the pass-through path, with two moments in place of three, as suspects run alone here. The stand-in engine takes fault markers in any message.

--- a/cicadastall-daemons/tests/crashing_requests.rs
+++ b/cicadastall-daemons/tests/crashing_requests.rs
@@ -96,9 +96,17 @@
 
     /// Sends a prompt; fails unless the answer is complete.
     async fn send(&self, entry: usize, prompt: &str) -> Result<(), Refusal> {
+        self.send_messages(entry, &[prompt]).await
+    }
+
+    /// Sends a prompt of several messages, of which the last is the caller's own; fails unless the
+    /// answer is complete.
+    async fn send_messages(&self, entry: usize, contents: &[&str]) -> Result<(), Refusal> {
+        let message =
+            |content: &&str| ChatMessage { role: "user".into(), content: (*content).into() };
         let chat = ChatRequest {
             model: None,
-            messages: vec![ChatMessage { role: "user".into(), content: prompt.into() }],
+            messages: contents.iter().map(message).collect(),
             max_tokens: 256,
             stream: false,
             priority: 0,
@@ -212,3 +220,23 @@
         assert_eq!(fleet.ask(0, &format!("question {number}")).await, "whole");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_a_message_that_crashes_upstreams_crash_them_all() {
+    let mut fleet = CrashFleet::start("shared-message").await;
+    let mut crashes = 0;
+    for turn in 0..10 {
+        let own = format!("question {turn}");
+        let deadly = ["common", "fault:crash", &own];
+        let refusal = fleet.send_messages(turn % ENTRIES, &deadly).await.expect_err("crashes");
+        if crashes >= 3 && turn >= 3 {
+            assert_eq!((refusal.code, refusal.ran), (RefusalCode::Quarantined, Ran::No), "{turn}");
+        }
+        crashes = fleet.crashed();
+        // Crashes at one moment count once, and instances exchange what they saw.
+        sleep(Duration::from_millis(700)).await;
+        let sound = ["common", &own];
+        fleet.send_messages((turn + 1) % ENTRIES, &sound).await.expect("a sound request");
+    }
+    assert!(fleet.crashed() < ENGINES.len(), "an upstream is left");
+}
--- a/cicadastall-standins/src/engine.rs
+++ b/cicadastall-standins/src/engine.rs
@@ -247,8 +247,8 @@
     let Ok(chat) = serde_json::from_slice::<ChatRequest>(&body) else {
         return text_answer(StatusCode::BAD_REQUEST, "not a chat request\n");
     };
-    let text = chat.messages.last().map_or("", |message| &message.content);
-    let fault = StandinFault::parse(text, &state.name);
+    let mut contents = chat.messages.iter().rev().map(|message| &message.content);
+    let fault = contents.find_map(|text| StandinFault::parse(text, &state.name));
     let (sender, events) = mpsc::channel(1);
     let generator = TokenGenerator { attempt, fault, sender };
     tokio::spawn(async move {
--- a/cicadastall/src/crash_blame.rs
+++ b/cicadastall/src/crash_blame.rs
@@ -17,7 +17,8 @@
 use tokio::time::Instant;
 
 /// Number of crashes at different moments, explained by no other culprit, after which a trait is
-/// blamed. Two may be chance: many requests wait on an upstream when it crashes.
+/// blamed if all requests run beside each other. Two may be chance: many requests wait on an upstream
+/// when it crashes.
 pub const BLAME_EPISODES: usize = 3;
 
 /// Traits that are to blame together.
@@ -25,11 +26,13 @@
 
 type CrashTimes<'a> = BTreeMap<&'a UpstreamCrash, Instant>;
 
-/// Finds the culprits among suspects with their crashes.
+/// Finds the culprits among suspects with their crashes; a culprit has crashes at `episodes` moments at
+/// least.
 pub fn find_culprits<'a>(
     suspects: impl Iterator<Item = (RequestFingerprint, &'a [SeenCrash])>,
+    episodes: usize,
 ) -> Vec<CulpritGroup> {
-    let frequent = suspects.filter(|(_, crashes)| crashes.len() >= BLAME_EPISODES);
+    let frequent = suspects.filter(|(_, crashes)| crashes.len() >= episodes);
     let mut open: Vec<(RequestFingerprint, CrashTimes<'a>)> = frequent
         .map(|(fingerprint, crashes)| {
             (fingerprint, crashes.iter().map(|seen| (&seen.crash, seen.at)).collect())
@@ -38,7 +41,7 @@
     open.sort_by_key(|(fingerprint, _)| *fingerprint);
     let mut culprits = Vec::new();
     loop {
-        open.retain(|(_, crashes)| count_episodes(crashes) >= BLAME_EPISODES);
+        open.retain(|(_, crashes)| count_episodes(crashes) >= episodes);
         // The first of equals, which is the same on all instances with the same evidence.
         let most = open.iter().map(|(_, crashes)| crashes.len()).max();
         let Some(explained) = open
--- a/cicadastall/src/gateway/crash_watch.rs
+++ b/cicadastall/src/gateway/crash_watch.rs
@@ -5,7 +5,7 @@
 //! all entries through control; each instance finds the culprits itself, also while it is cut off.
 
 use crate::{
-    crash_blame::{CulpritGroup, find_culprits},
+    crash_blame::{BLAME_EPISODES, CulpritGroup, find_culprits},
     crash_probe::{ProbeVerdict, probe_listener},
     gateway::{call::RequestTraits, view::KnownUpstream, warmup::hash_pair},
     name::{InstanceName, PoolName},
@@ -87,7 +87,7 @@
             self.charged.clear();
             self.uncontrasted.clear();
         }
-        let groups = find_culprits(self.suspects.suspects());
+        let groups = find_culprits(self.suspects.suspects(), BLAME_EPISODES);
         let groups: Vec<_> = groups.into_iter().map(|group| self.narrow_group(group)).collect();
         let mut before = mem::take(&mut self.quarantines);
         for group in groups {
--- a/cicadastall/src/quarantine.rs
+++ b/cicadastall/src/quarantine.rs
@@ -1,12 +1,13 @@
 //! Exchanges suspect requests between the instances of a region and isolates them on upstreams.
 
 use crate::{
+    crash_blame::{CulpritGroup, find_culprits},
     name::{AttemptId, RegionName, UpstreamName},
     node::NodeSettings,
     peer::PeerClients,
     suspect::{
-        IsolationReply, IsolationRequest, RequestFingerprint, SuspectRecord, SuspectTable,
-        Suspicion, UpstreamCrash,
+        IsolationReply, IsolationRequest, QUARANTINE_CRASHES, RequestFingerprint, SuspectRecord,
+        SuspectTable, Suspicion, UpstreamCrash,
     },
     table::RoutingTable,
 };
@@ -45,6 +46,8 @@
     node: Arc<NodeSettings>,
     routing: Arc<ArcSwap<RoutingTable>>,
     table: Mutex<SuspectTable>,
+    /// Messages that requests share, charged with the crashes of requests whose answer had not begun.
+    messages: Mutex<SuspectTable>,
     probes: Mutex<Vec<RequestFingerprint>>,
 }
 
@@ -68,7 +71,13 @@
 impl SuspectRegistry {
     /// Creates an empty registry.
     pub fn new(node: Arc<NodeSettings>, routing: Arc<ArcSwap<RoutingTable>>) -> Self {
-        Self { node, routing, table: Mutex::default(), probes: Mutex::default() }
+        Self {
+            node,
+            routing,
+            table: Mutex::default(),
+            messages: Mutex::default(),
+            probes: Mutex::default(),
+        }
     }
 
     /// Computes the fingerprint of a request with these parts.
@@ -97,9 +106,41 @@
         self.lock().is_known_before(crash, time)
     }
 
+    /// Remaining time of a quarantine that covers a request with the shared `messages`.
+    pub fn find_message_quarantine(&self, messages: &[RequestFingerprint]) -> Option<Duration> {
+        let now = Instant::now();
+        let mut table = self.lock_messages();
+        table.remove_expired(now);
+        let groups = find_culprits(table.suspects(), QUARANTINE_CRASHES);
+        let covers = |group: &&CulpritGroup| group.iter().all(|member| messages.contains(member));
+        let group = groups.iter().find(covers)?;
+        let ends = group.iter().filter_map(|member| table.suspicion_end(*member));
+        ends.min().map(|end| end.saturating_duration_since(now))
+    }
+
+    /// Acquits the shared `messages` of a request whose answer has begun.
+    pub fn acquit_messages(&self, messages: &[RequestFingerprint]) {
+        let mut table = self.lock_messages();
+        for message in messages {
+            table.acquit(*message);
+        }
+    }
+
     /// Lists all suspects.
     pub fn list(&self) -> Vec<SuspectRecord> {
-        self.lock().list(Instant::now())
+        let now = Instant::now();
+        let mut records = self.lock().list(now);
+        let messages = self.lock_messages().list(now);
+        records
+            .extend(messages.into_iter().map(|record| SuspectRecord { message: true, ..record }));
+        records
+    }
+
+    fn merge(&self, records: Vec<SuspectRecord>) {
+        let now = Instant::now();
+        let (messages, requests) = records.into_iter().partition(|record| record.message);
+        self.lock().merge(requests, now);
+        self.lock_messages().merge(messages, now);
     }
 
     /// Merges the suspects of another instance and returns those that this instance knows.
@@ -107,10 +148,8 @@
         if share.region != self.node.region {
             return Vec::new();
         }
-        let now = Instant::now();
-        let mut table = self.lock();
-        table.merge(share.records, now);
-        table.list(now)
+        self.merge(share.records);
+        self.list()
     }
 
     /// Grants or revokes the exclusive use of an upstream; called at control instances.
@@ -119,18 +158,23 @@
     }
 
     /// Records a crash, sends it to the region's instances, and returns how the request is to be
-    /// treated from now on.
+    /// treated from now on. `messages` are charged too; empty if the request's answer had begun.
     pub async fn report_crash(
         &self,
         clients: &PeerClients,
         fingerprint: RequestFingerprint,
+        messages: &[RequestFingerprint],
         crash: UpstreamCrash,
     ) -> Suspicion {
         log::warn!(
             fingerprint = fingerprint.to_string().as_str(), upstream = crash.upstream.as_str();
             "upstream crashed while it ran the request"
         );
-        self.lock().record_crash(fingerprint, crash, Instant::now());
+        let now = Instant::now();
+        for message in messages {
+            self.lock_messages().record_crash(*message, crash.clone(), now);
+        }
+        self.lock().record_crash(fingerprint, crash, now);
         self.share(clients, self.peers()).await;
         self.classify(fingerprint)
     }
@@ -144,7 +188,7 @@
     /// Ends a suspicion or a quarantine on an operator's request; returns whether the fingerprint
     /// was known.
     pub async fn release(&self, clients: &PeerClients, fingerprint: RequestFingerprint) -> bool {
-        let known = self.lock().release(fingerprint);
+        let known = self.lock().release(fingerprint) | self.lock_messages().release(fingerprint);
         self.share(clients, self.peers()).await;
         known
     }
@@ -185,7 +229,7 @@
             })
         });
         for records in join_all(calls).await.into_iter().flatten() {
-            self.lock().merge(records, Instant::now());
+            self.merge(records);
         }
     }
 
@@ -202,6 +246,10 @@
         self.probes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_messages(&self) -> MutexGuard<'_, SuspectTable> {
+        self.messages.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, SuspectTable> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -14,14 +14,16 @@
     name::{AttemptId, RegionName, RequestId, UpstreamName},
     prefix::PromptShape,
     quarantine::IsolationLease,
-    relay::crash::{AttemptPermit, fingerprint_plan},
+    relay::crash::{AttemptPermit, fingerprint_messages, fingerprint_plan},
     route::{RouteDecision, TriedTargets, UpstreamChoice, tracker::SendTicket},
     stream::{AnswerAssembler, StreamStep, encode_event},
+    suspect::RequestFingerprint,
     table::Incarnation,
     trace::RequestTrace,
     wire::{CallRequest, ChatRequest, ChunkView},
 };
 use bytes::Bytes;
+use smallvec::SmallVec;
 use std::{future::Future, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -110,6 +112,9 @@
         self.assembler.resume(self.attempt.id.clone());
         let first =
             self.relay.read_first_token(&self.attempt, &self.chat, &mut self.assembler).await;
+        if first.is_ok() {
+            self.relay.record_began(&mut self.attempt);
+        }
         Ok(first.map(|(stream, event)| {
             self.stream = stream;
             RelayedStep::Token(event)
@@ -129,6 +134,8 @@
     plan: Arc<RequestPlan>,
     trace: Arc<RequestTrace>,
     shape: PromptShape,
+    /// Fingerprints of the messages that other requests may share.
+    messages: SmallVec<[RequestFingerprint; 4]>,
     tried: TriedTargets,
     attempts: u32,
     deadline: Instant,
@@ -145,6 +152,8 @@
     chosen_at: Instant,
     incarnation: Incarnation,
     isolation: Option<IsolationLease>,
+    /// Whether the upstream has begun to answer.
+    began: bool,
     guard: AttemptGuard,
 }
 
@@ -187,6 +196,7 @@
         let deadline = now + plan.deadline;
         let fingerprint = fingerprint_plan(context.suspects(), &plan);
         Self {
+            messages: fingerprint_messages(context.suspects(), &plan),
             context,
             shape: PromptShape { fingerprint, ..PromptShape::from_body(&plan.body) },
             plan,
@@ -237,12 +247,13 @@
         chat: ChatRequest,
     ) -> Result<RelayedStream, Refusal> {
         loop {
-            let attempt = self.open_attempt().await?;
+            let mut attempt = self.open_attempt().await?;
             let mut assembler = AnswerAssembler::new(attempt.id.clone());
             let first = self.read_first_token(&attempt, &chat, &mut assembler);
             match self.run_unless_zone_lost(&attempt, first).await {
                 Ok((stream, first)) => {
                     attempt.guard.record_first_token();
+                    self.record_began(&mut attempt);
                     let source = attempt.source.clone();
                     let remainder =
                         StreamRemainder { relay: self, chat, attempt, assembler, stream };
@@ -280,6 +291,12 @@
         }
     }
 
+    /// Records that the upstream has begun to answer.
+    fn record_began(&self, attempt: &mut OpenAttempt) {
+        attempt.began = true;
+        self.context.suspects().acquit_messages(&self.messages);
+    }
+
     /// Reads the next token as an event for the caller, or the end of the answer.
     async fn read_step(
         &self,
@@ -361,6 +378,7 @@
         self.report_evidence().await;
         let ordered_until = Instant::now() + COPY_ORDER_TIMEOUT;
         loop {
+            self.check_messages()?;
             let now = Instant::now();
             self.tried.suspect = now < ordered_until && self.is_suspect();
             if now >= self.deadline {
@@ -434,6 +452,7 @@
             chosen_at,
             incarnation: Incarnation::default(),
             isolation: None,
+            began: false,
             guard,
         }
     }
--- a/cicadastall/src/relay/crash.rs
+++ b/cicadastall/src/relay/crash.rs
@@ -9,7 +9,9 @@
     relay::{OpenAttempt, RequestRelay},
     suspect::{RequestFingerprint, Suspicion, UpstreamCrash},
     table::UpstreamView,
+    wire::ChatMessage,
 };
+use smallvec::SmallVec;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -44,7 +46,34 @@
     ])
 }
 
+/// Fingerprints of the messages of a plan that other requests may share: all but the last.
+pub(super) fn fingerprint_messages(
+    registry: &SuspectRegistry,
+    plan: &RequestPlan,
+) -> SmallVec<[RequestFingerprint; 4]> {
+    let RequestBody::Chat(chat) = &plan.body else { return SmallVec::new() };
+    let shared = chat.messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    let parts = |message: &ChatMessage| {
+        let ChatMessage { role, content } = message;
+        registry.fingerprint(&[
+            b"message",
+            plan.kind.as_str().as_bytes(),
+            role.as_bytes(),
+            content.as_bytes(),
+        ])
+    };
+    shared.iter().map(parts).collect()
+}
+
 impl RequestRelay {
+    /// Fails if a message that the request shares with others is quarantined.
+    pub(super) fn check_messages(&self) -> Result<(), Refusal> {
+        match self.context.suspects().find_message_quarantine(&self.messages) {
+            Some(remaining) => Err(self.refuse_quarantined(remaining)),
+            None => Ok(()),
+        }
+    }
+
     /// Whether the request is suspected of having crashed an upstream.
     pub(super) fn is_suspect(&self) -> bool {
         self.context.suspects().classify(self.shape.fingerprint) == Suspicion::Suspect
@@ -112,12 +141,13 @@
         }
         let crash =
             UpstreamCrash { upstream: upstream.clone(), incarnation: attempt.incarnation.0 };
+        let messages = if attempt.began { &[] } else { &*self.messages };
         let registry = self.context.suspects();
         if registry.is_known_before(&crash, attempt.chosen_at) {
             return Ok(());
         }
         match registry
-            .report_crash(self.context.peer_clients(), self.shape.fingerprint, crash)
+            .report_crash(self.context.peer_clients(), self.shape.fingerprint, messages, crash)
             .await
         {
             Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
--- a/cicadastall/src/suspect.rs
+++ b/cicadastall/src/suspect.rs
@@ -157,6 +157,9 @@
     /// Whether an upstream of the same pool has begun to answer another request since.
     #[serde(default)]
     pub contrasted: bool,
+    /// Whether the fingerprint is that of a message that requests share, not of a whole request.
+    #[serde(default)]
+    pub message: bool,
     /// Time until the record expires, in milliseconds.
     pub expires_in_ms: u64,
 }
@@ -245,6 +248,7 @@
             generation: self.generation,
             crashes: self.crashes.iter().map(|seen| seen.report(now)).collect(),
             contrasted: self.contrasted,
+            message: false,
             expires_in_ms: self.expires_at.saturating_duration_since(now).as_millis() as u64,
         }
     }
--- a/cicadastall/tests/crash_blame.rs
+++ b/cicadastall/tests/crash_blame.rs
@@ -37,7 +37,7 @@
 }
 
 fn find_table_culprits(table: &SuspectTable) -> Vec<CulpritGroup> {
-    find_culprits(table.suspects())
+    find_culprits(table.suspects(), BLAME_EPISODES)
 }
 
 fn group(names: &[&str]) -> CulpritGroup {
