Try a quarantined part sooner where sound requests use it

Found in reading: whoever can end upstreams at three moments with requests that share a part, while no sound answer with it begins, locked its callers out for 60 s. A part that was acquitted before is in use by sound requests, so its first trial now comes after 5 s, as where no answer of the pool has begun. A deadly part is never acquitted and keeps 60 s.

whoever_crashes_upstreams_locks_out_the_callers_of_a_part_in_use failed before (refused after 5 s).

--- a/cicadastall/src/gateway/crash_watch.rs
+++ b/cicadastall/src/gateway/crash_watch.rs
@@ -41,9 +41,8 @@
 /// Time after the last crash until the first trial of a quarantined request.
 const TRIAL_DELAY: Duration = Duration::from_secs(60);
 
-/// The same while no request of the pool has been answered since: the cause may be another one, such as
-/// load, and then all traits in use are quarantined.
-const UNCONTRASTED_TRIAL_DELAY: Duration = Duration::from_secs(5);
+/// The same if the quarantine is doubtful.
+const DOUBTFUL_TRIAL_DELAY: Duration = Duration::from_secs(5);
 
 /// Factor from the delay of one trial to the next one's.
 const TRIAL_DELAY_GROWTH: u32 = 4;
@@ -99,7 +98,8 @@
             let ends = group.iter().filter_map(|member| self.suspects.suspicion_end(*member));
             let quarantine = Quarantine {
                 ends_at: ends.min().unwrap_or(now),
-                contrasted: group.iter().any(|member| self.suspects.is_contrasted(*member)),
+                doubtful: !group.iter().any(|member| self.suspects.is_contrasted(*member))
+                    || group.iter().all(|member| self.suspects.was_acquitted(*member)),
                 trials: known.map_or(0, |known| known.trials),
                 group,
             };
@@ -144,8 +144,9 @@
 struct Quarantine {
     group: CulpritGroup,
     ends_at: Instant,
-    /// Whether other requests of the pool have been answered since.
-    contrasted: bool,
+    /// Whether no request of the pool has been answered since, so that the cause may be another one, such
+    /// as load; or whether all traits were acquitted before, so that sound requests use them.
+    doubtful: bool,
     /// Trials that this entry has made.
     trials: u32,
 }
@@ -157,7 +158,7 @@
 
     /// Whether a request may be sent to find out whether it still crashes an upstream.
     fn is_trial_due(&self, now: Instant) -> bool {
-        let first = if self.contrasted { TRIAL_DELAY } else { UNCONTRASTED_TRIAL_DELAY };
+        let first = if self.doubtful { DOUBTFUL_TRIAL_DELAY } else { TRIAL_DELAY };
         let quiet = SUSPICION_LIFETIME.saturating_sub(self.remaining(now));
         self.trials < MAX_TRIALS && quiet >= first * TRIAL_DELAY_GROWTH.pow(self.trials)
     }
--- a/cicadastall/src/suspect.rs
+++ b/cicadastall/src/suspect.rs
@@ -334,6 +334,12 @@
         suspects.map(|(fingerprint, entry)| (*fingerprint, &*entry.crashes))
     }
 
+    /// Whether a suspicion of `fingerprint` has ended before its time, as an answer began or an operator
+    /// released it.
+    pub fn was_acquitted(&self, fingerprint: RequestFingerprint) -> bool {
+        self.entries.get(&fingerprint).is_some_and(|entry| entry.generation > 0)
+    }
+
     /// Number of crashes with which `fingerprint` is charged.
     pub fn count_crashes(&self, fingerprint: RequestFingerprint) -> usize {
         self.entries.get(&fingerprint).map_or(0, |entry| entry.crashes.len())
--- a/cicadastall/tests/gateway_crash_watch.rs
+++ b/cicadastall/tests/gateway_crash_watch.rs
@@ -108,6 +108,29 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn whoever_crashes_upstreams_locks_out_the_callers_of_a_part_in_use() {
+    let watch = watch();
+    let alone = [entry("entry-0")];
+    watch.merge(crashed(&["victim"], true).await);
+    watch.note_began(&PoolName::from("pool"), &traits(&["victim"]));
+    let (_, acquittal) = watch.list_observed(0);
+    // The same again, charged after the acquittal.
+    let mut table = SuspectTable::default();
+    table.merge(acquittal, Instant::now());
+    for number in 10..13 {
+        advance(EPISODE_SPAN).await;
+        table.record_crash(fingerprint("victim"), crash(number), Instant::now());
+    }
+    table.contrast(fingerprint("victim"));
+    watch.merge(table.list(Instant::now()));
+    assert!(refuses(&watch, &["victim"], &alone));
+    advance(Duration::from_secs(5)).await;
+    assert!(!refuses(&watch, &["victim"], &alone), "a trial");
+    watch.note_began(&PoolName::from("pool"), &traits(&["victim"]));
+    assert!(!refuses(&watch, &["victim"], &alone));
+}
+
 #[tokio::test(start_paused = true)]
 async fn every_entry_makes_the_trials_of_a_quarantine() {
     let fleet: Vec<_> = (0..50).map(|number| entry(&format!("entry-{number}"))).collect();
