--- a/cicadastall/tests/gateway/crashing.rs
+++ b/cicadastall/tests/gateway/crashing.rs
@@ -1,12 +1,11 @@
 //! A stub of an upstream whose process ends when it begins to answer a deadly request.
 
 use super::{
-    CallerRequest, describe_at,
+    describe_at,
     reserved::ReservedAddress,
     upstream::{ReceivedRequest, ScriptedAnswer, read_request},
 };
-use bytes::Bytes;
-use hyper::Method;
+use cicadastall::gateway::fleet_update::RegisteredUpstream;
 use std::{
     net::SocketAddr,
     sync::{
@@ -16,11 +15,11 @@
     time::Duration,
 };
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::mpsc,
     task::{JoinHandle, JoinSet},
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// Text in a request's head or body that ends the process.
@@ -29,6 +28,9 @@
 /// Time until the first event of an answer, or until the process ends.
 const FIRST_EVENT_DELAY: Duration = Duration::from_millis(30);
 
+/// Longest wait for the answer to a renewal.
+const RENEWAL_TIMEOUT: Duration = Duration::from_secs(1);
+
 static NAMES: AtomicU64 = AtomicU64::new(1);
 
 #[derive(Debug, Default)]
@@ -98,13 +100,7 @@
     for started_ms in 1.. {
         let register = async |sequence| {
             let upstream = describe_at(&name, address, zone, started_ms, sequence);
-            let request = CallerRequest {
-                method: Method::PUT,
-                path: format!("/v1/upstreams/{name}"),
-                headers: Vec::new(),
-                body: Bytes::from(serde_json::to_string(&upstream).expect("json")),
-            };
-            request.send(registry).await;
+            send_renewal(registry, &upstream).await;
         };
         // Registered before it serves, so that a crash at the first request is one of this process.
         register(1).await;
@@ -127,6 +123,21 @@
     }
 }
 
+/// Sends a renewal; the control instance at `registry` may be down.
+async fn send_renewal(registry: SocketAddr, upstream: &RegisteredUpstream) {
+    let Ok(mut stream) = TcpStream::connect(registry).await else { return };
+    let (name, body) = (&upstream.name, serde_json::to_string(upstream).expect("json"));
+    let text = format!(
+        "PUT /v1/upstreams/{name} HTTP/1.1\r\nhost: {registry}\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    if stream.write_all(text.as_bytes()).await.is_ok() {
+        let mut answer = Vec::new();
+        let _ = timeout(RENEWAL_TIMEOUT, stream.read_to_end(&mut answer)).await;
+    }
+}
+
 /// Serves connections until the process ends; all of them break then.
 async fn serve(listener: TcpListener, name: &str, state: &Arc<Mutex<CrashState>>) {
     let (crash, mut crashed) = mpsc::channel(1);
