Let a burst of connections wait to be accepted

Cause: listeners were bound with room for 128 connections. The flood's 150 callers open new ones; the 129th that waits is dropped by the system, and the caller's system sends again after 1 s.

--- a/cicadastall-daemons/tests/scenario/link.rs
+++ b/cicadastall-daemons/tests/scenario/link.rs
@@ -1,5 +1,6 @@
 //! Links between instances: each advertised address is a proxy that can hold back or delay traffic.
 
+use cicadastall::http;
 use std::{
     collections::{BTreeMap, BTreeSet},
     io,
@@ -96,7 +97,7 @@
 /// Binds the same free port for TCP and UDP.
 async fn bind_both(local_ip: IpAddr) -> io::Result<(TcpListener, UdpSocket)> {
     loop {
-        let listener = TcpListener::bind(SocketAddr::new(local_ip, 0)).await?;
+        let listener = http::bind(SocketAddr::new(local_ip, 0)).await?;
         if let Ok(socket) = UdpSocket::bind(listener.local_addr()?).await {
             return Ok((listener, socket));
         }
--- a/cicadastall/src/http.rs
+++ b/cicadastall/src/http.rs
@@ -31,7 +31,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{Semaphore, mpsc, watch},
     time::timeout,
 };
@@ -72,6 +72,10 @@
 /// further ones are closed without one.
 const MAX_REFUSED_CONNECTIONS: usize = 64;
 
+/// Connections that may wait to be accepted while the process is busy; the system may allow fewer. A
+/// connection beyond them is dropped, and callers try again only after a second.
+const LISTEN_BACKLOG: u32 = 4_096;
+
 /// Limits of one listener.
 #[derive(Debug, Clone)]
 pub struct ListenerLimits {
@@ -412,9 +416,18 @@
     text
 }
 
-/// Binds a TCP listener to `address`.
+/// Binds a TCP listener to `address`, with room for a burst of connections.
 pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|error| {
+    let listen = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)
+    };
+    listen().map_err(|error: io::Error| {
         io::Error::new(error.kind(), format!("cannot listen on {address}: {error}"))
     })
 }
