Keep the suspicion of a part when an upstream answers with a failure

What callers saw (test): with every second request of a deadly part answered 500 before the upstream came to the part, upstreams went on ending for as long as the requests came.

Cause: any answer with the upstream's stamp acquitted the traits of its request, failures too. A failure says nothing about the part: an upstream may give it, or a 504 at the time limit, before it begins. Found in reading.

Only a success that begins acquits now.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -480,7 +480,6 @@
         };
         match outcome {
             Verdict::Failure => {
-                self.note_began();
                 self.sending = true;
                 let read =
                     timeout(FAILURE_BODY_TIMEOUT, read_bounded(&mut body, MAX_BUFFERED_BYTES))
--- a/cicadastall/tests/gateway/crashing.rs
+++ b/cicadastall/tests/gateway/crashing.rs
@@ -3,7 +3,7 @@
 use super::{
     describe_at,
     reserved::ReservedAddress,
-    upstream::{ReceivedRequest, ScriptedAnswer, read_request},
+    upstream::{ReceivedRequest, ScriptedAnswer, read_request, whole_text},
 };
 use cicadastall::gateway::fleet_update::RegisteredUpstream;
 use std::{
@@ -25,6 +25,9 @@
 /// Text in a request's head or body that ends the process.
 pub const DEADLY_TEXT: &str = "dead";
 
+/// Text in the body of a request that is answered with a failure, deadly or not.
+pub const FAILING_TEXT: &str = "fail";
+
 /// Time until the first event of an answer, or until the process ends.
 const FIRST_EVENT_DELAY: Duration = Duration::from_millis(30);
 
@@ -169,6 +172,14 @@
             true => ScriptedAnswer::stream().event(FIRST_EVENT_DELAY, 1).end(),
             false => ScriptedAnswer::whole("200 OK", "usual"),
         };
+        if request.body.contains(FAILING_TEXT) {
+            let failure = whole_text("500 Internal Server Error", "failed");
+            let text = failure.replace("{attempt}", &request.attempt()).replace("{name}", &name);
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         if deadly && !streams {
             let _ = crash.send(()).await;
             return;
--- a/cicadastall/tests/gateway_crashes.rs
+++ b/cicadastall/tests/gateway_crashes.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use gateway::{
     CallerAnswer, CallerRequest, TestFleet,
-    crashing::{CrashingUpstream, DEADLY_TEXT},
+    crashing::{CrashingUpstream, DEADLY_TEXT, FAILING_TEXT},
     document,
 };
 use hyper::Method;
@@ -121,6 +121,23 @@
     assert!(received(&upstreams, COMMON_PART, since) >= 20);
 }
 
+#[tokio::test]
+async fn a_failure_answer_ends_the_suspicion_of_a_part_that_crashes_upstreams() {
+    let (fleet, upstreams) = start_fleet("failing", &["west-a"], 3).await;
+    let turn = AtomicU64::new(0);
+    // Upstreams answer every second request before they come to the part.
+    let mixed = || match turn.fetch_add(1, Ordering::Relaxed) % 2 {
+        0 => deadly(),
+        _ => CallerRequest { body: FAILING_TEXT.into(), ..deadly() },
+    };
+    crash_upstreams(&fleet, &upstreams, mixed).await;
+    let since = Instant::now();
+    for _ in 0..5 {
+        assert_refused_at_once(&deadly().send(fleet.entries[0].address()).await);
+    }
+    assert_eq!(received(&upstreams, DEADLY_TEXT, since), 0);
+}
+
 #[tokio::test]
 async fn a_request_that_crashes_upstreams_is_sent_again_with_each_copy() {
     let (fleet, upstreams) = start_fleet("copy", &["west-a"], 3).await;
