Narrow a group of suspects only if crashes go on under its quarantine

Cause: a group that no charged request of the entry had as a whole was narrowed at once. Elsewhere the requests that have it as a whole were refused already, and the next crashes would have told.

sound_parts_are_blamed_by_an_entry_that_never_saw_the_deadly_one fails without the condition and passes.

--- a/cicadastall/src/crash_blame.rs
+++ b/cicadastall/src/crash_blame.rs
@@ -41,7 +41,7 @@
     open.sort_by_key(|(fingerprint, _)| *fingerprint);
     let mut culprits = Vec::new();
     loop {
-        open.retain(|(_, crashes)| count_episodes(crashes) >= episodes);
+        open.retain(|(_, crashes)| count_episodes(crashes.values().copied()) >= episodes);
         // The first of equals, which is the same on all instances with the same evidence.
         let most = open.iter().map(|(_, crashes)| crashes.len()).max();
         let Some(explained) = open
@@ -59,9 +59,9 @@
     }
 }
 
-/// Number of spans of [`EPISODE_SPAN`], each beginning with a crash, that hold all crashes.
-fn count_episodes(crashes: &CrashTimes<'_>) -> usize {
-    let mut times: SmallVec<[Instant; 16]> = crashes.values().copied().collect();
+/// Number of spans of [`EPISODE_SPAN`], each beginning with a crash, that hold crashes at `times`.
+pub fn count_episodes(times: impl Iterator<Item = Instant>) -> usize {
+    let mut times: SmallVec<[Instant; 16]> = times.collect();
     times.sort();
     let mut begin: Option<Instant> = None;
     let begins = times.into_iter().filter(|at| {
--- a/cicadastall/src/gateway/crash_watch.rs
+++ b/cicadastall/src/gateway/crash_watch.rs
@@ -5,7 +5,7 @@
 //! all entries through control; each instance finds the culprits itself, also while it is cut off.
 
 use crate::{
-    crash_blame::{BLAME_EPISODES, CulpritGroup, find_culprits},
+    crash_blame::{BLAME_EPISODES, CulpritGroup, count_episodes, find_culprits},
     crash_probe::{ProbeVerdict, probe_listener},
     gateway::{call::RequestTraits, view::KnownUpstream, warmup::hash_pair},
     name::{InstanceName, PoolName},
@@ -35,6 +35,10 @@
 /// Maximum number of charged requests that are kept to tell suspects with the same crashes apart.
 const MAX_CHARGED_REQUESTS: usize = 256;
 
+/// Number of crashes at different moments after which a group is narrowed. Fewer may be left over from the
+/// time before the group was quarantined everywhere.
+const NARROWING_EPISODES: usize = 2 * BLAME_EPISODES;
+
 /// Time in which entries learn of the start of a process that has ended at its first requests.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(200);
 
@@ -111,8 +115,13 @@
     }
 
     /// Reduces a group that no charged request of this entry had as a whole to the traits that one of
-    /// them had. Each further crash moves the blame to the next request, until the crashes differ.
+    /// them had, if crashes go on. Each further crash moves the blame to the next request, until the
+    /// crashes differ.
     fn narrow_group(&self, group: CulpritGroup) -> CulpritGroup {
+        let crashes = group.first().map_or(&[][..], |member| self.suspects.crashes_of(*member));
+        if count_episodes(crashes.iter().map(|seen| seen.at)) < NARROWING_EPISODES {
+            return group;
+        }
         let shared = |traits: &RequestTraits| -> CulpritGroup {
             group.iter().copied().filter(|member| traits.contains(member)).collect()
         };
@@ -123,10 +132,9 @@
         if most == 0 || most == group.len() {
             return group;
         }
-        let crashes = group.first().map_or(0, |member| self.suspects.count_crashes(*member));
         let widest: Vec<_> =
             candidates.into_iter().filter(|candidate| candidate.len() == most).collect();
-        widest[crashes % widest.len()].clone()
+        widest[crashes.len() % widest.len()].clone()
     }
 
     fn list(&self, now: Instant) -> Vec<QuarantinedTraits> {
--- a/cicadastall/src/suspect.rs
+++ b/cicadastall/src/suspect.rs
@@ -340,9 +340,9 @@
         self.entries.get(&fingerprint).is_some_and(|entry| entry.generation > 0)
     }
 
-    /// Number of crashes with which `fingerprint` is charged.
-    pub fn count_crashes(&self, fingerprint: RequestFingerprint) -> usize {
-        self.entries.get(&fingerprint).map_or(0, |entry| entry.crashes.len())
+    /// Crashes with which `fingerprint` is charged.
+    pub fn crashes_of(&self, fingerprint: RequestFingerprint) -> &[SeenCrash] {
+        self.entries.get(&fingerprint).map_or(&[], |entry| &entry.crashes)
     }
 
     /// End of the suspicion of `fingerprint`; `None` if it is no suspect.
--- a/cicadastall/tests/gateway_crash_watch.rs
+++ b/cicadastall/tests/gateway_crash_watch.rs
@@ -4,9 +4,10 @@
     gateway::{
         call::RequestTraits,
         crash_watch::CrashWatch,
-        fleet_update::{ControlRecord, FleetCursor},
+        fleet_update::{ControlRecord, FleetCursor, RegisteredUpstream, UpstreamPhase},
         metrics::GatewayMetrics,
         registry::FleetRegistry,
+        view::KnownUpstream,
     },
     name::{InstanceName, PoolName, RegionName, ZoneName},
     suspect::{
@@ -15,8 +16,8 @@
     },
     table::{EntryRecord, EntryState, Incarnation},
 };
-use std::{collections::BTreeMap, time::Duration};
-use tokio::time::{Instant, advance};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::time::{Instant, advance, sleep};
 
 fn fingerprint(text: &str) -> RequestFingerprint {
     RequestFingerprint::compute_shared(&[text.as_bytes()])
@@ -89,6 +90,45 @@
     assert!(!watch.is_active());
 }
 
+#[tokio::test]
+async fn sound_parts_are_blamed_by_an_entry_that_never_saw_the_deadly_one() {
+    let watch = Arc::new(watch());
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = closed.local_addr().expect("an address");
+    drop(closed);
+    let known = KnownUpstream {
+        upstream: Arc::new(RegisteredUpstream {
+            name: crash(0).upstream,
+            started_ms: 1,
+            sequence: 1,
+            pool: PoolName::from("pool"),
+            address,
+            zone: ZoneName::from("west-a"),
+            slots: 8,
+            phase: UpstreamPhase::Serving,
+            cold_ms: 0,
+        }),
+        seen_at: Instant::now(),
+        silent: false,
+        cold_until: None,
+        unconfirmed: false,
+    };
+    watch.note_broken(&known, &traits(&["common", "other"]), || None);
+    sleep(Duration::from_secs(1)).await;
+    let now = Instant::now();
+    let mut table = SuspectTable::default();
+    assert!(table.merge(watch.list_observed(0).1, now), "the upstream is seen as crashed");
+    for name in ["deadly", "common", "other"] {
+        table.record_crash(fingerprint(name), crash(0), now);
+        table.record_crash(fingerprint(name), crash(1), now - EPISODE_SPAN * 4);
+        table.record_crash(fingerprint(name), crash(2), now - EPISODE_SPAN * 6);
+    }
+    watch.merge(table.list(now));
+    let alone = [entry("entry-0")];
+    assert!(refuses(&watch, &["deadly", "common", "other"], &alone));
+    assert!(!refuses(&watch, &["common", "other"], &alone));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_trait_quarantined_by_chance_stays_locked_out_without_a_trial() {
     for (contrasted, first) in [(true, Duration::from_secs(60)), (false, Duration::from_secs(5))] {
