Count listings of entries by the distance of the farthest, and log those that reach other regions

The log could not tell whether a directory named entries of other regions because it filled up a short listing or because it knew too few entries. The line names what was listed and how many entries were known in each state; it is limited to four a second. No choice changes.

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -221,7 +221,7 @@
 
     fn list_entries(&self, location: &CallerLocation) -> ControlReply {
         let listed = list_near(self.registry().live_entries(), location, &self.node.zones);
-        ControlReply::Entries(listed, Duration::from_millis(self.node.listing_ms))
+        ControlReply::Entries(listed.addresses, Duration::from_millis(self.node.listing_ms))
     }
 
     fn build_update(&self, query: &FleetQuery, confirmed: bool) -> FleetUpdate {
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -6,13 +6,13 @@
     gateway::{
         call::{CallHead, RoutedCall},
         context::EntryContext,
-        control_call::{CallFault, ControlCall, ControlDialect, ControlReply},
+        control_call::{CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply},
         dialect::CallDialect,
         engine_grants::GrantService,
         fleet_update::{FleetQuery, FleetReader, FleetUpdate},
         headers::{refuse, strip_connection_headers},
         hop::HopMetadata,
-        listing::list_near,
+        listing::{ListingReach, NearbyEntries, list_near},
         poll_tasks::{FleetSubscriber, PollTasks},
         relay::answer_call,
         routes::{CallerBounds, RouteTable},
@@ -22,6 +22,7 @@
     },
     http::{self, AnswerBody, BodyError, ListenerLimits, json_answer, read_body, text_answer},
     instance::serve_grants,
+    logs::LineLimiter,
     name::AttemptId,
     peer::{PeerClients, PeerError},
     table::{EntryRecord, EntryState, Incarnation},
@@ -82,6 +83,9 @@
 /// Path of the status listener at which operators list quarantined traits and release them.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
 
+/// Lines about listings that name entries outside the caller's region.
+static LISTING_LINES: LineLimiter = LineLimiter::new(4);
+
 /// Maximum number of connections from other entries.
 const MAX_HOP_CONNECTIONS: usize = 1_024;
 
@@ -520,7 +524,7 @@
 ) -> Response<AnswerBody> {
     let reply = match dialect.read_control(method, target, &Bytes::new()) {
         Ok(ControlCall::List(place)) => {
-            let listed = list_near(&context.view.load().live, &place, &context.node.zones);
+            let listed = list_for_caller(context, &place);
             ControlReply::Entries(listed, Duration::from_millis(context.node.listing_ms))
         }
         Ok(_) => ControlReply::Fault(CallFault::NotFound),
@@ -529,6 +533,25 @@
     dialect.write_control(reply)
 }
 
+/// Addresses of the entries that a caller at `place` should use.
+fn list_for_caller(context: &EntryContext, place: &CallerLocation) -> Vec<SocketAddr> {
+    let live = &context.view.load().live;
+    let NearbyEntries { addresses, reach } = list_near(live, place, &context.node.zones);
+    context.metrics.count_listing(reach.map_or("none", ListingReach::name));
+    if reach.is_none_or(|reach| reach > ListingReach::Region) && LISTING_LINES.take() {
+        let count = |state| live.iter().filter(|entry| entry.state == state).count();
+        log::info!(
+            zone = place.zone.as_ref().map_or("", |zone| zone.as_str()),
+            region = place.region.as_ref().map_or("", |region| region.as_str()),
+            listed = addresses.len(), reach = reach.map_or("none", ListingReach::name),
+            starting = count(EntryState::Starting), serving = count(EntryState::Serving),
+            draining = count(EntryState::Draining);
+            "listing without enough entries of the caller's region"
+        );
+    }
+    addresses
+}
+
 async fn answer_status(
     context: Arc<EntryContext>,
     request: Request<Incoming>,
--- a/cicadastall/src/gateway/listing.rs
+++ b/cicadastall/src/gateway/listing.rs
@@ -14,44 +14,78 @@
 /// Maximum number of entries in a listing.
 const MAX_LISTED_ENTRIES: usize = 64;
 
-/// Addresses of serving entries near `location`: those of its zone, then those of its region, then
-/// all others, until there are enough. Entries at the same distance are in random order.
+/// Distance of the farthest listed entry from the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ListingReach {
+    /// In the caller's zone.
+    Zone,
+    /// In the caller's region.
+    Region,
+    /// In another region.
+    Elsewhere,
+}
+
+impl ListingReach {
+    const ALL: [Self; 3] = [Self::Zone, Self::Region, Self::Elsewhere];
+
+    /// Value of the reach in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Zone => "zone",
+            Self::Region => "region",
+            Self::Elsewhere => "elsewhere",
+        }
+    }
+}
+
+/// Entries listed for a caller.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct NearbyEntries {
+    /// Addresses; those at the same distance are in random order.
+    pub addresses: Vec<SocketAddr>,
+    /// Distance of the farthest of them; none if there are none.
+    pub reach: Option<ListingReach>,
+}
+
+/// Serving entries near `location`: those of its zone, then those of its region, then all others,
+/// until there are enough.
 pub fn list_near<'a>(
     entries: impl IntoIterator<Item = &'a EntryRecord>,
     location: &CallerLocation,
     zones: &BTreeMap<ZoneName, RegionName>,
-) -> Vec<SocketAddr> {
-    let mut nearby: [Vec<SocketAddr>; 3] = Default::default();
+) -> NearbyEntries {
+    let mut found: BTreeMap<ListingReach, Vec<SocketAddr>> = BTreeMap::new();
     for entry in entries.into_iter().filter(|entry| entry.state == EntryState::Serving) {
         if let Some(address) = entry.caller_address {
-            nearby[distance(entry, location, zones)].push(address);
+            found.entry(distance(entry, location, zones)).or_default().push(address);
         }
     }
-    let mut listed: Vec<SocketAddr> = Vec::new();
-    for mut addresses in nearby {
-        if listed.len() >= MIN_LISTED_ENTRIES {
+    let mut listed = NearbyEntries::default();
+    for reach in ListingReach::ALL {
+        if listed.addresses.len() >= MIN_LISTED_ENTRIES {
             break;
         }
+        let Some(mut addresses) = found.remove(&reach) else { continue };
         addresses.shuffle(&mut rand::rng());
-        listed.extend(addresses);
+        listed.addresses.extend(addresses);
+        listed.reach = Some(reach);
     }
-    listed.truncate(MAX_LISTED_ENTRIES);
+    listed.addresses.truncate(MAX_LISTED_ENTRIES);
     listed
 }
 
-/// Distance of an entry: 0 in the caller's zone, 1 in its region, 2 elsewhere.
 fn distance(
     entry: &EntryRecord,
     location: &CallerLocation,
     zones: &BTreeMap<ZoneName, RegionName>,
-) -> usize {
+) -> ListingReach {
     let by_zone = location.zone.as_ref().and_then(|zone| zones.get(zone));
     let region = by_zone.or(location.region.as_ref());
     if location.zone.as_ref() == Some(&entry.zone) {
-        0
+        ListingReach::Zone
     } else if region == Some(&entry.region) {
-        1
+        ListingReach::Region
     } else {
-        2
+        ListingReach::Elsewhere
     }
 }
--- a/cicadastall/src/gateway/metrics.rs
+++ b/cicadastall/src/gateway/metrics.rs
@@ -31,6 +31,7 @@
     upstreams: Gauge<u64>,
     crash_checks: Counter<u64>,
     quarantined: Gauge<u64>,
+    listings: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -52,6 +53,7 @@
             upstreams: meter.u64_gauge("cicadastall_gateway_upstreams").build(),
             crash_checks: meter.u64_counter("cicadastall_gateway_crash_checks").build(),
             quarantined: meter.u64_gauge("cicadastall_gateway_quarantined").build(),
+            listings: meter.u64_counter("cicadastall_gateway_listings").build(),
             scrape,
         }
     }
@@ -108,6 +110,11 @@
         self.hops.add(1, &[KeyValue::new("region", region.to_owned())]);
     }
 
+    /// Counts a listing of entries for a caller, by the distance of the farthest listed entry.
+    pub fn count_listing(&self, reach: &'static str) {
+        self.listings.add(1, &[KeyValue::new("reach", reach)]);
+    }
+
     /// Sets the number of the document in force.
     pub fn set_document(&self, number: u64) {
         self.document.record(number, &[]);
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -12,23 +12,15 @@
         context::{EntryContext, InFlightGuard},
         outcome::Verdict,
     },
+    logs::LineLimiter,
 };
 use serde::Serialize;
 use smallvec::SmallVec;
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// Maximum rate of lines about requests that met their targets, per second and process.
-const MAX_SUCCESS_LINES_PER_S: u64 = 4;
-
-static SUCCESS_SECOND: AtomicU64 = AtomicU64::new(0);
-static SUCCESS_LINES: AtomicU64 = AtomicU64::new(0);
+/// Lines about requests that met their targets.
+static SUCCESS_LINES: LineLimiter = LineLimiter::new(4);
 
 /// One attempt in the log line of its request.
 #[derive(Debug, Clone, Serialize)]
@@ -136,7 +128,7 @@
         let route = &self.call.route;
         let pause = self.last_data_at.map(|_| self.longest_pause);
         self.context.metrics.record_request(&route.name, self.outcome, first, pause, whole);
-        if self.met_targets(millis(whole)) && !take_success_line() {
+        if self.met_targets(millis(whole)) && !SUCCESS_LINES.take() {
             return;
         }
         let attempts = serde_json::to_string(&self.attempts).unwrap_or_default();
@@ -154,15 +146,6 @@
     }
 }
 
-/// Whether another line about a request that met its targets may be written in this second.
-fn take_success_line() -> bool {
-    let second = crate::clock::unix_ms() / 1_000;
-    if SUCCESS_SECOND.swap(second, Ordering::Relaxed) != second {
-        SUCCESS_LINES.store(0, Ordering::Relaxed);
-    }
-    SUCCESS_LINES.fetch_add(1, Ordering::Relaxed) < MAX_SUCCESS_LINES_PER_S
-}
-
 /// Value of a verdict in logs and metrics.
 pub(crate) fn verdict_name(verdict: Verdict) -> &'static str {
     match verdict {
--- a/cicadastall/src/logs.rs
+++ b/cicadastall/src/logs.rs
@@ -52,6 +52,30 @@
     writeln!(output, "{}", encode_line(record, instance, zone))
 }
 
+/// Limits lines of one kind to a number per second and process.
+#[derive(Debug)]
+pub struct LineLimiter {
+    max_per_s: u64,
+    second: AtomicU64,
+    lines: AtomicU64,
+}
+
+impl LineLimiter {
+    /// Allows `max_per_s` lines per second.
+    pub const fn new(max_per_s: u64) -> Self {
+        Self { max_per_s, second: AtomicU64::new(0), lines: AtomicU64::new(0) }
+    }
+
+    /// Whether another line may be written in this second.
+    pub fn take(&self) -> bool {
+        let second = unix_ms() / 1_000;
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        self.lines.fetch_add(1, Ordering::Relaxed) < self.max_per_s
+    }
+}
+
 /// Capacity of the queue, in lines; further lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 4_096;
 
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -512,7 +512,7 @@
     let location = CallerLocation { region: None, zone: Some(ZoneName::from("west-a")) };
     let list = |entries: &[EntryRecord]| {
         let mut ports: Vec<_> =
-            list_near(entries, &location, &zones).iter().map(SocketAddr::port).collect();
+            list_near(entries, &location, &zones).addresses.iter().map(SocketAddr::port).collect();
         ports.sort_unstable();
         ports
     };
