--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -236,7 +236,7 @@
 pub struct TestEntry {
     pub node: GatewaySettings,
     pub server: Option<EntryServer>,
-    _thread: ControlThread,
+    thread: ControlThread,
     _reserved: Vec<ReservedAddress>,
 }
 
@@ -355,10 +355,17 @@
             ..node(name, zone, &reserved)
         };
         let thread = ControlThread::start("control").expect("thread");
+        self.entries.push(TestEntry { node, server: None, thread, _reserved: reserved });
+        self.start_entry(self.entries.len() - 1).await;
+    }
+
+    /// Starts an entry that was stopped or killed, at its former addresses.
+    pub async fn start_entry(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
         let (calls, orders) = (Arc::new(NativeHeaders), Arc::new(JsonControl));
-        let server = EntryServer::start(node.clone(), calls, orders, thread.handle()).await;
-        let server = Some(server.expect("entry"));
-        self.entries.push(TestEntry { node, server, _thread: thread, _reserved: reserved });
+        let server =
+            EntryServer::start(entry.node.clone(), calls, orders, entry.thread.handle()).await;
+        entry.server = Some(server.expect("entry"));
     }
 
     /// Stops an entry abruptly.
