Lead callers only to their region or to homes of their requests

Cause: a listing with fewer than two serving entries of the caller's region was completed with entries of all regions. The listing knew neither the host of the requests nor the homes of its routes, although the caller names the host. Ruled out: old listings kept by callers (the far entries were in answers of the same second).

Change: the listing gets the homes of the host's routes. If a route has homes, entries of the caller's region and of homes common to all such routes are listed: serving ones, else starting ones, else those that stop, which still accept callers for two seconds. Other regions are listed only if no entry at all is live there, a route of the host has no homes, and the instance has run long enough to know the fleet. A directory without a document, or without any entry to name, answers that it is unavailable, so that callers ask another one.

--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -11,6 +11,7 @@
         fleet_update::{DepartedUpstream, WorkRow},
         metrics::GatewayMetrics,
         pool_partition::PromptDemand,
+        registry::DISCOVERY_TIME,
         retry_window::RetryWindow,
         routes::RouteTable,
         settings::GatewaySettings,
@@ -43,9 +44,6 @@
 /// A request waits for at most its remaining time divided by this.
 const START_WAIT_DIVISOR: u32 = 4;
 
-/// Time after its start during which an entry may not know all upstreams yet.
-const DISCOVERY_TIME: Duration = Duration::from_secs(4);
-
 /// Shared state of one entry.
 #[derive(Debug)]
 pub struct EntryContext {
@@ -165,7 +163,7 @@
         timeout(wait, usable.wait_for(|usable| *usable)).await.is_ok_and(|usable| usable.is_ok())
     }
 
-    /// Whether the entry has just started and may not know all upstreams yet.
+    /// Whether the entry has just started and may not know all members of the fleet yet.
     pub(crate) fn is_discovering(&self) -> bool {
         self.started_at.elapsed() < DISCOVERY_TIME
     }
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     gateway::{
-        control_call::{CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply},
+        control_call::{
+            CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply, NO_ENTRY_LISTED,
+        },
         document_check::check_document,
         document_state::{DocumentCommand, StoredDocument},
         fleet_update::{
@@ -10,10 +12,10 @@
             RegionSummary, RegisteredUpstream,
         },
         group_supervisor::GroupSupervisor,
-        listing::list_near,
+        listing::{ListingInput, list_near},
         poll_tasks::{FleetSubscriber, PollTasks},
         region_load::EntryLoad,
-        registry::{FleetRegistry, RenewalOutcome},
+        registry::{DISCOVERY_TIME, FleetRegistry, RenewalOutcome},
         settings::GatewaySettings,
     },
     group_transport::GroupRegistry,
@@ -80,6 +82,7 @@
     cursors: Mutex<HashMap<SocketAddr, FleetCursor>>,
     seeds: Mutex<Vec<SocketAddr>>,
     stopping: AtomicBool,
+    started_at: Instant,
 }
 
 impl FleetControl {
@@ -96,6 +99,7 @@
             changed,
             cursors: Mutex::default(),
             stopping: AtomicBool::new(false),
+            started_at: Instant::now(),
         }
     }
 
@@ -220,7 +224,21 @@
     }
 
     fn list_entries(&self, location: &CallerLocation) -> ControlReply {
-        let listed = list_near(self.registry().live_entries(), location, &self.node.zones);
+        let state = self.supervisor.state();
+        let homes = location
+            .host
+            .as_deref()
+            .and_then(|host| state.newest().map(|stored| stored.document.host_homes(host)));
+        let input = ListingInput {
+            location,
+            homes: &homes.unwrap_or_default(),
+            zones: &self.node.zones,
+            complete: self.started_at.elapsed() > DISCOVERY_TIME,
+        };
+        let listed = list_near(self.registry().live_entries(), &input);
+        if listed.addresses.is_empty() {
+            return ControlReply::Unavailable(NO_ENTRY_LISTED);
+        }
         ControlReply::Entries(listed.addresses, Duration::from_millis(self.node.listing_ms))
     }
 
--- a/cicadastall/src/gateway/control_call.rs
+++ b/cicadastall/src/gateway/control_call.rs
@@ -17,6 +17,8 @@
     pub region: Option<RegionName>,
     /// Availability zone.
     pub zone: Option<ZoneName>,
+    /// Host to which its requests go.
+    pub host: Option<Arc<str>>,
 }
 
 /// A request to a control instance.
@@ -72,6 +74,9 @@
     Unknown,
 }
 
+/// Reason of [`ControlReply::Unavailable`] if a directory knows no entry for a caller.
+pub const NO_ENTRY_LISTED: &str = "no entry is known to which the caller may be led";
+
 /// Encoding of control requests and replies as HTTP.
 pub trait ControlDialect: Debug + Send + Sync + 'static {
     /// Decodes a request to the registry or the directory.
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -6,13 +6,15 @@
     gateway::{
         call::{CallHead, RoutedCall},
         context::EntryContext,
-        control_call::{CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply},
+        control_call::{
+            CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply, NO_ENTRY_LISTED,
+        },
         dialect::CallDialect,
         engine_grants::GrantService,
         fleet_update::{FleetQuery, FleetReader, FleetUpdate},
         headers::{refuse, strip_connection_headers},
         hop::HopMetadata,
-        listing::{ListingReach, NearbyEntries, list_near},
+        listing::{ListingInput, ListingReach, NearbyEntries, list_near},
         poll_tasks::{FleetSubscriber, PollTasks},
         relay::answer_call,
         routes::{CallerBounds, RouteTable},
@@ -523,33 +525,47 @@
     target: &Uri,
 ) -> Response<AnswerBody> {
     let reply = match dialect.read_control(method, target, &Bytes::new()) {
-        Ok(ControlCall::List(place)) => {
-            let listed = list_for_caller(context, &place);
-            ControlReply::Entries(listed, Duration::from_millis(context.node.listing_ms))
-        }
+        Ok(ControlCall::List(place)) => list_for_caller(context, &place),
         Ok(_) => ControlReply::Fault(CallFault::NotFound),
         Err(fault) => ControlReply::Fault(fault),
     };
     dialect.write_control(reply)
 }
 
-/// Addresses of the entries that a caller at `place` should use.
-fn list_for_caller(context: &EntryContext, place: &CallerLocation) -> Vec<SocketAddr> {
+/// The entries that a caller at `place` should use.
+fn list_for_caller(context: &EntryContext, place: &CallerLocation) -> ControlReply {
+    let routes = context.routes.load();
+    let homes = place.host.as_deref().map(|host| routes.document().host_homes(host));
+    let input = ListingInput {
+        location: place,
+        homes: &homes.unwrap_or_default(),
+        zones: &context.node.zones,
+        complete: !context.is_discovering(),
+    };
     let live = &context.view.load().live;
-    let NearbyEntries { addresses, reach } = list_near(live, place, &context.node.zones);
-    context.metrics.count_listing(reach.map_or("none", ListingReach::name));
-    if reach.is_none_or(|reach| reach > ListingReach::Region) && LISTING_LINES.take() {
+    let listed = match context.is_usable() {
+        true => list_near(live, &input),
+        // Without a document, the homes of the caller's requests are unknown.
+        false => NearbyEntries::default(),
+    };
+    let reach = listed.reach.map_or("none", ListingReach::name);
+    context.metrics.count_listing(reach);
+    if listed.reach.is_none_or(|reach| reach > ListingReach::Region) && LISTING_LINES.take() {
         let count = |state| live.iter().filter(|entry| entry.state == state).count();
         log::info!(
             zone = place.zone.as_ref().map_or("", |zone| zone.as_str()),
             region = place.region.as_ref().map_or("", |region| region.as_str()),
-            listed = addresses.len(), reach = reach.map_or("none", ListingReach::name),
+            host = place.host.as_deref().unwrap_or(""),
+            listed = listed.addresses.len(), reach,
             starting = count(EntryState::Starting), serving = count(EntryState::Serving),
             draining = count(EntryState::Draining);
             "listing without enough entries of the caller's region"
         );
     }
-    addresses
+    if listed.addresses.is_empty() {
+        return ControlReply::Unavailable(NO_ENTRY_LISTED);
+    }
+    ControlReply::Entries(listed.addresses, Duration::from_millis(context.node.listing_ms))
 }
 
 async fn answer_status(
--- a/cicadastall/src/gateway/json_control.rs
+++ b/cicadastall/src/gateway/json_control.rs
@@ -52,7 +52,9 @@
             (&Method::DELETE, ["v1", "evacuations", zone]) => {
                 Ok(ControlCall::Restore(ZoneName::from(*zone)))
             }
-            (&Method::GET, ["v1", "entries"]) => Ok(ControlCall::List(read_location(target))),
+            (&Method::GET, ["v1", "entries"]) => {
+                Ok(ControlCall::List(read_location(target, "host")))
+            }
             _ => Err(CallFault::NotFound),
         }
     }
@@ -107,13 +109,17 @@
     })
 }
 
-/// Reads the location of a caller from the query parameters `region` and `zone`.
-pub fn read_location(target: &Uri) -> CallerLocation {
+/// Reads the location of a caller from the query parameters `region` and `zone`, and the host from
+/// the parameter `host_parameter`.
+pub fn read_location(target: &Uri, host_parameter: &str) -> CallerLocation {
     let mut location = CallerLocation::default();
     for pair in target.query().unwrap_or_default().split('&') {
         match pair.split_once('=') {
             Some(("region", region)) => location.region = Some(RegionName::from(region)),
             Some(("zone", zone)) => location.zone = Some(ZoneName::from(zone)),
+            Some((parameter, host)) if parameter == host_parameter => {
+                location.host = Some(Arc::from(host));
+            }
             _ => {}
         }
     }
--- a/cicadastall/src/gateway/listing.rs
+++ b/cicadastall/src/gateway/listing.rs
@@ -1,7 +1,10 @@
 //! Selection of the entries that a caller should use.
+//!
+//! Callers are led to serving entries near them. If requests to their host have homes, callers are
+//! led to their own region or to a home as long as an entry there is starting, serving or stopping.
 
 use crate::{
-    gateway::control_call::CallerLocation,
+    gateway::{control_call::CallerLocation, routes::HostHomes},
     name::{RegionName, ZoneName},
     table::{EntryRecord, EntryState},
 };
@@ -21,18 +24,19 @@
     Zone,
     /// In the caller's region.
     Region,
+    /// In a home of the requests.
+    Home,
     /// In another region.
     Elsewhere,
 }
 
 impl ListingReach {
-    const ALL: [Self; 3] = [Self::Zone, Self::Region, Self::Elsewhere];
-
     /// Value of the reach in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Zone => "zone",
             Self::Region => "region",
+            Self::Home => "home",
             Self::Elsewhere => "elsewhere",
         }
     }
@@ -47,44 +51,85 @@
     pub reach: Option<ListingReach>,
 }
 
-/// Serving entries near `location`: those of its zone, then those of its region, then all others,
-/// until there are enough.
+/// What decides which entries a caller may be led to.
+#[derive(Debug, Clone, Copy)]
+pub struct ListingInput<'a> {
+    /// Where the caller is.
+    pub location: &'a CallerLocation,
+    /// Homes of the requests to the caller's host.
+    pub homes: &'a HostHomes,
+    /// Regions of the zones.
+    pub zones: &'a BTreeMap<ZoneName, RegionName>,
+    /// Whether all live entries are known. An instance that has just started knows only some.
+    pub complete: bool,
+}
+
+type EntriesByDistance = BTreeMap<ListingReach, Vec<SocketAddr>>;
+
+/// Serving entries near the caller, the nearest first, until there are enough.
+///
+/// If none serves where the requests may be served, entries there that are starting are listed, or
+/// else those that are stopping, which still accept callers for a short time.
 pub fn list_near<'a>(
     entries: impl IntoIterator<Item = &'a EntryRecord>,
-    location: &CallerLocation,
-    zones: &BTreeMap<ZoneName, RegionName>,
+    input: &ListingInput<'_>,
 ) -> NearbyEntries {
-    let mut found: BTreeMap<ListingReach, Vec<SocketAddr>> = BTreeMap::new();
-    for entry in entries.into_iter().filter(|entry| entry.state == EntryState::Serving) {
+    let mut found: BTreeMap<EntryState, EntriesByDistance> = BTreeMap::new();
+    for entry in entries {
         if let Some(address) = entry.caller_address {
-            found.entry(distance(entry, location, zones)).or_default().push(address);
+            let distances = found.entry(entry.state).or_default();
+            distances.entry(distance(entry, input)).or_default().push(address);
+        }
+    }
+    let farthest = if input.homes.bound { ListingReach::Home } else { ListingReach::Elsewhere };
+    let mut listed = NearbyEntries::default();
+    for state in [EntryState::Serving, EntryState::Starting, EntryState::Draining] {
+        if listed.addresses.is_empty()
+            && let Some(distances) = found.get(&state)
+        {
+            listed = select_nearest(distances, ListingReach::Zone, farthest);
         }
     }
+    if listed.addresses.is_empty()
+        && input.homes.unbound
+        && input.complete
+        && let Some(distances) = found.get(&EntryState::Serving)
+    {
+        listed = select_nearest(distances, ListingReach::Elsewhere, ListingReach::Elsewhere);
+    }
+    listed.addresses.truncate(MAX_LISTED_ENTRIES);
+    listed
+}
+
+/// Entries at the distances from `nearest` to `farthest`, until there are enough.
+fn select_nearest(
+    distances: &EntriesByDistance,
+    nearest: ListingReach,
+    farthest: ListingReach,
+) -> NearbyEntries {
     let mut listed = NearbyEntries::default();
-    for reach in ListingReach::ALL {
+    for (reach, addresses) in distances.range(nearest..=farthest) {
         if listed.addresses.len() >= MIN_LISTED_ENTRIES {
             break;
         }
-        let Some(mut addresses) = found.remove(&reach) else { continue };
-        addresses.shuffle(&mut rand::rng());
+        let start = listed.addresses.len();
         listed.addresses.extend(addresses);
-        listed.reach = Some(reach);
+        listed.addresses[start..].shuffle(&mut rand::rng());
+        listed.reach = Some(*reach);
     }
-    listed.addresses.truncate(MAX_LISTED_ENTRIES);
     listed
 }
 
-fn distance(
-    entry: &EntryRecord,
-    location: &CallerLocation,
-    zones: &BTreeMap<ZoneName, RegionName>,
-) -> ListingReach {
-    let by_zone = location.zone.as_ref().and_then(|zone| zones.get(zone));
+fn distance(entry: &EntryRecord, input: &ListingInput<'_>) -> ListingReach {
+    let location = input.location;
+    let by_zone = location.zone.as_ref().and_then(|zone| input.zones.get(zone));
     let region = by_zone.or(location.region.as_ref());
     if location.zone.as_ref() == Some(&entry.zone) {
         ListingReach::Zone
     } else if region == Some(&entry.region) {
         ListingReach::Region
+    } else if input.homes.common.contains(&entry.region) {
+        ListingReach::Home
     } else {
         ListingReach::Elsewhere
     }
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -29,6 +29,9 @@
 /// Time without a poll after which an entry is considered lost; entries poll at least once a second.
 pub const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time after its start during which an instance may not know all members of the fleet yet.
+pub const DISCOVERY_TIME: Duration = Duration::from_secs(4);
+
 /// Time without contact after which another control instance is considered lost.
 pub const CONTROL_TIMEOUT: Duration = Duration::from_millis(3_500);
 
--- a/cicadastall/src/gateway/routes.rs
+++ b/cicadastall/src/gateway/routes.rs
@@ -183,6 +183,36 @@
     pub limits: CallerBounds,
 }
 
+/// Regions to whose entries the callers of one host may be led.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HostHomes {
+    /// Whether a route of the host has homes.
+    pub bound: bool,
+    /// Whether a route of the host has none.
+    pub unbound: bool,
+    /// Homes of all routes that have homes.
+    pub common: SmallVec<[RegionName; 3]>,
+}
+
+impl RouteDocument {
+    /// Homes of the routes of `host`, which may have a port.
+    pub fn host_homes(&self, host: &str) -> HostHomes {
+        let host = normalize_host(host);
+        let mut homes = HostHomes::default();
+        for route in self.routes.iter().filter(|route| route.host.eq_ignore_ascii_case(&host)) {
+            if route.homes.is_empty() {
+                homes.unbound = true;
+            } else if !homes.bound {
+                homes.bound = true;
+                homes.common = route.homes.clone();
+            } else {
+                homes.common.retain(|region| route.homes.contains(region));
+            }
+        }
+        homes
+    }
+}
+
 /// Index of a document's routes by host and prefix, and of its pools by name.
 #[derive(Debug, Default)]
 pub struct RouteTable {
@@ -218,7 +248,7 @@
 
     /// Finds the route of `host` with the longest prefix of `path`. The host may have a port.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
-        let host = strip_port(host).trim_end_matches('.').to_ascii_lowercase();
+        let host = normalize_host(host);
         let routes = self.hosts.get(host.as_str())?;
         let mut end = path.len();
         loop {
@@ -235,6 +265,10 @@
     }
 }
 
+fn normalize_host(host: &str) -> String {
+    strip_port(host).trim_end_matches('.').to_ascii_lowercase()
+}
+
 fn strip_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
--- a/cicadastall/src/table.rs
+++ b/cicadastall/src/table.rs
@@ -174,8 +174,8 @@
     pub renewed_at: Instant,
 }
 
-/// Readiness of an entry for new connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// Readiness of an entry for new connections, in the order in which a process passes through it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum EntryState {
     /// Has not yet received the settings and the state of its zone.
--- a/cicadastall/tests/gateway_listing.rs
+++ b/cicadastall/tests/gateway_listing.rs
@@ -5,15 +5,23 @@
 
 use cicadastall::{
     gateway::{
+        control_call::CallerLocation,
         entry::EntryServer,
-        routes::{RepeatRule, RouteDocument},
+        listing::{ListingInput, ListingReach, NearbyEntries, list_near},
+        routes::{HostHomes, RepeatRule, RouteDocument},
     },
-    name::RegionName,
+    name::{InstanceName, RegionName, ZoneName},
+    table::{EntryRecord, EntryState, Incarnation},
 };
 use gateway::{CallerRequest, ROUTED_HOST, TestFleet, WAIT_TIMEOUT, document, route};
 use hyper::{Method, StatusCode};
 use smallvec::smallvec;
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     task::JoinHandle,
     time::{Instant, sleep},
@@ -168,3 +176,98 @@
     }
     assert_eq!(list(directory, "west-a").await, addresses(&fleet, 0..2));
 }
+
+/// Entries with one zone a region, described as region and state; the port is the index.
+fn records(entries: &[(&str, EntryState)]) -> Vec<EntryRecord> {
+    let record = |(index, (region, state)): (usize, &(&str, EntryState))| {
+        let address = SocketAddr::from(([127, 0, 0, 1], index as u16));
+        EntryRecord {
+            instance: InstanceName::from(index.to_string().as_str()),
+            incarnation: Incarnation(1),
+            region: RegionName::from(*region),
+            zone: ZoneName::from(format!("{region}-a").as_str()),
+            caller_address: Some(address),
+            peer_address: address,
+            grant_address: None,
+            state: *state,
+            in_flight: 0,
+        }
+    };
+    entries.iter().enumerate().map(record).collect()
+}
+
+/// Indices of the entries listed for a caller in west, and the reach of the listing.
+fn list_west(
+    entries: &[(&str, EntryState)],
+    homes: &HostHomes,
+    complete: bool,
+) -> (Vec<u16>, Option<ListingReach>) {
+    let region = Some(RegionName::from("west"));
+    let location = CallerLocation { region, ..CallerLocation::default() };
+    let zones = BTreeMap::new();
+    let input = ListingInput { location: &location, homes, zones: &zones, complete };
+    let NearbyEntries { addresses, reach } = list_near(&records(entries), &input);
+    let mut ports: Vec<_> = addresses.iter().map(SocketAddr::port).collect();
+    ports.sort_unstable();
+    (ports, reach)
+}
+
+fn homes(common: &[&str], unbound: bool) -> HostHomes {
+    let common = common.iter().map(|region| RegionName::from(*region)).collect();
+    HostHomes { bound: true, unbound, common }
+}
+
+#[test]
+fn a_short_listing_is_completed_from_the_homes_only() {
+    use EntryState::Serving;
+    let entries = [("west", Serving), ("east", Serving), ("north", Serving)];
+    let list = |homes| list_west(&entries, &homes, true);
+    assert_eq!(list(homes(&["east"], true)), (vec![0, 1], Some(ListingReach::Home)));
+    assert_eq!(list(homes(&["west"], true)), (vec![0], Some(ListingReach::Region)));
+    assert_eq!(list(homes(&[], true)), (vec![0], Some(ListingReach::Region)));
+    assert_eq!(list(HostHomes::default()), (vec![0, 1, 2], Some(ListingReach::Elsewhere)));
+}
+
+#[test]
+fn entries_that_start_or_stop_are_listed_before_those_of_other_regions() {
+    use EntryState::{Draining, Serving, Starting};
+    let list = |west: &[EntryState], homes| {
+        let west = west.iter().map(|state| ("west", *state));
+        let entries: Vec<_> = west.chain([("north", Serving)]).collect();
+        list_west(&entries, &homes, true)
+    };
+    let region = Some(ListingReach::Region);
+    assert_eq!(list(&[Draining, Draining], homes(&["west"], true)), (vec![0, 1], region));
+    assert_eq!(list(&[Draining, Starting], homes(&["west"], true)), (vec![1], region));
+    let elsewhere = Some(ListingReach::Elsewhere);
+    assert_eq!(list(&[Draining], HostHomes::default()), (vec![1], elsewhere));
+}
+
+#[test]
+fn other_regions_are_listed_only_if_the_home_is_lost_and_they_can_serve_the_host() {
+    let entries = [("north", EntryState::Serving)];
+    let elsewhere = (vec![0], Some(ListingReach::Elsewhere));
+    assert_eq!(list_west(&entries, &homes(&["west"], true), true), elsewhere);
+    assert_eq!(list_west(&entries, &homes(&["west"], true), false), (vec![], None));
+    assert_eq!(list_west(&entries, &homes(&["west"], false), true), (vec![], None));
+}
+
+#[test]
+fn the_homes_of_a_host_are_those_of_all_its_bound_routes() {
+    let rule = |host: &str, prefix: &str, regions: &[&str]| {
+        let mut rule = route(prefix, RepeatRule::Repeatable);
+        rule.host = host.into();
+        rule.homes = regions.iter().map(|region| RegionName::from(*region)).collect();
+        Arc::new(rule)
+    };
+    let routes = vec![
+        rule("one.test", "a", &["west", "east"]),
+        rule("One.test", "b", &["east", "north"]),
+        rule("two.test", "c", &["west"]),
+        rule("two.test", "d", &[]),
+    ];
+    let document = RouteDocument { routes, ..RouteDocument::default() };
+    assert_eq!(document.host_homes("one.TEST:80"), homes(&["east"], false));
+    assert_eq!(document.host_homes("two.test."), homes(&["west"], true));
+    assert_eq!(document.host_homes("three.test"), HostHomes::default());
+}
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -8,9 +8,10 @@
             ControlRecord, EntryUpdate, FleetCursor, FleetUpdate, RegisteredUpstream,
             UpstreamPhase, UpstreamUpdate, WorkRow,
         },
-        listing::list_near,
+        listing::{ListingInput, list_near},
         region_load::EntryLoad,
         registry::{CONTROL_TIMEOUT, ENTRY_TIMEOUT, FleetRegistry, RenewalOutcome},
+        routes::HostHomes,
         view::ViewMerger,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
@@ -509,10 +510,17 @@
         |name, zone, port| EntryRecord { caller_address: Some(address(port)), ..entry(name, zone) };
     let mut entries = vec![at("a", "west-a", 1), at("b", "west-a", 2), at("c", "west-b", 3)];
     entries.push(at("d", "east-a", 4));
-    let location = CallerLocation { region: None, zone: Some(ZoneName::from("west-a")) };
+    let zone = Some(ZoneName::from("west-a"));
+    let location = CallerLocation { zone, ..CallerLocation::default() };
     let list = |entries: &[EntryRecord]| {
-        let mut ports: Vec<_> =
-            list_near(entries, &location, &zones).addresses.iter().map(SocketAddr::port).collect();
+        let input = ListingInput {
+            location: &location,
+            homes: &HostHomes::default(),
+            zones: &zones,
+            complete: true,
+        };
+        let listed = list_near(entries, &input).addresses;
+        let mut ports: Vec<_> = listed.iter().map(SocketAddr::port).collect();
         ports.sort_unstable();
         ports
     };
