Keep the entries known from a control instance for a while when it restarts

Cause: an entry dropped all entries that it knew from a control process as soon as that process was replaced or no longer polled, although the new one knows only entries that have polled it since. Directories then listed one of two serving entries or none, owners of engines changed, and a listing without homes went to other regions. Upstreams were kept in the same case already. Change: rows are kept for three seconds, within which live entries report again (they are lost after 2.5 s). Of several rows of one process, the one with the later state counts.

--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -27,6 +27,10 @@
 /// process starts empty, or after polling of it stopped.
 const RETAINED_ROW_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Time for which entries known from a control process are kept after it restarted, or after polling
+/// of it stopped; live entries report to another process within it.
+const RETAINED_ENTRY_LIFETIME: Duration = Duration::from_secs(3);
+
 /// Time without a response after which a control instance that no other one lists is removed.
 const CONTROL_RETENTION: Duration = Duration::from_secs(20);
 
@@ -128,6 +132,12 @@
     retained_until: Option<Instant>,
 }
 
+#[derive(Debug, Clone)]
+struct ReceivedEntry {
+    update: EntryUpdate,
+    retained_until: Option<Instant>,
+}
+
 /// State received from one control instance.
 #[derive(Debug)]
 struct ControlSource {
@@ -145,7 +155,7 @@
     reported: u64,
     listed_at: Instant,
     upstreams: HashMap<UpstreamName, ReceivedUpstream>,
-    entries: HashMap<InstanceName, EntryUpdate>,
+    entries: HashMap<InstanceName, ReceivedEntry>,
 }
 
 /// Merges the updates of control instances into views.
@@ -341,7 +351,8 @@
             control.upstreams.insert(name, received);
         }
         for update in update.entries {
-            control.entries.insert(update.entry.instance.clone(), update);
+            let name = update.entry.instance.clone();
+            control.entries.insert(name, ReceivedEntry { update, retained_until: None });
         }
         for summary in update.summaries {
             self.regions.insert(summary.region.clone(), (Arc::new(summary), now));
@@ -391,10 +402,11 @@
         self.records.retain(|address, _| controls.contains_key(address));
         let mut changed = false;
         for control in self.controls.values_mut() {
-            let before = control.upstreams.len();
-            let kept = |row: &ReceivedUpstream| row.retained_until.is_none_or(|until| now < until);
-            control.upstreams.retain(|_, row| kept(row));
-            changed |= control.upstreams.len() != before;
+            let before = control.upstreams.len() + control.entries.len();
+            let kept = |until: Option<Instant>| until.is_none_or(|until| now < until);
+            control.upstreams.retain(|_, row| kept(row.retained_until));
+            control.entries.retain(|_, row| kept(row.retained_until));
+            changed |= control.upstreams.len() + control.entries.len() != before;
         }
         changed
     }
@@ -474,10 +486,12 @@
     /// Entries that at least one control instance reports as live.
     fn merge_entries(&self) -> BTreeMap<InstanceName, EntryRecord> {
         let mut live: BTreeMap<InstanceName, EntryRecord> = BTreeMap::new();
-        let updates = self.controls.values().flat_map(|control| control.entries.values());
+        let rows = self.controls.values().flat_map(|control| control.entries.values());
+        let updates = rows.map(|row| &row.update);
+        let rank = |entry: &EntryRecord| (entry.incarnation, entry.state);
         for EntryUpdate { entry, .. } in updates.filter(|update| !update.silent) {
             let known = live.get(&entry.instance);
-            if known.is_none_or(|known| known.incarnation <= entry.incarnation) {
+            if known.is_none_or(|known| rank(known) <= rank(entry)) {
                 live.insert(entry.instance.clone(), entry.clone());
             }
         }
@@ -501,5 +515,7 @@
     for received in control.upstreams.values_mut() {
         received.retained_until.get_or_insert(now + RETAINED_ROW_LIFETIME);
     }
-    control.entries.clear();
+    for received in control.entries.values_mut() {
+        received.retained_until.get_or_insert(now + RETAINED_ENTRY_LIFETIME);
+    }
 }
