Spread the state of entries among control instances

Cause: a control instance took over an entry that another one reported only if its incarnation was newer; a later state of the same process was dropped. Entries poll control of their own region only, so directories of other regions kept every stopping entry as serving, and some serving ones as starting. Change: of one process, the later state counts; it is marked as changed, so that it reaches entries. Test: control_follows_the_state_of_entries_that_only_others_hear, which failed before ([Starting] for [Serving]).

--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -305,14 +305,21 @@
 
     fn merge_entry(&mut self, from: SocketAddr, entry: EntryRecord, silent: bool, now: Instant) {
         let name = entry.instance.clone();
-        let incarnation = entry.incarnation;
+        let (incarnation, state) = (entry.incarnation, entry.state);
         if self.entries.get(&name).is_none_or(|row| row.entry.incarnation < incarnation) {
             self.insert_entry(entry, None, now);
         }
+        let changed = self.changes + 1;
         let Some(row) = self.entries.get_mut(&name) else { return };
         if row.entry.incarnation != incarnation {
             return;
         }
+        if row.entry.state < state {
+            log::info!(entry = name.as_str(), state:?; "entry state");
+            row.entry.state = state;
+            row.changed = changed;
+            self.changes = changed;
+        }
         row.observers.retain(|observer| *observer != from);
         if !silent {
             row.observers.push(from);
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -481,6 +481,28 @@
     assert!(!view.build_view(&[], 1).pools.values().flatten().next().expect("known").unconfirmed);
 }
 
+#[test]
+fn control_follows_the_state_of_entries_that_only_others_hear() {
+    let now = Instant::now();
+    let (mut near, mut far) = (registry(1), registry(11));
+    let spread = |near: &FleetRegistry, far: &mut FleetRegistry| {
+        let entries = near.changed_entries(FleetCursor::default(), true, now);
+        far.merge(address(1), Vec::new(), entries, now);
+    };
+    let states =
+        |far: &FleetRegistry| -> Vec<_> { far.live_entries().map(|entry| entry.state).collect() };
+    for state in [EntryState::Starting, EntryState::Serving, EntryState::Draining] {
+        near.report_entry(EntryRecord { state, ..entry("e", "west-a") }, EntryLoad::default(), now);
+        let before = far.cursor();
+        spread(&near, &mut far);
+        assert_eq!(states(&far), [state]);
+        assert!(far.has_changes(before), "readers learn of {state:?}");
+    }
+    let late = EntryUpdate { entry: entry("e", "west-a"), silent: false };
+    far.merge(address(12), Vec::new(), vec![late], now);
+    assert_eq!(states(&far), [EntryState::Draining], "a process does not go back");
+}
+
 #[test]
 fn fleet_size_is_the_peak_number_of_entries() {
     let now = Instant::now();
