Base the retry budget of the chat interface on first attempts only

Cause: RequestRouter::record_sent counted every attempt, repeats too, as a first attempt of its pool's retry budget, so that repeats earned further repeats. Change: the relay records the first attempt of a request; record_sent counts none. Test: repeated_sends_add_nothing_to_the_retry_budget, which fails with the count in record_sent.

--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -421,7 +421,13 @@
         isolation: Option<IsolationLease>,
         now: Instant,
     ) -> OpenAttempt {
-        let ticket = self.context.router().record_sent(&choice, &self.plan, &self.shape, now);
+        let ticket = {
+            let mut router = self.context.router();
+            if self.attempts == 0 {
+                router.record_first_attempt(&self.plan);
+            }
+            router.record_sent(&choice, &self.plan, &self.shape, now)
+        };
         let record = choice.view.record;
         let target = AttemptTarget::Upstream { address: record.address, priority: choice.priority };
         let attempt = self.new_attempt(target, record.region.clone(), Some(ticket), now);
--- a/cicadastall/src/route/feedback.rs
+++ b/cicadastall/src/route/feedback.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Records the first attempt of a request at an upstream, on which the retry budget is based.
+    pub fn record_first_attempt(&mut self, plan: &RequestPlan) {
+        self.retries.record_first_attempt(&plan.pool);
+    }
+
     /// Records that an attempt was sent to the selected upstream; the ticket identifies the attempt
     /// in later calls.
     pub fn record_sent(
@@ -36,7 +41,6 @@
         now: Instant,
     ) -> SendTicket {
         self.sent_attempts += 1;
-        self.retries.record_first_attempt(&plan.pool);
         self.mean_answer_tokens +=
             MEAN_ANSWER_TOKENS_WEIGHT * (f64::from(shape.answer_tokens) - self.mean_answer_tokens);
         let prediction = choice.prediction;
--- a/cicadastall/tests/route_trackers.rs
+++ b/cicadastall/tests/route_trackers.rs
@@ -1,6 +1,7 @@
 //! Upstream trackers of a router when upstreams restart or disappear.
 
 use cicadastall::{
+    answer::Ran,
     decode::{RequestBody, RequestPlan},
     prefix::PromptShape,
     route::{RequestRouter, RouteDecision, RouterLocation, TriedTargets, policy::RouterPolicy},
@@ -122,3 +123,23 @@
     choose(&mut router, &table([restarted.clone()].into_iter()), now);
     assert!(router.explain_upstream(&restarted, now).used);
 }
+
+#[test]
+fn repeated_sends_add_nothing_to_the_retry_budget() {
+    let (mut router, now) = (router(), Instant::now());
+    let shape = PromptShape { tokens: 100, answer_tokens: 10, ..PromptShape::default() };
+    let RouteDecision::Upstream(choice) =
+        choose(&mut router, &table([view(0, 1, now)].into_iter()), now)
+    else {
+        panic!("the only upstream is chosen");
+    };
+    while router.take_retry(&plan(), Ran::No, 1) {}
+    for _ in 0..100 {
+        router.record_sent(&choice, &plan(), &shape, now);
+    }
+    assert!(!router.take_retry(&plan(), Ran::No, 1));
+    for _ in 0..100 {
+        router.record_first_attempt(&plan());
+    }
+    assert!(router.take_retry(&plan(), Ran::No, 1));
+}
