Report lost contact with an entry to other control instances also while one of them has it

Callers would see: directories go on naming an entry that was killed, for as long as it does not start again (DRAIN).

Cause: a control instance reported that it had lost contact with an entry only when nobody else had contact either. Two that had both heard the entry, as all do while it starts, then kept it live for each other's sake. Change: a row also changes when its own contact is lost or comes back. Ruled out: rows kept by entries after control restarts (no control restarts in the test; control's own listing is wrong, too).

--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -82,6 +82,8 @@
     /// Control instances that are in direct contact with the entry.
     observers: SmallVec<[SocketAddr; 6]>,
     changed: u64,
+    /// Whether this instance is in direct contact with the entry, as its readers were told.
+    direct: bool,
     pub(super) silent: bool,
     pub(super) load: EntryLoad,
 }
@@ -337,7 +339,8 @@
             seen_at,
             observers: SmallVec::new(),
             changed,
-            silent: seen_at.is_none_or(|at| now >= at + ENTRY_TIMEOUT),
+            direct: seen_at.is_some(),
+            silent: seen_at.is_none(),
             load: EntryLoad::default(),
             entry,
         };
@@ -371,7 +374,12 @@
         let silent = !direct && row.observers.is_empty();
         if silent != row.silent {
             log::info!(entry = name.as_str(), silent; "entry lost or back");
+        }
+        // Other control instances must also learn of lost contact while one of them still has it, or
+        // two could keep a lost entry for each other's sake.
+        if (silent, direct) != (row.silent, row.direct) {
             row.silent = silent;
+            row.direct = direct;
             row.changed = changed;
             self.changes = changed;
         }
--- a/cicadastall/tests/gateway_listing.rs
+++ b/cicadastall/tests/gateway_listing.rs
@@ -177,6 +177,18 @@
     assert_eq!(list(directory, "west-a").await, addresses(&fleet, 0..2));
 }
 
+#[tokio::test]
+async fn a_killed_entry_is_not_listed_for_long() {
+    let mut fleet = fleet("home-entry-killed", 3).await;
+    let killed = fleet.entries[0].address();
+    fleet.kill_entry(0).await;
+    sleep(2 * WATCH_TIME).await;
+    for directory in &directories(&fleet)[1..] {
+        let listed = list(*directory, "west-a").await;
+        assert!(!listed.contains(&killed), "{directory} lists {listed:?}");
+    }
+}
+
 /// Entries with one zone a region, described as region and state; the port is the index.
 fn records(entries: &[(&str, EntryState)]) -> Vec<EntryRecord> {
     let record = |(index, (region, state)): (usize, &(&str, EntryState))| {
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -552,3 +552,47 @@
     entries[2].state = EntryState::Starting;
     assert_eq!(list(&entries), [2, 4]);
 }
+
+/// Exchanges the changes of two control instances at `now`, as polls do.
+fn exchange(controls: &mut [(FleetRegistry, FleetCursor); 2], now: Instant) {
+    for (reader, source) in [(0, 1), (1, 0)] {
+        controls[reader].0.expire(now);
+        let cursor = controls[reader].1;
+        let rows = controls[source].0.changed_entries(cursor, true, now);
+        controls[reader].1 = controls[source].0.cursor();
+        let from = address([1, 11][source]);
+        controls[reader].0.mark_control_seen(from, now);
+        controls[reader].0.merge(from, Vec::new(), rows, now);
+    }
+}
+
+fn live_names(registry: &FleetRegistry) -> Vec<String> {
+    registry.live_entries().map(|entry| entry.instance.to_string()).collect()
+}
+
+#[test]
+fn a_killed_entry_is_lost_although_control_instances_heard_of_it_from_each_other() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut controls = [1, 11].map(|port| (registry(port), FleetCursor::default()));
+    controls[0].0.report_control(control(11, "west"), start);
+    controls[1].0.report_control(control(1, "west"), start);
+    let report = |controls: &mut [(FleetRegistry, FleetCursor); 2], index: usize, state, now| {
+        let record = EntryRecord { state, ..entry("e", "west-a") };
+        controls[index].0.report_entry(record, EntryLoad::default(), now);
+    };
+    // The entry polls both while it starts, then only the first.
+    report(&mut controls, 0, EntryState::Starting, at(0));
+    report(&mut controls, 1, EntryState::Starting, at(50));
+    exchange(&mut controls, at(100));
+    for millis in (200..4_000).step_by(400) {
+        report(&mut controls, 0, EntryState::Serving, at(millis));
+        exchange(&mut controls, at(millis + 100));
+    }
+    assert_eq!(live_names(&controls[1].0), ["e"]);
+    for millis in (4_000..14_000).step_by(250) {
+        exchange(&mut controls, at(millis));
+    }
+    assert_eq!(live_names(&controls[0].0), Vec::<String>::new());
+    assert_eq!(live_names(&controls[1].0), Vec::<String>::new());
+}
