Keep the observers of an entry when it reports to a control instance itself

Callers would see: directories that learn of an entry from a distant control instance do not name it any more, until its state changes.

Cause: the first report of an entry, or a later state, replaced its row and with it the control instances known to be in contact with it. Those report only changes, so a control instance that the entry polls for a while only (its own one is out of its reach for 1.3 to 2.5 s) considered it lost 2.5 s later. Change: a report of the known process changes the row's state and contact only.

Test: an_entry_that_polled_a_distant_control_instance_for_a_while_stays_known_there, which failed before (lost after 3 s).

--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -15,7 +15,7 @@
     },
     name::{InstanceName, RegionName, UpstreamName, ZoneName},
     suspect::{SuspectRecord, SuspectTable},
-    table::EntryRecord,
+    table::{EntryRecord, EntryState},
 };
 use smallvec::SmallVec;
 use std::{
@@ -311,22 +311,28 @@
         if self.entries.get(&name).is_none_or(|row| row.entry.incarnation < incarnation) {
             self.insert_entry(entry, None, now);
         }
-        let changed = self.changes + 1;
         let Some(row) = self.entries.get_mut(&name) else { return };
         if row.entry.incarnation != incarnation {
             return;
         }
+        row.observers.retain(|observer| *observer != from);
+        if !silent {
+            row.observers.push(from);
+        }
+        self.update_state(&name, state);
+        self.update_liveness(&name, now);
+    }
+
+    /// Stores the state of an entry if it is later than the known one.
+    fn update_state(&mut self, name: &InstanceName, state: EntryState) {
+        let changed = self.changes + 1;
+        let Some(row) = self.entries.get_mut(name) else { return };
         if row.entry.state < state {
             log::info!(entry = name.as_str(), state:?; "entry state");
             row.entry.state = state;
             row.changed = changed;
             self.changes = changed;
         }
-        row.observers.retain(|observer| *observer != from);
-        if !silent {
-            row.observers.push(from);
-        }
-        self.update_liveness(&name, now);
     }
 
     fn insert_entry(&mut self, entry: EntryRecord, seen_at: Option<Instant>, now: Instant) {
@@ -352,10 +358,9 @@
         let name = entry.instance.clone();
         match self.entries.get(&name) {
             Some(row) if row.entry.incarnation > entry.incarnation => return,
-            Some(row)
-                if row.entry.incarnation == entry.incarnation
-                    && row.entry.state == entry.state
-                    && row.seen_at.is_some() => {}
+            Some(row) if row.entry.incarnation == entry.incarnation => {
+                self.update_state(&name, entry.state);
+            }
             _ => self.insert_entry(entry.clone(), Some(now), now),
         }
         if let Some(row) = self.entries.get_mut(&name) {
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -596,3 +596,21 @@
     assert_eq!(live_names(&controls[0].0), Vec::<String>::new());
     assert_eq!(live_names(&controls[1].0), Vec::<String>::new());
 }
+
+#[test]
+fn an_entry_that_polled_a_distant_control_instance_for_a_while_stays_known_there() {
+    let start = Instant::now();
+    let (mut near, mut far) = (registry(1), registry(11));
+    far.report_control(control(1, "west"), start);
+    near.report_entry(entry("e", "west-a"), EntryLoad::default(), start);
+    let report = near.changed_entries(FleetCursor::default(), true, start);
+    far.merge(address(1), Vec::new(), report, start);
+    // The entry cannot reach the near one for less time than makes it lost there.
+    far.report_entry(entry("e", "west-a"), EntryLoad::default(), start);
+    for seconds in 1..10 {
+        let now = start + Duration::from_secs(seconds);
+        far.mark_control_seen(address(1), now);
+        far.expire(now);
+        assert_eq!(live_names(&far), ["e"], "after {seconds} s");
+    }
+}
