Let the contact of a control instance with entries lapse when it restarts

Callers would see: directories go on naming an entry that was killed while control of its region restarted, if it does not start again (DRAIN).

Cause: control instances tell each other only changes of their contact with entries. A new process does not know of the contact that the former one reported, so it never took it back.

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -403,12 +403,16 @@
 
     fn accept_update(&self, address: SocketAddr, update: FleetUpdate) {
         let now = Instant::now();
-        self.cursors().insert(address, update.cursor);
+        let known = self.cursors().insert(address, update.cursor);
+        let restarted = known.is_some_and(|known| known.process != update.cursor.process);
         let FleetUpdate { upstreams, entries, controls, summaries, suspects, .. } = update;
         self.change_registry(|registry| {
             registry.merge_suspects(suspects, now);
             registry.mark_control_seen(address, now);
             registry.store_summaries(summaries, now);
+            if restarted {
+                registry.note_restart(address, now);
+            }
             // The first record is that of the sender. Known instances are polled directly, so their
             // records from third parties are ignored.
             for (index, control) in controls.into_iter().enumerate() {
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -75,12 +75,20 @@
     forward_next: bool,
 }
 
+/// A control instance in direct contact with an entry.
+#[derive(Debug, Clone, Copy)]
+struct EntryObserver {
+    address: SocketAddr,
+    /// End of its contact, if it has restarted since it reported it.
+    retained_until: Option<Instant>,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct EntryRow {
     pub(super) entry: EntryRecord,
     pub(super) seen_at: Option<Instant>,
     /// Control instances that are in direct contact with the entry.
-    observers: SmallVec<[SocketAddr; 6]>,
+    observers: SmallVec<[EntryObserver; 6]>,
     changed: u64,
     /// Whether this instance is in direct contact with the entry, as its readers were told.
     direct: bool,
@@ -315,9 +323,9 @@
         if row.entry.incarnation != incarnation {
             return;
         }
-        row.observers.retain(|observer| *observer != from);
+        row.observers.retain(|observer| observer.address != from);
         if !silent {
-            row.observers.push(from);
+            row.observers.push(EntryObserver { address: from, retained_until: None });
         }
         self.update_state(&name, state);
         self.update_liveness(&name, now);
@@ -346,7 +354,7 @@
             observers: SmallVec::new(),
             changed,
             direct: seen_at.is_some(),
-            silent: seen_at.is_none(),
+            silent: seen_at.is_none_or(|at| now >= at + ENTRY_TIMEOUT),
             load: EntryLoad::default(),
             entry,
         };
@@ -371,10 +379,20 @@
         self.update_liveness(&name, now);
     }
 
+    /// Handles a restart of the control instance at `address`: contact with entries that it reported
+    /// before counts only for as long as live entries take to report again.
+    pub fn note_restart(&mut self, address: SocketAddr, now: Instant) {
+        let observers = self.entries.values_mut().flat_map(|row| &mut row.observers);
+        for observer in observers.filter(|observer| observer.address == address) {
+            observer.retained_until.get_or_insert(now + ENTRY_TIMEOUT);
+        }
+    }
+
     /// Updates whether the entry is considered lost.
     fn update_liveness(&mut self, name: &InstanceName, now: Instant) {
         let changed = self.changes + 1;
         let Some(row) = self.entries.get_mut(name) else { return };
+        row.observers.retain(|observer| observer.retained_until.is_none_or(|until| now < until));
         let direct = row.seen_at.is_some_and(|at| now < at + ENTRY_TIMEOUT);
         let silent = !direct && row.observers.is_empty();
         if silent != row.silent {
@@ -445,7 +463,7 @@
             self.controls.remove(&address);
             self.controls_changed = self.next_change();
             for row in self.entries.values_mut() {
-                row.observers.retain(|observer| *observer != address);
+                row.observers.retain(|observer| observer.address != address);
             }
         }
         let names: Vec<_> = self.entries.keys().cloned().collect();
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -614,3 +614,27 @@
         assert_eq!(live_names(&far), ["e"], "after {seconds} s");
     }
 }
+
+#[test]
+fn an_entry_lost_while_a_control_instance_restarts_is_lost_at_the_others() {
+    let start = Instant::now();
+    let at = |seconds: u64| start + Duration::from_secs(seconds);
+    let (mut near, mut far) = (registry(1), registry(11));
+    far.report_control(control(1, "west"), start);
+    near.report_entry(entry("e", "west-a"), EntryLoad::default(), start);
+    let report = near.changed_entries(FleetCursor::default(), true, start);
+    far.merge(address(1), Vec::new(), report, start);
+    far.note_restart(address(1), at(1));
+    assert_eq!(live_names(&far), ["e"], "live entries report again");
+    for seconds in 1..8 {
+        far.mark_control_seen(address(1), at(seconds));
+        far.expire(at(seconds));
+    }
+    assert_eq!(live_names(&far), Vec::<String>::new());
+    near.report_entry(entry("e", "west-a"), EntryLoad::default(), at(8));
+    let report = near.changed_entries(FleetCursor::default(), true, at(8));
+    far.merge(address(1), Vec::new(), report, at(8));
+    far.mark_control_seen(address(1), at(20));
+    far.expire(at(20));
+    assert_eq!(live_names(&far), ["e"]);
+}
