--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -46,6 +46,7 @@
 mod score;
 pub mod settings;
 mod stream_forwarder;
+pub mod stream_origins;
 pub mod tracker;
 pub mod view;
 pub mod warmup;
--- a/cicadastall/src/gateway/call.rs
+++ b/cicadastall/src/gateway/call.rs
@@ -45,6 +45,8 @@
     pub parts: PromptParts,
     /// Identifier of the last event that the caller received of an interrupted answer.
     pub resume_after: Option<Arc<str>>,
+    /// Attempt that brought the first event of the answer that this request resumes.
+    pub resumes: Option<AttemptId>,
 }
 
 /// Upper bound for token counts of a prompt, a part of it or an answer; several times what any
--- a/cicadastall/src/gateway/dialect.rs
+++ b/cicadastall/src/gateway/dialect.rs
@@ -23,6 +23,9 @@
 /// Header with the identifier of the last event received of an interrupted answer.
 const RESUME_HEADER: &str = "last-event-id";
 
+/// Header with the attempt that brought the first event of the resumed answer.
+const RESUMES_HEADER: &str = "x-cicadastall-resumes";
+
 /// Header by which an upstream marks an answer as its own.
 const STAMP_HEADER: &str = "x-cicadastall-stamp";
 
@@ -107,6 +110,7 @@
             parts: read_header(headers, PARTS_HEADER, "parts as NAME:TOKENS", parse_parts)?
                 .unwrap_or_default(),
             resume_after: headers.get(RESUME_HEADER).and_then(read_text).map(Arc::from),
+            resumes: headers.get(RESUMES_HEADER).and_then(read_text).map(AttemptId::from),
         })
     }
 
--- a/cicadastall/src/gateway/fleet_update.rs
+++ b/cicadastall/src/gateway/fleet_update.rs
@@ -4,7 +4,7 @@
     gateway::{
         document_state::EvacuatedZones, pool_partition::PromptDemand, routes::RouteDocument,
     },
-    name::{PoolName, RegionName, UpstreamName, ZoneName},
+    name::{PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
     suspect::SuspectRecord,
     table::EntryRecord,
     wire::is_default,
@@ -48,6 +48,13 @@
     /// Remaining warm-up time at the renewal, in milliseconds; 0 if it is warm.
     #[serde(default, skip_serializing_if = "is_default")]
     pub cold_ms: u32,
+    /// Version of its software. A stream is continued only at the version that began it.
+    #[serde(default = "unversioned")]
+    pub software: SoftwareVersion,
+}
+
+fn unversioned() -> SoftwareVersion {
+    SoftwareVersion::from("")
 }
 
 fn unnamed() -> UpstreamName {
--- a/cicadastall/src/name.rs
+++ b/cicadastall/src/name.rs
@@ -61,6 +61,8 @@
     PoolName;
     /// A model that a model engine may have loaded.
     ModelName;
+    /// Version of the software of an upstream, not of its model weights; empty if it names none.
+    SoftwareVersion;
     /// One request of a caller; an ID that an entry chooses is unique across instances.
     RequestId;
     /// One attempt to run a request on one upstream; echoed by the upstream.
--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -23,7 +23,7 @@
         settings::GatewaySettings,
     },
     instance::ControlThread,
-    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+    name::{InstanceName, PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
 };
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Method, Request, StatusCode, client::conn::http1, header::HOST};
@@ -495,6 +495,7 @@
         slots: 8,
         phase: UpstreamPhase::Serving,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
     }
 }
 
--- a/cicadastall/tests/gateway_crash_watch.rs
+++ b/cicadastall/tests/gateway_crash_watch.rs
@@ -9,7 +9,7 @@
         registry::FleetRegistry,
         view::KnownUpstream,
     },
-    name::{InstanceName, PoolName, RegionName, ZoneName},
+    name::{InstanceName, PoolName, RegionName, SoftwareVersion, ZoneName},
     suspect::{
         EPISODE_SPAN, RequestFingerprint, SUSPICION_LIFETIME, SuspectRecord, SuspectTable,
         UpstreamCrash,
@@ -107,6 +107,7 @@
             slots: 8,
             phase: UpstreamPhase::Serving,
             cold_ms: 0,
+            software: SoftwareVersion::from("v1"),
         }),
         seen_at: Instant::now(),
         silent: false,
--- a/cicadastall/tests/gateway_owners.rs
+++ b/cicadastall/tests/gateway_owners.rs
@@ -17,7 +17,7 @@
         tracker::SendEnd,
         view::{FleetView, KnownUpstream, LoadView},
     },
-    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+    name::{InstanceName, PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
     table::{EntryRecord, EntryState, Incarnation},
 };
 use gateway::{
@@ -78,6 +78,7 @@
         slots: SLOTS,
         phase: UpstreamPhase::Serving,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
     };
     Arc::new(KnownUpstream {
         upstream: Arc::new(upstream),
--- a/cicadastall/tests/gateway_pure.rs
+++ b/cicadastall/tests/gateway_pure.rs
@@ -14,7 +14,7 @@
             CallerBounds, PoolRule, PoolShare, RepeatRule, RouteDocument, RouteRule, RouteTable,
         },
     },
-    name::{AttemptId, PoolName, UpstreamName, ZoneName},
+    name::{AttemptId, PoolName, SoftwareVersion, UpstreamName, ZoneName},
     replicated::ReplicatedState,
 };
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
@@ -308,6 +308,7 @@
         slots: 1,
         phase: UpstreamPhase::Serving,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
     }
 }
 
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -14,7 +14,7 @@
         routes::HostHomes,
         view::ViewMerger,
     },
-    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+    name::{InstanceName, PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
     table::{EntryRecord, EntryState, Incarnation},
 };
 use quickcheck::{Gen, QuickCheck};
@@ -64,6 +64,7 @@
         slots: 4,
         phase: UpstreamPhase::Serving,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
     }
 }
 
--- a/cicadastall/tests/load/mod.rs
+++ b/cicadastall/tests/load/mod.rs
@@ -13,7 +13,9 @@
         view::{FleetView, KnownUpstream, LoadView},
         warmup::hash_pair,
     },
-    name::{AttemptId, InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+    name::{
+        AttemptId, InstanceName, PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName,
+    },
 };
 use hyper::{HeaderMap, Method, Uri};
 use rand::{RngExt, SeedableRng};
@@ -239,6 +241,7 @@
         slots: ENGINE.slots,
         phase: UpstreamPhase::Serving,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
     };
     let upstream = Arc::new(upstream);
     Arc::new(KnownUpstream {
