--- a/cicadastall/tests/gateway/crashing.rs
+++ b/cicadastall/tests/gateway/crashing.rs
@@ -126,19 +126,20 @@
     }
 }
 
-/// Sends a renewal; the control instance at `registry` may be down.
-async fn send_renewal(registry: SocketAddr, upstream: &RegisteredUpstream) {
-    let Ok(mut stream) = TcpStream::connect(registry).await else { return };
+/// Sends a renewal to the control instance at `registry`. Returns whether it answered.
+pub async fn send_renewal(registry: SocketAddr, upstream: &RegisteredUpstream) -> bool {
+    let Ok(mut stream) = TcpStream::connect(registry).await else { return false };
     let (name, body) = (&upstream.name, serde_json::to_string(upstream).expect("json"));
     let text = format!(
         "PUT /v1/upstreams/{name} HTTP/1.1\r\nhost: {registry}\r\nconnection: close\r\n\
          content-length: {}\r\n\r\n{body}",
         body.len()
     );
+    let mut answer = Vec::new();
     if stream.write_all(text.as_bytes()).await.is_ok() {
-        let mut answer = Vec::new();
         let _ = timeout(RENEWAL_TIMEOUT, stream.read_to_end(&mut answer)).await;
     }
+    !answer.is_empty()
 }
 
 /// Serves connections until the process ends; all of them break then.
--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -127,6 +127,15 @@
 
     /// Sends the request to the entry at `address` and reads the whole answer.
     pub async fn send(&self, address: SocketAddr) -> CallerAnswer {
+        self.send_until(address, |_| false).await
+    }
+
+    /// Like [`Self::send`], but disconnects once the received part of the body satisfies `enough`.
+    pub async fn send_until(
+        &self,
+        address: SocketAddr,
+        enough: impl Fn(&[u8]) -> bool,
+    ) -> CallerAnswer {
         let started = Instant::now();
         let stream = TcpStream::connect(address).await.expect("connect");
         let (mut sender, connection) =
@@ -157,6 +166,10 @@
                     break;
                 }
             }
+            if enough(&collected) {
+                whole = false;
+                break;
+            }
         }
         connection.abort();
         CallerAnswer {
@@ -236,7 +249,8 @@
 pub struct TestEntry {
     pub node: GatewaySettings,
     pub server: Option<EntryServer>,
-    thread: ControlThread,
+    /// Threads of its own.
+    threads: Vec<ControlThread>,
     _reserved: Vec<ReservedAddress>,
 }
 
@@ -252,6 +266,8 @@
     pub entries: Vec<TestEntry>,
     /// Whether entries that are added later own engines.
     pub shares_engines: bool,
+    /// Whether entries that are added later run on threads of their own, as crashes of entries need.
+    pub isolates_entries: bool,
     folder: PathBuf,
 }
 
@@ -300,8 +316,13 @@
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("gateway-{name}-{}-{number}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
-        let mut fleet =
-            Self { controls: Vec::new(), entries: Vec::new(), shares_engines: false, folder };
+        let mut fleet = Self {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            shares_engines: false,
+            isolates_entries: false,
+            folder,
+        };
         let mut reserved: Vec<_> = (0..controls).map(|_| ReservedAddress::group(4)).collect();
         let seeds: Vec<_> = reserved.iter().map(|reserved| reserved[0].address).collect();
         for (index, reserved) in reserved.drain(..).enumerate() {
@@ -354,20 +375,49 @@
             seeds: self.controls.iter().map(|control| control.node.peer_listen).collect(),
             ..node(name, zone, &reserved)
         };
-        let thread = ControlThread::start("control").expect("thread");
-        self.entries.push(TestEntry { node, server: None, thread, _reserved: reserved });
+        self.entries.push(TestEntry {
+            node,
+            server: None,
+            threads: Vec::new(),
+            _reserved: reserved,
+        });
         self.start_entry(self.entries.len() - 1).await;
     }
 
     /// Starts an entry that was stopped or killed, at its former addresses.
     pub async fn start_entry(&mut self, index: usize) {
         let entry = &mut self.entries[index];
+        let thread = ControlThread::start("control").expect("thread");
         let (calls, orders) = (Arc::new(NativeHeaders), Arc::new(JsonControl));
-        let server =
-            EntryServer::start(entry.node.clone(), calls, orders, entry.thread.handle()).await;
+        let (node, control) = (entry.node.clone(), thread.handle().clone());
+        let start = async move { EntryServer::start(node, calls, orders, &control).await };
+        entry.threads = vec![thread];
+        let server = match self.isolates_entries {
+            true => {
+                let traffic = ControlThread::start("traffic").expect("thread");
+                let started = traffic.handle().spawn(start);
+                entry.threads.push(traffic);
+                started.await.expect("started")
+            }
+            false => start.await,
+        };
         entry.server = Some(server.expect("entry"));
     }
 
+    /// Ends all entries at once, with all their connections; [`Self::isolates_entries`] must be set.
+    pub async fn crash_entries(&mut self) {
+        assert!(self.isolates_entries, "connections of entries would stay open");
+        self.entries.iter_mut().for_each(|entry| entry.threads.clear());
+        for entry in &mut self.entries {
+            entry.server = None;
+            let end = Instant::now() + WAIT_TIMEOUT;
+            while TcpStream::connect(entry.address()).await.is_ok() {
+                assert!(Instant::now() < end, "{} still listens", entry.node.instance);
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+
     /// Stops an entry abruptly.
     pub async fn kill_entry(&mut self, index: usize) {
         drop(self.entries[index].server.take());
@@ -474,7 +524,10 @@
 
 /// A renewal of a stub in the pool `service`.
 pub fn describe(upstream: &UpstreamStub, zone: &str, sequence: u64) -> RegisteredUpstream {
-    describe_at(&upstream.name, upstream.address, zone, 1, sequence)
+    RegisteredUpstream {
+        software: SoftwareVersion::from(upstream.software.as_str()),
+        ..describe_at(&upstream.name, upstream.address, zone, 1, sequence)
+    }
 }
 
 /// A renewal of the process at `address` that started at `started_ms`, in the pool `service`.
--- a/cicadastall/tests/gateway/upstream.rs
+++ b/cicadastall/tests/gateway/upstream.rs
@@ -13,10 +13,14 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
-    task::JoinHandle,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    task::{JoinHandle, JoinSet},
     time::{Instant, sleep},
 };
 
+/// Requests that wait for a slot before others are refused.
+const MAX_QUEUED: usize = 4;
+
 static NAMES: AtomicU64 = AtomicU64::new(1);
 
 /// What happens to the connection after an answer.
@@ -41,11 +45,46 @@
     pub endless: Option<(Duration, String)>,
     /// What happens to the connection.
     pub ending: ConnectionEnd,
+    /// A stream in place of `parts`.
+    pub versioned: Option<VersionedStream>,
+}
+
+/// A stream whose events carry the software version of the upstream and are numbered from 1. It goes on
+/// after the last event that the request names.
+#[derive(Debug, Clone, Copy)]
+pub struct VersionedStream {
+    /// Number of the last event.
+    pub events: u32,
+    /// Pause before each event.
+    pub pause: Duration,
+    /// Number of events of one answer after which the connection is reset.
+    pub breaks_after: Option<u32>,
+}
+
+impl VersionedStream {
+    /// The answer of an upstream with the version `software` to a request that names `last_event`.
+    fn script(self, software: &str, last_event: u32) -> ScriptedAnswer {
+        let numbers = last_event + 1..=self.events;
+        let sent = self.breaks_after.unwrap_or(u32::MAX) as usize;
+        let script = numbers.take(sent).fold(ScriptedAnswer::stream(), |script, id| {
+            let event = format!("id: {id}\ndata: {software} token-{id}\n\n");
+            script.then(self.pause, &format!("{:x}\r\n{event}\r\n", event.len()))
+        });
+        match self.breaks_after {
+            Some(_) => script.ending(ConnectionEnd::Reset),
+            None => script.end(),
+        }
+    }
 }
 
 impl ScriptedAnswer {
     pub fn raw(text: &str, ending: ConnectionEnd) -> Self {
-        Self { parts: vec![(Duration::ZERO, text.to_owned())], endless: None, ending }
+        let parts = vec![(Duration::ZERO, text.to_owned())];
+        Self { parts, endless: None, ending, versioned: None }
+    }
+
+    pub fn versioned(stream: VersionedStream) -> Self {
+        Self { versioned: Some(stream), ..Self::stream() }
     }
 
     /// Repeats `text` without end after all parts.
@@ -149,6 +188,10 @@
     endless_for: Duration,
     open: u32,
     max_open: u32,
+    /// Requests that are being answered or wait for a slot.
+    running: usize,
+    /// Slots and their number.
+    slots: Option<(Arc<Semaphore>, usize)>,
 }
 
 /// A running stub; it stops when dropped.
@@ -156,6 +199,8 @@
 pub struct UpstreamStub {
     pub name: String,
     pub address: SocketAddr,
+    /// Version of its software.
+    pub software: String,
     state: Arc<Mutex<UpstreamState>>,
     task: JoinHandle<()>,
     _reserved: ReservedAddress,
@@ -170,6 +215,11 @@
 impl UpstreamStub {
     /// Starts a stub that gives `default_answer` unless another answer is queued.
     pub async fn start(default_answer: ScriptedAnswer) -> Self {
+        Self::start_version(default_answer, "v1").await
+    }
+
+    /// Like [`Self::start`], with the software version `software`.
+    pub async fn start_version(default_answer: ScriptedAnswer, software: &str) -> Self {
         let name = format!("upstream-{}", NAMES.fetch_add(1, Ordering::Relaxed));
         let reserved = ReservedAddress::group(1).remove(0);
         let socket = TcpSocket::new_v4().expect("socket");
@@ -180,8 +230,10 @@
             default_answer: Some(default_answer),
             ..UpstreamState::default()
         }));
-        let task = tokio::spawn(accept_connections(listener, name.clone(), Arc::clone(&state)));
-        Self { name, address: reserved.address, state, task, _reserved: reserved }
+        let software = software.to_owned();
+        let identity = (name.clone(), software.clone());
+        let task = tokio::spawn(accept_connections(listener, identity, Arc::clone(&state)));
+        Self { name, address: reserved.address, software, state, task, _reserved: reserved }
     }
 
     fn state(&self) -> MutexGuard<'_, UpstreamState> {
@@ -198,6 +250,18 @@
         self.state().resumed_answer = Some(answer);
     }
 
+    /// Sets the number of requests that are answered at the same time; a few more wait, and others are
+    /// refused.
+    pub fn set_slots(&self, slots: u32) {
+        let slots = slots as usize;
+        self.state().slots = Some((Arc::new(Semaphore::new(slots)), slots));
+    }
+
+    /// Ends the process: all its connections break.
+    pub fn end(&self) {
+        self.task.abort();
+    }
+
     /// Requests that were received completely.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.state().received.clone()
@@ -237,29 +301,69 @@
     }
 }
 
-async fn accept_connections(listener: TcpListener, name: String, state: Arc<Mutex<UpstreamState>>) {
+/// Accepts connections until its task is aborted, which breaks them. `identity` is the name and the
+/// software version.
+async fn accept_connections(
+    listener: TcpListener,
+    identity: (String, String),
+    state: Arc<Mutex<UpstreamState>>,
+) {
+    let mut connections = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else { return };
         state.lock().unwrap_or_else(PoisonError::into_inner).connections += 1;
-        tokio::spawn(serve_connection(stream, name.clone(), Arc::clone(&state)));
+        connections.spawn(serve_connection(stream, identity.clone(), Arc::clone(&state)));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+/// Counts a request as running until it is dropped.
+struct RunningRequest(Arc<Mutex<UpstreamState>>);
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).running -= 1;
     }
 }
 
-async fn serve_connection(mut stream: TcpStream, name: String, state: Arc<Mutex<UpstreamState>>) {
+async fn serve_connection(
+    mut stream: TcpStream,
+    (name, software): (String, String),
+    state: Arc<Mutex<UpstreamState>>,
+) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await {
-        let script = {
+        let (script, slots) = {
             let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
             state.received.push(request.clone());
             state.open += 1;
             state.max_open = state.max_open.max(state.open);
+            state.running += 1;
             let resumes = request.header("last-event-id").is_some();
             let resumed = state.resumed_answer.clone().filter(|_| resumes);
-            let script = resumed.or_else(|| state.scripts.pop_front());
-            script.or_else(|| state.default_answer.clone())
+            let full = |slots: usize| state.running > slots + MAX_QUEUED;
+            if state.slots.as_ref().is_some_and(|(_, slots)| full(*slots)) {
+                (Some(ScriptedAnswer::refused()), None)
+            } else {
+                let script = resumed.or_else(|| state.scripts.pop_front());
+                let slots = state.slots.as_ref().map(|(slots, _)| Arc::clone(slots));
+                (script.or_else(|| state.default_answer.clone()), slots)
+            }
+        };
+        let running = RunningRequest(Arc::clone(&state));
+        let Some(mut script) = script else { return };
+        if let Some(versioned) = script.versioned {
+            let last_event = request.header("last-event-id").and_then(|id| id.parse().ok());
+            script = versioned.script(&software, last_event.unwrap_or(0));
+        }
+        let _slot = match slots {
+            Some(slots) => match wait_slot(&mut stream, &slots).await {
+                Some(slot) => Some(slot),
+                None => return,
+            },
+            None => None,
         };
-        let Some(script) = script else { return };
         for (pause, text) in &script.parts {
             if !wait_connected(&mut stream, *pause).await {
                 state.lock().unwrap_or_else(PoisonError::into_inner).disconnects += 1;
@@ -282,6 +386,7 @@
             return;
         }
         state.lock().unwrap_or_else(PoisonError::into_inner).open -= 1;
+        drop(running);
         match script.ending {
             ConnectionEnd::Keep => {}
             ConnectionEnd::Close => {
@@ -301,6 +406,18 @@
     }
 }
 
+/// Waits for a free slot; none if the other side closes the connection meanwhile.
+async fn wait_slot(stream: &mut TcpStream, slots: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+    loop {
+        if let Ok(slot) = Arc::clone(slots).try_acquire_owned() {
+            return Some(slot);
+        }
+        if !wait_connected(stream, Duration::from_millis(5)).await {
+            return None;
+        }
+    }
+}
+
 /// Waits for `pause`. Returns false if the other side closes the connection meanwhile.
 async fn wait_connected(stream: &mut TcpStream, pause: Duration) -> bool {
     let mut byte = [0];
