List no entries at a control instance without a document

Callers saw: a control instance that has lost its disk and reaches no majority led callers to entries of other regions, as for hosts without homes. Entries answer without a document that they are unavailable; the directory of control did not. Change: the same answer there.

Test: a_control_instance_without_the_document_does_not_lead_callers_elsewhere, which failed before.

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -225,10 +225,11 @@
 
     fn list_entries(&self, location: &CallerLocation) -> ControlReply {
         let state = self.supervisor.state();
-        let homes = location
-            .host
-            .as_deref()
-            .and_then(|host| state.newest().map(|stored| stored.document.host_homes(host)));
+        // Without a document, the homes of the caller's requests are unknown.
+        let Some(stored) = state.newest() else {
+            return ControlReply::Unavailable(NO_ENTRY_LISTED);
+        };
+        let homes = location.host.as_deref().map(|host| stored.document.host_homes(host));
         let input = ListingInput {
             location,
             homes: &homes.unwrap_or_default(),
--- a/cicadastall/tests/gateway_listing.rs
+++ b/cicadastall/tests/gateway_listing.rs
@@ -189,6 +189,25 @@
     }
 }
 
+#[tokio::test]
+async fn a_control_instance_without_the_document_does_not_lead_callers_elsewhere() {
+    let mut fleet = fleet("home-control-empty", 3).await;
+    let (east, directory) = (fleet.entries[2].address(), directories(&fleet)[3]);
+    for index in 0..3 {
+        fleet.kill_control(index).await;
+    }
+    fleet.kill_entry(1).await;
+    let folder = fleet.controls[0].node.data_folder.clone().expect("a folder");
+    std::fs::remove_dir_all(folder).expect("removed");
+    fleet.start_control(0).await;
+    let end = Instant::now() + WATCH_TIME;
+    while Instant::now() < end {
+        let listed = list(directory, "west-a").await;
+        assert!(!listed.contains(&east), "an entry of east is listed: {listed:?}");
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Entries with one zone a region, described as region and state; the port is the index.
 fn records(entries: &[(&str, EntryState)]) -> Vec<EntryRecord> {
     let record = |(index, (region, state)): (usize, &(&str, EntryState))| {
