Gateway: believe a refusal on a kept connection only if it names this attempt

Cause: a faulty upstream writes an earlier refusal once more. hyper closes a connection on which bytes stand while it is idle, but only when its task reads them: a copy that arrives about when the next request is written is handed out as that request's answer. The verdict was "not run" for a refusal (or a 421) without an attempt's identifier, and for one with the identifier of this attempt although that had been refused on the same connection before. The caller was told "not run", or the request went to a second upstream.

Change: a connection remembers whether it was used, and the hashes of the attempts refused on it. "Not run" holds for a refusal that names this attempt, unless it was refused on this connection before, and for one that names none only on a new connection. A connection is closed after 8 refused attempts, so the memory is bounded. All else is unknown, and the connection is closed.

The table of verdicts in `gateway_pure` covers each use of the connection; its rows for nameless refusals now hold for a new connection only. The stubs' usual refusals name their attempt, as the protocol states; they did not before.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -387,7 +387,7 @@
         chosen_at: Instant,
         mut guard: SendGuard,
         response: Response<Incoming>,
-        connection: PooledConnection,
+        mut connection: PooledConnection,
     ) -> Result<StartedAnswer, AttemptFailure> {
         let (parts, mut body) = response.into_parts();
         let head = self.context.dialect.read_answer_head(parts.status, &parts.headers);
@@ -395,11 +395,12 @@
             self.apply_upstream_state(target, known, &head);
         }
         let is_hop = target.upstream.is_none();
+        let attempt = &self.call.attempt;
         let ran = is_hop.then(|| read_ran(&parts.headers)).flatten();
         let verdict = match ran {
             Some(Ran::No) => Verdict::NotRun,
             Some(Ran::Unknown) => Verdict::Unknown,
-            None => classify_head(&head, &self.call.attempt),
+            None => classify_head(&head, attempt, connection.find_use(attempt)),
         };
         let keep_alive = read_keep_alive(&parts.headers);
         let has_events = has_events(&parts.headers);
@@ -516,6 +517,9 @@
                 if let Ok(Ok((_, true))) =
                     timeout(DISCARD_TIMEOUT, read_bounded(&mut body, MAX_BUFFERED_BYTES)).await
                 {
+                    if !is_hop {
+                        connection.note_refused(&self.call.attempt);
+                    }
                     connection.keep(keep_alive);
                 }
             }
--- a/cicadastall/src/gateway/connections.rs
+++ b/cicadastall/src/gateway/connections.rs
@@ -1,6 +1,10 @@
 //! Pool of HTTP/1.1 connections to upstreams and other entries, bounded for each target.
 
-use crate::{http::describe_error, name::UpstreamName, sockets::open_stream};
+use crate::{
+    http::describe_error,
+    name::{AttemptId, UpstreamName},
+    sockets::open_stream,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -9,8 +13,10 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use smallvec::SmallVec;
 use std::{
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -30,6 +36,12 @@
 /// connections must fit into a small instance's memory.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Maximum number of refused attempts on one connection; it is closed after the last of them.
+pub const MAX_REFUSED_ATTEMPTS: usize = 8;
+
+/// Hashes of the attempts that were refused on one connection.
+type RefusedAttempts = SmallVec<[u64; MAX_REFUSED_ATTEMPTS]>;
+
 /// The other side of a connection.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ConnectionTarget {
@@ -57,9 +69,22 @@
     Broken(String),
 }
 
+/// What was sent on a connection before an attempt. A faulty upstream may write an earlier answer
+/// once more, and the copy then stands where the attempt's answer is expected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// Nothing.
+    New,
+    /// Other attempts.
+    Kept,
+    /// The same attempt, which was refused.
+    Refused,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    refused: RefusedAttempts,
     since: Instant,
     limit: Duration,
     /// Counts the connection until it is closed.
@@ -101,6 +126,8 @@
 #[derive(Debug)]
 pub struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
+    kept: bool,
+    refused: RefusedAttempts,
     open: OpenGuard,
 }
 
@@ -116,7 +143,7 @@
         }
         let open = self.reserve_open(target, max_open).ok_or(ConnectError::Exhausted)?;
         let sender = connect(target.address).await.map_err(ConnectError::Failed)?;
-        Ok(PooledConnection { sender, open })
+        Ok(PooledConnection { sender, kept: false, refused: RefusedAttempts::new(), open })
     }
 
     fn take_idle(&self, target: &ConnectionTarget) -> Option<PooledConnection> {
@@ -137,7 +164,12 @@
         }
         drop(targets);
         drop(closed);
-        taken.map(|IdleConnection { sender, open, .. }| PooledConnection { sender, open })
+        taken.map(|IdleConnection { sender, refused, open, .. }| PooledConnection {
+            sender,
+            kept: true,
+            refused,
+            open,
+        })
     }
 
     fn reserve_open(
@@ -203,20 +235,41 @@
         }
     }
 
+    /// What was sent on the connection before `attempt`.
+    pub fn find_use(&self, attempt: &AttemptId) -> ConnectionUse {
+        match self.kept {
+            false => ConnectionUse::New,
+            true if self.refused.contains(&hash_attempt(attempt)) => ConnectionUse::Refused,
+            true => ConnectionUse::Kept,
+        }
+    }
+
+    /// Records that the upstream refused `attempt`.
+    pub fn note_refused(&mut self, attempt: &AttemptId) {
+        self.refused.push(hash_attempt(attempt));
+    }
+
     /// Returns the connection to the pool; `limit` is the idle timeout of the other side.
     pub fn keep(self, limit: Option<Duration>) {
-        if self.sender.is_closed() {
+        if self.sender.is_closed() || self.refused.len() >= MAX_REFUSED_ATTEMPTS {
             return;
         }
         let limit = limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| limit.mul_f64(IDLE_TIMEOUT_SHARE));
         let pool = Arc::clone(&self.open.pool);
         let target = self.open.target.clone();
-        let kept =
-            IdleConnection { sender: self.sender, since: Instant::now(), limit, open: self.open };
+        let Self { sender, refused, open, .. } = self;
+        let kept = IdleConnection { sender, refused, since: Instant::now(), limit, open };
         pool.lock().entry(target).or_default().idle.push(kept);
     }
 }
 
+/// Hash of an attempt's identifier. If two have the same one, a refusal counts as unknown.
+fn hash_attempt(attempt: &AttemptId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    attempt.hash(&mut hasher);
+    hasher.finish()
+}
+
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
     let connected = timeout(CONNECT_TIMEOUT, open_stream(None, address)).await;
     let stream = connected
--- a/cicadastall/src/gateway/outcome.rs
+++ b/cicadastall/src/gateway/outcome.rs
@@ -6,13 +6,19 @@
 //! | connection closed, reset or silent after a byte was written | yes | [`Verdict::Unknown`] |
 //! | an answer that is not valid HTTP | yes | [`Verdict::Unknown`] |
 //! | an answer to another attempt, or to none | yes | [`Verdict::Unknown`] |
-//! | refused, or answered by another upstream, with this attempt's identifier or none | no | [`Verdict::NotRun`] |
+//! | refused, or answered by another upstream, with this attempt's identifier | no | [`Verdict::NotRun`] |
+//! | the same without an identifier, on a new connection | no | [`Verdict::NotRun`] |
+//! | the same without an identifier, on a kept connection | yes | [`Verdict::Unknown`] |
+//! | the same on a connection on which this attempt was refused before | yes | [`Verdict::Unknown`] |
 //! | success without the upstream's stamp, or with an encoded body | yes | [`Verdict::Unknown`] |
 //! | success with the stamp | yes | [`Verdict::Answer`] |
 //! | another status with the stamp | yes | [`Verdict::Failure`] |
 //! | another status without the stamp | yes | [`Verdict::Unknown`] |
 
-use crate::{gateway::dialect::AnswerHead, name::AttemptId};
+use crate::{
+    gateway::{connections::ConnectionUse, dialect::AnswerHead},
+    name::AttemptId,
+};
 
 /// Progress of an attempt that ended without the head of an answer, with the cause.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,14 +50,20 @@
     }
 }
 
-/// Classifies the head of an answer to `attempt`.
-pub fn classify_head(head: &AnswerHead, attempt: &AttemptId) -> Verdict {
-    // A late answer to an earlier attempt on the same connection tells nothing about this one.
-    let foreign = head.attempt.as_ref().is_some_and(|echoed| echoed != attempt);
-    if !foreign && (head.refused || head.misdirected) {
-        return Verdict::NotRun;
+/// Classifies the head of an answer to `attempt`, received on a connection with the given use
+/// before it.
+pub fn classify_head(head: &AnswerHead, attempt: &AttemptId, before: ConnectionUse) -> Verdict {
+    let own = head.attempt.as_ref().map(|echoed| echoed == attempt);
+    if head.refused || head.misdirected {
+        // A copy of an earlier refusal on the same connection tells nothing about this attempt.
+        let certain = match before {
+            ConnectionUse::New => own != Some(false),
+            ConnectionUse::Kept => own == Some(true),
+            ConnectionUse::Refused => false,
+        };
+        return if certain { Verdict::NotRun } else { Verdict::Unknown };
     }
-    if foreign || head.attempt.is_none() || !head.stamped || head.encoded {
+    if own != Some(true) || !head.stamped || head.encoded {
         return Verdict::Unknown;
     }
     match head.status.is_success() {
--- a/cicadastall/tests/gateway/upstream.rs
+++ b/cicadastall/tests/gateway/upstream.rs
@@ -105,9 +105,7 @@
 
     /// A refusal that states that the request was not run.
     pub fn refused() -> Self {
-        let text = "HTTP/1.1 503 Service Unavailable\r\nx-cicadastall-refused: 1\r\n\
-                    content-length: 0\r\n\r\n";
-        Self::raw(text, ConnectionEnd::Keep)
+        Self::raw(&refusal_text(Some("{attempt}")), ConnectionEnd::Keep)
     }
 
     /// The head of a chunked event stream.
@@ -147,6 +145,16 @@
     format!("id: {id}\ndata: token-{id}\n\n")
 }
 
+/// Text of a refusal of `attempt`, or of one that names no attempt.
+pub fn refusal_text(attempt: Option<&str>) -> String {
+    let echo = attempt.map(|attempt| format!("x-cicadastall-attempt: {attempt}\r\n"));
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nx-cicadastall-refused: 1\r\n{}\
+         content-length: 0\r\n\r\n",
+        echo.unwrap_or_default()
+    )
+}
+
 /// Text of a complete answer.
 pub fn whole_text(status: &str, body: &str) -> String {
     format!(
@@ -245,6 +253,11 @@
         self.state().scripts.extend(scripts);
     }
 
+    /// Drops the queued answers.
+    pub fn clear(&self) {
+        self.state().scripts.clear();
+    }
+
     /// Sets the answer to requests that resume a stream.
     pub fn set_resumed(&self, answer: ScriptedAnswer) {
         self.state().resumed_answer = Some(answer);
--- a/cicadastall/tests/gateway_leaving.rs
+++ b/cicadastall/tests/gateway_leaving.rs
@@ -27,7 +27,7 @@
 fn refuse_for(seconds: &str) -> ScriptedAnswer {
     let text = format!(
         "HTTP/1.1 503 Service Unavailable\r\nx-cicadastall-refused: 1\r\n\
-         retry-after: {seconds}\r\ncontent-length: 0\r\n\r\n"
+         x-cicadastall-attempt: {{attempt}}\r\nretry-after: {seconds}\r\ncontent-length: 0\r\n\r\n"
     );
     ScriptedAnswer::raw(&text, gateway::upstream::ConnectionEnd::Keep)
 }
--- a/cicadastall/tests/gateway_pure.rs
+++ b/cicadastall/tests/gateway_pure.rs
@@ -3,6 +3,7 @@
 
 use cicadastall::{
     gateway::{
+        connections::ConnectionUse,
         departures::DepartureLog,
         dialect::{AnswerHead, CallDialect, NativeHeaders},
         document_check::check_document,
@@ -238,14 +239,26 @@
         (AnswerHead { encoded: true, ..usual.clone() }, Verdict::Unknown),
         (AnswerHead { stamped: false, ..head(503, Some("ours")) }, Verdict::Unknown),
         (AnswerHead { stamped: false, ..head(429, None) }, Verdict::Unknown),
-        (AnswerHead { refused: true, ..head(503, None) }, Verdict::NotRun),
-        (AnswerHead { refused: true, ..head(503, Some("ours")) }, Verdict::NotRun),
-        (AnswerHead { refused: true, ..head(503, Some("theirs")) }, Verdict::Unknown),
-        (AnswerHead { misdirected: true, ..head(421, None) }, Verdict::NotRun),
-        (AnswerHead { misdirected: true, ..head(421, Some("theirs")) }, Verdict::Unknown),
     ];
+    let uses = [ConnectionUse::New, ConnectionUse::Kept, ConnectionUse::Refused];
     for (head, expected) in cases {
-        assert_eq!(classify_head(&head, &ours), expected, "{head:?}");
+        for before in uses {
+            assert_eq!(classify_head(&head, &ours, before), expected, "{head:?} {before:?}");
+        }
+    }
+    let refusal = |attempt| AnswerHead { refused: true, ..head(503, attempt) };
+    let misdirected = |attempt| AnswerHead { misdirected: true, ..head(421, attempt) };
+    let (not_run, unknown) = (Verdict::NotRun, Verdict::Unknown);
+    let cases = [
+        (None, [not_run, unknown, unknown]),
+        (Some("ours"), [not_run, not_run, unknown]),
+        (Some("theirs"), [unknown; 3]),
+    ];
+    for (attempt, expected) in cases {
+        for head in [refusal(attempt), misdirected(attempt)] {
+            let verdicts = uses.map(|before| classify_head(&head, &ours, before));
+            assert_eq!(verdicts, expected, "{head:?}");
+        }
     }
 }
 
