Dispatch: believe an upstream's refusal only if it names this attempt

Cause: the chat interface read a refusal of an upstream, by header or as an error body, without comparing the attempt that it names. On a pooled connection, which repeatable requests use, an earlier refusal written once more counted as "not run".

Change: on a pooled connection a refusal must name this attempt, on a new one (requests that may not be repeated) it may name none. Otherwise the outcome is unknown. Refusals of entries are read as before: an entry writes one answer a request, and its early refusals name an identifier of its own.

Ruled out: events of a stream, whose errors are compared with the attempt already (`AnswerAssembler::accept`).

--- a/cicadastall/src/dispatch.rs
+++ b/cicadastall/src/dispatch.rs
@@ -17,7 +17,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_TYPE, RETRY_AFTER},
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     http::request::Builder,
 };
 use hyper_util::client::legacy::Error as ClientError;
@@ -99,6 +99,36 @@
     }
 }
 
+/// The attempt that a refusal must name so that it certainly answers the request.
+#[derive(Debug, Clone, Copy)]
+enum ExpectedEcho<'a> {
+    /// None: the target is an entry, which writes one answer to each request.
+    None,
+    /// This one, if the refusal names any: requests that may not be repeated get a new connection.
+    Optional(&'a AttemptId),
+    /// This one: on a pooled connection, a faulty upstream may write an earlier refusal once more.
+    Required(&'a AttemptId),
+}
+
+impl<'a> ExpectedEcho<'a> {
+    fn new(target: &AttemptTarget, plan: &RequestPlan, attempt: &'a AttemptId) -> Self {
+        match target {
+            AttemptTarget::Entry { .. } => Self::None,
+            AttemptTarget::Upstream { .. } if plan.repeatable => Self::Required(attempt),
+            AttemptTarget::Upstream { .. } => Self::Optional(attempt),
+        }
+    }
+
+    /// Whether a refusal that names `echoed` certainly answers the request.
+    fn matches(self, echoed: Option<&str>) -> bool {
+        match self {
+            Self::None => true,
+            Self::Optional(attempt) => echoed.is_none_or(|echoed| echoed == attempt.as_str()),
+            Self::Required(attempt) => echoed == Some(attempt.as_str()),
+        }
+    }
+}
+
 /// Opens the stream of a chat completion, starting at token number `resume_from`.
 pub async fn open_stream(
     client: &HttpClient,
@@ -117,7 +147,8 @@
         ..chat.clone()
     };
     let request = build_request(target, plan, CHAT_PATH, attempt, &body, remaining)?;
-    let answer = send_request(client, request, remaining).await?;
+    let echo = ExpectedEcho::new(target, plan, attempt);
+    let answer = send_request(client, request, echo, remaining).await?;
     Ok(AttemptStream { body: answer.into_body(), scanner: EventScanner::default() })
 }
 
@@ -131,7 +162,8 @@
     remaining: Duration,
 ) -> Result<serde_json::Value, AttemptError> {
     let request = build_request(target, plan, CALL_PATH, attempt, call, remaining)?;
-    let answer = send_request(client, request, remaining).await?;
+    let echo = ExpectedEcho::new(target, plan, attempt);
+    let answer = send_request(client, request, echo, remaining).await?;
     let bytes = read_body(answer.into_body(), MAX_ANSWER_BYTES, remaining)
         .await
         .map_err(|error| AttemptError::Broken(format!("answer not read: {error:?}")))?;
@@ -221,6 +253,7 @@
 async fn send_request(
     client: &HttpClient,
     request: Request<Full<Bytes>>,
+    echo: ExpectedEcho<'_>,
     remaining: Duration,
 ) -> Result<Response<Incoming>, AttemptError> {
     let answer = match timeout(remaining, client.request(request)).await {
@@ -234,7 +267,7 @@
     if answer.status().is_success() {
         return Ok(answer);
     }
-    Err(read_refusal(answer, remaining).await)
+    Err(read_refusal(answer, echo, remaining).await)
 }
 
 /// Whether a pooled connection turned out to be closed before any byte of the request was written.
@@ -243,19 +276,22 @@
     cause.is_some_and(hyper::Error::is_canceled)
 }
 
-async fn read_refusal(answer: Response<Incoming>, remaining: Duration) -> AttemptError {
-    let status = answer.status();
-    let refused = answer.headers().contains_key(REFUSED_HEADER);
-    let retry_after = answer
-        .headers()
-        .get(RETRY_AFTER)
-        .and_then(|value| value.to_str().ok()?.parse().ok())
-        .map(Duration::from_secs);
-    let body = read_body(answer.into_body(), MAX_ANSWER_BYTES, remaining).await.unwrap_or_default();
-    if let Ok(error) = serde_json::from_slice::<ErrorBody>(&body) {
-        return AttemptError::Refused(error.error);
+async fn read_refusal(
+    answer: Response<Incoming>,
+    echo: ExpectedEcho<'_>,
+    remaining: Duration,
+) -> AttemptError {
+    let (head, body) = answer.into_parts();
+    let status = head.status;
+    let text = |name| head.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    let body = read_body(body, MAX_ANSWER_BYTES, remaining).await.unwrap_or_default();
+    if let Ok(ErrorBody { request, mut error }) = serde_json::from_slice(&body) {
+        if !echo.matches(Some(request.as_str())) {
+            error.ran = Ran::Unknown;
+        }
+        return AttemptError::Refused(error);
     }
-    if !refused {
+    if !head.headers.contains_key(REFUSED_HEADER) {
         return AttemptError::Broken(format!("status {status}"));
     }
     let code = match status {
@@ -263,6 +299,10 @@
         _ => RefusalCode::NoUpstream,
     };
     let mut refusal = Refusal::not_run(code, format!("upstream refused with status {status}"));
-    refusal.retry_after_ms = retry_after.map(|delay| delay.as_millis() as u64);
+    let retry_after = text(RETRY_AFTER.as_str()).and_then(|text| text.parse().ok());
+    refusal.retry_after_ms = retry_after.map(|delay| Duration::from_secs(delay).as_millis() as u64);
+    if !echo.matches(text(ATTEMPT_HEADER)) {
+        refusal.ran = Ran::Unknown;
+    }
     AttemptError::Refused(refusal)
 }
