Registry: refuse registrations with values that no upstream has

Cause: a renewal of another writer was taken as it was decoded. Port 0, 0.0.0.0, broadcast and group addresses were listed, and so were the addresses of entries, to which entries then send. Names of a megabyte were sent to every instance.

Change: `check_upstream` holds the bounds of a registration, in one place for both dialects; the registry refuses what fails it, or has the address of a known instance, from upstreams and from other control instances. Entries skip such rows of a control instance with older software. Sums saturate.

Ruled out: deep nesting (the decoder ignores unknown fields without recursion and refuses the others), ports above 65535, numbers above 64 bits, duplicate keys, unknown states and zones, which were refused as invalid before; long warm-ups, which concern their own upstream only.

--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -48,5 +48,6 @@
 mod stream_forwarder;
 pub mod stream_origins;
 pub mod tracker;
+pub mod upstream_check;
 pub mod view;
 pub mod warmup;
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -139,7 +139,7 @@
 
     fn renew(&self, upstream: RegisteredUpstream) -> ControlReply {
         let now = Instant::now();
-        let zone = upstream.zone.clone();
+        let (zone, address) = (upstream.zone.clone(), upstream.address);
         self.change_registry(|registry| {
             let Some(region) = registry.region(&zone).cloned() else {
                 return ControlReply::Fault(CallFault::Invalid(Vec::new()));
@@ -153,6 +153,10 @@
                     ControlReply::Renewed(registry.nearest_registry(&zone))
                 }
                 RenewalOutcome::UnknownZone => ControlReply::Fault(CallFault::Invalid(Vec::new())),
+                RenewalOutcome::Invalid(fault) => {
+                    log::warn!(address:? = address; "renewal refused: {fault:?}");
+                    ControlReply::Fault(CallFault::Invalid(vec![fault.describe()]))
+                }
             }
         })
     }
--- a/cicadastall/src/gateway/region_load.rs
+++ b/cicadastall/src/gateway/region_load.rs
@@ -138,9 +138,9 @@
             });
             let (requests, backlog_ms) = work.get(&upstream.name).copied().unwrap_or_default();
             pool.serving += 1;
-            pool.slots += upstream.slots;
-            pool.requests += requests;
-            pool.backlog_ms += backlog_ms;
+            pool.slots = pool.slots.saturating_add(upstream.slots);
+            pool.requests = pool.requests.saturating_add(requests);
+            pool.backlog_ms = pool.backlog_ms.saturating_add(backlog_ms);
         }
         for pool in pools.values_mut() {
             pool.backlog_ms /= pool.serving.max(1);
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -12,6 +12,7 @@
             UpstreamPhase, UpstreamUpdate,
         },
         region_load::EntryLoad,
+        upstream_check::{UpstreamFault, check_upstream},
     },
     name::{InstanceName, RegionName, UpstreamName, ZoneName},
     suspect::{SuspectRecord, SuspectTable},
@@ -57,6 +58,8 @@
     Outdated,
     /// The zone is not part of the fleet.
     UnknownZone,
+    /// No upstream has such a value.
+    Invalid(UpstreamFault),
 }
 
 #[derive(Debug, Clone)]
@@ -186,6 +189,9 @@
     ) -> RenewalOutcome {
         let UpstreamUpdate { upstream, age_ms, evacuated, .. } = update;
         let seen_at = now.checked_sub(from_millis(age_ms)).unwrap_or(now);
+        if let Err(fault) = self.check_values(&upstream) {
+            return RenewalOutcome::Invalid(fault);
+        }
         if !self.zones.contains_key(&upstream.zone) {
             return RenewalOutcome::UnknownZone;
         }
@@ -222,6 +228,21 @@
         RenewalOutcome::Accepted
     }
 
+    /// Fails if `upstream` has a value that no upstream has, or the address of a known instance.
+    fn check_values(&self, upstream: &RegisteredUpstream) -> Result<(), UpstreamFault> {
+        check_upstream(upstream)?;
+        let controls = [&self.own].into_iter().chain(self.other_controls());
+        let controls = controls.flat_map(|own| [own.peer_address, own.registry_address]);
+        let entries = self.live_entries().flat_map(|entry| {
+            let EntryRecord { caller_address, peer_address, grant_address, .. } = entry;
+            [*caller_address, Some(*peer_address), *grant_address].into_iter().flatten()
+        });
+        match controls.chain(entries).any(|address| address == upstream.address) {
+            true => Err(UpstreamFault::OwnAddress),
+            false => Ok(()),
+        }
+    }
+
     /// Marks other upstreams at the address of `upstream` as gone; false, with no change, if one of them
     /// started later.
     fn claim_address(&mut self, upstream: &RegisteredUpstream) -> bool {
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -10,6 +10,7 @@
         },
         owners::{EntryProcess, OwnerMap},
         pool_partition::PromptDemand,
+        upstream_check::check_upstream,
         warmup::hash_pair,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
@@ -345,6 +346,9 @@
         }
         control.cursor = update.cursor;
         for update in update.upstreams {
+            if check_upstream(&update.upstream).is_err() {
+                continue;
+            }
             let seen_at = now.checked_sub(from_millis(update.age_ms)).unwrap_or(now);
             let name = update.upstream.name.clone();
             let received = ReceivedUpstream { update, seen_at, retained_until: None };
