Registry: a renewal for a pool that no document names displaces nobody

Cause: the pool of a renewal was not compared with the document's. One of another writer under the name of a sound upstream, with a higher sequence number, moved it to a pool that nobody serves, and the true renewals were outdated. One under another name at its address, with a later start, marked it gone for good.

Change: the registry knows the newest document (read four times a second). A renewal for a pool that it does not name does not replace a row of a named pool, and neither takes over nor holds an address. It is listed otherwise, as an upstream may be known before its document.

Not covered: a well-formed renewal for a named pool under the name or at the address of a sound upstream; it cannot be told from a restart.

Tests: `a_renewal_for_a_pool_that_no_document_names_replaces_a_sound_upstream` failed before (entries listed "heir" of the pool "nowhere" in its place); `an_upstream_of_a_pool_that_is_named_later_is_never_listed` passed before and after, and holds the other side.

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -152,7 +152,9 @@
                 RenewalOutcome::Accepted | RenewalOutcome::Outdated => {
                     ControlReply::Renewed(registry.nearest_registry(&zone))
                 }
-                RenewalOutcome::UnknownZone => ControlReply::Fault(CallFault::Invalid(Vec::new())),
+                RenewalOutcome::UnknownZone | RenewalOutcome::UnknownPool => {
+                    ControlReply::Fault(CallFault::Invalid(Vec::new()))
+                }
                 RenewalOutcome::Invalid(fault) => {
                     log::warn!(address:? = address; "renewal refused: {fault:?}");
                     ControlReply::Fault(CallFault::Invalid(vec![fault.describe()]))
@@ -345,9 +347,12 @@
     async fn expire(&self) {
         loop {
             sleep(EXPIRY_INTERVAL).await;
-            let version = self.supervisor.state().evacuated().version;
+            let state = self.supervisor.state();
             self.change_registry(|registry| {
-                registry.set_evacuated_version(version);
+                registry.set_evacuated_version(state.evacuated().version);
+                if let Some(stored) = state.newest() {
+                    registry.set_document(Arc::clone(&stored.document));
+                }
                 registry.expire(Instant::now());
             });
         }
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -12,9 +12,10 @@
             UpstreamPhase, UpstreamUpdate,
         },
         region_load::EntryLoad,
+        routes::RouteDocument,
         upstream_check::{UpstreamFault, check_upstream},
     },
-    name::{InstanceName, RegionName, UpstreamName, ZoneName},
+    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
     suspect::{SuspectRecord, SuspectTable},
     table::{EntryRecord, EntryState},
 };
@@ -56,6 +57,8 @@
     Accepted,
     /// A newer renewal is known, or the upstream is gone.
     Outdated,
+    /// No document names the pool, but that of the upstream's row.
+    UnknownPool,
     /// The zone is not part of the fleet.
     UnknownZone,
     /// No upstream has such a value.
@@ -118,6 +121,8 @@
     controls: BTreeMap<SocketAddr, ControlRow>,
     controls_changed: u64,
     evacuated: u64,
+    /// The newest document, whose pools tell upstreams to use from others.
+    document: Option<Arc<RouteDocument>>,
     /// Summaries of other regions, received from their control instances, with arrival times.
     pub(super) summaries: BTreeMap<RegionName, (RegionSummary, Instant)>,
     suspects: SuspectTable,
@@ -147,6 +152,7 @@
             controls: BTreeMap::new(),
             controls_changed: 1,
             evacuated: 0,
+            document: None,
             summaries: BTreeMap::new(),
             suspects: SuspectTable::default(),
             suspect_changes: VecDeque::new(),
@@ -200,6 +206,12 @@
         {
             return RenewalOutcome::Outdated;
         }
+        if let Some(row) = self.upstreams.get(&upstream.name)
+            && self.is_named(&row.upstream.pool)
+            && !self.is_named(&upstream.pool)
+        {
+            return RenewalOutcome::UnknownPool;
+        }
         if upstream.phase != UpstreamPhase::Gone && !self.claim_address(&upstream) {
             return RenewalOutcome::Outdated;
         }
@@ -243,8 +255,20 @@
         }
     }
 
+    /// Whether the document names the pool; true without a document.
+    fn is_named(&self, pool: &PoolName) -> bool {
+        let document = self.document.as_ref();
+        document.is_none_or(|document| document.pools.iter().any(|rule| rule.name == *pool))
+    }
+
+    /// Sets the newest document.
+    pub fn set_document(&mut self, document: Arc<RouteDocument>) {
+        self.document = Some(document);
+    }
+
     /// Marks other upstreams at the address of `upstream` as gone; false, with no change, if one of them
-    /// started later.
+    /// started later. Upstreams of pools that the document does not name neither take over nor hold an
+    /// address: anyone may send their renewals.
     fn claim_address(&mut self, upstream: &RegisteredUpstream) -> bool {
         let others = self.upstreams.values().filter(|row| {
             row.upstream.address == upstream.address
@@ -252,7 +276,11 @@
                 && row.upstream.phase != UpstreamPhase::Gone
         });
         let others: Vec<_> = others.map(|row| Arc::clone(&row.upstream)).collect();
-        if others.iter().any(|other| other.started_ms > upstream.started_ms) {
+        if others.is_empty() || !self.is_named(&upstream.pool) {
+            return true;
+        }
+        let mut holders = others.iter().filter(|other| self.is_named(&other.pool));
+        if holders.any(|other| other.started_ms > upstream.started_ms) {
             return false;
         }
         for other in others {
--- a/cicadastall/tests/odd_upstreams.rs
+++ b/cicadastall/tests/odd_upstreams.rs
@@ -17,13 +17,13 @@
     table::{EntryRecord, EntryState, Incarnation},
 };
 use gateway::{
-    CallerRequest, TestFleet, document,
+    CallerRequest, TestFleet, WAIT_TIMEOUT, document,
     upstream::{ScriptedAnswer, UpstreamStub},
 };
 use hyper::Method;
 use quickcheck::{Gen, QuickCheck};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 const RENEWAL: Duration = Duration::from_secs(1);
 
@@ -237,6 +237,68 @@
     checker().quickcheck(property as fn((u64, u64, u32, u32), u8, u16, String) -> bool);
 }
 
+#[tokio::test]
+async fn a_renewal_for_a_pool_that_no_document_names_replaces_a_sound_upstream() {
+    let fleet = TestFleet::ready("unnamed", document(1), &["west-a"]).await;
+    let first = UpstreamStub::start(ScriptedAnswer::whole("200 OK", "first")).await;
+    let registered = fleet.register(&first, "west-a").await;
+    let pool = PoolName::from("nowhere");
+    let twin = RegisteredUpstream { pool: pool.clone(), sequence: 1_000, ..registered.clone() };
+    let heir = RegisteredUpstream {
+        name: UpstreamName::from("heir"),
+        started_ms: 1_000,
+        pool,
+        ..registered.clone()
+    };
+    // Registries read the newest document four times a second.
+    sleep(RENEWAL / 2).await;
+    for odd in [twin, heir] {
+        fleet.renew(0, &odd).await;
+        let renewed = RegisteredUpstream { sequence: 2, ..registered.clone() };
+        assert!(fleet.renew(0, &renewed).await.status.is_success());
+        let marker = UpstreamStub::start(ScriptedAnswer::whole("200 OK", "other")).await;
+        fleet.register(&marker, "west-a").await;
+        let status = fleet.status(0).await;
+        let listed = status["upstreams"].as_array().expect("a list");
+        let is_first = |row: &serde_json::Value| row["name"] == *first.name;
+        assert!(
+            listed.iter().any(|row| is_first(row) && row["pool"] == "service"),
+            "{}: {status}",
+            odd.name
+        );
+    }
+}
+
+/// A new pool's upstreams may be known before its document.
+#[tokio::test]
+async fn an_upstream_of_a_pool_that_is_named_later_is_never_listed() {
+    let fleet = TestFleet::ready("named", document(1), &["west-a"]).await;
+    let first = UpstreamStub::start(ScriptedAnswer::whole("200 OK", "first")).await;
+    let registered = fleet.register(&first, "west-a").await;
+    let later = RegisteredUpstream {
+        name: UpstreamName::from("later"),
+        started_ms: 1_000,
+        pool: PoolName::from("later"),
+        ..registered
+    };
+    assert!(fleet.renew(0, &later).await.status.is_success());
+    let mut named = document(2);
+    named.pools.push(Arc::new(gateway::pool("later")));
+    fleet.put_document(&named).await;
+    fleet.wait_document(2).await;
+    let end = Instant::now() + WAIT_TIMEOUT;
+    for sequence in later.sequence + 1.. {
+        fleet.renew(0, &RegisteredUpstream { sequence, ..later.clone() }).await;
+        let status = fleet.status(0).await;
+        let listed = status["upstreams"].as_array().expect("a list");
+        if listed.len() == 1 && listed[0]["name"] == "later" {
+            return;
+        }
+        assert!(Instant::now() < end, "the later upstream has not got the address: {status}");
+        sleep(RENEWAL / 20).await;
+    }
+}
+
 /// Bodies of renewals by another writer, with whether they are read as a renewal.
 fn odd_bodies(sound: &RegisteredUpstream) -> Vec<(String, bool)> {
     let text = serde_json::to_string(sound).expect("json");
