Connections: a keep-alive time beyond the clock fails no request

Cause: the idle time of a kept connection was added to the clock unbounded. An upstream that answers with `Keep-Alive: timeout=` left a connection in the pool for which each comparison panicked ("overflow when adding duration to instant"): in every later request to the upstream, whose callers lost their connections, and in the task that closes idle connections.

Change: at most an hour is believed.

Ruled out: `Retry-After`, bounded by MAX_PAUSE and saturating conversions.

Test: `a_keep_alive_time_beyond_the_clock_fails_the_requests_that_follow` failed before with that panic.

--- a/cicadastall/src/gateway/connections.rs
+++ b/cicadastall/src/gateway/connections.rs
@@ -29,6 +29,9 @@
 /// Idle time after which a pooled connection is not reused, if the other side names no limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Longest idle timeout of the other side that is believed; far above what any server sets.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Share of the other side's idle timeout after which a pooled connection is not reused.
 const IDLE_TIMEOUT_SHARE: f64 = 0.6;
 
@@ -254,7 +257,9 @@
         if self.sender.is_closed() || self.refused.len() >= MAX_REFUSED_ATTEMPTS {
             return;
         }
-        let limit = limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| limit.mul_f64(IDLE_TIMEOUT_SHARE));
+        let limit = limit.map_or(DEFAULT_IDLE_TIMEOUT, |limit| {
+            limit.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_SHARE)
+        });
         let pool = Arc::clone(&self.open.pool);
         let target = self.open.target.clone();
         let Self { sender, refused, open, .. } = self;
--- a/cicadastall/tests/gateway_answers.rs
+++ b/cicadastall/tests/gateway_answers.rs
@@ -191,6 +191,21 @@
     }
 }
 
+#[tokio::test]
+async fn a_keep_alive_time_beyond_the_clock_fails_the_requests_that_follow() {
+    let (fleet, upstreams) = start_fleet("keep-alive", 1).await;
+    let kept = whole_text("200 OK", "usual")
+        .replace("content-length", "keep-alive: timeout=18446744073709551615\r\ncontent-length");
+    upstreams[0].next([ScriptedAnswer::raw(&kept, ConnectionEnd::Keep)]);
+    for _ in 0..3 {
+        let sent =
+            tokio::spawn(CallerRequest::post("/read/1").send_owned(fleet.entries[0].address()));
+        let answer = sent.await.expect("an answer");
+        assert_eq!((answer.status.as_u16(), answer.text().as_str()), (200, "usual"));
+    }
+    assert_eq!(upstreams[0].connections(), 1);
+}
+
 #[tokio::test]
 async fn a_late_refusal_of_an_earlier_request_does_not_apply_to_the_next() {
     let (fleet, upstreams) = start_fleet("late-refusal", 1).await;
