Router and placement: odd numbers of an announcement end no entry

Cause: counts and times that an upstream announces were added unchecked. Running and queued requests near overflowed their sum in the prediction, the choice by load and the placement (a panic in builds with overflow checks, in each request and in the summary of the zone's capacity, a wrong load in others). Rates of 0 made the processing time of the prompt and of the answer endless, and their sum panicked ("overflow when adding durations") in every build. Placement listed a model once for each upstream that its demand called for: queued requests were billions of rows.

Change: the sums saturate, a zone whose predicted time is out of range is left out, and a decision lists each model at most as often as it can load it.

Tests: the claims of upstreams in `residency` have odd rates, counts and tokens in one case of four, and a new property also summarizes the capacity and plans the placement. The growth of the placement's list was read in the code, not run: it would take the machine's memory.

--- a/cicadastall/src/placement.rs
+++ b/cicadastall/src/placement.rs
@@ -119,7 +119,8 @@
         match upstream.state {
             UpstreamState::Serving => {
                 let slots = f64::from(upstream.rates.max_running.max(1));
-                usage.demand += f64::from(upstream.load.running + upstream.load.queued) / slots;
+                let requests = upstream.load.running.saturating_add(upstream.load.queued);
+                usage.demand += f64::from(requests) / slots;
                 usage.serving.push(upstream);
             }
             UpstreamState::Loading => usage.loading += 1,
@@ -132,16 +133,17 @@
 /// Number of upstreams that the model requires, including the spare one.
 fn required_upstreams(usage: &ModelUsage<'_>, minimum: u32) -> u32 {
     let needed = (usage.demand / TARGET_UTILIZATION).ceil() as u32;
-    (needed + SPARE_UPSTREAMS).max(minimum)
+    needed.saturating_add(SPARE_UPSTREAMS).max(minimum)
 }
 
-/// Lists each model once for every upstream that it lacks; the largest relative deficit is last.
+/// Lists each model once for every upstream that it lacks, at most as often as one decision can load
+/// it; the largest relative deficit is last.
 fn list_deficits(usages: &BTreeMap<ModelName, ModelUsage<'_>>, minimum: u32) -> Vec<ModelName> {
     let mut deficits = Vec::new();
     for (model, usage) in usages {
         let wanted = required_upstreams(usage, minimum);
         let present = usage.serving.len() as u32 + usage.loading;
-        for index in present..wanted {
+        for index in (present..wanted).take(MAX_CONCURRENT_LOADS) {
             deficits.push((f64::from(index) / f64::from(wanted), model.clone()));
         }
     }
--- a/cicadastall/src/route.rs
+++ b/cicadastall/src/route.rs
@@ -264,7 +264,7 @@
             ChoiceRule::LeastInFlight => indices.min_by_key(own_in_flight),
             ChoiceRule::LeastLoaded => indices.min_by_key(|index| {
                 let load = &candidates[*index].record.load;
-                load.running.max(own_in_flight(index)) + load.queued
+                load.running.max(own_in_flight(index)).saturating_add(load.queued)
             }),
             ChoiceRule::Predicted => {
                 let candidates: SmallVec<[_; 16]> = indices
--- a/cicadastall/src/route/forwarding.rs
+++ b/cicadastall/src/route/forwarding.rs
@@ -165,5 +165,5 @@
     let mean_rate = row.prefill_tokens_per_s / f64::from(row.upstreams);
     let prefill = f64::from(shape.tokens) / mean_rate + queued_tokens / row.prefill_tokens_per_s;
     let wait = Duration::try_from_secs_f64(row.wait_ms.max(0.0) / 1_000.0).ok()?;
-    Some(FORWARDING_LATENCY + wait + Duration::try_from_secs_f64(prefill).ok()?)
+    FORWARDING_LATENCY.checked_add(wait)?.checked_add(Duration::try_from_secs_f64(prefill).ok()?)
 }
--- a/cicadastall/src/route/prediction.rs
+++ b/cicadastall/src/route/prediction.rs
@@ -71,7 +71,7 @@
 impl Prediction {
     /// Processing time of the whole request if the upstream ran nothing else.
     pub fn work(&self) -> Duration {
-        self.prefill + self.decode
+        self.prefill.saturating_add(self.decode)
     }
 
     /// Whether the prediction is within `limit`.
@@ -152,8 +152,10 @@
 fn load_ahead(view: &UpstreamView, rank: Rank) -> (f64, f64) {
     let load = &view.record.load;
     let (requests, tokens) = match rank {
-        Rank::Urgent => (load.urgent_running + load.urgent_queued, load.urgent_prompt_tokens),
-        Rank::Patient => (load.running + load.queued, load.queued_prompt_tokens),
+        Rank::Urgent => {
+            (load.urgent_running.saturating_add(load.urgent_queued), load.urgent_prompt_tokens)
+        }
+        Rank::Patient => (load.running.saturating_add(load.queued), load.queued_prompt_tokens),
     };
     (f64::from(requests), tokens as f64)
 }
--- a/cicadastall/tests/residency.rs
+++ b/cicadastall/tests/residency.rs
@@ -5,8 +5,12 @@
     answer::RefusalCode,
     decode::{RequestBody, RequestPlan},
     name::{RegionName, ZoneName},
+    placement::PlacementPlanner,
     prefix::PromptShape,
-    route::{RequestRouter, RouteDecision, RouterLocation, TriedTargets, policy::RouterPolicy},
+    route::{
+        RequestRouter, RouteDecision, RouterLocation, TriedTargets, policy::RouterPolicy,
+        summary::summarize_capacity,
+    },
     settings::{
         FleetSettings, KindSettings, Rank, RegionSettings, Residency, Revision, SettingsSnapshot,
         TeamSettings, WorkspaceSettings,
@@ -44,6 +48,28 @@
     state: u8,
     queued: u16,
     age_ms: u16,
+    odd: Option<OddNumbers>,
+}
+
+/// Numbers that no upstream announces.
+#[derive(Debug, Clone, Copy)]
+struct OddNumbers {
+    prefill_rate: f64,
+    decode_rate: f64,
+    count: u32,
+    tokens: u64,
+}
+
+impl Arbitrary for OddNumbers {
+    fn arbitrary(gen_: &mut Gen) -> Self {
+        let rates = [0.0, -1.0, 1e-300, 1e-17, 300.0, 1e300];
+        Self {
+            prefill_rate: *gen_.choose(&rates).expect("some"),
+            decode_rate: *gen_.choose(&rates).expect("some"),
+            count: *gen_.choose(&[0, 1, u32::MAX - 1, u32::MAX]).expect("some"),
+            tokens: *gen_.choose(&[0, 1, u64::MAX]).expect("some"),
+        }
+    }
 }
 
 /// Possibly false digest of another zone, and the zone name under which the table holds it.
@@ -79,6 +105,7 @@
             state: u8::arbitrary(gen_) % 8,
             queued: u16::arbitrary(gen_) % 500,
             age_ms: u16::arbitrary(gen_) % 4_000,
+            odd: u8::arbitrary(gen_).is_multiple_of(4).then(|| OddNumbers::arbitrary(gen_)),
         }
     }
 }
@@ -254,6 +281,32 @@
 
 impl UpstreamClaim {
     fn record(&self, number: u8) -> UpstreamRecord {
+        let usual = self.usual_record(number);
+        let Some(OddNumbers { prefill_rate, decode_rate, count, tokens }) = self.odd else {
+            return usual;
+        };
+        UpstreamRecord {
+            rates: UpstreamRates {
+                prefill_tokens_per_s: prefill_rate,
+                decode_tokens_per_s: decode_rate,
+                max_running: count,
+                kv_tokens: tokens,
+            },
+            load: LoadReport {
+                running: count,
+                queued: count,
+                queued_prompt_tokens: tokens,
+                kv_used_tokens: tokens,
+                urgent_running: count,
+                urgent_queued: count,
+                urgent_prompt_tokens: tokens,
+                ..LoadReport::default()
+            },
+            ..usual
+        }
+    }
+
+    fn usual_record(&self, number: u8) -> UpstreamRecord {
         UpstreamRecord {
             name: format!("m{number}").as_str().into(),
             incarnation: Incarnation(1),
@@ -324,6 +377,19 @@
     });
 }
 
+#[test]
+fn odd_numbers_of_an_upstream_end_the_entry() {
+    check(|case| {
+        let now = Instant::now() + Duration::from_secs(60);
+        case.decide();
+        let table = case.table(now);
+        let rows = summarize_capacity(&table, now);
+        let records: Vec<_> = table.upstreams.values().map(|view| (*view.record).clone()).collect();
+        PlacementPlanner::default().decide(&records, &["splice-7b".into()], 1, now);
+        rows.iter().all(|row| !row.wait_ms.is_nan())
+    });
+}
+
 #[test]
 fn forwarded_request_is_never_forwarded_again() {
     check(|case| match case.decide() {
@@ -389,7 +455,7 @@
 
 #[test]
 fn decision_is_explained_by_candidates_filters_and_revision() {
-    let upstream = |state, queued| UpstreamClaim { region: 0, state, queued, age_ms: 0 };
+    let upstream = |state, queued| UpstreamClaim { region: 0, state, queued, age_ms: 0, odd: None };
     let case = RouterCase {
         here: 0,
         home: 0,
