Forget the entries known from a control instance that no longer answers

Callers would see: directories of entries go on naming an entry that was killed, for as long as a control instance that knew it stays away (DRAIN); engines keep it as an owner.

Cause: an entry is live if any control instance reports it, and what an instance had reported before it stopped answering was kept without limit, for instances named in the settings. Change: entries known from an instance that has not answered for three seconds while others have do not count. If no instance answers, all stay, so that an entry that is cut off goes on with what it knows. They count again once the same process answers; those of a former process do not.

Tests: a_control_instance_that_no_longer_answers_does_not_keep_a_lost_entry_listed failed before; an_entry_that_reaches_no_control_instance_keeps_the_entries_that_it_knows guards the other side and passed before.

--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -144,6 +144,8 @@
 struct ControlSource {
     cursor: FleetCursor,
     answered_at: Option<Instant>,
+    /// Whether it has not answered for [`RETAINED_ENTRY_LIFETIME`] while others have.
+    stale: bool,
     /// Number of control instances that it reported as reachable, including itself.
     known_controls: u32,
     /// Whether it is polled.
@@ -214,6 +216,7 @@
         let fresh = ControlSource {
             cursor: FleetCursor::default(),
             answered_at: None,
+            stale: false,
             known_controls: 0,
             polled: false,
             document: 0,
@@ -335,6 +338,8 @@
         self.end_fetch(address);
         let Some(control) = self.controls.get_mut(&address) else { return false };
         control.answered_at = Some(now);
+        let stale = std::mem::take(&mut control.stale);
+        changed |= stale;
         control.known_controls = update.controls_heard;
         self.peak_controls = self.peak_controls.max(update.controls_heard);
         control.document = update.document_number;
@@ -342,6 +347,9 @@
         if control.cursor.process != update.cursor.process {
             // A new process has received this report only.
             control.reported = 0;
+            if stale {
+                control.entries.clear();
+            }
             retain_rows(control, now);
         }
         control.cursor = update.cursor;
@@ -404,8 +412,14 @@
         });
         let controls = &self.controls;
         self.records.retain(|address, _| controls.contains_key(address));
+        let answered = self.controls.values().filter_map(|control| control.answered_at);
+        let newest = answered.max();
         let mut changed = false;
         for control in self.controls.values_mut() {
+            let lapsed = control.answered_at.map(|at| at + RETAINED_ENTRY_LIFETIME);
+            let stale = lapsed.is_some_and(|lapsed| Some(lapsed) < newest);
+            changed |= stale != control.stale;
+            control.stale = stale;
             let before = control.upstreams.len() + control.entries.len();
             let kept = |until: Option<Instant>| until.is_none_or(|until| now < until);
             control.upstreams.retain(|_, row| kept(row.retained_until));
@@ -487,11 +501,11 @@
             .any(|update| update.departed && update.upstream.started_ms >= started_ms)
     }
 
-    /// Entries that at least one control instance reports as live.
+    /// Entries that at least one control instance reports as live, except those that no longer answer.
     fn merge_entries(&self) -> BTreeMap<InstanceName, EntryRecord> {
         let mut live: BTreeMap<InstanceName, EntryRecord> = BTreeMap::new();
-        let rows = self.controls.values().flat_map(|control| control.entries.values());
-        let updates = rows.map(|row| &row.update);
+        let controls = self.controls.values().filter(|control| !control.stale);
+        let updates = controls.flat_map(|control| control.entries.values()).map(|row| &row.update);
         let rank = |entry: &EntryRecord| (entry.incarnation, entry.state);
         for EntryUpdate { entry, .. } in updates.filter(|update| !update.silent) {
             let known = live.get(&entry.instance);
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -639,3 +639,50 @@
     far.expire(at(20));
     assert_eq!(live_names(&far), ["e"]);
 }
+
+fn entry_update(process: u64, state: EntryState, silent: bool) -> FleetUpdate {
+    let entry = EntryRecord { state, ..entry("e", "east-a") };
+    FleetUpdate {
+        entries: vec![EntryUpdate { entry, silent }],
+        ..update(process, Vec::new(), false)
+    }
+}
+
+fn other_entries(view: &mut ViewMerger) -> usize {
+    view.build_view(&[], 1).live.len() - 1
+}
+
+#[test]
+fn a_control_instance_that_no_longer_answers_does_not_keep_a_lost_entry_listed() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut view = view(start);
+    view.apply_update(address(1), entry_update(1, EntryState::Serving, false), start);
+    view.apply_update(address(11), entry_update(11, EntryState::Serving, false), start);
+    view.apply_update(address(11), entry_update(11, EntryState::Serving, true), at(2_600));
+    let mut changed = false;
+    for millis in (2_800..4_000).step_by(400) {
+        view.select_controls(true, at(millis));
+        view.apply_update(address(11), update(11, Vec::new(), false), at(millis));
+        changed |= view.expire(at(millis));
+    }
+    assert!(changed && other_entries(&mut view) == 0);
+    // What it knew is used again once it answers, unless it has restarted.
+    let mut resumed = view;
+    resumed.apply_update(address(1), update(1, Vec::new(), false), at(5_000));
+    assert_eq!(other_entries(&mut resumed), 1);
+    resumed.apply_update(address(11), update(11, Vec::new(), false), at(9_000));
+    resumed.expire(at(9_000));
+    resumed.apply_update(address(1), update(2, Vec::new(), false), at(9_100));
+    assert_eq!(other_entries(&mut resumed), 0);
+}
+
+#[test]
+fn an_entry_that_reaches_no_control_instance_keeps_the_entries_that_it_knows() {
+    let start = Instant::now();
+    let mut view = view(start);
+    view.apply_update(address(1), entry_update(1, EntryState::Serving, false), start);
+    view.select_controls(true, start + Duration::from_secs(60));
+    view.expire(start + Duration::from_secs(60));
+    assert_eq!(other_entries(&mut view), 1);
+}
