Keep an entry that stops from counting as serving again

Callers would see: a stopping entry in listings, if its first document arrives while it stops.

Cause: the state that control and other entries learn was set to serving when the document came into force, whatever it was before. Change: the state of a process only goes forward, as control assumes since.

Test: an_entry_that_gets_its_first_document_while_it_stops_does_not_serve_again, which failed before.

--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -229,9 +229,9 @@
         self.controls.entry(address).or_insert(fresh).listed_at = now;
     }
 
-    /// Sets the state of this entry.
+    /// Sets the state of this entry, unless it has reached a later one.
     pub fn set_state(&mut self, state: EntryState) {
-        self.own.state = state;
+        self.own.state = self.own.state.max(state);
     }
 
     /// Record of this entry.
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -686,3 +686,11 @@
     view.expire(start + Duration::from_secs(60));
     assert_eq!(other_entries(&mut view), 1);
 }
+
+#[test]
+fn an_entry_that_gets_its_first_document_while_it_stops_does_not_serve_again() {
+    let mut view = view(Instant::now());
+    view.set_state(EntryState::Draining);
+    view.set_state(EntryState::Serving);
+    assert_eq!(view.own().state, EntryState::Draining);
+}
