Read all entries again from a control instance that was lost

Callers would see: after a cut of over 3.5 s between control instances, directories know only the entries of their own side, until those of the other restart.

Cause: with a lost control instance, its contact with entries is forgotten; but the position up to which its changes were read stayed, and an entry's row does not change by the cut. Change: the position is forgotten, too. An answer to a query that was sent before is merged, and everything is read after it. The module of the subscriber is public for the test, as its trait is.

Test: control_reads_all_entries_again_from_an_instance_that_was_out_of_reach, which failed before (the position was kept). A cut between processes was not run.

--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -35,7 +35,7 @@
 pub mod metrics;
 pub mod outcome;
 pub mod owners;
-mod poll_tasks;
+pub mod poll_tasks;
 pub mod pool_partition;
 mod record;
 pub mod region_load;
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -354,6 +354,7 @@
                     registry.set_document(Arc::clone(&stored.document));
                 }
                 registry.expire(Instant::now());
+                self.cursors().retain(|address, _| registry.is_known_control(*address));
             });
         }
     }
@@ -398,7 +399,7 @@
     fn next_query(&self, address: SocketAddr) -> FleetQuery {
         FleetQuery {
             reader: FleetReader::Control(self.own.clone()),
-            cursor: self.cursors().get(&address).copied().unwrap_or_default(),
+            cursor: *self.cursors().entry(address).or_default(),
             document: 0,
             evacuated: 0,
             wait_ms: CONTROL_POLL_WAIT_MS,
@@ -413,8 +414,10 @@
 
     fn accept_update(&self, address: SocketAddr, update: FleetUpdate) {
         let now = Instant::now();
-        let known = self.cursors().insert(address, update.cursor);
-        let restarted = known.is_some_and(|known| known.process != update.cursor.process);
+        // Without a cursor, the instance was lost after the query was sent; the next one reads all.
+        let restarted = self.cursors().get_mut(&address).is_some_and(|cursor| {
+            std::mem::replace(cursor, update.cursor).process != update.cursor.process
+        });
         let FleetUpdate { upstreams, entries, controls, summaries, suspects, .. } = update;
         self.change_registry(|registry| {
             registry.merge_suspects(suspects, now);
--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -241,7 +241,7 @@
 /// A control instance.
 pub struct TestControl {
     pub node: GatewaySettings,
-    server: Option<ControlServer>,
+    pub server: Option<ControlServer>,
     _reserved: Vec<ReservedAddress>,
 }
 
--- a/cicadastall/tests/gateway_listing.rs
+++ b/cicadastall/tests/gateway_listing.rs
@@ -7,7 +7,10 @@
     gateway::{
         control_call::CallerLocation,
         entry::EntryServer,
+        fleet_update::{ControlRecord, FleetCursor, FleetUpdate},
         listing::{ListingInput, ListingReach, NearbyEntries, list_near},
+        poll_tasks::FleetSubscriber,
+        registry::CONTROL_TIMEOUT,
         routes::{HostHomes, RepeatRule, RouteDocument},
     },
     name::{InstanceName, RegionName, ZoneName},
@@ -208,6 +211,26 @@
     }
 }
 
+#[tokio::test]
+async fn control_reads_all_entries_again_from_an_instance_that_was_out_of_reach() {
+    let fleet = TestFleet::start("control-cut", 1, &[]).await;
+    let control = Arc::clone(fleet.controls[0].server.as_ref().expect("running").control());
+    let other = SocketAddr::from(([127, 0, 0, 1], 9));
+    let record = ControlRecord {
+        peer_address: other,
+        registry_address: other,
+        region: RegionName::from("east"),
+        zone: ZoneName::from("east-a"),
+    };
+    let read = FleetCursor { process: 7, change: 5 };
+    let update = |controls| FleetUpdate { cursor: read, controls, ..FleetUpdate::default() };
+    control.next_query(other);
+    control.accept_update(other, update(vec![record]));
+    assert_eq!(control.next_query(other).cursor, read);
+    sleep(CONTROL_TIMEOUT + Duration::from_secs(1)).await;
+    assert_eq!(control.next_query(other).cursor, FleetCursor::default());
+}
+
 /// Entries with one zone a region, described as region and state; the port is the index.
 fn records(entries: &[(&str, EntryState)]) -> Vec<EntryRecord> {
     let record = |(index, (region, state)): (usize, &(&str, EntryState))| {
