Continue streams only at the software version that began them

Callers got streams whose events came from two versions of an upstream: an entry chose the upstream for the rest of a stream, and for a caller's take-up, as for any new request. The weighted choice of the pool hashes the attempt, so a take-up could even reach another pool.

A request now carries the origin of the events that its caller has: none yet, a pool and version, or unknown. The origin's pool wins over the weights. The chooser, grants of owners and hops obey the version; only owners of engines of that version are asked; summaries of regions list the versions that serve, and without them nothing is forwarded. An entry tells the version of its answer to the entry that forwarded the request and then keeps to it, also before the first whole event, as the head has been sent. An answer of a hop that does not state the required version is discarded. If the origin is unknown, the pool is not in the route any more, or no upstream of the version is known, the request is refused at once as not run (`version_unknown`, `version_gone`), with a time after which to retry. The origin is recorded before the first events are passed on, for the caller's attempt and for the one that it resumes.

Logs name the version of each attempt and, for take-ups, the resumed attempt and event; `cicadastall_gateway_take_ups` counts them by result.

Ruled out: waiting for the version while an entry starts. A request would be held for a quarter of its time, and callers honor the retry-after.

--- a/cicadastall/src/answer.rs
+++ b/cicadastall/src/answer.rs
@@ -69,6 +69,10 @@
     UpstreamFailed,
     /// The instance has no settings yet.
     NotReady,
+    /// It is not known which software version began the resumed stream.
+    VersionUnknown,
+    /// No upstream of the software version that began the resumed stream serves.
+    VersionGone,
 }
 
 impl RefusalCode {
@@ -97,7 +101,9 @@
             | Self::HomeUnreachable
             | Self::Draining
             | Self::LedgerFull
-            | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::NotReady
+            | Self::VersionUnknown
+            | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
         headers::{read_keep_alive, strip_connection_headers},
         hop::{
             ARRIVED_HEADER, HOP_HEADER, HopMetadata, QUARANTINED_HEADER, RAN_HEADER, RAN_ON_HEADER,
-            read_arrived, read_ran, read_ran_on,
+            SOFTWARE_HEADER, read_arrived, read_ran, read_ran_on, read_software,
         },
         outcome::{LostAttempt, Verdict, classify_head, classify_loss},
         relay::CallRelay,
@@ -20,7 +20,7 @@
         view::KnownUpstream,
     },
     http::describe_error,
-    name::{PoolName, UpstreamName},
+    name::{PoolName, SoftwareVersion, UpstreamName},
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -152,6 +152,8 @@
     pub(crate) has_events: bool,
     /// The upstream that answers; none if another entry forwards its answer.
     pub(crate) upstream: Option<Arc<KnownUpstream>>,
+    /// Version of the upstream's software; none if the entry that forwards its answer does not tell it.
+    pub(crate) software: Option<SoftwareVersion>,
     connection: PooledConnection,
     keep_alive: Option<Duration>,
 }
@@ -344,8 +346,9 @@
                 self.context.dialect.write_attempt(headers, &note);
             }
             None => {
-                let metadata =
-                    HopMetadata::new(call, self.possible_runs, self.resume_after.as_ref(), now);
+                let last = self.resume_after.as_ref();
+                let software = self.origin.software();
+                let metadata = HopMetadata::new(call, self.possible_runs, last, software, now);
                 match metadata.encode() {
                     Some(metadata) => drop(headers.insert(HOP_HEADER, metadata)),
                     None => log::warn!("hop metadata of {} not encoded", call.attempt),
@@ -413,11 +416,20 @@
         headers.remove(RAN_ON_HEADER);
         headers.remove(ARRIVED_HEADER);
         let quarantined = headers.remove(QUARANTINED_HEADER).is_some() && is_hop;
+        let software = match &target.upstream {
+            Some((known, _)) => Some(known.upstream.software.clone()),
+            None => read_software(&headers),
+        };
+        headers.remove(SOFTWARE_HEADER);
         let earlier_runs = self.possible_runs;
         let possible_runs = reported_runs.unwrap_or(earlier_runs + 1).max(earlier_runs);
         let mut cause = format!("status {}", parts.status);
         let mut outcome = verdict;
-        if verdict == Verdict::Answer {
+        let required = self.origin.software();
+        if verdict == Verdict::Answer && required.is_some() && required != software.as_ref() {
+            cause = "the entry does not keep to the software version of the stream".to_owned();
+            outcome = Verdict::Unknown;
+        } else if verdict == Verdict::Answer {
             self.sending = true;
             let first = read_first_part(&self.call, &mut body).await;
             let ended_early = |received: &Bytes, complete: bool| {
@@ -441,7 +453,15 @@
                     // The answering upstream is counted only if its answer breaks off.
                     self.possible_runs = possible_runs.max(1) - 1;
                     guard.note_answering();
-                    self.record_attempt(target.describe(), verdict, "", target.basis, chosen_at);
+                    let version = software.clone();
+                    self.record_attempt(
+                        target.describe(),
+                        version,
+                        verdict,
+                        "",
+                        target.basis,
+                        chosen_at,
+                    );
                     return Ok(StartedAnswer {
                         status: parts.status,
                         headers,
@@ -451,6 +471,7 @@
                         guard,
                         has_events,
                         upstream: target.upstream.as_ref().map(|(known, _)| Arc::clone(known)),
+                        software,
                         connection,
                         keep_alive,
                     });
@@ -543,7 +564,9 @@
         chosen_at: Instant,
     ) -> AttemptFailure {
         let AttemptFailure { verdict, cause, .. } = &failure;
-        self.record_attempt(target.describe(), *verdict, cause, target.basis, chosen_at);
+        let software = target.upstream.as_ref().map(|(known, _)| known.upstream.software.clone());
+        let to = target.describe();
+        self.record_attempt(to, software, *verdict, cause, target.basis, chosen_at);
         failure
     }
 }
--- a/cicadastall/src/gateway/call.rs
+++ b/cicadastall/src/gateway/call.rs
@@ -1,8 +1,11 @@
 //! A request to be forwarded unchanged, with the parts that the gateway interprets.
 
 use crate::{
-    gateway::routes::{RepeatRule, RouteRule},
-    name::{AttemptId, ModelName, PoolName},
+    gateway::{
+        routes::{RepeatRule, RouteRule},
+        stream_origins::StreamOrigin,
+    },
+    name::{AttemptId, ModelName, PoolName, SoftwareVersion},
     suspect::RequestFingerprint,
 };
 use bytes::Bytes;
@@ -99,6 +102,40 @@
     pub allowed: &'static str,
 }
 
+/// Origin of the events that the caller has received. Only upstreams of the same origin may go on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum RequiredOrigin {
+    /// The caller has received no event, so that any upstream may answer.
+    #[default]
+    Any,
+    /// Upstreams of this origin sent all of them.
+    At(StreamOrigin),
+    /// The caller has received events of unknown origin.
+    Unknown,
+}
+
+impl RequiredOrigin {
+    /// Pool for a request on `route`: the one that sent the events, if the route still has it, and one
+    /// by weight for the hash `number` otherwise.
+    pub fn choose_pool<'a>(&self, route: &'a RouteRule, number: u64) -> Option<&'a PoolName> {
+        let began_at = match self {
+            Self::At(origin) => {
+                route.pools.iter().map(|share| &share.pool).find(|pool| **pool == origin.pool)
+            }
+            Self::Any | Self::Unknown => None,
+        };
+        began_at.or_else(|| route.choose_pool(number))
+    }
+
+    /// Software version that the next upstream must have; none if any version may answer.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::At(origin) => Some(&origin.software),
+            Self::Any | Self::Unknown => None,
+        }
+    }
+}
+
 /// A complete request with its route, pool and deadline.
 #[derive(Debug)]
 pub struct RoutedCall {
@@ -118,6 +155,8 @@
     pub route: Arc<RouteRule>,
     /// Pool that serves the request.
     pub pool: PoolName,
+    /// Origin of the stream that the request resumes.
+    pub origin: RequiredOrigin,
     /// When this entry received the head.
     pub received_at: Instant,
     /// When the answer must be complete.
@@ -134,6 +173,11 @@
         self.route.repeat
     }
 
+    /// Whether the caller resumes a stream of which it has received events.
+    pub fn is_take_up(&self) -> bool {
+        self.repeat() == RepeatRule::ResumableStream && self.head.resume_after.is_some()
+    }
+
     /// Traits that other requests may share: the shared parts of the prompt for the model, whatever
     /// precedes them, and the whole content, which only copies of the request share.
     ///
--- a/cicadastall/src/gateway/choice.rs
+++ b/cicadastall/src/gateway/choice.rs
@@ -8,7 +8,8 @@
         tracker::SendNumber,
         view::{FleetView, KnownUpstream, LoadView},
     },
-    name::{RegionName, UpstreamName, ZoneName},
+    name::{RegionName, SoftwareVersion, UpstreamName, ZoneName},
+    wire::is_default,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -39,6 +40,8 @@
     Unusable,
     /// The answer would come too late.
     Overloaded,
+    /// No upstream of the required software version is known that may run the request.
+    VersionGone,
 }
 
 /// Estimates on which a target was chosen or rejected, for logs and traces.
@@ -109,6 +112,8 @@
     pub call: &'a RoutedCall,
     /// Rule of the request's pool.
     pub pool: Option<&'a PoolRule>,
+    /// Software version that the upstream must have, as it began the stream that is resumed.
+    pub software: Option<&'a SoftwareVersion>,
     /// Targets of earlier attempts.
     pub tried: &'a TriedUpstreams,
     /// Known members of the fleet.
@@ -140,15 +145,18 @@
     pub paused: u32,
     /// Announced in an answer that the process is leaving.
     pub leaving: u32,
+    /// Of another software version than the one that began the stream.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub version: u32,
 }
 
 impl Display for LeftOutCounts {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let Self { barred, cold, tried, silent, paused, leaving } = self;
+        let Self { barred, cold, tried, silent, paused, leaving, version } = self;
         write!(
             formatter,
             "{barred} barred, {cold} cold, {tried} tried, {silent} silent, {paused} paused, \
-             {leaving} leaving"
+             {leaving} leaving, {version} of another version"
         )
     }
 }
--- a/cicadastall/src/gateway/chooser.rs
+++ b/cicadastall/src/gateway/chooser.rs
@@ -241,7 +241,7 @@
         {
             return choice;
         }
-        let Some(best) = best else { return self.refuse_unusable(input, upstreams.is_empty()) };
+        let Some(best) = best else { return self.refuse_unusable(input, upstreams) };
         if best.late_ms > 0.0 {
             let retry_after = self.schedule_retry(input, best.late_ms);
             return UpstreamChoice::Refuse {
@@ -262,7 +262,7 @@
     }
 
     /// Records a send to the upstream that its owner granted; `None` if this entry knows that the upstream
-    /// is paused or leaving.
+    /// is paused, leaving or of another software version than required.
     pub fn accept_grant(
         &mut self,
         input: &ChoiceInput<'_>,
@@ -272,7 +272,10 @@
         self.tracker(known);
         let tracker = self.trackers.get(&known.upstream.name);
         let paused = tracker.is_none_or(|tracker| tracker.pause_end(input.now).is_some());
-        if paused || self.departures.contains(&known.upstream) {
+        if paused
+            || self.departures.contains(&known.upstream)
+            || !has_required_version(input, known)
+        {
             return None;
         }
         let predicted_ms = f64::from(basis.predicted_ms);
@@ -417,6 +420,10 @@
     fn admit(&mut self, input: &ChoiceInput<'_>, known: &KnownUpstream) -> Option<bool> {
         let now = input.now;
         let name = &known.upstream.name;
+        if !has_required_version(input, known) {
+            self.left_out.version += 1;
+            return None;
+        }
         if input.tried.upstreams.contains(name) {
             self.left_out.tried += 1;
             return None;
@@ -511,8 +518,11 @@
             let Some(pool) = pool.filter(|pool| pool.serving > 0) else { continue };
             let tried = input.tried.regions.contains(region);
             let unreachable = self.unreachable.get(region).is_some_and(|until| input.now < *until);
+            let has_version =
+                input.software.is_none_or(|software| pool.versions.contains(software));
             if tried
                 || unreachable
+                || !has_version
                 || summary.entries.is_empty()
                 || !call.route.allows_region(region)
             {
@@ -560,14 +570,18 @@
         Some(UpstreamChoice::Region { region: region.clone(), entry, basis })
     }
 
-    fn refuse_unusable(&mut self, input: &ChoiceInput<'_>, unknown: bool) -> UpstreamChoice {
+    fn refuse_unusable(
+        &mut self,
+        input: &ChoiceInput<'_>,
+        upstreams: &[Arc<KnownUpstream>],
+    ) -> UpstreamChoice {
         if let Some(next_send) = self.next_cold_send
             && next_send <= input.call.received_at + MAX_COLD_WAIT
             && next_send < input.call.deadline
         {
             return UpstreamChoice::Wait(next_send);
         }
-        if input.starting_up && unknown {
+        if input.starting_up && upstreams.is_empty() {
             let waited = input.now - input.call.received_at;
             if waited < MAX_STARTUP_WAIT
                 && waited * 4 < input.call.deadline - input.call.received_at
@@ -575,7 +589,12 @@
                 return UpstreamChoice::Wait(input.now + STARTUP_POLL_INTERVAL);
             }
         }
-        let cause = if unknown { RefusalCause::NoUpstream } else { RefusalCause::Unusable };
+        let known = upstreams.iter().any(|known| has_required_version(input, known));
+        let cause = match input.software {
+            _ if known => RefusalCause::Unusable,
+            Some(_) => RefusalCause::VersionGone,
+            None => RefusalCause::NoUpstream,
+        };
         let spread = UNKNOWN_RETRY_AFTER.mul_f64(self.random.random_range(0.7..1.5));
         // If pauses are the only obstacle, callers retry shortly after the first of them ends.
         let LeftOutCounts { barred, cold, .. } = self.left_out;
@@ -673,6 +692,11 @@
     }
 }
 
+/// Whether an upstream has the software version that the request must stay with, if any.
+fn has_required_version(input: &ChoiceInput<'_>, known: &KnownUpstream) -> bool {
+    input.software.is_none_or(|software| *software == known.upstream.software)
+}
+
 /// Time by which an answer of `candidate` would come too late to be worth computing, in milliseconds.
 fn lateness_ms(input: &ChoiceInput<'_>, candidate: &Candidate<'_>) -> f64 {
     let remaining_ms = input.call.remaining(input.now).as_secs_f64() * 1_000.0;
--- a/cicadastall/src/gateway/engine_grants.rs
+++ b/cicadastall/src/gateway/engine_grants.rs
@@ -22,6 +22,7 @@
 };
 use arc_swap::ArcSwap;
 use std::{
+    collections::HashSet,
     fmt::Debug,
     future::Future,
     net::SocketAddr,
@@ -287,7 +288,16 @@
         let key = key.unwrap_or_else(rand::random);
         let mut refused = None;
         let mut declined = 0;
-        for owner in view.owners.candidates(&self.call.pool, key) {
+        let engines = view.pools.get(&self.call.pool).map_or(&[][..], Vec::as_slice);
+        let owners = match self.origin.software() {
+            None => view.owners.candidates(&self.call.pool, key),
+            Some(software) => {
+                let same = engines.iter().filter(|known| known.upstream.software == *software);
+                let same: HashSet<_> = same.map(|known| &known.upstream.name).collect();
+                view.owners.candidates_among(&self.call.pool, key, |name| same.contains(name))
+            }
+        };
+        for owner in owners {
             loop {
                 match self.ask_owner(&context, &view, owner, &holder).await {
                     OwnerReply::Decided(choice) => return Some(choice),
@@ -360,6 +370,7 @@
         let input = ChoiceInput {
             call: &self.call,
             pool: routes.pool(&self.call.pool).map(|pool| &**pool),
+            software: self.origin.software(),
             tried: &self.tried,
             view,
             load: &context.load.load(),
@@ -394,6 +405,7 @@
             prompt_tokens: head.prompt_tokens,
             expected_tokens: head.expected_tokens(),
             parts: head.parts.iter().map(|part| (part.id, part.tokens)).collect(),
+            software: self.origin.software().cloned(),
             tried: self.tried.upstreams.clone(),
             tried_regions,
             homes: call.route.homes.clone(),
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -4,7 +4,7 @@
     answer::{Refusal, RefusalCode},
     clock::unix_ms,
     gateway::{
-        call::{CallHead, RoutedCall},
+        call::{CallHead, RequiredOrigin, RoutedCall},
         context::EntryContext,
         control_call::{
             CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply, NO_ENTRY_LISTED,
@@ -17,7 +17,7 @@
         listing::{ListingInput, ListingReach, NearbyEntries, list_near},
         poll_tasks::{FleetSubscriber, PollTasks},
         relay::answer_call,
-        routes::{CallerBounds, RouteTable},
+        routes::{CallerBounds, RepeatRule, RouteRule, RouteTable},
         settings::GatewaySettings,
         view::ViewMerger,
         warmup::hash_pair,
@@ -79,6 +79,9 @@
 /// Time before a caller's own deadline by which its request is answered.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
+/// A request waits for the origin of the stream that it resumes for at most its time divided by this.
+const ORIGIN_WAIT_DIVISOR: u32 = 4;
+
 /// Longest time to read a request's body, even if the request allows more.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -411,7 +414,8 @@
     let body = read_call_body(body, document.limits.body_bytes, allowed).await?;
     let attempt = call_head.attempt.clone().unwrap_or_else(|| generate_attempt(context));
     let number = hash_pair(attempt.as_str(), document.number);
-    let pool = route.choose_pool(number).cloned().ok_or_else(|| {
+    let origin = find_origin(context, route, &call_head, allowed).await;
+    let pool = origin.choose_pool(route, number).cloned().ok_or_else(|| {
         let message = format!("route {} has no pool", route.name);
         Refusal::not_run(RefusalCode::NoUpstream, message)
     })?;
@@ -425,6 +429,7 @@
         head: call_head,
         attempt,
         pool,
+        origin,
         received_at,
         deadline: received_at + allowed,
         hopped: false,
@@ -434,6 +439,22 @@
     Ok((call, document.number))
 }
 
+/// Finds where the stream began that a caller resumes, within a part of the time `allowed`.
+async fn find_origin(
+    context: &EntryContext,
+    route: &RouteRule,
+    head: &CallHead,
+    allowed: Duration,
+) -> RequiredOrigin {
+    if route.repeat != RepeatRule::ResumableStream || head.resume_after.is_none() {
+        return RequiredOrigin::Any;
+    }
+    let Some(began) = &head.resumes else { return RequiredOrigin::Unknown };
+    let pools: Vec<_> = route.pools.iter().map(|share| share.pool.clone()).collect();
+    let found = timeout(allowed / ORIGIN_WAIT_DIVISOR, context.find_origin(began, &pools)).await;
+    found.ok().flatten().map_or(RequiredOrigin::Unknown, RequiredOrigin::At)
+}
+
 fn read_call(context: &EntryContext, head: &Parts) -> Result<CallHead, Refusal> {
     let read = context.dialect.read_call(&head.headers).map(CallHead::clamped);
     read.map_err(|fault| {
@@ -485,6 +506,7 @@
         Refusal::not_run(RefusalCode::BadRequest, "the request carries no valid hop order")
     })?;
     let call_head = metadata.merge_head(read_call(context, &head)?);
+    let origin = metadata.origin(&call_head);
     let document = Arc::clone(context.routes.load().document());
     let body = read_call_body(body, document.limits.body_bytes, metadata.remaining()).await?;
     let Parts { method, uri, mut headers, .. } = head;
@@ -497,6 +519,7 @@
         head: call_head,
         attempt: metadata.attempt.clone(),
         pool: metadata.pool.clone(),
+        origin,
         received_at,
         deadline: received_at + metadata.remaining(),
         hopped: true,
--- a/cicadastall/src/gateway/fleet_update.rs
+++ b/cicadastall/src/gateway/fleet_update.rs
@@ -195,6 +195,9 @@
     pub requests: u32,
     /// Mean time until one of them has read the prompts sent to it, in milliseconds.
     pub backlog_ms: u32,
+    /// Versions of their software in ascending order; empty if the sender does not report them.
+    #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
+    pub versions: SmallVec<[SoftwareVersion; 2]>,
 }
 
 /// Entries and capacity of a region.
--- a/cicadastall/src/gateway/grant_allocator.rs
+++ b/cicadastall/src/gateway/grant_allocator.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     gateway::{
-        call::{CallHead, PromptPart, PromptParts, RoutedCall},
+        call::{CallHead, PromptPart, PromptParts, RequiredOrigin, RoutedCall},
         choice::{
             ChoiceBasis, ChoiceInput, LeftOutCounts, RefusalCause, TriedUpstreams, UpstreamChoice,
         },
@@ -16,7 +16,7 @@
         tracker::{SendEnd, SendNumber},
         view::{FleetView, LoadView},
     },
-    name::{AttemptId, PoolName, RegionName, UpstreamName, ZoneName},
+    name::{AttemptId, PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
     table::EntryRecord,
     wire::is_default,
 };
@@ -74,6 +74,9 @@
     pub expected_tokens: u32,
     /// Identifier and number of tokens of each part of the prompt.
     pub parts: SmallVec<[(u64, u32); 4]>,
+    /// Software version that the upstream must have, as it began the stream that is resumed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     /// Upstreams that earlier attempts used.
     #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
     pub tried: SmallVec<[UpstreamName; 4]>,
@@ -244,6 +247,7 @@
         let choice = self.chooser.choose(&ChoiceInput {
             call: &call,
             pool: input.rule,
+            software: query.software.as_ref(),
             tried: &tried,
             view: input.shard,
             load: input.load,
@@ -382,6 +386,7 @@
         attempt: AttemptId::from(""),
         route: Arc::new(route),
         pool: query.pool.clone(),
+        origin: RequiredOrigin::Any,
         received_at: now.checked_sub(millis(query.elapsed_ms)).unwrap_or(now),
         deadline: now + remaining,
         hopped: query.hopped,
--- a/cicadastall/src/gateway/hop.rs
+++ b/cicadastall/src/gateway/hop.rs
@@ -3,10 +3,11 @@
 use crate::{
     answer::Ran,
     gateway::{
-        call::{CallHead, RoutedCall},
+        call::{CallHead, RequiredOrigin, RoutedCall},
         routes::{PoolShare, RepeatRule, RouteRule},
+        stream_origins::StreamOrigin,
     },
-    name::{AttemptId, PoolName},
+    name::{AttemptId, PoolName, SoftwareVersion},
 };
 use hyper::{HeaderMap, header::HeaderValue};
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,9 @@
 /// Header of a refusal to another entry: the request is quarantined.
 pub const QUARANTINED_HEADER: &str = "x-cicadastall-quarantined";
 
+/// Header of an answer to another entry: software version of the upstream that answers.
+pub const SOFTWARE_HEADER: &str = "x-cicadastall-software";
+
 /// Route and limits of a forwarded request, as decided by the entry that its caller sent it to.
 ///
 /// The receiving entry does not look up a route, as its document may be older.
@@ -57,6 +61,9 @@
     /// Identifier of the last event that the caller received.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub resume_after: Option<Arc<str>>,
+    /// Software version that sent the events that the caller has received; none if it received none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 impl HopMetadata {
@@ -65,6 +72,7 @@
         call: &RoutedCall,
         earlier: u32,
         resume_after: Option<&Arc<str>>,
+        software: Option<&SoftwareVersion>,
         now: Instant,
     ) -> Self {
         let route = &call.route;
@@ -81,6 +89,7 @@
             earlier,
             affinity: route.affinity,
             resume_after: resume_after.cloned(),
+            software: software.cloned(),
         }
     }
 
@@ -121,6 +130,22 @@
         Duration::from_millis(self.remaining_ms)
     }
 
+    /// Origin of the events that the caller has received, where another upstream may go on with the
+    /// stream. The sender has found it; entries that do not send it may have joined versions.
+    pub fn origin(&self, head: &CallHead) -> RequiredOrigin {
+        if self.repeat != RepeatRule::ResumableStream {
+            return RequiredOrigin::Any;
+        }
+        match &self.software {
+            Some(software) => RequiredOrigin::At(StreamOrigin {
+                pool: self.pool.clone(),
+                software: software.clone(),
+            }),
+            None if head.resume_after.is_some() => RequiredOrigin::Unknown,
+            None => RequiredOrigin::Any,
+        }
+    }
+
     /// Replaces the last event of `head`, since the caller may have received more events since.
     pub fn merge_head(&self, head: CallHead) -> CallHead {
         CallHead { resume_after: self.resume_after.clone().or(head.resume_after.clone()), ..head }
@@ -137,6 +162,11 @@
     headers.get(ARRIVED_HEADER)?.to_str().ok()?.parse().ok()
 }
 
+/// Software version of the upstream that answers, as reported by another entry.
+pub fn read_software(headers: &HeaderMap) -> Option<SoftwareVersion> {
+    headers.get(SOFTWARE_HEADER)?.to_str().ok().map(SoftwareVersion::from)
+}
+
 /// Whether a request may have run, as reported by another entry; none if that entry forwarded an
 /// upstream's answer.
 pub fn read_ran(headers: &HeaderMap) -> Option<Ran> {
--- a/cicadastall/src/gateway/metrics.rs
+++ b/cicadastall/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
     attempts: Counter<u64>,
     refusals: Counter<u64>,
     budget_spent: Counter<u64>,
+    take_ups: Counter<u64>,
     hops: Counter<u64>,
     document: Gauge<u64>,
     upstreams: Gauge<u64>,
@@ -48,6 +49,7 @@
             attempts: meter.u64_counter("cicadastall_gateway_attempts").build(),
             refusals: meter.u64_counter("cicadastall_gateway_refusals").build(),
             budget_spent: meter.u64_counter("cicadastall_gateway_retry_budget_spent").build(),
+            take_ups: meter.u64_counter("cicadastall_gateway_take_ups").build(),
             hops: meter.u64_counter("cicadastall_gateway_hops").build(),
             document: meter.u64_gauge("cicadastall_gateway_document").build(),
             upstreams: meter.u64_gauge("cicadastall_gateway_upstreams").build(),
@@ -105,6 +107,12 @@
         self.budget_spent.add(1, &[KeyValue::new("pool", pool.to_string())]);
     }
 
+    /// Counts a caller's request to resume a stream, by result.
+    pub fn count_take_up(&self, pool: &PoolName, result: &'static str) {
+        let pool = KeyValue::new("pool", pool.to_string());
+        self.take_ups.add(1, &[pool, KeyValue::new("result", result)]);
+    }
+
     /// Counts a request that was forwarded to another region.
     pub fn count_hop(&self, region: &str) {
         self.hops.add(1, &[KeyValue::new("region", region.to_owned())]);
--- a/cicadastall/src/gateway/owners.rs
+++ b/cicadastall/src/gateway/owners.rs
@@ -98,10 +98,20 @@
     /// Returns up to two owners to ask for a request with `key`, starting with the owner of the engine
     /// that the request prefers.
     pub fn candidates(&self, pool: &PoolName, key: u64) -> SmallVec<[&EngineOwner; 2]> {
+        self.candidates_among(pool, key, |_| true)
+    }
+
+    /// Like [`OwnerMap::candidates`], among the owners of engines that `may_serve` accepts.
+    pub fn candidates_among(
+        &self,
+        pool: &PoolName,
+        key: u64,
+        may_serve: impl Fn(&UpstreamName) -> bool,
+    ) -> SmallVec<[&EngineOwner; 2]> {
         let Some(pool) = self.pools.get(pool) else { return SmallVec::new() };
         // The highest hash among the engines of each owner, the same hash that choices use.
         let mut best: SmallVec<[Option<u64>; 16]> = SmallVec::from_elem(None, pool.owners.len());
-        for (engine, index) in &pool.by_engine {
+        for (engine, index) in pool.by_engine.iter().filter(|(engine, _)| may_serve(engine)) {
             best[*index] = best[*index].max(Some(hash_pair(key, engine.as_str())));
         }
         let mut owners: SmallVec<[(u64, &EngineOwner); 16]> = best
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -1,7 +1,7 @@
 //! Log line and metrics of one request.
 //!
 //! Each request is logged in one line at its end, with its attempts. Lines about requests that met
-//! their targets are limited to a rate; all others are written.
+//! their targets are limited to a rate; all others, and those about resumed streams, are written.
 
 use crate::{
     answer::Ran,
@@ -13,6 +13,7 @@
         outcome::Verdict,
     },
     logs::LineLimiter,
+    name::SoftwareVersion,
 };
 use serde::Serialize;
 use smallvec::SmallVec;
@@ -27,6 +28,9 @@
 pub(crate) struct AttemptEntry {
     /// Name of the upstream, or address of the entry in another region.
     pub(crate) to: String,
+    /// Version of the upstream's software, if it is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) software: Option<SoftwareVersion>,
     /// Verdict on how the attempt ended.
     pub(crate) verdict: &'static str,
     /// Why the attempt has no answer; empty otherwise.
@@ -39,6 +43,31 @@
     pub(crate) took_ms: u64,
 }
 
+/// How a request to resume a stream ended, apart from its outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum TakeUpResult {
+    /// The caller received further events.
+    Continued,
+    /// It is not known which software version began the stream.
+    VersionUnknown,
+    /// No upstream of the version that began the stream serves.
+    VersionGone,
+    /// The route no longer has the pool that began the stream.
+    PoolGone,
+}
+
+impl TakeUpResult {
+    /// Value of the result in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Continued => "continued",
+            Self::VersionUnknown => "version_unknown",
+            Self::VersionGone => "version_gone",
+            Self::PoolGone => "pool_gone",
+        }
+    }
+}
+
 /// Progress of one request, logged and counted when the record is dropped.
 #[derive(Debug)]
 pub(crate) struct CallRecord {
@@ -51,6 +80,7 @@
     longest_pause: Duration,
     status: u16,
     ran: Ran,
+    take_up: Option<TakeUpResult>,
     outcome: &'static str,
     reason: String,
     _in_flight: InFlightGuard,
@@ -69,6 +99,7 @@
             longest_pause: Duration::ZERO,
             status: 0,
             ran: Ran::No,
+            take_up: None,
             outcome: "caller_left",
             reason: String::new(),
         }
@@ -95,6 +126,12 @@
         self.ran = ran;
     }
 
+    /// Records the result of a request to resume a stream. The first one counts, as a caller that has
+    /// received further events can resume after those.
+    pub(crate) fn set_take_up(&mut self, result: TakeUpResult) {
+        self.take_up.get_or_insert(result);
+    }
+
     pub(crate) fn end(&mut self, outcome: &'static str, status: u16, reason: impl Into<String>) {
         self.outcome = outcome;
         self.status = status;
@@ -128,9 +165,18 @@
         let route = &self.call.route;
         let pause = self.last_data_at.map(|_| self.longest_pause);
         self.context.metrics.record_request(&route.name, self.outcome, first, pause, whole);
-        if self.met_targets(millis(whole)) && !SUCCESS_LINES.take() {
+        let take_up = self.call.is_take_up();
+        let result = self.take_up.map_or(self.outcome, TakeUpResult::name);
+        if take_up && !self.call.hopped {
+            self.context.metrics.count_take_up(&self.call.pool, result);
+        }
+        if !take_up && self.met_targets(millis(whole)) && !SUCCESS_LINES.take() {
             return;
         }
+        let head = &self.call.head;
+        let last_event = head.resume_after.as_deref().unwrap_or_default();
+        let resumes = head.resumes.as_ref().map_or("", |began| began.as_str());
+        let take_up = if take_up { result } else { "" };
         let attempts = serde_json::to_string(&self.attempts).unwrap_or_default();
         let parts = self.call.head.describe_shared();
         log::info!(
@@ -138,7 +184,7 @@
             pool = self.call.pool.as_str(), document = self.document, rank = route.rank,
             hopped = self.call.hopped, outcome = self.outcome, status = self.status,
             ran = self.ran_value(), reason = self.reason.as_str(), attempts = attempts.as_str(),
-            parts = parts.as_str(),
+            parts = parts.as_str(), take_up, resumes, last_event,
             first_ms = first.map_or(0, millis), pause_ms = millis(self.longest_pause), whole_ms = millis(whole),
             allowed_ms = millis(self.call.deadline - self.call.received_at);
             "request ended"
--- a/cicadastall/src/gateway/region_load.rs
+++ b/cicadastall/src/gateway/region_load.rs
@@ -9,6 +9,7 @@
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
     table::EntryState,
 };
+use smallvec::SmallVec;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
@@ -26,6 +27,10 @@
 /// that other regions forward.
 const MAX_SUMMARY_ENTRIES: usize = 24;
 
+/// Maximum number of software versions in the summary of a pool. Requests that must stay with another
+/// version are not forwarded to the region.
+const MAX_SUMMARY_VERSIONS: usize = 16;
+
 /// Load report of an entry.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct EntryLoad {
@@ -135,12 +140,18 @@
                 slots: 0,
                 requests: 0,
                 backlog_ms: 0,
+                versions: SmallVec::new(),
             });
             let (requests, backlog_ms) = work.get(&upstream.name).copied().unwrap_or_default();
             pool.serving += 1;
             pool.slots = pool.slots.saturating_add(upstream.slots);
             pool.requests = pool.requests.saturating_add(requests);
             pool.backlog_ms = pool.backlog_ms.saturating_add(backlog_ms);
+            if let Err(index) = pool.versions.binary_search(&upstream.software)
+                && pool.versions.len() < MAX_SUMMARY_VERSIONS
+            {
+                pool.versions.insert(index, upstream.software.clone());
+            }
         }
         for pool in pools.values_mut() {
             pool.backlog_ms /= pool.serving.max(1);
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -4,18 +4,21 @@
     answer::{Ran, Refusal, RefusalCode},
     gateway::{
         attempt::{AttemptFailure, StartedAnswer, UpstreamFailure},
-        call::{RequestTraits, RoutedCall},
+        call::{RequestTraits, RequiredOrigin, RoutedCall},
         choice::{
             ChoiceBasis, ChoiceInput, LeftOutCounts, RefusalCause, TriedUpstreams, UpstreamChoice,
         },
         context::EntryContext,
         headers::refuse,
-        hop::{ARRIVED_HEADER, QUARANTINED_HEADER, RAN_ON_HEADER},
+        hop::{ARRIVED_HEADER, QUARANTINED_HEADER, RAN_ON_HEADER, SOFTWARE_HEADER},
         outcome::Verdict,
-        record::{AttemptEntry, CallRecord, verdict_name},
+        record::{AttemptEntry, CallRecord, TakeUpResult, verdict_name},
+        routes::RepeatRule,
         stream_forwarder::stream_body,
+        stream_origins::StreamOrigin,
     },
     http::{AnswerBody, full_body},
+    name::SoftwareVersion,
 };
 use hyper::{Response, header::HeaderValue};
 use std::{
@@ -61,6 +64,8 @@
     pub(crate) tried: TriedUpstreams,
     /// Identifier of the last event that the caller received.
     pub(crate) resume_after: Option<Arc<str>>,
+    /// Origin of the events that the caller received.
+    pub(crate) origin: RequiredOrigin,
     /// Whether the request is counted as a first send for the retry budget.
     counted_in_budget: bool,
     /// Whether a grant was requested from engine owners before.
@@ -88,6 +93,7 @@
     let mut relay = CallRelay {
         tried: TriedUpstreams::default(),
         resume_after: call.head.resume_after.clone(),
+        origin: call.origin.clone(),
         counted_in_budget: call.earlier_attempts > 0,
         owners_asked: false,
         sending: false,
@@ -124,6 +130,7 @@
     async fn open_answer(&mut self) -> Result<StartedAnswer, FinalFailure> {
         loop {
             self.check_quarantine()?;
+            self.check_origin()?;
             let choice = self.choose().await;
             self.count_in_budget(&choice);
             match choice {
@@ -140,7 +147,10 @@
                     }
                     self.sends += 1;
                     match self.attempt(choice).await {
-                        Ok(answer) => return Ok(answer),
+                        Ok(answer) => {
+                            self.keep_hop_version(&answer);
+                            return Ok(answer);
+                        }
                         Err(failure) => self.check_retry(failure)?,
                     }
                 }
@@ -174,6 +184,60 @@
         Err(self.refuse_quarantined(message, remaining))
     }
 
+    /// Fails if it is not known, or can't be met, where the stream must go on.
+    fn check_origin(&mut self) -> Result<(), FinalFailure> {
+        match &self.origin {
+            RequiredOrigin::Unknown => {
+                self.record.set_take_up(TakeUpResult::VersionUnknown);
+                let text = "it is not known which software version began the stream";
+                Err(self.give_up(RefusalCode::VersionUnknown, text))
+            }
+            RequiredOrigin::At(origin) if origin.pool != self.call.pool => {
+                let text = format!("the route has no pool {}, which began the stream", origin.pool);
+                self.record.set_take_up(TakeUpResult::PoolGone);
+                Err(self.give_up(RefusalCode::VersionGone, &text))
+            }
+            RequiredOrigin::At(_) | RequiredOrigin::Any => Ok(()),
+        }
+    }
+
+    /// Records that the caller receives the first events of `answer`, so that only upstreams of its
+    /// origin may go on.
+    pub(crate) fn note_origin(&mut self, answer: &StartedAnswer) {
+        self.record.set_take_up(TakeUpResult::Continued);
+        let Some(software) = answer.software.clone() else {
+            self.origin = RequiredOrigin::Unknown;
+            return;
+        };
+        let call = &self.call;
+        let origin = StreamOrigin { pool: call.pool.clone(), software };
+        // The entry that received the events from the upstream records their origin.
+        if answer.upstream.is_some() {
+            self.context.record_origin(&call.attempt, &origin);
+            if let Some(began) = call.head.resumes.as_ref().filter(|_| call.is_take_up()) {
+                self.context.record_origin(began, &origin);
+            }
+        }
+        self.origin = RequiredOrigin::At(origin);
+    }
+
+    /// Keeps to the software version that another entry told, as it may have recorded that origin for
+    /// events that were lost on their way here.
+    fn keep_hop_version(&mut self, answer: &StartedAnswer) {
+        let resumable = self.call.repeat() == RepeatRule::ResumableStream;
+        if let Some(software) = &answer.software
+            && answer.upstream.is_none()
+            && resumable
+        {
+            self.origin = self.origin_at(software);
+        }
+    }
+
+    fn origin_at(&self, software: &SoftwareVersion) -> RequiredOrigin {
+        let (pool, software) = (self.call.pool.clone(), software.clone());
+        RequiredOrigin::At(StreamOrigin { pool, software })
+    }
+
     fn refuse_quarantined(&mut self, message: String, remaining: Duration) -> FinalFailure {
         if let Some(upstream_failure) = self.upstream_failure.take() {
             return FinalFailure::Upstream(upstream_failure);
@@ -215,6 +279,7 @@
         let input = ChoiceInput {
             call: &self.call,
             pool: routes.pool(&self.call.pool).map(|pool| &**pool),
+            software: self.origin.software(),
             tried: &self.tried,
             view: &context.view.load(),
             load: &context.load.load(),
@@ -312,7 +377,11 @@
         let code = match cause {
             RefusalCause::NoUpstream | RefusalCause::Unusable => RefusalCode::NoUpstream,
             RefusalCause::Overloaded => RefusalCode::Overloaded,
+            RefusalCause::VersionGone => RefusalCode::VersionGone,
         };
+        if cause == RefusalCause::VersionGone {
+            self.record.set_take_up(TakeUpResult::VersionGone);
+        }
         let refusal = Refusal { ran: self.ran(), ..Refusal::not_run(code, text) };
         FinalFailure::Refused(refusal.retry_after(retry_after))
     }
@@ -320,6 +389,7 @@
     pub(crate) fn record_attempt(
         &mut self,
         to: String,
+        software: Option<SoftwareVersion>,
         verdict: Verdict,
         cause: &str,
         basis: ChoiceBasis,
@@ -327,6 +397,7 @@
     ) {
         self.record.record_attempt(AttemptEntry {
             to,
+            software,
             verdict: verdict_name(verdict),
             cause: cause.to_owned(),
             basis,
@@ -342,6 +413,7 @@
         *response.status_mut() = status;
         *response.headers_mut() = answer.headers.clone();
         self.set_hop_headers(&mut response, self.possible_runs + 1);
+        self.promise_software(&mut response, &answer);
         let body = match answer.complete {
             true => {
                 self.record.end("answered", status.as_u16(), "");
@@ -364,6 +436,22 @@
         }
     }
 
+    /// If another entry forwarded the request, tells it the software version of the answer, which the
+    /// rest of the stream must then keep to.
+    fn promise_software<T>(&mut self, response: &mut Response<T>, answer: &StartedAnswer) {
+        if !self.call.hopped || self.call.repeat() != RepeatRule::ResumableStream {
+            return;
+        }
+        let Some(software) = &answer.software else { return };
+        match HeaderValue::from_str(software.as_str()) {
+            Ok(value) => drop(response.headers_mut().insert(SOFTWARE_HEADER, value)),
+            Err(error) => {
+                log::warn!(software = software.as_str(); "software version not sent: {error}");
+            }
+        }
+        self.origin = self.origin_at(software);
+    }
+
     /// Builds the response for a request without a successful answer.
     fn into_failure_response(mut self, failure: FinalFailure) -> Response<AnswerBody> {
         match failure {
@@ -400,6 +488,8 @@
         RefusalCode::DeadlinePassed => "deadline_passed",
         RefusalCode::UpstreamFailed => "upstream_failed",
         RefusalCode::Quarantined => "quarantined",
+        RefusalCode::VersionUnknown => "version_unknown",
+        RefusalCode::VersionGone => "version_gone",
         _ => "other",
     }
 }
@@ -413,6 +503,7 @@
         RefusalCause::NoUpstream => "no upstream is known",
         RefusalCause::Unusable => "no upstream is usable",
         RefusalCause::Overloaded => "the answer would be late",
+        RefusalCause::VersionGone => "no upstream of the version that began the stream is known",
     };
     let best = basis.map(|basis| {
         let ChoiceBasis { predicted_ms, answer_ms, requests, .. } = basis;
--- a/cicadastall/src/gateway/stream_forwarder.rs
+++ b/cicadastall/src/gateway/stream_forwarder.rs
@@ -35,6 +35,8 @@
     events: EventCounter,
     /// Whether the current upstream has sent a whole event.
     began: bool,
+    /// Whether the caller received events of the current upstream's answer.
+    passed_on: bool,
     received: Bytes,
     status: u16,
 }
@@ -51,6 +53,7 @@
         buffer,
         events: EventCounter::default(),
         began: false,
+        passed_on: false,
         received,
         status,
     };
@@ -120,7 +123,13 @@
         match &mut self.buffer {
             None => StreamStep::Data(data),
             Some(buffer) => match buffer.push(&data) {
-                Ok(events) => StreamStep::Data(events),
+                Ok(events) => {
+                    if !self.passed_on && !events.is_empty() {
+                        self.passed_on = true;
+                        self.relay.note_origin(answer);
+                    }
+                    StreamStep::Data(events)
+                }
                 Err(_) => StreamStep::Broken("an event is too large".to_owned()),
             },
         }
@@ -136,6 +145,7 @@
         }
         self.events = EventCounter::default();
         self.began = false;
+        self.passed_on = false;
         let Some(buffer) = &mut self.buffer else {
             return Err(self.cut(cause, SendEnd::Broken));
         };
--- a/cicadastall/src/gateway/upstream_check.rs
+++ b/cicadastall/src/gateway/upstream_check.rs
@@ -36,6 +36,8 @@
     Sequence,
     /// There are more than [`MAX_SLOTS`] slots.
     Slots,
+    /// The software version is longer than [`MAX_NAME_BYTES`] or no visible ASCII.
+    Software,
 }
 
 impl UpstreamFault {
@@ -49,6 +51,9 @@
             Self::Started => ("started_ms", format!("a number up to {MAX_STARTED_MS}")),
             Self::Sequence => ("sequence", format!("a number up to {MAX_SEQUENCE}")),
             Self::Slots => ("slots", format!("a number up to {MAX_SLOTS}")),
+            Self::Software => {
+                ("software", format!("visible ASCII of {MAX_NAME_BYTES} bytes at most"))
+            }
         };
         SettingsFault {
             path: format!("$.{field}"),
@@ -64,14 +69,17 @@
 pub fn check_upstream(upstream: &RegisteredUpstream) -> Result<(), UpstreamFault> {
     let name = upstream.name.as_str();
     let pool = upstream.pool.as_str();
+    let software = upstream.software.as_str();
     let fits = |text: &str| (1..=MAX_NAME_BYTES).contains(&text.len());
+    let visible = |text: &str| text.bytes().all(|byte| byte.is_ascii_graphic());
     let checks = [
-        (fits(name) && name.bytes().all(|byte| byte.is_ascii_graphic()), UpstreamFault::Name),
+        (fits(name) && visible(name), UpstreamFault::Name),
         (fits(pool), UpstreamFault::Pool),
         (is_host(upstream.address), UpstreamFault::Address),
         (upstream.started_ms <= MAX_STARTED_MS, UpstreamFault::Started),
         (upstream.sequence <= MAX_SEQUENCE, UpstreamFault::Sequence),
         (upstream.slots <= MAX_SLOTS, UpstreamFault::Slots),
+        (software.is_empty() || fits(software) && visible(software), UpstreamFault::Software),
     ];
     match checks.into_iter().find(|(valid, _)| !valid) {
         Some((_, fault)) => Err(fault),
--- a/cicadastall/tests/gateway_owners.rs
+++ b/cicadastall/tests/gateway_owners.rs
@@ -193,6 +193,7 @@
             prompt_tokens: 20,
             expected_tokens: 5,
             parts: smallvec![(1, 10), (ticket.0, 10)],
+            software: None,
             tried: SmallVec::new(),
             tried_regions: SmallVec::new(),
             homes: SmallVec::new(),
--- a/cicadastall/tests/load/mod.rs
+++ b/cicadastall/tests/load/mod.rs
@@ -3,7 +3,7 @@
 
 use cicadastall::{
     gateway::{
-        call::{CallHead, PromptPart, RoutedCall},
+        call::{CallHead, PromptPart, RequiredOrigin, RoutedCall},
         choice::{ChoiceInput, TriedUpstreams, UpstreamChoice},
         chooser::UpstreamChooser,
         fleet_update::{RegisteredUpstream, UpstreamPhase},
@@ -327,6 +327,7 @@
         attempt: AttemptId::from(format!("{own:x}").as_str()),
         route: Arc::new(route),
         pool: PoolName::from("pool"),
+        origin: RequiredOrigin::Any,
         received_at,
         deadline: received_at + Duration::from_millis(kind.limit_ms),
         hopped: false,
@@ -477,6 +478,7 @@
         let input = ChoiceInput {
             call: &request.call,
             pool: Some(&self.pool),
+            software: None,
             tried: &TriedUpstreams::default(),
             view: &self.view,
             load: &self.loads[request.entry],
--- a/cicadastall/tests/odd_upstreams.rs
+++ b/cicadastall/tests/odd_upstreams.rs
@@ -13,7 +13,7 @@
         registry::{FleetRegistry, RenewalOutcome},
         view::ViewMerger,
     },
-    name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
+    name::{InstanceName, PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
     table::{EntryRecord, EntryState, Incarnation},
 };
 use gateway::{
@@ -74,6 +74,7 @@
         slots: 4,
         phase: UpstreamPhase::Serving,
         cold_ms: 0,
+        software: SoftwareVersion::from("v1"),
     }
 }
 
@@ -215,6 +216,7 @@
             phase: [UpstreamPhase::Serving, UpstreamPhase::Leaving, UpstreamPhase::Gone]
                 [usize::from(odd) % 3],
             cold_ms,
+            software: SoftwareVersion::from(text.as_str()),
         };
         // Only numbers that no upstream has: a later start takes over an address.
         let large = |number: u64| number | 1 << 63;
