Refuse resumed streams for lateness only by their own deadline

The limit on waiting in an engine is for new streams, whose callers lose nothing by a refusal. It applied to requests that resume a stream as well; these have part of their answer, and only upstreams of one version may go on. They are now refused only if the answer can't begin or end in time.

The rank at the engine is unchanged: it would also enter the backlogs that owners and entries compute, and streams of rank 0 could not gain by it.

--- a/cicadastall/src/gateway/chooser.rs
+++ b/cicadastall/src/gateway/chooser.rs
@@ -703,6 +703,8 @@
     let begin_ms = candidate.predicted_ms - remaining_ms * FIRST_TOKEN_DEADLINE_FRACTION;
     let end_ms = candidate.answer_ms - remaining_ms * ANSWER_DEADLINE_FRACTION;
     let queue_ms = match input.pool.and_then(|pool| pool.engine) {
+        // A caller that has part of its answer is better served late than not at all.
+        Some(_) if input.software.is_some() => 0.0,
         // The engine would refuse requests beyond those that it runs and queues.
         Some(_) if input.exclusive => candidate.excess_ms,
         Some(_) => {
--- a/cicadastall/tests/software_versions.rs
+++ b/cicadastall/tests/software_versions.rs
@@ -238,6 +238,27 @@
     assert_eq!([None, Some("v2"), Some("v1")].map(&mut accept), [true, true, false]);
 }
 
+#[tokio::test]
+async fn a_resumed_stream_is_refused_for_the_queue_of_new_ones() {
+    let mut harness = ChoiceHarness::new(vec![known("engine", "west-a", "v1")]);
+    harness.rule = engine_pool("service", 2);
+    let others = (0..40).map(|number| InstanceName::from(format!("entry-{number}").as_str()));
+    harness.view.entries = others.collect();
+    // Far fewer than the engine could begin before the deadlines of 4 s.
+    harness.load.work.insert(UpstreamName::from("engine"), (3, 300));
+    harness.load.work_at = Some(Instant::now());
+    let refused = harness.choose(None);
+    let overloaded = RefusalCause::Overloaded;
+    let UpstreamChoice::Refuse { cause, .. } = refused else { panic!("{refused:?}") };
+    assert_eq!(cause, overloaded);
+    assert_eq!(chosen_name(&harness.choose(Some("v1"))), "engine");
+    // It is refused if it can't begin before its own deadline.
+    harness.load.work.insert(UpstreamName::from("engine"), (3, 30_000));
+    let refused = harness.choose(Some("v1"));
+    let UpstreamChoice::Refuse { cause, .. } = refused else { panic!("{refused:?}") };
+    assert_eq!(cause, overloaded);
+}
+
 fn entry(number: u16) -> EntryRecord {
     EntryRecord {
         instance: InstanceName::from(format!("entry-{number}").as_str()),
