Record no origin for an attempt that a new stream names

A caller may name an attempt without an event. If its own new stream was then forwarded midway, the entry of the other region saw the last event of the hop beside the name, took the request for a take-up, and recorded the stream's origin for the named attempt, which may have begun elsewhere. Found while reading the code; the hop now drops the name unless the caller itself sent the last event.

--- a/cicadastall/src/gateway/hop.rs
+++ b/cicadastall/src/gateway/hop.rs
@@ -146,9 +146,12 @@
         }
     }
 
-    /// Replaces the last event of `head`, since the caller may have received more events since.
+    /// Replaces the last event of `head`, since the caller may have received more events since. A caller
+    /// that had received none itself resumes no attempt.
     pub fn merge_head(&self, head: CallHead) -> CallHead {
-        CallHead { resume_after: self.resume_after.clone().or(head.resume_after.clone()), ..head }
+        let resumes = head.resumes.filter(|_| head.resume_after.is_some());
+        let resume_after = self.resume_after.clone().or(head.resume_after);
+        CallHead { resume_after, resumes, ..head }
     }
 }
 
--- a/cicadastall/tests/software_versions.rs
+++ b/cicadastall/tests/software_versions.rs
@@ -412,6 +412,19 @@
     assert_eq!(plain.origin(&call.head), RequiredOrigin::Any);
 }
 
+#[tokio::test]
+async fn a_new_stream_overwrites_the_origin_of_the_attempt_that_it_names() {
+    let call = take_up();
+    let last = call.head.resume_after.clone();
+    let hop = HopMetadata::new(&call, 1, last.as_ref(), Some(&version("v1")), Instant::now());
+    let resumed = hop.merge_head(call.head.clone());
+    assert_eq!(resumed.resumes, call.head.resumes);
+    // The entry itself resumes the stream, its caller named an attempt but no event.
+    let fresh = CallHead { resume_after: None, ..call.head.clone() };
+    let merged = hop.merge_head(fresh);
+    assert_eq!((merged.resume_after, merged.resumes), (last, None));
+}
+
 #[test]
 fn a_resumed_stream_moves_to_another_pool_by_weight() {
     let mut route = route("resume", RepeatRule::ResumableStream);
