Record which software version began a stream, at control and across restarts of all entries

Cause: the version that began a stream was known to no process once the entry that relayed it was killed, so a take-up could only be continued by guess.

Change: each entry keeps the origins (pool, software version) of the streams that it began for 60 s and sends them to two control instances: the first within 25 ms, a second one within 500 ms in case the first is cut off from the others. Control instances send what entries gave them to each other within 100 ms, in batches of at most 1,024 records by a call of its own, so that the long polls of entries are not woken. Records are confirmed by process; a new process gets all that are alive, from entries that still run and from one other control instance completely. A lookup asks the own log, the polled control instances in parallel and after 150 ms, or once those have replied, all others; the first record wins; after 700 ms at most the result is "not known". Without a record, control names a version only if its history of versions is complete for 90 s, it hears a majority of control instances, and only one version served in the only pool; one contrary reply voids that.

Ruled out: records on the control instances' long polls (each reply carries the summaries of regions, and a poll would return every 100 ms); the registry's change counter (wakes every entry's poll); an unbounded log; a guess from the versions that serve now.

--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -10,6 +10,7 @@
         engine_grants::EngineGrants,
         fleet_update::{DepartedUpstream, WorkRow},
         metrics::GatewayMetrics,
+        origin_finder::OriginFinder,
         pool_partition::PromptDemand,
         registry::DISCOVERY_TIME,
         retry_window::RetryWindow,
@@ -57,6 +58,7 @@
     pub(crate) in_flight: AtomicU32,
     pub(crate) grants: EngineGrants,
     pub(crate) crashes: Arc<CrashWatch>,
+    pub(crate) origins: OriginFinder,
     chooser: Mutex<UpstreamChooser>,
     retries: Mutex<RetryWindow>,
     usable: watch::Sender<bool>,
@@ -87,6 +89,7 @@
         Self {
             grants,
             crashes: Arc::new(CrashWatch::new(metrics.crash_checks())),
+            origins: OriginFinder::new(&node),
             chooser: Mutex::new(chooser),
             retries: Mutex::new(RetryWindow::new(node.retries, Instant::now())),
             node,
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -13,10 +13,14 @@
         },
         group_supervisor::GroupSupervisor,
         listing::{ListingInput, list_near},
+        origin_sender::{SendMode, SendTasks},
+        origin_table::OriginStore,
         poll_tasks::{FleetSubscriber, PollTasks},
         region_load::EntryLoad,
-        registry::{DISCOVERY_TIME, FleetRegistry, RenewalOutcome},
+        registry::{CONTROL_TIMEOUT, DISCOVERY_TIME, FleetRegistry, RenewalOutcome},
         settings::GatewaySettings,
+        software_history::ServedSoftware,
+        stream_origins::{ORIGIN_LIFETIME, OriginBatch, OriginQuery, OriginReply, StreamOrigin},
     },
     group_transport::GroupRegistry,
     http::{self, AnswerBody, ListenerLimits, json_answer, read_body, text_answer},
@@ -27,7 +31,7 @@
 };
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     future::Future,
     io,
     net::SocketAddr,
@@ -62,6 +66,16 @@
 /// Time for which a stopping instance still answers, so that calls in flight complete.
 const STOP_GRACE: Duration = Duration::from_millis(500);
 
+/// Maximum number of records of streams' origins: twice those of 2,200 streams per second.
+pub const MAX_ORIGINS: usize = 2 * 2_200 * ORIGIN_LIFETIME.as_secs() as usize;
+
+/// Delay from a record of an entry until it is sent to the other control instances.
+const ORIGIN_SEND_DELAY: Duration = Duration::from_millis(100);
+
+/// Time within which a majority of control instances must have been heard to name the only software
+/// version of a pool; polls between control instances return at least once a second.
+const SOLE_CONTACT_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Service of a control instance for entries and other control instances.
 pub(crate) trait FleetService: std::fmt::Debug + Send + Sync {
     /// Answers a query once there are changes, at the latest after its maximum wait.
@@ -69,6 +83,12 @@
         self: Arc<Self>,
         query: FleetQuery,
     ) -> Pin<Box<dyn Future<Output = FleetUpdate> + Send>>;
+
+    /// Merges origins of streams; returns the identifier of this process.
+    fn record_origins(&self, batch: OriginBatch) -> u64;
+
+    /// Looks up the origin of a stream.
+    fn find_origin(&self, query: &OriginQuery) -> OriginReply;
 }
 
 /// State of one control instance.
@@ -81,6 +101,7 @@
     changed: watch::Sender<u64>,
     cursors: Mutex<HashMap<SocketAddr, FleetCursor>>,
     seeds: Mutex<Vec<SocketAddr>>,
+    origins: Arc<OriginStore>,
     stopping: AtomicBool,
     started_at: Instant,
 }
@@ -98,6 +119,7 @@
             supervisor,
             changed,
             cursors: Mutex::default(),
+            origins: Arc::new(OriginStore::new(MAX_ORIGINS)),
             stopping: AtomicBool::new(false),
             started_at: Instant::now(),
         }
@@ -252,7 +274,11 @@
     fn build_update(&self, query: &FleetQuery, confirmed: bool) -> FleetUpdate {
         let now = Instant::now();
         let state = self.supervisor.state();
-        let registry = self.registry();
+        let expected = self.expected_controls();
+        let mut registry = self.registry();
+        let reports =
+            query.asks_history && registry.hears_majority(expected, SOLE_CONTACT_LIMIT, now);
+        let history = reports.then(|| registry.history().report(now)).flatten();
         let cursor = query.cursor;
         let newer_zones = state.evacuated().version > query.evacuated;
         let newer = |number: u64| !query.number_only && number > query.document;
@@ -277,6 +303,7 @@
             FleetReader::Control(control) => FleetUpdate {
                 evacuated: None,
                 summaries: summarize(&control.region),
+                history,
                 ..shared(None, true)
             },
             FleetReader::Entry(entry) => {
@@ -348,30 +375,85 @@
         loop {
             sleep(EXPIRY_INTERVAL).await;
             let state = self.supervisor.state();
+            let expected = self.expected_controls();
+            let now = Instant::now();
             self.change_registry(|registry| {
                 registry.set_evacuated_version(state.evacuated().version);
                 if let Some(stored) = state.newest() {
                     registry.set_document(Arc::clone(&stored.document));
                 }
-                registry.expire(Instant::now());
+                registry.expire(now);
+                if !registry.hears_majority(expected, CONTROL_TIMEOUT, now) {
+                    registry.history().interrupt(now);
+                }
                 self.cursors().retain(|address, _| registry.is_known_control(*address));
             });
+            self.origins.table().expire(now);
         }
     }
 
     /// Keeps polling the other control instances, until its task is dropped.
     async fn poll_peers(self: &Arc<Self>, clients: Arc<PeerClients>) {
         let mut tasks = PollTasks::default();
+        let mut senders = SendTasks::default();
+        let origin_clients = Arc::new(PeerClients::new(Some(self.node.peer_listen.ip())));
         loop {
-            let known = self.registry().other_controls().map(|other| other.peer_address).collect();
-            let mut addresses: BTreeSet<_> = known;
-            addresses.extend(&*self.seeds.lock().unwrap_or_else(PoisonError::into_inner));
-            addresses.remove(&self.own.peer_address);
+            let addresses = self.peer_addresses();
+            senders.set(&self.select_receivers(&addresses), &self.origins, &origin_clients);
             tasks.set(addresses, self, &clients);
             sleep(EXPIRY_INTERVAL).await;
         }
     }
 
+    /// Peer addresses of all other control instances, including those in the settings.
+    fn peer_addresses(&self) -> BTreeSet<SocketAddr> {
+        let known = self.registry().other_controls().map(|other| other.peer_address).collect();
+        let mut addresses: BTreeSet<_> = known;
+        addresses.extend(&*self.seeds.lock().unwrap_or_else(PoisonError::into_inner));
+        addresses.remove(&self.own.peer_address);
+        addresses
+    }
+
+    /// Number of control instances in the settings, including this one.
+    fn expected_controls(&self) -> usize {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        let others: BTreeSet<_> =
+            seeds.iter().filter(|seed| **seed != self.own.peer_address).collect();
+        others.len() + 1
+    }
+
+    /// The other control instances, to which this one sends origins of streams. A restarted one gets
+    /// those that came from control instances from the first of the others that it does not lack.
+    fn select_receivers(&self, addresses: &BTreeSet<SocketAddr>) -> BTreeMap<SocketAddr, SendMode> {
+        self.origins.table().retain_receivers(addresses);
+        let registry = self.registry();
+        let own = self.own.peer_address;
+        let modes = addresses.iter().map(|receiver| {
+            let live = registry.other_controls().map(|other| other.peer_address);
+            let complete = live.filter(|other| other != receiver).all(|other| own < other);
+            (*receiver, SendMode { delay: ORIGIN_SEND_DELAY, forwarded: true, complete })
+        });
+        modes.collect()
+    }
+
+    /// Names the only software version of the only pool in `query` if this instance's history is
+    /// complete and a majority of control instances was heard.
+    fn find_sole(&self, query: &OriginQuery) -> OriginReply {
+        let now = Instant::now();
+        let expected = self.expected_controls();
+        let mut registry = self.registry();
+        let [pool] = &query.pools[..] else { return OriginReply::Unknown };
+        match registry.history().served(pool, now) {
+            ServedSoftware::Sole(software)
+                if registry.hears_majority(expected, SOLE_CONTACT_LIMIT, now) =>
+            {
+                OriginReply::Sole(StreamOrigin { pool: pool.clone(), software })
+            }
+            ServedSoftware::Several => OriginReply::Several,
+            ServedSoftware::Sole(_) | ServedSoftware::Unknown => OriginReply::Unknown,
+        }
+    }
+
     /// State for operators.
     fn describe(&self) -> serde_json::Value {
         let state = self.supervisor.state();
@@ -382,6 +464,8 @@
             "group": self.supervisor.describe(),
             "entries": self.registry().live_entries().collect::<Vec<_>>(),
             "controls": self.registry().other_controls().collect::<Vec<_>>(),
+            "origins": self.origins.table().len(),
+            "history_complete": self.registry().history().is_complete(Instant::now()),
         })
     }
 }
@@ -393,6 +477,23 @@
     ) -> Pin<Box<dyn Future<Output = FleetUpdate> + Send>> {
         Box::pin(async move { self.process_query(query).await })
     }
+
+    fn record_origins(&self, batch: OriginBatch) -> u64 {
+        self.origins.merge(batch);
+        self.registry().cursor().process
+    }
+
+    fn find_origin(&self, query: &OriginQuery) -> OriginReply {
+        let table = self.origins.table();
+        match table.find(query.key, Instant::now()) {
+            Some(Some(origin)) => OriginReply::Recorded(origin.clone()),
+            Some(None) => OriginReply::Several,
+            None => {
+                drop(table);
+                self.find_sole(query)
+            }
+        }
+    }
 }
 
 impl FleetSubscriber for FleetControl {
@@ -409,6 +510,7 @@
             demand: Vec::new(),
             departed: Vec::new(),
             suspects: Vec::new(),
+            asks_history: !self.registry().history().is_complete(Instant::now()),
         }
     }
 
@@ -418,7 +520,8 @@
         let restarted = self.cursors().get_mut(&address).is_some_and(|cursor| {
             std::mem::replace(cursor, update.cursor).process != update.cursor.process
         });
-        let FleetUpdate { upstreams, entries, controls, summaries, suspects, .. } = update;
+        let FleetUpdate { upstreams, entries, controls, summaries, suspects, history, .. } = update;
+        self.origins.note_process(address, update.cursor.process);
         self.change_registry(|registry| {
             registry.merge_suspects(suspects, now);
             registry.mark_control_seen(address, now);
@@ -434,6 +537,9 @@
                 }
             }
             registry.merge(address, upstreams, entries, now);
+            if let Some(history) = &history {
+                registry.history().merge(history, now);
+            }
         });
     }
 
@@ -585,9 +691,11 @@
         let registry = self.registry();
         let entries = registry.live_entries().count();
         let controls = registry.other_controls().count();
+        let origins = self.origins.table().len();
         format!(
             "cicadastall_control_document {}\ncicadastall_control_evacuations {}\n\
-             cicadastall_control_entries {entries}\ncicadastall_control_others {controls}\n",
+             cicadastall_control_entries {entries}\ncicadastall_control_others {controls}\n\
+             cicadastall_control_origins {origins}\n",
             state.number(),
             state.evacuated().version,
         )
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -162,12 +162,14 @@
     async fn run(self: &Arc<Self>, clients: Arc<PeerClients>) {
         let mut tasks = PollTasks::default();
         loop {
-            let (addresses, changed) = {
+            let (addresses, known, changed) = {
                 let mut state = self.state();
                 let now = Instant::now();
                 let changed = state.expire(now);
-                (state.select_controls(!self.context.is_usable(), now), changed)
+                let addresses = state.select_controls(!self.context.is_usable(), now);
+                (addresses, state.controls().collect(), changed)
             };
+            self.context.origins.set_controls(addresses.clone(), known);
             tasks.set(addresses, self, &clients);
             self.publish(changed);
             self.update_readiness(false);
@@ -205,6 +207,7 @@
             demand: if near { self.context.demand() } else { Vec::new() },
             departed: if near { self.context.departed() } else { Vec::new() },
             suspects,
+            asks_history: false,
             reader: FleetReader::Entry(own),
         }
     }
@@ -213,6 +216,7 @@
         let (confirmed, newest) = (update.confirmed, update.document_number);
         let replaced = self.apply_document(&mut update);
         self.context.crashes.merge(std::mem::take(&mut update.suspects));
+        self.context.origins.store().note_process(address, update.cursor.process);
         let current = self.context.routes.load().document().number;
         let changed = replaced | self.state().apply_update(address, update, Instant::now());
         self.publish(changed);
@@ -317,10 +321,17 @@
         let runner = Arc::clone(&updater);
         let clients = Arc::new(PeerClients::new(Some(node.peer_listen.ip())));
         tasks.spawn_on(async move { runner.run(clients).await }, control);
+        let shared = Arc::clone(&context);
+        tasks.spawn_on(async move { shared.origins.send().await }, control);
         log::info!(seeds = node.seeds.len(); "entry started");
         Ok(Self { context, updater, close, close_ready, callers, hops, tasks })
     }
 
+    /// The state that its requests share.
+    pub fn context(&self) -> &Arc<EntryContext> {
+        &self.context
+    }
+
     /// Replaces the control addresses of the settings, after a reload.
     pub fn set_seeds(&self, seeds: &[SocketAddr]) {
         log::info!(seeds = seeds.len(); "settings reloaded");
--- a/cicadastall/src/gateway/fleet_update.rs
+++ b/cicadastall/src/gateway/fleet_update.rs
@@ -3,6 +3,7 @@
 use crate::{
     gateway::{
         document_state::EvacuatedZones, pool_partition::PromptDemand, routes::RouteDocument,
+        software_history::HistoryReport,
     },
     name::{PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
     suspect::SuspectRecord,
@@ -180,6 +181,9 @@
     /// Suspects that the reader itself changed since it last reported them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
+    /// Whether the reader, a control instance, asks for the history of software versions.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub asks_history: bool,
 }
 
 /// Capacity of one pool in one region.
@@ -251,6 +255,9 @@
     /// report it to the sender.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub work: Option<Vec<WorkRow>>,
+    /// History of software versions, if the reader asked for it and it is complete.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub history: Option<HistoryReport>,
     /// Traits of requests that are suspected of crashing upstreams, as far as they changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
--- a/cicadastall/src/gateway/metrics.rs
+++ b/cicadastall/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     crash_checks: Counter<u64>,
     quarantined: Gauge<u64>,
     listings: Counter<u64>,
+    origin_lookups: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -56,6 +57,7 @@
             crash_checks: meter.u64_counter("cicadastall_gateway_crash_checks").build(),
             quarantined: meter.u64_gauge("cicadastall_gateway_quarantined").build(),
             listings: meter.u64_counter("cicadastall_gateway_listings").build(),
+            origin_lookups: meter.u64_counter("cicadastall_gateway_origin_lookups").build(),
             scrape,
         }
     }
@@ -102,6 +104,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a lookup of the origin of a resumed stream, by result.
+    pub fn count_origin_lookup(&self, result: &'static str) {
+        self.origin_lookups.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a retry that the budget did not allow.
     pub fn count_budget_spent(&self, pool: &PoolName) {
         self.budget_spent.add(1, &[KeyValue::new("pool", pool.to_string())]);
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -13,6 +13,7 @@
         },
         region_load::EntryLoad,
         routes::RouteDocument,
+        software_history::SoftwareHistory,
         upstream_check::{UpstreamFault, check_upstream},
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
@@ -108,6 +109,13 @@
     seen_at: Instant,
 }
 
+impl UpstreamRow {
+    /// Whether entries may still use the upstream.
+    fn is_served(&self) -> bool {
+        !self.silent && self.upstream.phase != UpstreamPhase::Gone
+    }
+}
+
 /// Registry of one control instance.
 #[derive(Debug)]
 pub struct FleetRegistry {
@@ -130,6 +138,9 @@
     suspect_changes: VecDeque<(u64, u64)>,
     /// Newest change that `suspect_changes` does not hold any more.
     suspect_floor: u64,
+    /// Largest number of control instances that were known at one time, including this one.
+    peak_controls: usize,
+    history: SoftwareHistory,
 }
 
 impl FleetRegistry {
@@ -157,6 +168,8 @@
             suspects: SuspectTable::default(),
             suspect_changes: VecDeque::new(),
             suspect_floor: 0,
+            peak_controls: 1,
+            history: SoftwareHistory::new(Instant::now()),
         }
     }
 
@@ -193,7 +206,7 @@
         direct: bool,
         now: Instant,
     ) -> RenewalOutcome {
-        let UpstreamUpdate { upstream, age_ms, evacuated, .. } = update;
+        let UpstreamUpdate { upstream, age_ms, evacuated, silent, .. } = update;
         let seen_at = now.checked_sub(from_millis(age_ms)).unwrap_or(now);
         if let Err(fault) = self.check_values(&upstream) {
             return RenewalOutcome::Invalid(fault);
@@ -216,6 +229,12 @@
             return RenewalOutcome::Outdated;
         }
         let known = self.upstreams.get(&upstream.name);
+        if let Some(row) = known.filter(|row| row.is_served()) {
+            self.history.note(&row.upstream.pool, &row.upstream.software, now);
+        }
+        let present = upstream.phase != UpstreamPhase::Gone && !silent;
+        let served_at = if present { now } else { seen_at };
+        self.history.note(&upstream.pool, &upstream.software, served_at);
         let redundant = known.is_some_and(|row| {
             let stays = row.direct || !direct;
             !row.silent && !row.forward_next && stays && is_equivalent(&upstream, seen_at, row)
@@ -465,6 +484,7 @@
         let address = record.peer_address;
         let row = ControlRow { record, seen_at: now };
         let known = self.controls.insert(address, row.clone());
+        self.peak_controls = self.peak_controls.max(self.controls.len() + 1);
         if known.is_none_or(|known| known.record != row.record) {
             log::info!(control = address.to_string(); "control instance known");
             self.controls_changed = self.next_change();
@@ -524,6 +544,10 @@
     }
 
     fn expire_upstreams(&mut self, now: Instant) {
+        for row in self.upstreams.values().filter(|row| row.is_served()) {
+            self.history.note(&row.upstream.pool, &row.upstream.software, now);
+        }
+        self.history.expire(now);
         let mut changes = self.changes;
         for row in self.upstreams.values_mut() {
             let silent = row.direct && now >= row.seen_at + self.renewal_timeout;
@@ -623,6 +647,18 @@
         self.changes > self.position(cursor)
     }
 
+    /// Software versions that served in each pool.
+    pub fn history(&mut self) -> &mut SoftwareHistory {
+        &mut self.history
+    }
+
+    /// Whether a majority of `expected` control instances, or of those known at one time if they are
+    /// more, was heard within the last `limit`, including this one.
+    pub fn hears_majority(&self, expected: usize, limit: Duration, now: Instant) -> bool {
+        let heard = self.controls.values().filter(|row| now < row.seen_at + limit).count() + 1;
+        heard * 2 > self.peak_controls.max(expected)
+    }
+
     fn position(&self, cursor: FleetCursor) -> u64 {
         if cursor.process == self.process { cursor.change } else { 0 }
     }
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -261,6 +261,11 @@
         polled
     }
 
+    /// Peer addresses of all known control instances.
+    pub fn controls(&self) -> impl Iterator<Item = SocketAddr> {
+        self.controls.keys().copied()
+    }
+
     /// Whether a control instance of this region answers and reaches a majority of control instances.
     fn has_local_control(&self, now: Instant) -> bool {
         self.controls.iter().any(|(address, control)| {
--- a/cicadastall/src/instance.rs
+++ b/cicadastall/src/instance.rs
@@ -7,6 +7,7 @@
         engine_grants::GrantService,
         fleet_update::{FleetQuery, FleetUpdate},
         grant_allocator::{GrantQuery, GrantReply, GrantUpdates},
+        stream_origins::{OriginBatch, OriginQuery, OriginReply},
     },
     group::GroupHost,
     group_transport::GroupRegistry,
@@ -107,6 +108,14 @@
         }
     }
 
+    async fn record_origins(self, _: Context, batch: OriginBatch) -> Option<u64> {
+        self.fleet.map(|fleet| fleet.record_origins(batch))
+    }
+
+    async fn find_origin(self, _: Context, query: OriginQuery) -> OriginReply {
+        self.fleet.map(|fleet| fleet.find_origin(&query)).unwrap_or_default()
+    }
+
     async fn grant_place(self, _: Context, query: GrantQuery) -> GrantReply {
         match self.grants {
             Some(grants) => grants.grant(query).await,
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -5,6 +5,7 @@
     gateway::{
         fleet_update::{FleetQuery, FleetUpdate},
         grant_allocator::{GrantQuery, GrantReply, GrantUpdates},
+        stream_origins::{OriginBatch, OriginQuery, OriginReply},
     },
     ledger::command::{LedgerChange, LedgerReply},
     message_codec::MessageCodec,
@@ -70,6 +71,13 @@
     /// Returns fleet updates for the pass-through gateway; empty if the receiver has no registry.
     async fn fleet_news(query: FleetQuery) -> FleetUpdate;
 
+    /// Merges origins of streams; returns the receiver's process, `None` if it is not a control
+    /// instance.
+    async fn record_origins(batch: OriginBatch) -> Option<u64>;
+
+    /// Looks up the origin of a stream; implemented by control instances.
+    async fn find_origin(query: OriginQuery) -> OriginReply;
+
     /// Requests a slot in an engine that the receiver owns.
     async fn grant_place(query: GrantQuery) -> GrantReply;
 
