Close dead connections of origin lookups, and send the second copy of a record after one second

Cause: a lookup that found its record dropped the other calls, so a connection to an instance that was powered off stayed in use; calls now end by their own limit of 600 ms.

Change: the copy that matters only if the first instance is cut off from the others waits 1 s.

--- a/cicadastall/src/gateway/origin_finder.rs
+++ b/cicadastall/src/gateway/origin_finder.rs
@@ -27,7 +27,7 @@
 
 /// Delays from a record until it is sent to the first control instance, and to a second one, which
 /// matters only if the first can't pass it on.
-const SEND_DELAYS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(500)];
+const SEND_DELAYS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(1_000)];
 
 /// Interval at which the receivers of records are chosen.
 const SELECT_PERIOD: Duration = Duration::from_millis(100);
@@ -35,6 +35,9 @@
 /// Time without an answer of the polled control instances after which all others are asked as well.
 const WIDEN_DELAY: Duration = Duration::from_millis(150);
 
+/// Time limit for a call of a lookup.
+const ASK_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Time limit for a lookup.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -181,6 +184,8 @@
                 reply = calls.join_next() => match reply {
                     Some(Ok(Ok(reply))) => {
                         if let Some(origin) = collector.add(reply) {
+                            // The other calls end on their own, so that dead connections are closed.
+                            calls.detach_all();
                             return LookupResult::found(origin, "found_control");
                         }
                     }
@@ -197,6 +202,7 @@
                 }
             }
         }
+        calls.detach_all();
         let (answered, several) = (collector.answered, collector.several);
         match collector.into_sole() {
             Some(origin) => LookupResult::found(origin, "sole"),
@@ -213,7 +219,7 @@
     query: OriginQuery,
 ) -> Result<OriginReply, PeerError> {
     clients
-        .call(address, LOOKUP_TIMEOUT, async move |client, context| {
+        .call(address, ASK_TIMEOUT, async move |client, context| {
             client.find_origin(context, query).await
         })
         .await
--- a/cicadastall/tests/stream_origins.rs
+++ b/cicadastall/tests/stream_origins.rs
@@ -2,6 +2,7 @@
 
 mod gateway;
 
+use bytes::Bytes;
 use cicadastall::{
     gateway::{
         control::MAX_ORIGINS,
@@ -22,13 +23,25 @@
     peer::{PeerApiClient, PeerClients},
     table::{EntryRecord, EntryState, Incarnation},
 };
+use futures::{SinkExt, StreamExt};
 use gateway::{TestFleet, WAIT_TIMEOUT, ZONES, describe_at};
 use hyper::Method;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{
     net::TcpListener,
-    time::{Instant, advance, sleep},
+    time::{Instant, advance, sleep, sleep_until},
 };
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Requests in the whole fleet.
 const FLEET_RATE: u64 = 2_200;
@@ -277,7 +290,7 @@
     let sole = |software| OriginReply::Sole(origin(software));
     let unknown = OriginReply::Unknown;
     assert_eq!(collect(&[]), (None, None));
-    assert_eq!(collect(&[unknown.clone()]), (None, None));
+    assert_eq!(collect(std::slice::from_ref(&unknown)), (None, None));
     assert_eq!(collect(&[sole("v1"), unknown.clone()]), (None, Some(origin("v1"))));
     assert_eq!(collect(&[sole("v1"), OriginReply::Several]), (None, None));
     assert_eq!(collect(&[OriginReply::Several, sole("v1")]), (None, None));
@@ -376,6 +389,24 @@
     assert_eq!(fleet.find(1, 0).await, Some(origin("v1")));
 }
 
+#[tokio::test]
+async fn entries_send_their_records_again_after_all_control_instances_were_restarted() {
+    let mut fleet = OriginFleet::start("origins-controls", 3).await;
+    fleet.record(0, 1, "v1");
+    sleep(SPREAD_TIME).await;
+    for control in 0..3 {
+        fleet.fleet.kill_control(control).await;
+    }
+    for control in 0..3 {
+        fleet.fleet.start_control(control).await;
+    }
+    for control in 0..3 {
+        fleet.wait_origins(control, 1).await;
+    }
+    fleet.restart_entries().await;
+    assert_eq!(fleet.find(1, 1).await, Some(origin("v1")));
+}
+
 #[tokio::test]
 async fn a_stream_is_found_while_the_control_instance_of_its_region_is_gone() {
     let mut fleet = OriginFleet::start("origins-cut", 3).await;
@@ -500,3 +531,73 @@
         fleet.wait_origins(control, before + 20).await;
     }
 }
+
+/// Bytes of the calls that send records to a stub of a control instance, and of its replies.
+#[derive(Debug, Default)]
+struct CallBytes {
+    calls: AtomicU64,
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+/// Confirms records like a control instance, and answers no other call.
+async fn serve_stub(listener: TcpListener, bytes: Arc<CallBytes>) {
+    loop {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let bytes = Arc::clone(&bytes);
+        tokio::spawn(async move {
+            let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+            while let Some(Ok(frame)) = frames.next().await {
+                let call: serde_json::Value = serde_json::from_slice(&frame).expect("json");
+                let request = &call["Request"];
+                if request["message"]["RecordOrigins"].is_null() {
+                    continue;
+                }
+                let id = &request["id"];
+                let reply = json!({"request_id": id, "message": {"Ok": {"RecordOrigins": 7}}});
+                let reply = Bytes::from(serde_json::to_vec(&reply).expect("json"));
+                bytes.calls.fetch_add(1, Ordering::Relaxed);
+                bytes.sent.fetch_add(frame.len() as u64 + 4, Ordering::Relaxed);
+                bytes.received.fetch_add(reply.len() as u64 + 4, Ordering::Relaxed);
+                frames.send(reply).await.expect("sent");
+            }
+        });
+    }
+}
+
+#[tokio::test]
+async fn records_of_one_of_400_entries_fit_into_its_budget_for_control() {
+    const BUDGET: u64 = 4_096;
+    const ENTRIES: f64 = 400.0;
+    const SECONDS: f64 = 8.0;
+    let mut fleet = TestFleet::start("origins-bytes", 0, &BOTH_ZONES[..1]).await;
+    let bytes = Arc::new(CallBytes::default());
+    let mut seeds = Vec::new();
+    for _ in 0..2 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        seeds.push(listener.local_addr().expect("address"));
+        tokio::spawn(serve_stub(listener, Arc::clone(&bytes)));
+    }
+    let server = fleet.entries[0].server.take().expect("a running entry");
+    server.set_seeds(&seeds);
+    sleep(SPREAD_TIME / 2).await;
+    let mut rng = ChaCha8Rng::seed_from_u64(29);
+    let end = Instant::now() + Duration::from_secs_f64(SECONDS);
+    let mut at = Instant::now();
+    let mut number = 0;
+    while at < end {
+        sleep_until(at).await;
+        number += 1;
+        server.context().record_origin(&attempt(number), &origin("v1.2"));
+        let gap = -(1.0 - rng.random::<f64>()).ln() * ENTRIES / FLEET_RATE as f64;
+        at += Duration::from_secs_f64(gap);
+    }
+    let per_second = |count: &AtomicU64| count.load(Ordering::Relaxed) as f64 / SECONDS;
+    let sent = per_second(&bytes.sent);
+    println!(
+        "{number} records: {:.1} calls/s, {sent:.0} bytes/s sent, {:.0} bytes/s received",
+        per_second(&bytes.calls),
+        per_second(&bytes.received)
+    );
+    assert!(sent < BUDGET as f64, "{sent} bytes/s");
+}
