Accept an entry that restarts after its clock went back

Callers would see: an entry whose clock was set back before it restarted is in no listing and owns no engines, for up to a minute.

Cause: a process of an entry is numbered by the time of its start, and control ignored lower numbers than the highest until it dropped the row of the former process, 60 s after its last report. Change: a lost process gives way to any other of the same name. A control instance that reports another process has no contact with the known one, and a report without contact replaces none.

Test: an_entry_that_restarts_after_its_clock_went_back_becomes_known, which failed before (not known after 7 s).

--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -18,7 +18,7 @@
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
     suspect::{SuspectRecord, SuspectTable},
-    table::{EntryRecord, EntryState},
+    table::{EntryRecord, EntryState, Incarnation},
 };
 use smallvec::SmallVec;
 use std::{
@@ -103,6 +103,15 @@
     pub(super) load: EntryLoad,
 }
 
+impl EntryRow {
+    /// Whether a process of the same name with `incarnation` replaces the known one: if it is newer,
+    /// or if the known one is lost, as a clock that was set back gives a later process a lower number.
+    fn yields_to(&self, incarnation: Incarnation) -> bool {
+        let known = self.entry.incarnation;
+        known < incarnation || self.silent && known != incarnation
+    }
+}
+
 #[derive(Debug, Clone)]
 struct ControlRow {
     record: ControlRecord,
@@ -384,7 +393,14 @@
     fn merge_entry(&mut self, from: SocketAddr, entry: EntryRecord, silent: bool, now: Instant) {
         let name = entry.instance.clone();
         let (incarnation, state) = (entry.incarnation, entry.state);
-        if self.entries.get(&name).is_none_or(|row| row.entry.incarnation < incarnation) {
+        if let Some(row) = self.entries.get_mut(&name)
+            && row.entry.incarnation != incarnation
+        {
+            row.observers.retain(|observer| observer.address != from);
+            self.update_liveness(&name, now);
+        }
+        let known = self.entries.get(&name);
+        if known.is_none_or(|row| !silent && row.yields_to(incarnation)) {
             self.insert_entry(entry, None, now);
         }
         let Some(row) = self.entries.get_mut(&name) else { return };
@@ -433,10 +449,10 @@
     pub fn report_entry(&mut self, entry: EntryRecord, load: EntryLoad, now: Instant) {
         let name = entry.instance.clone();
         match self.entries.get(&name) {
-            Some(row) if row.entry.incarnation > entry.incarnation => return,
             Some(row) if row.entry.incarnation == entry.incarnation => {
                 self.update_state(&name, entry.state);
             }
+            Some(row) if !row.yields_to(entry.incarnation) => return,
             _ => self.insert_entry(entry.clone(), Some(now), now),
         }
         if let Some(row) = self.entries.get_mut(&name) {
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -694,3 +694,28 @@
     view.set_state(EntryState::Serving);
     assert_eq!(view.own().state, EntryState::Draining);
 }
+
+#[test]
+fn an_entry_that_restarts_after_its_clock_went_back_becomes_known() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut controls = [1, 11].map(|port| (registry(port), FleetCursor::default()));
+    controls[0].0.report_control(control(11, "west"), start);
+    controls[1].0.report_control(control(1, "west"), start);
+    let report = |controls: &mut [(FleetRegistry, FleetCursor); 2], incarnation, now| {
+        let incarnation = Incarnation(incarnation);
+        let record = EntryRecord { incarnation, ..entry("e", "west-a") };
+        controls[0].0.report_entry(record, EntryLoad::default(), now);
+    };
+    report(&mut controls, 50_000, at(0));
+    exchange(&mut controls, at(100));
+    assert_eq!(live_names(&controls[1].0), ["e"]);
+    for millis in (1_000..8_000).step_by(400) {
+        report(&mut controls, 20_000, at(millis));
+        exchange(&mut controls, at(millis + 100));
+    }
+    for (control, _) in &controls {
+        let incarnations: Vec<_> = control.live_entries().map(|entry| entry.incarnation).collect();
+        assert_eq!(incarnations, [Incarnation(20_000)]);
+    }
+}
