Take the history of software versions as complete from the first document on

Callers would see: for 90 s after control starts, a stream whose record was lost is refused although only one version has ever served. A new fleet had no complete history at any control instance for that time. Change: the control instance that receives the first document asks a majority whether there is none yet; without a document no entry begins a stream, so nothing was missed. The others take the history over.

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -207,10 +207,25 @@
         if held > 0 && stored.number() <= held {
             return ControlReply::Replaced(held);
         }
+        if held == 0 {
+            self.check_first_document().await;
+        }
         let number = stored.number();
         self.change_reply(number, self.supervisor.change(DocumentCommand::Replace(stored)).await)
     }
 
+    /// Completes the history of software versions if a majority confirms that there is no document,
+    /// without which no entry begins a stream.
+    async fn check_first_document(&self) {
+        match self.supervisor.read(CONFIRM_TIMEOUT).await {
+            Ok(state) if state.newest().is_none() => {
+                self.registry().history().set_complete(Instant::now());
+            }
+            Ok(_) => {}
+            Err(error) => log::info!("absence of a document not confirmed: {error}"),
+        }
+    }
+
     async fn change_zone(
         &self,
         zone: ZoneName,
--- a/cicadastall/src/gateway/software_history.rs
+++ b/cicadastall/src/gateway/software_history.rs
@@ -70,6 +70,11 @@
         self.complete_at = now + HISTORY_LIFETIME;
     }
 
+    /// Marks the history as complete: no stream can have begun before `now`.
+    pub fn set_complete(&mut self, now: Instant) {
+        self.complete_at = self.complete_at.min(now);
+    }
+
     /// Removes versions that were not seen within [`HISTORY_LIFETIME`].
     pub fn expire(&mut self, now: Instant) {
         self.versions.retain(|_, versions| {
@@ -113,6 +118,6 @@
             self.note(pool, software, now.checked_sub(from_millis(*age_ms)).unwrap_or(now));
         }
         self.expire(now);
-        self.complete_at = self.complete_at.min(now);
+        self.set_complete(now);
     }
 }
