Fleet updates: a row that can't be read hides no other

Cause: an update of a control instance was decoded as a whole. One upstream or entry that the reader can't decode, as newer software may send it, failed the message, and with it each poll of that instance: the reader stopped following its list.

Change: rows of upstreams and entries that can't be read are left out and counted in the log.

Ruled out: numbers that JSON can't carry; no row of an update has a floating point number (the demand by pool has, and is computed from bounded counts).

Test: `a_row_that_cannot_be_read_fails_the_whole_update` failed before (left: None) and passes.

--- a/cicadastall/src/gateway/fleet_update.rs
+++ b/cicadastall/src/gateway/fleet_update.rs
@@ -10,7 +10,7 @@
     table::EntryRecord,
     wire::is_default,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::IgnoredAny};
 use smallvec::SmallVec;
 use std::{net::SocketAddr, sync::Arc};
 
@@ -215,6 +215,33 @@
     pub pools: Vec<PoolSummary>,
 }
 
+/// A row of an update, or one that can't be read, as an instance with newer software may send it.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum ReceivedRow<T> {
+    Known(T),
+    Unknown(IgnoredAny),
+}
+
+/// Reads the rows that can be read; another one must not hide them.
+fn read_rows<'de, T, D>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    T: Deserialize<'de>,
+    D: Deserializer<'de>,
+{
+    let rows = Vec::<ReceivedRow<T>>::deserialize(deserializer)?;
+    let count = rows.len();
+    let known = rows.into_iter().filter_map(|row| match row {
+        ReceivedRow::Known(row) => Some(row),
+        ReceivedRow::Unknown(_) => None,
+    });
+    let known: Vec<_> = known.collect();
+    if known.len() < count {
+        log::warn!(rows = count, known = known.len(); "rows of an update not read");
+    }
+    Ok(known)
+}
+
 /// Reply to a [`FleetQuery`].
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetUpdate {
@@ -224,10 +251,10 @@
     #[serde(default, skip_serializing_if = "is_default")]
     pub confirmed: bool,
     /// Changed upstreams.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default, skip_serializing_if = "Vec::is_empty", deserialize_with = "read_rows")]
     pub upstreams: Vec<UpstreamUpdate>,
     /// Changed entries.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default, skip_serializing_if = "Vec::is_empty", deserialize_with = "read_rows")]
     pub entries: Vec<EntryUpdate>,
     /// Control instances, the sender first; empty if they have not changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/cicadastall/tests/odd_upstreams.rs
+++ b/cicadastall/tests/odd_upstreams.rs
@@ -239,6 +239,38 @@
     checker().quickcheck(property as fn((u64, u64, u32, u32), u8, u16, String) -> bool);
 }
 
+/// An instance with newer software may send rows that this one can't read.
+#[test]
+fn a_row_that_cannot_be_read_fails_the_whole_update() {
+    let now = Instant::now();
+    let mut registry = registry(1);
+    registry.renew(sound(2), now);
+    registry.report_entry(entry(), Default::default(), now);
+    let update = FleetUpdate {
+        cursor: registry.cursor(),
+        upstreams: registry.changed_upstreams(FleetCursor::default(), None, now),
+        entries: registry.changed_entries(FleetCursor::default(), false, now),
+        ..FleetUpdate::default()
+    };
+    let encoded = serde_json::to_value(&update).expect("json");
+    let odd_rows = [
+        serde_json::json!(null),
+        serde_json::json!([1]),
+        serde_json::json!({ "upstream": { "name": "other" }, "age_ms": 0 }),
+        serde_json::json!({ "entry": { "instance": "other" } }),
+    ];
+    for rows in ["upstreams", "entries"] {
+        for odd in &odd_rows {
+            for place in 0..2 {
+                let mut encoded = encoded.clone();
+                encoded[rows].as_array_mut().expect("rows").insert(place, odd.clone());
+                let read: Result<FleetUpdate, _> = serde_json::from_str(&encoded.to_string());
+                assert_eq!(read.ok().as_ref(), Some(&update), "{rows}: {odd}");
+            }
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_renewal_for_a_pool_that_no_document_names_replaces_a_sound_upstream() {
     let fleet = TestFleet::ready("unnamed", document(1), &["west-a"]).await;
