--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -23,6 +23,8 @@
 pub mod document_state;
 pub(crate) mod engine_grants;
 pub mod entry;
+mod entry_directory;
+pub mod entry_registry;
 pub mod events;
 pub mod fleet_update;
 pub mod grant_allocator;
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -6,15 +6,13 @@
     gateway::{
         call::{CallHead, RequiredOrigin, RoutedCall},
         context::EntryContext,
-        control_call::{
-            CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply, NO_ENTRY_LISTED,
-        },
+        control_call::ControlDialect,
         dialect::CallDialect,
         engine_grants::GrantService,
+        entry_directory::answer_directory,
         fleet_update::{FleetQuery, FleetReader, FleetUpdate},
         headers::{refuse, strip_connection_headers},
         hop::HopMetadata,
-        listing::{ListingInput, ListingReach, NearbyEntries, list_near},
         poll_tasks::{FleetSubscriber, PollTasks},
         relay::answer_call,
         routes::{CallerBounds, RepeatRule, RouteRule, RouteTable},
@@ -24,14 +22,13 @@
     },
     http::{self, AnswerBody, BodyError, ListenerLimits, json_answer, read_body, text_answer},
     instance::serve_grants,
-    logs::LineLimiter,
     name::AttemptId,
     peer::{PeerClients, PeerError},
     table::{EntryRecord, EntryState, Incarnation},
 };
 use bytes::Bytes;
 use hyper::{
-    Method, Request, Response, StatusCode, Uri,
+    Method, Request, Response, StatusCode,
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
     http::request::Parts,
@@ -88,9 +85,6 @@
 /// Path of the status listener at which operators list quarantined traits and release them.
 const QUARANTINE_PATH: &str = "/v1/quarantine";
 
-/// Lines about listings that name entries outside the caller's region.
-static LISTING_LINES: LineLimiter = LineLimiter::new(4);
-
 /// Maximum number of connections from other entries.
 const MAX_HOP_CONNECTIONS: usize = 1_024;
 
@@ -552,56 +546,6 @@
     }
 }
 
-fn answer_directory(
-    context: &EntryContext,
-    dialect: &dyn ControlDialect,
-    method: &Method,
-    target: &Uri,
-) -> Response<AnswerBody> {
-    let reply = match dialect.read_control(method, target, &Bytes::new()) {
-        Ok(ControlCall::List(place)) => list_for_caller(context, &place),
-        Ok(_) => ControlReply::Fault(CallFault::NotFound),
-        Err(fault) => ControlReply::Fault(fault),
-    };
-    dialect.write_control(reply)
-}
-
-/// The entries that a caller at `place` should use.
-fn list_for_caller(context: &EntryContext, place: &CallerLocation) -> ControlReply {
-    let routes = context.routes.load();
-    let homes = place.host.as_deref().map(|host| routes.document().host_homes(host));
-    let input = ListingInput {
-        location: place,
-        homes: &homes.unwrap_or_default(),
-        zones: &context.node.zones,
-        complete: !context.is_discovering(),
-    };
-    let live = &context.view.load().live;
-    let listed = match context.is_usable() {
-        true => list_near(live, &input),
-        // Without a document, the homes of the caller's requests are unknown.
-        false => NearbyEntries::default(),
-    };
-    let reach = listed.reach.map_or("none", ListingReach::name);
-    context.metrics.count_listing(reach);
-    if listed.reach.is_none_or(|reach| reach > ListingReach::Region) && LISTING_LINES.take() {
-        let count = |state| live.iter().filter(|entry| entry.state == state).count();
-        log::info!(
-            zone = place.zone.as_ref().map_or("", |zone| zone.as_str()),
-            region = place.region.as_ref().map_or("", |region| region.as_str()),
-            host = place.host.as_deref().unwrap_or(""),
-            listed = listed.addresses.len(), reach,
-            starting = count(EntryState::Starting), serving = count(EntryState::Serving),
-            draining = count(EntryState::Draining);
-            "listing without enough entries of the caller's region"
-        );
-    }
-    if listed.addresses.is_empty() {
-        return ControlReply::Unavailable(NO_ENTRY_LISTED);
-    }
-    ControlReply::Entries(listed.addresses, Duration::from_millis(context.node.listing_ms))
-}
-
 async fn answer_status(
     context: Arc<EntryContext>,
     request: Request<Incoming>,
--- a/cicadastall/src/gateway/region_load.rs
+++ b/cicadastall/src/gateway/region_load.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     gateway::{
+        entry_registry::EntryRow,
         fleet_update::{PoolSummary, RegionSummary, UpstreamPhase, WorkRow},
         pool_partition::PromptDemand,
-        registry::{EntryRow, FleetRegistry},
+        registry::FleetRegistry,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
     table::EntryState,
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -7,20 +7,19 @@
 use crate::{
     clock::from_millis,
     gateway::{
+        entry_registry::EntryRow,
         fleet_update::{
             ControlRecord, EntryUpdate, FleetCursor, RegionSummary, RegisteredUpstream,
             UpstreamPhase, UpstreamUpdate,
         },
-        region_load::EntryLoad,
         routes::RouteDocument,
         software_history::SoftwareHistory,
         upstream_check::{UpstreamFault, check_upstream},
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
     suspect::{SuspectRecord, SuspectTable},
-    table::{EntryRecord, EntryState, Incarnation},
+    table::EntryRecord,
 };
-use smallvec::SmallVec;
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
@@ -29,9 +28,6 @@
 };
 use tokio::time::Instant;
 
-/// Time without a poll after which an entry is considered lost; entries poll at least once a second.
-pub const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// Time after its start during which an instance may not know all members of the fleet yet.
 pub const DISCOVERY_TIME: Duration = Duration::from_secs(4);
 
@@ -82,36 +78,6 @@
     forward_next: bool,
 }
 
-/// A control instance in direct contact with an entry.
-#[derive(Debug, Clone, Copy)]
-struct EntryObserver {
-    address: SocketAddr,
-    /// End of its contact, if it has restarted since it reported it.
-    retained_until: Option<Instant>,
-}
-
-#[derive(Debug, Clone)]
-pub(super) struct EntryRow {
-    pub(super) entry: EntryRecord,
-    pub(super) seen_at: Option<Instant>,
-    /// Control instances that are in direct contact with the entry.
-    observers: SmallVec<[EntryObserver; 6]>,
-    changed: u64,
-    /// Whether this instance is in direct contact with the entry, as its readers were told.
-    direct: bool,
-    pub(super) silent: bool,
-    pub(super) load: EntryLoad,
-}
-
-impl EntryRow {
-    /// Whether a process of the same name with `incarnation` replaces the known one: if it is newer,
-    /// or if the known one is lost, as a clock that was set back gives a later process a lower number.
-    fn yields_to(&self, incarnation: Incarnation) -> bool {
-        let known = self.entry.incarnation;
-        known < incarnation || self.silent && known != incarnation
-    }
-}
-
 #[derive(Debug, Clone)]
 struct ControlRow {
     record: ControlRecord,
@@ -130,7 +96,7 @@
 pub struct FleetRegistry {
     pub(super) own: ControlRecord,
     process: u64,
-    changes: u64,
+    pub(super) changes: u64,
     renewal_timeout: Duration,
     pub(super) zones: BTreeMap<ZoneName, RegionName>,
     pub(super) upstreams: BTreeMap<UpstreamName, UpstreamRow>,
@@ -192,7 +158,7 @@
         self.zones.get(zone)
     }
 
-    fn next_change(&mut self) -> u64 {
+    pub(super) fn next_change(&mut self) -> u64 {
         self.changes += 1;
         self.changes
     }
@@ -390,108 +356,6 @@
         }
     }
 
-    fn merge_entry(&mut self, from: SocketAddr, entry: EntryRecord, silent: bool, now: Instant) {
-        let name = entry.instance.clone();
-        let (incarnation, state) = (entry.incarnation, entry.state);
-        if let Some(row) = self.entries.get_mut(&name)
-            && row.entry.incarnation != incarnation
-        {
-            row.observers.retain(|observer| observer.address != from);
-            self.update_liveness(&name, now);
-        }
-        let known = self.entries.get(&name);
-        if known.is_none_or(|row| !silent && row.yields_to(incarnation)) {
-            self.insert_entry(entry, None, now);
-        }
-        let Some(row) = self.entries.get_mut(&name) else { return };
-        if row.entry.incarnation != incarnation {
-            return;
-        }
-        row.observers.retain(|observer| observer.address != from);
-        if !silent {
-            row.observers.push(EntryObserver { address: from, retained_until: None });
-        }
-        self.update_state(&name, state);
-        self.update_liveness(&name, now);
-    }
-
-    /// Stores the state of an entry if it is later than the known one.
-    fn update_state(&mut self, name: &InstanceName, state: EntryState) {
-        let changed = self.changes + 1;
-        let Some(row) = self.entries.get_mut(name) else { return };
-        if row.entry.state < state {
-            log::info!(entry = name.as_str(), state:?; "entry state");
-            row.entry.state = state;
-            row.changed = changed;
-            self.changes = changed;
-        }
-    }
-
-    fn insert_entry(&mut self, entry: EntryRecord, seen_at: Option<Instant>, now: Instant) {
-        let changed = self.next_change();
-        log::info!(
-            entry = entry.instance.as_str(), state:? = entry.state, direct = seen_at.is_some();
-            "entry known"
-        );
-        let row = EntryRow {
-            seen_at,
-            observers: SmallVec::new(),
-            changed,
-            direct: seen_at.is_some(),
-            silent: seen_at.is_none_or(|at| now >= at + ENTRY_TIMEOUT),
-            load: EntryLoad::default(),
-            entry,
-        };
-        self.entries.insert(row.entry.instance.clone(), row);
-    }
-
-    /// Applies the record and load that an entry sends with each poll.
-    pub fn report_entry(&mut self, entry: EntryRecord, load: EntryLoad, now: Instant) {
-        let name = entry.instance.clone();
-        match self.entries.get(&name) {
-            Some(row) if row.entry.incarnation == entry.incarnation => {
-                self.update_state(&name, entry.state);
-            }
-            Some(row) if !row.yields_to(entry.incarnation) => return,
-            _ => self.insert_entry(entry.clone(), Some(now), now),
-        }
-        if let Some(row) = self.entries.get_mut(&name) {
-            row.entry.in_flight = entry.in_flight;
-            row.seen_at = Some(now);
-            row.load = load;
-        }
-        self.update_liveness(&name, now);
-    }
-
-    /// Handles a restart of the control instance at `address`: contact with entries that it reported
-    /// before counts only for as long as live entries take to report again.
-    pub fn note_restart(&mut self, address: SocketAddr, now: Instant) {
-        let observers = self.entries.values_mut().flat_map(|row| &mut row.observers);
-        for observer in observers.filter(|observer| observer.address == address) {
-            observer.retained_until.get_or_insert(now + ENTRY_TIMEOUT);
-        }
-    }
-
-    /// Updates whether the entry is considered lost.
-    fn update_liveness(&mut self, name: &InstanceName, now: Instant) {
-        let changed = self.changes + 1;
-        let Some(row) = self.entries.get_mut(name) else { return };
-        row.observers.retain(|observer| observer.retained_until.is_none_or(|until| now < until));
-        let direct = row.seen_at.is_some_and(|at| now < at + ENTRY_TIMEOUT);
-        let silent = !direct && row.observers.is_empty();
-        if silent != row.silent {
-            log::info!(entry = name.as_str(), silent; "entry lost or back");
-        }
-        // Other control instances must also learn of lost contact while one of them still has it, or
-        // two could keep a lost entry for each other's sake.
-        if (silent, direct) != (row.silent, row.direct) {
-            row.silent = silent;
-            row.direct = direct;
-            row.changed = changed;
-            self.changes = changed;
-        }
-    }
-
     /// Adds or updates another control instance, and marks it as seen.
     pub fn report_control(&mut self, record: ControlRecord, now: Instant) {
         if record.peer_address == self.own.peer_address {
@@ -547,9 +411,7 @@
             log::warn!(control = address.to_string(); "control instance lost");
             self.controls.remove(&address);
             self.controls_changed = self.next_change();
-            for row in self.entries.values_mut() {
-                row.observers.retain(|observer| observer.address != address);
-            }
+            self.remove_observer(address);
         }
         let names: Vec<_> = self.entries.keys().cloned().collect();
         names.iter().for_each(|name| self.update_liveness(name, now));
@@ -600,24 +462,6 @@
         .collect()
     }
 
-    /// Entries that changed after `cursor`. For another control instance, `silent` means that this one
-    /// is not in direct contact with the entry.
-    pub fn changed_entries(
-        &self,
-        cursor: FleetCursor,
-        for_control: bool,
-        now: Instant,
-    ) -> Vec<EntryUpdate> {
-        let after = self.position(cursor);
-        let rows = self.entries.values().filter(|row| row.changed > after);
-        rows.map(|row| {
-            let direct = row.seen_at.is_some_and(|at| now < at + ENTRY_TIMEOUT);
-            let silent = if for_control { !direct } else { row.silent };
-            EntryUpdate { entry: row.entry.clone(), silent }
-        })
-        .collect()
-    }
-
     /// Merges the suspects of an entry or of another control instance.
     pub fn merge_suspects(&mut self, records: Vec<SuspectRecord>, now: Instant) {
         if records.is_empty() {
@@ -675,15 +519,10 @@
         heard * 2 > self.peak_controls.max(expected)
     }
 
-    fn position(&self, cursor: FleetCursor) -> u64 {
+    pub(super) fn position(&self, cursor: FleetCursor) -> u64 {
         if cursor.process == self.process { cursor.change } else { 0 }
     }
 
-    /// Entries that are not considered lost.
-    pub fn live_entries(&self) -> impl Iterator<Item = &EntryRecord> {
-        self.entries.values().filter(|row| !row.silent).map(|row| &row.entry)
-    }
-
     /// Whether changes of upstreams in `region` can reach entries there: through another control
     /// instance, or directly. Also true if no entry is known at all.
     pub fn reaches(&self, region: &RegionName) -> bool {
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -4,13 +4,14 @@
     gateway::{
         control_call::CallerLocation,
         document_state::EvacuatedZones,
+        entry_registry::ENTRY_TIMEOUT,
         fleet_update::{
             ControlRecord, EntryUpdate, FleetCursor, FleetUpdate, RegisteredUpstream,
             UpstreamPhase, UpstreamUpdate, WorkRow,
         },
         listing::{ListingInput, list_near},
         region_load::EntryLoad,
-        registry::{CONTROL_TIMEOUT, ENTRY_TIMEOUT, FleetRegistry, RenewalOutcome},
+        registry::{CONTROL_TIMEOUT, FleetRegistry, RenewalOutcome},
         routes::HostHomes,
         view::ViewMerger,
     },
