Log and count the limits that upstreams name

No log or metric showed that an upstream names a limit of its rate of requests. The line of a request now has the limit of each attempt, and cicadastall_gateway_limited_answers counts such answers by pool. Nothing is decided by it yet.

--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -49,6 +49,7 @@
 pub mod retry_window;
 pub mod routes;
 mod score;
+pub mod send_rate;
 pub mod settings;
 pub mod software_history;
 mod stream_forwarder;
--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -15,7 +15,9 @@
             SOFTWARE_HEADER, read_arrived, read_ran, read_ran_on, read_software,
         },
         outcome::{LostAttempt, Verdict, classify_head, classify_loss},
+        record::{AttemptEntry, verdict_name},
         relay::CallRelay,
+        send_rate::{SendRate, StatedLimit},
         tracker::{SendEnd, SendNumber},
         view::KnownUpstream,
     },
@@ -77,6 +79,7 @@
     pub(crate) retry_after: Option<Duration>,
     /// Whether another entry refused the request because it is quarantined.
     pub(crate) quarantined: bool,
+    limit: StatedLimit,
     end: SendEnd,
 }
 
@@ -94,6 +97,7 @@
             upstream_failure: None,
             retry_after: None,
             quarantined: false,
+            limit: StatedLimit::default(),
             end,
         }
     }
@@ -201,6 +205,25 @@
             ConnectionTarget { address, .. } => format!("entry {address}"),
         }
     }
+
+    /// Log entry of an attempt to this target, without a cause.
+    fn entry(
+        &self,
+        verdict: Verdict,
+        software: Option<SoftwareVersion>,
+        limit: StatedLimit,
+        since: Instant,
+    ) -> AttemptEntry {
+        AttemptEntry {
+            to: self.describe(),
+            software,
+            verdict: verdict_name(verdict),
+            cause: String::new(),
+            limit_per_s: limit.rate().filter(|_| self.upstream.is_some()).map(SendRate::per_s),
+            basis: self.basis,
+            took_ms: since.elapsed().as_millis() as u64,
+        }
+    }
 }
 
 impl CallRelay {
@@ -375,6 +398,9 @@
         if head.leaving {
             self.context.chooser().note_leaving(&upstream.name, upstream.started_ms, now);
         }
+        if head.limit.rate().is_some() {
+            self.context.metrics.count_limited_answer(&self.call.pool);
+        }
         if let Some(pause) = head.pause() {
             self.context.chooser().note_pause(&upstream.name, pause, now);
             if let Some(ticket) = target.ticket {
@@ -453,15 +479,8 @@
                     // The answering upstream is counted only if its answer breaks off.
                     self.possible_runs = possible_runs.max(1) - 1;
                     guard.note_answering();
-                    let version = software.clone();
-                    self.record_attempt(
-                        target.describe(),
-                        version,
-                        verdict,
-                        "",
-                        target.basis,
-                        chosen_at,
-                    );
+                    let entry = target.entry(verdict, software.clone(), head.limit, chosen_at);
+                    self.record.record_attempt(entry);
                     return Ok(StartedAnswer {
                         status: parts.status,
                         headers,
@@ -498,6 +517,7 @@
             upstream_failure: None,
             retry_after: head.retry_after,
             quarantined,
+            limit: head.limit,
             end: SendEnd::Broken,
         };
         match outcome {
@@ -563,10 +583,10 @@
         failure: AttemptFailure,
         chosen_at: Instant,
     ) -> AttemptFailure {
-        let AttemptFailure { verdict, cause, .. } = &failure;
         let software = target.upstream.as_ref().map(|(known, _)| known.upstream.software.clone());
-        let to = target.describe();
-        self.record_attempt(to, software, *verdict, cause, target.basis, chosen_at);
+        let cause = failure.cause.clone();
+        let entry = target.entry(failure.verdict, software, failure.limit, chosen_at);
+        self.record.record_attempt(AttemptEntry { cause, ..entry });
         failure
     }
 }
--- a/cicadastall/src/gateway/dialect.rs
+++ b/cicadastall/src/gateway/dialect.rs
@@ -1,7 +1,10 @@
 //! Headers that carry the gateway's metadata of requests, attempts and answers.
 
 use crate::{
-    gateway::call::{CallHead, InvalidHeader, PromptPart, PromptParts},
+    gateway::{
+        call::{CallHead, InvalidHeader, PromptPart, PromptParts},
+        send_rate::StatedLimit,
+    },
     name::{AttemptId, UpstreamName},
     wire::{ATTEMPT_HEADER, LEAVING_HEADER, REFUSED_HEADER, REMAINING_HEADER, UPSTREAM_HEADER},
 };
@@ -11,6 +14,9 @@
 };
 use std::{fmt::Debug, sync::Arc, time::Duration};
 
+/// Header by which an upstream names the requests per second that it accepts from all entries together.
+static LIMIT_HEADER: HeaderName = HeaderName::from_static("x-cicadastall-limit");
+
 /// Header with the number of prompt tokens and the maximum of answer tokens, separated by a comma.
 const TOKENS_HEADER: &str = "x-cicadastall-tokens";
 
@@ -63,6 +69,8 @@
     pub encoded: bool,
     /// Whether the upstream announces that it is leaving.
     pub leaving: bool,
+    /// Limit of the rate of requests to the upstream.
+    pub limit: StatedLimit,
 }
 
 impl AnswerHead {
@@ -137,6 +145,7 @@
             retry_after: read_retry_after(headers),
             encoded: headers.contains_key(hyper::header::CONTENT_ENCODING),
             leaving: headers.contains_key(LEAVING_HEADER),
+            limit: StatedLimit::read(headers, &LIMIT_HEADER),
         }
     }
 }
--- a/cicadastall/src/gateway/metrics.rs
+++ b/cicadastall/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     budget_spent: Counter<u64>,
     take_ups: Counter<u64>,
     hops: Counter<u64>,
+    limited_answers: Counter<u64>,
     document: Gauge<u64>,
     upstreams: Gauge<u64>,
     crash_checks: Counter<u64>,
@@ -52,6 +53,7 @@
             budget_spent: meter.u64_counter("cicadastall_gateway_retry_budget_spent").build(),
             take_ups: meter.u64_counter("cicadastall_gateway_take_ups").build(),
             hops: meter.u64_counter("cicadastall_gateway_hops").build(),
+            limited_answers: meter.u64_counter("cicadastall_gateway_limited_answers").build(),
             document: meter.u64_gauge("cicadastall_gateway_document").build(),
             upstreams: meter.u64_gauge("cicadastall_gateway_upstreams").build(),
             crash_checks: meter.u64_counter("cicadastall_gateway_crash_checks").build(),
@@ -125,6 +127,11 @@
         self.hops.add(1, &[KeyValue::new("region", region.to_owned())]);
     }
 
+    /// Counts an answer in which an upstream named a limit.
+    pub fn count_limited_answer(&self, pool: &PoolName) {
+        self.limited_answers.add(1, &[KeyValue::new("pool", pool.to_string())]);
+    }
+
     /// Counts a listing of entries for a caller, by the distance of the farthest listed entry.
     pub fn count_listing(&self, reach: &'static str) {
         self.listings.add(1, &[KeyValue::new("reach", reach)]);
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -36,6 +36,9 @@
     /// Why the attempt has no answer; empty otherwise.
     #[serde(skip_serializing_if = "String::is_empty")]
     pub(crate) cause: String,
+    /// Limit that the upstream named in its answer, in requests per second.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) limit_per_s: Option<f64>,
     /// Estimates on which the choice of the target was based.
     #[serde(flatten)]
     pub(crate) basis: ChoiceBasis,
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -12,7 +12,7 @@
         headers::refuse,
         hop::{ARRIVED_HEADER, QUARANTINED_HEADER, RAN_ON_HEADER, SOFTWARE_HEADER},
         outcome::Verdict,
-        record::{AttemptEntry, CallRecord, TakeUpResult, verdict_name},
+        record::{CallRecord, TakeUpResult},
         routes::RepeatRule,
         stream_forwarder::stream_body,
         stream_origins::StreamOrigin,
@@ -386,25 +386,6 @@
         FinalFailure::Refused(refusal.retry_after(retry_after))
     }
 
-    pub(crate) fn record_attempt(
-        &mut self,
-        to: String,
-        software: Option<SoftwareVersion>,
-        verdict: Verdict,
-        cause: &str,
-        basis: ChoiceBasis,
-        since: Instant,
-    ) {
-        self.record.record_attempt(AttemptEntry {
-            to,
-            software,
-            verdict: verdict_name(verdict),
-            cause: cause.to_owned(),
-            basis,
-            took_ms: since.elapsed().as_millis() as u64,
-        });
-    }
-
     /// Builds the response that forwards an upstream's answer.
     fn into_response(mut self, answer: StartedAnswer) -> Response<AnswerBody> {
         let status = answer.status;
