Keep to the rate of requests that an upstream names

Cause: no entry read the limit, and what entries learn from answers had no way to be shared as a rate. Ruled out: that entries applied it each for itself, or that only some learned of it (all three entries of a region sent as before).

Change: conditions of upstreams (`conditions.rs`) belong to one process, carry a revision in place of a time, and travel with the registration of the upstream: entries report them to control, which passes them to all entries of the region and to those that start. `send_pace.rs` is the one place where sends to an upstream that tolerates a rate are divided, for cold upstreams and for limits: as many entries send as have a useful share, found by the same hash; owners of engines send alone where engines have owners, and an entry that knows of a limit declines a grant that is not part of it. If nobody has heard of the limit for a while, all entries send an equal share of it, so that its end is noticed. The more urgent of two waiting ranks gets the next send.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -178,22 +178,24 @@
     upstream: Option<(Arc<KnownUpstream>, SendNumber)>,
     ticket: Option<GrantTicket>,
     basis: ChoiceBasis,
+    paced: bool,
 }
 
 impl AttemptTarget {
     fn from_choice(choice: UpstreamChoice) -> Option<Self> {
         match choice {
-            UpstreamChoice::Upstream { known, number, connections, basis, ticket } => {
+            UpstreamChoice::Upstream { known, number, connections, basis, ticket, paced } => {
                 let name = known.upstream.name.clone();
                 let address = known.upstream.address;
                 let connection = ConnectionTarget { address, upstream: Some(name) };
                 let upstream = Some((known, number));
-                Some(Self { connection, connections, upstream, ticket, basis })
+                Some(Self { connection, connections, upstream, ticket, basis, paced })
             }
             UpstreamChoice::Region { entry, basis, .. } => {
                 let connection = ConnectionTarget { address: entry, upstream: None };
                 let connections = MAX_HOP_CONNECTIONS;
-                Some(Self { connection, connections, upstream: None, ticket: None, basis })
+                let (upstream, ticket, paced) = (None, None, false);
+                Some(Self { connection, connections, upstream, ticket, basis, paced })
             }
             UpstreamChoice::Wait(_) | UpstreamChoice::Refuse { .. } => None,
         }
@@ -333,7 +335,8 @@
             return Some("the choice is too old");
         }
         let (known, _) = target.upstream.as_ref()?;
-        let may_send = self.context.chooser().may_send(&known.upstream, Instant::now());
+        let now = Instant::now();
+        let may_send = self.context.chooser().may_send(&known.upstream, target.paced, now);
         (!may_send).then_some("the upstream wants no more work")
     }
 
@@ -388,6 +391,7 @@
         target: &AttemptTarget,
         known: &KnownUpstream,
         head: &AnswerHead,
+        sent_at: Instant,
     ) {
         if head.misdirected {
             // Another upstream uses this address now, so the answer does not describe `known`.
@@ -395,6 +399,11 @@
         }
         let now = Instant::now();
         let upstream = &known.upstream;
+        // The end of a limit shows only from an answer to this attempt.
+        let own = head.attempt.as_ref() == Some(&self.call.attempt);
+        if own || head.limit.rate().is_some() {
+            self.context.note_limit(upstream, head.limit, sent_at);
+        }
         if head.leaving {
             self.context.chooser().note_leaving(&upstream.name, upstream.started_ms, now);
         }
@@ -421,7 +430,7 @@
         let (parts, mut body) = response.into_parts();
         let head = self.context.dialect.read_answer_head(parts.status, &parts.headers);
         if let Some((known, _)) = &target.upstream {
-            self.apply_upstream_state(target, known, &head);
+            self.apply_upstream_state(target, known, &head, chosen_at);
         }
         let is_hop = target.upstream.is_none();
         let attempt = &self.call.attempt;
--- a/cicadastall/src/gateway/choice.rs
+++ b/cicadastall/src/gateway/choice.rs
@@ -80,6 +80,8 @@
         basis: ChoiceBasis,
         /// Identifies the grant, if the upstreams of the pool have owners.
         ticket: Option<GrantTicket>,
+        /// Whether the send is part of a rate that the upstream tolerates.
+        paced: bool,
     },
     /// Forward to an entry of another region.
     Region {
@@ -145,6 +147,9 @@
     pub paused: u32,
     /// Announced in an answer that the process is leaving.
     pub leaving: u32,
+    /// Limited to a rate, and either left to other entries or at its limit.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub limited: u32,
     /// Of another software version than the one that began the stream.
     #[serde(default, skip_serializing_if = "is_default")]
     pub version: u32,
@@ -152,11 +157,11 @@
 
 impl Display for LeftOutCounts {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let Self { barred, cold, tried, silent, paused, leaving, version } = self;
+        let Self { barred, cold, tried, silent, paused, leaving, limited, version } = self;
         write!(
             formatter,
             "{barred} barred, {cold} cold, {tried} tried, {silent} silent, {paused} paused, \
-             {leaving} leaving, {version} of another version"
+             {leaving} leaving, {limited} limited, {version} of another version"
         )
     }
 }
--- a/cicadastall/src/gateway/chooser.rs
+++ b/cicadastall/src/gateway/chooser.rs
@@ -10,18 +10,20 @@
     gateway::{
         call::RoutedCall,
         choice::{ChoiceBasis, ChoiceInput, LeftOutCounts, RefusalCause, UpstreamChoice},
+        conditions::{ActiveLimit, ConditionTable},
         departures::DepartureLog,
         fleet_update::{DepartedUpstream, RegisteredUpstream},
         grant_allocator::SendReport,
         pool_partition::{PoolPartition, PromptClass, PromptDemand, PromptWork},
-        routes::PoolRule,
+        routes::{PoolRule, WarmupRule},
         score::{
             AdmittedUpstream, Candidate, HARMLESS_PREFILL_MS, RECOMPUTE_COST, estimate_cached,
             lateness_cost, score_upstream, shared_tokens, stall_cost,
         },
+        send_pace::{PaceInput, SendShare},
         tracker::{OpenSend, SendEnd, SendNumber, UpstreamTracker},
         view::{FleetView, KnownUpstream},
-        warmup::{choose_sender, hash_pair, send_interval},
+        warmup::hash_pair,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
 };
@@ -92,9 +94,9 @@
 /// for which the upstreams of its own class have no room.
 const SPARE_SLOT_FRACTION: f64 = 0.8;
 
-/// Longest time after the arrival of a request at which it may still be sent to a cold upstream that is
-/// at its rate limit. The wait is bounded because other requests compete for the same sends.
-const MAX_COLD_WAIT: Duration = Duration::from_millis(400);
+/// Longest time after the arrival of a request at which it may still be sent to an upstream that is at
+/// its rate limit. The wait is bounded because other requests compete for the same sends.
+const MAX_PACED_WAIT: Duration = Duration::from_millis(400);
 
 /// Longest wait for the first upstream of a pool after the start of the entry.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(1_200);
@@ -133,6 +135,13 @@
 /// Time after which callers are told to retry if no upstream is usable; it is randomized.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// An upstream may get a request now.
+#[derive(Debug, Clone, Copy)]
+struct Admission {
+    /// Time until the next request of this entry, if the upstream tolerates a limited rate.
+    pace: Option<Duration>,
+}
+
 /// Chooses upstreams by the requests that this entry sent to them and the load that others reported.
 #[derive(Debug)]
 pub struct UpstreamChooser {
@@ -147,10 +156,12 @@
     answer_ms: HashMap<(PoolName, PromptClass), f64>,
     random: ChaCha8Rng,
     left_out: LeftOutCounts,
-    next_cold_send: Option<Instant>,
+    /// Earliest send to an upstream with a limited rate that was left out of the current choice.
+    next_paced_send: Option<(Instant, UpstreamName)>,
     /// Earliest end of a pause among the upstreams that were left out of the current choice.
     pause_end: Option<Instant>,
     departures: DepartureLog,
+    conditions: ConditionTable,
 }
 
 impl UpstreamChooser {
@@ -169,9 +180,10 @@
             answer_ms: HashMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             left_out: LeftOutCounts::default(),
-            next_cold_send: None,
+            next_paced_send: None,
             pause_end: None,
             departures: DepartureLog::default(),
+            conditions: ConditionTable::default(),
         }
     }
 
@@ -190,8 +202,15 @@
         groups.map(|(pool, groups)| (pool.clone(), groups.demand(now))).collect()
     }
 
-    /// Drops the state of upstreams that are not in `view` and have no open requests.
-    pub fn forget(&mut self, view: &FleetView, now: Instant) {
+    /// Conditions of upstreams.
+    pub fn conditions(&mut self) -> &mut ConditionTable {
+        &mut self.conditions
+    }
+
+    /// Applies the conditions that came with `view`, and drops the state of upstreams that are not in it
+    /// and have no open requests.
+    pub fn apply_view(&mut self, view: &FleetView, now: Instant) {
+        self.conditions.apply_listing(view.known(), now);
         self.departures.forget(view.upstreams(), now);
         let known: HashSet<_> = view.upstreams().map(|upstream| &upstream.name).collect();
         self.trackers.retain(|name, tracker| !tracker.is_idle(now) || known.contains(name));
@@ -224,7 +243,7 @@
     /// Chooses the target of the next attempt, and records the send if it is an upstream.
     pub fn choose(&mut self, input: &ChoiceInput<'_>) -> UpstreamChoice {
         self.left_out = LeftOutCounts::default();
-        self.next_cold_send = None;
+        self.next_paced_send = None;
         self.pause_end = None;
         let empty = Vec::new();
         let upstreams = input.view.pools.get(&input.call.pool).unwrap_or(&empty);
@@ -255,34 +274,38 @@
             return UpstreamChoice::Wait(until);
         }
         let known = Arc::clone(best.known);
-        let Candidate { unread_tokens, predicted_ms, basis, cold, .. } = best;
-        let number = self.record_send(input, &known, unread_tokens, predicted_ms, cold);
+        let Candidate { unread_tokens, predicted_ms, basis, pace, .. } = best;
+        let number = self.record_send(input, &known, unread_tokens, predicted_ms, pace);
         let connections = connection_limit(input);
-        UpstreamChoice::Upstream { known, number, connections, basis, ticket: None }
+        let paced = pace.is_some();
+        UpstreamChoice::Upstream { known, number, connections, basis, ticket: None, paced }
     }
 
     /// Records a send to the upstream that its owner granted; `None` if this entry knows that the upstream
-    /// is paused, leaving or of another software version than required.
+    /// is paused, leaving or of another software version than required, or if it is limited to a rate of
+    /// which the grant is not part.
     pub fn accept_grant(
         &mut self,
         input: &ChoiceInput<'_>,
         known: &Arc<KnownUpstream>,
         basis: ChoiceBasis,
+        paced: bool,
     ) -> Option<UpstreamChoice> {
         self.tracker(known);
         let tracker = self.trackers.get(&known.upstream.name);
         let paused = tracker.is_none_or(|tracker| tracker.pause_end(input.now).is_some());
         if paused
             || self.departures.contains(&known.upstream)
+            || (!paced && self.conditions.limit(&known.upstream).is_some())
             || !has_required_version(input, known)
         {
             return None;
         }
         let predicted_ms = f64::from(basis.predicted_ms);
-        let number = self.record_send(input, known, basis.unread, predicted_ms, false);
+        let number = self.record_send(input, known, basis.unread, predicted_ms, None);
         let connections = connection_limit(input);
         let known = Arc::clone(known);
-        Some(UpstreamChoice::Upstream { known, number, connections, basis, ticket: None })
+        Some(UpstreamChoice::Upstream { known, number, connections, basis, ticket: None, paced })
     }
 
     /// Records a request that was sent to an upstream without a choice by this chooser.
@@ -333,9 +356,9 @@
         let group = self.find_class_group(input, upstreams.len());
         let mut admitted: SmallVec<[AdmittedUpstream<'a>; 16]> = SmallVec::new();
         for (index, known) in upstreams.iter().enumerate() {
-            if let Some(cold) = self.admit(input, known) {
+            if let Some(Admission { pace }) = self.admit(input, known) {
                 let grouped = group.contains(&index);
-                admitted.push(AdmittedUpstream { known, hash: hash(known), grouped, cold });
+                admitted.push(AdmittedUpstream { known, hash: hash(known), grouped, pace });
             }
         }
         let cached_fractions = if affinity { estimate_cached(&admitted) } else { SmallVec::new() };
@@ -416,8 +439,8 @@
         }
     }
 
-    /// Whether the upstream is cold; `None`, with the reason counted, if it may not get the request now.
-    fn admit(&mut self, input: &ChoiceInput<'_>, known: &KnownUpstream) -> Option<bool> {
+    /// How the upstream may get the request now; `None`, with the reason counted, if it may not.
+    fn admit(&mut self, input: &ChoiceInput<'_>, known: &KnownUpstream) -> Option<Admission> {
         let now = input.now;
         let name = &known.upstream.name;
         if !has_required_version(input, known) {
@@ -448,27 +471,61 @@
             self.left_out.silent += 1;
             return None;
         }
-        // Only the owner of a cold engine sends to it, because it enforces the rate limit.
-        let owned = input.view.owners.has_owners(&input.call.pool);
-        let Some(warmup) = input.pool.and_then(|pool| pool.warmup).filter(|_| cold) else {
-            return Some(false);
+        let warmup = input.pool.and_then(|pool| pool.warmup).filter(|_| cold);
+        let limit = self.conditions.limit(&known.upstream);
+        let Some(share) = self.find_share(input, known, warmup, limit.as_ref()) else {
+            return Some(Admission { pace: None });
         };
-        let sender = choose_sender(&input.view.entries, name, known.upstream.started_ms);
-        let mut next = tracker.next_cold_send().unwrap_or(now);
+        let SendShare::Paced { interval, from } = share else {
+            self.count_paced(warmup.is_some());
+            return None;
+        };
+        let tracker = self.trackers.get_mut(name)?;
+        let mut next = tracker.pace().next_send(input.call.route.rank, interval, now).max(from);
         if let Some(since) = cold_since.filter(|_| input.exclusive || input.starting_up) {
             next = next.max(since + NEW_SENDER_DELAY);
         }
-        let is_sender =
-            !owned && sender == Some(&self.own) && send_interval(warmup.per_s).is_some();
-        if !is_sender || now < next {
-            self.left_out.cold += 1;
-            if is_sender {
-                self.next_cold_send =
-                    Some(self.next_cold_send.map_or(next, |next_send| next_send.min(next)));
+        if now < next {
+            self.count_paced(warmup.is_some());
+            if self.next_paced_send.as_ref().is_none_or(|(first, _)| next < *first) {
+                self.next_paced_send = Some((next, name.clone()));
             }
             return None;
         }
-        Some(true)
+        Some(Admission { pace: Some(interval) })
+    }
+
+    fn count_paced(&mut self, cold: bool) {
+        let count = if cold { &mut self.left_out.cold } else { &mut self.left_out.limited };
+        *count += 1;
+    }
+
+    /// This entry's share of the rates that the upstream tolerates; `None` if they are not limited. If the
+    /// engines of the pool have owners, only the owner sends, as it knows of all requests.
+    fn find_share(
+        &self,
+        input: &ChoiceInput<'_>,
+        known: &KnownUpstream,
+        warmup: Option<WarmupRule>,
+        limit: Option<&ActiveLimit>,
+    ) -> Option<SendShare> {
+        let pace = PaceInput {
+            own: &self.own,
+            entries: &input.view.entries,
+            upstream: &known.upstream.name,
+            started_ms: known.upstream.started_ms,
+            now: input.now,
+        };
+        let warmup = warmup.map(|warmup| SendShare::of_warmup(&pace, warmup.per_s));
+        let limit = limit.map(|limit| SendShare::of_limit(&pace, limit));
+        let share = match (warmup, limit) {
+            (Some(warmup), Some(limit)) => warmup.min(limit),
+            (warmup, limit) => warmup.or(limit)?,
+        };
+        Some(match input.view.owners.has_owners(&input.call.pool) {
+            true => SendShare::None,
+            false => share,
+        })
     }
 
     fn record_send(
@@ -477,7 +534,7 @@
         known: &Arc<KnownUpstream>,
         unread_tokens: u32,
         predicted_ms: f64,
-        cold: bool,
+        pace: Option<Duration>,
     ) -> SendNumber {
         self.sent += 1;
         let number = SendNumber(self.sent);
@@ -497,9 +554,8 @@
         let tracker = self.tracker(known);
         let predicted = predicted_ms / tracker.slowness();
         tracker.note_sent(OpenSend { predicted_ms: predicted, ..send }, parts);
-        let warmup = input.pool.and_then(|pool| pool.warmup).filter(|_| cold);
-        if let Some(pause) = warmup.and_then(|warmup| send_interval(warmup.per_s)) {
-            tracker.note_cold_send(pause, now);
+        if let Some(interval) = pace {
+            tracker.pace().note_sent(interval, now);
         }
         number
     }
@@ -575,10 +631,13 @@
         input: &ChoiceInput<'_>,
         upstreams: &[Arc<KnownUpstream>],
     ) -> UpstreamChoice {
-        if let Some(next_send) = self.next_cold_send
-            && next_send <= input.call.received_at + MAX_COLD_WAIT
+        if let Some((next_send, name)) = self.next_paced_send.take()
+            && next_send <= input.call.received_at + MAX_PACED_WAIT
             && next_send < input.call.deadline
         {
+            if let Some(tracker) = self.trackers.get_mut(&name) {
+                tracker.pace().reserve(input.call.route.rank, next_send);
+            }
             return UpstreamChoice::Wait(next_send);
         }
         if input.starting_up && upstreams.is_empty() {
@@ -684,8 +743,11 @@
     }
 
     /// Whether a chosen upstream may still be sent to, that is, it has neither announced that it is
-    /// leaving nor asked for a pause since.
-    pub fn may_send(&self, upstream: &RegisteredUpstream, now: Instant) -> bool {
+    /// leaving nor asked for a pause since, nor named a limit unless the send is `paced`.
+    pub fn may_send(&self, upstream: &RegisteredUpstream, paced: bool, now: Instant) -> bool {
+        if !paced && self.conditions.limit(upstream).is_some() {
+            return false;
+        }
         let tracker = self.trackers.get(&upstream.name);
         let paused = tracker.is_some_and(|tracker| tracker.pause_end(now).is_some());
         !paused && !self.departures.contains(upstream)
--- /dev/null
+++ b/cicadastall/src/gateway/conditions.rs
@@ -0,0 +1,227 @@
+//! Conditions of upstreams: what their answers say about the requests that they accept.
+//!
+//! A condition belongs to one process of an upstream, and all entries of its region follow it. An entry
+//! that observes a condition reports it to control, which spreads it with the upstream's registration.
+//! Each observation has a higher revision than the condition that it replaces, so that instances agree on
+//! the newest one without comparing clocks. Of two with the same revision, the more restrictive one counts.
+
+use crate::{
+    gateway::{
+        fleet_update::RegisteredUpstream,
+        send_rate::{SendRate, StatedLimit},
+        view::KnownUpstream,
+    },
+    name::UpstreamName,
+};
+use serde::{Deserialize, Serialize};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
+use tokio::time::Instant;
+
+/// Time after which an entry that still observes the same limit reports it again.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time for which the condition of an unlisted upstream is kept; as long as control keeps rows of
+/// upstreams that are gone.
+const RETENTION: Duration = Duration::from_secs(60);
+
+/// Maximum number of stored conditions; several times the number of upstreams in the largest fleet.
+const MAX_CONDITIONS: usize = 4_096;
+
+/// Condition of one process of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamCondition {
+    /// Start time of the process, in milliseconds since the Unix epoch by its own clock.
+    pub started_ms: u64,
+    /// Number of the observation; higher than that of all conditions that its observer knew.
+    pub revision: u64,
+    /// Requests that the upstream accepts from all entries together, if it names a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<SendRate>,
+}
+
+impl UpstreamCondition {
+    /// Whether this condition replaces `other`, one of the same upstream.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        self.rank() > other.rank()
+    }
+
+    fn rank(&self) -> (u64, u64, bool, Reverse<Option<SendRate>>) {
+        (self.started_ms, self.revision, self.limit.is_some(), Reverse(self.limit))
+    }
+}
+
+/// The condition of an upstream, in messages between instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConditionRecord(
+    /// The upstream.
+    pub UpstreamName,
+    /// Its condition.
+    pub UpstreamCondition,
+);
+
+/// A limit in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ActiveLimit {
+    /// Requests that the upstream accepts from all entries together.
+    pub rate: SendRate,
+    /// When this instance last heard of it.
+    pub heard_at: Instant,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ConditionRow {
+    condition: UpstreamCondition,
+    /// When an answer last confirmed the condition, or a report of it arrived.
+    heard_at: Instant,
+    /// When this revision was observed or arrived.
+    revised_at: Instant,
+    listed_at: Instant,
+}
+
+/// Conditions of upstreams, by name.
+#[derive(Debug, Default)]
+pub struct ConditionTable {
+    rows: HashMap<UpstreamName, ConditionRow>,
+}
+
+impl ConditionTable {
+    /// Applies what an answer of `upstream` to a request sent at `sent_at` states. Returns the new
+    /// condition if it has to be reported.
+    ///
+    /// An answer without a limit ends the limit only if its request was sent after the limit was last
+    /// heard of; it may have been delayed.
+    pub fn observe(
+        &mut self,
+        upstream: &RegisteredUpstream,
+        stated: StatedLimit,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<UpstreamCondition> {
+        let started_ms = upstream.started_ms;
+        let known = self.rows.get_mut(&upstream.name);
+        if known.as_ref().is_some_and(|row| row.condition.started_ms > started_ms) {
+            return None;
+        }
+        let known = known.filter(|row| row.condition.started_ms == started_ms);
+        let limit = match (stated, &known) {
+            (StatedLimit::Invalid, _) | (StatedLimit::Unlimited, None) => return None,
+            (StatedLimit::Unlimited, Some(row)) => {
+                if row.condition.limit.is_none() || sent_at <= row.heard_at {
+                    return None;
+                }
+                None
+            }
+            (StatedLimit::Limited(rate), _) => Some(rate),
+        };
+        let mut revision = 1;
+        if let Some(row) = known {
+            row.heard_at = now;
+            if row.condition.limit == limit && now < row.revised_at + REPORT_INTERVAL {
+                return None;
+            }
+            revision += row.condition.revision;
+        }
+        let condition = UpstreamCondition { started_ms, revision, limit };
+        self.store(&upstream.name, condition, now);
+        Some(condition)
+    }
+
+    /// Merges a condition that another instance reported. Returns whether it is new.
+    pub fn merge(
+        &mut self,
+        upstream: &UpstreamName,
+        condition: UpstreamCondition,
+        now: Instant,
+    ) -> bool {
+        let known = self.rows.get(upstream);
+        let new = known.is_none_or(|row| condition.supersedes(&row.condition));
+        if new {
+            self.store(upstream, condition, now);
+        }
+        new
+    }
+
+    fn store(&mut self, upstream: &UpstreamName, condition: UpstreamCondition, now: Instant) {
+        let known = self.rows.get(upstream);
+        let before = known.and_then(|row| row.condition.limit);
+        if before != condition.limit {
+            let limit_per_s = condition.limit.map(SendRate::per_s);
+            log::info!(
+                upstream = upstream.as_str(), limit_per_s, before_per_s = before.map(SendRate::per_s),
+                revision = condition.revision;
+                "limit of an upstream changed"
+            );
+        }
+        if self.rows.len() >= MAX_CONDITIONS && known.is_none() {
+            self.evict_oldest();
+        }
+        let row = ConditionRow { condition, heard_at: now, revised_at: now, listed_at: now };
+        self.rows.insert(upstream.clone(), row);
+    }
+
+    fn evict_oldest(&mut self) {
+        let oldest = self.rows.iter().min_by_key(|(_, row)| row.listed_at);
+        if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+            log::warn!(upstream = name.as_str(); "too many conditions of upstreams; oldest one evicted");
+            self.rows.remove(&name);
+        }
+    }
+
+    /// The limit of the listed process of `upstream`, if one is in force.
+    pub fn limit(&self, upstream: &RegisteredUpstream) -> Option<ActiveLimit> {
+        let row = self.rows.get(&upstream.name)?;
+        let rate =
+            row.condition.limit.filter(|_| row.condition.started_ms == upstream.started_ms)?;
+        Some(ActiveLimit { rate, heard_at: row.heard_at })
+    }
+
+    /// Conditions of the listed `upstreams` that are newer than those that came with the listing.
+    pub fn list_unreported<'a>(
+        &self,
+        upstreams: impl Iterator<Item = &'a KnownUpstream>,
+    ) -> Vec<ConditionRecord> {
+        if self.rows.is_empty() {
+            return Vec::new();
+        }
+        let newer = upstreams.filter_map(|known| {
+            let condition = self.rows.get(&known.upstream.name)?.condition;
+            let listed = known.condition.as_ref();
+            let newer = listed.is_none_or(|listed| condition.supersedes(listed));
+            (newer && condition.started_ms == known.upstream.started_ms)
+                .then(|| ConditionRecord(known.upstream.name.clone(), condition))
+        });
+        newer.collect()
+    }
+
+    /// Limits in force among the listed `upstreams`.
+    pub fn list_limits<'a>(
+        &self,
+        upstreams: impl Iterator<Item = &'a KnownUpstream>,
+    ) -> Vec<ConditionRecord> {
+        if self.rows.is_empty() {
+            return Vec::new();
+        }
+        let limited = upstreams.filter(|known| self.limit(&known.upstream).is_some());
+        let names = limited.map(|known| known.upstream.name.clone());
+        names.map(|name| ConditionRecord(name.clone(), self.rows[&name].condition)).collect()
+    }
+
+    /// Merges the conditions that came with the listed `upstreams`, and removes those of upstreams that
+    /// have been missing for longer than the retention.
+    pub fn apply_listing<'a>(
+        &mut self,
+        upstreams: impl Iterator<Item = &'a KnownUpstream>,
+        now: Instant,
+    ) {
+        for known in upstreams {
+            let name = &known.upstream.name;
+            if let Some(condition) = known.condition {
+                self.merge(name, condition, now);
+            }
+            if let Some(row) = self.rows.get_mut(name) {
+                row.listed_at = now;
+            }
+        }
+        self.rows.retain(|_, row| now < row.listed_at + RETENTION);
+    }
+}
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -4,17 +4,19 @@
     answer::{Refusal, RefusalCode},
     gateway::{
         chooser::UpstreamChooser,
+        conditions::ConditionRecord,
         connections::ConnectionPool,
         crash_watch::CrashWatch,
         dialect::CallDialect,
         engine_grants::EngineGrants,
-        fleet_update::{DepartedUpstream, WorkRow},
+        fleet_update::{DepartedUpstream, RegisteredUpstream, WorkRow},
         metrics::GatewayMetrics,
         origin_finder::OriginFinder,
         pool_partition::PromptDemand,
         registry::DISCOVERY_TIME,
         retry_window::RetryWindow,
         routes::RouteTable,
+        send_rate::StatedLimit,
         settings::GatewaySettings,
         view::{FleetView, LoadView},
     },
@@ -152,6 +154,25 @@
         self.chooser().departed(&self.view.load())
     }
 
+    /// Conditions of upstreams that are newer than those that control lists.
+    pub(crate) fn unreported_conditions(&self) -> Vec<ConditionRecord> {
+        self.chooser().conditions().list_unreported(self.view.load().known())
+    }
+
+    /// Applies the limit that an answer of `upstream` to a request sent at `sent_at` states.
+    pub(crate) fn note_limit(
+        &self,
+        upstream: &RegisteredUpstream,
+        stated: StatedLimit,
+        sent_at: Instant,
+    ) {
+        let now = Instant::now();
+        let observed = self.chooser().conditions().observe(upstream, stated, sent_at, now);
+        if let Some(condition) = observed {
+            self.grants.merge_conditions(&[ConditionRecord(upstream.name.clone(), condition)]);
+        }
+    }
+
     /// Whether the entry has a document and may serve callers with it.
     pub(crate) fn is_usable(&self) -> bool {
         *self.usable.borrow()
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     gateway::{
+        conditions::ConditionRecord,
         control_call::{
             CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply, NO_ENTRY_LISTED,
         },
@@ -377,6 +378,9 @@
             for DepartedUpstream(name, started_ms) in &query.departed {
                 registry.mark_departed(name, *started_ms);
             }
+            for ConditionRecord(name, condition) in &query.conditions {
+                registry.merge_condition(name, *condition);
+            }
         });
         let confirmed = query.confirm && self.supervisor.read(CONFIRM_TIMEOUT).await.is_ok();
         if !query.confirm {
@@ -524,6 +528,7 @@
             work: Vec::new(),
             demand: Vec::new(),
             departed: Vec::new(),
+            conditions: Vec::new(),
             suspects: Vec::new(),
             asks_history: !self.registry().history().is_complete(Instant::now()),
         }
--- a/cicadastall/src/gateway/engine_grants.rs
+++ b/cicadastall/src/gateway/engine_grants.rs
@@ -5,6 +5,7 @@
     gateway::{
         choice::{ChoiceBasis, ChoiceInput, UpstreamChoice},
         chooser::UpstreamChooser,
+        conditions::ConditionRecord,
         context::EntryContext,
         grant_allocator::{
             GrantAllocator, GrantInput, GrantQuery, GrantReply, GrantTicket, GrantUpdates,
@@ -98,7 +99,7 @@
     /// Applies a new view of the fleet.
     pub(crate) fn set_view(&self, view: &FleetView, own: &EntryRecord) {
         let shard = view.shard_of(own);
-        self.allocator().forget(&shard, Instant::now());
+        self.allocator().apply_view(&shard, Instant::now());
         let engines: usize = shard.pools.values().map(Vec::len).sum();
         let before: usize = self.shard.load().pools.values().map(Vec::len).sum();
         if engines != before {
@@ -110,6 +111,11 @@
         self.held().forget(&live.collect::<Vec<_>>());
     }
 
+    /// Merges conditions of upstreams that this entry observed.
+    pub(crate) fn merge_conditions(&self, conditions: &[ConditionRecord]) {
+        self.allocator().merge_conditions(conditions, Instant::now());
+    }
+
     fn own(&self) -> Option<EntryProcess> {
         (**self.own.load()).clone()
     }
@@ -332,8 +338,8 @@
         // If the owner did not answer, `ask_owner` has already abandoned the grant it may have made.
         pending.settled = !matches!(reply, Some(GrantReply::Granted { .. }));
         match reply {
-            Some(GrantReply::Granted { upstream, basis }) => {
-                match self.accept_grant(view, &upstream, basis) {
+            Some(GrantReply::Granted { upstream, basis, paced }) => {
+                match self.accept_grant(view, &upstream, basis, paced) {
                     Some(choice) => {
                         pending.settled = true;
                         OwnerReply::Decided(self.hold_grant(choice, Some((ticket, owner))))
@@ -362,6 +368,7 @@
         view: &FleetView,
         upstream: &UpstreamName,
         basis: ChoiceBasis,
+        paced: bool,
     ) -> Option<UpstreamChoice> {
         let context = &self.context;
         let upstreams = view.pools.get(&self.call.pool)?;
@@ -379,7 +386,7 @@
             exclusive: false,
             now: Instant::now(),
         };
-        context.chooser().accept_grant(&input, known, basis)
+        context.chooser().accept_grant(&input, known, basis, paced)
     }
 
     fn make_query(&self, holder: EntryProcess) -> GrantQuery {
@@ -389,6 +396,9 @@
         let head = &call.head;
         let mut tried_regions = self.tried.regions.clone();
         tried_regions.extend(context.chooser().unreachable_regions(now).cloned());
+        let view = context.view.load();
+        let engines = view.pools.get(&call.pool).into_iter().flatten();
+        let conditions = context.chooser().conditions().list_limits(engines.map(|known| &**known));
         GrantQuery {
             holder,
             ticket: context.grants.held().next_ticket(),
@@ -409,6 +419,7 @@
             tried: self.tried.upstreams.clone(),
             tried_regions,
             homes: call.route.homes.clone(),
+            conditions,
             updates: Vec::new(),
         }
     }
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -145,7 +145,7 @@
             for (pool, upstreams) in &view.pools {
                 self.context.metrics.set_upstreams(pool, upstreams.len());
             }
-            self.context.chooser().forget(&view, Instant::now());
+            self.context.chooser().apply_view(&view, Instant::now());
             self.context.grants.set_view(&view, state.own());
             self.context.view.store(Arc::new(view));
         }
@@ -200,6 +200,7 @@
             work: if near { self.context.work() } else { Vec::new() },
             demand: if near { self.context.demand() } else { Vec::new() },
             departed: if near { self.context.departed() } else { Vec::new() },
+            conditions: if near { self.context.unreported_conditions() } else { Vec::new() },
             suspects,
             asks_history: false,
             reader: FleetReader::Entry(own),
--- a/cicadastall/src/gateway/fleet_update.rs
+++ b/cicadastall/src/gateway/fleet_update.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     gateway::{
-        document_state::EvacuatedZones, pool_partition::PromptDemand, routes::RouteDocument,
+        conditions::{ConditionRecord, UpstreamCondition},
+        document_state::EvacuatedZones,
+        pool_partition::PromptDemand,
+        routes::RouteDocument,
         software_history::HistoryReport,
     },
     name::{PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
@@ -85,6 +88,9 @@
     /// Whether this process told an entry that it is leaving; takes precedence over its renewals.
     #[serde(default, skip_serializing_if = "is_default")]
     pub departed: bool,
+    /// The newest condition of this process that entries observed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub condition: Option<UpstreamCondition>,
 }
 
 /// A changed entry.
@@ -178,6 +184,9 @@
     /// Upstreams that told the reader that they are leaving, and that control still reports as serving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub departed: Vec<DepartedUpstream>,
+    /// Conditions of upstreams that are newer than those that control lists.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", deserialize_with = "read_rows")]
+    pub conditions: Vec<ConditionRecord>,
     /// Suspects that the reader itself changed since it last reported them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
--- a/cicadastall/src/gateway/grant_allocator.rs
+++ b/cicadastall/src/gateway/grant_allocator.rs
@@ -11,6 +11,7 @@
             ChoiceBasis, ChoiceInput, LeftOutCounts, RefusalCause, TriedUpstreams, UpstreamChoice,
         },
         chooser::UpstreamChooser,
+        conditions::ConditionRecord,
         owners::EntryProcess,
         routes::{PoolRule, PoolShare, RepeatRule, RouteRule},
         tracker::{SendEnd, SendNumber},
@@ -86,6 +87,9 @@
     /// Regions that may answer; all regions if empty.
     #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
     pub homes: SmallVec<[RegionName; 3]>,
+    /// Limits in force at upstreams of the pool, as far as the holder knows them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub conditions: Vec<ConditionRecord>,
     /// Updates of other grants, to be applied first.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "notes")]
@@ -102,6 +106,9 @@
         upstream: UpstreamName,
         /// Estimates for the upstream.
         basis: ChoiceBasis,
+        /// Whether the send is part of a rate that the upstream tolerates.
+        #[serde(default, skip_serializing_if = "is_default")]
+        paced: bool,
     },
     /// The request should be forwarded to another region.
     Region {
@@ -235,6 +242,7 @@
     pub fn grant(&mut self, query: &GrantQuery, input: &GrantInput<'_>) -> GrantReply {
         let now = input.now;
         self.apply_updates(&query.holder, &query.updates, now);
+        self.merge_conditions(&query.conditions, now);
         if !input.shard.pools.contains_key(&query.pool) {
             return GrantReply::NotOwner;
         }
@@ -257,7 +265,7 @@
             now,
         });
         match choice {
-            UpstreamChoice::Upstream { known, number, basis, .. } => {
+            UpstreamChoice::Upstream { known, number, basis, paced, .. } => {
                 let upstream = known.upstream.name.clone();
                 let until = call.deadline + EXPIRY_MARGIN;
                 let grant = OpenGrant {
@@ -267,7 +275,7 @@
                     until,
                 };
                 self.hold((query.holder.clone(), query.ticket), grant, now);
-                GrantReply::Granted { upstream, basis }
+                GrantReply::Granted { upstream, basis, paced }
             }
             UpstreamChoice::Region { region, entry, basis } => {
                 GrantReply::Region { region, entry, basis }
@@ -344,9 +352,17 @@
         }
     }
 
-    /// Drops the state of engines that are not in `shard` and have no open requests.
-    pub fn forget(&mut self, shard: &FleetView, now: Instant) {
-        self.chooser.forget(shard, now);
+    /// Merges conditions of upstreams that an entry observed.
+    pub fn merge_conditions(&mut self, conditions: &[ConditionRecord], now: Instant) {
+        for ConditionRecord(upstream, condition) in conditions {
+            self.chooser.conditions().merge(upstream, *condition, now);
+        }
+    }
+
+    /// Applies the conditions that came with `shard`, and drops the state of engines that are not in it
+    /// and have no open requests.
+    pub fn apply_view(&mut self, shard: &FleetView, now: Instant) {
+        self.chooser.apply_view(shard, now);
     }
 }
 
--- a/cicadastall/src/gateway/region_load.rs
+++ b/cicadastall/src/gateway/region_load.rs
@@ -145,7 +145,7 @@
             });
             let (requests, backlog_ms) = work.get(&upstream.name).copied().unwrap_or_default();
             pool.serving += 1;
-            pool.slots = pool.slots.saturating_add(upstream.slots);
+            pool.slots = pool.slots.saturating_add(row.usable_slots());
             pool.requests = pool.requests.saturating_add(requests);
             pool.backlog_ms = pool.backlog_ms.saturating_add(backlog_ms);
             if let Err(index) = pool.versions.binary_search(&upstream.software)
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock::from_millis,
     gateway::{
+        conditions::UpstreamCondition,
         entry_registry::EntryRow,
         fleet_update::{
             ControlRecord, EntryUpdate, FleetCursor, RegionSummary, RegisteredUpstream,
@@ -74,6 +75,8 @@
     evacuated: u64,
     /// Whether the upstream told an entry that it is leaving.
     pub(super) departed: bool,
+    /// The newest condition of its process that entries observed.
+    pub(super) condition: Option<UpstreamCondition>,
     /// Whether the next renewal is forwarded even if it changes nothing.
     forward_next: bool,
 }
@@ -85,6 +88,13 @@
 }
 
 impl UpstreamRow {
+    /// Number of requests that the upstream runs concurrently, at most those of one second if it accepts a
+    /// limited rate.
+    pub(super) fn usable_slots(&self) -> u32 {
+        let limit = self.condition.and_then(|condition| condition.limit);
+        limit.map_or(self.upstream.slots, |limit| self.upstream.slots.min(limit.per_s() as u32))
+    }
+
     /// Whether entries may still use the upstream.
     fn is_served(&self) -> bool {
         !self.silent && self.upstream.phase != UpstreamPhase::Gone
@@ -171,6 +181,7 @@
             silent: false,
             evacuated: self.evacuated,
             departed: false,
+            condition: None,
         };
         self.apply_upstream(update, true, now)
     }
@@ -218,6 +229,8 @@
         log_change(known.map(|row| &*row.upstream), &upstream, direct, now - seen_at);
         let departed =
             known.is_some_and(|row| row.departed && row.upstream.started_ms >= upstream.started_ms);
+        let condition = known.and_then(|row| row.condition);
+        let condition = condition.filter(|known| known.started_ms == upstream.started_ms);
         let changed = unchanged.unwrap_or_else(|| self.next_change());
         let name = upstream.name.clone();
         let row = UpstreamRow {
@@ -228,6 +241,7 @@
             silent: false,
             evacuated,
             departed,
+            condition,
             forward_next: false,
         };
         self.upstreams.insert(name, row);
@@ -318,7 +332,7 @@
         for update in upstreams {
             let name = update.upstream.name.clone();
             let version = update.upstream.version();
-            let UpstreamUpdate { silent, departed, .. } = update;
+            let UpstreamUpdate { silent, departed, condition, .. } = update;
             self.apply_upstream(update, false, now);
             if silent {
                 self.mark_silent(&name, version);
@@ -326,6 +340,9 @@
             if departed {
                 self.mark_departed(&name, version.0);
             }
+            if let Some(condition) = condition {
+                self.merge_condition(&name, condition);
+            }
         }
         for EntryUpdate { entry, silent } in entries {
             self.merge_entry(from, entry, silent, now);
@@ -346,6 +363,22 @@
         self.changes = changed;
     }
 
+    /// Merges a condition of an upstream that an entry or another control instance reported. Ignored
+    /// unless it is of the process that is registered.
+    pub fn merge_condition(&mut self, name: &UpstreamName, condition: UpstreamCondition) {
+        let changed = self.changes + 1;
+        let Some(row) = self.upstreams.get_mut(name) else { return };
+        let known = row.condition;
+        if row.upstream.started_ms != condition.started_ms
+            || known.is_some_and(|known| !condition.supersedes(&known))
+        {
+            return;
+        }
+        row.condition = Some(condition);
+        row.changed = changed;
+        self.changes = changed;
+    }
+
     fn mark_silent(&mut self, name: &UpstreamName, version: (u64, u64)) {
         let changed = self.changes + 1;
         let Some(row) = self.upstreams.get_mut(name) else { return };
@@ -458,6 +491,7 @@
             silent: row.silent,
             evacuated: row.evacuated,
             departed: row.departed,
+            condition: row.condition,
         })
         .collect()
     }
--- a/cicadastall/src/gateway/score.rs
+++ b/cicadastall/src/gateway/score.rs
@@ -13,7 +13,7 @@
     name::{UpstreamName, ZoneName},
 };
 use smallvec::SmallVec;
-use std::{mem, sync::Arc};
+use std::{mem, sync::Arc, time::Duration};
 
 /// Fraction of the target up to which the time of an answer costs almost nothing.
 const FREE_TARGET_FRACTION: f64 = 0.5;
@@ -98,7 +98,8 @@
     pub(super) stall_cost: f64,
     pub(super) prefill_run_ms: f64,
     pub(super) hash: u64,
-    pub(super) cold: bool,
+    /// Time until the next request of this entry, if the upstream tolerates a limited rate.
+    pub(super) pace: Option<Duration>,
 }
 
 impl Candidate<'_> {
@@ -120,7 +121,8 @@
     pub(super) hash: u64,
     /// Whether the upstream is assigned to prompts of the request's class.
     pub(super) grouped: bool,
-    pub(super) cold: bool,
+    /// Time until the next request of this entry, if the upstream tolerates a limited rate.
+    pub(super) pace: Option<Duration>,
 }
 
 /// Estimates times and cost of sending the request to an upstream from an entry in `zone`, if the upstream
@@ -132,7 +134,7 @@
     admitted: &AdmittedUpstream<'a>,
     cached_fraction: f64,
 ) -> Candidate<'a> {
-    let AdmittedUpstream { known, hash, grouped, cold } = *admitted;
+    let AdmittedUpstream { known, hash, grouped, pace } = *admitted;
     let call = input.call;
     let upstream = &known.upstream;
     let engine = input.pool.and_then(|pool| pool.engine);
@@ -212,7 +214,7 @@
         stall_cost,
         prefill_run_ms,
         hash,
-        cold,
+        pace,
     }
 }
 
--- a/cicadastall/src/gateway/tracker.rs
+++ b/cicadastall/src/gateway/tracker.rs
@@ -3,6 +3,7 @@
 use crate::gateway::{
     call::{CallHead, PromptPart},
     pool_partition::PromptClass,
+    send_pace::SendPace,
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, time::Duration};
@@ -102,7 +103,7 @@
     answered_at: Option<Instant>,
     failure_rate: f64,
     parts: HashMap<u64, Instant>,
-    next_cold_send: Option<Instant>,
+    pace: SendPace,
     cold_since: Option<Instant>,
 }
 
@@ -122,7 +123,7 @@
             answered_at: None,
             failure_rate: 0.0,
             parts: HashMap::new(),
-            next_cold_send: None,
+            pace: SendPace::default(),
             cold_since: None,
         }
     }
@@ -231,14 +232,9 @@
         }
     }
 
-    /// Time from which a cold upstream may get its next request; `None` if it has not got any.
-    pub fn next_cold_send(&self) -> Option<Instant> {
-        self.next_cold_send
-    }
-
-    /// Records a request to a cold upstream; the next one may follow after `pause`.
-    pub fn note_cold_send(&mut self, pause: Duration, now: Instant) {
-        self.next_cold_send = Some(now + pause);
+    /// Times of the requests to the upstream while it tolerates a limited rate.
+    pub(super) fn pace(&mut self) -> &mut SendPace {
+        &mut self.pace
     }
 
     /// Records a request that is sent, with its shared prompt `parts`.
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::from_millis,
     gateway::{
+        conditions::UpstreamCondition,
         document_state::EvacuatedZones,
         fleet_update::{
             ControlRecord, EntryUpdate, FleetCursor, FleetUpdate, RegionSummary,
@@ -60,6 +61,8 @@
     pub cold_until: Option<Instant>,
     /// Whether its zone was evacuated and no renewal has arrived since the evacuation ended.
     pub unconfirmed: bool,
+    /// The newest condition of its process that entries observed.
+    pub condition: Option<UpstreamCondition>,
 }
 
 /// Snapshot of the fleet.
@@ -108,7 +111,12 @@
 
     /// Serving upstreams of this region, in all pools.
     pub fn upstreams(&self) -> impl Iterator<Item = &RegisteredUpstream> {
-        self.pools.values().flatten().map(|known| &*known.upstream)
+        self.known().map(|known| &*known.upstream)
+    }
+
+    /// Serving upstreams of this region, in all pools, with what control lists of them.
+    pub fn known(&self) -> impl Iterator<Item = &KnownUpstream> {
+        self.pools.values().flatten().map(|known| &**known)
     }
 }
 
@@ -452,6 +460,7 @@
                 cold_until: (upstream.cold_ms > 0)
                     .then(|| received.seen_at + from_millis(upstream.cold_ms)),
                 unconfirmed: restored.is_some_and(|version| received.update.evacuated < *version),
+                condition: self.find_condition(&name, upstream.started_ms),
                 upstream: Arc::clone(upstream),
             };
             pools.entry(upstream.pool.clone()).or_default().push(Arc::new(known));
@@ -506,6 +515,14 @@
             .any(|update| update.departed && update.upstream.started_ms >= started_ms)
     }
 
+    /// The newest condition of the process of upstream `name` that started at `started_ms`.
+    fn find_condition(&self, name: &UpstreamName, started_ms: u64) -> Option<UpstreamCondition> {
+        let rows = self.controls.values().filter_map(|control| control.upstreams.get(name));
+        let conditions = rows.filter_map(|received| received.update.condition);
+        let conditions = conditions.filter(|condition| condition.started_ms == started_ms);
+        conditions.reduce(|best, other| if other.supersedes(&best) { other } else { best })
+    }
+
     /// Entries that at least one control instance reports as live, except those that no longer answer.
     fn merge_entries(&self) -> BTreeMap<InstanceName, EntryRecord> {
         let mut live: BTreeMap<InstanceName, EntryRecord> = BTreeMap::new();
--- a/cicadastall/src/gateway/warmup.rs
+++ b/cicadastall/src/gateway/warmup.rs
@@ -10,9 +10,9 @@
     time::Duration,
 };
 
-/// Fraction of the tolerated rate that the sending entry uses, so that two senders that do not know of
+/// Fraction of the tolerated rate that the sending entries use, so that two senders that do not know of
 /// each other stay within 1.5 times the rate plus a few requests.
-const RATE_FRACTION: f64 = 0.7;
+pub(super) const RATE_FRACTION: f64 = 0.7;
 
 /// Returns the entry that sends to `upstream` while it is cold; `None` without entries.
 pub fn choose_sender<'a>(
--- a/cicadastall/tests/gateway_crash_watch.rs
+++ b/cicadastall/tests/gateway_crash_watch.rs
@@ -113,6 +113,7 @@
         silent: false,
         cold_until: None,
         unconfirmed: false,
+        condition: None,
     };
     watch.note_broken(&known, &traits(&["common", "other"]), || None);
     sleep(Duration::from_secs(1)).await;
--- a/cicadastall/tests/gateway_limits.rs
+++ b/cicadastall/tests/gateway_limits.rs
@@ -163,6 +163,9 @@
     send_until(&all, "/read/1", Instant::now() + SPREAD_TIME).await;
     for killed in [0, 1] {
         fleet.kill_entry(killed).await;
+        for upstream in &upstreams {
+            fleet.renew(0, &gateway::describe(upstream, "west-a", 2 + killed as u64)).await;
+        }
         let begin = Instant::now();
         upstreams[0].set_default(limited_answer("1"));
         send_until(&all[1 - killed..2 - killed], "/read/1", begin + NOTICE_TIME + WINDOW).await;
@@ -218,6 +221,8 @@
 async fn forwarded_requests_exceed_the_limit() {
     let zones = ["west-a", "west-a", "east-a"];
     let (fleet, upstreams) = start_fleet("limit-hop", document(1), &zones, &["1", "1"]).await;
+    // Requests may wait for the first upstream until the entries have discovered the fleet.
+    sleep(NOTICE_TIME).await;
     let begin = Instant::now();
     let answers = send_until(&addresses(&fleet), "/read/1", begin + NOTICE_TIME + WINDOW).await;
     for upstream in &upstreams {
@@ -228,7 +233,12 @@
         assert_eq!(answer.status.as_u16(), 503, "{}", answer.text());
         assert_eq!(answer.header("x-cicadastall-ran"), Some("no"), "{}", answer.text());
         assert!(answer.header("retry-after").is_some(), "{}", answer.text());
-        assert!(answer.took < Duration::from_secs(1), "refused after {:?}", answer.took);
+        assert!(
+            answer.took < Duration::from_secs(1),
+            "refused after {:?}: {}",
+            answer.took,
+            answer.text()
+        );
     }
 }
 
--- a/cicadastall/tests/gateway_owners.rs
+++ b/cicadastall/tests/gateway_owners.rs
@@ -86,6 +86,7 @@
         silent: false,
         cold_until: None,
         unconfirmed: false,
+        condition: None,
     })
 }
 
@@ -197,6 +198,7 @@
             tried: SmallVec::new(),
             tried_regions: SmallVec::new(),
             homes: SmallVec::new(),
+            conditions: Vec::new(),
             updates: Vec::new(),
         }
     }
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -304,6 +304,7 @@
         silent,
         evacuated: 0,
         departed: false,
+        condition: None,
     });
     FleetUpdate {
         cursor: FleetCursor { process, change: 1 },
--- a/cicadastall/tests/load/mod.rs
+++ b/cicadastall/tests/load/mod.rs
@@ -250,6 +250,7 @@
         silent: false,
         cold_until: None,
         unconfirmed: false,
+        condition: None,
     })
 }
 
--- a/cicadastall/tests/odd_upstreams.rs
+++ b/cicadastall/tests/odd_upstreams.rs
@@ -108,6 +108,7 @@
         silent: false,
         evacuated: 0,
         departed: false,
+        condition: None,
     };
     merged.merge(address(21), vec![update], Vec::new(), now);
     merged.renew(sound(2), now);
--- a/cicadastall/tests/peer_connect.rs
+++ b/cicadastall/tests/peer_connect.rs
@@ -34,6 +34,7 @@
         suspects: Vec::new(),
         asks_history: false,
         departed: Vec::new(),
+        conditions: Vec::new(),
     }
 }
 
--- a/cicadastall/tests/software_versions.rs
+++ b/cicadastall/tests/software_versions.rs
@@ -65,6 +65,7 @@
         silent: false,
         cold_until: None,
         unconfirmed: false,
+        condition: None,
     })
 }
 
@@ -232,7 +233,7 @@
     let mut harness = ChoiceHarness::new(vec![Arc::clone(&new)]);
     let mut accept = |software| {
         harness.with_input(software, |chooser, input| {
-            chooser.accept_grant(input, &new, ChoiceBasis::default()).is_some()
+            chooser.accept_grant(input, &new, ChoiceBasis::default(), false).is_some()
         })
     };
     assert_eq!([None, Some("v2"), Some("v1")].map(&mut accept), [true, true, false]);
@@ -294,6 +295,7 @@
         tried: SmallVec::new(),
         tried_regions: SmallVec::new(),
         homes: SmallVec::new(),
+        conditions: Vec::new(),
         updates: Vec::new(),
     }
 }
--- a/cicadastall/tests/stream_origins.rs
+++ b/cicadastall/tests/stream_origins.rs
@@ -259,6 +259,7 @@
         silent: false,
         evacuated: 0,
         departed: false,
+        condition: None,
     };
     registry.merge(receiver(2), vec![update], Vec::new(), Instant::now());
     assert_eq!(registry.history().served(&pool, Instant::now()), ServedSoftware::Several);
@@ -490,6 +491,7 @@
         work: Vec::new(),
         demand: Vec::new(),
         departed: Vec::new(),
+        conditions: Vec::new(),
         suspects: Vec::new(),
         asks_history: false,
     }
