--- a/cicadastall/src/gateway/connections.rs
+++ b/cicadastall/src/gateway/connections.rs
@@ -17,7 +17,7 @@
 use std::{
     collections::HashMap,
     hash::{DefaultHasher, Hash, Hasher},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -103,6 +103,8 @@
 /// Idle connections and counts of open ones, by target.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
+    /// Local address of connections to upstreams.
+    upstream_source: Option<IpAddr>,
     targets: Mutex<HashMap<ConnectionTarget, TargetState>>,
 }
 
@@ -135,6 +137,11 @@
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool whose connections to upstreams have the local address `upstream_source`.
+    pub fn new(upstream_source: Option<IpAddr>) -> Self {
+        Self { upstream_source, targets: Mutex::default() }
+    }
+
     /// Takes an idle connection to `target`, or opens one if fewer than `max_open` are open.
     pub async fn take(
         self: &Arc<Self>,
@@ -145,7 +152,8 @@
             return Ok(kept);
         }
         let open = self.reserve_open(target, max_open).ok_or(ConnectError::Exhausted)?;
-        let sender = connect(target.address).await.map_err(ConnectError::Failed)?;
+        let source = self.upstream_source.filter(|_| target.upstream.is_some());
+        let sender = connect(source, target.address).await.map_err(ConnectError::Failed)?;
         Ok(PooledConnection { sender, kept: false, refused: RefusedAttempts::new(), open })
     }
 
@@ -275,8 +283,11 @@
     hasher.finish()
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
-    let connected = timeout(CONNECT_TIMEOUT, open_stream(None, address)).await;
+async fn connect(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+) -> Result<SendRequest<Full<Bytes>>, String> {
+    let connected = timeout(CONNECT_TIMEOUT, open_stream(source, address)).await;
     let stream = connected
         .map_err(|_| format!("not connected within {CONNECT_TIMEOUT:?}"))?
         .map_err(|error| error.to_string())?;
--- a/cicadastall/src/gateway/settings.rs
+++ b/cicadastall/src/gateway/settings.rs
@@ -5,7 +5,12 @@
     name::{InstanceName, RegionName, ZoneName},
 };
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    time::Duration,
+};
 
 /// Settings of an entry or a control instance, read at start and again when they change.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -57,6 +62,9 @@
     /// Interval between two renewals of an upstream, in milliseconds.
     #[serde(default = "default_renewal_ms")]
     pub renewal_ms: u64,
+    /// Local address of connections to upstreams; chosen by the operating system if absent.
+    #[serde(default)]
+    pub upstream_source: Option<IpAddr>,
     /// Maximum duration of a graceful stop, in seconds.
     #[serde(default = "default_stop_s")]
     pub stop_s: f64,
--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -299,6 +299,7 @@
         directory_listen: None,
         data_folder: None,
         founding: true,
+        upstream_source: Some(reserved[0].address.ip()),
         renewal_ms: 5_000,
         stop_s: 8.0,
         connections: 1_000,
--- a/cicadastall/tests/gateway/upstream.rs
+++ b/cicadastall/tests/gateway/upstream.rs
@@ -2,8 +2,8 @@
 
 use super::{reserved::ReservedAddress, wait_until};
 use std::{
-    collections::VecDeque,
-    net::SocketAddr,
+    collections::{HashMap, VecDeque},
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -178,6 +178,8 @@
     pub body: String,
     /// When the head was complete.
     pub at: Instant,
+    /// Address of the sender.
+    pub from: IpAddr,
 }
 
 impl ReceivedRequest {
@@ -207,6 +209,8 @@
     max_open: u32,
     /// Requests that are being answered or wait for a slot.
     running: usize,
+    /// Senders that are cut off, with what happens to their open connections.
+    cuts: HashMap<IpAddr, ConnectionEnd>,
     /// Slots and their number.
     slots: Option<(Arc<Semaphore>, usize)>,
 }
@@ -284,6 +288,16 @@
         self.state().slots = Some((Arc::new(Semaphore::new(slots)), slots));
     }
 
+    /// Cuts the sender at `ip` off: its new connections are reset, and its open ones are closed or hang.
+    pub fn cut_off(&self, ip: IpAddr, ending: ConnectionEnd) {
+        self.state().cuts.insert(ip, ending);
+    }
+
+    /// Ends the cut of the sender at `ip`; connections that hang stay so.
+    pub fn reconnect(&self, ip: IpAddr) {
+        self.state().cuts.remove(&ip);
+    }
+
     /// Ends the process: all its connections break.
     pub fn end(&self) {
         self.task.abort();
@@ -337,9 +351,33 @@
 ) {
     let mut connections = JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { return };
+        let Ok((stream, from)) = listener.accept().await else { return };
+        let is_cut = move |state: &Mutex<UpstreamState>| {
+            let state = state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.cuts.get(&from.ip()).copied()
+        };
+        if is_cut(&state).is_some() {
+            let _ = stream.set_zero_linger();
+            continue;
+        }
         state.lock().unwrap_or_else(PoisonError::into_inner).connections += 1;
-        connections.spawn(serve_connection(stream, identity.clone(), Arc::clone(&state)));
+        let served = serve_connection(stream, identity.clone(), Arc::clone(&state));
+        let shared = Arc::clone(&state);
+        connections.spawn(async move {
+            let mut served = Box::pin(served);
+            let ending = loop {
+                tokio::select! {
+                    () = &mut served => return,
+                    () = sleep(Duration::from_millis(10)) => {}
+                }
+                if let Some(ending) = is_cut(&shared) {
+                    break ending;
+                }
+            };
+            if ending == ConnectionEnd::Hang {
+                sleep(Duration::from_secs(60)).await;
+            }
+        });
         while connections.try_join_next().is_some() {}
     }
 }
@@ -465,7 +503,12 @@
     loop {
         if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
-            let request = ReceivedRequest { head, body: String::new(), at: Instant::now() };
+            let request = ReceivedRequest {
+                head,
+                body: String::new(),
+                at: Instant::now(),
+                from: stream.peer_addr().ok()?.ip(),
+            };
             let length: usize =
                 request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
             let total = end + 4 + length;
