Tests of limits that fail under their named changes of the code

Three named changes survived: three entries that send the whole limit each stay within 1.5 times the limit and five, and upstreams that answer at once tell each entry of the limit at its first request. Upstreams now take 150 ms, eight entries send, and one test lets seven entries that have sent nothing begin at the same time. The bound of the wait for a cold engine has a test of its own, since a request of the same rank that waits already would refuse the other one anyway.

--- a/cicadastall/tests/gateway_limits.rs
+++ b/cicadastall/tests/gateway_limits.rs
@@ -27,8 +27,11 @@
 /// Pause between two requests of one caller.
 const PACE: Duration = Duration::from_millis(40);
 
+/// Time that an upstream takes for an answer, in which an entry that knows of no limit sends more.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
+
 fn usual_answer() -> ScriptedAnswer {
-    ScriptedAnswer::whole("200 OK", "usual")
+    ScriptedAnswer::whole("200 OK", "usual").delayed(ANSWER_TIME)
 }
 
 fn limited_answer(limit: &str) -> ScriptedAnswer {
@@ -100,9 +103,9 @@
     upstreams
 }
 
-const WEST: [&str; 3] = ["west-a"; 3];
+const WEST: [&str; 8] = ["west-a"; 8];
 
-/// Plays load on three entries with one limited upstream and one without, and checks both.
+/// Plays load on eight entries with one limited upstream and one without, and checks both.
 async fn check_limit(limit: &'static str, limit_per_s: f64) {
     let (fleet, upstreams) = start_fleet("limited", document(1), &WEST, &[limit, ""]).await;
     let begin = Instant::now();
@@ -200,6 +203,20 @@
     }
 }
 
+#[tokio::test]
+async fn entries_learn_of_a_limit_only_from_their_own_requests() {
+    let (fleet, upstreams) = start_fleet("limit-told", document(1), &WEST, &["1", ""]).await;
+    let all = addresses(&fleet);
+    send_until(&all[..1], "/read/1", Instant::now() + SPREAD_TIME).await;
+    let begin = Instant::now();
+    let calls: JoinSet<_> = (0..80)
+        .map(|number| CallerRequest::post("/read/1").send_owned(all[1 + number % 7]))
+        .collect();
+    calls.join_all().await;
+    let most = most_in_window(&upstreams[0], begin);
+    assert!(most <= allowed_in_window(1.0), "{most} at the first requests of seven entries");
+}
+
 #[tokio::test]
 async fn restarted_control_loses_the_limit() {
     let (mut fleet, upstreams) = start_fleet("limit-control", document(1), &WEST, &["1", ""]).await;
@@ -283,6 +300,8 @@
     fleet.put_document(&document).await;
     fleet.wait_ready().await;
     let upstreams = start_upstreams(&fleet, &["1.3", ""]).await;
+    // With its eight slots, the other one serves all requests only if it answers at once.
+    upstreams[1].set_default(ScriptedAnswer::whole("200 OK", "usual"));
     let begin = Instant::now();
     let answers = send_until(&addresses(&fleet), "/read/1", begin + NOTICE_TIME + WINDOW).await;
     let most = most_in_window(&upstreams[0], begin + SPREAD_TIME);
--- a/cicadastall/tests/gateway_owners.rs
+++ b/cicadastall/tests/gateway_owners.rs
@@ -586,6 +586,19 @@
     assert!(retry_after_ms > 0);
 }
 
+/// The same without another request that waits for the same send.
+#[test]
+fn a_request_that_has_waited_for_a_cold_engine_waits_again() {
+    let mut owner = cold_owner();
+    let holder = entry(1, 1);
+    owner.ask(&holder);
+    owner.now += Duration::from_secs(2);
+    assert!(matches!(owner.ask(&holder).1, GrantReply::Granted { .. }));
+    let waited = GrantQuery { elapsed_ms: 1_000, ..owner.query(&holder, GrantTicket(9)) };
+    let reply = owner.answer(&waited);
+    assert!(matches!(reply, GrantReply::Refused { .. }), "{reply:?}");
+}
+
 /// A rolling restart of entries changes the owner of a cold engine repeatedly. However often that happens,
 /// the engine gets at most 1.5 times its rate plus three requests in any second.
 #[test]
