Serve callers of entries that have lost their path to the upstreams

Cause: an entry could forward a request only to another region; it took its upstreams for failed one by one, and tried each again with a caller's request, for up to 1.3 s; and nobody knew which entries were cut off, so that entries of other regions went on to forward requests to them. Ruled out: that the entries that are not cut are overloaded (19 forwarded requests came back as late, 449 for want of a usable upstream).

Change: if all upstreams of a pool fail whose renewals still arrive, the entry has lost its path (`reach.rs`). It closes idle connections to them, sends them nothing until a probe has reached them, and forwards requests to an entry of its region that reaches the pool (`detour.rs`); a forwarded request makes no second hop and keeps its deadline, attempts, version and quarantine. Entries report the pools that they do not reach to control, which tells the entries of the region, and leaves such entries and pools out of what it tells other regions.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
         view::KnownUpstream,
     },
     http::describe_error,
-    name::{PoolName, SoftwareVersion, UpstreamName},
+    name::{PoolName, RegionName, SoftwareVersion, UpstreamName},
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -174,6 +174,8 @@
 struct AttemptTarget {
     connection: ConnectionTarget,
     connections: usize,
+    /// Region of the entry, if the target is one.
+    region: Option<RegionName>,
     /// The upstream and the number of the send; none if the target is another entry.
     upstream: Option<(Arc<KnownUpstream>, SendNumber)>,
     ticket: Option<GrantTicket>,
@@ -189,13 +191,14 @@
                 let address = known.upstream.address;
                 let connection = ConnectionTarget { address, upstream: Some(name) };
                 let upstream = Some((known, number));
-                Some(Self { connection, connections, upstream, ticket, basis, paced })
+                Some(Self { connection, connections, region: None, upstream, ticket, basis, paced })
             }
-            UpstreamChoice::Region { entry, basis, .. } => {
+            UpstreamChoice::Region { region, entry, basis } => {
                 let connection = ConnectionTarget { address: entry, upstream: None };
                 let connections = MAX_HOP_CONNECTIONS;
                 let (upstream, ticket, paced) = (None, None, false);
-                Some(Self { connection, connections, upstream, ticket, basis, paced })
+                let region = Some(region);
+                Some(Self { connection, connections, region, upstream, ticket, basis, paced })
             }
             UpstreamChoice::Wait(_) | UpstreamChoice::Refuse { .. } => None,
         }
@@ -247,9 +250,12 @@
         &mut self,
         choice: UpstreamChoice,
     ) -> Result<StartedAnswer, AttemptFailure> {
-        if let UpstreamChoice::Region { region, .. } = &choice {
+        if let UpstreamChoice::Region { region, entry, .. } = &choice {
             self.context.metrics.count_hop(region.as_str());
-            self.tried.regions.push(region.clone());
+            match *region == self.context.node.region {
+                true => self.tried.entries.push(*entry),
+                false => self.tried.regions.push(region.clone()),
+            }
         }
         let Some(target) = AttemptTarget::from_choice(choice) else {
             let unsent = LostAttempt::Unsent("no target was chosen".to_owned());
@@ -272,22 +278,31 @@
                 self.read_answer(&target, chosen_at, guard, response, connection).await
             }
             Err(failure) => {
-                if let Some((known, _)) = &target.upstream
-                    && failure.verdict == Verdict::Unknown
-                {
-                    self.note_broken(known);
+                if let Some((known, _)) = &target.upstream {
+                    if failure.verdict == Verdict::Unknown {
+                        self.note_broken(known);
+                    }
+                    if failure.end == SendEnd::Broken {
+                        self.context.note_unanswered(&known.upstream);
+                    }
                 }
                 guard.end(failure.end);
-                if let Some(region) =
-                    self.tried.regions.last().filter(|_| target.upstream.is_none())
-                {
-                    self.context.chooser().note_unreachable(region, Instant::now());
-                }
+                self.note_lost_hop(&target);
                 Err(self.record_failure(&target, failure, chosen_at))
             }
         }
     }
 
+    /// Backs off from the entry, or from its region, to which a request could not be forwarded.
+    fn note_lost_hop(&self, target: &AttemptTarget) {
+        let Some(region) = &target.region else { return };
+        let now = Instant::now();
+        match *region == self.context.node.region {
+            true => self.context.chooser().note_lost_entry(target.connection.address, now),
+            false => self.context.chooser().note_unreachable(region, now),
+        }
+    }
+
     /// Connects, sends the request and waits for the head of the answer. Nothing was sent on a
     /// pooled connection that turns out to be closed, so the next one is tried.
     async fn open_target(
@@ -430,6 +445,9 @@
         let (parts, mut body) = response.into_parts();
         let head = self.context.dialect.read_answer_head(parts.status, &parts.headers);
         if let Some((known, _)) = &target.upstream {
+            if !head.misdirected {
+                self.context.note_reached(&known.upstream);
+            }
             self.apply_upstream_state(target, known, &head, chosen_at);
         }
         let is_hop = target.upstream.is_none();
--- a/cicadastall/src/gateway/choice.rs
+++ b/cicadastall/src/gateway/choice.rs
@@ -28,6 +28,8 @@
     pub upstreams: SmallVec<[UpstreamName; 4]>,
     /// Regions to whose entries the request was forwarded.
     pub regions: SmallVec<[RegionName; 2]>,
+    /// Other entries of this region to which the request was forwarded.
+    pub entries: SmallVec<[SocketAddr; 2]>,
 }
 
 /// Why a request is refused.
@@ -83,9 +85,9 @@
         /// Whether the send is part of a rate that the upstream tolerates.
         paced: bool,
     },
-    /// Forward to an entry of another region.
+    /// Forward to another entry, which makes no second hop.
     Region {
-        /// The region.
+        /// The entry's region; this region if only this entry has lost its path to the upstreams.
         region: RegionName,
         /// The entry.
         entry: SocketAddr,
--- a/cicadastall/src/gateway/chooser.rs
+++ b/cicadastall/src/gateway/chooser.rs
@@ -120,7 +120,7 @@
 /// Backoff for an upstream that has no room, unless it names a time itself.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 
-/// Backoff for a region none of whose entries could be reached.
+/// Backoff for a region none of whose entries could be reached, and for an entry that could not be.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_secs(2);
 
 /// Shortest time after which a refused caller is told to retry.
@@ -162,6 +162,10 @@
     pause_end: Option<Instant>,
     departures: DepartureLog,
     conditions: ConditionTable,
+    /// Upstreams that get no requests until they are reached again.
+    blocked: HashSet<UpstreamName>,
+    /// Other entries of the region that could not be reached, with the end of their backoff.
+    lost_entries: HashMap<SocketAddr, Instant>,
 }
 
 impl UpstreamChooser {
@@ -184,6 +188,8 @@
             pause_end: None,
             departures: DepartureLog::default(),
             conditions: ConditionTable::default(),
+            blocked: HashSet::new(),
+            lost_entries: HashMap::new(),
         }
     }
 
@@ -282,7 +288,7 @@
     }
 
     /// Records a send to the upstream that its owner granted; `None` if this entry knows that the upstream
-    /// is paused, leaving or of another software version than required, or if it is limited to a rate of
+    /// is blocked, paused, leaving or of another software version than required, or if it is limited to a rate of
     /// which the grant is not part.
     pub fn accept_grant(
         &mut self,
@@ -295,6 +301,7 @@
         let tracker = self.trackers.get(&known.upstream.name);
         let paused = tracker.is_none_or(|tracker| tracker.pause_end(input.now).is_some());
         if paused
+            || self.blocked.contains(&known.upstream.name)
             || self.departures.contains(&known.upstream)
             || (!paced && self.conditions.limit(&known.upstream).is_some())
             || !has_required_version(input, known)
@@ -463,7 +470,7 @@
             self.pause_end = Some(self.pause_end.map_or(end, |first| first.min(end)));
             return None;
         }
-        if tracker.is_backing_off(now) {
+        if tracker.is_backing_off(now) || self.blocked.contains(name) {
             self.left_out.barred += 1;
             return None;
         }
@@ -715,6 +722,29 @@
         self.unreachable.iter().filter(move |(_, until)| now < **until).map(|(region, _)| region)
     }
 
+    /// Sets the upstreams that get no requests until they are reached again.
+    pub fn set_blocked(&mut self, blocked: HashSet<UpstreamName>) {
+        self.blocked = blocked;
+    }
+
+    /// Records that an upstream is reached again, which ends its backoff.
+    pub fn note_reached(&mut self, upstream: &UpstreamName) {
+        if let Some(tracker) = self.trackers.get_mut(upstream) {
+            tracker.end_backoff();
+        }
+    }
+
+    /// Records that another entry of the region could not be reached.
+    pub fn note_lost_entry(&mut self, entry: SocketAddr, now: Instant) {
+        self.lost_entries.retain(|_, until| now < *until);
+        self.lost_entries.insert(entry, now + UNREACHABLE_BACKOFF);
+    }
+
+    /// Whether another entry of the region is backed off because it could not be reached.
+    pub fn is_lost_entry(&self, entry: SocketAddr, now: Instant) -> bool {
+        self.lost_entries.get(&entry).is_some_and(|until| now < *until)
+    }
+
     /// Records that an upstream refused a request for lack of room.
     pub fn note_full(&mut self, upstream: &UpstreamName, now: Instant) {
         if let Some(tracker) = self.trackers.get_mut(upstream) {
--- a/cicadastall/src/gateway/connections.rs
+++ b/cicadastall/src/gateway/connections.rs
@@ -208,6 +208,13 @@
         targets.get(target).is_none_or(|state| state.open < max_open || !state.idle.is_empty())
     }
 
+    /// Closes the idle connections to an upstream.
+    pub fn close_idle(&self, address: SocketAddr, upstream: &UpstreamName) {
+        let target = ConnectionTarget { address, upstream: Some(upstream.clone()) };
+        let idle = self.lock().get_mut(&target).map(|state| std::mem::take(&mut state.idle));
+        drop(idle);
+    }
+
     /// Closes idle connections that timed out or were closed by the other side.
     pub fn close_expired(&self) {
         let now = Instant::now();
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -13,6 +13,7 @@
         metrics::GatewayMetrics,
         origin_finder::OriginFinder,
         pool_partition::PromptDemand,
+        reach::{ReachWatch, UnreachedPools},
         registry::DISCOVERY_TIME,
         retry_window::RetryWindow,
         routes::RouteTable,
@@ -62,6 +63,7 @@
     pub(crate) crashes: Arc<CrashWatch>,
     pub(crate) origins: OriginFinder,
     chooser: Mutex<UpstreamChooser>,
+    reach: Mutex<ReachWatch>,
     retries: Mutex<RetryWindow>,
     usable: watch::Sender<bool>,
     started_at: Instant,
@@ -93,6 +95,7 @@
             crashes: Arc::new(CrashWatch::new(metrics.crash_checks())),
             origins: OriginFinder::new(&node),
             chooser: Mutex::new(chooser),
+            reach: Mutex::default(),
             retries: Mutex::new(RetryWindow::new(node.retries, Instant::now())),
             connections: Arc::new(ConnectionPool::new(node.upstream_source)),
             node,
@@ -112,6 +115,20 @@
         self.chooser.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn reach(&self) -> MutexGuard<'_, ReachWatch> {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this entry reaches no upstream of `pool` that control does not consider lost.
+    pub(crate) fn is_unreached(&self, pool: &PoolName) -> bool {
+        self.reach().is_unreached(pool, &self.view.load())
+    }
+
+    /// Pools none of whose upstreams this entry reaches.
+    pub(crate) fn unreached(&self) -> UnreachedPools {
+        self.reach().unreached(&self.view.load())
+    }
+
     fn retries(&self) -> MutexGuard<'_, RetryWindow> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -17,6 +17,7 @@
         origin_sender::{SendMode, SendTasks},
         origin_table::OriginStore,
         poll_tasks::{FleetSubscriber, PollTasks},
+        reach::UnreachedPools,
         region_load::EntryLoad,
         registry::{CONTROL_TIMEOUT, DISCOVERY_TIME, FleetRegistry, RenewalOutcome},
         settings::GatewaySettings,
@@ -367,7 +368,8 @@
     async fn process_query(&self, mut query: FleetQuery) -> FleetUpdate {
         let now = Instant::now();
         let work = std::mem::take(&mut query.work);
-        let load = EntryLoad { work, demand: std::mem::take(&mut query.demand) };
+        let demand = std::mem::take(&mut query.demand);
+        let load = EntryLoad { work, demand, unreached: std::mem::take(&mut query.unreached) };
         let suspects = std::mem::take(&mut query.suspects);
         self.change_registry(|registry| {
             registry.merge_suspects(suspects, now);
@@ -529,6 +531,7 @@
             demand: Vec::new(),
             departed: Vec::new(),
             conditions: Vec::new(),
+            unreached: UnreachedPools::new(),
             suspects: Vec::new(),
             asks_history: !self.registry().history().is_complete(Instant::now()),
         }
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -169,6 +169,7 @@
             self.update_readiness(false);
             self.context.connections.close_expired();
             self.context.expire_grants();
+            self.context.update_reach();
             self.context.crashes.expire();
             self.context.metrics.set_quarantined(self.context.crashes.list().len());
             sleep(UPKEEP_PERIOD).await;
@@ -201,6 +202,7 @@
             demand: if near { self.context.demand() } else { Vec::new() },
             departed: if near { self.context.departed() } else { Vec::new() },
             conditions: if near { self.context.unreported_conditions() } else { Vec::new() },
+            unreached: self.context.unreached(),
             suspects,
             asks_history: false,
             reader: FleetReader::Entry(own),
--- a/cicadastall/src/gateway/entry_registry.rs
+++ b/cicadastall/src/gateway/entry_registry.rs
@@ -6,6 +6,7 @@
 use crate::{
     gateway::{
         fleet_update::{EntryUpdate, FleetCursor},
+        reach::UnreachedPools,
         region_load::EntryLoad,
         registry::FleetRegistry,
     },
@@ -121,6 +122,7 @@
             Some(row) if !row.yields_to(entry.incarnation) => return,
             _ => self.insert_entry(entry.clone(), Some(now), now),
         }
+        self.update_unreached(&name, &load.unreached);
         if let Some(row) = self.entries.get_mut(&name) {
             row.entry.in_flight = entry.in_flight;
             row.seen_at = Some(now);
@@ -178,13 +180,31 @@
         rows.map(|row| {
             let direct = row.seen_at.is_some_and(|at| now < at + ENTRY_TIMEOUT);
             let silent = if for_control { !direct } else { row.silent };
-            EntryUpdate { entry: row.entry.clone(), silent }
+            let unreached = row.load.unreached.clone();
+            EntryUpdate { entry: row.entry.clone(), silent, unreached }
         })
         .collect()
     }
 
     /// Entries that are not considered lost.
     pub fn live_entries(&self) -> impl Iterator<Item = &EntryRecord> {
-        self.entries.values().filter(|row| !row.silent).map(|row| &row.entry)
+        self.live_rows().map(|row| &row.entry)
+    }
+
+    /// Rows of entries that are not considered lost.
+    pub(super) fn live_rows(&self) -> impl Iterator<Item = &EntryRow> {
+        self.entries.values().filter(|row| !row.silent)
+    }
+
+    /// Stores the pools none of whose upstreams an entry reaches.
+    pub(super) fn update_unreached(&mut self, name: &InstanceName, unreached: &UnreachedPools) {
+        let changed = self.changes + 1;
+        let Some(row) = self.entries.get_mut(name) else { return };
+        if row.load.unreached != *unreached {
+            log::info!(entry = name.as_str(), pools = unreached.len(); "pools that an entry does not reach");
+            row.load.unreached = unreached.clone();
+            row.changed = changed;
+            self.changes = changed;
+        }
     }
 }
--- a/cicadastall/src/gateway/fleet_update.rs
+++ b/cicadastall/src/gateway/fleet_update.rs
@@ -5,6 +5,7 @@
         conditions::{ConditionRecord, UpstreamCondition},
         document_state::EvacuatedZones,
         pool_partition::PromptDemand,
+        reach::UnreachedPools,
         routes::RouteDocument,
         software_history::HistoryReport,
     },
@@ -101,6 +102,9 @@
     /// Whether its polls have timed out, so that it is considered lost.
     #[serde(default, skip_serializing_if = "is_default")]
     pub silent: bool,
+    /// Pools none of whose upstreams the entry reaches.
+    #[serde(default, skip_serializing_if = "UnreachedPools::is_empty")]
+    pub unreached: UnreachedPools,
 }
 
 /// A control instance.
@@ -187,6 +191,9 @@
     /// Conditions of upstreams that are newer than those that control lists.
     #[serde(default, skip_serializing_if = "Vec::is_empty", deserialize_with = "read_rows")]
     pub conditions: Vec<ConditionRecord>,
+    /// Pools none of whose upstreams the reader, an entry, reaches.
+    #[serde(default, skip_serializing_if = "UnreachedPools::is_empty")]
+    pub unreached: UnreachedPools,
     /// Suspects that the reader itself changed since it last reported them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
--- a/cicadastall/src/gateway/grant_allocator.rs
+++ b/cicadastall/src/gateway/grant_allocator.rs
@@ -250,8 +250,11 @@
         if !query.again {
             self.chooser.note_arrival(&call, input.rule, now);
         }
-        let tried =
-            TriedUpstreams { upstreams: query.tried.clone(), regions: query.tried_regions.clone() };
+        let tried = TriedUpstreams {
+            upstreams: query.tried.clone(),
+            regions: query.tried_regions.clone(),
+            entries: SmallVec::new(),
+        };
         let choice = self.chooser.choose(&ChoiceInput {
             call: &call,
             pool: input.rule,
--- a/cicadastall/src/gateway/region_load.rs
+++ b/cicadastall/src/gateway/region_load.rs
@@ -5,6 +5,7 @@
         entry_registry::EntryRow,
         fleet_update::{PoolSummary, RegionSummary, UpstreamPhase, WorkRow},
         pool_partition::PromptDemand,
+        reach::UnreachedPools,
         registry::FleetRegistry,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
@@ -39,6 +40,8 @@
     pub work: Vec<WorkRow>,
     /// Demand of the requests that arrive at the entry, by pool.
     pub demand: Vec<(PoolName, PromptDemand)>,
+    /// Pools none of whose upstreams the entry reaches.
+    pub unreached: UnreachedPools,
 }
 
 impl FleetRegistry {
@@ -116,7 +119,8 @@
         fresh.map(|(summary, _)| summary.clone())
     }
 
-    /// Summarizes the serving upstreams and entries of a region, without upstreams in `evacuated` zones.
+    /// Summarizes the serving upstreams of a region, without those in `evacuated` zones, and the entries
+    /// that reach most of their pools.
     /// The backlog of a pool is the mean of its upstreams.
     pub fn summarize(
         &self,
@@ -158,10 +162,17 @@
             pool.backlog_ms /= pool.serving.max(1);
         }
         let serving = self
-            .live_entries()
-            .filter(|entry| entry.region == *region && entry.state == EntryState::Serving);
+            .live_rows()
+            .filter(|row| row.entry.region == *region && row.entry.state == EntryState::Serving);
+        // Entries without a path to upstreams would refuse what is forwarded to them.
+        let mut best: SmallVec<[&EntryRow; 32]> = serving.collect();
+        let fewest = best.iter().map(|row| row.load.unreached.len()).min().unwrap_or(0);
+        best.retain(|row| row.load.unreached.len() == fewest);
+        pools.retain(|pool, _| {
+            best.is_empty() || best.iter().any(|row| !row.load.unreached.contains(pool))
+        });
         let mut entries: Vec<_> =
-            serving.map(|entry| (entry.in_flight, entry.peer_address)).collect();
+            best.iter().map(|row| (row.entry.in_flight, row.entry.peer_address)).collect();
         entries.sort_unstable();
         RegionSummary {
             region: region.clone(),
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -344,8 +344,13 @@
                 self.merge_condition(&name, condition);
             }
         }
-        for EntryUpdate { entry, silent } in entries {
+        for EntryUpdate { entry, silent, unreached } in entries {
+            let name = entry.instance.clone();
             self.merge_entry(from, entry, silent, now);
+            // Only control instances in direct contact with the entry know its present state.
+            if !silent {
+                self.update_unreached(&name, &unreached);
+            }
         }
     }
 
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -267,10 +267,16 @@
     /// Target of the next attempt: an engine granted by its owner, or this entry's own choice if the
     /// engines have no owners or no owner answers.
     async fn choose(&mut self) -> UpstreamChoice {
-        match self.ask_owners().await {
-            Some(choice) => choice,
-            None => self.choose_locally(),
+        if let Some(detour) = self.choose_detour() {
+            return detour;
         }
+        // A grant of engines that this entry does not reach would be of no use.
+        if !self.context.is_unreached(&self.call.pool)
+            && let Some(choice) = self.ask_owners().await
+        {
+            return choice;
+        }
+        self.choose_locally()
     }
 
     fn choose_locally(&mut self) -> UpstreamChoice {
--- a/cicadastall/src/gateway/tracker.rs
+++ b/cicadastall/src/gateway/tracker.rs
@@ -306,6 +306,12 @@
         self.parts.clear();
     }
 
+    /// Ends a backoff, because the path to the upstream is restored.
+    pub fn end_backoff(&mut self) {
+        self.failures = 0;
+        self.backoff_until = None;
+    }
+
     /// Backs off for at least `bound`, because the upstream has no room.
     pub fn note_full(&mut self, bound: Duration, now: Instant) {
         self.backoff_until = self.backoff_until.max(Some(now + bound));
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -11,6 +11,7 @@
         },
         owners::{EntryProcess, OwnerMap},
         pool_partition::PromptDemand,
+        reach::UnreachedPools,
         upstream_check::check_upstream,
         warmup::hash_pair,
     },
@@ -74,6 +75,8 @@
     pub entries: Vec<InstanceName>,
     /// Entries of all regions that are not considered lost, including this one.
     pub live: Vec<EntryRecord>,
+    /// Pools none of whose upstreams an entry reaches, by entry of this region.
+    pub unreached: HashMap<InstanceName, UnreachedPools>,
     /// Largest number of entries in the whole fleet that was known at one time.
     pub fleet_entries: usize,
     /// Assignment of the region's engines to the entries that own them.
@@ -97,6 +100,7 @@
             pools: pools.collect(),
             entries: vec![own.instance.clone()],
             live: Vec::new(),
+            unreached: HashMap::new(),
             fleet_entries: self.fleet_entries,
             owners: OwnerMap::default(),
         }
@@ -109,6 +113,11 @@
         Some(found.upstream.started_ms)
     }
 
+    /// Whether an entry of this region reaches no upstream of `pool`, as it reported.
+    pub fn is_unreached_by(&self, entry: &InstanceName, pool: &PoolName) -> bool {
+        self.unreached.get(entry).is_some_and(|pools| pools.contains(pool))
+    }
+
     /// Serving upstreams of this region, in all pools.
     pub fn upstreams(&self) -> impl Iterator<Item = &RegisteredUpstream> {
         self.known().map(|known| &*known.upstream)
@@ -482,6 +491,7 @@
             pools,
             entries: entries.into_iter().collect(),
             live: live.into_values().collect(),
+            unreached: self.merge_unreached(),
             fleet_entries: self.peak_entries,
             owners,
         }
@@ -538,6 +548,16 @@
         live
     }
 
+    /// Pools that entries of this region do not reach, according to any control instance that answers.
+    fn merge_unreached(&self) -> HashMap<InstanceName, UnreachedPools> {
+        let controls = self.controls.values().filter(|control| !control.stale);
+        let updates = controls.flat_map(|control| control.entries.values()).map(|row| &row.update);
+        let updates = updates.filter(|update| {
+            update.entry.region == self.own.region && !update.unreached.is_empty()
+        });
+        updates.map(|update| (update.entry.instance.clone(), update.unreached.clone())).collect()
+    }
+
     /// Builds the load view, without expired reports.
     pub fn build_load(&self, now: Instant) -> LoadView {
         let fresh = |at: &Instant| now < *at + LOAD_LIFETIME;
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -226,7 +226,7 @@
     registry.renew(upstream("u", 1, 1), now);
     for (entry_name, zone) in [("a", "west-a"), ("b", "west-b"), ("c", "east-a")] {
         let work = vec![WorkRow(name.clone(), 2, 100)];
-        let load = EntryLoad { work, demand: Vec::new() };
+        let load = EntryLoad { work, ..EntryLoad::default() };
         registry.report_entry(entry(entry_name, zone), load, now);
     }
     let west = RegionName::from("west");
@@ -501,7 +501,8 @@
         assert_eq!(states(&far), [state]);
         assert!(far.has_changes(before), "readers learn of {state:?}");
     }
-    let late = EntryUpdate { entry: entry("e", "west-a"), silent: false };
+    let late =
+        EntryUpdate { entry: entry("e", "west-a"), silent: false, unreached: Default::default() };
     far.merge(address(12), Vec::new(), vec![late], now);
     assert_eq!(states(&far), [EntryState::Draining], "a process does not go back");
 }
@@ -514,7 +515,11 @@
         cursor: FleetCursor { process: 1, change: 1 },
         entries: names
             .iter()
-            .map(|name| EntryUpdate { entry: entry(name, "east-a"), silent })
+            .map(|name| EntryUpdate {
+                entry: entry(name, "east-a"),
+                silent,
+                unreached: Default::default(),
+            })
             .collect(),
         ..FleetUpdate::default()
     };
@@ -645,7 +650,7 @@
 fn entry_update(process: u64, state: EntryState, silent: bool) -> FleetUpdate {
     let entry = EntryRecord { state, ..entry("e", "east-a") };
     FleetUpdate {
-        entries: vec![EntryUpdate { entry, silent }],
+        entries: vec![EntryUpdate { entry, silent, unreached: Default::default() }],
         ..update(process, Vec::new(), false)
     }
 }
--- a/cicadastall/tests/peer_connect.rs
+++ b/cicadastall/tests/peer_connect.rs
@@ -35,6 +35,7 @@
         asks_history: false,
         departed: Vec::new(),
         conditions: Vec::new(),
+        unreached: Default::default(),
     }
 }
 
--- a/cicadastall/tests/stream_origins.rs
+++ b/cicadastall/tests/stream_origins.rs
@@ -492,6 +492,7 @@
         demand: Vec::new(),
         departed: Vec::new(),
         conditions: Vec::new(),
+        unreached: Default::default(),
         suspects: Vec::new(),
         asks_history: false,
     }
