Leave no requests waiting at brittle upstreams

An upstream that names a number of refusals ends if it refuses more requests in one second. Entries went on to fill its queue: each knows how many requests wait there only from reports up to a poll old, and each hears refusals alone.

The statement is a part of the upstream's condition, so that it spreads as limits do. While an upstream of a pool is known to be brittle, as many entries send to each of its upstreams as there are slots, and each keeps to its share of the slots, so that none needs to wait there without any news between them. A refusal bars the upstream for a second.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -414,10 +414,10 @@
         }
         let now = Instant::now();
         let upstream = &known.upstream;
-        // The end of a limit shows only from an answer to this attempt.
+        // The end of a condition shows only from an answer to this attempt.
         let own = head.attempt.as_ref() == Some(&self.call.attempt);
-        if own || head.limit.rate().is_some() {
-            self.context.note_limit(upstream, head.limit, sent_at);
+        if own || head.limit.rate().is_some() || head.brittle.is_some() {
+            self.context.note_condition(upstream, head, sent_at);
         }
         if head.leaving {
             self.context.chooser().note_leaving(&upstream.name, upstream.started_ms, now);
--- a/cicadastall/src/gateway/choice.rs
+++ b/cicadastall/src/gateway/choice.rs
@@ -149,7 +149,7 @@
     pub paused: u32,
     /// Announced in an answer that the process is leaving.
     pub leaving: u32,
-    /// Limited to a rate, and either left to other entries or at its limit.
+    /// Limited to a rate or brittle, and either left to other entries or at its limit.
     #[serde(default, skip_serializing_if = "is_default")]
     pub limited: u32,
     /// Of another software version than the one that began the stream.
--- a/cicadastall/src/gateway/chooser.rs
+++ b/cicadastall/src/gateway/chooser.rs
@@ -20,7 +20,7 @@
             AdmittedUpstream, Candidate, HARMLESS_PREFILL_MS, RECOMPUTE_COST, estimate_cached,
             lateness_cost, score_upstream, shared_tokens, stall_cost,
         },
-        send_pace::{PaceInput, SendShare},
+        send_pace::{PaceInput, SendShare, brittle_share},
         tracker::{OpenSend, SendEnd, SendNumber, UpstreamTracker},
         view::{FleetView, KnownUpstream},
         warmup::hash_pair,
@@ -120,6 +120,12 @@
 /// Backoff for an upstream that has no room, unless it names a time itself.
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 
+/// The same for a brittle upstream, which ends if it refuses too many requests in one second.
+const BRITTLE_FULL_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Time after which a request asks again for room at brittle upstreams.
+const BRITTLE_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Backoff for a region none of whose entries could be reached, and for an entry that could not be.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_secs(2);
 
@@ -162,6 +168,8 @@
     pause_end: Option<Instant>,
     departures: DepartureLog,
     conditions: ConditionTable,
+    /// Whether the upstreams of the current choice are brittle.
+    brittle: bool,
     /// Upstreams that get no requests until they are reached again.
     blocked: HashSet<UpstreamName>,
     /// Other entries of the region that could not be reached, with the end of their backoff.
@@ -188,6 +196,7 @@
             pause_end: None,
             departures: DepartureLog::default(),
             conditions: ConditionTable::default(),
+            brittle: false,
             blocked: HashSet::new(),
             lost_entries: HashMap::new(),
         }
@@ -253,6 +262,9 @@
         self.pause_end = None;
         let empty = Vec::new();
         let upstreams = input.view.pools.get(&input.call.pool).unwrap_or(&empty);
+        // Upstreams of a pool become brittle together, and one that has just started has not said so.
+        self.brittle =
+            upstreams.iter().any(|known| self.conditions.is_brittle(&known.upstream.name));
         let may_run_here = input.call.route.allows_region(&self.region);
         let upstreams = if may_run_here { upstreams } else { &empty };
         for known in upstreams {
@@ -478,6 +490,14 @@
             self.left_out.silent += 1;
             return None;
         }
+        if self.brittle && !self.has_brittle_room(input, known) {
+            self.left_out.limited += 1;
+            let next = now + BRITTLE_POLL_INTERVAL;
+            if self.next_paced_send.as_ref().is_none_or(|(first, _)| next < *first) {
+                self.next_paced_send = Some((next, name.clone()));
+            }
+            return None;
+        }
         let warmup = input.pool.and_then(|pool| pool.warmup).filter(|_| cold);
         let limit = self.conditions.limit(&known.upstream);
         let Some(share) = self.find_share(input, known, warmup, limit.as_ref()) else {
@@ -502,6 +522,28 @@
         Some(Admission { pace: Some(interval) })
     }
 
+    /// Whether a brittle upstream has room for another request of this entry. If the engines of the pool have
+    /// owners, only the owner sends.
+    fn has_brittle_room(&self, input: &ChoiceInput<'_>, known: &KnownUpstream) -> bool {
+        let share = brittle_share(&self.pace_input(input, known), known.upstream.slots);
+        let open = self.trackers.get(&known.upstream.name).map_or(0, UpstreamTracker::open);
+        open < share && !input.view.owners.has_owners(&input.call.pool)
+    }
+
+    fn pace_input<'a>(
+        &'a self,
+        input: &ChoiceInput<'a>,
+        known: &'a KnownUpstream,
+    ) -> PaceInput<'a> {
+        PaceInput {
+            own: &self.own,
+            entries: &input.view.entries,
+            upstream: &known.upstream.name,
+            started_ms: known.upstream.started_ms,
+            now: input.now,
+        }
+    }
+
     fn count_paced(&mut self, cold: bool) {
         let count = if cold { &mut self.left_out.cold } else { &mut self.left_out.limited };
         *count += 1;
@@ -516,13 +558,7 @@
         warmup: Option<WarmupRule>,
         limit: Option<&ActiveLimit>,
     ) -> Option<SendShare> {
-        let pace = PaceInput {
-            own: &self.own,
-            entries: &input.view.entries,
-            upstream: &known.upstream.name,
-            started_ms: known.upstream.started_ms,
-            now: input.now,
-        };
+        let pace = self.pace_input(input, known);
         let warmup = warmup.map(|warmup| SendShare::of_warmup(&pace, warmup.per_s));
         let limit = limit.map(|limit| SendShare::of_limit(&pace, limit));
         let share = match (warmup, limit) {
@@ -747,8 +783,10 @@
 
     /// Records that an upstream refused a request for lack of room.
     pub fn note_full(&mut self, upstream: &UpstreamName, now: Instant) {
+        let brittle = self.conditions.is_brittle(upstream);
+        let backoff = if brittle { BRITTLE_FULL_BACKOFF } else { FULL_BACKOFF };
         if let Some(tracker) = self.trackers.get_mut(upstream) {
-            tracker.note_full(FULL_BACKOFF, now);
+            tracker.note_full(backoff, now);
         }
     }
 
--- a/cicadastall/src/gateway/conditions.rs
+++ b/cicadastall/src/gateway/conditions.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     gateway::{
+        dialect::AnswerHead,
         fleet_update::RegisteredUpstream,
         send_rate::{SendRate, StatedLimit},
         view::KnownUpstream,
@@ -37,6 +38,9 @@
     /// Requests that the upstream accepts from all entries together, if it names a limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<SendRate>,
+    /// Number of refusals in one second at which the process ends, if it is brittle.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub brittle: Option<u32>,
 }
 
 impl UpstreamCondition {
@@ -45,8 +49,13 @@
         self.rank() > other.rank()
     }
 
-    fn rank(&self) -> (u64, u64, bool, Reverse<Option<SendRate>>) {
-        (self.started_ms, self.revision, self.limit.is_some(), Reverse(self.limit))
+    fn rank(&self) -> impl Ord {
+        let limit = (self.limit.is_some(), Reverse(self.limit));
+        (self.started_ms, self.revision, limit, self.brittle.is_some(), Reverse(self.brittle))
+    }
+
+    fn is_usual(&self) -> bool {
+        self.limit.is_none() && self.brittle.is_none()
     }
 }
 
@@ -85,15 +94,15 @@
 }
 
 impl ConditionTable {
-    /// Applies what an answer of `upstream` to a request sent at `sent_at` states. Returns the new
+    /// Applies what the answer `head` of `upstream` to a request sent at `sent_at` states. Returns the new
     /// condition if it has to be reported.
     ///
-    /// An answer without a limit ends the limit only if its request was sent after the limit was last
-    /// heard of; it may have been delayed.
+    /// An answer that does not state a condition ends it only if its request was sent after the condition
+    /// was last heard of; the answer may have been delayed.
     pub fn observe(
         &mut self,
         upstream: &RegisteredUpstream,
-        stated: StatedLimit,
+        head: &AnswerHead,
         sent_at: Instant,
         now: Instant,
     ) -> Option<UpstreamCondition> {
@@ -103,27 +112,33 @@
             return None;
         }
         let known = known.filter(|row| row.condition.started_ms == started_ms);
-        let limit = match (stated, &known) {
-            (StatedLimit::Invalid, _) | (StatedLimit::Unlimited, None) => return None,
-            (StatedLimit::Unlimited, Some(row)) => {
-                if row.condition.limit.is_none() || sent_at <= row.heard_at {
-                    return None;
-                }
-                None
-            }
-            (StatedLimit::Limited(rate), _) => Some(rate),
+        let fresh = UpstreamCondition { started_ms, revision: 0, limit: None, brittle: None };
+        let before = known.as_ref().map_or(fresh, |row| row.condition);
+        let ends = known.as_ref().is_some_and(|row| sent_at > row.heard_at);
+        let after = UpstreamCondition {
+            limit: match head.limit {
+                StatedLimit::Limited(rate) => Some(rate),
+                StatedLimit::Unlimited if ends => None,
+                StatedLimit::Unlimited | StatedLimit::Invalid => before.limit,
+            },
+            brittle: head.brittle.or(before.brittle.filter(|_| !ends)),
+            revision: before.revision + 1,
+            started_ms,
         };
-        let mut revision = 1;
+        let unchanged = (after.limit, after.brittle) == (before.limit, before.brittle);
+        if unchanged && after.is_usual() {
+            return None;
+        }
         if let Some(row) = known {
-            row.heard_at = now;
-            if row.condition.limit == limit && now < row.revised_at + REPORT_INTERVAL {
+            if head.limit.rate().is_some() || head.brittle.is_some() {
+                row.heard_at = now;
+            }
+            if unchanged && now < row.revised_at + REPORT_INTERVAL {
                 return None;
             }
-            revision += row.condition.revision;
         }
-        let condition = UpstreamCondition { started_ms, revision, limit };
-        self.store(&upstream.name, condition, now);
-        Some(condition)
+        self.store(&upstream.name, after, now);
+        Some(after)
     }
 
     /// Merges a condition that another instance reported. Returns whether it is new.
@@ -143,13 +158,12 @@
 
     fn store(&mut self, upstream: &UpstreamName, condition: UpstreamCondition, now: Instant) {
         let known = self.rows.get(upstream);
-        let before = known.and_then(|row| row.condition.limit);
-        if before != condition.limit {
-            let limit_per_s = condition.limit.map(SendRate::per_s);
+        let before = known.map(|row| (row.condition.limit, row.condition.brittle));
+        if before.unwrap_or_default() != (condition.limit, condition.brittle) {
             log::info!(
-                upstream = upstream.as_str(), limit_per_s, before_per_s = before.map(SendRate::per_s),
-                revision = condition.revision;
-                "limit of an upstream changed"
+                upstream = upstream.as_str(), limit_per_s = condition.limit.map(SendRate::per_s),
+                brittle = condition.brittle, revision = condition.revision;
+                "condition of an upstream changed"
             );
         }
         if self.rows.len() >= MAX_CONDITIONS && known.is_none() {
@@ -175,6 +189,11 @@
         Some(ActiveLimit { rate, heard_at: row.heard_at })
     }
 
+    /// Whether the process of `upstream` that is known to state a condition is brittle.
+    pub fn is_brittle(&self, upstream: &UpstreamName) -> bool {
+        self.rows.get(upstream).is_some_and(|row| row.condition.brittle.is_some())
+    }
+
     /// Conditions of the listed `upstreams` that are newer than those that came with the listing.
     pub fn list_unreported<'a>(
         &self,
@@ -193,17 +212,21 @@
         newer.collect()
     }
 
-    /// Limits in force among the listed `upstreams`.
-    pub fn list_limits<'a>(
+    /// Conditions in force among the listed `upstreams`.
+    pub fn list_active<'a>(
         &self,
         upstreams: impl Iterator<Item = &'a KnownUpstream>,
     ) -> Vec<ConditionRecord> {
         if self.rows.is_empty() {
             return Vec::new();
         }
-        let limited = upstreams.filter(|known| self.limit(&known.upstream).is_some());
-        let names = limited.map(|known| known.upstream.name.clone());
-        names.map(|name| ConditionRecord(name.clone(), self.rows[&name].condition)).collect()
+        let active = upstreams.filter_map(|known| {
+            let condition = self.rows.get(&known.upstream.name)?.condition;
+            let current = condition.started_ms == known.upstream.started_ms;
+            (current && !condition.is_usual())
+                .then(|| ConditionRecord(known.upstream.name.clone(), condition))
+        });
+        active.collect()
     }
 
     /// Merges the conditions that came with the listed `upstreams`, and removes those of upstreams that
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -7,7 +7,7 @@
         conditions::ConditionRecord,
         connections::ConnectionPool,
         crash_watch::CrashWatch,
-        dialect::CallDialect,
+        dialect::{AnswerHead, CallDialect},
         engine_grants::EngineGrants,
         fleet_update::{DepartedUpstream, RegisteredUpstream, WorkRow},
         metrics::GatewayMetrics,
@@ -17,7 +17,6 @@
         registry::DISCOVERY_TIME,
         retry_window::RetryWindow,
         routes::RouteTable,
-        send_rate::StatedLimit,
         settings::GatewaySettings,
         view::{FleetView, LoadView},
     },
@@ -176,15 +175,15 @@
         self.chooser().conditions().list_unreported(self.view.load().known())
     }
 
-    /// Applies the limit that an answer of `upstream` to a request sent at `sent_at` states.
-    pub(crate) fn note_limit(
+    /// Applies the condition that the answer `head` of `upstream` to a request sent at `sent_at` states.
+    pub(crate) fn note_condition(
         &self,
         upstream: &RegisteredUpstream,
-        stated: StatedLimit,
+        head: &AnswerHead,
         sent_at: Instant,
     ) {
         let now = Instant::now();
-        let observed = self.chooser().conditions().observe(upstream, stated, sent_at, now);
+        let observed = self.chooser().conditions().observe(upstream, head, sent_at, now);
         if let Some(condition) = observed {
             self.grants.merge_conditions(&[ConditionRecord(upstream.name.clone(), condition)]);
         }
--- a/cicadastall/src/gateway/dialect.rs
+++ b/cicadastall/src/gateway/dialect.rs
@@ -3,7 +3,7 @@
 use crate::{
     gateway::{
         call::{CallHead, InvalidHeader, PromptPart, PromptParts},
-        send_rate::StatedLimit,
+        send_rate::{StatedLimit, read_brittle},
     },
     name::{AttemptId, UpstreamName},
     wire::{ATTEMPT_HEADER, LEAVING_HEADER, REFUSED_HEADER, REMAINING_HEADER, UPSTREAM_HEADER},
@@ -35,6 +35,9 @@
 /// Header by which an upstream marks an answer as its own.
 const STAMP_HEADER: &str = "x-cicadastall-stamp";
 
+/// Header by which an upstream names the number of refusals in one second at which it ends.
+static BRITTLE_HEADER: HeaderName = HeaderName::from_static("x-cicadastall-brittle");
+
 /// Metadata sent to an upstream with an attempt.
 #[derive(Debug)]
 pub struct AttemptMetadata<'a> {
@@ -71,6 +74,8 @@
     pub leaving: bool,
     /// Limit of the rate of requests to the upstream.
     pub limit: StatedLimit,
+    /// Number of refusals in one second at which the upstream ends, if it is brittle.
+    pub brittle: Option<u32>,
 }
 
 impl AnswerHead {
@@ -146,6 +151,7 @@
             encoded: headers.contains_key(hyper::header::CONTENT_ENCODING),
             leaving: headers.contains_key(LEAVING_HEADER),
             limit: StatedLimit::read(headers, &LIMIT_HEADER),
+            brittle: read_brittle(headers, &BRITTLE_HEADER),
         }
     }
 }
--- a/cicadastall/src/gateway/engine_grants.rs
+++ b/cicadastall/src/gateway/engine_grants.rs
@@ -398,7 +398,7 @@
         tried_regions.extend(context.chooser().unreachable_regions(now).cloned());
         let view = context.view.load();
         let engines = view.pools.get(&call.pool).into_iter().flatten();
-        let conditions = context.chooser().conditions().list_limits(engines.map(|known| &**known));
+        let conditions = context.chooser().conditions().list_active(engines.map(|known| &**known));
         GrantQuery {
             holder,
             ticket: context.grants.held().next_ticket(),
--- a/cicadastall/src/gateway/grant_allocator.rs
+++ b/cicadastall/src/gateway/grant_allocator.rs
@@ -87,7 +87,7 @@
     /// Regions that may answer; all regions if empty.
     #[serde(default, skip_serializing_if = "SmallVec::is_empty")]
     pub homes: SmallVec<[RegionName; 3]>,
-    /// Limits in force at upstreams of the pool, as far as the holder knows them.
+    /// Conditions in force at upstreams of the pool, as far as the holder knows them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub conditions: Vec<ConditionRecord>,
     /// Updates of other grants, to be applied first.
--- a/cicadastall/src/gateway/send_pace.rs
+++ b/cicadastall/src/gateway/send_pace.rs
@@ -112,6 +112,14 @@
     input.entries.iter().filter(|entry| *entry != input.own && hash(entry) > own).count() < senders
 }
 
+/// Number of requests that this entry may have in flight at a brittle upstream with `slots` slots, so that
+/// all entries together leave none waiting there. As many entries send as there are slots.
+pub fn brittle_share(input: &PaceInput<'_>, slots: u32) -> usize {
+    let entries = input.entries.len().max(1);
+    let senders = (slots as usize).clamp(1, entries);
+    if is_sender(input, senders) { (slots as usize / senders).max(1) } else { 0 }
+}
+
 /// Times of this entry's requests to an upstream with a limited rate.
 #[derive(Debug, Default)]
 pub struct SendPace {
--- a/cicadastall/src/gateway/send_rate.rs
+++ b/cicadastall/src/gateway/send_rate.rs
@@ -80,6 +80,13 @@
     }
 }
 
+/// Number of refusals in one second at which a brittle upstream ends, as named in the header `name`. Of
+/// several values, the lowest valid one counts.
+pub fn read_brittle(headers: &HeaderMap, name: &HeaderName) -> Option<u32> {
+    let texts = headers.get_all(name).iter().filter_map(|value| value.to_str().ok());
+    texts.flat_map(|text| text.split(',')).filter_map(|text| text.trim().parse().ok()).min()
+}
+
 /// Parses a decimal number without sign or exponent.
 fn parse_rate(text: &str) -> Option<SendRate> {
     let text = text.trim();
--- a/cicadastall/tests/gateway/upstream.rs
+++ b/cicadastall/tests/gateway/upstream.rs
@@ -201,6 +201,7 @@
     scripts: VecDeque<ScriptedAnswer>,
     default_answer: Option<ScriptedAnswer>,
     resumed_answer: Option<ScriptedAnswer>,
+    refusal: Option<ScriptedAnswer>,
     received: Vec<ReceivedRequest>,
     disconnects: u32,
     connections: u32,
@@ -209,6 +210,8 @@
     max_open: u32,
     /// Requests that are being answered or wait for a slot.
     running: usize,
+    /// When requests were refused for lack of room.
+    refused: Vec<Instant>,
     /// Senders that are cut off, with what happens to their open connections.
     cuts: HashMap<IpAddr, ConnectionEnd>,
     /// Slots and their number.
@@ -298,6 +301,16 @@
         self.state().cuts.remove(&ip);
     }
 
+    /// Sets the refusal for lack of room.
+    pub fn set_refusal(&self, refusal: ScriptedAnswer) {
+        self.state().refusal = Some(refusal);
+    }
+
+    /// When requests were refused for lack of room.
+    pub fn refused(&self) -> Vec<Instant> {
+        self.state().refused.clone()
+    }
+
     /// Ends the process: all its connections break.
     pub fn end(&self) {
         self.task.abort();
@@ -409,7 +422,8 @@
             let resumed = state.resumed_answer.clone().filter(|_| resumes);
             let full = |slots: usize| state.running > slots + MAX_QUEUED;
             if state.slots.as_ref().is_some_and(|(_, slots)| full(*slots)) {
-                (Some(ScriptedAnswer::refused()), None)
+                state.refused.push(request.at);
+                (Some(state.refusal.clone().unwrap_or_else(ScriptedAnswer::refused)), None)
             } else {
                 let script = resumed.or_else(|| state.scripts.pop_front());
                 let slots = state.slots.as_ref().map(|(slots, _)| Arc::clone(slots));
