Continue a broken stream only with an answer of its kind

Report of other operators: a stream broke off, the next upstream answered something else, and its text, at times a whole head, stood in the middle of the caller's stream, or the stream ended as if it were complete.

Cause: a resumed answer was judged like a first one, by its stamp and its status class. It now must have the status and the kind of body of the answer that broke off; another one counts as an attempt that may have run.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -482,6 +482,11 @@
         if verdict == Verdict::Answer && required.is_some() && required != software.as_ref() {
             cause = "the entry does not keep to the software version of the stream".to_owned();
             outcome = Verdict::Unknown;
+        } else if verdict == Verdict::Answer
+            && self.continues.is_some_and(|stream| stream != (parts.status, has_events))
+        {
+            cause = "the answer does not continue the stream".to_owned();
+            outcome = Verdict::Unknown;
         } else if verdict == Verdict::Answer {
             self.sending = true;
             let first = read_first_part(&self.call, &mut body).await;
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -20,7 +20,7 @@
     http::{AnswerBody, full_body},
     name::SoftwareVersion,
 };
-use hyper::{Response, header::HeaderValue};
+use hyper::{Response, StatusCode, header::HeaderValue};
 use std::{
     sync::{Arc, OnceLock},
     time::Duration,
@@ -66,6 +66,8 @@
     pub(crate) resume_after: Option<Arc<str>>,
     /// Origin of the events that the caller received.
     pub(crate) origin: RequiredOrigin,
+    /// Status of the broken stream that the next answer continues, and whether its body has events.
+    pub(crate) continues: Option<(StatusCode, bool)>,
     /// Whether the request is counted as a first send for the retry budget.
     counted_in_budget: bool,
     /// Whether a grant was requested from engine owners before.
@@ -94,6 +96,7 @@
         tried: TriedUpstreams::default(),
         resume_after: call.head.resume_after.clone(),
         origin: call.origin.clone(),
+        continues: None,
         counted_in_budget: call.earlier_attempts > 0,
         owners_asked: false,
         sending: false,
--- a/cicadastall/src/gateway/stream_forwarder.rs
+++ b/cicadastall/src/gateway/stream_forwarder.rs
@@ -141,6 +141,7 @@
             if let Some(known) = answer.upstream.as_ref().filter(|_| !self.began) {
                 self.relay.note_broken(known);
             }
+            self.relay.continues = Some((answer.status, answer.has_events));
             answer.guard.end(SendEnd::Broken);
         }
         self.events = EventCounter::default();
