Say which of the two timeouts of a silent connection decides

With TCP_USER_TIMEOUT set, Linux ignores the number of keepalive probes. So an idle outgoing connection fails with the first probe after 2.5 s, an accepted one after 8 s, as the comments of these constants say; the comment of the number of probes said otherwise. No behaviour changed.

--- a/cicadastall/src/sockets.rs
+++ b/cicadastall/src/sockets.rs
@@ -19,7 +19,8 @@
 /// Idle time before the first TCP keepalive probe, and time between two probes.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Unanswered keepalive probes after which a connection fails.
+/// Unanswered keepalive probes after which a connection fails, on systems that do not let the user timeout
+/// decide. Linux does: with it set, probes go on until it has passed, whatever their number.
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Connects to `address`, from `source` if it is of the same address family.
