End a limit although other statements of its upstream go on

Found in a read of the whole change: an upstream that is brittle and stops naming a limit kept the limit for as long as its answers overlapped. One time told when either was last heard of, and an answer ends a limit only if its request was sent later; answers that said "brittle" moved that time on. The two now have times of their own.

`limit_does_not_end_while_answers_of_a_brittle_upstream_overlap` failed before. So did `highest_revision_of_another_instance_overflows`: a revision from another instance could overflow the next one.

--- a/cicadastall/src/gateway/conditions.rs
+++ b/cicadastall/src/gateway/conditions.rs
@@ -80,8 +80,10 @@
 #[derive(Debug, Clone, Copy)]
 struct ConditionRow {
     condition: UpstreamCondition,
-    /// When an answer last confirmed the condition, or a report of it arrived.
-    heard_at: Instant,
+    /// When an answer or a report last named the limit.
+    limit_at: Instant,
+    /// When an answer or a report last said that the process is brittle.
+    brittle_at: Instant,
     /// When this revision was observed or arrived.
     revised_at: Instant,
     listed_at: Instant,
@@ -97,8 +99,8 @@
     /// Applies what the answer `head` of `upstream` to a request sent at `sent_at` states. Returns the new
     /// condition if it has to be reported.
     ///
-    /// An answer that does not state a condition ends it only if its request was sent after the condition
-    /// was last heard of; the answer may have been delayed.
+    /// An answer without a limit ends it only if its request was sent after the limit was last heard of, since
+    /// the answer may have been delayed; the same holds for brittleness.
     pub fn observe(
         &mut self,
         upstream: &RegisteredUpstream,
@@ -114,15 +116,16 @@
         let known = known.filter(|row| row.condition.started_ms == started_ms);
         let fresh = UpstreamCondition { started_ms, revision: 0, limit: None, brittle: None };
         let before = known.as_ref().map_or(fresh, |row| row.condition);
-        let ends = known.as_ref().is_some_and(|row| sent_at > row.heard_at);
+        let limit_ends = known.as_ref().is_some_and(|row| sent_at > row.limit_at);
+        let brittle_ends = known.as_ref().is_some_and(|row| sent_at > row.brittle_at);
         let after = UpstreamCondition {
             limit: match head.limit {
                 StatedLimit::Limited(rate) => Some(rate),
-                StatedLimit::Unlimited if ends => None,
+                StatedLimit::Unlimited if limit_ends => None,
                 StatedLimit::Unlimited | StatedLimit::Invalid => before.limit,
             },
-            brittle: head.brittle.or(before.brittle.filter(|_| !ends)),
-            revision: before.revision + 1,
+            brittle: head.brittle.or(before.brittle.filter(|_| !brittle_ends)),
+            revision: before.revision.saturating_add(1),
             started_ms,
         };
         let unchanged = (after.limit, after.brittle) == (before.limit, before.brittle);
@@ -130,14 +133,18 @@
             return None;
         }
         if let Some(row) = known {
-            if head.limit.rate().is_some() || head.brittle.is_some() {
-                row.heard_at = now;
+            if head.limit.rate().is_some() {
+                row.limit_at = now;
+            }
+            if head.brittle.is_some() {
+                row.brittle_at = now;
             }
             if unchanged && now < row.revised_at + REPORT_INTERVAL {
                 return None;
             }
         }
-        self.store(&upstream.name, after, now);
+        let stated = (head.limit.rate().is_some(), head.brittle.is_some());
+        self.store(&upstream.name, after, stated, now);
         Some(after)
     }
 
@@ -151,13 +158,24 @@
         let known = self.rows.get(upstream);
         let new = known.is_none_or(|row| condition.supersedes(&row.condition));
         if new {
-            self.store(upstream, condition, now);
+            let stated = (condition.limit.is_some(), condition.brittle.is_some());
+            self.store(upstream, condition, stated, now);
         }
         new
     }
 
-    fn store(&mut self, upstream: &UpstreamName, condition: UpstreamCondition, now: Instant) {
+    /// Stores a condition; `stated` tells whether its limit and its brittleness were heard of now.
+    fn store(
+        &mut self,
+        upstream: &UpstreamName,
+        condition: UpstreamCondition,
+        stated: (bool, bool),
+        now: Instant,
+    ) {
         let known = self.rows.get(upstream);
+        let kept = known.filter(|row| row.condition.started_ms == condition.started_ms);
+        let limit_at = kept.filter(|_| !stated.0).map_or(now, |row| row.limit_at);
+        let brittle_at = kept.filter(|_| !stated.1).map_or(now, |row| row.brittle_at);
         let before = known.map(|row| (row.condition.limit, row.condition.brittle));
         if before.unwrap_or_default() != (condition.limit, condition.brittle) {
             log::info!(
@@ -169,7 +187,7 @@
         if self.rows.len() >= MAX_CONDITIONS && known.is_none() {
             self.evict_oldest();
         }
-        let row = ConditionRow { condition, heard_at: now, revised_at: now, listed_at: now };
+        let row = ConditionRow { condition, limit_at, brittle_at, revised_at: now, listed_at: now };
         self.rows.insert(upstream.clone(), row);
     }
 
@@ -186,7 +204,7 @@
         let row = self.rows.get(&upstream.name)?;
         let rate =
             row.condition.limit.filter(|_| row.condition.started_ms == upstream.started_ms)?;
-        Some(ActiveLimit { rate, heard_at: row.heard_at })
+        Some(ActiveLimit { rate, heard_at: row.limit_at })
     }
 
     /// Whether the process of `upstream` that is known to state a condition is brittle.
