Do not take a restarted upstream for brittle

Found in a read of the whole change: an upstream that started again under its name, and is not brittle, kept its pool limited to its slots for as long as it was listed, as the statement of its ended process was looked up by name alone. It now counts for that process only. `brittleness_of_an_ended_process_binds_the_next_one` fails if processes are not compared.

--- a/cicadastall/src/gateway/chooser.rs
+++ b/cicadastall/src/gateway/chooser.rs
@@ -263,8 +263,9 @@
         let empty = Vec::new();
         let upstreams = input.view.pools.get(&input.call.pool).unwrap_or(&empty);
         // Upstreams of a pool become brittle together, and one that has just started has not said so.
-        self.brittle =
-            upstreams.iter().any(|known| self.conditions.is_brittle(&known.upstream.name));
+        self.brittle = upstreams.iter().any(|known| {
+            self.conditions.is_brittle(&known.upstream.name, known.upstream.started_ms)
+        });
         let may_run_here = input.call.route.allows_region(&self.region);
         let upstreams = if may_run_here { upstreams } else { &empty };
         for known in upstreams {
@@ -783,9 +784,9 @@
 
     /// Records that an upstream refused a request for lack of room.
     pub fn note_full(&mut self, upstream: &UpstreamName, now: Instant) {
-        let brittle = self.conditions.is_brittle(upstream);
-        let backoff = if brittle { BRITTLE_FULL_BACKOFF } else { FULL_BACKOFF };
         if let Some(tracker) = self.trackers.get_mut(upstream) {
+            let brittle = self.conditions.is_brittle(upstream, tracker.started_ms());
+            let backoff = if brittle { BRITTLE_FULL_BACKOFF } else { FULL_BACKOFF };
             tracker.note_full(backoff, now);
         }
     }
--- a/cicadastall/src/gateway/conditions.rs
+++ b/cicadastall/src/gateway/conditions.rs
@@ -207,9 +207,12 @@
         Some(ActiveLimit { rate, heard_at: row.limit_at })
     }
 
-    /// Whether the process of `upstream` that is known to state a condition is brittle.
-    pub fn is_brittle(&self, upstream: &UpstreamName) -> bool {
-        self.rows.get(upstream).is_some_and(|row| row.condition.brittle.is_some())
+    /// Whether the process of `upstream` that started at `started_ms` is brittle.
+    pub fn is_brittle(&self, upstream: &UpstreamName, started_ms: u64) -> bool {
+        let condition = self.rows.get(upstream).map(|row| row.condition);
+        condition.is_some_and(|condition| {
+            condition.started_ms == started_ms && condition.brittle.is_some()
+        })
     }
 
     /// Conditions of the listed `upstreams` that are newer than those that came with the listing.
--- a/cicadastall/tests/upstream_conditions.rs
+++ b/cicadastall/tests/upstream_conditions.rs
@@ -46,7 +46,7 @@
         table.observe(&upstream, &head(None, Some(3)), sent_at, sent_at + 5 * STEP);
     }
     assert!(table.limit(&upstream).is_none());
-    assert!(table.is_brittle(&upstream.name));
+    assert!(table.is_brittle(&upstream.name, upstream.started_ms));
 }
 
 #[test]
@@ -65,3 +65,12 @@
     table.observe(&upstream, &head(Some(1.0), None), start, start + STEP);
     assert!(table.limit(&upstream).is_some());
 }
+
+#[test]
+fn brittleness_of_an_ended_process_binds_the_next_one() {
+    let (mut table, first, start) = (ConditionTable::default(), upstream(1), Instant::now());
+    table.observe(&first, &head(None, Some(3)), start, start + STEP);
+    let next = upstream(2);
+    table.observe(&next, &head(None, None), start + 2 * STEP, start + 3 * STEP);
+    assert!(!table.is_brittle(&next.name, next.started_ms));
+}
