Refuse at once where another entry sends to brittle upstreams

Found in a read of the whole change: an entry without a share of the slots of brittle upstreams let requests ask again every 25 ms for 0.4 s, although it may send none. It now refuses them at once. The new test of `gateway_brittle` failed before (refused after 0.39 s).

--- a/cicadastall/src/gateway/chooser.rs
+++ b/cicadastall/src/gateway/chooser.rs
@@ -301,8 +301,8 @@
     }
 
     /// Records a send to the upstream that its owner granted; `None` if this entry knows that the upstream
-    /// is blocked, paused, leaving or of another software version than required, or if it is limited to a rate of
-    /// which the grant is not part.
+    /// is blocked, paused, leaving or of another software version than required, or that it is limited to
+    /// a rate of which the grant is not part.
     pub fn accept_grant(
         &mut self,
         input: &ChoiceInput<'_>,
@@ -491,13 +491,16 @@
             self.left_out.silent += 1;
             return None;
         }
-        if self.brittle && !self.has_brittle_room(input, known) {
-            self.left_out.limited += 1;
-            let next = now + BRITTLE_POLL_INTERVAL;
-            if self.next_paced_send.as_ref().is_none_or(|(first, _)| next < *first) {
-                self.next_paced_send = Some((next, name.clone()));
+        if self.brittle {
+            let share = self.find_brittle_share(input, known);
+            let open = self.trackers.get(name).map_or(0, UpstreamTracker::open);
+            if open >= share {
+                self.left_out.limited += 1;
+                if share > 0 {
+                    self.note_next_send(now + BRITTLE_POLL_INTERVAL, name);
+                }
+                return None;
             }
-            return None;
         }
         let warmup = input.pool.and_then(|pool| pool.warmup).filter(|_| cold);
         let limit = self.conditions.limit(&known.upstream);
@@ -515,20 +518,26 @@
         }
         if now < next {
             self.count_paced(warmup.is_some());
-            if self.next_paced_send.as_ref().is_none_or(|(first, _)| next < *first) {
-                self.next_paced_send = Some((next, name.clone()));
-            }
+            self.note_next_send(next, name);
             return None;
         }
         Some(Admission { pace: Some(interval) })
     }
 
-    /// Whether a brittle upstream has room for another request of this entry. If the engines of the pool have
-    /// owners, only the owner sends.
-    fn has_brittle_room(&self, input: &ChoiceInput<'_>, known: &KnownUpstream) -> bool {
-        let share = brittle_share(&self.pace_input(input, known), known.upstream.slots);
-        let open = self.trackers.get(&known.upstream.name).map_or(0, UpstreamTracker::open);
-        open < share && !input.view.owners.has_owners(&input.call.pool)
+    /// Records that the upstream, which is left out now, may get a request at `next`.
+    fn note_next_send(&mut self, next: Instant, name: &UpstreamName) {
+        if self.next_paced_send.as_ref().is_none_or(|(first, _)| next < *first) {
+            self.next_paced_send = Some((next, name.clone()));
+        }
+    }
+
+    /// Number of requests that this entry may have in flight at a brittle upstream. If the engines of the
+    /// pool have owners, only the owner sends.
+    fn find_brittle_share(&self, input: &ChoiceInput<'_>, known: &KnownUpstream) -> usize {
+        match input.view.owners.has_owners(&input.call.pool) {
+            true => 0,
+            false => brittle_share(&self.pace_input(input, known), known.upstream.slots),
+        }
     }
 
     fn pace_input<'a>(
