Bound what the watch of lost paths keeps, and name the pool that is not reached

Found in a read of the whole change: the times of answers were kept for pools that no document names any more; after one pool was logged as not reached, so was every other one that had been before. Besides, an unused function goes, and comments of forwarded requests say that these also stay within a region.

--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt to send a request to an upstream, or to an entry of another region.
+//! One attempt to send a request to an upstream, or to another entry.
 
 use crate::{
     answer::Ran,
@@ -52,7 +52,7 @@
 /// Longest time to read the rest of a discarded answer so that its connection can be reused.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Maximum number of connections to one entry of another region.
+/// Maximum number of connections to one other entry.
 const MAX_HOP_CONNECTIONS: usize = 256;
 
 /// Maximum number of closed pooled connections that one attempt skips before it fails.
--- a/cicadastall/src/gateway/hop.rs
+++ b/cicadastall/src/gateway/hop.rs
@@ -1,4 +1,4 @@
-//! Headers between two entries when a request is forwarded to another region.
+//! Headers between two entries when a request is forwarded, to another region or within one.
 
 use crate::{
     answer::Ran,
--- a/cicadastall/src/gateway/reach.rs
+++ b/cicadastall/src/gateway/reach.rs
@@ -33,7 +33,7 @@
 /// Time for which the connection of a probe must stay open.
 const OPEN_TIME: Duration = Duration::from_millis(50);
 
-/// Maximum number of upstreams that are probed at the same time.
+/// Maximum number of upstreams whose probes begin at the same moment.
 const MAX_PROBES: usize = 16;
 
 /// Pools none of whose upstreams an entry reaches.
@@ -82,6 +82,7 @@
     /// Blocks the upstreams of pools of which none is reached any more, and forgets those that are not
     /// listed. Returns the upstreams that were blocked.
     pub fn update(&mut self, view: &FleetView) -> Vec<Arc<RegisteredUpstream>> {
+        self.answered_at.retain(|pool, _| view.pools.contains_key(pool));
         if self.failed.is_empty() {
             return Vec::new();
         }
@@ -96,6 +97,7 @@
             if !all_fail || live.clone().next().is_none() {
                 continue;
             }
+            let before = blocked.len();
             for known in live {
                 if let Some(failed) = self.failed.get_mut(&known.upstream.name)
                     && !failed.blocked
@@ -104,7 +106,7 @@
                     blocked.push(Arc::clone(&known.upstream));
                 }
             }
-            if !blocked.is_empty() {
+            if blocked.len() > before {
                 log::warn!(pool = pool.as_str(), upstreams = upstreams.len(); "no upstream is reached");
             }
         }
--- a/cicadastall/src/gateway/record.rs
+++ b/cicadastall/src/gateway/record.rs
@@ -26,7 +26,7 @@
 /// One attempt in the log line of its request.
 #[derive(Debug, Clone, Serialize)]
 pub(crate) struct AttemptEntry {
-    /// Name of the upstream, or address of the entry in another region.
+    /// Name of the upstream, or address of the other entry.
     pub(crate) to: String,
     /// Version of the upstream's software, if it is known.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/cicadastall/src/gateway/send_rate.rs
+++ b/cicadastall/src/gateway/send_rate.rs
@@ -2,10 +2,7 @@
 
 use hyper::{HeaderMap, header::HeaderName};
 use serde::{Deserialize, Serialize};
-use std::{
-    fmt::{self, Display, Formatter},
-    time::Duration,
-};
+use std::fmt::{self, Display, Formatter};
 
 /// Thousandths in one request per second.
 const THOUSANDTHS: f64 = 1_000.0;
@@ -27,11 +24,6 @@
     pub fn per_s(self) -> f64 {
         self.0 as f64 / THOUSANDTHS
     }
-
-    /// Time between two requests at this rate; `None` for a rate of zero.
-    pub fn interval(self) -> Option<Duration> {
-        (self.0 > 0).then(|| Duration::from_secs_f64(1.0 / self.per_s()))
-    }
 }
 
 impl Display for SendRate {
