--- /dev/null
+++ b/review/stand-ins/worker.rs
@@ -0,0 +1,134 @@
+//! A sound worker: it sends heartbeats and answers requests as the pages tell.
+
+use crate::{
+    fleet::HEARTBEAT_MS,
+    http::{self, find},
+    record::Record,
+};
+use std::{
+    io::{BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread::{sleep, spawn},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+pub struct Worker {
+    pub id: String,
+    service: String,
+    zone: String,
+    address: SocketAddr,
+    controls: Vec<SocketAddr>,
+    born: u64,
+    sequence: AtomicU64,
+    /// Paths of the requests that it ran.
+    pub runs: Mutex<Vec<String>>,
+    record: Record,
+}
+
+impl Worker {
+    pub fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        address: SocketAddr,
+        controls: Vec<SocketAddr>,
+        record: &Record,
+    ) -> Arc<Self> {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let worker = Arc::new(Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address,
+            controls,
+            born,
+            sequence: AtomicU64::new(0),
+            runs: Mutex::default(),
+            record: record.clone(),
+        });
+        let listener = TcpListener::bind(address).expect("the worker's address is free");
+        let server = Arc::clone(&worker);
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = Arc::clone(&server);
+                spawn(move || server.serve(stream));
+            }
+        });
+        let beats = Arc::clone(&worker);
+        spawn(move || {
+            loop {
+                beats.beat();
+                sleep(Duration::from_millis(HEARTBEAT_MS));
+            }
+        });
+        worker
+    }
+
+    /// Body of a heartbeat of this worker.
+    pub fn beat_body(&self, sequence: u64) -> String {
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":6,\
+             \"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+            self.service, self.address, self.zone, self.born
+        )
+    }
+
+    pub fn last_sequence(&self) -> u64 {
+        self.sequence.load(Ordering::SeqCst)
+    }
+
+    /// Sends one heartbeat: to the first node, and to the next ones if there is no ack in a second.
+    fn beat(&self) {
+        let path = format!("/-/instances/{}/heartbeat", self.id);
+        for control in &self.controls {
+            let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+            let body = self.beat_body(sequence);
+            let headers = [("Content-Type", "application/json")];
+            let limit = Duration::from_secs(1);
+            let reply = http::call(*control, "POST", &path, &headers, body.as_bytes(), limit);
+            let status = reply.as_ref().map_or(0, |reply| reply.status);
+            self.record.line(&format!("{} heartbeat {sequence} to {control}: {status}", self.id));
+            if (200..300).contains(&status) {
+                return;
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let _ = writer.set_nodelay(true);
+        let mut reader = BufReader::new(stream);
+        while let Some((first, headers)) = http::read_head(&mut reader) {
+            let mut body = Vec::new();
+            if !http::read_body(&mut reader, &headers, &mut body, false) {
+                return;
+            }
+            let path = first.split(' ').nth(1).unwrap_or("").to_owned();
+            let id = find(&headers, "cicadastall-attempt-id").unwrap_or("").to_owned();
+            let expected = find(&headers, "cicadastall-expect-instance");
+            let answer = if path == "/healthz" {
+                format!("HTTP/1.1 200 OK\r\nCicadastall-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id)
+            } else if expected.is_some_and(|expected| expected != self.id) {
+                format!("HTTP/1.1 421 Misdirected Request\r\nCicadastall-Attempt-Id: {id}\r\nCicadastall-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            } else {
+                self.runs.lock().unwrap().push(path.clone());
+                self.record.line(&format!("{} runs {id} ({first})", self.id));
+                sleep(Duration::from_millis(15));
+                let body = format!("{} answers {id}", self.id);
+                format!(
+                    "HTTP/1.1 200 OK\r\nCicadastall-Attempt-Id: {id}\r\nCicadastall-Server-Stamp: {}.{id}\r\n\
+                     Content-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}",
+                    self.id,
+                    body.len()
+                )
+            };
+            if writer.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
