Review: let the first case replace the whole core before the disk is lost

Cause: silent voters are removed only while their number is even, so a rolling replacement leaves five voters of which two are gone for good. Change: review/1 replaces all core machines in turn, and loses a disk 20 s after the last one.

--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -195,16 +195,22 @@
         (self.machines[index].ip, self.port + 4).into()
     }
 
-    /// The control machine that leads, by its status page; for the choice of a machine only.
-    pub fn leader(&self) -> Option<usize> {
-        (0..self.machines.len()).find(|&index| {
-            let machine = &self.machines[index];
-            machine.role == Role::Control && machine.child.is_some() && {
-                let status = (machine.ip, self.port + 2).into();
-                let reply = http::call(status, "GET", "/v1/status", &[], b"", Duration::from_secs(1));
-                reply.is_some_and(|reply| reply.text().contains("\"leads\":true"))
-            }
-        })
+    /// What the status page of a control machine says of its group; for the record only.
+    pub fn describe_group(&self, index: usize) -> String {
+        let machine = &self.machines[index];
+        let status = (machine.ip, self.port + 2).into();
+        let reply = http::call(status, "GET", "/v1/status", &[], b"", Duration::from_secs(1));
+        let text = reply.map_or(String::new(), |reply| reply.text());
+        let group = text.find("\"group\"").map_or("", |at| &text[at..]);
+        format!("{}: {}", machine.name, group.chars().take(700).collect::<String>())
+    }
+
+    /// From now on, processes start with the addresses of the control machines that run, as in the
+    /// operator's list.
+    pub fn update_seeds(&mut self) {
+        let running = self.machines.iter().filter(|machine| machine.role == Role::Control);
+        let running = running.filter(|machine| machine.child.is_some());
+        self.seeds = running.map(|machine| (machine.ip, self.port + 1).into()).take(3).collect();
     }
 
     pub fn wait_ready(&self, index: usize, limit: Duration) -> bool {
--- a/review/stand-ins/lost_disk.rs
+++ b/review/stand-ins/lost_disk.rs
@@ -1,6 +1,6 @@
-//! A core machine is replaced as planned: its empty successor starts at another address and has more than
-//! `catch_up_s`, then the old machine gets SIGTERM and is gone. After that, another core machine loses its
-//! disk. Is the acknowledged desired state still there?
+//! All core machines are replaced in turn, as planned: the empty successor starts at another address and has
+//! `catch_up_s` and a second, then the old machine gets SIGTERM and is gone. Long after that, one core machine
+//! loses its disk. Is the acknowledged desired state still there?
 
 use crate::{
     Finding,
@@ -16,14 +16,12 @@
 const CONTACT_S: f64 = 5.0;
 const GRACE_S: f64 = 8.0;
 const RECOVER_S: f64 = 12.0;
-const SEED_LAG_S: f64 = 3.0;
 
-/// Time that the successor has before the old machine is stopped: twice what the pages ask for, and the lag
-/// of the operator's list.
-const SUCCESSOR_S: f64 = 2.0 * CATCH_UP_S + SEED_LAG_S;
+/// Time that a successor has before the old machine is stopped.
+const SUCCESSOR_S: f64 = CATCH_UP_S + 1.0;
 
-/// Time from the end of the old machine to the loss of the disk.
-const LOSS_AFTER_S: f64 = 2.0;
+/// Time from the end of the last old machine to the loss of the disk.
+const LOSS_AFTER_S: f64 = 20.0;
 
 /// Time for which the machine that loses its disk is down (`for_s` of `after_ack_wipe`).
 const DOWN_S: f64 = 3.0;
@@ -41,28 +39,32 @@
         return Finding::NotRun("the first desired states were not acknowledged".into());
     }
     sleep(seconds(CONTACT_S));
-    let Some(leaves) = fleet.leader() else {
-        return Finding::NotRun("no control machine says that it leads".into());
-    };
-    let successor = fleet.add(Role::Control, fleet.machines[leaves].region, 2, false);
-    fleet.start(successor, false);
-    sleep(seconds(SUCCESSOR_S));
-    fleet.stop(leaves, seconds(GRACE_S));
-    fleet.wipe(leaves);
-    let ended = Instant::now();
-    record.line("that machine is gone for good; its successor has had its time");
-    let stay: Vec<usize> = old.iter().copied().filter(|&index| index != leaves).collect();
-    let mut nodes: Vec<_> = stay.iter().map(|&index| fleet.control(index)).collect();
-    nodes.push(fleet.control(successor));
+    let mut core = Vec::new();
+    for (region, &leaves) in old.iter().enumerate() {
+        let successor = fleet.add(Role::Control, region, 2, false);
+        fleet.update_seeds();
+        fleet.start(successor, false);
+        core.push(successor);
+        sleep(seconds(SUCCESSOR_S));
+        fleet.stop(leaves, seconds(GRACE_S));
+        fleet.wipe(leaves);
+        record.line("that machine is gone for good; its successor has had its time");
+    }
+    let nodes: Vec<_> = core.iter().map(|&index| fleet.control(index)).collect();
+    sleep(seconds(LOSS_AFTER_S));
     if order(&nodes, 3, 6.0).is_none() {
         return Finding::NotRun("no ack after the planned replacement".into());
     }
-    sleep(seconds(LOSS_AFTER_S).saturating_sub(ended.elapsed()));
+    if !nodes.iter().all(|node| operator.read(*node).is_some_and(|text| text.contains("\"version\":3"))) {
+        return Finding::NotRun("version 3 isn't read back before the disruption".into());
+    }
+    record.line(&fleet.describe_group(core[1]));
+    fleet.update_seeds();
     if trouble {
-        fleet.signal(stay[0], "-KILL");
-        fleet.wipe(stay[0]);
+        fleet.signal(core[0], "-KILL");
+        fleet.wipe(core[0]);
         sleep(seconds(DOWN_S));
-        fleet.start(stay[0], false);
+        fleet.start(core[0], false);
     }
     sleep(seconds(RECOVER_S));
     record.line("all machines are back for recover_s");
@@ -73,6 +75,7 @@
         read = nodes.iter().find_map(|node| operator.read(*node));
         sleep(seconds(0.5));
     }
+    record.line(&fleet.describe_group(core[1]));
     let acked = order(&nodes, 4, 12.0).is_some();
     record.line(&format!("a further change is acknowledged: {acked}"));
     match read {
