Review: a worker's own 503 is passed on as a promise that nothing ran

Cause: a stamped failure is forwarded with its status, also if that status promises callers that the request has not run.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod lost_disk;
 mod operator;
+mod own_failure;
 mod record;
 mod worker;
 
@@ -31,6 +32,7 @@
     let finding = match case.as_str() {
         "lost-disk" => lost_disk::run(&record, trouble),
         "heartbeat" => heartbeat::run(&record, trouble),
+        "own-failure" => own_failure::run(&record, trouble),
         _ => Finding::NotRun("no such case".to_owned()),
     };
     let (text, code) = match finding {
--- a/review/stand-ins/worker.rs
+++ b/review/stand-ins/worker.rs
@@ -10,7 +10,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{sleep, spawn},
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -26,6 +26,10 @@
     sequence: AtomicU64,
     /// Paths of the requests that it ran.
     pub runs: Mutex<Vec<String>>,
+    /// Ids of the requests that it ran.
+    pub ids: Mutex<Vec<String>>,
+    /// Whether it fails two of five requests after it has run them.
+    pub failing: AtomicBool,
     record: Record,
 }
 
@@ -48,6 +52,8 @@
             born,
             sequence: AtomicU64::new(0),
             runs: Mutex::default(),
+            ids: Mutex::default(),
+            failing: AtomicBool::new(false),
             record: record.clone(),
         });
         let listener = TcpListener::bind(address).expect("the worker's address is free");
@@ -118,9 +124,16 @@
                 self.runs.lock().unwrap().push(path.clone());
                 self.record.line(&format!("{} runs {id} ({first})", self.id));
                 sleep(Duration::from_millis(15));
+                let mut ids = self.ids.lock().unwrap();
+                ids.push(id.clone());
+                let fails = self.failing.load(Ordering::SeqCst) && ids.len() % 5 < 2;
+                drop(ids);
+                // Without `Cicadastall-Not-Executed`, as the request has run.
+                let status = if fails { "503 Service Unavailable" } else { "200 OK" };
+                self.record.line(&format!("{} answers {id}: {status}", self.id));
                 let body = format!("{} answers {id}", self.id);
                 format!(
-                    "HTTP/1.1 200 OK\r\nCicadastall-Attempt-Id: {id}\r\nCicadastall-Server-Stamp: {}.{id}\r\n\
+                    "HTTP/1.1 {status}\r\nCicadastall-Attempt-Id: {id}\r\nCicadastall-Server-Stamp: {}.{id}\r\n\
                      Content-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}",
                     self.id,
                     body.len()
