Review: record an operator's calls without an answer as such

Cause: the record said that a second had passed also if the connection was refused. Change: the text of the record. Result: the scripts build; nothing else changes.

--- a/review/stand-ins/operator.rs
+++ b/review/stand-ins/operator.rs
@@ -24,7 +24,7 @@
                 let status = reply.as_ref().map(|reply| reply.status);
                 self.record.line(&match status {
                     Some(status) => format!("operator: POST {path} to {node}: {status}"),
-                    None => format!("operator: POST {path} to {node}: no answer in a second, closed"),
+                    None => format!("operator: POST {path} to {node}: no answer, closed"),
                 });
                 if status.is_some_and(|status| (200..300).contains(&status)) {
                     return Some(Instant::now());
