Review: a worker that has left is used again after a restart

Cause: the registry forgets with its processes that a worker is gone, and an upstream without heartbeats is used as long as it answers.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod heartbeat;
 mod http;
+mod left_worker;
 mod lost_disk;
 mod operator;
 mod own_failure;
@@ -33,6 +34,7 @@
         "lost-disk" => lost_disk::run(&record, trouble),
         "heartbeat" => heartbeat::run(&record, trouble),
         "own-failure" => own_failure::run(&record, trouble),
+        "left-worker" => left_worker::run(&record, trouble),
         _ => Finding::NotRun("no such case".to_owned()),
     };
     let (text, code) = match finding {
--- a/review/stand-ins/worker.rs
+++ b/review/stand-ins/worker.rs
@@ -13,7 +13,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{sleep, spawn},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 pub struct Worker {
@@ -28,6 +28,8 @@
     pub runs: Mutex<Vec<String>>,
     /// Ids of the requests that it ran.
     pub ids: Mutex<Vec<String>>,
+    /// Whether it sends no heartbeats any more.
+    left: AtomicBool,
     /// Whether it fails two of five requests after it has run them.
     pub failing: AtomicBool,
     record: Record,
@@ -53,6 +55,7 @@
             sequence: AtomicU64::new(0),
             runs: Mutex::default(),
             ids: Mutex::default(),
+            left: AtomicBool::new(false),
             failing: AtomicBool::new(false),
             record: record.clone(),
         });
@@ -66,7 +69,7 @@
         });
         let beats = Arc::clone(&worker);
         spawn(move || {
-            loop {
+            while !beats.left.load(Ordering::SeqCst) {
                 beats.beat();
                 sleep(Duration::from_millis(HEARTBEAT_MS));
             }
@@ -104,6 +107,35 @@
         }
     }
 
+    /// Sends no heartbeats from now on; returns the body of the last one, which is still on its way.
+    pub fn stop_beats(&self) -> String {
+        self.left.store(true, Ordering::SeqCst);
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        self.record.line(&format!("{} heartbeat {sequence}: sent, delayed on its way", self.id));
+        self.beat_body(sequence)
+    }
+
+    /// Deregisters at the nodes in turn; returns the time of the ack.
+    pub fn deregister(&self, nodes: &[SocketAddr]) -> Option<Instant> {
+        let path = format!("/-/instances/{}/deregister", self.id);
+        nodes.iter().find_map(|node| {
+            let reply = http::call(*node, "POST", &path, &[], b"", Duration::from_secs(1));
+            let status = reply.map_or(0, |reply| reply.status);
+            self.record.line(&format!("{} deregisters at {node}: {status}", self.id));
+            (200..300).contains(&status).then(Instant::now)
+        })
+    }
+
+    /// Delivers a heartbeat that was delayed.
+    pub fn send_late(&self, node: SocketAddr, body: &str) {
+        let path = format!("/-/instances/{}/heartbeat", self.id);
+        let headers = [("Content-Type", "application/json")];
+        let second = Duration::from_secs(1);
+        let reply = http::call(node, "POST", &path, &headers, body.as_bytes(), second);
+        let status = reply.map_or(0, |reply| reply.status);
+        self.record.line(&format!("{} the delayed heartbeat arrives at {node}: {status}", self.id));
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let _ = writer.set_nodelay(true);
