Remove silent voters whatever their number, and readmit those that return

Each read was answered 503 and no change was acknowledged, though three machines ran.

Cause: silent voters were removed only while their number was even, 6 s after their last reply.

Change: a voter that has been silent for 2.5 s is removed while more than twice the tolerated losses plus one remain. The silence counts across leaders. A replica that is not a voter and hears no leader asks for readmission. Silent voters and the losses that the group bears are in status, metrics and the log.

--- a/cicadastall-bench/src/schedules.rs
+++ b/cicadastall-bench/src/schedules.rs
@@ -26,12 +26,12 @@
         let mut total = Coverage::default();
         for seed in options.seed..options.seed.saturating_add(options.count) {
             let schedule = make_schedule(seed);
-            match run_schedule(size, &schedule) {
+            match run_schedule((size, None), &schedule) {
                 Ok(coverage) => total += coverage,
                 Err(violation) => {
-                    let minimised = minimise(size, schedule);
+                    let minimised = minimise((size, None), schedule);
                     let minimised_violation =
-                        run_schedule(size, &minimised).err().unwrap_or_default();
+                        run_schedule((size, None), &minimised).err().unwrap_or_default();
                     eyre::bail!(
                         "{size} replicas, seed {seed}: {violation}\nminimised: {minimised:?}\n\
                          {minimised_violation}"
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -715,12 +715,23 @@
         let entries = registry.live_entries().count();
         let controls = registry.other_controls().count();
         let origins = self.origins.table().len();
-        format!(
+        let group = self.supervisor.status().unwrap_or_default();
+        let mut metrics = format!(
             "cicadastall_control_document {}\ncicadastall_control_evacuations {}\n\
              cicadastall_control_entries {entries}\ncicadastall_control_others {controls}\n\
-             cicadastall_control_origins {origins}\n",
+             cicadastall_control_origins {origins}\n\
+             cicadastall_control_group_voters {}\n",
             state.number(),
             state.evacuated().version,
-        )
+            group.configuration.voters.len(),
+        );
+        if let Some(losses) = group.losses_borne() {
+            let silent = group.silent.len();
+            metrics.push_str(&format!(
+                "cicadastall_control_group_silent {silent}\n\
+                 cicadastall_control_group_losses_borne {losses}\n"
+            ));
+        }
+        metrics
     }
 }
--- a/cicadastall/src/gateway/group_supervisor.rs
+++ b/cicadastall/src/gateway/group_supervisor.rs
@@ -6,25 +6,28 @@
         settings::GatewaySettings,
     },
     group::{GroupHandle, GroupSettings, GroupStartError},
+    group_actor::GroupStatus,
     group_transport::GroupRegistry,
     journal::JournalError,
     name::{GroupName, InstanceName},
     node::VoterSettings,
     peer::PeerClients,
     replica::{MemberAdmission, ReplicaTiming},
+    replica_message::ReplicaId,
     replicated::{GroupError, ReplicatedGroup},
 };
 use arc_swap::ArcSwapOption;
 use std::{
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     path::Path,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use tokio::{
     sync::watch,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Name of the document group.
@@ -38,9 +41,9 @@
     lease_duration: Duration::ZERO,
 };
 
-/// Time without contact after which a voter may be removed; longer than a restart or a short network
-/// partition.
-const RETIRE_AFTER: Duration = Duration::from_secs(6);
+/// Time without contact after which a member is removed if enough voters remain; longer than a restart.
+/// A removed replica that returns is readmitted.
+const RETIRE_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Delay before a failed replica is restarted.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
@@ -56,6 +59,8 @@
     registry: Arc<GroupRegistry>,
     handle: ArcSwapOption<GroupHandle<DocumentState>>,
     last_state: Mutex<DocumentState>,
+    /// Voters that are silent while this instance leads, with the time at which each was noticed.
+    silent_voters: Mutex<BTreeMap<ReplicaId, Instant>>,
     changed: watch::Sender<u64>,
 }
 
@@ -67,8 +72,15 @@
         registry: Arc<GroupRegistry>,
         changed: watch::Sender<u64>,
     ) -> Self {
-        let handle = ArcSwapOption::empty();
-        Self { node, clients, registry, handle, last_state: Mutex::default(), changed }
+        Self {
+            node,
+            clients,
+            registry,
+            handle: ArcSwapOption::empty(),
+            last_state: Mutex::default(),
+            silent_voters: Mutex::default(),
+            changed,
+        }
     }
 
     /// The sender that each new state increments.
@@ -102,6 +114,7 @@
     async fn watch_state(&self, handle: &GroupHandle<DocumentState>) {
         let mut status = handle.watch();
         let mut leader = None;
+        let mut silent = Vec::new();
         loop {
             let now = status.borrow_and_update().clone();
             if let Some(failure) = now.failure {
@@ -109,10 +122,15 @@
                 return;
             }
             if leader != now.leader {
-                leader = now.leader;
+                leader.clone_from(&now.leader);
                 let name = leader.as_ref().map(ToString::to_string).unwrap_or_default();
                 log::info!(leader = name.as_str(), term = now.term.0, leads = now.leads; "leader");
             }
+            if silent != now.silent {
+                log_silent_voters(&now);
+                self.note_silent_voters(&now.silent);
+                silent.clone_from(&now.silent);
+            }
             self.publish_state(handle.read_local(Clone::clone));
             if status.changed().await.is_err() {
                 return;
@@ -157,6 +175,7 @@
             admission: MemberAdmission::Open {
                 may_found: self.node.founding && seeds.contains(&own),
                 remove_after: RETIRE_AFTER,
+                min_voters: 2 * self.node.tolerated_losses + 1,
             },
             voters,
             folder: self.node.data_folder.clone(),
@@ -199,14 +218,37 @@
         Ok(state)
     }
 
-    /// Status of the replica as JSON; null while it is not running.
+    /// Status of the replica as JSON; null while it is not running. The leader adds the silent voters,
+    /// with the seconds since each was noticed, and the number of further losses that the group bears.
     pub fn describe(&self) -> serde_json::Value {
-        match self.handle.load_full() {
-            Some(handle) => serde_json::json!({ "status": handle.status() }),
-            None => serde_json::json!({ "status": null }),
+        let Some(status) = self.status() else { return serde_json::json!({ "status": null }) };
+        let silent: BTreeMap<_, _> = self
+            .lock_silent_voters()
+            .iter()
+            .map(|(voter, since)| (voter.to_string(), since.elapsed().as_secs()))
+            .collect();
+        let losses_borne = status.losses_borne();
+        serde_json::json!({ "status": status, "silent_s": silent, "losses_borne": losses_borne })
+    }
+
+    /// Status of the replica, while it is running.
+    pub fn status(&self) -> Option<GroupStatus> {
+        self.handle.load_full().map(|handle| handle.status())
+    }
+
+    fn note_silent_voters(&self, silent: &[ReplicaId]) {
+        let now = Instant::now();
+        let mut noticed = self.lock_silent_voters();
+        noticed.retain(|voter, _| silent.contains(voter));
+        for voter in silent {
+            noticed.entry(voter.clone()).or_insert(now);
         }
     }
 
+    fn lock_silent_voters(&self) -> MutexGuard<'_, BTreeMap<ReplicaId, Instant>> {
+        self.silent_voters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Transfers leadership to another replica before a planned stop.
     pub async fn transfer_leadership(&self) {
         if let Some(handle) = self.handle.load_full() {
@@ -215,6 +257,15 @@
     }
 }
 
+fn log_silent_voters(status: &GroupStatus) {
+    let silent: Vec<_> = status.silent.iter().map(ToString::to_string).collect();
+    log::warn!(
+        silent:? = silent, voters = status.configuration.voters.len(),
+        losses_borne:? = status.losses_borne();
+        "silent voters of the document group"
+    );
+}
+
 fn rename_unreadable(folder: &Path) -> io::Result<()> {
     for number in 0.. {
         let aside = folder.with_extension(format!("unreadable-{number}"));
--- a/cicadastall/src/gateway/settings.rs
+++ b/cicadastall/src/gateway/settings.rs
@@ -59,6 +59,9 @@
     /// Whether the whole fleet starts for the first time, so that the seeds may found its group.
     #[serde(default)]
     pub founding: bool,
+    /// Number of control instances that may be lost at once with their disks.
+    #[serde(default = "default_tolerated_losses")]
+    pub tolerated_losses: usize,
     /// Interval between two renewals of an upstream, in milliseconds.
     #[serde(default = "default_renewal_ms")]
     pub renewal_ms: u64,
@@ -86,6 +89,10 @@
     8
 }
 
+fn default_tolerated_losses() -> usize {
+    1
+}
+
 fn default_renewal_ms() -> u64 {
     1_000
 }
--- a/cicadastall/src/group_actor.rs
+++ b/cicadastall/src/group_actor.rs
@@ -70,10 +70,22 @@
     pub applied: LogIndex,
     /// Newer epoch under which the group was refounded without this replica.
     pub superseded: Option<Epoch>,
+    /// Voters that have not replied to this replica for an election timeout while it leads.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<ReplicaId>,
     /// Error that stopped the replica.
     pub failure: Option<String>,
 }
 
+impl GroupStatus {
+    /// Number of further voters that may be lost before the group accepts no more changes, as known
+    /// to the leader; `None` on other replicas.
+    pub fn losses_borne(&self) -> Option<usize> {
+        let living = self.configuration.voters.len() - self.silent.len();
+        self.leads.then(|| living.saturating_sub(self.configuration.quorum()))
+    }
+}
+
 /// Start parameters of the actor.
 pub(crate) struct GroupArguments<S> {
     pub(crate) core: ReplicaCore,
@@ -234,7 +246,7 @@
         if !self.core.is_leader() {
             self.fail_proposals();
         }
-        self.publish_status();
+        self.publish_status(now);
         Ok(())
     }
 
@@ -315,7 +327,7 @@
         }
     }
 
-    fn publish_status(&self) {
+    fn publish_status(&self, now: Instant) {
         let status = GroupStatus {
             epoch: self.core.epoch(),
             term: self.core.term(),
@@ -325,6 +337,7 @@
             commit: self.core.commit_index(),
             applied: self.applied,
             superseded: self.core.superseding_epoch(),
+            silent: self.core.silent_voters(now),
             failure: None,
         };
         self.status.send_if_modified(|published| {
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -56,9 +56,12 @@
     Open {
         /// Whether this replica may found the group.
         may_found: bool,
-        /// Time without a reply after which the leader removes a learner, or a voter while the
-        /// number of voters is even and at least four.
+        /// Time without a reply after which the leader removes a learner, or a voter while there
+        /// are more than `min_voters`.
         remove_after: Duration,
+        /// Number of voters below which no silent voter is removed: twice the number of disks that
+        /// may be lost at once, plus one.
+        min_voters: usize,
     },
 }
 
--- a/cicadastall/src/replica_election.rs
+++ b/cicadastall/src/replica_election.rs
@@ -23,7 +23,7 @@
         self.schedule_pre_vote(now);
         if !self.log.configuration().is_voter(&self.settings.own) {
             self.role = ReplicaRole::Follower { leader: None };
-            return;
+            return self.request_readmission();
         }
         let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
         self.role = ReplicaRole::PreCandidate { grants: grants.clone() };
@@ -44,6 +44,18 @@
         }
     }
 
+    /// Asks the voters of an open group to readmit this replica, which may have been removed while it
+    /// was silent. A pre-vote of a replica that is not a member is a request to join.
+    fn request_readmission(&mut self) {
+        if !self.settings.admission.is_open() {
+            return;
+        }
+        let (term, last) = (self.hard_state.term.next(), self.log.last());
+        for voter in self.other_voters() {
+            self.send(voter, ReplicaMessage::PreVote { term, last });
+        }
+    }
+
     /// Starts an election; `given_up` is the term whose leader transferred leadership to this
     /// replica, which lets voters ignore that leader's lease.
     pub(crate) fn start_vote(&mut self, given_up: Option<Term>, now: Instant) {
--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -28,8 +28,10 @@
     previous_match_index: LogIndex,
     /// Highest round that the member has acknowledged.
     acknowledged_round: u64,
-    /// Time of the member's last reply.
+    /// Time of the member's last reply, or of the start of its progress.
     last_reply_at: Instant,
+    /// Time from which the member is known to be silent, also under earlier leaders.
+    silent_since: Instant,
     /// Bytes of the snapshot that the member holds, while it receives one.
     snapshot_offset: Option<u64>,
 }
@@ -270,6 +272,7 @@
         let ReplicaRole::Leader(state) = &mut self.role else { return };
         let Some(peer) = state.peer(&from).filter(|_| term == self.hard_state.term) else { return };
         peer.last_reply_at = now;
+        peer.silent_since = now;
         peer.acknowledged_round = peer.acknowledged_round.max(round);
         match outcome {
             AppendOutcome::Matched(index) => {
@@ -388,10 +391,36 @@
         self.refresh_peers(Some(&previous), now);
     }
 
+    /// Start of the silence of members that a new leader has not heard from: the last message of the
+    /// previous leader, but at most half of `remove_after` ago, so that each member can reply.
+    fn estimate_silence_start(&self, now: Instant) -> Instant {
+        let MemberAdmission::Open { remove_after, .. } = self.settings.admission else {
+            return now;
+        };
+        let earliest = now.checked_sub(remove_after / 2).unwrap_or(now);
+        self.leaderless_since.max(earliest)
+    }
+
+    /// Voters that have not replied for an election timeout; empty unless the replica leads.
+    pub fn silent_voters(&self, now: Instant) -> Vec<ReplicaId> {
+        let ReplicaRole::Leader(state) = &self.role else { return Vec::new() };
+        let timeout = self.settings.timing.election_timeout;
+        let configuration = self.log.configuration();
+        let silent = state
+            .peers
+            .iter()
+            .filter(|peer| configuration.is_voter(&peer.id) && now >= peer.silent_since + timeout);
+        silent.map(|peer| peer.id.clone()).collect()
+    }
+
     /// Tracks the progress of all other members; with `previous`, the new ones receive a snapshot
     /// first.
     fn refresh_peers(&mut self, previous: Option<&GroupConfiguration>, now: Instant) {
         let next_index = self.log.last().index.next();
+        let silent_since = match previous {
+            Some(_) => now,
+            None => self.estimate_silence_start(now),
+        };
         let configuration = self.log.configuration();
         let ReplicaRole::Leader(state) = &mut self.role else { return };
         state.peers.retain(|peer| configuration.is_member(&peer.id));
@@ -407,6 +436,7 @@
                 previous_match_index: LogIndex(0),
                 acknowledged_round: 0,
                 last_reply_at: now,
+                silent_since,
                 snapshot_offset: previous.is_some().then_some(0),
             });
         }
@@ -415,17 +445,18 @@
 }
 
 /// Finds a member of an open group that has been silent for too long: a learner, or a voter while
-/// the number of voters is even and at least four, since removing it then lowers the quorum.
+/// there are more than `min_voters`. The leader is in contact with a majority, which includes a
+/// majority of the remaining voters.
 fn find_removable_member(
     state: &LeaderState,
     configuration: &GroupConfiguration,
     admission: MemberAdmission,
     now: Instant,
 ) -> Option<ReplicaId> {
-    let MemberAdmission::Open { remove_after, .. } = admission else { return None };
-    let is_even = configuration.voters.len() >= 4 && configuration.voters.len().is_multiple_of(2);
-    let is_removable = |peer: &&PeerProgress| is_even || !configuration.is_voter(&peer.id);
-    let mut silent = state.peers.iter().filter(|peer| now >= peer.last_reply_at + remove_after);
+    let MemberAdmission::Open { remove_after, min_voters, .. } = admission else { return None };
+    let has_spare = configuration.voters.len() > min_voters;
+    let is_removable = |peer: &&PeerProgress| has_spare || !configuration.is_voter(&peer.id);
+    let mut silent = state.peers.iter().filter(|peer| now >= peer.silent_since + remove_after);
     silent.find(is_removable).map(|peer| peer.id.clone())
 }
 
--- a/cicadastall/tests/gateway/mod.rs
+++ b/cicadastall/tests/gateway/mod.rs
@@ -300,6 +300,7 @@
         data_folder: None,
         founding: true,
         upstream_source: Some(reserved[0].address.ip()),
+        tolerated_losses: 1,
         renewal_ms: 5_000,
         stop_s: 8.0,
         connections: 1_000,
--- a/cicadastall/tests/groups/mod.rs
+++ b/cicadastall/tests/groups/mod.rs
@@ -133,6 +133,7 @@
             Some(founders) => MemberAdmission::Open {
                 may_found: self.founding && index < founders,
                 remove_after: Duration::from_secs(3),
+                min_voters: 3,
             },
         }
     }
--- a/cicadastall/tests/open_groups.rs
+++ b/cicadastall/tests/open_groups.rs
@@ -57,6 +57,34 @@
     assert_eq!(propose(&members[1], "after").await, 2);
 }
 
+/// Guards against a group that keeps the voters of a planned replacement for good.
+#[tokio::test]
+async fn replaced_voters_leave_the_group_whatever_their_number() {
+    let group = TestGroup::open(5, 3, folder("odd")).await;
+    let mut members = start(&group, 0..5).await;
+    propose(&members[0], "before").await;
+    wait_voters(&members, 5).await;
+    members.remove(0).stop().await;
+    members.remove(0).stop().await;
+    wait_voters(&members, 3).await;
+    members.remove(0).stop().await;
+    assert_eq!(propose(&members[0], "after").await, 2);
+}
+
+/// Guards against a removed replica that returns with its disk and stays outside the group.
+#[tokio::test]
+async fn a_removed_replica_that_returns_votes_again() {
+    let group = TestGroup::open(4, 3, folder("return")).await;
+    let mut members = start(&group, 0..4).await;
+    propose(&members[0], "before").await;
+    wait_voters(&members, 4).await;
+    members.remove(3).stop().await;
+    wait_voters(&members, 3).await;
+    propose(&members[0], "meanwhile").await;
+    members.extend(start(&group, [3]).await);
+    wait_voters(&members, 4).await;
+}
+
 #[tokio::test]
 async fn a_silent_voter_of_three_is_not_removed() {
     let group = TestGroup::open(3, 3, folder("silent")).await;
--- a/cicadastall/tests/replica_schedules.rs
+++ b/cicadastall/tests/replica_schedules.rs
@@ -2,12 +2,12 @@
 
 mod schedules;
 
-use schedules::{Action, Coverage, make_schedule, minimise, run_schedule};
+use schedules::{Action, Coverage, GroupSize, make_schedule, minimise, run_schedule};
 
 /// Random schedules for each group size; the seeds count from 0.
 const SCHEDULES: u64 = 1_500;
 
-fn run_all(size: usize) {
+fn run_all(size: GroupSize) {
     let mut total = Coverage::default();
     for seed in 0..SCHEDULES {
         let schedule = make_schedule(seed);
@@ -15,11 +15,11 @@
             Ok(coverage) => total += coverage,
             Err(fault) => {
                 let shortest = minimise(size, schedule);
-                panic!("{size} replicas, seed {seed}: {fault}\nminimised: {shortest:?}");
+                panic!("{size:?} replicas, seed {seed}: {fault}\nminimised: {shortest:?}");
             }
         }
     }
-    println!("{size} replicas, {SCHEDULES} schedules: {total:?}");
+    println!("{size:?} replicas, {SCHEDULES} schedules: {total:?}");
     let minimum = SCHEDULES as usize;
     assert!(total.elections > minimum && total.acknowledged > minimum && total.reads > minimum);
     assert!(total.membership_changes > minimum && total.snapshots_installed > minimum / 10);
@@ -27,16 +27,22 @@
 
 #[test]
 fn three_replicas_keep_all_invariants() {
-    run_all(3);
+    run_all((3, None));
 }
 
 #[test]
 fn five_replicas_keep_all_invariants() {
-    run_all(5);
+    run_all((5, None));
+}
+
+/// Guards against dead voters that stay in a group, and against removed replicas that stay outside.
+#[test]
+fn an_open_group_returns_to_the_replicas_that_live() {
+    run_all((5, Some(3)));
 }
 
 fn run_fixed(schedule: &[Action]) -> Coverage {
-    run_schedule(3, schedule).unwrap_or_else(|fault| panic!("{fault}"))
+    run_schedule((3, None), schedule).unwrap_or_else(|fault| panic!("{fault}"))
 }
 
 #[test]
--- a/cicadastall/tests/schedules/cluster.rs
+++ b/cicadastall/tests/schedules/cluster.rs
@@ -5,9 +5,9 @@
     name::InstanceName,
     replica::{MemberAdmission, ReplicaCore, ReplicaSettings, ReplicaTiming},
     replica_message::{
-        EntryPayload, Epoch, JournalWrite, LogEntry, LogIndex, LogPosition, ReadTicket,
-        ReplicaEnvelope, ReplicaId, ReplicaIdentity, ReplicaOutput, StoredReplica, Term,
-        WriteSequence,
+        EntryPayload, Epoch, GroupConfiguration, JournalWrite, LogEntry, LogIndex, LogPosition,
+        ReadTicket, ReplicaEnvelope, ReplicaId, ReplicaIdentity, ReplicaOutput, StoredReplica,
+        Term, WriteSequence,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -19,6 +19,9 @@
 };
 use tokio::time::Instant;
 
+/// Time without a reply after which a member of an open group may be removed.
+const REMOVE_AFTER: Duration = Duration::from_secs(3);
+
 /// One instance, with its replica while it runs.
 pub(super) struct SimulatedHost {
     pub(super) core: Option<ReplicaCore>,
@@ -84,13 +87,16 @@
     random: ChaCha8Rng,
     /// Whether a disk was lost without regard to the majority.
     quorum_may_be_lost: bool,
+    /// Number of founders of an open group; none if only the listed hosts may be members.
+    founders: Option<usize>,
     pub coverage: Coverage,
 }
 
 pub(super) type CheckResult = Result<(), String>;
 
 impl SimulatedCluster {
-    pub fn new(size: usize) -> Self {
+    /// Starts a group of `size` hosts, which is open if the first `founders` of them found it.
+    pub fn new(size: usize, founders: Option<usize>) -> Self {
         let mut cluster = Self {
             hosts: Vec::new(),
             disks: BTreeMap::new(),
@@ -108,6 +114,7 @@
             reads: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(size as u64),
             quorum_may_be_lost: false,
+            founders,
             coverage: Coverage::default(),
         };
         for host in 0..size {
@@ -142,11 +149,19 @@
     fn start_core(&mut self, host: usize) {
         let id = self.hosts[host].id.clone();
         let stored = self.disks.entry(id.clone()).or_default().clone();
-        let names = (0..self.hosts.len()).map(|host| self.hosts[host].id.instance.clone());
+        let founders = self.founders.unwrap_or(self.hosts.len());
+        let names = (0..founders).map(|host| self.hosts[host].id.instance.clone());
         let settings = ReplicaSettings {
             own: id.clone(),
             founders: names.collect(),
-            admission: MemberAdmission::Listed,
+            admission: match self.founders {
+                None => MemberAdmission::Listed,
+                Some(founders) => MemberAdmission::Open {
+                    may_found: host < founders,
+                    remove_after: REMOVE_AFTER,
+                    min_voters: founders,
+                },
+            },
             founding_epoch: Epoch(id.identity.0),
             timing: ReplicaTiming::default(),
             max_append_entries: 2,
@@ -338,18 +353,27 @@
         self.replace_disk(host)
     }
 
-    /// Loses a disk if a majority of the voters keep theirs.
+    /// Loses a disk if a majority of the voters keep theirs, in an open group also a majority of each
+    /// configuration that is not known to be committed yet.
     fn lose_disk(&mut self, host: usize) -> CheckResult {
-        let members = self.newest_configuration();
+        let cores = self.hosts.iter().filter_map(|host| host.core.as_ref());
+        let logged = cores.filter(|_| self.founders.is_some()).map(ReplicaCore::configuration);
+        let mut configurations: Vec<_> = logged.cloned().collect();
+        configurations.push(self.newest_configuration());
+        if configurations.iter().all(|members| self.keeps_majority(members, host)) {
+            return self.replace_disk(host);
+        }
+        Ok(())
+    }
+
+    /// Whether a majority of the voters have their disks once `host` has lost its disk.
+    fn keeps_majority(&self, members: &GroupConfiguration, host: usize) -> bool {
         let lost = &self.hosts[host].id;
         let left = members
             .voters
             .iter()
             .filter(|voter| *voter != lost && self.hosts.iter().any(|host| host.id == **voter));
-        if members.voters.is_empty() || left.count() < members.quorum() {
-            return Ok(());
-        }
-        self.replace_disk(host)
+        !members.voters.is_empty() && left.count() >= members.quorum()
     }
 
     fn replace_disk(&mut self, host: usize) -> CheckResult {
@@ -357,7 +381,7 @@
         self.restart(host)
     }
 
-    fn newest_configuration(&self) -> cicadastall::replica_message::GroupConfiguration {
+    fn newest_configuration(&self) -> GroupConfiguration {
         let configurations =
             self.committed.values().rev().filter_map(|entry| match &entry.payload {
                 EntryPayload::Configuration(configuration) => Some(configuration.clone()),
@@ -402,6 +426,22 @@
         Ok(())
     }
 
+    /// Once all hosts run again, exactly the replicas of an open group vote.
+    fn check_voters(&self) -> CheckResult {
+        if self.founders.is_none() || self.quorum_may_be_lost {
+            return Ok(());
+        }
+        for core in self.hosts.iter().filter_map(|host| host.core.as_ref()) {
+            let voters = &core.configuration().voters;
+            if voters.len() != self.hosts.len()
+                || !self.hosts.iter().all(|host| voters.contains(&host.id))
+            {
+                return Err(format!("{} has the voters {voters:?} after repair", core.own()));
+            }
+        }
+        Ok(())
+    }
+
     /// Ends all faults except lost disks; the group must then accept a command.
     pub(super) fn repair_and_check(&mut self) -> CheckResult {
         for host in 0..self.hosts.len() {
@@ -420,6 +460,7 @@
         if self.acknowledged == before && !self.quorum_may_be_lost {
             return Err("no command is accepted after repair".into());
         }
+        self.check_voters()?;
         self.coverage.elections = self.leaders.len();
         self.coverage.committed = self.committed.len();
         Ok(())
--- a/cicadastall/tests/schedules/mod.rs
+++ b/cicadastall/tests/schedules/mod.rs
@@ -7,9 +7,12 @@
 pub use actions::{Action, make_schedule};
 pub use cluster::{Coverage, SimulatedCluster};
 
-/// Runs `schedule` with `size` replicas; returns the first violated invariant.
-pub fn run_schedule(size: usize, schedule: &[Action]) -> Result<Coverage, String> {
-    let mut cluster = SimulatedCluster::new(size);
+/// Size of a group, with the number of its founders if it is open.
+pub type GroupSize = (usize, Option<usize>);
+
+/// Runs `schedule` with a group of `size`; returns the first violated invariant.
+pub fn run_schedule(size: GroupSize, schedule: &[Action]) -> Result<Coverage, String> {
+    let mut cluster = SimulatedCluster::new(size.0, size.1);
     for (step, action) in schedule.iter().enumerate() {
         cluster.perform(*action).map_err(|fault| format!("step {step}, {action:?}: {fault}"))?;
     }
@@ -18,7 +21,7 @@
 }
 
 /// Shortens a failing schedule by removing actions without which it still fails.
-pub fn minimise(size: usize, mut schedule: Vec<Action>) -> Vec<Action> {
+pub fn minimise(size: GroupSize, mut schedule: Vec<Action>) -> Vec<Action> {
     let mut chunk = schedule.len() / 2;
     while chunk > 0 {
         let mut start = 0;
