Record withdrawals of upstreams durably before they are acknowledged

Cause: withdrawals lived in the memory of control and entries only. Ruled out: the address taken over (no other upstream has it), a renewal with a later start (the case sends the one from before the deregistration).

Change: draining and deregistrations are recorded in the replicated state by a majority before the ack; registries apply the record, refuse renewals that are not newer, and tell the entries.

--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -62,3 +62,4 @@
 pub mod upstream_check;
 pub mod view;
 pub mod warmup;
+pub mod withdrawals;
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -10,7 +10,7 @@
         document_state::{DocumentCommand, StoredDocument},
         fleet_update::{
             ControlRecord, DepartedUpstream, FleetCursor, FleetQuery, FleetReader, FleetUpdate,
-            RegionSummary, RegisteredUpstream,
+            RegionSummary, RegisteredUpstream, UpstreamPhase,
         },
         group_supervisor::GroupSupervisor,
         listing::{ListingInput, list_near},
@@ -59,6 +59,9 @@
 /// Time limit for confirming a read by a majority; operators try another instance after one second.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time limit for recording the withdrawal of an upstream, which waits one second for the reply.
+const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Interval at which timeouts are checked and the set of polled instances is updated.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -151,8 +154,8 @@
     /// Performs a request of an upstream, an operator or a caller.
     pub async fn perform(&self, call: ControlCall) -> ControlReply {
         match call {
-            ControlCall::Renew(upstream) => self.renew(*upstream),
-            ControlCall::Deregister(name) => self.deregister(&name),
+            ControlCall::Renew(upstream) => self.renew(*upstream).await,
+            ControlCall::Deregister(name) => self.deregister(&name).await,
             ControlCall::Replace(document) => self.replace(document).await,
             ControlCall::Read => self.read_document().await,
             ControlCall::Evacuate(zone) => self.change_zone(zone, DocumentCommand::Evacuate).await,
@@ -161,37 +164,87 @@
         }
     }
 
-    fn renew(&self, upstream: RegisteredUpstream) -> ControlReply {
+    async fn renew(&self, upstream: RegisteredUpstream) -> ControlReply {
+        let renewed = Arc::new(upstream);
+        let reply = self.register(&renewed);
+        match reply {
+            ControlReply::Renewed(_) if renewed.phase != UpstreamPhase::Serving => {
+                self.confirm_withdrawal(renewed, reply).await
+            }
+            reply => reply,
+        }
+    }
+
+    fn register(&self, upstream: &RegisteredUpstream) -> ControlReply {
         let now = Instant::now();
-        let (zone, address) = (upstream.zone.clone(), upstream.address);
         self.change_registry(|registry| {
-            let Some(region) = registry.region(&zone).cloned() else {
+            let Some(region) = registry.region(&upstream.zone).cloned() else {
                 return ControlReply::Fault(CallFault::Invalid(Vec::new()));
             };
             // Refused, so that the upstream renews at an instance whose changes reach entries.
             if !registry.reaches(&region) {
                 return ControlReply::Unavailable("no entry of the upstream's region is in reach");
             }
-            match registry.renew(upstream, now) {
+            match registry.renew(upstream.clone(), now) {
                 RenewalOutcome::Accepted | RenewalOutcome::Outdated => {
-                    ControlReply::Renewed(registry.nearest_registry(&zone))
+                    ControlReply::Renewed(registry.nearest_registry(&upstream.zone))
                 }
                 RenewalOutcome::UnknownZone | RenewalOutcome::UnknownPool => {
                     ControlReply::Fault(CallFault::Invalid(Vec::new()))
                 }
                 RenewalOutcome::Invalid(fault) => {
-                    log::warn!(address:? = address; "renewal refused: {fault:?}");
+                    log::warn!(address:? = upstream.address; "renewal refused: {fault:?}");
                     ControlReply::Fault(CallFault::Invalid(vec![fault.describe()]))
                 }
             }
         })
     }
 
-    fn deregister(&self, name: &UpstreamName) -> ControlReply {
+    async fn deregister(&self, name: &UpstreamName) -> ControlReply {
         let now = Instant::now();
         match self.change_registry(|registry| registry.deregister(name, now)) {
-            true => ControlReply::Deregistered,
-            false => ControlReply::Unavailable("the upstream is not registered here"),
+            Some(gone) => self.confirm_withdrawal(gone, ControlReply::Deregistered).await,
+            None => ControlReply::Unavailable("the upstream is not registered here"),
+        }
+    }
+
+    /// Returns `reply` once a majority has recorded the withdrawal of `upstream`, so that it outlives
+    /// this process. Entries learn of it in any case.
+    async fn confirm_withdrawal(
+        &self,
+        upstream: Arc<RegisteredUpstream>,
+        reply: ControlReply,
+    ) -> ControlReply {
+        match timeout(WITHDRAWAL_TIMEOUT, self.record_withdrawal(&upstream)).await {
+            Ok(Ok(())) => reply,
+            Ok(Err(error)) => {
+                log::warn!(upstream = upstream.name.as_str(); "withdrawal not recorded: {error}");
+                ControlReply::Unavailable("no majority of control records the withdrawal")
+            }
+            Err(_) => {
+                log::warn!(upstream = upstream.name.as_str(); "withdrawal not recorded in time");
+                ControlReply::Unavailable("no majority of control records the withdrawal")
+            }
+        }
+    }
+
+    async fn record_withdrawal(
+        &self,
+        upstream: &Arc<RegisteredUpstream>,
+    ) -> Result<(), GroupError> {
+        if self.supervisor.state().withdrawn().covers(upstream) {
+            return Ok(());
+        }
+        let command = DocumentCommand::Withdraw(Arc::clone(upstream));
+        match self.supervisor.change(command).await {
+            Ok(_) => Ok(()),
+            // A leader of an earlier version commits the command without a reply.
+            Err(GroupError::OutcomeUnknown) => {
+                let state = self.supervisor.read(CONFIRM_TIMEOUT).await?;
+                let recorded = state.withdrawn().covers(upstream);
+                recorded.then_some(()).ok_or(GroupError::OutcomeUnknown)
+            }
+            Err(error) => Err(error),
         }
     }
 
@@ -391,6 +444,19 @@
         self.build_update(&query, confirmed)
     }
 
+    /// Applies recorded withdrawals to the registry, until its task is dropped.
+    async fn apply_withdrawals(&self) {
+        let mut changed = self.changed.subscribe();
+        loop {
+            let state = self.supervisor.state();
+            let now = Instant::now();
+            self.change_registry(|registry| registry.set_withdrawn(state.withdrawn(), now));
+            if changed.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Expires registry rows periodically, until its task is dropped.
     async fn expire(&self) {
         loop {
@@ -627,6 +693,8 @@
         let runner = Arc::clone(&control);
         tasks.spawn(async move { runner.supervisor.run().await });
         let runner = Arc::clone(&control);
+        tasks.spawn(async move { runner.apply_withdrawals().await });
+        let runner = Arc::clone(&control);
         tasks.spawn(async move { runner.expire().await });
         let runner = Arc::clone(&control);
         tasks.spawn(async move { runner.poll_peers(clients).await });
--- a/cicadastall/src/gateway/document_state.rs
+++ b/cicadastall/src/gateway/document_state.rs
@@ -1,6 +1,13 @@
-//! Replicated state of the pass-through gateway: the newest route document and the evacuated zones.
+//! Replicated state of the pass-through gateway: the newest route document, the evacuated zones and the
+//! withdrawn upstreams.
 
-use crate::{gateway::routes::RouteDocument, name::ZoneName, replicated::ReplicatedState};
+use crate::{
+    gateway::{
+        fleet_update::RegisteredUpstream, routes::RouteDocument, withdrawals::WithdrawalRecord,
+    },
+    name::ZoneName,
+    replicated::ReplicatedState,
+};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -39,6 +46,8 @@
     Evacuate(ZoneName),
     /// Ends the evacuation of a zone.
     Restore(ZoneName),
+    /// Records that an upstream is leaving or gone. Earlier versions skip this command.
+    Withdraw(Arc<RegisteredUpstream>),
 }
 
 /// State of the document group.
@@ -46,6 +55,12 @@
 pub struct DocumentState {
     newest: Option<Arc<StoredDocument>>,
     evacuated: EvacuatedZones,
+    #[serde(default, skip_serializing_if = "is_unused")]
+    withdrawn: Arc<WithdrawalRecord>,
+}
+
+fn is_unused(withdrawn: &Arc<WithdrawalRecord>) -> bool {
+    withdrawn.is_empty()
 }
 
 impl DocumentState {
@@ -63,6 +78,11 @@
     pub fn evacuated(&self) -> &EvacuatedZones {
         &self.evacuated
     }
+
+    /// Upstreams whose withdrawal was acknowledged.
+    pub fn withdrawn(&self) -> &Arc<WithdrawalRecord> {
+        &self.withdrawn
+    }
 }
 
 impl ReplicatedState for DocumentState {
@@ -87,6 +107,9 @@
                     self.evacuated.version += 1;
                 }
             }
+            DocumentCommand::Withdraw(upstream) => {
+                Arc::make_mut(&mut self.withdrawn).insert(upstream);
+            }
         }
         self.number()
     }
--- a/cicadastall/src/gateway/group_supervisor.rs
+++ b/cicadastall/src/gateway/group_supervisor.rs
@@ -142,13 +142,16 @@
         let mut last_state = self.last_state.lock().unwrap_or_else(PoisonError::into_inner);
         let newer = state.number() > last_state.number()
             || state.evacuated().version > last_state.evacuated().version;
-        if !newer {
+        let withdrawn = state.withdrawn().version() > last_state.withdrawn().version();
+        if !newer && !withdrawn {
             return;
         }
-        log::info!(
-            document = state.number(), evacuated = state.evacuated().version;
-            "document state in force"
-        );
+        if newer {
+            log::info!(
+                document = state.number(), evacuated = state.evacuated().version;
+                "document state in force"
+            );
+        }
         *last_state = state;
         drop(last_state);
         self.changed.send_modify(|count| *count += 1);
--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -1,8 +1,8 @@
 //! In-memory registry of a control instance: upstreams, entries and other control instances.
 //!
 //! Upstreams renew their registration at any control instance, which forwards changes to the other
-//! control instances and to the entries of the upstream's region. Nothing is persisted: after a
-//! restart, rows are restored by the next renewals.
+//! control instances and to the entries of the upstream's region. After a restart, rows are restored by
+//! the next renewals, except those of withdrawn upstreams, which the replicated state records.
 
 use crate::{
     clock::from_millis,
@@ -16,6 +16,7 @@
         routes::RouteDocument,
         software_history::SoftwareHistory,
         upstream_check::{UpstreamFault, check_upstream},
+        withdrawals::WithdrawalRecord,
     },
     name::{InstanceName, PoolName, RegionName, UpstreamName, ZoneName},
     suspect::{SuspectRecord, SuspectTable},
@@ -114,6 +115,8 @@
     controls: BTreeMap<SocketAddr, ControlRow>,
     controls_changed: u64,
     evacuated: u64,
+    /// Upstreams whose withdrawal is recorded durably; late renewals of them are outdated.
+    withdrawn: Arc<WithdrawalRecord>,
     /// The newest document, whose pools tell upstreams to use from others.
     document: Option<Arc<RouteDocument>>,
     /// Summaries of other regions, received from their control instances, with arrival times.
@@ -148,6 +151,7 @@
             controls: BTreeMap::new(),
             controls_changed: 1,
             evacuated: 0,
+            withdrawn: Arc::default(),
             document: None,
             summaries: BTreeMap::new(),
             suspects: SuspectTable::default(),
@@ -200,9 +204,9 @@
         if !self.zones.contains_key(&upstream.zone) {
             return RenewalOutcome::UnknownZone;
         }
-        if let Some(row) = self.upstreams.get(&upstream.name)
-            && !is_newer(&upstream, &row.upstream)
-        {
+        let row = self.upstreams.get(&upstream.name).map(|row| &row.upstream);
+        let mut known = row.into_iter().chain(self.withdrawn.find(&upstream.name));
+        if known.any(|known| !is_newer(&upstream, known)) {
             return RenewalOutcome::Outdated;
         }
         if let Some(row) = self.upstreams.get(&upstream.name)
@@ -310,15 +314,56 @@
         }
     }
 
-    /// Marks an upstream as deregistered; false if it is unknown.
-    pub fn deregister(&mut self, name: &UpstreamName, now: Instant) -> bool {
-        let Some(row) = self.upstreams.get_mut(name) else { return false };
+    /// Marks an upstream as deregistered and returns it; `None` if it is unknown.
+    pub fn deregister(
+        &mut self,
+        name: &UpstreamName,
+        now: Instant,
+    ) -> Option<Arc<RegisteredUpstream>> {
+        let row = self.upstreams.get_mut(name)?;
         row.seen_at = now;
         if row.upstream.phase != UpstreamPhase::Gone {
             log::info!(upstream = name.as_str(); "upstream deregistered");
             self.mark_gone(name);
         }
-        true
+        self.upstreams.get(name).map(|row| Arc::clone(&row.upstream))
+    }
+
+    /// Replaces the recorded withdrawals, and applies those that the rows do not show yet. Readers
+    /// receive them like renewals, since they may hold older rows of the same upstreams.
+    pub fn set_withdrawn(&mut self, withdrawn: &Arc<WithdrawalRecord>, now: Instant) {
+        if withdrawn.version() <= self.withdrawn.version() {
+            return;
+        }
+        let known = std::mem::replace(&mut self.withdrawn, Arc::clone(withdrawn));
+        for upstream in withdrawn.upstreams().filter(|upstream| !known.covers(upstream)) {
+            let row = self.upstreams.get(&upstream.name);
+            let is_applied = row.is_some_and(|row| {
+                row.upstream.phase == upstream.phase || !supersedes(upstream, &row.upstream)
+            });
+            if !is_applied {
+                self.insert_withdrawn(upstream, now);
+            }
+        }
+    }
+
+    fn insert_withdrawn(&mut self, upstream: &Arc<RegisteredUpstream>, now: Instant) {
+        log::info!(
+            upstream = upstream.name.as_str(), phase:? = upstream.phase;
+            "recorded withdrawal applied"
+        );
+        let row = UpstreamRow {
+            upstream: Arc::clone(upstream),
+            seen_at: now,
+            direct: true,
+            changed: self.next_change(),
+            silent: false,
+            evacuated: self.evacuated,
+            departed: false,
+            condition: None,
+            forward_next: false,
+        };
+        self.upstreams.insert(upstream.name.clone(), row);
     }
 
     /// Merges the rows received from the control instance at `from`.
@@ -593,6 +638,14 @@
     }
 }
 
+/// Whether a recorded withdrawal is at least as new as a registered process of the same name.
+fn supersedes(withdrawn: &RegisteredUpstream, known: &RegisteredUpstream) -> bool {
+    let gone = |upstream: &RegisteredUpstream| upstream.phase == UpstreamPhase::Gone;
+    let rank =
+        |upstream: &RegisteredUpstream| (upstream.started_ms, gone(upstream), upstream.sequence);
+    rank(withdrawn) >= rank(known)
+}
+
 /// Whether a renewal contains nothing new for readers of the row.
 fn is_equivalent(upstream: &RegisteredUpstream, seen_at: Instant, row: &UpstreamRow) -> bool {
     let known = &row.upstream;
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -122,9 +122,9 @@
 fn deregistered_upstream_returns_only_after_a_restart() {
     let now = Instant::now();
     let mut registry = registry(1);
-    assert!(!registry.deregister(&UpstreamName::from("u"), now), "unknown upstream");
+    assert!(registry.deregister(&UpstreamName::from("u"), now).is_none(), "unknown upstream");
     registry.renew(upstream("u", 5, 1), now);
-    assert!(registry.deregister(&UpstreamName::from("u"), now));
+    assert!(registry.deregister(&UpstreamName::from("u"), now).is_some());
     assert_eq!(registry.renew(upstream("u", 5, 9), now), RenewalOutcome::Outdated);
     assert_eq!(phase(&registry, "u", now), Some((UpstreamPhase::Gone, false)));
     assert_eq!(registry.renew(upstream("u", 6, 1), now), RenewalOutcome::Accepted);
