Do not pass on a failure after a run as a promise that nothing ran

Cause: only the gateway's own refusals were kept from the statuses that promise "not run"; failures of upstreams were forwarded unchanged. Ruled out: the classification of the head, which is right (it may have run).

Change: for requests that may run once, such a failure becomes the gateway's own 502 with ran unknown, without the upstream's stamp. A withdrawal that control applied without a majority is answered 504 in place of 503.

Before: the new test of gateway_refusals fails with left: (408, None).

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -219,11 +219,11 @@
             Ok(Ok(())) => reply,
             Ok(Err(error)) => {
                 log::warn!(upstream = upstream.name.as_str(); "withdrawal not recorded: {error}");
-                ControlReply::Unavailable("no majority of control records the withdrawal")
+                ControlReply::Unknown
             }
             Err(_) => {
                 log::warn!(upstream = upstream.name.as_str(); "withdrawal not recorded in time");
-                ControlReply::Unavailable("no majority of control records the withdrawal")
+                ControlReply::Unknown
             }
         }
     }
--- a/cicadastall/src/gateway/headers.rs
+++ b/cicadastall/src/gateway/headers.rs
@@ -31,6 +31,19 @@
     CONTENT_LENGTH,
 ];
 
+/// Statuses that callers read as a promise that the request has not run and will not.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Whether callers read `status` as a promise that the request has not run and will not.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
 /// Removes connection-specific headers, including those named by the `connection` header.
 pub fn strip_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -60,14 +73,8 @@
         RefusalCode::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
         code => code.status(),
     };
-    let not_run_statuses = [
-        StatusCode::REQUEST_TIMEOUT,
-        StatusCode::MISDIRECTED_REQUEST,
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-    ];
     let status = match refusal.ran {
-        Ran::Unknown if not_run_statuses.contains(&status) => StatusCode::BAD_GATEWAY,
+        Ran::Unknown if promises_not_run(status) => StatusCode::BAD_GATEWAY,
         Ran::No if status.is_server_error() => StatusCode::SERVICE_UNAVAILABLE,
         _ => status,
     };
--- a/cicadastall/src/gateway/outcome.rs
+++ b/cicadastall/src/gateway/outcome.rs
@@ -34,7 +34,8 @@
 pub enum Verdict {
     /// The upstream's result, which is forwarded.
     Answer,
-    /// A failure reported by the upstream, which is forwarded if no later attempt succeeds.
+    /// A failure reported by the upstream, which is forwarded if no later attempt succeeds, unless its
+    /// status would promise that the request has not run.
     Failure,
     /// No upstream has run or will run this attempt.
     NotRun,
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -9,7 +9,7 @@
             ChoiceBasis, ChoiceInput, LeftOutCounts, RefusalCause, TriedUpstreams, UpstreamChoice,
         },
         context::EntryContext,
-        headers::refuse,
+        headers::{promises_not_run, refuse},
         hop::{ARRIVED_HEADER, QUARANTINED_HEADER, RAN_ON_HEADER, SOFTWARE_HEADER},
         outcome::Verdict,
         record::{CallRecord, TakeUpResult},
@@ -46,6 +46,18 @@
 }
 
 impl FinalFailure {
+    /// Replaces an upstream's failure whose status would promise that a request that may run once has
+    /// not run: an upstream that has not run a request refuses it, and does not answer it.
+    fn without_false_promise(self, repeat: RepeatRule) -> Self {
+        match self {
+            Self::Upstream(failure) if promises_not_run(failure.status) && !repeat.may_repeat() => {
+                let message = format!("an upstream answered with status {}", failure.status);
+                Self::Refused(Refusal::unknown(RefusalCode::UpstreamFailed, message))
+            }
+            kept => kept,
+        }
+    }
+
     /// Text that names the cause.
     pub(crate) fn describe(&self) -> String {
         match self {
@@ -444,7 +456,7 @@
 
     /// Builds the response for a request without a successful answer.
     fn into_failure_response(mut self, failure: FinalFailure) -> Response<AnswerBody> {
-        match failure {
+        match failure.without_false_promise(self.call.repeat()) {
             FinalFailure::Upstream(failure) => {
                 let status = failure.status;
                 self.record.end("upstream_failed", status.as_u16(), "");
--- a/cicadastall/tests/gateway_refusals.rs
+++ b/cicadastall/tests/gateway_refusals.rs
@@ -144,3 +144,42 @@
     assert_eq!(told(&request.send(address).await), (502, Some("unknown")));
     assert_eq!((upstream.connections(), upstream.runs(request.attempt())), (1, 1));
 }
+
+/// Guards against a failure after a run that callers take for a promise that nothing ran.
+#[tokio::test]
+async fn a_failure_of_a_request_that_ran_is_never_told_as_not_run() {
+    for (name, zones) in [("own-failure", &["west-a"][..]), ("hop-failure", &["west-a", "east-a"])]
+    {
+        let fleet = TestFleet::ready(name, document(1), zones).await;
+        let upstream = UpstreamStub::start(ScriptedAnswer::whole("200 OK", "usual")).await;
+        fleet.register(&upstream, zones[zones.len() - 1]).await;
+        let address = fleet.entries[0].address();
+        let end = Instant::now() + WAIT_TIMEOUT;
+        while CallerRequest::post("/read/1").send(address).await.status.as_u16() != 200 {
+            assert!(Instant::now() < end, "no answer");
+            sleep(Duration::from_millis(20)).await;
+        }
+        let statuses = ["408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"];
+        for (status, path) in
+            statuses.iter().flat_map(|status| [(status, "/book/1"), (status, "/stream/1")])
+        {
+            upstream.next([ScriptedAnswer::whole(status, "its own words")]);
+            let request = CallerRequest::post(path);
+            let answer = request.send(address).await;
+            assert_eq!(upstream.runs(request.attempt()), 1, "{name}, {path}: {status}");
+            assert_eq!(told(&answer), (502, Some("unknown")), "{name}, {path}: {status}");
+            assert_eq!(answer.header("x-cicadastall-stamp"), None);
+            assert_eq!(answer.header("retry-after"), None);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_failure_of_a_repeatable_request_is_forwarded_whatever_its_status() {
+    let (fleet, upstreams) = start_fleet("repeatable-failure", 1).await;
+    let failing = ScriptedAnswer::whole("503 Service Unavailable", "its own words");
+    upstreams[0].next([failing.clone(), failing.clone(), failing]);
+    let answer = CallerRequest::post("/read/1").send(fleet.entries[0].address()).await;
+    assert_eq!((answer.status.as_u16(), answer.text().as_str()), (503, "its own words"));
+    assert!(answer.header("x-cicadastall-stamp").is_some());
+}
