Bound what all answers of an entry hold together, and bodies of calls to control

Callers saw (report): a faulty upstream's bytes without end fill the memory of the entry that called it, and the requests of others end with it.

Cause here: an answer that is no stream is held until it is whole or larger than 256 KiB, up to its deadline; nothing bounded the sum. Control read up to 16 MiB of any call. Ruled out by gateway_endless: a single answer without end, in heads, interim answers, chunk extensions, trailers and bodies.

Change: held parts of answers, failures and incomplete events share 32 MiB; calls without a document have 64 KiB, and four documents are received at the same time.

--- a/cicadastall/src/gateway.rs
+++ b/cicadastall/src/gateway.rs
@@ -8,6 +8,7 @@
 //! `stream_forwarder`. The traits of [`dialect`] and [`control_call`] translate between the
 //! gateway's types and the header names, paths and bodies that callers, upstreams and operators use.
 
+mod answer_buffers;
 mod attempt;
 pub mod call;
 pub mod choice;
--- /dev/null
+++ b/cicadastall/src/gateway/answer_buffers.rs
@@ -0,0 +1,58 @@
+//! Shared bound on the bytes of answers that an entry holds before it forwards them.
+
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Maximum size of the parts of all answers that are held at the same time, in KiB. The entry's memory
+/// must also hold its connections' read buffers.
+const MAX_HELD_KIB: usize = 32 * 1_024;
+
+/// Bytes that all requests of an entry may hold together.
+#[derive(Debug)]
+pub(crate) struct AnswerBuffers {
+    free_kib: Arc<Semaphore>,
+}
+
+impl Default for AnswerBuffers {
+    fn default() -> Self {
+        Self { free_kib: Arc::new(Semaphore::new(MAX_HELD_KIB)) }
+    }
+}
+
+impl AnswerBuffers {
+    /// A share for one request, empty at first.
+    pub(crate) fn share(&self) -> BufferShare {
+        BufferShare { free_kib: Arc::clone(&self.free_kib), bytes: 0, held: None }
+    }
+}
+
+/// Bytes that one request holds; they are free again when the share is dropped.
+#[derive(Debug)]
+pub(crate) struct BufferShare {
+    free_kib: Arc<Semaphore>,
+    bytes: usize,
+    held: Option<OwnedSemaphorePermit>,
+}
+
+impl BufferShare {
+    /// Grows the share by `bytes`; false if no room is left.
+    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
+        self.cover(self.bytes + bytes)
+    }
+
+    /// Grows the share to at least `bytes`; false if no room is left.
+    pub(crate) fn cover(&mut self, bytes: usize) -> bool {
+        self.bytes = self.bytes.max(bytes);
+        let held_kib = self.held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let needed_kib = self.bytes.div_ceil(1_024).saturating_sub(held_kib);
+        let needed_kib = u32::try_from(needed_kib).unwrap_or(u32::MAX);
+        let Ok(more) = Arc::clone(&self.free_kib).try_acquire_many_owned(needed_kib) else {
+            return false;
+        };
+        match &mut self.held {
+            Some(held) => held.merge(more),
+            None => self.held = Some(more),
+        }
+        true
+    }
+}
--- a/cicadastall/src/gateway/attempt.rs
+++ b/cicadastall/src/gateway/attempt.rs
@@ -3,6 +3,7 @@
 use crate::{
     answer::Ran,
     gateway::{
+        answer_buffers::BufferShare,
         call::RoutedCall,
         choice::{ChoiceBasis, UpstreamChoice},
         connections::{ConnectError, ConnectionTarget, ExchangeError, PooledConnection},
@@ -489,7 +490,7 @@
             outcome = Verdict::Unknown;
         } else if verdict == Verdict::Answer {
             self.sending = true;
-            let first = read_first_part(&self.call, &mut body).await;
+            let first = read_first_part(&self.call, &mut body, &mut self.held).await;
             let ended_early = |received: &Bytes, complete: bool| {
                 let streams = has_events && self.call.repeat().is_stream();
                 streams && !framed && complete && received.is_empty()
@@ -556,8 +557,7 @@
             Verdict::Failure => {
                 self.sending = true;
                 let read =
-                    timeout(FAILURE_BODY_TIMEOUT, read_bounded(&mut body, MAX_BUFFERED_BYTES))
-                        .await;
+                    timeout(FAILURE_BODY_TIMEOUT, read_bounded(&mut body, &mut self.held)).await;
                 self.sending = false;
                 match read
                     .unwrap_or_else(|_| Err(format!("{}, its body did not end", failure.cause)))
@@ -587,8 +587,9 @@
                     let name = &known.upstream.name;
                     self.context.chooser().note_full(name, Instant::now());
                 }
+                let mut share = self.context.buffers.share();
                 if let Ok(Ok((_, true))) =
-                    timeout(DISCARD_TIMEOUT, read_bounded(&mut body, MAX_BUFFERED_BYTES)).await
+                    timeout(DISCARD_TIMEOUT, read_bounded(&mut body, &mut share)).await
                 {
                     if !is_hop {
                         connection.note_refused(&self.call.attempt);
@@ -637,9 +638,13 @@
 
 /// Reads the first data of a stream, or up to [`MAX_BUFFERED_BYTES`] of any other answer. The flag
 /// tells whether the body is complete.
-async fn read_first_part(call: &RoutedCall, body: &mut Incoming) -> Result<(Bytes, bool), String> {
+async fn read_first_part(
+    call: &RoutedCall,
+    body: &mut Incoming,
+    share: &mut BufferShare,
+) -> Result<(Bytes, bool), String> {
     if !call.repeat().is_stream() {
-        return read_bounded(body, MAX_BUFFERED_BYTES).await;
+        return read_bounded(body, share).await;
     }
     loop {
         match body.frame().await {
@@ -656,9 +661,12 @@
     }
 }
 
-/// Reads a body until it ends or exceeds `max_bytes` by part of a frame. The flag tells whether the
-/// body is complete.
-async fn read_bounded(body: &mut Incoming, max_bytes: usize) -> Result<(Bytes, bool), String> {
+/// Reads a body until it ends, or exceeds [`MAX_BUFFERED_BYTES`] or the room for `share` by part of a
+/// frame. The flag tells whether the body is complete.
+async fn read_bounded(
+    body: &mut Incoming,
+    share: &mut BufferShare,
+) -> Result<(Bytes, bool), String> {
     let mut collected = BytesMut::new();
     loop {
         if body.is_end_stream() {
@@ -668,10 +676,9 @@
             None => return Ok((collected.freeze(), true)),
             Some(Err(error)) => return Err(describe_error(&error)),
             Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    collected.extend_from_slice(&data);
-                }
-                if collected.len() > max_bytes {
+                let data = frame.into_data().unwrap_or_default();
+                collected.extend_from_slice(&data);
+                if !share.grow(data.len()) || collected.len() > MAX_BUFFERED_BYTES {
                     return Ok((collected.freeze(), false));
                 }
             }
--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -3,6 +3,7 @@
 use crate::{
     answer::{Refusal, RefusalCode},
     gateway::{
+        answer_buffers::AnswerBuffers,
         chooser::UpstreamChooser,
         conditions::ConditionRecord,
         connections::ConnectionPool,
@@ -61,6 +62,7 @@
     pub(crate) grants: EngineGrants,
     pub(crate) crashes: Arc<CrashWatch>,
     pub(crate) origins: OriginFinder,
+    pub(crate) buffers: AnswerBuffers,
     chooser: Mutex<UpstreamChooser>,
     reach: Mutex<ReachWatch>,
     retries: Mutex<RetryWindow>,
@@ -93,6 +95,7 @@
             grants,
             crashes: Arc::new(CrashWatch::new(metrics.crash_checks())),
             origins: OriginFinder::new(&node),
+            buffers: AnswerBuffers::default(),
             chooser: Mutex::new(chooser),
             reach: Mutex::default(),
             retries: Mutex::new(RetryWindow::new(node.retries, Instant::now())),
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -45,13 +45,23 @@
     time::Duration,
 };
 use tokio::{
-    sync::watch,
+    sync::{Semaphore, watch},
     task::JoinSet,
     time::{Instant, sleep, timeout, timeout_at},
 };
 
-/// Maximum size of a request body in bytes; a document has a few hundred bytes per route.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of a document in bytes; it has a few hundred bytes per route.
+const MAX_DOCUMENT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Maximum size of any other request body in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Maximum number of documents that are received at the same time; more would not fit into the memory of
+/// a small instance.
+const MAX_OPEN_DOCUMENTS: usize = 4;
+
+/// Longest wait for the end of another document.
+const DOCUMENT_WAIT: Duration = Duration::from_millis(500);
 
 /// Time limit for reading a request body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -108,6 +118,7 @@
     seeds: Mutex<Vec<SocketAddr>>,
     origins: Arc<OriginStore>,
     stopping: AtomicBool,
+    open_documents: Semaphore,
     started_at: Instant,
 }
 
@@ -126,6 +137,7 @@
             cursors: Mutex::default(),
             origins: Arc::new(OriginStore::new(MAX_ORIGINS)),
             stopping: AtomicBool::new(false),
+            open_documents: Semaphore::new(MAX_OPEN_DOCUMENTS),
             started_at: Instant::now(),
         }
     }
@@ -740,14 +752,23 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
-    let body = match read_body(body, MAX_BODY_BYTES, BODY_READ_TIMEOUT).await {
+    let (limit, permit) = match dialect.carries_document(&head.method, &head.uri) {
+        false => (MAX_BODY_BYTES, None),
+        true => match timeout(DOCUMENT_WAIT, control.open_documents.acquire()).await {
+            Ok(Ok(permit)) => (MAX_DOCUMENT_BYTES, Some(permit)),
+            _ => return dialect.write_control(ControlReply::Unavailable("busy with documents")),
+        },
+    };
+    let body = match read_body(body, limit, BODY_READ_TIMEOUT).await {
         Ok(body) => body,
         Err(error) => {
             log::info!("body of control request not read: {error:?}");
             return text_answer(StatusCode::BAD_REQUEST, "the call was not read\n");
         }
     };
-    let reply = match dialect.read_control(&head.method, &head.uri, &body) {
+    let decoded = dialect.read_control(&head.method, &head.uri, &body);
+    drop((body, permit));
+    let reply = match decoded {
         Ok(call)
             if control.stopping.load(Ordering::Relaxed)
                 && !matches!(call, ControlCall::List(_)) =>
--- a/cicadastall/src/gateway/events.rs
+++ b/cicadastall/src/gateway/events.rs
@@ -93,6 +93,11 @@
         !self.partial.is_empty()
     }
 
+    /// Size of the incomplete event that is buffered, in bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Adds received bytes; returns the events that are now whole, without those already passed on.
     ///
     /// Fails if an incomplete event exceeds the size limit.
--- a/cicadastall/src/gateway/json_control.rs
+++ b/cicadastall/src/gateway/json_control.rs
@@ -59,6 +59,10 @@
         }
     }
 
+    fn carries_document(&self, method: &Method, target: &Uri) -> bool {
+        method == Method::PUT && target.path() == "/v1/document"
+    }
+
     fn write_control(&self, reply: ControlReply) -> Response<AnswerBody> {
         match reply {
             ControlReply::Renewed(registry) => {
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 use crate::{
     answer::{Ran, Refusal, RefusalCode},
     gateway::{
+        answer_buffers::BufferShare,
         attempt::{AttemptFailure, StartedAnswer, UpstreamFailure},
         call::{RequestTraits, RequiredOrigin, RoutedCall},
         choice::{
@@ -92,6 +93,8 @@
     /// Whether an earlier send may have reached an upstream, so that the next one is a retry.
     may_have_arrived: bool,
     upstream_failure: Option<Box<UpstreamFailure>>,
+    /// Bytes of answers that the request holds.
+    pub(crate) held: BufferShare,
     /// Traits of the request, computed when they are first needed.
     traits: OnceLock<RequestTraits>,
 }
@@ -116,6 +119,7 @@
         possible_runs: call.earlier_attempts,
         may_have_arrived: call.earlier_attempts > 0,
         upstream_failure: None,
+        held: context.buffers.share(),
         traits: OnceLock::new(),
         record,
         context,
--- a/cicadastall/src/gateway/stream_forwarder.rs
+++ b/cicadastall/src/gateway/stream_forwarder.rs
@@ -123,6 +123,9 @@
         match &mut self.buffer {
             None => StreamStep::Data(data),
             Some(buffer) => match buffer.push(&data) {
+                Ok(_) if !self.relay.held.cover(buffer.partial_bytes()) => {
+                    StreamStep::Broken("no room is left for an event".to_owned())
+                }
                 Ok(events) => {
                     if !self.passed_on && !events.is_empty() {
                         self.passed_on = true;
--- a/cicadastall/tests/gateway_fleet.rs
+++ b/cicadastall/tests/gateway_fleet.rs
@@ -5,7 +5,7 @@
 use cicadastall::{
     gateway::{
         fleet_update::{RegisteredUpstream, UpstreamPhase},
-        routes::{RepeatRule, RouteDocument},
+        routes::{RepeatRule, RouteDocument, RouteRule},
     },
     name::RegionName,
 };
@@ -406,3 +406,21 @@
     }
     assert_eq!(again, 0);
 }
+
+/// Guards against renewals whose bodies fill the memory of control.
+#[tokio::test]
+async fn a_renewal_as_large_as_a_document_is_refused_before_it_is_read() {
+    let fleet = TestFleet::start("large-renewal", 1, &[]).await;
+    let body = "x".repeat(1_024 * 1_024);
+    let answer = fleet.call(0, Method::PUT, "/v1/upstreams/u", &body).await;
+    assert_eq!((answer.status.as_u16(), answer.text().as_str()), (400, "the call was not read\n"));
+    // Documents may be larger.
+    let mut large = document(1);
+    let route = large.routes[0].clone();
+    large.routes.extend((0..2_000).map(|number| {
+        let prefix = format!("/large-{number}/").into();
+        Arc::new(RouteRule { prefix, ..(*route).clone() })
+    }));
+    assert!(serde_json::to_string(&large).expect("json").len() > 128 * 1_024);
+    fleet.put_document(&large).await;
+}
