Answer requests that can't end before a stop does

Callers saw (report): at the end of a planned stop, requests were cut with no answer, among them unsafe ones.

Cause here: a request that was taken during the stop kept its own deadline of up to 15 s, and what was open at 7.5 s was aborted. Ruled out: requests on idle connections, which are not read from 2.8 s on.

Change: the end of the stop bounds the deadline of requests taken meanwhile, so that what would be late is refused at once as not run; all others get an answer 0.3 s before the end. Control finishes calls under way.

Before: the new test of gateway_fleet fails, the requests are open until their own deadline (left: 504 after 9 s, with a stop of 4 s). After: both are answered before the end.

--- a/cicadastall/src/gateway/context.rs
+++ b/cicadastall/src/gateway/context.rs
@@ -25,15 +25,16 @@
 };
 use arc_swap::ArcSwap;
 use std::{
+    future,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
 use tokio::{
     sync::watch,
-    time::{Instant, timeout},
+    time::{Instant, sleep_until, timeout},
 };
 
 /// Usual time from an entry's start until it accepts callers if control instances start as well.
@@ -68,7 +69,8 @@
     retries: Mutex<RetryWindow>,
     usable: watch::Sender<bool>,
     started_at: Instant,
-    draining: AtomicBool,
+    /// Time by which the requests of a stopping entry are answered.
+    stop_end: watch::Sender<Option<Instant>>,
 }
 
 /// Counts one request as in flight until it is dropped.
@@ -109,7 +111,7 @@
             in_flight: AtomicU32::new(0),
             usable: watch::Sender::new(false),
             started_at: Instant::now(),
-            draining: AtomicBool::new(false),
+            stop_end: watch::Sender::new(None),
         }
     }
 
@@ -217,11 +219,27 @@
 
     /// Whether the entry is stopping.
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.stop_end.borrow().is_some()
     }
 
-    pub(crate) fn set_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+    /// Starts to stop; requests are answered until `end`.
+    pub(crate) fn set_draining(&self, end: Instant) {
+        self.stop_end.send_replace(Some(end));
+    }
+
+    /// The earlier of `deadline` and the end of a stop that is under way.
+    pub(crate) fn limit_deadline(&self, deadline: Instant) -> Instant {
+        self.stop_end.borrow().map_or(deadline, |end| deadline.min(end))
+    }
+
+    /// Waits until the entry stops and its requests must be answered.
+    pub(crate) async fn wait_stop_end(&self) {
+        let mut stop_end = self.stop_end.subscribe();
+        let end = stop_end.wait_for(Option::is_some).await.ok().and_then(|end| *end);
+        match end {
+            Some(end) => sleep_until(end).await,
+            None => future::pending().await,
+        }
     }
 
     /// Whether the entry accepts callers.
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -654,6 +654,7 @@
 pub struct ControlServer {
     control: Arc<FleetControl>,
     close: watch::Sender<bool>,
+    listeners: JoinSet<()>,
     tasks: JoinSet<()>,
 }
 
@@ -688,6 +689,7 @@
         let service: Arc<dyn FleetService> = Arc::<FleetControl>::clone(&control);
         tasks.spawn(serve_fleet(peers, groups, service));
         let (close, closed) = watch::channel(false);
+        let mut listeners = JoinSet::new();
         for address in [Some(registry_address), node.directory_listen].into_iter().flatten() {
             let listener = http::bind(address).await?;
             let control = Arc::clone(&control);
@@ -696,7 +698,7 @@
                 answer_control(Arc::clone(&control), Arc::clone(&dialect), request)
             };
             let limits = ListenerLimits::default();
-            tasks.spawn(http::serve(listener, limits, closed.clone(), handler));
+            listeners.spawn(http::serve(listener, limits, closed.clone(), handler));
         }
         let status = http::bind(node.status_listen).await?;
         let described = Arc::clone(&control);
@@ -711,7 +713,7 @@
         let runner = Arc::clone(&control);
         tasks.spawn(async move { runner.poll_peers(clients).await });
         log::info!(founding = node.founding, seeds = node.seeds.len(); "control started");
-        Ok(Self { control, close, tasks })
+        Ok(Self { control, close, listeners, tasks })
     }
 
     /// The instance's state.
@@ -726,7 +728,7 @@
         *known = seeds.to_vec();
     }
 
-    /// Transfers group leadership to another instance and stops.
+    /// Transfers group leadership to another instance, finishes the calls in flight and stops.
     pub async fn stop(mut self) {
         log::info!("control stopping");
         self.control.stopping.store(true, Ordering::Relaxed);
@@ -736,7 +738,10 @@
         }
         sleep(STOP_GRACE).await;
         self.close.send_replace(true);
-        sleep(STOP_GRACE).await;
+        let ended = async { while self.listeners.join_next().await.is_some() {} };
+        if timeout(bound.saturating_sub(STOP_GRACE * 2), ended).await.is_err() {
+            log::warn!("calls are cut off");
+        }
         self.tasks.abort_all();
         log::info!("control stopped");
     }
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -73,6 +73,10 @@
 /// Part of the stop time that is reserved for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time before the end of the stop by which requests without a result are answered, so that the answers
+/// reach their callers.
+const STOP_ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// Time before a caller's own deadline by which its request is answered.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
@@ -336,12 +340,12 @@
     }
 
     /// Stops gracefully: accepts connections a little longer, then finishes the requests in flight
-    /// until the stop's time limit.
+    /// until the stop's time limit. Requests that can't end by then are refused or given up.
     pub async fn stop(mut self) {
         let deadline = Instant::now() + self.context.node.stop_bound() - STOP_MARGIN;
         let in_flight = self.context.in_flight.load(Ordering::Relaxed);
         log::info!(in_flight; "entry stopping");
-        self.context.set_draining();
+        self.context.set_draining(deadline - STOP_ANSWER_MARGIN);
         self.updater.state().set_state(EntryState::Draining);
         self.updater.publish(true);
         sleep(STOP_ACCEPT_TIME).await;
--- a/cicadastall/src/gateway/relay.rs
+++ b/cicadastall/src/gateway/relay.rs
@@ -26,7 +26,7 @@
     sync::{Arc, OnceLock},
     time::Duration,
 };
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 /// Maximum number of sends of one request, including those that no upstream ran.
 const MAX_SENDS: u32 = 4;
@@ -105,7 +105,8 @@
     call: RoutedCall,
     document: u64,
 ) -> Response<AnswerBody> {
-    let call = Arc::new(call);
+    let deadline = context.limit_deadline(call.deadline);
+    let call = Arc::new(RoutedCall { deadline, ..call });
     let record = CallRecord::new(Arc::clone(&context), Arc::clone(&call), document);
     let mut relay = CallRelay {
         tried: TriedUpstreams::default(),
@@ -133,17 +134,20 @@
 }
 
 impl CallRelay {
-    /// Makes attempts until an answer starts, and gives up at the request's deadline.
+    /// Makes attempts until an answer starts, and gives up at the request's deadline or at the end of a
+    /// stop of the entry.
     pub(crate) async fn open_before_deadline(&mut self) -> Result<StartedAnswer, FinalFailure> {
-        match timeout_at(self.call.deadline, self.open_answer()).await {
-            Ok(opened) => opened,
-            Err(_) => {
-                if self.sending {
-                    self.possible_runs += 1;
-                }
-                Err(self.give_up(RefusalCode::DeadlinePassed, "its time is over"))
-            }
+        let (context, deadline) = (Arc::clone(&self.context), self.call.deadline);
+        let (code, cause) = tokio::select! {
+            biased;
+            opened = self.open_answer() => return opened,
+            () = context.wait_stop_end() => (RefusalCode::Draining, "the entry stops"),
+            () = sleep_until(deadline) => (RefusalCode::DeadlinePassed, "its time is over"),
+        };
+        if self.sending {
+            self.possible_runs += 1;
         }
+        Err(self.give_up(code, cause))
     }
 
     async fn open_answer(&mut self) -> Result<StartedAnswer, FinalFailure> {
--- a/cicadastall/tests/gateway_fleet.rs
+++ b/cicadastall/tests/gateway_fleet.rs
@@ -341,6 +341,47 @@
     stopping.await.expect("stopped");
 }
 
+/// Guards against requests that the end of a stop cuts off without an answer.
+#[tokio::test]
+async fn a_request_that_outlasts_a_stop_is_answered_before_its_end() {
+    let mut rules = document(1);
+    for route in &mut rules.routes {
+        *route = Arc::new(RouteRule { time_limit_ms: 10_000, ..(**route).clone() });
+    }
+    let mut fleet = TestFleet::ready("outlast", rules, &["west-a"]).await;
+    let west = upstream().await;
+    fleet.register(&west, "west-a").await;
+    let address = fleet.entries[0].address();
+    fleet.kill_entry(0).await;
+    fleet.entries[0].node.stop_s = 4.0;
+    fleet.start_entry(0).await;
+    fleet.wait_ready().await;
+    fleet.wait_known(0, &west.name, true).await;
+    let silent = || ScriptedAnswer::raw("", ConnectionEnd::Hang);
+    west.next([silent(), silent()]);
+    let send = || {
+        let request = CallerRequest::post("/book/1").remaining(Duration::from_secs(9));
+        (request.attempt().to_owned(), tokio::spawn(request.send_owned(address)))
+    };
+    let early = send();
+    west.wait_received(1).await;
+    let stopping = tokio::spawn(fleet.entries[0].server.take().expect("running").stop());
+    let stopped = Instant::now();
+    sleep(Duration::from_millis(1_500)).await;
+    let late = send();
+    for (attempt, answer) in [early, late] {
+        let answer = answer.await.expect("an answer");
+        let told = (answer.status.as_u16(), answer.header("x-cicadastall-ran"));
+        let expected = match west.runs(&attempt) {
+            0 => (503, Some("no")),
+            _ => (502, Some("unknown")),
+        };
+        assert_eq!(told, expected, "{attempt}: {}", answer.text());
+        assert!(stopped.elapsed() < Duration::from_secs(4));
+    }
+    stopping.await.expect("stopped");
+}
+
 #[tokio::test]
 async fn documents_survive_control_instances_that_are_lost_and_replaced() {
     let mut fleet = TestFleet::start("controls", 3, &BOTH_ZONES).await;
