--- a/cicadastall/src/group_actor.rs
+++ b/cicadastall/src/group_actor.rs
@@ -27,8 +27,12 @@
 /// Interval between ticks of the core.
 const TICK_PERIOD: Duration = Duration::from_millis(25);
 
-/// Minimum number of applied entries between two snapshots.
-const MIN_SNAPSHOT_ENTRIES: u64 = 4_096;
+/// Number of applied entries from which on a snapshot is written.
+const MAX_LOG_ENTRIES: u64 = 4_096;
+
+/// Size of the applied commands in bytes from which on a snapshot is written, however few they are. A
+/// command takes up to three times its size on the disk, of which an instance has little.
+const MAX_LOG_BYTES: usize = 4 * 1024 * 1024;
 
 /// Channel for the reply to a proposal.
 pub(crate) type ProposalReply<S> =
@@ -274,7 +278,8 @@
         let log = self.core.log();
         let entries = self.applied.0.saturating_sub(log.base().0);
         let snapshot_bytes = log.snapshot().data.len();
-        if entries < MIN_SNAPSHOT_ENTRIES || self.bytes_since_snapshot < snapshot_bytes {
+        let is_long = entries >= MAX_LOG_ENTRIES || self.bytes_since_snapshot >= MAX_LOG_BYTES;
+        if !is_long || self.bytes_since_snapshot < snapshot_bytes {
             return;
         }
         let data = self.state.read().unwrap_or_else(PoisonError::into_inner).snapshot();
--- a/cicadastall/src/journal.rs
+++ b/cicadastall/src/journal.rs
@@ -238,7 +238,13 @@
         fs::rename(&temporary, &path)?;
         File::open(folder)?.sync_all()
     };
-    write().map_err(|source| io_error(&path, source))
+    write().map_err(|source| {
+        // A part of the file would keep the room that a full disk lacks.
+        if let Err(error) = fs::remove_file(&temporary) {
+            log::warn!("cannot remove {}: {error}", temporary.display());
+        }
+        io_error(&path, source)
+    })
 }
 
 fn create_storage(folder: &Path) -> Result<ReplicaIdentity, JournalError> {
--- a/cicadastall/tests/gateway_fleet.rs
+++ b/cicadastall/tests/gateway_fleet.rs
@@ -15,7 +15,7 @@
 };
 use hyper::Method;
 use smallvec::smallvec;
-use std::{sync::Arc, time::Duration};
+use std::{path::Path, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -456,12 +456,40 @@
     let answer = fleet.call(0, Method::PUT, "/v1/upstreams/u", &body).await;
     assert_eq!((answer.status.as_u16(), answer.text().as_str()), (400, "the call was not read\n"));
     // Documents may be larger.
-    let mut large = document(1);
+    let large = large_document(1, 2_000);
+    assert!(serde_json::to_string(&large).expect("json").len() > 128 * 1_024);
+    fleet.put_document(&large).await;
+}
+
+fn large_document(number: u64, routes: usize) -> RouteDocument {
+    let mut large = document(number);
     let route = large.routes[0].clone();
-    large.routes.extend((0..2_000).map(|number| {
+    large.routes.extend((0..routes).map(|number| {
         let prefix = format!("/large-{number}/").into();
         Arc::new(RouteRule { prefix, ..(*route).clone() })
     }));
-    assert!(serde_json::to_string(&large).expect("json").len() > 128 * 1_024);
-    fleet.put_document(&large).await;
+    large
+}
+
+fn folder_bytes(folder: &Path) -> u64 {
+    let entries = std::fs::read_dir(folder).expect("a folder").flatten();
+    let sizes = entries.map(|entry| match entry.path() {
+        path if path.is_dir() => folder_bytes(&path),
+        path => path.metadata().map_or(0, |metadata| metadata.len()),
+    });
+    sizes.sum()
+}
+
+/// Guards against a log of large documents that fills the disk for good.
+#[tokio::test]
+async fn large_documents_leave_room_on_the_disk() {
+    let fleet = TestFleet::start("large-log", 1, &[]).await;
+    for number in 1..=45 {
+        fleet.put_document(&large_document(number, 4_000)).await;
+    }
+    let folder = fleet.controls[0].node.data_folder.clone().expect("a folder");
+    let bytes = folder_bytes(&folder);
+    println!("{bytes} bytes");
+    // A snapshot needs the same room once more beside the log.
+    assert!(bytes < 64 * 1_024 * 1_024, "{bytes} bytes of 128 MiB are used");
 }
--- a/cicadastall/tests/replica_schedules.rs
+++ b/cicadastall/tests/replica_schedules.rs
@@ -2,15 +2,21 @@
 
 mod schedules;
 
-use schedules::{Action, Coverage, GroupSize, make_schedule, minimise, run_schedule};
+use schedules::{
+    Action, Coverage, GroupSize, make_disk_schedule, make_schedule, minimise, run_schedule,
+};
 
 /// Random schedules for each group size; the seeds count from 0.
 const SCHEDULES: u64 = 1_500;
 
-fn run_all(size: GroupSize) {
+/// Schedules of full disks for each group size.
+const DISK_SCHEDULES: u64 = 300;
+
+/// Runs the schedules that `make` generates; fails with the first violated invariant.
+fn run_each(size: GroupSize, count: u64, make: impl Fn(u64) -> Vec<Action>) -> Coverage {
     let mut total = Coverage::default();
-    for seed in 0..SCHEDULES {
-        let schedule = make_schedule(seed);
+    for seed in 0..count {
+        let schedule = make(seed);
         match run_schedule(size, &schedule) {
             Ok(coverage) => total += coverage,
             Err(fault) => {
@@ -19,7 +25,12 @@
             }
         }
     }
-    println!("{size:?} replicas, {SCHEDULES} schedules: {total:?}");
+    println!("{size:?} replicas, {count} schedules: {total:?}");
+    total
+}
+
+fn run_all(size: GroupSize) {
+    let total = run_each(size, SCHEDULES, make_schedule);
     let minimum = SCHEDULES as usize;
     assert!(total.elections > minimum && total.acknowledged > minimum && total.reads > minimum);
     assert!(total.membership_changes > minimum && total.snapshots_installed > minimum / 10);
@@ -41,6 +52,15 @@
     run_all((5, Some(3)));
 }
 
+/// Guards against a group that accepts no more changes once disks were full in turn.
+#[test]
+fn a_group_accepts_changes_after_disks_were_full_in_turn() {
+    for size in [(3, None), (3, Some(3)), (5, Some(3))] {
+        let total = run_each(size, DISK_SCHEDULES, make_disk_schedule);
+        assert!(total.elections.min(total.acknowledged) > DISK_SCHEDULES as usize);
+    }
+}
+
 fn run_fixed(schedule: &[Action]) -> Coverage {
     run_schedule((3, None), schedule).unwrap_or_else(|fault| panic!("{fault}"))
 }
--- a/cicadastall/tests/schedules/actions.rs
+++ b/cicadastall/tests/schedules/actions.rs
@@ -33,6 +33,9 @@
     IsolateLeader,
     CrashLeader,
     Heal,
+    /// Fills a disk, while all others get room again.
+    FillDisk(usize),
+    FillLeaderDisk,
     Compact(usize),
     TransferLeadership(usize),
     /// Syncs all writes, delivers all messages and advances the clock by 25 ms, once per round.
@@ -76,6 +79,24 @@
     schedule.extend((0..2).map(Action::Propose));
 }
 
+/// Generates a schedule in which the disks of the hosts are full one after another.
+pub fn make_disk_schedule(seed: u64) -> Vec<Action> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut schedule = vec![Action::RunRounds(60)];
+    for _ in 0..random.random_range(3..8) {
+        schedule.push(match random.random_range(0..2) {
+            0 => Action::FillLeaderDisk,
+            _ => Action::FillDisk(random.random_range(0..1_000)),
+        });
+        for _ in 0..random.random_range(1..6) {
+            add_proposals(&mut schedule, &mut random);
+            schedule.push(Action::RunRounds(random.random_range(1..60)));
+            schedule.push(Action::Read(random.random_range(0..4)));
+        }
+    }
+    schedule
+}
+
 /// One replica misses entries, then the leader crashes.
 fn add_lagging_replica(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
     schedule.push(Action::Isolate(random.random_range(0..1_000)));
--- a/cicadastall/tests/schedules/cluster.rs
+++ b/cicadastall/tests/schedules/cluster.rs
@@ -31,6 +31,8 @@
     pub(super) state: Vec<String>,
     frozen: bool,
     isolated: bool,
+    /// Whether the disk refuses every write.
+    full: bool,
     /// Speed of the clock in thousandths of real time.
     rate: u32,
 }
@@ -129,6 +131,7 @@
                 state: Vec::new(),
                 frozen: false,
                 isolated: false,
+                full: false,
                 rate,
             });
         }
@@ -225,6 +228,8 @@
                 let leader = self.choose_leader(0);
                 self.hosts[leader].isolated = true;
             }
+            Action::FillDisk(pick) => self.fill_disk(pick % size),
+            Action::FillLeaderDisk => self.fill_disk(self.choose_leader(0)),
             Action::CrashLeader => self.stop_core(self.choose_leader(0)),
             Action::Heal => self.hosts.iter_mut().for_each(|host| host.isolated = false),
             Action::Compact(pick) => self.compact(pick % size)?,
@@ -296,6 +301,9 @@
             return Ok(());
         }
         let Some((sequence, writes)) = self.hosts[host].pending.pop_front() else { return Ok(()) };
+        if self.hosts[host].full {
+            return self.restart(host);
+        }
         let disk = self.disks.entry(self.hosts[host].id.clone()).or_default();
         writes.iter().for_each(|write| disk.apply(write));
         self.step_core(host, |core, now| core.mark_synced(sequence, now))
@@ -337,6 +345,12 @@
         Ok(())
     }
 
+    /// Fills the disk of `host`, whose replica restarts at each write until another disk is full.
+    fn fill_disk(&mut self, host: usize) {
+        self.hosts.iter_mut().for_each(|host| host.full = false);
+        self.hosts[host].full = true;
+    }
+
     fn restart(&mut self, host: usize) -> CheckResult {
         self.stop_core(host);
         self.start_core(host);
@@ -447,6 +461,7 @@
         for host in 0..self.hosts.len() {
             self.hosts[host].frozen = false;
             self.hosts[host].isolated = false;
+            self.hosts[host].full = false;
             if self.hosts[host].core.is_none() {
                 self.restart(host)?;
             }
