Bound large bodies at control by their number in place of their size

Bodies of calls may again have 16 MiB; of those above 64 KiB or of unknown length, four documents and four others are received at the same time, the rest is answered 503 after 0.5 s.

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -31,7 +31,10 @@
     peer::{PeerClients, PeerError},
     replicated::GroupError,
 };
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body, Incoming},
+};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     future::Future,
@@ -50,18 +53,18 @@
     time::{Instant, sleep, timeout, timeout_at},
 };
 
-/// Maximum size of a document in bytes; it has a few hundred bytes per route.
-const MAX_DOCUMENT_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of a request body in bytes; a document has a few hundred bytes per route.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Maximum size of any other request body in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Size of a request body in bytes up to which it is read at any time.
+const SMALL_BODY_BYTES: u64 = 64 * 1024;
 
-/// Maximum number of documents that are received at the same time; more would not fit into the memory of
-/// a small instance.
-const MAX_OPEN_DOCUMENTS: usize = 4;
+/// Maximum number of larger bodies that are received at the same time, of documents and of other calls;
+/// more would not fit into the memory of a small instance.
+const MAX_OPEN_BODIES: usize = 4;
 
-/// Longest wait for the end of another document.
-const DOCUMENT_WAIT: Duration = Duration::from_millis(500);
+/// Longest wait for the end of another large body.
+const BODY_WAIT: Duration = Duration::from_millis(500);
 
 /// Time limit for reading a request body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -119,6 +122,7 @@
     origins: Arc<OriginStore>,
     stopping: AtomicBool,
     open_documents: Semaphore,
+    open_others: Semaphore,
     started_at: Instant,
 }
 
@@ -137,7 +141,8 @@
             cursors: Mutex::default(),
             origins: Arc::new(OriginStore::new(MAX_ORIGINS)),
             stopping: AtomicBool::new(false),
-            open_documents: Semaphore::new(MAX_OPEN_DOCUMENTS),
+            open_documents: Semaphore::new(MAX_OPEN_BODIES),
+            open_others: Semaphore::new(MAX_OPEN_BODIES),
             started_at: Instant::now(),
         }
     }
@@ -757,14 +762,19 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
-    let (limit, permit) = match dialect.carries_document(&head.method, &head.uri) {
-        false => (MAX_BODY_BYTES, None),
-        true => match timeout(DOCUMENT_WAIT, control.open_documents.acquire()).await {
-            Ok(Ok(permit)) => (MAX_DOCUMENT_BYTES, Some(permit)),
-            _ => return dialect.write_control(ControlReply::Unavailable("busy with documents")),
+    let is_small = body.size_hint().exact().is_some_and(|bytes| bytes <= SMALL_BODY_BYTES);
+    let open = match dialect.carries_document(&head.method, &head.uri) {
+        true => &control.open_documents,
+        false => &control.open_others,
+    };
+    let permit = match is_small {
+        true => None,
+        false => match timeout(BODY_WAIT, open.acquire()).await {
+            Ok(Ok(permit)) => Some(permit),
+            _ => return dialect.write_control(ControlReply::Unavailable("busy with other calls")),
         },
     };
-    let body = match read_body(body, limit, BODY_READ_TIMEOUT).await {
+    let body = match read_body(body, MAX_BODY_BYTES, BODY_READ_TIMEOUT).await {
         Ok(body) => body,
         Err(error) => {
             log::info!("body of control request not read: {error:?}");
--- a/cicadastall/src/gateway/control_call.rs
+++ b/cicadastall/src/gateway/control_call.rs
@@ -90,6 +90,6 @@
     /// Encodes a reply.
     fn write_control(&self, reply: ControlReply) -> Response<AnswerBody>;
 
-    /// Whether a call carries a document, which is many times larger than the body of any other call.
+    /// Whether a call carries a document, which is usually many times larger than any other body.
     fn carries_document(&self, method: &Method, target: &Uri) -> bool;
 }
