--- a/cicadastall-bench/src/schedules.rs
+++ b/cicadastall-bench/src/schedules.rs
@@ -4,15 +4,17 @@
 mod harness;
 
 use bpaf::Bpaf;
-use harness::{Coverage, make_schedule, minimise, run_schedule};
+use harness::{
+    Action, Coverage, GroupSize, make_disk_schedule, make_schedule, minimise, run_schedule,
+};
 
-/// Numbers of replicas for which the schedules run.
-const REPLICA_COUNTS: [usize; 2] = [3, 5];
+/// Groups for which the schedules run.
+const GROUP_SIZES: [GroupSize; 3] = [(3, None), (5, None), (5, Some(3))];
 
 /// Options of the schedules.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct ScheduleOptions {
-    /// Schedules to run for each number of replicas
+    /// Schedules of each kind to run for each group
     #[bpaf(long, argument("COUNT"), fallback(10_000))]
     count: u64,
     /// Seed of the first schedule; each later schedule uses the next number
@@ -22,24 +24,34 @@
 
 /// Runs the schedules; fails with the first violated invariant and its minimised schedule.
 pub(crate) fn run(options: &ScheduleOptions) -> eyre::Result<()> {
-    for size in REPLICA_COUNTS {
-        let mut total = Coverage::default();
-        for seed in options.seed..options.seed.saturating_add(options.count) {
-            let schedule = make_schedule(seed);
-            match run_schedule((size, None), &schedule) {
-                Ok(coverage) => total += coverage,
-                Err(violation) => {
-                    let minimised = minimise((size, None), schedule);
-                    let minimised_violation =
-                        run_schedule((size, None), &minimised).err().unwrap_or_default();
-                    eyre::bail!(
-                        "{size} replicas, seed {seed}: {violation}\nminimised: {minimised:?}\n\
-                         {minimised_violation}"
-                    );
-                }
+    for size in GROUP_SIZES {
+        run_kind("random faults", make_schedule, size, options)?;
+        run_kind("full disks", make_disk_schedule, size, options)?;
+    }
+    Ok(())
+}
+
+fn run_kind(
+    kind: &str,
+    make: fn(u64) -> Vec<Action>,
+    size: GroupSize,
+    options: &ScheduleOptions,
+) -> eyre::Result<()> {
+    let mut total = Coverage::default();
+    for seed in options.seed..options.seed.saturating_add(options.count) {
+        let schedule = make(seed);
+        match run_schedule(size, &schedule) {
+            Ok(coverage) => total += coverage,
+            Err(violation) => {
+                let minimised = minimise(size, schedule);
+                let minimised_violation = run_schedule(size, &minimised).err().unwrap_or_default();
+                eyre::bail!(
+                    "{size:?}, {kind}, seed {seed}: {violation}\nminimised: {minimised:?}\n\
+                     {minimised_violation}"
+                );
             }
         }
-        println!("{size} replicas, {} schedules hold: {total:?}", options.count);
     }
+    println!("{size:?}, {kind}, {} schedules hold: {total:?}", options.count);
     Ok(())
 }
