End the refusal of renewals after a withdrawal

Found in a read of the whole change. A recorded withdrawal refused renewals that are not newer until 512 others had followed, and an entry kept its row for as long as the control process lived.

Change: the row that each instance makes of a record refuses for 60 s, as rows did before; an entry prefers a withdrawal only where it comes from the earlier process of a restarted instance. The new test covers both places.

--- a/cicadastall/src/gateway/registry.rs
+++ b/cicadastall/src/gateway/registry.rs
@@ -115,7 +115,8 @@
     controls: BTreeMap<SocketAddr, ControlRow>,
     controls_changed: u64,
     evacuated: u64,
-    /// Upstreams whose withdrawal is recorded durably; late renewals of them are outdated.
+    /// Upstreams whose withdrawal is recorded durably. Each is a row of this process for
+    /// [`ROW_RETENTION`], in which late renewals are outdated.
     withdrawn: Arc<WithdrawalRecord>,
     /// The newest document, whose pools tell upstreams to use from others.
     document: Option<Arc<RouteDocument>>,
@@ -204,9 +205,9 @@
         if !self.zones.contains_key(&upstream.zone) {
             return RenewalOutcome::UnknownZone;
         }
-        let row = self.upstreams.get(&upstream.name).map(|row| &row.upstream);
-        let mut known = row.into_iter().chain(self.withdrawn.find(&upstream.name));
-        if known.any(|known| !is_newer(&upstream, known)) {
+        if let Some(row) = self.upstreams.get(&upstream.name)
+            && !is_newer(&upstream, &row.upstream)
+        {
             return RenewalOutcome::Outdated;
         }
         if let Some(row) = self.upstreams.get(&upstream.name)
--- a/cicadastall/src/gateway/view.rs
+++ b/cicadastall/src/gateway/view.rs
@@ -382,9 +382,11 @@
             }
             let seen_at = now.checked_sub(from_millis(update.age_ms)).unwrap_or(now);
             let name = update.upstream.name.clone();
-            // A restarted control instance may not have learnt of a withdrawal yet.
-            let is_undone = control.upstreams.get(&name).is_some_and(|known| {
-                let known = &known.update.upstream;
+            // A restarted control instance may not have learnt yet of a withdrawal that its earlier
+            // process reported.
+            let earlier = control.upstreams.get(&name);
+            let is_undone = earlier.filter(|row| row.retained_until.is_some()).is_some_and(|row| {
+                let known = &row.update.upstream;
                 known.phase != UpstreamPhase::Serving && !is_newer(&update.upstream, known)
             });
             if is_undone && update.upstream.phase == UpstreamPhase::Serving {
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -14,6 +14,7 @@
         registry::{CONTROL_TIMEOUT, FleetRegistry, RenewalOutcome},
         routes::HostHomes,
         view::ViewMerger,
+        withdrawals::WithdrawalRecord,
     },
     name::{InstanceName, PoolName, RegionName, SoftwareVersion, UpstreamName, ZoneName},
     table::{EntryRecord, EntryState, Incarnation},
@@ -461,6 +462,29 @@
     }
 }
 
+/// Guards against a withdrawal without an end: a process whose start can't be told from the earlier one's.
+#[test]
+fn an_upstream_without_a_later_start_is_refused_for_good() {
+    let now = Instant::now();
+    let mut record = WithdrawalRecord::default();
+    record.insert(&RegisteredUpstream { phase: UpstreamPhase::Gone, ..upstream("u", 5, 3) });
+    let mut registry = registry(1);
+    registry.set_withdrawn(&Arc::new(record), now);
+    let renew = |registry: &mut FleetRegistry, seconds| {
+        let at = now + Duration::from_secs(seconds);
+        registry.expire(at);
+        registry.renew(upstream("u", 5, 1), at)
+    };
+    assert_eq!(renew(&mut registry, 59), RenewalOutcome::Outdated);
+    assert_eq!(renew(&mut registry, 61), RenewalOutcome::Accepted);
+    // An entry takes the row from the control process that reported the withdrawal.
+    let mut view = view(now);
+    let gone = RegisteredUpstream { phase: UpstreamPhase::Gone, ..upstream("u", 5, 3) };
+    view.apply_update(address(1), control_update(1, 4, vec![gone]), now);
+    view.apply_update(address(1), control_update(1, 4, vec![upstream("u", 5, 1)]), now);
+    assert_eq!(known(&mut view).len(), 1);
+}
+
 #[test]
 fn fresh_summaries_of_other_regions_are_forwarded() {
     let now = Instant::now();
