Count a voter as silent from its silence under the present leader in status

Found in the same read: a new leader showed all voters as silent, and logged it, until their first reply. The removal of silent voters still counts across leaders. A number of tolerated losses that is too large no longer overflows.

--- a/cicadastall/src/gateway/group_supervisor.rs
+++ b/cicadastall/src/gateway/group_supervisor.rs
@@ -178,7 +178,7 @@
             admission: MemberAdmission::Open {
                 may_found: self.node.founding && seeds.contains(&own),
                 remove_after: RETIRE_AFTER,
-                min_voters: 2 * self.node.tolerated_losses + 1,
+                min_voters: self.node.tolerated_losses.saturating_mul(2).saturating_add(1),
             },
             voters,
             folder: self.node.data_folder.clone(),
--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -409,7 +409,7 @@
         let silent = state
             .peers
             .iter()
-            .filter(|peer| configuration.is_voter(&peer.id) && now >= peer.silent_since + timeout);
+            .filter(|peer| configuration.is_voter(&peer.id) && now >= peer.last_reply_at + timeout);
         silent.map(|peer| peer.id.clone()).collect()
     }
 
