--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -3,9 +3,11 @@
 use crate::{
     gateway::{
         conditions::ConditionRecord,
+        control_bodies::{BodyAdmission, BodyRefusal},
         control_call::{
             CallFault, CallerLocation, ControlCall, ControlDialect, ControlReply, NO_ENTRY_LISTED,
         },
+        control_status::answer_status,
         document_check::check_document,
         document_state::{DocumentCommand, StoredDocument},
         fleet_update::{
@@ -25,16 +27,13 @@
         stream_origins::{ORIGIN_LIFETIME, OriginBatch, OriginQuery, OriginReply, StreamOrigin},
     },
     group_transport::GroupRegistry,
-    http::{self, AnswerBody, ListenerLimits, json_answer, read_body, text_answer},
+    http::{self, AnswerBody, ListenerLimits, text_answer},
     instance::serve_fleet,
     name::{RegionName, UpstreamName, ZoneName},
     peer::{PeerClients, PeerError},
     replicated::GroupError,
 };
-use hyper::{
-    Request, Response, StatusCode,
-    body::{Body, Incoming},
-};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     future::Future,
@@ -48,32 +47,13 @@
     time::Duration,
 };
 use tokio::{
-    sync::{Semaphore, watch},
+    sync::watch,
     task::JoinSet,
     time::{Instant, sleep, timeout, timeout_at},
 };
 
-/// Maximum size of a request body in bytes; a document has a few hundred bytes per route.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
-/// Size of a request body in bytes up to which it is read at any time.
-const SMALL_BODY_BYTES: u64 = 64 * 1024;
-
-/// Maximum number of larger bodies that are received at the same time, of documents and of other calls;
-/// more would not fit into the memory of a small instance.
-const MAX_OPEN_BODIES: usize = 4;
-
-/// Longest wait for the end of another large body.
-const BODY_WAIT: Duration = Duration::from_millis(500);
-
-/// Time limit for reading a request body.
-const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Time limit for confirming a read by a majority; operators try another instance after one second.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// Time limit for recording the withdrawal of an upstream, which waits one second for the reply.
-const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(900);
+pub(super) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Interval at which timeouts are checked and the set of polled instances is updated.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
@@ -112,17 +92,16 @@
 /// State of one control instance.
 #[derive(Debug)]
 pub struct FleetControl {
-    node: Arc<GatewaySettings>,
+    pub(super) node: Arc<GatewaySettings>,
     own: ControlRecord,
     registry: Mutex<FleetRegistry>,
-    supervisor: GroupSupervisor,
-    changed: watch::Sender<u64>,
+    pub(super) supervisor: GroupSupervisor,
+    pub(super) changed: watch::Sender<u64>,
     cursors: Mutex<HashMap<SocketAddr, FleetCursor>>,
     seeds: Mutex<Vec<SocketAddr>>,
-    origins: Arc<OriginStore>,
+    pub(super) origins: Arc<OriginStore>,
     stopping: AtomicBool,
-    open_documents: Semaphore,
-    open_others: Semaphore,
+    bodies: BodyAdmission,
     started_at: Instant,
 }
 
@@ -141,13 +120,12 @@
             cursors: Mutex::default(),
             origins: Arc::new(OriginStore::new(MAX_ORIGINS)),
             stopping: AtomicBool::new(false),
-            open_documents: Semaphore::new(MAX_OPEN_BODIES),
-            open_others: Semaphore::new(MAX_OPEN_BODIES),
+            bodies: BodyAdmission::default(),
             started_at: Instant::now(),
         }
     }
 
-    fn registry(&self) -> MutexGuard<'_, FleetRegistry> {
+    pub(super) fn registry(&self) -> MutexGuard<'_, FleetRegistry> {
         self.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -156,7 +134,7 @@
     }
 
     /// Applies `change` to the registry, and wakes waiting queries if it changed anything.
-    fn change_registry<T>(&self, change: impl FnOnce(&mut FleetRegistry) -> T) -> T {
+    pub(super) fn change_registry<T>(&self, change: impl FnOnce(&mut FleetRegistry) -> T) -> T {
         let mut registry = self.registry();
         let before = registry.cursor();
         let result = change(&mut registry);
@@ -225,46 +203,6 @@
         }
     }
 
-    /// Returns `reply` once a majority has recorded the withdrawal of `upstream`, so that it outlives
-    /// this process. Entries learn of it in any case.
-    async fn confirm_withdrawal(
-        &self,
-        upstream: Arc<RegisteredUpstream>,
-        reply: ControlReply,
-    ) -> ControlReply {
-        match timeout(WITHDRAWAL_TIMEOUT, self.record_withdrawal(&upstream)).await {
-            Ok(Ok(())) => reply,
-            Ok(Err(error)) => {
-                log::warn!(upstream = upstream.name.as_str(); "withdrawal not recorded: {error}");
-                ControlReply::Unknown
-            }
-            Err(_) => {
-                log::warn!(upstream = upstream.name.as_str(); "withdrawal not recorded in time");
-                ControlReply::Unknown
-            }
-        }
-    }
-
-    async fn record_withdrawal(
-        &self,
-        upstream: &Arc<RegisteredUpstream>,
-    ) -> Result<(), GroupError> {
-        if self.supervisor.state().withdrawn().covers(upstream) {
-            return Ok(());
-        }
-        let command = DocumentCommand::Withdraw(Arc::clone(upstream));
-        match self.supervisor.change(command).await {
-            Ok(_) => Ok(()),
-            // A leader of an earlier version commits the command without a reply.
-            Err(GroupError::OutcomeUnknown) => {
-                let state = self.supervisor.read(CONFIRM_TIMEOUT).await?;
-                let recorded = state.withdrawn().covers(upstream);
-                recorded.then_some(()).ok_or(GroupError::OutcomeUnknown)
-            }
-            Err(error) => Err(error),
-        }
-    }
-
     async fn replace(&self, stored: StoredDocument) -> ControlReply {
         let faults = check_document(&stored.document);
         if !faults.is_empty() {
@@ -461,19 +399,6 @@
         self.build_update(&query, confirmed)
     }
 
-    /// Applies recorded withdrawals to the registry, until its task is dropped.
-    async fn apply_withdrawals(&self) {
-        let mut changed = self.changed.subscribe();
-        loop {
-            let state = self.supervisor.state();
-            let now = Instant::now();
-            self.change_registry(|registry| registry.set_withdrawn(state.withdrawn(), now));
-            if changed.changed().await.is_err() {
-                return;
-            }
-        }
-    }
-
     /// Expires registry rows periodically, until its task is dropped.
     async fn expire(&self) {
         loop {
@@ -557,21 +482,6 @@
             ServedSoftware::Sole(_) | ServedSoftware::Unknown => OriginReply::Unknown,
         }
     }
-
-    /// State for operators.
-    fn describe(&self) -> serde_json::Value {
-        let state = self.supervisor.state();
-        serde_json::json!({
-            "instance": self.node.instance,
-            "document": state.number(),
-            "evacuated": state.evacuated(),
-            "group": self.supervisor.describe(),
-            "entries": self.registry().live_entries().collect::<Vec<_>>(),
-            "controls": self.registry().other_controls().collect::<Vec<_>>(),
-            "origins": self.origins.table().len(),
-            "history_complete": self.registry().history().is_complete(Instant::now()),
-        })
-    }
 }
 
 impl FleetService for FleetControl {
@@ -762,27 +672,19 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
-    let is_small = body.size_hint().exact().is_some_and(|bytes| bytes <= SMALL_BODY_BYTES);
-    let open = match dialect.carries_document(&head.method, &head.uri) {
-        true => &control.open_documents,
-        false => &control.open_others,
-    };
-    let permit = match is_small {
-        true => None,
-        false => match timeout(BODY_WAIT, open.acquire()).await {
-            Ok(Ok(permit)) => Some(permit),
-            _ => return dialect.write_control(ControlReply::Unavailable("busy with other calls")),
-        },
-    };
-    let body = match read_body(body, MAX_BODY_BYTES, BODY_READ_TIMEOUT).await {
+    let is_document = dialect.carries_document(&head.method, &head.uri);
+    let body = match control.bodies.receive(body, is_document).await {
         Ok(body) => body,
-        Err(error) => {
+        Err(BodyRefusal::Busy) => {
+            return dialect.write_control(ControlReply::Unavailable("busy with other calls"));
+        }
+        Err(BodyRefusal::Unread(error)) => {
             log::info!("body of control request not read: {error:?}");
             return text_answer(StatusCode::BAD_REQUEST, "the call was not read\n");
         }
     };
-    let decoded = dialect.read_control(&head.method, &head.uri, &body);
-    drop((body, permit));
+    let decoded = dialect.read_control(&head.method, &head.uri, &body.bytes);
+    drop(body);
     let reply = match decoded {
         Ok(call)
             if control.stopping.load(Ordering::Relaxed)
@@ -798,44 +700,3 @@
     };
     dialect.write_control(reply)
 }
-
-async fn answer_status(
-    control: Arc<FleetControl>,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
-    match request.uri().path() {
-        "/healthz" => text_answer(StatusCode::OK, "ok\n"),
-        "/v1/status" => json_answer(StatusCode::OK, &control.describe()),
-        "/metrics" => text_answer(StatusCode::OK, control.render_metrics()),
-        _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
-    }
-}
-
-impl FleetControl {
-    /// Metrics of the instance in the Prometheus text format.
-    fn render_metrics(&self) -> String {
-        let state = self.supervisor.state();
-        let registry = self.registry();
-        let entries = registry.live_entries().count();
-        let controls = registry.other_controls().count();
-        let origins = self.origins.table().len();
-        let group = self.supervisor.status().unwrap_or_default();
-        let mut metrics = format!(
-            "cicadastall_control_document {}\ncicadastall_control_evacuations {}\n\
-             cicadastall_control_entries {entries}\ncicadastall_control_others {controls}\n\
-             cicadastall_control_origins {origins}\n\
-             cicadastall_control_group_voters {}\n",
-            state.number(),
-            state.evacuated().version,
-            group.configuration.voters.len(),
-        );
-        if let Some(losses) = group.losses_borne() {
-            let silent = group.silent.len();
-            metrics.push_str(&format!(
-                "cicadastall_control_group_silent {silent}\n\
-                 cicadastall_control_group_losses_borne {losses}\n"
-            ));
-        }
-        metrics
-    }
-}
