Take free ports for the workers of the second review too

Cause: the stand-in workers used one fixed port. Change: it is one of the free ports that the script finds.

--- a/review/stand-ins-2/cold_restart.rs
+++ b/review/stand-ins-2/cold_restart.rs
@@ -48,7 +48,7 @@
         id: format!("i-review{number}"),
         service: "huvo11a".to_owned(),
         region: "aqaba",
-        address: (fleet.free_ip(200 + number), 8_660).into(),
+        address: (fleet.free_ip(200 + number), fleet.ports.worker).into(),
         slots: 128,
     };
     let mut reaches = Vec::new();
--- a/review/stand-ins-2/crash_after_begin.rs
+++ b/review/stand-ins-2/crash_after_begin.rs
@@ -53,7 +53,7 @@
             id: format!("i-review{number:02}"),
             service: "huvo11a".to_owned(),
             region: REGIONS[usize::from(place % 3)],
-            address: (self.fleet.free_ip(200 + place), 8_660).into(),
+            address: (self.fleet.free_ip(200 + place), self.fleet.ports.worker).into(),
             slots: 128,
         };
         let service = self.service.lock().unwrap().clone().expect("the service is set");
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -39,6 +39,7 @@
     pub directory: u16,
     pub registry: u16,
     pub status: u16,
+    pub worker: u16,
 }
 
 pub struct Machine {
@@ -75,7 +76,7 @@
         let group = (64 + (pid / 200 % 120) as u8, (pid % 200) as u8 + 1);
         let ip = |last: u8| Ipv4Addr::new(127, group.0, group.1, last);
         let mut base = 21_000 + (pid % 900) as u16 * 8;
-        while !(0..7).all(|offset| TcpListener::bind((ip(1), base + offset)).is_ok()) {
+        while !(0..8).all(|offset| TcpListener::bind((ip(1), base + offset)).is_ok()) {
             base += 8;
         }
         let ports = Ports {
@@ -86,6 +87,7 @@
             directory: base + 4,
             registry: base + 5,
             status: base + 6,
+            worker: base + 7,
         };
         let folder = std::env::temp_dir().join(format!("review-2-{pid}"));
         let mut machines = Vec::new();
@@ -118,7 +120,7 @@
 
     pub fn start(&self, index: usize, first: bool) {
         let machine = &self.machines[index];
-        let Ports { peer, grant, front, ready, directory, registry, status } = self.ports;
+        let Ports { peer, grant, front, ready, directory, registry, status, .. } = self.ports;
         let own = |port: u16| SocketAddr::from((machine.ip, port)).to_string();
         let seeds: Vec<String> = self
             .machines
--- a/review/stand-ins-2/hop_runs.rs
+++ b/review/stand-ins-2/hop_runs.rs
@@ -50,7 +50,7 @@
                 id: format!("i-{region}{number}"),
                 service: "huvo11a".to_owned(),
                 region,
-                address: (fleet.free_ip(200 + workers.len() as u8), 8_660).into(),
+                address: (fleet.free_ip(200 + workers.len() as u8), fleet.ports.worker).into(),
                 slots: 128,
             };
             let (losing, runs) = (Arc::clone(&losing), Arc::clone(&runs));
--- a/review/stand-ins-2/two_runs.rs
+++ b/review/stand-ins-2/two_runs.rs
@@ -58,7 +58,7 @@
                 id: format!("i-{region}"),
                 service: "huvo11a".to_owned(),
                 region,
-                address: (fleet.free_ip(200 + number as u8), 8_660).into(),
+                address: (fleet.free_ip(200 + number as u8), fleet.ports.worker).into(),
                 slots: 128,
             };
             let (works, full) = (Arc::clone(&works), Arc::clone(&full));
--- a/review/stand-ins-2/upload_burst.rs
+++ b/review/stand-ins-2/upload_burst.rs
@@ -50,7 +50,7 @@
                 id: format!("i-review{number}"),
                 service: "huvo11a".to_owned(),
                 region: "aqaba",
-                address: (fleet.free_ip(200 + number), 8_660).into(),
+                address: (fleet.free_ip(200 + number), fleet.ports.worker).into(),
                 slots: 128,
             };
             let reaches = Arc::new(AtomicBool::new(true));
