Review case 6: a lost disk right after a planned replacement ends the core

Cause: a core machine that was replaced stays a voter for 2.5 s of silence, so that its loss and one lost disk leave two of four voters. Change: a script that replaces one core machine as planned and lets another lose its disk right after an acknowledgement.

--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -47,8 +47,6 @@
     pub control: bool,
     pub region: &'static str,
     pub ip: Ipv4Addr,
-    /// Address under which the others reach its peer port, if that is not its own.
-    pub advertised: Option<SocketAddr>,
     child: Mutex<Option<Child>>,
 }
 
@@ -63,15 +61,6 @@
 impl Fleet {
     /// One control instance and `entries` entries in each region; none of them runs yet.
     pub fn new(entries: usize, record: Arc<Record>) -> Fleet {
-        Fleet::build(entries, false, record)
-    }
-
-    /// The same, with a proxy on the link from the others to each machine.
-    pub fn proxied(entries: usize, record: Arc<Record>) -> Fleet {
-        Fleet::build(entries, true, record)
-    }
-
-    fn build(entries: usize, proxied: bool, record: Arc<Record>) -> Fleet {
         let pid = std::process::id();
         let group = (64 + (pid / 200 % 120) as u8, (pid % 200) as u8 + 1);
         let ip = |last: u8| Ipv4Addr::new(127, group.0, group.1, last);
@@ -99,14 +88,48 @@
                     false => format!("front-{region}-a-{number}"),
                 };
                 let last = (index * 16 + number + 1) as u8;
-                let advertised = proxied.then(|| SocketAddr::from((ip(100 + last), base)));
                 let (ip, child) = (ip(last), Mutex::new(None));
-                machines.push(Machine { name, control, region, ip, advertised, child });
+                machines.push(Machine { name, control, region, ip, child });
             }
         }
         Fleet { machines, ports, folder, record, group }
     }
 
+    /// Adds a core machine in the region of machine `index`, at a new address and with an empty disk.
+    pub fn add_core(&mut self, index: usize) -> usize {
+        let region = self.machines[index].region;
+        let (name, ip) = (format!("core-{region}-a-2"), self.free_ip(60 + index as u8));
+        let child = Mutex::new(None);
+        self.machines.push(Machine { name, control: true, region, ip, child });
+        self.machines.len() - 1
+    }
+
+    /// Sends SIGTERM to a machine's process, and SIGKILL after the grace period of 8 s.
+    pub fn terminate(&self, index: usize) {
+        let id = self.machines[index].child.lock().unwrap().as_ref().map(Child::id);
+        if let Some(id) = id {
+            let _ = Command::new("kill").args(["-TERM", &id.to_string()]).status();
+        }
+        let until = Instant::now() + Duration::from_secs(8);
+        while Instant::now() < until {
+            let mut child = self.machines[index].child.lock().unwrap();
+            if !child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None))) {
+                break;
+            }
+            drop(child);
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.kill(index);
+        self.record.line(&format!("platform: {} has ended", self.machines[index].name));
+    }
+
+    /// Empties the disk of a machine whose process does not run.
+    pub fn wipe(&self, index: usize) {
+        let name = &self.machines[index].name;
+        let _ = fs::remove_dir_all(self.folder.join(name).join("data"));
+        self.record.line(&format!("platform: {name} has lost its disk"));
+    }
+
     /// A loopback address that no machine has.
     pub fn free_ip(&self, last: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.group.0, self.group.1, last)
@@ -126,10 +149,8 @@
             .machines
             .iter()
             .filter(|machine| machine.control)
-            .map(|machine| {
-                let ip = machine.advertised.map_or(machine.ip.into(), |address| address.ip());
-                format!("\"{ip}:{registry}\"")
-            })
+            .take(REGIONS.len())
+            .map(|machine| format!("\"{}:{registry}\"", machine.ip))
             .collect();
         let zones: Vec<String> =
             REGIONS.iter().map(|region| format!("\"{region}-a\": \"{region}\"")).collect();
@@ -146,9 +167,6 @@
             own(status),
             seeds.join(", ")
         );
-        if let Some(advertised) = machine.advertised {
-            settings += &format!(", \"peer_advertise\": \"{advertised}\"");
-        }
         settings += &match machine.control {
             true => format!(
                 ", \"registry_listen\": \"{}\", \"data_folder\": \"{}\", \"founding\": {first} }}",
@@ -236,7 +254,7 @@
     }
 
     /// Sends an order of the operator until it is acknowledged, for at most `limit`.
-    fn order(&self, path: &str, body: &str, limit: Duration) -> bool {
+    pub fn order(&self, path: &str, body: &str, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         while Instant::now() < until {
             for control in self.controls("aqaba") {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -6,14 +6,13 @@
 
 mod fleet;
 mod http;
-mod link;
 mod record;
 mod worker;
 
 mod cold_restart;
 mod crash_after_begin;
 mod hop_runs;
-mod two_runs;
+mod replaced_core;
 mod upload_burst;
 
 use record::Record;
@@ -41,7 +40,7 @@
         "cold-restart" => cold_restart::run(&record, trouble),
         "crash-after-begin" => crash_after_begin::run(&record, trouble),
         "hop-runs" => hop_runs::run(&record, trouble),
-        "two-runs" => two_runs::run(&record, trouble),
+        "replaced-core" => replaced_core::run(&record, trouble),
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
