A voter that stops leaves its group, and changes are acknowledged once they outlive lost disks

A core machine is replaced as planned, and the machine that acknowledged the next change loses its disk. No read and no change of the desired state is answered any more.

Cause: the group had four voters then, of which one had ended and one was lost. Four need three, and only a leader with a majority removes a silent voter, after 2.5 s. A replica that stops for good told nobody; and the acknowledgement said nothing of what the group still bore.

Ruled out: a successor that stays a learner (a kill and a lost disk leave one of three voters); counting a lost voter out by the empty replica at its address (a removal that it had acknowledged may be known to nobody else, so that two leaders are possible).

Change: a replica that stops as planned says so in its replies, and the leader removes it while there are voters to spare and a majority of the others answers; the replica waits for that. With voters to spare, the leader replies to a proposal once the group would survive the losses that it is meant to bear. A group without voters to spare does as before.

--- a/cicadastall-bench/src/schedules.rs
+++ b/cicadastall-bench/src/schedules.rs
@@ -5,12 +5,16 @@
 
 use bpaf::Bpaf;
 use harness::{
-    Action, Coverage, GroupSize, make_disk_schedule, make_schedule, minimise, run_schedule,
+    Action, Coverage, GroupSize, make_disk_schedule, make_leaving_schedule,
+    make_replacement_schedule, make_schedule, minimise, run_schedule,
 };
 
 /// Groups for which the schedules run.
 const GROUP_SIZES: [GroupSize; 3] = [(3, None), (5, None), (5, Some(3))];
 
+/// Numbers of founders, and of hosts that end for good.
+const REPLACEMENTS: [(usize, usize); 4] = [(3, 1), (3, 2), (5, 1), (5, 2)];
+
 /// Options of the schedules.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct ScheduleOptions {
@@ -28,12 +32,19 @@
         run_kind("random faults", make_schedule, size, options)?;
         run_kind("full disks", make_disk_schedule, size, options)?;
     }
+    for size in [(4, Some(3)), (5, Some(3))] {
+        run_kind("replicas that leave", make_leaving_schedule, size, options)?;
+    }
+    for (founders, ended) in REPLACEMENTS {
+        let make = |seed| make_replacement_schedule(seed, ended);
+        run_kind("replaced hosts", make, (founders + ended, Some(founders)), options)?;
+    }
     Ok(())
 }
 
 fn run_kind(
     kind: &str,
-    make: fn(u64) -> Vec<Action>,
+    make: impl Fn(u64) -> Vec<Action>,
     size: GroupSize,
     options: &ScheduleOptions,
 ) -> eyre::Result<()> {
--- a/cicadastall/src/gateway/agreement/group_supervisor.rs
+++ b/cicadastall/src/gateway/agreement/group_supervisor.rs
@@ -43,7 +43,7 @@
 };
 
 /// Time without contact after which a member is removed if enough voters remain; longer than a restart.
-/// A removed replica that returns is readmitted.
+/// One that stops as planned is removed at once. A removed replica that returns is readmitted.
 const RETIRE_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Delay before a failed replica is restarted.
@@ -258,10 +258,11 @@
         self.silent_voters.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Transfers leadership to another replica before a planned stop.
-    pub async fn transfer_leadership(&self) {
+    /// Transfers leadership to another replica before a planned stop, and leaves the group if it has
+    /// voters to spare.
+    pub async fn leave(&self) {
         if let Some(handle) = self.handle.load_full() {
-            handle.transfer_leadership().await;
+            handle.leave().await;
         }
     }
 }
--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -751,13 +751,14 @@
         *known = seeds.to_vec();
     }
 
-    /// Transfers group leadership to another instance, finishes the calls in flight and stops.
+    /// Transfers group leadership to another instance, leaves the group if it has voters to spare,
+    /// finishes the calls in flight and stops.
     pub async fn stop(mut self) {
         log::info!("control stopping");
         self.control.stopping.store(true, Ordering::Relaxed);
         let bound = self.control.node.stop_bound() / 2;
-        if timeout(bound, self.control.supervisor.transfer_leadership()).await.is_err() {
-            log::warn!("leadership transfer timed out");
+        if timeout(bound, self.control.supervisor.leave()).await.is_err() {
+            log::warn!("the document group was not left in time");
         }
         sleep(STOP_GRACE).await;
         self.close.send_replace(true);
--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -375,6 +375,18 @@
         request_leadership_transfer(&self.shared.actor, self.shared.status.clone()).await;
     }
 
+    /// Transfers leadership, if the replica leads, and returns once the replica has been removed from
+    /// the group, or at once if the group has no voter to spare. The caller sets a time limit.
+    pub async fn leave(&self) {
+        if self.shared.actor.cast(GroupMessage::Leave).is_err() {
+            return;
+        }
+        self.transfer_leadership().await;
+        let mut status = self.shared.status.clone();
+        // An error says that the replica has stopped.
+        let _ = status.wait_for(|status| status.may_stop).await;
+    }
+
     /// Stops the replica and removes it from the registry.
     pub fn stop(&self) {
         self.shared.stop();
--- a/cicadastall/src/group_actor.rs
+++ b/cicadastall/src/group_actor.rs
@@ -13,7 +13,7 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     io,
     marker::PhantomData,
     sync::{Arc, PoisonError, RwLock, mpsc as journal_queue},
@@ -52,6 +52,7 @@
     /// Processes the core's output once for all messages queued before this one.
     Flush,
     TransferLeadership,
+    Leave,
     Refound(Epoch, oneshot::Sender<Result<Epoch, ReplicaError>>),
 }
 
@@ -77,6 +78,10 @@
     /// Voters that have not replied to this replica for an election timeout while it leads.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub silent: Vec<ReplicaId>,
+    /// Whether this replica may stop without asking to be removed first; see
+    /// [`ReplicaCore::may_stop`].
+    #[serde(default)]
+    pub may_stop: bool,
     /// Error that stopped the replica.
     pub failure: Option<String>,
 }
@@ -107,6 +112,15 @@
 /// Batch of writes for the journal's thread, with its number.
 type JournalBatch = (WriteSequence, Vec<JournalWrite>);
 
+/// Reply to a proposal that is applied, until it may be sent.
+struct HeldReply<S: ReplicatedState> {
+    index: LogIndex,
+    /// Time at which it is sent in any case.
+    send_at: Instant,
+    reply: S::Reply,
+    proposer: ProposalReply<S>,
+}
+
 /// State of the actor.
 pub(crate) struct GroupActorState<S: ReplicatedState> {
     core: ReplicaCore,
@@ -115,6 +129,8 @@
     status: watch::Sender<GroupStatus>,
     senders: GroupSenders,
     proposals: BTreeMap<LogIndex, (Term, ProposalReply<S>)>,
+    /// Replies to applied proposals that the group would not keep through further lost disks yet.
+    held_replies: VecDeque<HeldReply<S>>,
     reads: HashMap<ReadTicket, ReadReply>,
     last_ticket: ReadTicket,
     applied: LogIndex,
@@ -145,6 +161,7 @@
             status,
             senders,
             proposals: BTreeMap::new(),
+            held_replies: VecDeque::new(),
             reads: HashMap::new(),
             last_ticket: ReadTicket(0),
             applied,
@@ -170,6 +187,7 @@
             GroupMessage::JournalFailed(error) => return Err(state.fail(&error)),
             GroupMessage::Tick => state.core.tick(now),
             GroupMessage::TransferLeadership => state.core.transfer_leadership(now),
+            GroupMessage::Leave => state.core.leave(now),
             GroupMessage::Refound(epoch, reply) => {
                 let refounded = state.core.refound(epoch, now);
                 let _ = reply.send(refounded.map(|()| state.core.epoch()));
@@ -241,12 +259,13 @@
             let output = self.core.take_output(now);
             let sequence = output.sequence;
             let writes = !output.writes.is_empty();
-            self.process_output(output)?;
+            self.process_output(output, now)?;
             if !writes || self.journal.is_some() {
                 break;
             }
             self.core.mark_synced(sequence, now);
         }
+        self.send_held_replies(now);
         if !self.core.is_leader() {
             self.fail_proposals();
         }
@@ -254,7 +273,7 @@
         Ok(())
     }
 
-    fn process_output(&mut self, output: ReplicaOutput) -> Result<(), JournalError> {
+    fn process_output(&mut self, output: ReplicaOutput, now: Instant) -> Result<(), JournalError> {
         if let Some(journal) = self.journal.as_ref().filter(|_| !output.writes.is_empty()) {
             let sent = journal.send((output.sequence, output.writes));
             sent.map_err(|_| JournalError::Poisoned)?;
@@ -263,7 +282,7 @@
         if let Some(snapshot) = output.restored {
             self.restore(&snapshot);
         }
-        output.committed.into_iter().for_each(|entry| self.apply(entry));
+        output.committed.into_iter().for_each(|entry| self.apply(entry, now));
         for (ticket, index) in output.reads {
             let Some(reply) = self.reads.remove(&ticket) else { continue };
             let _ = reply.send(index.ok_or(GroupError::NoQuorum));
@@ -297,13 +316,31 @@
         self.applied = snapshot.position.index;
     }
 
-    fn apply(&mut self, entry: LogEntry) {
+    fn apply(&mut self, entry: LogEntry, now: Instant) {
         let LogEntry { position, payload } = entry;
         let reply = self.apply_payload(position.index, &payload);
         self.applied = position.index;
-        let Some((term, proposal)) = self.proposals.remove(&position.index) else { return };
-        let reply = reply.filter(|_| term == position.term).ok_or(GroupError::OutcomeUnknown);
-        let _ = proposal.send(reply);
+        let Some((term, proposer)) = self.proposals.remove(&position.index) else { return };
+        match reply.filter(|_| term == position.term) {
+            Some(reply) => {
+                let send_at = now + self.core.removal_time();
+                let held = HeldReply { index: position.index, send_at, reply, proposer };
+                self.held_replies.push_back(held);
+            }
+            None => {
+                let _ = proposer.send(Err(GroupError::OutcomeUnknown));
+            }
+        }
+    }
+
+    /// Sends the replies to proposals that outlive the losses that the group is meant to bear, and
+    /// those that have waited for their time limit.
+    fn send_held_replies(&mut self, now: Instant) {
+        let durable = self.core.durable_index();
+        let is_due = |held: &mut HeldReply<S>| held.index <= durable || held.send_at <= now;
+        while let Some(held) = self.held_replies.pop_front_if(is_due) {
+            let _ = held.proposer.send(Ok(held.reply));
+        }
     }
 
     fn apply_payload(&mut self, index: LogIndex, payload: &EntryPayload) -> Option<S::Reply> {
@@ -325,11 +362,14 @@
     }
 
     /// Ends all proposals with an unknown outcome: a replica that no longer leads does not learn
-    /// which of them are committed.
+    /// which of them are committed, or lasting.
     fn fail_proposals(&mut self) {
         for (_, (_, reply)) in std::mem::take(&mut self.proposals) {
             let _ = reply.send(Err(GroupError::OutcomeUnknown));
         }
+        for held in self.held_replies.drain(..) {
+            let _ = held.proposer.send(Err(GroupError::OutcomeUnknown));
+        }
     }
 
     fn publish_status(&self, now: Instant) {
@@ -343,6 +383,7 @@
             applied: self.applied,
             superseded: self.core.superseding_epoch(),
             silent: self.core.silent_voters(now),
+            may_stop: self.core.may_stop(),
             failure: None,
         };
         self.status.send_if_modified(|published| {
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -59,13 +59,18 @@
         /// Time without a reply after which the leader removes a learner, or a voter while there
         /// are more than `min_voters`.
         remove_after: Duration,
-        /// Number of voters below which no silent voter is removed: twice the number of disks that
-        /// may be lost at once, plus one.
+        /// Number of voters below which none is removed that is silent or leaving: twice the number of
+        /// disks that may be lost at once, plus one.
         min_voters: usize,
     },
 }
 
 impl MemberAdmission {
+    /// Whether a group of `voters` can lose one for good and still bear what it is meant to.
+    pub(crate) fn has_spare(self, voters: usize) -> bool {
+        matches!(self, Self::Open { min_voters, .. } if voters > min_voters)
+    }
+
     pub(crate) fn is_open(self) -> bool {
         matches!(self, Self::Open { .. })
     }
@@ -176,6 +181,8 @@
     pub(crate) incoming: Option<IncomingSnapshot>,
     /// Newer epoch under which the group was refounded without this replica.
     pub(crate) superseding_epoch: Option<Epoch>,
+    /// Whether this replica is about to stop; it then votes, but does not stand for election.
+    pub(crate) leaving: bool,
 }
 
 impl ReplicaCore {
@@ -207,6 +214,7 @@
             held_messages: VecDeque::new(),
             incoming: None,
             superseding_epoch: None,
+            leaving: false,
             settings,
         };
         if core.is_uninitialized() {
@@ -276,6 +284,20 @@
         self.superseding_epoch
     }
 
+    /// Whether the newest configuration in the log is committed.
+    pub fn is_configuration_committed(&self) -> bool {
+        self.log.configuration_index() <= self.commit_index
+    }
+
+    /// Whether this replica may stop without a request to be removed: it has been removed, or the
+    /// group has no voter to spare.
+    pub fn may_stop(&self) -> bool {
+        let configuration = self.log.configuration();
+        let is_voter = configuration.is_voter(&self.settings.own);
+        self.is_configuration_committed()
+            && !(is_voter && self.settings.admission.has_spare(configuration.voters.len()))
+    }
+
     /// Takes the pending output, which the caller must perform.
     pub fn take_output(&mut self, now: Instant) -> ReplicaOutput {
         self.advance_transfer(now);
@@ -398,7 +420,8 @@
                 let outcome = self.accept_snapshot(chunk, &data, now);
                 self.reply_append(from, round, outcome);
             }
-            ReplicaMessage::AppendReply { term, round, outcome } => {
+            ReplicaMessage::AppendReply { term, round, outcome, leaving } => {
+                self.note_leaving(&from, leaving);
                 self.on_append_reply(from, term, round, outcome, now);
             }
             ReplicaMessage::Join { .. } | ReplicaMessage::Found { .. } => {}
--- a/cicadastall/src/replica_election.rs
+++ b/cicadastall/src/replica_election.rs
@@ -21,6 +21,10 @@
 
     pub(crate) fn start_pre_vote(&mut self, now: Instant) {
         self.schedule_pre_vote(now);
+        if self.leaving {
+            self.role = ReplicaRole::Follower { leader: None };
+            return;
+        }
         if !self.log.configuration().is_voter(&self.settings.own) {
             self.role = ReplicaRole::Follower { leader: None };
             return self.request_readmission();
--- a/cicadastall/src/replica_follower.rs
+++ b/cicadastall/src/replica_follower.rs
@@ -160,7 +160,8 @@
 
     pub(crate) fn reply_append(&mut self, to: ReplicaId, round: u64, outcome: AppendOutcome) {
         let term = self.hard_state.term;
-        self.send_synced(to, ReplicaMessage::AppendReply { term, round, outcome });
+        let leaving = self.leaving;
+        self.send_synced(to, ReplicaMessage::AppendReply { term, round, outcome, leaving });
     }
 
     pub(crate) fn reply_stale_term(&mut self, to: ReplicaId, round: u64) {
--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -34,6 +34,9 @@
     silent_since: Instant,
     /// Bytes of the snapshot that the member holds, while it receives one.
     snapshot_offset: Option<u64>,
+    /// Whether the member is about to stop. It is tracked for a while after its removal, so that it
+    /// learns that the removal is committed.
+    is_leaving: bool,
 }
 
 /// A read that waits until a majority has acknowledged `round`.
@@ -105,8 +108,9 @@
         configuration: &GroupConfiguration,
         last: LogIndex,
     ) -> Option<ReplicaId> {
-        let is_eligible =
-            |peer: &&PeerProgress| peer.match_index >= last && configuration.is_voter(&peer.id);
+        let is_eligible = |peer: &&PeerProgress| {
+            peer.match_index >= last && configuration.is_voter(&peer.id) && !peer.is_leaving
+        };
         let target = self.peers.iter().filter(is_eligible).max_by_key(|peer| peer.last_reply_at);
         target.map(|peer| peer.id.clone())
     }
@@ -182,6 +186,12 @@
         if quorum_reply_at.is_none_or(|at| now >= at + self.settings.timing.election_timeout) {
             return self.become_follower(self.hard_state.term, None, now);
         }
+        let configuration = self.log.configuration();
+        let election = self.settings.timing.election_timeout;
+        state.peers.retain(|peer| {
+            let is_told = peer.is_leaving && now < peer.last_reply_at + election;
+            configuration.is_member(&peer.id) || is_told
+        });
         if now >= state.next_heartbeat {
             state.next_heartbeat = now + self.settings.timing.heartbeat_interval;
             for peer in &mut state.peers {
@@ -293,6 +303,56 @@
         self.advance_commit(now);
     }
 
+    pub(crate) fn note_leaving(&mut self, replica: &ReplicaId, leaving: bool) {
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        if let Some(peer) = state.peer(replica) {
+            peer.is_leaving = leaving;
+        }
+    }
+
+    /// Last committed entry that the group still has, and can add to, after it has lost as many
+    /// disks at once as it is meant to bear.
+    ///
+    /// With voters to spare, more of them must hold an entry than commit it, since one of the voters
+    /// may be gone for good. 0 while a membership change is under way; the commit index on replicas
+    /// that do not lead.
+    pub fn durable_index(&self) -> LogIndex {
+        let configuration = self.log.configuration();
+        let voters = configuration.voters.len();
+        let (ReplicaRole::Leader(state), MemberAdmission::Open { min_voters, .. }) =
+            (&self.role, self.settings.admission)
+        else {
+            return self.commit_index;
+        };
+        if !self.is_configuration_committed() {
+            return LogIndex(0);
+        }
+        if !self.settings.admission.has_spare(voters) {
+            return self.commit_index;
+        }
+        let staying = |peer: &&PeerProgress| !peer.is_leaving && configuration.is_voter(&peer.id);
+        let mut held: Vec<_> =
+            state.peers.iter().filter(staying).map(|peer| peer.match_index).collect();
+        if !self.leaving {
+            held.push(self.synced_index);
+        }
+        held.sort_by_key(|index| Reverse(*index));
+        let losses = min_voters.saturating_sub(1) / 2;
+        let holders = (configuration.quorum() + losses).min(voters);
+        let index = held.get(holders - 1).copied().unwrap_or_default();
+        index.min(self.commit_index)
+    }
+
+    /// Longest time that the removal of a silent voter takes while there are voters to spare.
+    pub fn removal_time(&self) -> Duration {
+        match self.settings.admission {
+            MemberAdmission::Listed => Duration::ZERO,
+            MemberAdmission::Open { remove_after, .. } => {
+                remove_after + self.settings.timing.election_timeout
+            }
+        }
+    }
+
     fn confirm_reads(&mut self) {
         let ReplicaRole::Leader(state) = &mut self.role else { return };
         let confirmed =
@@ -355,10 +415,12 @@
             return;
         }
         let configuration = self.log.configuration().clone();
-        if let Some(silent) =
-            find_removable_member(state, &configuration, self.settings.admission, now)
+        let admission = self.settings.admission;
+        let leaving = || find_leaving_voter(state, &configuration, admission, now, election);
+        if let Some(removed) =
+            find_silent_member(state, &configuration, admission, now).or_else(leaving)
         {
-            return self.change_members(configuration.without(&silent), now);
+            return self.change_members(configuration.without(&removed), now);
         }
         let commit = self.commit_index;
         let is_active = |peer: &PeerProgress| now < peer.last_reply_at + election;
@@ -423,7 +485,7 @@
         };
         let configuration = self.log.configuration();
         let ReplicaRole::Leader(state) = &mut self.role else { return };
-        state.peers.retain(|peer| configuration.is_member(&peer.id));
+        state.peers.retain(|peer| configuration.is_member(&peer.id) || peer.is_leaving);
         for replica in configuration.members() {
             let known = state.peers.iter().any(|peer| peer.id == *replica);
             if known || *replica == self.settings.own {
@@ -438,6 +500,7 @@
                 last_reply_at: now,
                 silent_since,
                 snapshot_offset: previous.is_some().then_some(0),
+                is_leaving: false,
             });
         }
         state.peers.sort_by_key(|peer| Reverse(peer.id.clone()));
@@ -447,19 +510,42 @@
 /// Finds a member of an open group that has been silent for too long: a learner, or a voter while
 /// there are more than `min_voters`. The leader is in contact with a majority, which includes a
 /// majority of the remaining voters.
-fn find_removable_member(
+fn find_silent_member(
     state: &LeaderState,
     configuration: &GroupConfiguration,
     admission: MemberAdmission,
     now: Instant,
 ) -> Option<ReplicaId> {
-    let MemberAdmission::Open { remove_after, min_voters, .. } = admission else { return None };
-    let has_spare = configuration.voters.len() > min_voters;
-    let is_removable = |peer: &&PeerProgress| has_spare || !configuration.is_voter(&peer.id);
+    let MemberAdmission::Open { remove_after, .. } = admission else { return None };
+    let has_spare = admission.has_spare(configuration.voters.len());
+    let is_removable = |peer: &&PeerProgress| {
+        configuration.is_member(&peer.id) && (has_spare || !configuration.is_voter(&peer.id))
+    };
     let mut silent = state.peers.iter().filter(|peer| now >= peer.silent_since + remove_after);
     silent.find(is_removable).map(|peer| peer.id.clone())
 }
 
+/// Finds a voter of an open group that is about to stop, while there are more than `min_voters` and a
+/// majority of the others has replied within `reply_timeout`.
+fn find_leaving_voter(
+    state: &LeaderState,
+    configuration: &GroupConfiguration,
+    admission: MemberAdmission,
+    now: Instant,
+    reply_timeout: Duration,
+) -> Option<ReplicaId> {
+    if !admission.has_spare(configuration.voters.len()) {
+        return None;
+    }
+    let voters = state.peers.iter().filter(|peer| configuration.is_voter(&peer.id));
+    let leaving = voters.clone().find(|peer| peer.is_leaving)?;
+    let others =
+        voters.filter(|peer| peer.id != leaving.id && now < peer.last_reply_at + reply_timeout);
+    let remaining = configuration.without(&leaving.id);
+    // The leader itself is one of the voters that remain.
+    (others.count() + 1 >= remaining.quorum()).then(|| leaving.id.clone())
+}
+
 /// The first entries that fit into one message: at most `max_entries`, and none after
 /// [`MAX_APPEND_BYTES`] are reached.
 fn select_batch(entries: &[LogEntry], max_entries: usize) -> Vec<LogEntry> {
--- a/cicadastall/src/replica_message.rs
+++ b/cicadastall/src/replica_message.rs
@@ -337,6 +337,9 @@
         round: u64,
         /// Result at the follower.
         outcome: AppendOutcome,
+        /// Whether the sender is about to stop and asks to be removed while there are voters to spare.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        leaving: bool,
     },
 }
 
--- a/cicadastall/src/replica_transfer.rs
+++ b/cicadastall/src/replica_transfer.rs
@@ -1,4 +1,4 @@
-//! Transfer of leadership before a planned stop, so that the group needs no election timeout.
+//! Planned stops: transfer of leadership, and removal of the stopping replica from its group.
 
 use crate::{
     replica::{ReplicaCore, ReplicaRole},
@@ -7,6 +7,13 @@
 use tokio::time::Instant;
 
 impl ReplicaCore {
+    /// Announces that this replica is about to stop, so that the leader removes it while the group
+    /// has voters to spare. A leader transfers its leadership first.
+    pub fn leave(&mut self, now: Instant) {
+        self.leaving = true;
+        self.transfer_leadership(now);
+    }
+
     /// Transfers leadership to a voter that holds the whole log, as soon as there is one.
     ///
     /// Proposals are refused meanwhile. The transfer is abandoned after an election timeout.
@@ -40,7 +47,7 @@
     pub(crate) fn on_timeout_now(&mut self, from: &ReplicaId, term: Term, now: Instant) {
         let configuration = self.log.configuration();
         let are_voters = configuration.is_voter(from) && configuration.is_voter(&self.settings.own);
-        let is_follower = matches!(self.role, ReplicaRole::Follower { .. });
+        let is_follower = matches!(self.role, ReplicaRole::Follower { .. }) && !self.leaving;
         if are_voters && is_follower && term == self.hard_state.term {
             self.start_vote(Some(term), now);
         }
--- a/cicadastall/tests/open_groups.rs
+++ b/cicadastall/tests/open_groups.rs
@@ -8,7 +8,10 @@
     path::{Path, PathBuf},
     time::Duration,
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
+
+/// Time that a stopping instance waits until its replica has left.
+const STOP_BOUND: Duration = Duration::from_secs(4);
 
 fn folder(name: &str) -> PathBuf {
     Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("open-{name}-{}", std::process::id()))
@@ -85,6 +88,61 @@
     wait_voters(&members, 4).await;
 }
 
+/// Guards against a replacement, planned or not, after which the next lost machine ends the group.
+#[tokio::test]
+async fn a_machine_lost_right_after_a_replacement_ends_a_group() {
+    for planned in [true, false] {
+        let group = TestGroup::open(4, 3, folder("twice")).await;
+        let mut members = start(&group, 0..4).await;
+        propose(&members[0], "before").await;
+        wait_voters(&members, 4).await;
+        let replaced = members.remove(0);
+        if planned {
+            let left = timeout(STOP_BOUND, replaced.handle.leave()).await;
+            left.expect("the replica leaves within the time that a stop may take");
+        }
+        replaced.stop().await;
+        assert_eq!(propose(&members[0], "acknowledged").await, 2);
+        members.remove(0).stop().await;
+        assert_eq!(propose(&members[0], "after").await, 3);
+    }
+}
+
+/// Guards against a replica that left as planned and stays outside when it returns with its disk.
+#[tokio::test]
+async fn a_replica_that_left_and_returns_stays_outside() {
+    let group = TestGroup::open(4, 3, folder("rolling")).await;
+    let mut members = start(&group, 0..4).await;
+    propose(&members[0], "before").await;
+    wait_voters(&members, 4).await;
+    for index in 0..4 {
+        let leaving = members.remove(0);
+        timeout(STOP_BOUND, leaving.handle.leave()).await.expect("left in time");
+        leaving.stop().await;
+        members.extend(start(&group, [index]).await);
+        wait_voters(&members, 4).await;
+    }
+    assert_eq!(propose(&members[0], "after").await, 2);
+}
+
+/// Guards against replicas that all stop at once and wait for each other, or lose their group.
+#[tokio::test]
+async fn replicas_that_all_leave_at_once_lose_their_group() {
+    let group = TestGroup::open(4, 3, folder("all")).await;
+    let members = start(&group, 0..4).await;
+    propose(&members[0], "before").await;
+    wait_voters(&members, 4).await;
+    let stops = members.into_iter().map(async |member| {
+        // The time limit of a stop applies where the group has lost its majority meanwhile.
+        let _ = timeout(STOP_BOUND, member.handle.leave()).await;
+        member.stop().await;
+    });
+    futures::future::join_all(stops).await;
+    let members = start(&group, 0..4).await;
+    assert_eq!(propose(&members[0], "after").await, 2);
+    wait_voters(&members, 4).await;
+}
+
 #[tokio::test]
 async fn a_silent_voter_of_three_is_not_removed() {
     let group = TestGroup::open(3, 3, folder("silent")).await;
--- a/cicadastall/tests/replica_core.rs
+++ b/cicadastall/tests/replica_core.rs
@@ -91,7 +91,7 @@
     core.mark_synced(output.sequence, now);
     let replies = core.take_output(now).messages;
     let outcome = AppendOutcome::Matched(LogIndex(7));
-    let reply = ReplicaMessage::AppendReply { term: Term(2), round: 1, outcome };
+    let reply = ReplicaMessage::AppendReply { term: Term(2), round: 1, outcome, leaving: false };
     assert_eq!(replies.into_iter().map(|sent| sent.message).collect::<Vec<_>>(), [reply]);
 }
 
@@ -138,7 +138,7 @@
     assert!(core.is_leader());
     let matched = |index| {
         let outcome = AppendOutcome::Matched(LogIndex(index));
-        from_leader(ReplicaMessage::AppendReply { term, round: 1, outcome })
+        from_leader(ReplicaMessage::AppendReply { term, round: 1, outcome, leaving: false })
     };
     core.receive(matched(3), now);
     assert_eq!(core.commit_index(), LogIndex(0));
@@ -162,7 +162,10 @@
     assert!(core.take_output(now).messages.iter().all(|sent| !is_timeout_now(&sent.message)));
     assert!(core.is_leader());
     let outcome = AppendOutcome::Matched(LogIndex(4));
-    core.receive(from_leader(ReplicaMessage::AppendReply { term, round: 1, outcome }), now);
+    core.receive(
+        from_leader(ReplicaMessage::AppendReply { term, round: 1, outcome, leaving: false }),
+        now,
+    );
     let sent = core.take_output(now).messages;
     let timeout_now: Vec<_> = sent.iter().filter(|sent| is_timeout_now(&sent.message)).collect();
     assert_eq!(timeout_now.len(), 1);
--- a/cicadastall/tests/replica_schedules.rs
+++ b/cicadastall/tests/replica_schedules.rs
@@ -3,7 +3,8 @@
 mod schedules;
 
 use schedules::{
-    Action, Coverage, GroupSize, make_disk_schedule, make_schedule, minimise, run_schedule,
+    Action, Coverage, GroupSize, make_disk_schedule, make_leaving_schedule,
+    make_replacement_schedule, make_schedule, minimise, run_schedule,
 };
 
 /// Random schedules for each group size; the seeds count from 0.
@@ -12,6 +13,12 @@
 /// Schedules of full disks for each group size.
 const DISK_SCHEDULES: u64 = 300;
 
+/// Schedules of replaced hosts for each group size.
+const REPLACEMENT_SCHEDULES: u64 = 300;
+
+/// Schedules of replicas that leave, for each group size.
+const LEAVING_SCHEDULES: u64 = 300;
+
 /// Runs the schedules that `make` generates; fails with the first violated invariant.
 fn run_each(size: GroupSize, count: u64, make: impl Fn(u64) -> Vec<Action>) -> Coverage {
     let mut total = Coverage::default();
@@ -61,6 +68,24 @@
     }
 }
 
+/// Guards against a group that a planned replacement and then a lost disk end.
+#[test]
+fn disks_lost_right_after_a_replacement_end_a_group() {
+    for (founders, ended) in [(3, 1), (3, 2), (5, 1), (5, 2)] {
+        let make = |seed| make_replacement_schedule(seed, ended);
+        run_each((founders + ended, Some(founders)), REPLACEMENT_SCHEDULES, make);
+    }
+}
+
+/// Guards against a replica that leaves and takes acknowledged entries, or the group, with it.
+#[test]
+fn replicas_that_leave_and_return_end_a_group() {
+    for size in [(4, Some(3)), (5, Some(3)), (3, Some(3))] {
+        let total = run_each(size, LEAVING_SCHEDULES, make_leaving_schedule);
+        assert!(total.elections.min(total.acknowledged) > LEAVING_SCHEDULES as usize);
+    }
+}
+
 fn run_fixed(schedule: &[Action]) -> Coverage {
     run_schedule((3, None), schedule).unwrap_or_else(|fault| panic!("{fault}"))
 }
--- a/cicadastall/tests/schedules/actions.rs
+++ b/cicadastall/tests/schedules/actions.rs
@@ -38,6 +38,14 @@
     FillLeaderDisk,
     Compact(usize),
     TransferLeadership(usize),
+    /// Announces that a replica is about to stop.
+    Leave(usize),
+    /// Ends a host for good as planned, once all hosts vote: its replica leaves the group first.
+    Retire(usize),
+    /// Ends a host for good without notice, once all hosts vote.
+    Remove(usize),
+    /// Waits for an acknowledgement, then loses as many disks as the group is meant to bear.
+    LoseDisksAfterAcknowledgement(usize),
     /// Syncs all writes, delivers all messages and advances the clock by 25 ms, once per round.
     RunRounds(u64),
 }
@@ -97,6 +105,52 @@
     schedule
 }
 
+/// Generates a schedule for an open group: `ended` hosts end for good, and disks are lost right after
+/// the next acknowledgement.
+pub fn make_replacement_schedule(seed: u64, ended: usize) -> Vec<Action> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut schedule = vec![Action::RunRounds(200)];
+    for _ in 0..random.random_range(0..4) {
+        add_proposals(&mut schedule, &mut random);
+        schedule.push(match random.random_range(0..2) {
+            0 => Action::TransferLeadership(0),
+            _ => Action::Compact(random.random_range(0..1_000)),
+        });
+        schedule.push(Action::RunRounds(random.random_range(1..100)));
+    }
+    schedule.push(Action::RunRounds(200));
+    let first = random.random_range(0..1_000);
+    for ended in first..first + ended {
+        schedule.push(match random.random_range(0..2) {
+            0 => Action::Retire(ended),
+            _ => Action::Remove(ended),
+        });
+        schedule.push(Action::RunRounds(random.random_range(0..160)));
+    }
+    schedule.push(Action::LoseDisksAfterAcknowledgement(random.random_range(0..1_000)));
+    schedule
+}
+
+/// Generates a schedule in which replicas leave and return, between and beside other faults.
+pub fn make_leaving_schedule(seed: u64) -> Vec<Action> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut schedule = vec![Action::RunRounds(200)];
+    for _ in 0..random.random_range(3..8) {
+        let host = random.random_range(0..1_000);
+        schedule.push(Action::Leave(host));
+        match random.random_range(0..4) {
+            0 => add_random_actions(&mut schedule, &mut random),
+            1 => add_stale_leader(&mut schedule, &mut random),
+            2 => add_leader_crashes(&mut schedule, &mut random),
+            _ => add_proposals(&mut schedule, &mut random),
+        }
+        schedule.extend([Action::RunRounds(random.random_range(0..60)), Action::Crash(host)]);
+        schedule.extend([Action::RunRounds(random.random_range(0..160)), Action::Restart(host)]);
+        schedule.push(Action::RunRounds(random.random_range(0..60)));
+    }
+    schedule
+}
+
 /// One replica misses entries, then the leader crashes.
 fn add_lagging_replica(schedule: &mut Vec<Action>, random: &mut ChaCha8Rng) {
     schedule.push(Action::Isolate(random.random_range(0..1_000)));
--- a/cicadastall/tests/schedules/cluster.rs
+++ b/cicadastall/tests/schedules/cluster.rs
@@ -22,6 +22,13 @@
 /// Time without a reply after which a member of an open group may be removed.
 const REMOVE_AFTER: Duration = Duration::from_secs(3);
 
+/// Rounds within which a replica must have left its group, as a stopping instance waits 3.75 s.
+const STOP_ROUNDS: u64 = 150;
+
+/// Proposals within which one must be acknowledged, and the rounds after each.
+const ACKNOWLEDGEMENT_ROUNDS: u64 = 40;
+const ROUNDS_BETWEEN_PROPOSALS: u64 = 8;
+
 /// One instance, with its replica while it runs.
 pub(super) struct SimulatedHost {
     pub(super) core: Option<ReplicaCore>,
@@ -31,6 +38,8 @@
     pub(super) state: Vec<String>,
     frozen: bool,
     isolated: bool,
+    /// Whether the host has ended for good.
+    removed: bool,
     /// Whether the disk refuses every write.
     full: bool,
     /// Speed of the clock in thousandths of real time.
@@ -131,6 +140,7 @@
                 state: Vec::new(),
                 frozen: false,
                 isolated: false,
+                removed: false,
                 full: false,
                 rate,
             });
@@ -153,7 +163,9 @@
         let id = self.hosts[host].id.clone();
         let stored = self.disks.entry(id.clone()).or_default().clone();
         let founders = self.founders.unwrap_or(self.hosts.len());
-        let names = (0..founders).map(|host| self.hosts[host].id.instance.clone());
+        // A restarted host is told which others run now.
+        let running = self.hosts.iter().filter(|host| !host.removed);
+        let names = running.take(founders).map(|host| host.id.instance.clone());
         let settings = ReplicaSettings {
             own: id.clone(),
             founders: names.collect(),
@@ -234,6 +246,13 @@
             Action::Heal => self.hosts.iter_mut().for_each(|host| host.isolated = false),
             Action::Compact(pick) => self.compact(pick % size)?,
             Action::TransferLeadership(pick) => self.transfer(self.choose_leader(pick))?,
+            Action::Leave(pick) => self.step_core(pick % size, ReplicaCore::leave)?,
+            Action::Retire(pick) => self.retire(pick % size)?,
+            Action::Remove(pick) if self.do_all_vote() => self.remove(pick % size),
+            Action::Remove(_) => {}
+            Action::LoseDisksAfterAcknowledgement(pick) => {
+                self.lose_disks_after_acknowledgement(pick % size)?;
+            }
             Action::RunRounds(rounds) => self.run_rounds(rounds)?,
         }
         Ok(())
@@ -395,6 +414,77 @@
         self.restart(host)
     }
 
+    /// Ends a host for good; its replica leaves the group within the time that a stop may take.
+    fn retire(&mut self, host: usize) -> CheckResult {
+        if !self.do_all_vote() {
+            return Ok(());
+        }
+        self.step_core(host, ReplicaCore::leave)?;
+        for _ in 0..STOP_ROUNDS {
+            if self.hosts[host].core.as_ref().is_none_or(ReplicaCore::may_stop) {
+                break;
+            }
+            self.run_rounds(1)?;
+        }
+        if self.hosts[host].core.as_ref().is_some_and(|core| !core.may_stop()) {
+            return Err(format!("{} has not left its group", self.hosts[host].id));
+        }
+        self.remove(host);
+        Ok(())
+    }
+
+    /// Whether all hosts that have not ended are voters of the newest committed configuration.
+    fn do_all_vote(&self) -> bool {
+        let voters = self.newest_configuration().voters;
+        self.hosts.iter().all(|host| host.removed || voters.contains(&host.id))
+    }
+
+    fn remove(&mut self, host: usize) {
+        self.stop_core(host);
+        self.hosts[host].removed = true;
+    }
+
+    /// Loses the disks of hosts from `first` on at once, right after an acknowledgement; the others
+    /// must then accept a command.
+    fn lose_disks_after_acknowledgement(&mut self, first: usize) -> CheckResult {
+        if !self.do_all_vote() {
+            return Ok(());
+        }
+        self.await_durable_command()?;
+        let size = self.hosts.len();
+        let kept = (0..size).map(|offset| (first + offset) % size);
+        let kept: Vec<_> = kept.filter(|host| !self.hosts[*host].removed).collect();
+        let losses = self.founders.unwrap_or(size).saturating_sub(1) / 2;
+        for host in kept.into_iter().take(losses) {
+            self.stop_core(host);
+            self.hosts[host].id = self.create_id(host);
+        }
+        self.await_durable_command().map_err(|fault| format!("with lost disks: {fault}"))
+    }
+
+    /// Proposes commands until the leader may acknowledge one.
+    fn await_durable_command(&mut self) -> CheckResult {
+        for _ in 0..ACKNOWLEDGEMENT_ROUNDS {
+            let leader = self.choose_leader(0);
+            self.propose(leader)?;
+            let is_proposed = |(host, _): &&(usize, LogPosition)| *host == leader;
+            let proposed = self.proposed.iter().rfind(is_proposed).copied();
+            for _ in 0..ROUNDS_BETWEEN_PROPOSALS {
+                self.run_rounds(1)?;
+                let Some((_, position)) = proposed else { continue };
+                let durable = self.hosts[leader].core.as_ref().is_some_and(|core| {
+                    core.is_leader()
+                        && core.term() == position.term
+                        && core.durable_index() >= position.index
+                });
+                if durable {
+                    return Ok(());
+                }
+            }
+        }
+        Err("no command is acknowledged".into())
+    }
+
     fn newest_configuration(&self) -> GroupConfiguration {
         let configurations =
             self.committed.values().rev().filter_map(|entry| match &entry.payload {
@@ -445,10 +535,11 @@
         if self.founders.is_none() || self.quorum_may_be_lost {
             return Ok(());
         }
-        for core in self.hosts.iter().filter_map(|host| host.core.as_ref()) {
+        let expected: Vec<_> = self.hosts.iter().filter(|host| !host.removed).collect();
+        for core in expected.iter().filter_map(|host| host.core.as_ref()) {
             let voters = &core.configuration().voters;
-            if voters.len() != self.hosts.len()
-                || !self.hosts.iter().all(|host| voters.contains(&host.id))
+            if voters.len() != expected.len()
+                || !expected.iter().all(|host| voters.contains(&host.id))
             {
                 return Err(format!("{} has the voters {voters:?} after repair", core.own()));
             }
@@ -462,7 +553,7 @@
             self.hosts[host].frozen = false;
             self.hosts[host].isolated = false;
             self.hosts[host].full = false;
-            if self.hosts[host].core.is_none() {
+            if self.hosts[host].core.is_none() && !self.hosts[host].removed {
                 self.restart(host)?;
             }
         }
--- a/cicadastall/tests/schedules/mod.rs
+++ b/cicadastall/tests/schedules/mod.rs
@@ -4,7 +4,9 @@
 mod cluster;
 mod invariants;
 
-pub use actions::{Action, make_disk_schedule, make_schedule};
+pub use actions::{
+    Action, make_disk_schedule, make_leaving_schedule, make_replacement_schedule, make_schedule,
+};
 pub use cluster::{Coverage, SimulatedCluster};
 
 /// Size of a group, with the number of its founders if it is open.
