A request that crashes upstreams after its first event is quarantined

A streamed request ends each upstream 25 ms after the first event of its answer, comes again, and is never refused: 38 late retries, 3 allowed, and a third of the sound requests beside it fail.

Cause: the first event acquitted all traits of the request, and a stream that broke off after it was not charged with the crash.

Change: a trait has two charges. Crashes before the first event count for both; later ones for the second, which only a whole answer ends and from which crashes are left out that a culprit by first charges explains. Not charged: streams cut by an upstream that is leaving. Not acquitted: what ends with its connection.

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -346,6 +346,10 @@
         let newer_zones = state.evacuated().version > query.evacuated;
         let newer = |number: u64| !query.number_only && number > query.document;
         let newest = state.newest().filter(|stored| newer(stored.number()));
+        let (suspects_until_whole, suspects): (Vec<_>, Vec<_>) = registry
+            .changed_suspects(cursor, now)
+            .into_iter()
+            .partition(|record| record.until_whole);
         let shared = |region: Option<&RegionName>, for_control: bool| FleetUpdate {
             controls_heard: registry.count_controls(),
             cursor: registry.cursor(),
@@ -353,7 +357,8 @@
             upstreams: registry.changed_upstreams(cursor, region, now),
             entries: registry.changed_entries(cursor, for_control, now),
             controls: registry.changed_controls(cursor),
-            suspects: registry.changed_suspects(cursor, now),
+            suspects: suspects.clone(),
+            suspects_until_whole: suspects_until_whole.clone(),
             evacuated: newer_zones.then(|| state.evacuated().clone()),
             ..FleetUpdate::default()
         };
@@ -422,7 +427,8 @@
             capacity: query.capacity.take(),
             speeds: std::mem::take(&mut query.speeds),
         };
-        let suspects = std::mem::take(&mut query.suspects);
+        let mut suspects = std::mem::take(&mut query.suspects);
+        suspects.append(&mut query.suspects_until_whole);
         self.change_registry(|registry| {
             registry.merge_suspects(suspects, now);
             match &query.reader {
@@ -627,6 +633,7 @@
             capacity: None,
             speeds: Vec::new(),
             suspects: Vec::new(),
+            suspects_until_whole: Vec::new(),
             asks_history: !self.registry().history().is_complete(Instant::now()),
         }
     }
@@ -637,7 +644,8 @@
         let restarted = self.cursors().get_mut(&address).is_some_and(|cursor| {
             std::mem::replace(cursor, update.cursor).process != update.cursor.process
         });
-        let FleetUpdate { upstreams, entries, controls, summaries, suspects, history, .. } = update;
+        let FleetUpdate { upstreams, entries, controls, summaries, history, .. } = update;
+        let suspects = [update.suspects, update.suspects_until_whole].concat();
         self.origins.note_process(address, update.cursor.process);
         self.change_registry(|registry| {
             registry.merge_suspects(suspects, now);
--- a/cicadastall/src/gateway/decision/chooser.rs
+++ b/cicadastall/src/gateway/decision/chooser.rs
@@ -272,6 +272,11 @@
         self.departures.list(view.upstreams())
     }
 
+    /// Whether the process of `known` has announced in an answer that it is leaving.
+    pub fn has_departed(&self, known: &KnownUpstream) -> bool {
+        self.departures.contains(&known.upstream)
+    }
+
     fn tracker(&mut self, known: &KnownUpstream) -> &mut UpstreamTracker {
         self.tracker_for_process(&known.upstream.name, known.upstream.started_ms)
     }
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -243,6 +243,8 @@
         let current = self.context.routes.load().document().number;
         let mut state = self.state();
         let (change, suspects) = self.context.crashes.list_observed(state.reported(address));
+        let (suspects_until_whole, suspects) =
+            suspects.into_iter().partition(|record| record.until_whole);
         state.begin_report(address, change);
         let fetches = state.begin_fetch(address, current, Instant::now());
         let near = state.is_local(address);
@@ -268,6 +270,7 @@
             capacity: self.context.capacity(),
             speeds: if near { self.context.speeds() } else { Vec::new() },
             suspects,
+            suspects_until_whole,
             asks_history: false,
             reader: FleetReader::Entry(own),
         }
@@ -280,7 +283,9 @@
         if let Some(read) = &update.confirmed_read {
             self.context.renew_lease(read, asked_at);
         }
-        self.context.crashes.merge(std::mem::take(&mut update.suspects));
+        let mut suspects = std::mem::take(&mut update.suspects);
+        suspects.append(&mut update.suspects_until_whole);
+        self.context.crashes.merge(suspects);
         self.context.origins.store().note_process(address, update.cursor.process);
         let current = self.context.routes.load().document().number;
         let changed = replaced | self.state().apply_update(address, update, Instant::now());
--- a/cicadastall/src/gateway/knowledge/fleet_update.rs
+++ b/cicadastall/src/gateway/knowledge/fleet_update.rs
@@ -219,6 +219,9 @@
     /// Suspects that the reader itself changed since it last reported them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
+    /// The same for crashes before the end of an answer. Builds up to b2ae5eb ignore them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects_until_whole: Vec<SuspectRecord>,
     /// Speeds of upstreams that the reader, an entry, measured.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub speeds: Vec<SpeedRow>,
@@ -340,6 +343,9 @@
     /// Traits of requests that are suspected of crashing upstreams, as far as they changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRecord>,
+    /// The same for crashes before the end of an answer. Builds up to b2ae5eb ignore them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects_until_whole: Vec<SuspectRecord>,
     /// The newest read of the document that a majority confirmed, if the reader is an entry and the
     /// revocation of keys is bounded.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/cicadastall/src/gateway/request/attempt.rs
+++ b/cicadastall/src/gateway/request/attempt.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// Whether the end of the body shows that the answer is whole. The end of a connection does not, as
+    /// the connections of a process that crashes end too.
+    pub(crate) fn shows_end(&self) -> bool {
+        !self.ends_with_connection
+    }
+
     /// Marks a fully read answer as successful and returns its connection to the pool.
     pub(crate) fn finish(mut self) {
         self.guard.end(SendEnd::Whole);
@@ -318,7 +324,7 @@
             Err(failure) => {
                 if let Some((known, _)) = &target.upstream {
                     if failure.verdict == Verdict::Unknown {
-                        self.note_broken(known);
+                        self.note_broken(known, false);
                     }
                     if failure.end == SendEnd::Broken {
                         self.context.note_unanswered(&known.upstream);
@@ -540,7 +546,7 @@
                 Ok((received, complete)) if ended_early(&received, complete) => {
                     self.sending = false;
                     if let Some((known, _)) = &target.upstream {
-                        self.note_broken(known);
+                        self.note_broken(known, false);
                     }
                     cause = "the stream ended before its first event".to_owned();
                     outcome = Verdict::Unknown;
@@ -573,7 +579,7 @@
                 Err(error) => {
                     self.sending = false;
                     if let Some((known, _)) = &target.upstream {
-                        self.note_broken(known);
+                        self.note_broken(known, false);
                     }
                     cause = error;
                     outcome = Verdict::Unknown;
@@ -651,11 +657,16 @@
         Err(self.record_failure(target, failure, chosen_at))
     }
 
-    /// Records that the connection to an upstream broke before its answer had begun.
-    pub(crate) fn note_broken(&self, known: &KnownUpstream) {
+    /// Records that the connection to an upstream broke before its answer was whole, and whether it had
+    /// `begun`. An upstream that is leaving may end with answers under way, which says nothing of them.
+    pub(crate) fn note_broken(&self, known: &KnownUpstream, begun: bool) {
+        let is_listed = || self.context.view.load().find_start(&known.upstream).is_some();
+        if begun && (!is_listed() || self.context.chooser().has_departed(known)) {
+            return;
+        }
         let (context, upstream) = (Arc::clone(&self.context), Arc::clone(&known.upstream));
         let find_start = move || context.view.load().find_start(&upstream);
-        self.context.crashes.note_broken(known, self.traits(), find_start);
+        self.context.crashes.note_broken(known, self.traits(), begun, find_start);
     }
 
     fn record_failure(
--- a/cicadastall/src/gateway/request/crash_watch.rs
+++ b/cicadastall/src/gateway/request/crash_watch.rs
@@ -1,18 +1,21 @@
 //! Quarantine of requests that crash upstreams.
 //!
-//! When connections to an upstream break before its answers have begun, the entry checks whether the
+//! When connections to an upstream break before its answers are whole, the entry checks whether the
 //! process has ended. If so, the traits of these requests become suspects. Suspects are exchanged with
 //! all entries through control; each instance finds the culprits itself, also while it is cut off.
 
 use crate::{
-    crash_blame::{BLAME_EPISODES, CulpritGroup, count_episodes, find_culprits},
+    crash_blame::{BLAME_EPISODES, CulpritGroup, count_episodes, find_all_culprits},
     crash_probe::{ProbeVerdict, probe_listener},
     gateway::{
         decision::call::RequestTraits,
         knowledge::{view::KnownUpstream, warmup::hash_pair},
     },
     name::{InstanceName, PoolName},
-    suspect::{RequestFingerprint, SUSPICION_LIFETIME, SuspectRecord, SuspectTable, UpstreamCrash},
+    suspect::{
+        MAX_SUSPECTS, RequestFingerprint, SUSPICION_LIFETIME, SuspectRecord, SuspectTable,
+        UpstreamCrash,
+    },
     table::EntryRecord,
 };
 use opentelemetry::{KeyValue, metrics::Counter};
@@ -57,8 +60,8 @@
 /// Maximum number of trials; each of a culprit costs an upstream.
 const MAX_TRIALS: u32 = 2;
 
-/// Maximum number of charged suspects that wait for another answer; several times those of a crash.
-const MAX_UNCONTRASTED: usize = 1_024;
+/// Maximum number of charged suspects that wait for another answer.
+const MAX_UNCONTRASTED: usize = MAX_SUSPECTS;
 
 /// Traits that are to blame for crashes; requests that have all of them are refused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -73,7 +76,7 @@
 struct WatchState {
     suspects: SuspectTable,
     /// Requests that broke off, by the process whose end is being checked.
-    checks: HashMap<UpstreamCrash, Vec<RequestTraits>>,
+    checks: HashMap<UpstreamCrash, Vec<BrokenRequest>>,
     /// The newest requests of this entry that were charged with a crash.
     charged: VecDeque<RequestTraits>,
     quarantines: Vec<Quarantine>,
@@ -81,19 +84,48 @@
     uncontrasted: Vec<(PoolName, RequestFingerprint)>,
 }
 
+/// Traits of a request that broke off, less those acquitted since.
+#[derive(Debug, Clone)]
+struct BrokenRequest {
+    /// Those that may be charged with a crash before the first event; none if the answer had begun.
+    unbegun: RequestTraits,
+    /// All, as charged with a crash before the end of the answer.
+    unfinished: RequestTraits,
+}
+
+impl BrokenRequest {
+    fn acquit(&mut self, traits: &RequestTraits) {
+        for suspects in [&mut self.unbegun, &mut self.unfinished] {
+            suspects.retain(|suspect| !traits.contains(suspect));
+        }
+    }
+}
+
+/// Fingerprints under which `traits` are charged with crashes before the end of an answer.
+fn until_whole(traits: &RequestTraits) -> RequestTraits {
+    traits.iter().map(|fingerprint| fingerprint.until_whole()).collect()
+}
+
 impl WatchState {
     fn is_empty(&self) -> bool {
-        self.checks.is_empty() && self.suspects.suspects().next().is_none()
+        self.checks.is_empty() && self.suspects.is_empty()
+    }
+
+    fn acquit(&mut self, traits: &RequestTraits) {
+        self.checks.values_mut().flatten().for_each(|broken| broken.acquit(traits));
+        for fingerprint in traits {
+            self.suspects.acquit(*fingerprint);
+        }
     }
 
     /// Updates the culprits after a change of the suspects.
     fn update_culprits(&mut self, now: Instant) {
         self.suspects.remove_expired(now);
-        if self.suspects.suspects().next().is_none() {
+        if self.suspects.is_empty() {
             self.charged.clear();
             self.uncontrasted.clear();
         }
-        let groups = find_culprits(self.suspects.suspects(), BLAME_EPISODES);
+        let groups = find_all_culprits(&self.suspects, BLAME_EPISODES);
         let groups: Vec<_> = groups.into_iter().map(|group| self.narrow_group(group)).collect();
         let mut before = mem::take(&mut self.quarantines);
         for group in groups {
@@ -246,7 +278,12 @@
     ) -> Option<(CulpritGroup, Duration)> {
         let now = Instant::now();
         let mut state = self.lock();
-        let covers = |group: &CulpritGroup| group.iter().all(|member| traits.contains(member));
+        if state.quarantines.is_empty() {
+            return None;
+        }
+        let later = until_whole(traits);
+        let has = |member: &RequestFingerprint| traits.contains(member) || later.contains(member);
+        let covers = |group: &CulpritGroup| group.iter().all(has);
         let quarantines = state.quarantines.iter_mut();
         let mut covering =
             quarantines.filter(|quarantine| quarantine.ends_at > now && covers(&quarantine.group));
@@ -263,13 +300,14 @@
         Some((quarantine.group.clone(), quarantine.remaining(now)))
     }
 
-    /// Records that the connection to `known` broke before the answer to a request with `traits` had
-    /// begun, and checks whether the upstream has ended. `find_start` returns the start of the newest
-    /// known process of that name.
+    /// Records that the connection to `known` broke before the answer to a request with `traits` was
+    /// whole, and whether it had `begun`, and checks whether the upstream has ended. `find_start` returns
+    /// the start of the newest known process of that name.
     pub fn note_broken(
         self: &Arc<Self>,
         known: &KnownUpstream,
         traits: &RequestTraits,
+        begun: bool,
         find_start: impl FnOnce() -> Option<u64> + Send + 'static,
     ) {
         let upstream = &known.upstream;
@@ -283,7 +321,8 @@
             }
             let broken = state.checks.entry(crash.clone()).or_default();
             if broken.len() < MAX_CRASH_REQUESTS {
-                broken.push(traits.clone());
+                let unbegun = if begun { RequestTraits::new() } else { traits.clone() };
+                broken.push(BrokenRequest { unbegun, unfinished: until_whole(traits) });
             }
             starts
         });
@@ -313,21 +352,33 @@
         self.checks.add(1, &[KeyValue::new("verdict", verdict_name(verdict))]);
         self.change(|state| {
             let broken = state.checks.remove(&checked).unwrap_or_default();
-            let suspects: BTreeSet<_> = broken.iter().flatten().copied().collect();
+            let unbegun: BTreeSet<_> =
+                broken.iter().flat_map(|request| &request.unbegun).copied().collect();
+            let unfinished: BTreeSet<_> =
+                broken.iter().flat_map(|request| &request.unfinished).copied().collect();
             log::info!(
                 upstream = crash.upstream.as_str(), started_ms = crash.incarnation,
-                verdict:? = verdict, suspects = suspects.len();
+                verdict:? = verdict, unbegun = unbegun.len(), suspects = unfinished.len();
                 "upstream checked after it broke off requests"
             );
             if verdict == ProbeVerdict::Crashed {
-                for traits in broken.into_iter().filter(|traits| !traits.is_empty()) {
+                for BrokenRequest { mut unbegun, unfinished } in broken {
+                    unbegun.extend(unfinished);
+                    if unbegun.is_empty() {
+                        continue;
+                    }
                     if state.charged.len() >= MAX_CHARGED_REQUESTS {
                         state.charged.pop_front();
                     }
-                    state.charged.push_back(traits);
+                    state.charged.push_back(unbegun);
+                }
+                for fingerprint in &unbegun {
+                    state.suspects.record_crash(*fingerprint, crash.clone(), now);
                 }
-                for fingerprint in suspects {
-                    state.suspects.record_crash(fingerprint, crash.clone(), now);
+                for fingerprint in &unfinished {
+                    state.suspects.record_crash_until_whole(*fingerprint, crash.clone(), now);
+                }
+                for fingerprint in unbegun.into_iter().chain(unfinished) {
                     if state.uncontrasted.len() < MAX_UNCONTRASTED {
                         state.uncontrasted.push((pool.clone(), fingerprint));
                     }
@@ -336,29 +387,39 @@
         });
     }
 
-    /// Acquits a request with `traits` whose answer has begun at an upstream of `pool`.
+    /// Acquits a request with `traits` of the crashes before a first event, as an upstream of `pool` has
+    /// begun to answer it.
     pub fn note_began(&self, pool: &PoolName, traits: &RequestTraits) {
+        let later = until_whole(traits);
         self.change(|state| {
             let WatchState { suspects, uncontrasted, .. } = state;
             uncontrasted.retain(|(charged, fingerprint)| {
-                let contrasts = charged == pool && !traits.contains(fingerprint);
+                let own = traits.contains(fingerprint) || later.contains(fingerprint);
+                let contrasts = charged == pool && !own;
                 if contrasts {
                     suspects.contrast(*fingerprint);
                 }
                 !contrasts
             });
-            for broken in state.checks.values_mut().flatten() {
-                broken.retain(|suspect| !traits.contains(suspect));
-            }
-            for fingerprint in traits {
-                state.suspects.acquit(*fingerprint);
-            }
+            state.acquit(traits);
+        });
+    }
+
+    /// Acquits a request with `traits` of all crashes, as an upstream has answered it whole.
+    pub fn note_whole(&self, traits: &RequestTraits) {
+        let later = until_whole(traits);
+        self.change(|state| {
+            state.acquit(traits);
+            state.acquit(&later);
         });
     }
 
     /// Ends the suspicion of a trait on an operator's request; returns whether it was known.
     pub fn release(&self, fingerprint: RequestFingerprint) -> bool {
-        self.change(|state| state.suspects.release(fingerprint))
+        self.change(|state| {
+            let later = state.suspects.release(fingerprint.until_whole());
+            state.suspects.release(fingerprint) || later
+        })
     }
 
     /// Merges the suspects that control reported.
--- a/cicadastall/src/gateway/request/relay.rs
+++ b/cicadastall/src/gateway/request/relay.rs
@@ -347,13 +347,20 @@
         self.traits.get_or_init(|| self.call.traits())
     }
 
-    /// Records that an upstream has begun to answer the request, which no culprit survives.
+    /// Records that an upstream has begun to answer the request, which some culprits survive.
     pub(crate) fn note_began(&self) {
         if self.context.crashes.is_active() {
             self.context.crashes.note_began(&self.call.pool, self.traits());
         }
     }
 
+    /// Records that the answer to the request is whole, which no culprit survives.
+    pub(crate) fn note_whole(&self) {
+        if self.context.crashes.is_active() {
+            self.context.crashes.note_whole(self.traits());
+        }
+    }
+
     /// Fails if the request is quarantined.
     fn check_quarantine(&mut self) -> Result<(), FinalFailure> {
         let crashes = &self.context.crashes;
@@ -589,6 +596,9 @@
         self.promise_software(&mut response, &answer);
         let body = match answer.complete {
             true => {
+                if answer.shows_end() && !self.call.repeat().is_stream() {
+                    self.note_whole();
+                }
                 self.record.end("answered", status.as_u16(), "");
                 let received = answer.received.clone();
                 answer.finish();
--- a/cicadastall/src/gateway/request/stream_forwarder.rs
+++ b/cicadastall/src/gateway/request/stream_forwarder.rs
@@ -79,6 +79,11 @@
                 }
                 StreamStep::End => {
                     if let Some(answer) = self.answer.take() {
+                        if answer.shows_end()
+                            && (self.began || !self.relay.call.repeat().is_stream())
+                        {
+                            self.relay.note_whole();
+                        }
                         answer.finish();
                     }
                     self.relay.record.end("answered", self.status, "");
@@ -146,8 +151,8 @@
     /// Continues on another upstream after the last complete event.
     async fn resume(&mut self, cause: String) -> Result<(), TruncatedAnswer> {
         if let Some(mut answer) = self.answer.take() {
-            if let Some(known) = answer.upstream.as_ref().filter(|_| !self.began) {
-                self.relay.note_broken(known);
+            if let Some(known) = &answer.upstream {
+                self.relay.note_broken(known, self.began);
             }
             self.relay.continues = Some((answer.status, answer.has_events));
             answer.guard.end(SendEnd::Broken);
--- a/cicadastall/src/suspect.rs
+++ b/cicadastall/src/suspect.rs
@@ -72,6 +72,12 @@
         Self(hasher.finish())
     }
 
+    /// Fingerprint under which the same trait is charged with crashes after the first event of its
+    /// answers too, which only a whole answer acquits.
+    pub fn until_whole(self) -> Self {
+        Self::hash_all(("until whole", self.0))
+    }
+
     /// Rank of `upstream` in the order in which copies of the request try upstreams; lower ranks
     /// come first.
     ///
@@ -160,6 +166,9 @@
     /// Whether the fingerprint is that of a message that requests share, not of a whole request.
     #[serde(default)]
     pub message: bool,
+    /// Whether the fingerprint is one of [`RequestFingerprint::until_whole`].
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub until_whole: bool,
     /// Time until the record expires, in milliseconds.
     pub expires_in_ms: u64,
 }
@@ -206,6 +215,7 @@
     generation: u64,
     crashes: SmallVec<[SeenCrash; 2]>,
     contrasted: bool,
+    until_whole: bool,
     expires_at: Instant,
     /// Number of the newest change of this entry.
     changed: u64,
@@ -249,6 +259,7 @@
             crashes: self.crashes.iter().map(|seen| seen.report(now)).collect(),
             contrasted: self.contrasted,
             message: false,
+            until_whole: self.until_whole,
             expires_in_ms: self.expires_at.saturating_duration_since(now).as_millis() as u64,
         }
     }
@@ -328,14 +339,33 @@
         live.map(|(fingerprint, entry)| entry.to_record(*fingerprint, now)).collect()
     }
 
-    /// Suspects with their crashes.
+    /// Whether there are no suspects.
+    pub fn is_empty(&self) -> bool {
+        self.entries.values().all(|entry| entry.crashes.is_empty())
+    }
+
+    /// Suspects with their crashes before the first event of an answer.
     pub fn suspects(&self) -> impl Iterator<Item = (RequestFingerprint, &[SeenCrash])> {
-        let suspects = self.entries.iter().filter(|(_, entry)| !entry.crashes.is_empty());
+        self.suspects_where(|entry| !entry.until_whole)
+    }
+
+    /// Suspects with their crashes before the end of an answer.
+    pub fn suspects_until_whole(&self) -> impl Iterator<Item = (RequestFingerprint, &[SeenCrash])> {
+        self.suspects_where(|entry| entry.until_whole)
+    }
+
+    fn suspects_where(
+        &self,
+        listed: impl Fn(&SuspectEntry) -> bool,
+    ) -> impl Iterator<Item = (RequestFingerprint, &[SeenCrash])> {
+        let suspects = self
+            .entries
+            .iter()
+            .filter(move |(_, entry)| !entry.crashes.is_empty() && listed(entry));
         suspects.map(|(fingerprint, entry)| (*fingerprint, &*entry.crashes))
     }
 
-    /// Whether a suspicion of `fingerprint` has ended before its time, as an answer began or an operator
-    /// released it.
+    /// Whether a suspicion of `fingerprint` has ended before its time, by an answer or an operator.
     pub fn was_acquitted(&self, fingerprint: RequestFingerprint) -> bool {
         self.entries.get(&fingerprint).is_some_and(|entry| entry.generation > 0)
     }
@@ -371,6 +401,27 @@
         fingerprint: RequestFingerprint,
         crash: UpstreamCrash,
         now: Instant,
+    ) {
+        self.record_suspect(fingerprint, false, crash, now);
+    }
+
+    /// Records that a trait was running when an upstream crashed, before the end of its answer, under
+    /// its fingerprint [`RequestFingerprint::until_whole`].
+    pub fn record_crash_until_whole(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        crash: UpstreamCrash,
+        now: Instant,
+    ) {
+        self.record_suspect(fingerprint, true, crash, now);
+    }
+
+    fn record_suspect(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        until_whole: bool,
+        crash: UpstreamCrash,
+        now: Instant,
     ) {
         self.remove_expired(now);
         record_known_crash(&mut self.crashes, &crash, now);
@@ -380,6 +431,7 @@
             generation: 0,
             crashes: SmallVec::new(),
             contrasted: false,
+            until_whole,
             expires_at: now,
             changed: 0,
             observed: 0,
@@ -425,8 +477,8 @@
         true
     }
 
-    /// Ends the suspicion of a request that an upstream began to answer, whatever the number of crashes
-    /// before; returns whether there was one.
+    /// Ends the suspicion of `fingerprint`, whatever the number of crashes before, as an answer has shown
+    /// it to be harmless; returns whether there was one.
     pub fn acquit(&mut self, fingerprint: RequestFingerprint) -> bool {
         let suspected =
             self.entries.get(&fingerprint).is_some_and(|entry| !entry.crashes.is_empty());
@@ -453,7 +505,8 @@
         for record in records {
             let lifetime = Duration::from_millis(record.expires_in_ms).min(SUSPICION_LIFETIME);
             let expires_at = now + lifetime;
-            let SuspectRecord { fingerprint, generation, crashes, contrasted, .. } = record;
+            let SuspectRecord { fingerprint, generation, crashes, contrasted, until_whole, .. } =
+                record;
             let crashes: SmallVec<[SeenCrash; 2]> =
                 crashes.into_iter().take(MAX_CRASHES).map(|report| report.seen(now)).collect();
             let known = self.entries.get(&fingerprint).map(|known| known.generation);
@@ -470,6 +523,7 @@
                     generation,
                     crashes,
                     contrasted,
+                    until_whole,
                     expires_at,
                     changed: next,
                     observed: 0,
--- a/cicadastall/tests/crash_blame.rs
+++ b/cicadastall/tests/crash_blame.rs
@@ -1,7 +1,7 @@
 //! Which traits of requests are blamed for crashes, and what the table of suspects keeps.
 
 use cicadastall::{
-    crash_blame::{BLAME_EPISODES, CulpritGroup, find_culprits},
+    crash_blame::{BLAME_EPISODES, CulpritGroup, find_all_culprits, find_culprits},
     suspect::{
         EPISODE_SPAN, MAX_SUSPECTS, RequestFingerprint, SUSPICION_LIFETIME, SuspectTable,
         UpstreamCrash,
@@ -112,6 +112,23 @@
     assert_eq!(found, expected);
 }
 
+/// Guards against streams that are blamed for the culprits that waited beside them.
+#[tokio::test(start_paused = true)]
+async fn streams_under_way_are_blamed_for_a_culprit_that_never_begins() {
+    let (now, mut table) = (Instant::now(), SuspectTable::default());
+    for number in 0..4 {
+        let at = episode(now, number as usize);
+        let waiting = if number < 3 { vec!["deadly", "other"] } else { vec!["deadly"] };
+        for name in &waiting {
+            table.record_crash(fingerprint(name), crash(number), at);
+        }
+        for name in waiting.into_iter().chain(["stream"]) {
+            table.record_crash_until_whole(fingerprint(name).until_whole(), crash(number), at);
+        }
+    }
+    assert_eq!(find_all_culprits(&table, BLAME_EPISODES), [group(&["deadly"])]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn traits_that_always_come_together_are_blamed_as_a_group() {
     let together: [&[&str]; 3] =
--- a/cicadastall/tests/gateway/crashing.rs
+++ b/cicadastall/tests/gateway/crashing.rs
@@ -3,9 +3,9 @@
 use super::{
     describe_at,
     reserved::ReservedAddress,
-    upstream::{ReceivedRequest, ScriptedAnswer, read_request, whole_text},
+    upstream::{ConnectionEnd, ReceivedRequest, ScriptedAnswer, event, read_request, whole_text},
 };
-use cicadastall::gateway::knowledge::fleet_update::RegisteredUpstream;
+use cicadastall::gateway::knowledge::fleet_update::{RegisteredUpstream, UpstreamPhase};
 use std::{
     net::SocketAddr,
     sync::{
@@ -25,15 +25,37 @@
 /// Text in a request's head or body that ends the process.
 pub const DEADLY_TEXT: &str = "dead";
 
+/// Text in the head of a deadly request that ends the process only after the first event.
+pub const LATE_TEXT: &str = "late";
+
+/// Text in the path of a request whose stream has no length, so that it ends with its connection.
+pub const UNFRAMED_TEXT: &str = "unframed";
+
+/// Text in the path of a request whose stream goes on for longer than any test.
+pub const ENDLESS_TEXT: &str = "endless";
+
 /// Text in the body of a request that is answered with a failure, deadly or not.
 pub const FAILING_TEXT: &str = "fail";
 
 /// Time until the first event of an answer, or until the process ends.
 const FIRST_EVENT_DELAY: Duration = Duration::from_millis(30);
 
+/// Head of an answer that ends with its connection.
+const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\nx-cicadastall-attempt: {attempt}\r\n\
+                             x-cicadastall-stamp: {name}\r\ncontent-type: text/event-stream\r\n\r\n";
+
+/// Time between the first event of a deadly answer and the end of the process, if it ends late.
+const LATE_END_DELAY: Duration = Duration::from_millis(150);
+
+/// Pause after the first event of a stream that goes on.
+const ENDLESS_PAUSE: Duration = Duration::from_secs(60);
+
 /// Longest wait for the answer to a renewal.
 const RENEWAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of the renewal that announces a leave; higher than those before it.
+const LEAVING_SEQUENCE: u64 = 1_000_000;
+
 static NAMES: AtomicU64 = AtomicU64::new(1);
 
 #[derive(Debug, Default)]
@@ -70,6 +92,15 @@
         Self { name, address, state, task, _reserved: reserved }
     }
 
+    /// Announces at the control instance at `registry` that the upstream is leaving.
+    pub async fn leave(&self, registry: SocketAddr, zone: &str) {
+        let leaving = RegisteredUpstream {
+            phase: UpstreamPhase::Leaving,
+            ..describe_at(&self.name, self.address, zone, 1, LEAVING_SEQUENCE)
+        };
+        assert!(send_renewal(registry, &leaving).await, "{} announces its leave", self.name);
+    }
+
     fn state(&self) -> MutexGuard<'_, CrashState> {
         lock(&self.state)
     }
@@ -173,6 +204,21 @@
             true => ScriptedAnswer::stream().event(FIRST_EVENT_DELAY, 1).end(),
             false => ScriptedAnswer::whole("200 OK", "usual"),
         };
+        let late = deadly && request.head.contains(LATE_TEXT);
+        let script = match () {
+            () if late && request.head.contains(UNFRAMED_TEXT) => {
+                ScriptedAnswer::raw(UNFRAMED_HEAD, ConnectionEnd::Close)
+                    .then(FIRST_EVENT_DELAY, &event(1))
+                    .then(LATE_END_DELAY, &event(2))
+            }
+            () if late => {
+                ScriptedAnswer::stream().event(FIRST_EVENT_DELAY, 1).event(LATE_END_DELAY, 2)
+            }
+            () if request.head.contains(ENDLESS_TEXT) => {
+                ScriptedAnswer::stream().event(FIRST_EVENT_DELAY, 1).event(ENDLESS_PAUSE, 2)
+            }
+            () => script,
+        };
         if request.body.contains(FAILING_TEXT) {
             let failure = whole_text("500 Internal Server Error", "failed");
             let text = failure.replace("{attempt}", &request.attempt()).replace("{name}", &name);
@@ -187,7 +233,7 @@
         }
         for (index, (pause, text)) in script.parts.iter().enumerate() {
             sleep(*pause).await;
-            if deadly && index > 0 {
+            if deadly && index > usize::from(late) {
                 let _ = crash.send(()).await;
                 return;
             }
--- a/cicadastall/tests/gateway_crash_watch.rs
+++ b/cicadastall/tests/gateway_crash_watch.rs
@@ -91,6 +91,27 @@
     assert!(!watch.is_active());
 }
 
+/// Guards against an answer that acquits its request although it may still crash.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_has_only_begun_acquits_its_request() {
+    let (watch, alone) = (watch(), [entry("entry-0")]);
+    let mut table = SuspectTable::default();
+    for number in 0..3 {
+        advance(EPISODE_SPAN).await;
+        for name in ["common", "deadly"] {
+            let trait_of_late = fingerprint(name).until_whole();
+            table.record_crash_until_whole(trait_of_late, crash(number), Instant::now());
+        }
+    }
+    watch.merge(table.list(Instant::now()));
+    watch.note_began(&PoolName::from("pool"), &traits(&["common", "deadly"]));
+    assert!(refuses(&watch, &["common", "deadly"], &alone));
+    assert!(!refuses(&watch, &["common"], &alone));
+    watch.note_whole(&traits(&["common"]));
+    assert!(refuses(&watch, &["deadly"], &alone), "only one trait is left to blame");
+    assert!(!refuses(&watch, &["common"], &alone));
+}
+
 #[tokio::test]
 async fn sound_parts_are_blamed_by_an_entry_that_never_saw_the_deadly_one() {
     let watch = Arc::new(watch());
@@ -116,7 +137,7 @@
         unconfirmed: false,
         condition: None,
     };
-    watch.note_broken(&known, &traits(&["common", "other"]), || None);
+    watch.note_broken(&known, &traits(&["common", "other"]), false, || None);
     sleep(Duration::from_secs(1)).await;
     let now = Instant::now();
     let mut table = SuspectTable::default();
--- a/cicadastall/tests/gateway_crashes.rs
+++ b/cicadastall/tests/gateway_crashes.rs
@@ -121,6 +121,71 @@
     assert!(received(&upstreams, COMMON_PART, since) >= 20);
 }
 
+/// Guards against a request that is acquitted by the first event of the answer that it crashes.
+#[tokio::test]
+async fn requests_that_crash_upstreams_after_their_first_event_keep_reaching_them() {
+    for path in ["/stream/late", "/resume/late"] {
+        let (fleet, upstreams) = start_fleet("late", &["west-a", "east-a"], 3).await;
+        let late = || prompt(path, &[COMMON_PART, DEADLY_TEXT]);
+        crash_upstreams(&fleet, &upstreams, late).await;
+        let since = Instant::now();
+        for _ in 0..10 {
+            for entry in &fleet.entries {
+                assert_refused_at_once(&late().send(entry.address()).await);
+                let answer = sound().send(entry.address()).await;
+                assert_eq!(
+                    (answer.status.as_u16(), answer.whole),
+                    (200, true),
+                    "{}",
+                    answer.text()
+                );
+            }
+        }
+        assert_eq!(received(&upstreams, DEADLY_TEXT, since), 0);
+    }
+}
+
+/// Guards against a request that is acquitted by an answer without length that ends with a crash.
+#[tokio::test]
+async fn an_answer_without_length_acquits_the_request_that_crashes_it() {
+    let (fleet, upstreams) = start_fleet("unframed", &["west-a"], 3).await;
+    let turn = AtomicU64::new(0);
+    let late = |path| prompt(path, &[COMMON_PART, DEADLY_TEXT]);
+    let mixed = || match turn.fetch_add(1, Ordering::Relaxed) % 2 {
+        0 => late("/stream/late"),
+        _ => late("/stream/late-unframed"),
+    };
+    crash_upstreams(&fleet, &upstreams, mixed).await;
+    let since = Instant::now();
+    for _ in 0..5 {
+        assert_refused_at_once(&late("/stream/late").send(fleet.entries[0].address()).await);
+    }
+    assert_eq!(received(&upstreams, DEADLY_TEXT, since), 0);
+}
+
+/// Guards against sound requests that are blamed for the ends of upstreams that leave.
+#[tokio::test]
+async fn requests_cut_by_upstreams_that_leave_are_quarantined() {
+    let (fleet, _) = start_fleet("release", &["west-a"], 0).await;
+    let (registry, address) = (fleet.registry(0), fleet.entries[0].address());
+    let request = |path| CallerRequest { body: "a".into(), ..prompt(path, &[COMMON_PART]) };
+    for _ in 0..4 {
+        let upstream = CrashingUpstream::start(registry, "west-a", Duration::from_secs(60));
+        fleet.wait_known(0, &upstream.name, true).await;
+        let cut = tokio::spawn(request("/stream/endless").send_owned(address));
+        sleep(Duration::from_millis(300)).await;
+        upstream.leave(registry, "west-a").await;
+        fleet.wait_known(0, &upstream.name, false).await;
+        drop(upstream);
+        assert!(!cut.await.expect("an answer").whole, "the stream is cut");
+        sleep(Duration::from_millis(700)).await;
+    }
+    let upstream = CrashingUpstream::start(registry, "west-a", Duration::from_secs(60));
+    fleet.wait_known(0, &upstream.name, true).await;
+    let answer = request("/stream/1").send(address).await;
+    assert_eq!((answer.status.as_u16(), answer.whole), (200, true), "{}", answer.text());
+}
+
 #[tokio::test]
 async fn a_failure_answer_ends_the_suspicion_of_a_part_that_crashes_upstreams() {
     let (fleet, upstreams) = start_fleet("failing", &["west-a"], 3).await;
--- a/cicadastall/tests/peer_connect.rs
+++ b/cicadastall/tests/peer_connect.rs
@@ -32,6 +32,7 @@
         work: Vec::new(),
         demand: Vec::new(),
         suspects: Vec::new(),
+        suspects_until_whole: Vec::new(),
         asks_history: false,
         departed: Vec::new(),
         conditions: Vec::new(),
--- a/cicadastall/tests/stream_origins.rs
+++ b/cicadastall/tests/stream_origins.rs
@@ -499,6 +499,7 @@
         capacity: None,
         speeds: Vec::new(),
         suspects: Vec::new(),
+        suspects_until_whole: Vec::new(),
         asks_history: false,
     }
 }
