A shared message that crashes upstreams midway is quarantined on the chat interface

Cause: the first token acquitted the shared messages, and a crash after it was not charged to them. Whole requests were charged and cleared as they should be.

Change: messages are charged with any crash, and a whole answer acquits them.

Test: requests_that_share_a_message_that_crashes_upstreams_midway_crash_them_all failed before ("no upstream of pool verdicts is ready").

--- a/cicadastall-daemons/tests/crashing_requests.rs
+++ b/cicadastall-daemons/tests/crashing_requests.rs
@@ -221,13 +221,14 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn requests_that_share_a_message_that_crashes_upstreams_crash_them_all() {
-    let mut fleet = CrashFleet::start("shared-message").await;
+/// Sends requests that share the message `fault`, beside sound ones that share another message with them,
+/// until the message is quarantined.
+async fn share_message(name: &str, fault: &str) {
+    let mut fleet = CrashFleet::start(name).await;
     let mut crashes = 0;
     for turn in 0..10 {
         let own = format!("question {turn}");
-        let deadly = ["common", "fault:crash", &own];
+        let deadly = ["common", fault, &own];
         let refusal = fleet.send_messages(turn % ENTRIES, &deadly).await.expect_err("crashes");
         if crashes >= 3 && turn >= 3 {
             assert_eq!((refusal.code, refusal.ran), (RefusalCode::Quarantined, Ran::No), "{turn}");
@@ -240,3 +241,14 @@
     }
     assert!(fleet.crashed() < ENGINES.len(), "an upstream is left");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_a_message_that_crashes_upstreams_crash_them_all() {
+    share_message("shared-message", "fault:crash").await;
+}
+
+/// Guards against a shared message that is acquitted by the first token of the answer that it crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_a_message_that_crashes_upstreams_midway_crash_them_all() {
+    share_message("shared-midway", "fault:crash-midway").await;
+}
--- a/cicadastall-standins/src/engine.rs
+++ b/cicadastall-standins/src/engine.rs
@@ -305,6 +305,7 @@
                 self.sender.closed().await;
                 Err(ReceiverGone)
             }
+            Some(StandinFault::CrashMidway) => std::process::exit(CRASH_EXIT_CODE),
             Some(StandinFault::Truncated) => Ok(false),
             Some(StandinFault::EarlyEnd) => {
                 self.send(encode_event(END_MARKER.as_bytes())).await?;
--- a/cicadastall-standins/src/fault.rs
+++ b/cicadastall-standins/src/fault.rs
@@ -24,8 +24,10 @@
     Gap,
     /// Sends each token, or the whole answer of a service, twice.
     Repeated,
-    /// Exits the process of the stand-in.
+    /// Exits the process of the stand-in before an answer.
     Crash,
+    /// Exits the process of an engine in the middle of the answer.
+    CrashMidway,
 }
 
 impl StandinFault {
@@ -47,6 +49,7 @@
             "gap" => Some(Self::Gap),
             "repeated" => Some(Self::Repeated),
             "crash" => Some(Self::Crash),
+            "crash-midway" => Some(Self::CrashMidway),
             _ => None,
         }
     }
--- a/cicadastall/src/quarantine.rs
+++ b/cicadastall/src/quarantine.rs
@@ -118,7 +118,7 @@
         ends.min().map(|end| end.saturating_duration_since(now))
     }
 
-    /// Acquits the shared `messages` of a request whose answer has begun.
+    /// Acquits the shared `messages` of a request that was answered whole.
     pub fn acquit_messages(&self, messages: &[RequestFingerprint]) {
         let mut table = self.lock_messages();
         for message in messages {
--- a/cicadastall/src/relay.rs
+++ b/cicadastall/src/relay.rs
@@ -88,6 +88,7 @@
         loop {
             match step {
                 Ok(RelayedStep::End) => {
+                    self.relay.context.suspects().acquit_messages(&self.relay.messages);
                     self.relay.clear_suspect(&self.attempt).await;
                     return Ok(RelayedStep::End);
                 }
@@ -112,9 +113,6 @@
         self.assembler.resume(self.attempt.id.clone());
         let first =
             self.relay.read_first_token(&self.attempt, &self.chat, &mut self.assembler).await;
-        if first.is_ok() {
-            self.relay.record_began(&mut self.attempt);
-        }
         Ok(first.map(|(stream, event)| {
             self.stream = stream;
             RelayedStep::Token(event)
@@ -152,8 +150,6 @@
     chosen_at: Instant,
     incarnation: Incarnation,
     isolation: Option<IsolationLease>,
-    /// Whether the upstream has begun to answer.
-    began: bool,
     guard: AttemptGuard,
 }
 
@@ -247,13 +243,12 @@
         chat: ChatRequest,
     ) -> Result<RelayedStream, Refusal> {
         loop {
-            let mut attempt = self.open_attempt().await?;
+            let attempt = self.open_attempt().await?;
             let mut assembler = AnswerAssembler::new(attempt.id.clone());
             let first = self.read_first_token(&attempt, &chat, &mut assembler);
             match self.run_unless_zone_lost(&attempt, first).await {
                 Ok((stream, first)) => {
                     attempt.guard.record_first_token();
-                    self.record_began(&mut attempt);
                     let source = attempt.source.clone();
                     let remainder =
                         StreamRemainder { relay: self, chat, attempt, assembler, stream };
@@ -291,12 +286,6 @@
         }
     }
 
-    /// Records that the upstream has begun to answer.
-    fn record_began(&self, attempt: &mut OpenAttempt) {
-        attempt.began = true;
-        self.context.suspects().acquit_messages(&self.messages);
-    }
-
     /// Reads the next token as an event for the caller, or the end of the answer.
     async fn read_step(
         &self,
@@ -458,7 +447,6 @@
             chosen_at,
             incarnation: Incarnation::default(),
             isolation: None,
-            began: false,
             guard,
         }
     }
--- a/cicadastall/src/relay/crash.rs
+++ b/cicadastall/src/relay/crash.rs
@@ -141,13 +141,17 @@
         }
         let crash =
             UpstreamCrash { upstream: upstream.clone(), incarnation: attempt.incarnation.0 };
-        let messages = if attempt.began { &[] } else { &*self.messages };
         let registry = self.context.suspects();
         if registry.is_known_before(&crash, attempt.chosen_at) {
             return Ok(());
         }
         match registry
-            .report_crash(self.context.peer_clients(), self.shape.fingerprint, messages, crash)
+            .report_crash(
+                self.context.peer_clients(),
+                self.shape.fingerprint,
+                &self.messages,
+                crash,
+            )
             .await
         {
             Suspicion::Quarantined { remaining } => Err(self.refuse_quarantined(remaining)),
