Charges of streams under way are spread from their second crash on

Cause: each crash charged all streams under way, each whole answer ended such a charge, and control told all entries of each of these changes. No request was quarantined.

Change: a charge that only a whole answer ends is told to other instances from its second crash on; one of a single crash is dropped by a whole answer.

--- a/cicadastall/src/gateway/request/crash_watch.rs
+++ b/cicadastall/src/gateway/request/crash_watch.rs
@@ -378,7 +378,7 @@
                 for fingerprint in &unfinished {
                     state.suspects.record_crash_until_whole(*fingerprint, crash.clone(), now);
                 }
-                for fingerprint in unbegun.into_iter().chain(unfinished) {
+                for fingerprint in unbegun {
                     if state.uncontrasted.len() < MAX_UNCONTRASTED {
                         state.uncontrasted.push((pool.clone(), fingerprint));
                     }
--- a/cicadastall/src/suspect.rs
+++ b/cicadastall/src/suspect.rs
@@ -28,6 +28,10 @@
 /// Maximum number of suspects; beyond it, the one with the fewest crashes is evicted.
 pub const MAX_SUSPECTS: usize = 4_096;
 
+/// Crashes from which on other instances learn of a charge that only a whole answer ends. Each stream
+/// that is under way at a crash has one, and most never have another.
+const REPORTED_CRASHES: usize = 2;
+
 /// Maximum number of crashes that are stored for one suspect.
 const MAX_CRASHES: usize = 64;
 
@@ -252,6 +256,11 @@
         added
     }
 
+    /// Whether other instances learn of this entry.
+    fn is_reported(&self) -> bool {
+        !self.until_whole || self.generation > 0 || self.crashes.len() >= REPORTED_CRASHES
+    }
+
     fn to_record(&self, fingerprint: RequestFingerprint, now: Instant) -> SuspectRecord {
         SuspectRecord {
             fingerprint,
@@ -327,7 +336,7 @@
 
     /// Lists the records that this instance itself changed after change number `after`.
     pub fn list_observed(&self, after: u64, now: Instant) -> Vec<SuspectRecord> {
-        self.list_where(now, |entry| entry.observed > after)
+        self.list_where(now, |entry| entry.observed > after && entry.is_reported())
     }
 
     fn list_where(
@@ -382,9 +391,10 @@
     }
 
     /// Whether an upstream of the same pool has begun to answer another request since `fingerprint` was
-    /// charged with a crash.
+    /// charged with a crash. Not asked of charges that only a whole answer ends: streams under way have begun.
     pub fn is_contrasted(&self, fingerprint: RequestFingerprint) -> bool {
-        self.entries.get(&fingerprint).is_some_and(|entry| entry.contrasted)
+        let contrasted = |entry: &SuspectEntry| entry.contrasted || entry.until_whole;
+        self.entries.get(&fingerprint).is_some_and(contrasted)
     }
 
     /// Number of the newest change; changes of entries are numbered in order.
@@ -480,9 +490,14 @@
     /// Ends the suspicion of `fingerprint`, whatever the number of crashes before, as an answer has shown
     /// it to be harmless; returns whether there was one.
     pub fn acquit(&mut self, fingerprint: RequestFingerprint) -> bool {
-        let suspected =
-            self.entries.get(&fingerprint).is_some_and(|entry| !entry.crashes.is_empty());
-        suspected && self.release(fingerprint)
+        let Some(entry) = self.entries.get(&fingerprint).filter(|entry| !entry.crashes.is_empty())
+        else {
+            return false;
+        };
+        if entry.is_reported() {
+            return self.release(fingerprint);
+        }
+        self.entries.remove(&fingerprint).is_some()
     }
 
     /// Records that an upstream of the pool in which `fingerprint` was charged has begun to answer another
