--- a/cicadastall/src/gateway/decision/chooser.rs
+++ b/cicadastall/src/gateway/decision/chooser.rs
@@ -409,8 +409,6 @@
             prefill_ms: UpstreamTracker::prefill_ms(report.unread_tokens),
             predicted_ms: f64::from(report.predicted_ms) / tracker.slowness(),
             began_at: report.began.then_some(now),
-            made_tokens: None,
-            beside: 0,
         };
         tracker.note_sent(send, &[]);
         number
@@ -693,8 +691,6 @@
             prefill_ms: UpstreamTracker::prefill_ms(unread_tokens),
             predicted_ms: 0.0,
             began_at: None,
-            made_tokens: None,
-            beside: 0,
         };
         let parts = &input.call.head.parts;
         let tracker = self.tracker(known);
--- a/cicadastall/src/gateway/decision/chooser/observations.rs
+++ b/cicadastall/src/gateway/decision/chooser/observations.rs
@@ -36,13 +36,6 @@
         }
     }
 
-    /// Records how many tokens the answer to a send had after its first event; before its end.
-    pub fn note_made_tokens(&mut self, upstream: &UpstreamName, number: SendNumber, tokens: u32) {
-        if let Some(tracker) = self.trackers.get_mut(upstream) {
-            tracker.note_made_tokens(number, tokens);
-        }
-    }
-
     /// Records that a send has ended.
     pub fn note_ended(
         &mut self,
--- a/cicadastall/src/gateway/decision/grant_allocator.rs
+++ b/cicadastall/src/gateway/decision/grant_allocator.rs
@@ -157,9 +157,6 @@
     /// Time from the send to the change, in milliseconds; absent if the holder does not tell it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub at_ms: Option<u32>,
-    /// Tokens that an answer that ended had after its first event; absent if they were not counted.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub made_tokens: Option<u32>,
 }
 
 /// Kinds of changes that a holder reports.
@@ -341,7 +338,7 @@
 
     /// Applies updates of the grants of `holder`; updates of grants that are not open are ignored.
     pub fn apply_updates(&mut self, holder: &EntryProcess, updates: &[GrantUpdate], now: Instant) {
-        for GrantUpdate { ticket, change, at_ms, made_tokens } in updates {
+        for GrantUpdate { ticket, change, at_ms } in updates {
             let key = (holder.clone(), *ticket);
             match change {
                 GrantChange::Began => {
@@ -352,9 +349,6 @@
                 }
                 GrantChange::Ended(end) => {
                     if let Some(grant) = self.grants.remove(&key) {
-                        if let Some(tokens) = made_tokens {
-                            self.chooser.note_made_tokens(&grant.upstream, grant.number, *tokens);
-                        }
                         self.end(&grant, *end, grant.time_of(*at_ms, now));
                         if *end == SendEnd::Refused {
                             self.chooser.note_full(&grant.upstream, now);
--- a/cicadastall/src/gateway/decision/held_grants.rs
+++ b/cicadastall/src/gateway/decision/held_grants.rs
@@ -96,13 +96,12 @@
         }
     }
 
-    /// Records the end of a send, and how many tokens its answer had after the first event if they were
-    /// counted.
-    pub fn end(&mut self, ticket: GrantTicket, end: SendEnd, made_tokens: Option<u32>) {
+    /// Records the end of a send.
+    pub fn end(&mut self, ticket: GrantTicket, end: SendEnd) {
         let Some(held) = self.held.remove(&ticket) else { return };
         if let Some((_, address)) = held.owner {
             let at_ms = elapsed_ms(held.sent_at);
-            self.queue_end(address, ticket, end, Some(at_ms), made_tokens);
+            self.queue_update(address, ticket, GrantChange::Ended(end), Some(at_ms));
         }
     }
 
@@ -120,29 +119,12 @@
         at_ms: Option<u32>,
     ) {
         let at_ms = at_ms.filter(|_| self.tells_times);
-        self.push_update(address, GrantUpdate { ticket, change, at_ms, made_tokens: None });
-    }
-
-    fn queue_end(
-        &mut self,
-        address: SocketAddr,
-        ticket: GrantTicket,
-        end: SendEnd,
-        at_ms: Option<u32>,
-        made_tokens: Option<u32>,
-    ) {
-        let change = GrantChange::Ended(end);
-        let at_ms = at_ms.filter(|_| self.tells_times);
-        self.push_update(address, GrantUpdate { ticket, change, at_ms, made_tokens });
-    }
-
-    fn push_update(&mut self, address: SocketAddr, update: GrantUpdate) {
         let updates = self.pending.entry(address).or_default();
         if updates.len() >= MAX_PENDING_UPDATES {
             log::warn!(owner = address.to_string(); "update queue of an owner is full; update dropped");
             return;
         }
-        updates.push(update);
+        updates.push(GrantUpdate { ticket, change, at_ms });
     }
 
     /// Queues reports of the sends that the current owners of their engines did not grant.
--- a/cicadastall/src/gateway/decision/tracker.rs
+++ b/cicadastall/src/gateway/decision/tracker.rs
@@ -63,9 +63,6 @@
 /// Time from the decision to send a request until an idle upstream begins to read it.
 const SEND_DELAY: Duration = Duration::from_millis(5);
 
-/// Fewest tokens of an answer from which the time between two of them is measured.
-const MIN_PACE_TOKENS: u32 = 16;
-
 /// Shortest time from the begin of an answer to its end of which a sample is taken.
 const MIN_MADE_TIME: Duration = Duration::from_millis(60);
 
@@ -97,10 +94,6 @@
     pub predicted_ms: f64,
     /// Time at which the answer began.
     pub began_at: Option<Instant>,
-    /// Tokens that the answer had after its first event, as counted by the entry that received it.
-    pub made_tokens: Option<u32>,
-    /// Requests in flight at the upstream when this one was sent.
-    pub beside: usize,
 }
 
 /// How an attempt ended, as far as it says something about the upstream.
@@ -407,7 +400,6 @@
 
     /// Records a request that is sent, with all `parts` of its prompt.
     pub fn note_sent(&mut self, send: OpenSend, parts: &[PromptPart]) {
-        let send = OpenSend { beside: self.sends.len(), ..send };
         if let Some(memory) = &mut self.memory {
             memory.note_sent(send.number, parts, send.expected_tokens);
             self.sends.push(send);
@@ -598,25 +590,12 @@
         None
     }
 
-    /// Records how many tokens the answer to a request had after its first event.
-    pub fn note_made_tokens(&mut self, number: SendNumber, tokens: u32) {
-        if let Some(send) = self.sends.iter_mut().find(|send| send.number == number) {
-            send.made_tokens = Some(tokens);
-        }
-    }
-
     /// Records the time between the tokens of an answer that ended.
     fn note_pace(&mut self, send: &OpenSend, end: SendEnd, now: Instant) {
         let Some(began) = send.began_at else { return };
         let tail_ms = (now - began).as_secs_f64() * 1_000.0;
-        let requests = (send.beside + self.sends.len()) as f64 / 2.0;
-        if let Some(tokens) = send.made_tokens {
-            if tokens >= MIN_PACE_TOKENS {
-                self.token_pace.note_answer(tail_ms / f64::from(tokens), requests);
-            }
-            return;
-        }
         let token_ms = tail_ms / f64::from(send.expected_tokens.max(1));
+        let requests = self.sends.len() as f64;
         match end {
             SendEnd::Whole => self.token_pace.note_answer(token_ms, requests),
             SendEnd::Cancelled => self.token_pace.note_unfinished(token_ms, requests),
--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -515,7 +515,7 @@
     let document = routes.document();
     let attempt = call_head.attempt.clone().unwrap_or_else(|| generate_attempt(context));
     let number = hash_pair(attempt.as_str(), document.number);
-    let origin = find_origin(context, &route, &call_head, &attempt, allowed).await;
+    let origin = find_origin(context, &route, &call_head, allowed).await;
     let pool = origin.choose_pool(&route, number).cloned().ok_or_else(|| {
         let message = format!("route {} has no pool", route.name);
         Refusal::not_run(RefusalCode::NoUpstream, message)
@@ -563,19 +563,17 @@
     Ok((Arc::clone(route), key))
 }
 
-/// Finds where the stream began that a caller resumes, within a part of the time `allowed`. If the caller
-/// does not name the attempt that began it, only a sole software version of the pool tells.
+/// Finds where the stream began that a caller resumes, within a part of the time `allowed`.
 async fn find_origin(
     context: &EntryContext,
     route: &RouteRule,
     head: &CallHead,
-    attempt: &AttemptId,
     allowed: Duration,
 ) -> RequiredOrigin {
     if route.repeat != RepeatRule::ResumableStream || head.resume_after.is_none() {
         return RequiredOrigin::Any;
     }
-    let began = head.resumes.as_ref().unwrap_or(attempt);
+    let Some(began) = &head.resumes else { return RequiredOrigin::Unknown };
     let pools: Vec<_> = route.pools.iter().map(|share| share.pool.clone()).collect();
     let found = timeout(allowed / ORIGIN_WAIT_DIVISOR, context.find_origin(began, &pools)).await;
     found.ok().flatten().map_or(RequiredOrigin::Unknown, RequiredOrigin::At)
--- a/cicadastall/src/gateway/request/attempt.rs
+++ b/cicadastall/src/gateway/request/attempt.rs
@@ -121,23 +121,9 @@
     upstream: Option<(UpstreamName, SendNumber)>,
     ticket: Option<GrantTicket>,
     end: SendEnd,
-    /// Whole events of the answer.
-    events: u32,
 }
 
 impl SendGuard {
-    /// Records how many whole events of the answer have been received.
-    pub(crate) fn note_events(&mut self, events: u32) {
-        self.events = events;
-    }
-
-    /// Tokens of the answer after its first event; none if its events do not tell.
-    fn made_tokens(&self) -> Option<u32> {
-        let routes = self.context.routes.load();
-        let engine = routes.pool(&self.pool)?.engine?;
-        self.events.checked_sub(1)?.checked_mul(engine.event_tokens).filter(|tokens| *tokens > 0)
-    }
-
     pub(crate) fn note_answering(&self) {
         if let Some((upstream, number)) = &self.upstream {
             self.context.chooser().note_answering(upstream, *number, Instant::now());
@@ -154,17 +140,12 @@
 
 impl Drop for SendGuard {
     fn drop(&mut self) {
-        let made_tokens = if self.events > 1 { self.made_tokens() } else { None };
         if let Some((upstream, number)) = &self.upstream {
             let now = Instant::now();
-            let mut chooser = self.context.chooser();
-            if let Some(tokens) = made_tokens {
-                chooser.note_made_tokens(upstream, *number, tokens);
-            }
-            chooser.note_ended(&self.pool, upstream, *number, self.end, now);
+            self.context.chooser().note_ended(&self.pool, upstream, *number, self.end, now);
         }
         if let Some(ticket) = self.ticket {
-            self.context.grants.held().end(ticket, self.end, made_tokens);
+            self.context.grants.held().end(ticket, self.end);
         }
     }
 }
@@ -282,7 +263,7 @@
     pub(crate) fn cancel_choice(&self, choice: &UpstreamChoice) {
         if let UpstreamChoice::Upstream { known, number, ticket, .. } = choice {
             if let Some(ticket) = ticket {
-                self.context.grants.held().end(*ticket, SendEnd::Cancelled, None);
+                self.context.grants.held().end(*ticket, SendEnd::Cancelled);
             }
             let name = &known.upstream.name;
             let now = Instant::now();
@@ -333,8 +314,7 @@
         let upstream = upstream.map(|(known, number)| (known.upstream.name.clone(), *number));
         let pool = self.call.pool.clone();
         let ticket = target.ticket;
-        let mut guard =
-            SendGuard { context, pool, upstream, ticket, end: SendEnd::Cancelled, events: 0 };
+        let mut guard = SendGuard { context, pool, upstream, ticket, end: SendEnd::Cancelled };
         let opened = self.open_target(&target, chosen_at).await;
         self.sending = false;
         match opened {
--- a/cicadastall/src/gateway/request/record.rs
+++ b/cicadastall/src/gateway/request/record.rs
@@ -80,8 +80,6 @@
     first_byte_at: Option<Instant>,
     last_data_at: Option<Instant>,
     longest_pause: Duration,
-    /// Whole events that upstreams sent.
-    events: u32,
     status: u16,
     ran: Ran,
     take_up: Option<TakeUpResult>,
@@ -102,7 +100,6 @@
             first_byte_at: None,
             last_data_at: None,
             longest_pause: Duration::ZERO,
-            events: 0,
             status: 0,
             ran: Ran::No,
             take_up: None,
@@ -134,11 +131,6 @@
         self.first_byte_at = Some(now);
     }
 
-    /// Records that upstreams sent `events` more whole events.
-    pub(crate) fn count_events(&mut self, events: u32) {
-        self.events = self.events.saturating_add(events);
-    }
-
     /// Records that data of a stream was forwarded.
     pub(crate) fn record_data(&mut self, now: Instant) {
         if let Some(before) = self.last_data_at.replace(now) {
@@ -216,8 +208,7 @@
             pool = self.call.pool.as_str(), document = self.document, rank = self.call.rank(),
             hopped = self.call.hopped, outcome = self.outcome, status = self.status,
             ran = self.ran_value(), reason = self.reason.as_str(), attempts = attempts.as_str(),
-            parts = parts.as_str(), take_up, resumes, last_event, prompt_tokens = head.prompt_tokens,
-            answer_tokens = head.answer_tokens, expected_tokens = head.expected_tokens(), events = self.events,
+            parts = parts.as_str(), take_up, resumes, last_event,
             first_ms = first.map_or(0, millis), pause_ms = millis(self.longest_pause), whole_ms = millis(whole),
             allowed_ms = millis(self.call.deadline - self.call.received_at);
             "request ended"
--- a/cicadastall/src/gateway/request/stream_forwarder.rs
+++ b/cicadastall/src/gateway/request/stream_forwarder.rs
@@ -125,10 +125,7 @@
         } else {
             mem::take(&mut self.received)
         };
-        let before = self.events.whole();
         self.events.add(&data);
-        self.relay.record.count_events(self.events.whole() - before);
-        answer.guard.note_events(self.events.whole());
         if !self.began && self.events.whole() > 0 {
             self.began = true;
             self.relay.note_began();
--- a/cicadastall/tests/gateway_owners.rs
+++ b/cicadastall/tests/gateway_owners.rs
@@ -254,7 +254,7 @@
     }
 
     fn note(&mut self, holder: &EntryRecord, ticket: GrantTicket, change: GrantChange) {
-        let updates = [GrantUpdate { ticket, change, at_ms: None, made_tokens: None }];
+        let updates = [GrantUpdate { ticket, change, at_ms: None }];
         self.allocator.apply_updates(&EntryProcess::of(holder), &updates, self.now);
     }
 }
