--- a/cicadastall/tests/gateway_crash_watch.rs
+++ b/cicadastall/tests/gateway_crash_watch.rs
@@ -99,8 +99,8 @@
     for number in 0..3 {
         advance(EPISODE_SPAN).await;
         for name in ["common", "deadly"] {
-            let trait_of_late = fingerprint(name).until_whole();
-            table.record_crash_until_whole(trait_of_late, crash(number), Instant::now());
+            let charged = fingerprint(name).until_whole();
+            table.record_crash_until_whole(charged, crash(number), Instant::now());
         }
     }
     watch.merge(table.list(Instant::now()));
