Keep traits with a single crash of a running answer apart from the suspects

Cause: the streams under way at each crash filled the table of suspects, which is walked at each change.

Change: the first such crash of a trait is kept in a map of its own, of 2,048 rows for 120 s, and the trait becomes a suspect at the second. This takes the place of the rule on what is reported; its test moves to the watch, where it holds the same and the acquittal of a single crash as well.

--- a/cicadastall/src/gateway/request/crash_watch.rs
+++ b/cicadastall/src/gateway/request/crash_watch.rs
@@ -63,6 +63,13 @@
 /// Maximum number of charged suspects that wait for another answer.
 const MAX_UNCONTRASTED: usize = MAX_SUSPECTS;
 
+/// Maximum number of traits with a single crash before the end of an answer; several times those of the
+/// streams under way at an upstream.
+const MAX_FIRST_CRASHES: usize = 2_048;
+
+/// Time for which the first such crash of a trait is kept.
+const FIRST_CRASH_LIFETIME: Duration = Duration::from_secs(120);
+
 /// Traits that are to blame for crashes; requests that have all of them are refused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct QuarantinedTraits {
@@ -72,8 +79,50 @@
     pub remaining_ms: u64,
 }
 
+/// Traits that were charged with one crash before the end of an answer. Each stream under way at a crash
+/// is, and most never meet another: they become suspects, of whom other instances learn, at the second.
+#[derive(Debug, Default)]
+struct FirstCrashes {
+    rows: HashMap<RequestFingerprint, (UpstreamCrash, Instant)>,
+    /// Traits in the order of their crashes; some have been removed since.
+    order: VecDeque<(Instant, RequestFingerprint)>,
+}
+
+impl FirstCrashes {
+    /// Records a crash of `fingerprint`; returns the one before if there was another.
+    fn record(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        crash: &UpstreamCrash,
+        now: Instant,
+    ) -> Option<(UpstreamCrash, Instant)> {
+        self.expire(now);
+        if let Some((first, _)) = self.rows.get(&fingerprint) {
+            let is_other = first != crash;
+            return if is_other { self.rows.remove(&fingerprint) } else { None };
+        }
+        self.rows.insert(fingerprint, (crash.clone(), now));
+        self.order.push_back((now, fingerprint));
+        None
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((at, fingerprint)) = self.order.front().copied() {
+            let is_old = now >= at + FIRST_CRASH_LIFETIME;
+            if !is_old && self.order.len() < MAX_FIRST_CRASHES {
+                return;
+            }
+            self.order.pop_front();
+            if self.rows.get(&fingerprint).is_some_and(|(_, recorded_at)| *recorded_at == at) {
+                self.rows.remove(&fingerprint);
+            }
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct WatchState {
+    first_crashes: FirstCrashes,
     suspects: SuspectTable,
     /// Requests that broke off, by the process whose end is being checked.
     checks: HashMap<UpstreamCrash, Vec<BrokenRequest>>,
@@ -108,16 +157,33 @@
 
 impl WatchState {
     fn is_empty(&self) -> bool {
-        self.checks.is_empty() && self.suspects.is_empty()
+        self.checks.is_empty() && self.suspects.is_empty() && self.first_crashes.rows.is_empty()
     }
 
     fn acquit(&mut self, traits: &RequestTraits) {
         self.checks.values_mut().flatten().for_each(|broken| broken.acquit(traits));
         for fingerprint in traits {
+            self.first_crashes.rows.remove(fingerprint);
             self.suspects.acquit(*fingerprint);
         }
     }
 
+    /// Charges a trait, by its fingerprint until the answer is whole, with a crash.
+    fn charge_until_whole(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        crash: &UpstreamCrash,
+        now: Instant,
+    ) {
+        if self.suspects.suspicion_end(fingerprint).is_none() {
+            let Some((first, at)) = self.first_crashes.record(fingerprint, crash, now) else {
+                return;
+            };
+            self.suspects.record_crash_until_whole(fingerprint, first, at);
+        }
+        self.suspects.record_crash_until_whole(fingerprint, crash.clone(), now);
+    }
+
     /// Updates the culprits after a change of the suspects.
     fn update_culprits(&mut self, now: Instant) {
         self.suspects.remove_expired(now);
@@ -376,7 +442,7 @@
                     state.suspects.record_crash(*fingerprint, crash.clone(), now);
                 }
                 for fingerprint in &unfinished {
-                    state.suspects.record_crash_until_whole(*fingerprint, crash.clone(), now);
+                    state.charge_until_whole(*fingerprint, &crash, now);
                 }
                 for fingerprint in unbegun {
                     if state.uncontrasted.len() < MAX_UNCONTRASTED {
@@ -438,7 +504,10 @@
     /// Drops what has expired.
     pub fn expire(&self) {
         if self.is_active() {
-            self.change(|state| state.update_culprits(Instant::now()));
+            self.change(|state| {
+                state.first_crashes.expire(Instant::now());
+                state.update_culprits(Instant::now());
+            });
         }
     }
 
--- a/cicadastall/src/suspect.rs
+++ b/cicadastall/src/suspect.rs
@@ -28,10 +28,6 @@
 /// Maximum number of suspects; beyond it, the one with the fewest crashes is evicted.
 pub const MAX_SUSPECTS: usize = 4_096;
 
-/// Crashes from which on other instances learn of a charge that only a whole answer ends. Each stream
-/// that is under way at a crash has one, and most never have another.
-const REPORTED_CRASHES: usize = 2;
-
 /// Maximum number of crashes that are stored for one suspect.
 const MAX_CRASHES: usize = 64;
 
@@ -256,11 +252,6 @@
         added
     }
 
-    /// Whether other instances learn of this entry.
-    fn is_reported(&self) -> bool {
-        !self.until_whole || self.generation > 0 || self.crashes.len() >= REPORTED_CRASHES
-    }
-
     fn to_record(&self, fingerprint: RequestFingerprint, now: Instant) -> SuspectRecord {
         SuspectRecord {
             fingerprint,
@@ -336,7 +327,7 @@
 
     /// Lists the records that this instance itself changed after change number `after`.
     pub fn list_observed(&self, after: u64, now: Instant) -> Vec<SuspectRecord> {
-        self.list_where(now, |entry| entry.observed > after && entry.is_reported())
+        self.list_where(now, |entry| entry.observed > after)
     }
 
     fn list_where(
@@ -490,14 +481,9 @@
     /// Ends the suspicion of `fingerprint`, whatever the number of crashes before, as an answer has shown
     /// it to be harmless; returns whether there was one.
     pub fn acquit(&mut self, fingerprint: RequestFingerprint) -> bool {
-        let Some(entry) = self.entries.get(&fingerprint).filter(|entry| !entry.crashes.is_empty())
-        else {
-            return false;
-        };
-        if entry.is_reported() {
-            return self.release(fingerprint);
-        }
-        self.entries.remove(&fingerprint).is_some()
+        let suspected =
+            self.entries.get(&fingerprint).is_some_and(|entry| !entry.crashes.is_empty());
+        suspected && self.release(fingerprint)
     }
 
     /// Records that an upstream of the pool in which `fingerprint` was charged has begun to answer another
--- a/cicadastall/tests/crash_blame.rs
+++ b/cicadastall/tests/crash_blame.rs
@@ -129,26 +129,6 @@
     assert_eq!(find_all_culprits(&table, BLAME_EPISODES), [group(&["deadly"])]);
 }
 
-/// Guards against a crash after which all instances are told of every stream that was under way.
-#[tokio::test(start_paused = true)]
-async fn streams_under_way_at_a_single_crash_are_reported() {
-    let (now, mut table) = (Instant::now(), SuspectTable::default());
-    let late = |name| fingerprint(name).until_whole();
-    for name in ["once", "twice"] {
-        table.record_crash_until_whole(late(name), crash(0), now);
-    }
-    assert!(table.list_observed(0, now).is_empty());
-    table.record_crash_until_whole(late("twice"), crash(1), now);
-    let reported = table.list_observed(0, now);
-    assert_eq!(reported.len(), 1);
-    assert_eq!((reported[0].fingerprint, reported[0].crashes.len()), (late("twice"), 2));
-    let before = table.changes();
-    assert!(table.acquit(late("once")));
-    assert!(table.list_observed(before, now).is_empty(), "nobody has learnt of it");
-    assert!(table.acquit(late("twice")));
-    assert_eq!(table.list_observed(before, now).len(), 1);
-}
-
 #[tokio::test(start_paused = true)]
 async fn traits_that_always_come_together_are_blamed_as_a_group() {
     let together: [&[&str]; 3] =
--- a/cicadastall/tests/gateway_crash_watch.rs
+++ b/cicadastall/tests/gateway_crash_watch.rs
@@ -112,15 +112,14 @@
     assert!(!refuses(&watch, &["common"], &alone));
 }
 
-#[tokio::test]
-async fn sound_parts_are_blamed_by_an_entry_that_never_saw_the_deadly_one() {
-    let watch = Arc::new(watch());
+/// An upstream whose process has ended.
+fn ended_upstream(number: u32) -> KnownUpstream {
     let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = closed.local_addr().expect("an address");
     drop(closed);
-    let known = KnownUpstream {
+    KnownUpstream {
         upstream: Arc::new(RegisteredUpstream {
-            name: crash(0).upstream,
+            name: crash(number).upstream,
             started_ms: 1,
             sequence: 1,
             pool: PoolName::from("pool"),
@@ -136,7 +135,35 @@
         cold_until: None,
         unconfirmed: false,
         condition: None,
-    };
+    }
+}
+
+/// Guards against a crash after which all instances are told of every stream that was under way.
+#[tokio::test]
+async fn streams_under_way_at_a_single_crash_are_reported() {
+    let watch = Arc::new(watch());
+    let told = || watch.list_observed(0).1;
+    for number in 0..2 {
+        let streams: &[&str] = if number == 0 { &["once", "twice", "whole"] } else { &["twice"] };
+        for name in streams {
+            watch.note_broken(&ended_upstream(number), &traits(&[name]), true, || None);
+        }
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(told().len(), number as usize, "{:?}", told());
+    }
+    assert_eq!(told()[0].fingerprint, fingerprint("twice").until_whole());
+    assert_eq!(told()[0].crashes.len(), 2);
+    // A whole answer ends the charge of a single crash.
+    watch.note_whole(&traits(&["whole"]));
+    watch.note_broken(&ended_upstream(2), &traits(&["whole"]), true, || None);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(told().len(), 1);
+}
+
+#[tokio::test]
+async fn sound_parts_are_blamed_by_an_entry_that_never_saw_the_deadly_one() {
+    let watch = Arc::new(watch());
+    let known = ended_upstream(0);
     watch.note_broken(&known, &traits(&["common", "other"]), false, || None);
     sleep(Duration::from_secs(1)).await;
     let now = Instant::now();
