--- a/cicadastall/src/gateway/agreement/group_supervisor.rs
+++ b/cicadastall/src/gateway/agreement/group_supervisor.rs
@@ -14,7 +14,7 @@
     node::VoterSettings,
     peer::PeerClients,
     replica::{MemberAdmission, ReplicaTiming},
-    replica_message::ReplicaId,
+    replica_message::{GroupConfiguration, ReplicaId},
     replicated::{GroupError, ReplicatedGroup},
 };
 use arc_swap::ArcSwapOption;
@@ -121,6 +121,7 @@
         let mut status = handle.watch();
         let mut leader = None;
         let mut silent = Vec::new();
+        let mut members = GroupConfiguration::default();
         loop {
             let now = status.borrow_and_update().clone();
             if let Some(failure) = now.failure {
@@ -132,6 +133,10 @@
                 let name = leader.as_ref().map(ToString::to_string).unwrap_or_default();
                 log::info!(leader = name.as_str(), term = now.term.0, leads = now.leads; "leader");
             }
+            if members != now.configuration {
+                members.clone_from(&now.configuration);
+                log_members(handle.own(), &now);
+            }
             if silent != now.silent {
                 log_silent_voters(&now);
                 self.note_silent_voters(&now.silent);
@@ -267,6 +272,17 @@
     }
 }
 
+fn log_members(own: &ReplicaId, status: &GroupStatus) {
+    let names = |replicas: &[ReplicaId]| replicas.iter().map(ToString::to_string).collect();
+    let (voters, learners): (Vec<_>, Vec<_>) =
+        (names(&status.configuration.voters), names(&status.configuration.learners));
+    log::info!(
+        voters:? = voters, learners:? = learners, own_votes = status.configuration.is_voter(own),
+        commit = status.commit.0, applied = status.applied.0;
+        "members of the document group"
+    );
+}
+
 fn log_silent_voters(status: &GroupStatus) {
     let silent: Vec<_> = status.silent.iter().map(ToString::to_string).collect();
     log::warn!(
