Replicate large commands once, beside heartbeats, and restore members from the newest state

The empty replica was no voter when the next disk was lost, within what the group is meant to bear.

A document of 2,000 routes takes longer than that on a link between regions; heartbeats, votes and reads waited behind the copies.

--- a/cicadastall/src/group.rs
+++ b/cicadastall/src/group.rs
@@ -56,7 +56,7 @@
 const MAX_APPEND_ENTRIES: usize = 1_024;
 
 /// Maximum size of a snapshot chunk.
-const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
+const SNAPSHOT_CHUNK_BYTES: usize = 512 * 1024;
 
 /// Start parameters of a replica.
 #[derive(Debug, Clone)]
--- a/cicadastall/src/group_actor.rs
+++ b/cicadastall/src/group_actor.rs
@@ -34,6 +34,9 @@
 /// command takes up to three times its size on the disk, of which an instance has little.
 const MAX_LOG_BYTES: usize = 4 * 1024 * 1024;
 
+/// The same while a member receives a snapshot or the entries after it.
+const MAX_RESTORING_BYTES: usize = 2 * MAX_LOG_BYTES;
+
 /// Channel for the reply to a proposal.
 pub(crate) type ProposalReply<S> =
     oneshot::Sender<Result<<S as ReplicatedState>::Reply, GroupError>>;
@@ -292,13 +295,17 @@
     }
 
     /// Writes a snapshot once the commands since the last one are at least as large as it is, so
-    /// that the cost of snapshots stays proportional to that of the commands.
+    /// that the cost of snapshots stays proportional to that of the commands. A member without state
+    /// then receives the newest state in place of the commands that led to it.
     fn compact(&mut self) {
         let log = self.core.log();
         let entries = self.applied.0.saturating_sub(log.base().0);
         let snapshot_bytes = log.snapshot().data.len();
-        let is_long = entries >= MAX_LOG_ENTRIES || self.bytes_since_snapshot >= MAX_LOG_BYTES;
-        if !is_long || self.bytes_since_snapshot < snapshot_bytes {
+        // A member that is being restored must find the entries after its snapshot.
+        let max_bytes =
+            if self.core.is_restoring_member() { MAX_RESTORING_BYTES } else { MAX_LOG_BYTES };
+        let is_long = entries >= MAX_LOG_ENTRIES || self.bytes_since_snapshot >= max_bytes;
+        if !(is_long || self.core.awaits_snapshot()) || self.bytes_since_snapshot < snapshot_bytes {
             return;
         }
         let data = self.state.read().unwrap_or_else(PoisonError::into_inner).snapshot();
--- a/cicadastall/src/group_transport.rs
+++ b/cicadastall/src/group_transport.rs
@@ -5,7 +5,7 @@
     group_actor::GroupStatus,
     name::{GroupName, InstanceName},
     peer::PeerClients,
-    replica_message::{Epoch, LogIndex, ReplicaEnvelope},
+    replica_message::{Epoch, LogIndex, ReplicaEnvelope, ReplicaMessage},
     replicated::GroupError,
 };
 use futures::{
@@ -36,6 +36,9 @@
 /// Maximum time to wait for the reply to one call.
 const DELIVER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum time to wait for the reply to a call with large messages.
+const BULK_DELIVER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Replica of a group, independent of the type of its state.
 pub trait GroupEndpoint: Debug + Send + Sync {
     /// Passes messages to the replica.
@@ -144,7 +147,32 @@
     group: GroupName,
     addresses: HashMap<InstanceName, SocketAddr>,
     clients: Arc<PeerClients>,
-    queues: HashMap<InstanceName, mpsc::Sender<ReplicaEnvelope>>,
+    bulk_clients: Arc<PeerClients>,
+    queues: HashMap<(InstanceName, MessageClass), mpsc::Sender<ReplicaEnvelope>>,
+}
+
+/// Messages that share a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum MessageClass {
+    Urgent,
+    Bulk,
+}
+
+impl MessageClass {
+    /// Large messages travel apart, so that heartbeats and votes do not wait behind them.
+    fn of(message: &ReplicaMessage) -> Self {
+        match message.is_bulk() {
+            true => Self::Bulk,
+            false => Self::Urgent,
+        }
+    }
+
+    fn deliver_timeout(self) -> Duration {
+        match self {
+            Self::Urgent => DELIVER_TIMEOUT,
+            Self::Bulk => BULK_DELIVER_TIMEOUT,
+        }
+    }
 }
 
 impl GroupSenders {
@@ -154,25 +182,33 @@
         addresses: HashMap<InstanceName, SocketAddr>,
         clients: &Arc<PeerClients>,
     ) -> Self {
-        Self { group, addresses, clients: Arc::clone(clients), queues: HashMap::new() }
+        let bulk_clients = Arc::new(clients.separate());
+        let clients = Arc::clone(clients);
+        Self { group, addresses, clients, bulk_clients, queues: HashMap::new() }
     }
 
     /// Queues a message, or drops it if the queue is full.
     ///
-    /// The first message to a receiver starts its sender task, which ends when this value is
+    /// The first message of a class to a receiver starts a sender task, which ends when this value is
     /// dropped.
     pub(crate) fn send(&mut self, envelope: ReplicaEnvelope) {
         let instance = envelope.to.instance.clone();
-        if !self.queues.contains_key(&instance) {
+        let class = MessageClass::of(&envelope.message);
+        let key = (instance.clone(), class);
+        if !self.queues.contains_key(&key) {
             let Some(address) = find_address(&self.addresses, &instance) else {
                 return log::warn!("no address is known for group member {instance}");
             };
             let (sender, receiver) = mpsc::channel(MAX_QUEUED_MESSAGES);
-            let clients = Arc::clone(&self.clients);
-            tokio::spawn(run_sender(self.group.clone(), address, clients, receiver));
-            self.queues.insert(instance.clone(), sender);
+            let clients = match class {
+                MessageClass::Urgent => Arc::clone(&self.clients),
+                MessageClass::Bulk => Arc::clone(&self.bulk_clients),
+            };
+            let limit = class.deliver_timeout();
+            tokio::spawn(run_sender(self.group.clone(), address, clients, limit, receiver));
+            self.queues.insert(key.clone(), sender);
         }
-        if let Some(queue) = self.queues.get(&instance) {
+        if let Some(queue) = self.queues.get(&key) {
             let _ = queue.try_send(envelope);
         }
     }
@@ -182,6 +218,7 @@
     group: GroupName,
     address: SocketAddr,
     clients: Arc<PeerClients>,
+    limit: Duration,
     mut queue: mpsc::Receiver<ReplicaEnvelope>,
 ) {
     let mut calls = FuturesUnordered::new();
@@ -198,7 +235,7 @@
                 if received == 0 {
                     return;
                 }
-                calls.push(deliver_batch(&group, address, &clients, envelopes));
+                calls.push(deliver_batch(&group, address, &clients, limit, envelopes));
             }
         }
     }
@@ -208,9 +245,10 @@
     group: &GroupName,
     address: SocketAddr,
     clients: &PeerClients,
+    limit: Duration,
     envelopes: Vec<ReplicaEnvelope>,
 ) {
-    let call = clients.call(address, DELIVER_TIMEOUT, async |client, context| {
+    let call = clients.call_within(address, DELIVER_TIMEOUT, limit, async |client, context| {
         client.group_deliver(context, group.clone(), envelopes).await
     });
     if let Err(error) = call.await {
--- a/cicadastall/src/peer.rs
+++ b/cicadastall/src/peer.rs
@@ -140,25 +140,49 @@
         Self { source, connections: Mutex::default() }
     }
 
+    /// Clients with the same source address and connections of their own.
+    pub fn separate(&self) -> Self {
+        Self::new(self.source)
+    }
+
     /// Calls the instance at `address`. `time_limit` applies separately to the connection and to
-    /// the call.
+    /// the call; see [`PeerClients::call_within`].
+    ///
+    /// # Errors
+    ///
+    /// Those of [`PeerClients::call_within`].
+    pub async fn call<T, F>(
+        &self,
+        address: SocketAddr,
+        time_limit: Duration,
+        call: impl FnOnce(PeerApiClient, context::Context) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, client::RpcError>>,
+    {
+        self.call_within(address, time_limit, time_limit, call).await
+    }
+
+    /// Calls the instance at `address`, with a limit on the time to connect and one on the time from
+    /// then to the reply.
     ///
     /// # Errors
     ///
     /// Returns [`PeerError::Unreachable`] if no connection could be established, and
     /// [`PeerError::NoReply`] if the call failed or timed out; the connection is then closed.
-    pub async fn call<T, F>(
+    pub async fn call_within<T, F>(
         &self,
         address: SocketAddr,
+        connect_limit: Duration,
         time_limit: Duration,
         call: impl FnOnce(PeerApiClient, context::Context) -> F,
     ) -> Result<T, PeerError>
     where
         F: Future<Output = Result<T, client::RpcError>>,
     {
-        let connected = timeout(time_limit, self.connect(address)).await;
+        let connected = timeout(connect_limit, self.connect(address)).await;
         let client = connected
-            .map_err(|_| PeerError::Unreachable(format!("timeout after {time_limit:?}")))?
+            .map_err(|_| PeerError::Unreachable(format!("timeout after {connect_limit:?}")))?
             .map_err(|error| PeerError::Unreachable(error.to_string()))?;
         let mut context = context::current();
         context.deadline = DeadlineInstant::now() + TRANSPORT_DEADLINE;
--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -476,6 +476,14 @@
         self.next_timeout = now + shortest + Duration::from_micros(extra);
     }
 
+    /// Schedules the next pre-votes after an election without a result, such as one of two candidates that
+    /// lost their leader at the same moment, after half an election timeout to a whole one.
+    pub(crate) fn schedule_next_candidacy(&mut self, now: Instant) {
+        let shortest = self.settings.timing.election_timeout / 2;
+        let extra = self.rng.random_range(0..=shortest.as_micros() as u64);
+        self.next_timeout = now + shortest + Duration::from_micros(extra);
+    }
+
     /// Schedules the next pre-votes after half to one and a half heartbeat intervals.
     ///
     /// Repeating them early is harmless, since replicas with a recent leader refuse them.
--- a/cicadastall/src/replica_election.rs
+++ b/cicadastall/src/replica_election.rs
@@ -66,7 +66,7 @@
         self.hard_state.term = self.hard_state.term.next();
         self.hard_state.vote = Some(self.settings.own.clone());
         self.write_hard_state();
-        self.reset_election_timeout(now);
+        self.schedule_next_candidacy(now);
         let grants: SmallVec<[_; 3]> = SmallVec::from_iter([self.settings.own.clone()]);
         self.role = ReplicaRole::Candidate { grants: grants.clone() };
         if self.is_quorum(&grants) {
--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -4,7 +4,8 @@
     replica::{MemberAdmission, ReplicaCore, ReplicaError, ReplicaRole, ReplicaTiming},
     replica_message::{
         AppendOutcome, EntryPayload, GroupConfiguration, LogEntry, LogIndex, LogPosition,
-        ReadTicket, ReplicaEnvelope, ReplicaId, ReplicaMessage, Term,
+        MIN_BULK_BYTES, ReadTicket, ReplicaEnvelope, ReplicaId, ReplicaMessage, SnapshotImage,
+        Term,
     },
 };
 use std::{cmp::Reverse, sync::Arc, time::Duration};
@@ -16,6 +17,13 @@
 /// Size of the commands in a message from which on no further entry is added.
 const MAX_APPEND_BYTES: usize = 1024 * 1024;
 
+/// Lowest rate in bytes per second at which data is assumed to reach a member. Data that needs more
+/// time at this rate is not taken for lost earlier.
+const MIN_TRANSFER_RATE: u32 = 512 * 1024;
+
+/// Heartbeat intervals without a reply after which small messages are taken for lost.
+const RESEND_HEARTBEATS: u32 = 2;
+
 /// Replication progress of another member.
 #[derive(Debug)]
 struct PeerProgress {
@@ -24,8 +32,8 @@
     next_index: LogIndex,
     /// Last entry known to be synced by the member.
     match_index: LogIndex,
-    /// `match_index` at the last heartbeat.
-    previous_match_index: LogIndex,
+    /// Entries or part of a snapshot that the member has not acknowledged yet.
+    transfer: Option<PendingTransfer>,
     /// Highest round that the member has acknowledged.
     acknowledged_round: u64,
     /// Time of the member's last reply, or of the start of its progress.
@@ -34,11 +42,98 @@
     silent_since: Instant,
     /// Bytes of the snapshot that the member holds, while it receives one.
     snapshot_offset: Option<u64>,
+    /// The snapshot that it receives, which stays the same until it is complete.
+    snapshot: Option<Arc<SnapshotImage>>,
     /// Whether the member is about to stop. It is tracked for a while after its removal, so that it
     /// learns that the removal is committed.
     is_leaving: bool,
 }
 
+/// Data on its way to a member.
+#[derive(Debug, Clone, Copy)]
+struct PendingTransfer {
+    /// Where it starts.
+    start: TransferStart,
+    /// Round of the first message.
+    round: u64,
+    /// Time of sending, or of the last acknowledgement of a part.
+    since: Instant,
+    /// Size of the commands or of the part of the snapshot, in bytes.
+    bytes: usize,
+}
+
+/// First entry or byte of a transfer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TransferStart {
+    Entry(LogIndex),
+    SnapshotOffset(u64),
+}
+
+impl PendingTransfer {
+    /// Whether the data must have arrived by `now`, unless it was lost.
+    fn is_overdue(&self, heartbeat_interval: Duration, now: Instant) -> bool {
+        let transit = Duration::from_secs_f64(self.bytes as f64 / f64::from(MIN_TRANSFER_RATE));
+        now >= self.since + heartbeat_interval * RESEND_HEARTBEATS + transit
+    }
+}
+
+impl PeerProgress {
+    /// Whether `entries` arrive after the data that is on its way. Large messages travel on a
+    /// connection of their own.
+    fn may_send(&self, entries: &[LogEntry]) -> bool {
+        self.transfer.is_none_or(|transfer| transfer.bytes + sum_bytes(entries) < MIN_BULK_BYTES)
+    }
+
+    /// Records that `entries` are sent.
+    fn note_entries(&mut self, entries: &[LogEntry], round: u64, now: Instant) {
+        let Some(first) = entries.first() else { return };
+        let bytes = sum_bytes(entries);
+        match &mut self.transfer {
+            Some(transfer) if matches!(transfer.start, TransferStart::Entry(_)) => {
+                transfer.bytes += bytes;
+            }
+            transfer => {
+                let start = TransferStart::Entry(first.position.index);
+                *transfer = Some(PendingTransfer { start, round, since: now, bytes });
+            }
+        }
+    }
+
+    /// Records that the member holds all entries up to `index`; `unacknowledged` is the size of those
+    /// after it that were sent, in bytes.
+    fn note_match(&mut self, index: LogIndex, unacknowledged: usize, now: Instant) {
+        self.next_index = self.next_index.max(index.next());
+        let Some(transfer) = &mut self.transfer else { return };
+        let TransferStart::Entry(start) = transfer.start else { return };
+        if index >= self.next_index.previous() {
+            self.transfer = None;
+        } else if index >= start {
+            transfer.start = TransferStart::Entry(index.next());
+            (transfer.since, transfer.bytes) = (now, unacknowledged);
+        }
+    }
+
+    /// Whether the member holds the entries up to `commit`, or lacks only some that are on their way.
+    /// With large entries that follow each other closely, some always are.
+    fn has_caught_up(&self, commit: LogIndex) -> bool {
+        let begins_after_match = |transfer: PendingTransfer| match transfer.start {
+            TransferStart::Entry(start) => start <= self.match_index.next(),
+            TransferStart::SnapshotOffset(_) => false,
+        };
+        let is_receiving = self.transfer.is_some_and(begins_after_match);
+        self.match_index >= commit || (is_receiving && self.next_index > commit)
+    }
+
+    /// Forgets a snapshot that the member no longer needs.
+    fn end_snapshot(&mut self) {
+        self.snapshot_offset = None;
+        self.snapshot = None;
+        self.transfer = self
+            .transfer
+            .filter(|transfer| !matches!(transfer.start, TransferStart::SnapshotOffset(_)));
+    }
+}
+
 /// A read that waits until a majority has acknowledged `round`.
 #[derive(Debug)]
 pub(crate) struct PendingRead {
@@ -193,12 +288,14 @@
             configuration.is_member(&peer.id) || is_told
         });
         if now >= state.next_heartbeat {
-            state.next_heartbeat = now + self.settings.timing.heartbeat_interval;
+            let interval = self.settings.timing.heartbeat_interval;
+            state.next_heartbeat = now + interval;
             for peer in &mut state.peers {
-                if peer.match_index == peer.previous_match_index {
-                    peer.next_index = peer.match_index.next();
+                let lost = peer.transfer.filter(|transfer| transfer.is_overdue(interval, now));
+                if let Some(PendingTransfer { start: TransferStart::Entry(start), .. }) = lost {
+                    peer.next_index = start;
                 }
-                peer.previous_match_index = peer.match_index;
+                peer.transfer = peer.transfer.filter(|_| lost.is_none());
             }
             self.send_heartbeats(now);
         }
@@ -223,10 +320,32 @@
         let ReplicaRole::Leader(state) = &self.role else { return };
         let replicas: Vec<_> = state.peers.iter().map(|peer| peer.id.clone()).collect();
         for replica in replicas {
-            self.send_append(&replica, now);
+            self.send_heartbeat(&replica, now);
         }
     }
 
+    /// Sends a message that the member answers. While data is on its way to it, the message carries
+    /// none, and claims no entry that the member may not have received.
+    fn send_heartbeat(&mut self, to: &ReplicaId, now: Instant) {
+        let ReplicaRole::Leader(state) = &mut self.role else { return };
+        let Some(transfer) = state.peer(to).and_then(|peer| peer.transfer) else {
+            return self.send_append(to, now);
+        };
+        let round = state.next_round(now);
+        let index = match transfer.start {
+            TransferStart::Entry(start) => start.previous(),
+            TransferStart::SnapshotOffset(_) => LogIndex(0),
+        };
+        let previous = match self.log.term_at(index) {
+            Some(term) => LogPosition { term, index },
+            // Every log begins with this position.
+            None => LogPosition::default(),
+        };
+        let (term, commit) = (self.hard_state.term, self.commit_index);
+        let entries = Vec::new();
+        self.send(to.clone(), ReplicaMessage::Append { term, round, previous, commit, entries });
+    }
+
     fn send_append(&mut self, to: &ReplicaId, now: Instant) {
         let ReplicaRole::Leader(state) = &mut self.role else { return };
         let round = state.next_round(now);
@@ -236,22 +355,30 @@
         let term = self.hard_state.term;
         let Some(previous) = previous.map(|term| LogPosition { term, index }) else {
             let offset = *peer.snapshot_offset.get_or_insert(0);
-            return self.send_snapshot(to, round, offset);
+            let snapshot = peer.snapshot.get_or_insert_with(|| Arc::clone(self.log.snapshot()));
+            let snapshot = Arc::clone(snapshot);
+            let bytes = self.settings.snapshot_chunk_bytes;
+            let start = TransferStart::SnapshotOffset(offset);
+            peer.transfer = Some(PendingTransfer { start, round, since: now, bytes });
+            return self.send_snapshot(to, &snapshot, round, offset);
         };
         let entries = select_batch(
             self.log.range(peer.next_index, self.log.last().index),
             self.settings.max_append_entries,
         );
+        if !peer.may_send(&entries) {
+            return;
+        }
         if let Some(entry) = entries.last() {
             peer.next_index = entry.position.index.next();
         }
+        peer.note_entries(&entries, round, now);
         let commit = self.commit_index;
         let message = ReplicaMessage::Append { term, round, previous, commit, entries };
         self.send(to.clone(), message);
     }
 
-    fn send_snapshot(&mut self, to: &ReplicaId, round: u64, offset: u64) {
-        let snapshot = Arc::clone(self.log.snapshot());
+    fn send_snapshot(&mut self, to: &ReplicaId, snapshot: &SnapshotImage, round: u64, offset: u64) {
         let total = snapshot.data.len();
         let start = (offset as usize).min(total);
         let end = total.min(start + self.settings.snapshot_chunk_bytes);
@@ -286,17 +413,46 @@
         peer.acknowledged_round = peer.acknowledged_round.max(round);
         match outcome {
             AppendOutcome::Matched(index) => {
+                let sent = self.log.range(index.next(), peer.next_index.previous());
+                let unacknowledged = sum_bytes(sent);
                 peer.match_index = peer.match_index.max(index);
-                peer.next_index = peer.next_index.max(index.next());
-                peer.snapshot_offset = None;
+                peer.note_match(index, unacknowledged, now);
+                match &peer.snapshot {
+                    Some(sent) if index < sent.position.index => {}
+                    Some(_) => {
+                        peer.end_snapshot();
+                        peer.next_index = peer.match_index.next();
+                    }
+                    None => peer.end_snapshot(),
+                }
             }
             AppendOutcome::Missing(index) => {
-                peer.next_index = index.next().min(peer.next_index).max(peer.match_index.next());
-                peer.snapshot_offset = None;
+                let next = index.next().min(peer.next_index).max(peer.match_index.next());
+                // The entries that the member lacks may be on their way, unless it has received a
+                // later message, which follows them.
+                let is_sent = peer.transfer.is_some_and(|transfer| {
+                    let begins =
+                        matches!(transfer.start, TransferStart::Entry(start) if start <= next);
+                    begins && round <= transfer.round
+                });
+                if !is_sent && peer.snapshot.is_none() {
+                    peer.next_index = next;
+                    peer.transfer = None;
+                    peer.end_snapshot();
+                }
+            }
+            AppendOutcome::SnapshotFrom(offset) => {
+                let start = TransferStart::SnapshotOffset(offset);
+                let is_sent = peer.transfer.is_some_and(|transfer| transfer.start == start);
+                if !is_sent {
+                    peer.snapshot_offset = Some(offset);
+                    peer.transfer = None;
+                }
             }
-            AppendOutcome::SnapshotFrom(offset) => peer.snapshot_offset = Some(offset),
         }
-        if peer.snapshot_offset.is_some() || peer.next_index <= last {
+        let needs_chunk = peer.snapshot_offset.is_some() && peer.transfer.is_none();
+        let needs_entries = peer.snapshot_offset.is_none() && peer.next_index <= last;
+        if needs_chunk || needs_entries {
             self.send_append(&from, now);
         }
         self.confirm_reads();
@@ -391,7 +547,10 @@
             return;
         };
         if let Some(peer) = state.peer(&replica) {
-            peer.snapshot_offset.get_or_insert(0);
+            if peer.snapshot_offset.is_none() {
+                peer.snapshot_offset = Some(0);
+                peer.transfer = None;
+            }
         } else if allowed && replica != self.settings.own {
             state.join_requests.retain(|(joining, _)| joining.instance != replica.instance);
             state.join_requests.push((replica, now));
@@ -425,10 +584,8 @@
         let commit = self.commit_index;
         let is_active = |peer: &PeerProgress| now < peer.last_reply_at + election;
         let caught_up = configuration.learners.iter().find(|learner| {
-            state
-                .peers
-                .iter()
-                .any(|peer| peer.id == **learner && peer.match_index >= commit && is_active(peer))
+            let peer = state.peers.iter().find(|peer| peer.id == **learner);
+            peer.is_some_and(|peer| is_active(peer) && peer.has_caught_up(commit))
         });
         if let Some(learner) = caught_up.filter(|_| configuration.voters.len() < MAX_VOTERS) {
             return self.change_members(configuration.with_voter(learner.clone()), now);
@@ -439,7 +596,10 @@
             state.join_requests.remove(0);
             return self.change_members(configuration.with_learner(joining), now);
         };
-        let is_answering = state.peers.iter().any(|peer| peer.id == previous && is_active(peer));
+        let is_answering = state
+            .peers
+            .iter()
+            .any(|peer| peer.id == previous && peer.acknowledged_round > 0 && is_active(peer));
         if previous == self.settings.own || previous == joining || is_answering {
             state.join_requests.remove(0);
             return;
@@ -475,6 +635,20 @@
         silent.map(|peer| peer.id.clone()).collect()
     }
 
+    /// Whether a member waits for a snapshot that is not chosen yet.
+    pub fn awaits_snapshot(&self) -> bool {
+        let ReplicaRole::Leader(state) = &self.role else { return false };
+        state.peers.iter().any(|peer| peer.snapshot_offset.is_some() && peer.snapshot.is_none())
+    }
+
+    /// Whether a member receives a snapshot, or the entries after one.
+    pub fn is_restoring_member(&self) -> bool {
+        let ReplicaRole::Leader(state) = &self.role else { return false };
+        let configuration = self.log.configuration();
+        let learners = &configuration.learners;
+        state.peers.iter().any(|peer| peer.snapshot.is_some() || learners.contains(&peer.id))
+    }
+
     /// Tracks the progress of all other members; with `previous`, the new ones receive a snapshot
     /// first.
     fn refresh_peers(&mut self, previous: Option<&GroupConfiguration>, now: Instant) {
@@ -495,11 +669,12 @@
                 id: replica.clone(),
                 next_index,
                 match_index: LogIndex(0),
-                previous_match_index: LogIndex(0),
+                transfer: None,
                 acknowledged_round: 0,
                 last_reply_at: now,
                 silent_since,
                 snapshot_offset: previous.is_some().then_some(0),
+                snapshot: None,
                 is_leaving: false,
             });
         }
@@ -546,15 +721,18 @@
     (others.count() + 1 >= remaining.quorum()).then(|| leaving.id.clone())
 }
 
+/// Size of the commands of `entries`, in bytes.
+fn sum_bytes(entries: &[LogEntry]) -> usize {
+    entries.iter().map(|entry| entry.payload.command_bytes()).sum()
+}
+
 /// The first entries that fit into one message: at most `max_entries`, and none after
 /// [`MAX_APPEND_BYTES`] are reached.
 fn select_batch(entries: &[LogEntry], max_entries: usize) -> Vec<LogEntry> {
     let mut bytes = 0;
     let fits = |entry: &&LogEntry| {
         let fits = bytes < MAX_APPEND_BYTES;
-        if let EntryPayload::Command(command) = &entry.payload {
-            bytes += command.len();
-        }
+        bytes += entry.payload.command_bytes();
         fits
     };
     entries.iter().take(max_entries).take_while(fits).cloned().collect()
--- a/cicadastall/src/replica_message.rs
+++ b/cicadastall/src/replica_message.rs
@@ -6,6 +6,10 @@
 use smallvec::SmallVec;
 use std::{fmt, sync::Arc};
 
+/// Size of the commands or of the part of a snapshot in a message, in bytes, from which on it is sent
+/// apart from small messages, which it may overtake or follow.
+pub const MIN_BULK_BYTES: usize = 64 * 1024;
+
 macro_rules! number_types {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
@@ -160,6 +164,14 @@
             Self::Empty | Self::Command(_) => None,
         }
     }
+
+    /// Size of the command in bytes; 0 for other entries.
+    pub fn command_bytes(&self) -> usize {
+        match self {
+            Self::Command(command) => command.len(),
+            _ => 0,
+        }
+    }
 }
 
 /// Entry of the log.
@@ -343,6 +355,20 @@
     },
 }
 
+impl ReplicaMessage {
+    /// Whether the message carries at least [`MIN_BULK_BYTES`].
+    pub fn is_bulk(&self) -> bool {
+        let bytes = match self {
+            Self::Append { entries, .. } => {
+                entries.iter().map(|entry| entry.payload.command_bytes()).sum()
+            }
+            Self::Snapshot { data, .. } => data.len(),
+            _ => 0,
+        };
+        bytes >= MIN_BULK_BYTES
+    }
+}
+
 /// A message with its sender and receiver.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaEnvelope {
