A removed replica may lead until its removal is committed

A leader removes a voter, only that voter has the entry, the leader loses its disk: the voter does not stand as it is removed, and refuses the others, whose logs are shorter. Two of three disks are there and nobody leads.

Change: such a replica stands for election, does not count itself, and steps down once the removal is committed.

--- a/cicadastall/src/replica.rs
+++ b/cicadastall/src/replica.rs
@@ -284,6 +284,11 @@
         self.superseding_epoch
     }
 
+    /// Whether this replica is a voter of the newest configuration in the log.
+    pub(crate) fn is_voter(&self) -> bool {
+        self.log.configuration().is_voter(&self.settings.own)
+    }
+
     /// Whether the newest configuration in the log is committed.
     pub fn is_configuration_committed(&self) -> bool {
         self.log.configuration_index() <= self.commit_index
--- a/cicadastall/src/replica_election.rs
+++ b/cicadastall/src/replica_election.rs
@@ -25,7 +25,7 @@
             self.role = ReplicaRole::Follower { leader: None };
             return;
         }
-        if !self.log.configuration().is_voter(&self.settings.own) {
+        if !self.may_stand() {
             self.role = ReplicaRole::Follower { leader: None };
             return self.request_readmission();
         }
@@ -48,6 +48,13 @@
         }
     }
 
+    /// Whether this replica is a voter, or one whose removal is not committed: the others may need a
+    /// leader that has the entry of the removal.
+    fn may_stand(&self) -> bool {
+        let is_learner = self.log.configuration().learners.contains(self.own());
+        self.is_voter() || !(is_learner || self.is_configuration_committed())
+    }
+
     /// Asks the voters of an open group to readmit this replica, which may have been removed while it
     /// was silent. A pre-vote of a replica that is not a member is a request to join.
     fn request_readmission(&mut self) {
--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -162,16 +162,16 @@
 
 impl LeaderState {
     /// The greatest value that a majority of voters has reached, with `own` as this replica's
-    /// value.
+    /// value, if it is a voter.
     fn quorum_value<T: Ord>(
         &self,
         configuration: &GroupConfiguration,
-        own: T,
+        own: Option<T>,
         value: impl Fn(&PeerProgress) -> T,
     ) -> Option<T> {
         let voters = self.peers.iter().filter(|peer| configuration.is_voter(&peer.id));
         let mut values: Vec<T> = voters.map(value).collect();
-        values.push(own);
+        values.extend(own);
         values.sort_by(|a, b| b.cmp(a));
         values.into_iter().nth(configuration.quorum() - 1)
     }
@@ -186,10 +186,12 @@
     fn holds_lease(
         &self,
         configuration: &GroupConfiguration,
+        is_voter: bool,
         timing: &ReplicaTiming,
         now: Instant,
     ) -> bool {
-        let confirmed = self.quorum_value(configuration, u64::MAX, |peer| peer.acknowledged_round);
+        let own = is_voter.then_some(u64::MAX);
+        let confirmed = self.quorum_value(configuration, own, |peer| peer.acknowledged_round);
         match confirmed {
             None | Some(0) => false,
             Some(u64::MAX) => true,
@@ -254,11 +256,12 @@
     /// messages.
     pub fn read(&mut self, ticket: ReadTicket, now: Instant) -> Result<(), ReplicaError> {
         let leader = self.leader().cloned();
+        let is_voter = self.is_voter();
         let ReplicaRole::Leader(state) = &mut self.role else {
             return Err(ReplicaError::NotLeader(leader));
         };
         let index = self.commit_index.max(state.term_start);
-        if state.holds_lease(self.log.configuration(), &self.settings.timing, now) {
+        if state.holds_lease(self.log.configuration(), is_voter, &self.settings.timing, now) {
             self.output.reads.push((ticket, Some(index)));
             return Ok(());
         }
@@ -270,14 +273,20 @@
 
     /// Whether the replica leads and its lease excludes another leader at `now`.
     pub fn holds_lease(&self, now: Instant) -> bool {
+        let is_voter = self.is_voter();
         let ReplicaRole::Leader(state) = &self.role else { return false };
-        state.holds_lease(self.log.configuration(), &self.settings.timing, now)
+        state.holds_lease(self.log.configuration(), is_voter, &self.settings.timing, now)
     }
 
     pub(crate) fn tick_leader(&mut self, now: Instant) {
+        // A leader that is removed leads until its removal is committed.
+        if !self.is_voter() && self.is_configuration_committed() {
+            return self.become_follower(self.hard_state.term, None, now);
+        }
+        let own = self.is_voter().then_some(now);
         let ReplicaRole::Leader(state) = &mut self.role else { return };
         let quorum_reply_at =
-            state.quorum_value(self.log.configuration(), now, |peer| peer.last_reply_at);
+            state.quorum_value(self.log.configuration(), own, |peer| peer.last_reply_at);
         if quorum_reply_at.is_none_or(|at| now >= at + self.settings.timing.election_timeout) {
             return self.become_follower(self.hard_state.term, None, now);
         }
@@ -510,9 +519,10 @@
     }
 
     fn confirm_reads(&mut self) {
+        let own = self.is_voter().then_some(u64::MAX);
         let ReplicaRole::Leader(state) = &mut self.role else { return };
         let confirmed =
-            state.quorum_value(self.log.configuration(), u64::MAX, |peer| peer.acknowledged_round);
+            state.quorum_value(self.log.configuration(), own, |peer| peer.acknowledged_round);
         let Some(confirmed) = confirmed else { return };
         let ready = state.pending_reads.extract_if(.., |read| read.round <= confirmed);
         self.output.reads.extend(ready.map(|read| (read.ticket, Some(read.index))));
@@ -520,9 +530,9 @@
 
     /// Commits the entries that a majority has synced, if the last of them is of the current term.
     pub(crate) fn advance_commit(&mut self, now: Instant) {
+        let own = self.is_voter().then_some(self.synced_index);
         let ReplicaRole::Leader(state) = &self.role else { return };
-        let matched = state
-            .quorum_value(self.log.configuration(), self.synced_index, |peer| peer.match_index);
+        let matched = state.quorum_value(self.log.configuration(), own, |peer| peer.match_index);
         let Some(matched) = matched.filter(|index| *index > self.commit_index) else { return };
         if self.log.term_at(matched) != Some(self.hard_state.term) {
             return;
--- a/cicadastall/tests/replica_schedules.rs
+++ b/cicadastall/tests/replica_schedules.rs
@@ -86,6 +86,15 @@
     }
 }
 
+/// Guards against a group without a leader after one that removed a replica has lost its disk.
+#[test]
+fn a_removal_that_only_the_removed_replica_holds_ends_a_group() {
+    for seed in [280, 1_572] {
+        let schedule = make_leaving_schedule(seed);
+        run_schedule((4, Some(3)), &schedule).unwrap_or_else(|fault| panic!("{seed}: {fault}"));
+    }
+}
+
 fn run_fixed(schedule: &[Action]) -> Coverage {
     run_schedule((3, None), schedule).unwrap_or_else(|fault| panic!("{fault}"))
 }
