Entries ask other regions while control of their own lacks the newest document

What callers saw: entries of the region of a lost disk refuse with 404 for up to eight seconds what the entries of the other regions serve.

Cause: an entry polls control of its own region alone as soon as it answers and reaches the others, although its replica is empty or behind.

Change: control instances tell each other the number of their document, and entries what they heard. Entries poll all instances once theirs has lacked a newer document for 300 ms. The unit test fails without the condition.

--- a/cicadastall/src/gateway/control.rs
+++ b/cicadastall/src/gateway/control.rs
@@ -122,6 +122,8 @@
     pub(in crate::gateway) supervisor: GroupSupervisor,
     pub(in crate::gateway) changed: watch::Sender<u64>,
     cursors: Mutex<HashMap<SocketAddr, FleetCursor>>,
+    /// Number of the newest document of each other control instance.
+    documents: Mutex<HashMap<SocketAddr, u64>>,
     seeds: Mutex<Vec<SocketAddr>>,
     pub(in crate::gateway) origins: Arc<OriginStore>,
     stopping: AtomicBool,
@@ -145,6 +147,7 @@
             supervisor,
             changed,
             cursors: Mutex::default(),
+            documents: Mutex::default(),
             origins: Arc::new(OriginStore::new(MAX_ORIGINS)),
             stopping: AtomicBool::new(false),
             bodies: BodyAdmission::default(),
@@ -162,6 +165,10 @@
         self.cursors.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn documents(&self) -> MutexGuard<'_, HashMap<SocketAddr, u64>> {
+        self.documents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies `change` to the registry, and wakes waiting queries if it changed anything.
     pub(in crate::gateway) fn change_registry<T>(
         &self,
@@ -346,12 +353,14 @@
         let newer_zones = state.evacuated().version > query.evacuated;
         let newer = |number: u64| !query.number_only && number > query.document;
         let newest = state.newest().filter(|stored| newer(stored.number()));
+        let reported = self.documents().values().copied().max().unwrap_or_default();
         let (suspects_until_whole, suspects): (Vec<_>, Vec<_>) = registry
             .changed_suspects(cursor, now)
             .into_iter()
             .partition(|record| record.until_whole);
         let shared = |region: Option<&RegionName>, for_control: bool| FleetUpdate {
             controls_heard: registry.count_controls(),
+            document_number: state.number(),
             cursor: registry.cursor(),
             confirmed,
             upstreams: registry.changed_upstreams(cursor, region, now),
@@ -387,7 +396,7 @@
                     (None, Vec::new())
                 };
                 FleetUpdate {
-                    document_number: state.number(),
+                    reported_number: reported,
                     document: newest.map(|stored| Arc::clone(&stored.document)),
                     summaries,
                     work,
@@ -400,9 +409,14 @@
 
     fn has_changes(&self, query: &FleetQuery) -> bool {
         let state = self.supervisor.state();
-        let reads_state = matches!(query.reader, FleetReader::Entry(_));
-        let newer = state.number() > query.document || state.evacuated().version > query.evacuated;
-        (reads_state && newer) || self.registry().has_changes(query.cursor)
+        let newer = match query.reader {
+            FleetReader::Entry(_) => {
+                state.number() > query.document || state.evacuated().version > query.evacuated
+            }
+            // Earlier versions name no document.
+            FleetReader::Control(_) => query.document > 0 && state.number() > query.document,
+        };
+        newer || self.registry().has_changes(query.cursor)
     }
 
     async fn wait_for_changes(&self, query: &FleetQuery) {
@@ -517,11 +531,18 @@
                     registry.history().interrupt(now);
                 }
                 self.cursors().retain(|address, _| registry.is_known_control(*address));
+                self.documents().retain(|address, _| registry.is_known_control(*address));
             });
             self.origins.table().expire(now);
         }
     }
 
+    /// Number above which a document of the control instance at `address` is news; 0 without any.
+    fn known_document(&self, address: SocketAddr) -> u64 {
+        let reported = self.documents().get(&address).copied().unwrap_or_default();
+        reported.max(self.supervisor.state().number())
+    }
+
     /// Keeps polling the other control instances, until its task is dropped.
     async fn poll_peers(self: &Arc<Self>, clients: Arc<PeerClients>) {
         let mut tasks = PollTasks::default();
@@ -620,7 +641,7 @@
         FleetQuery {
             reader: FleetReader::Control(self.own.clone()),
             cursor: *self.cursors().entry(address).or_default(),
-            document: 0,
+            document: self.known_document(address),
             evacuated: 0,
             wait_ms: CONTROL_POLL_WAIT_MS,
             confirm: false,
@@ -644,6 +665,7 @@
         let restarted = self.cursors().get_mut(&address).is_some_and(|cursor| {
             std::mem::replace(cursor, update.cursor).process != update.cursor.process
         });
+        self.documents().insert(address, update.document_number);
         let FleetUpdate { upstreams, entries, controls, summaries, history, .. } = update;
         let suspects = [update.suspects, update.suspects_until_whole].concat();
         self.origins.note_process(address, update.cursor.process);
--- a/cicadastall/src/gateway/knowledge/fleet_update.rs
+++ b/cicadastall/src/gateway/knowledge/fleet_update.rs
@@ -320,6 +320,10 @@
     /// Number of the newest document that the sender has.
     #[serde(default)]
     pub document_number: u64,
+    /// Number of the newest document that any control instance in reach of the sender has, as it
+    /// reported; 0 if none did.
+    #[serde(default)]
+    pub reported_number: u64,
     /// The document, if the reader is an entry that asked for it and has an older one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub document: Option<Arc<RouteDocument>>,
--- a/cicadastall/src/gateway/knowledge/view.rs
+++ b/cicadastall/src/gateway/knowledge/view.rs
@@ -43,6 +43,10 @@
 /// within seconds.
 const LOCAL_CONTROL_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Time for which a control instance of this region may lack a document that others have, before those of
+/// other regions are polled too. A replica that restores its state takes seconds.
+const OUTDATED_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Time after which a received summary or work report is ignored.
 const LOAD_LIFETIME: Duration = Duration::from_secs(4);
 
@@ -176,6 +180,8 @@
     polled: bool,
     /// Number of the newest document that it reported.
     document: u64,
+    /// Time since which it has reported that other control instances have a newer document.
+    outdated_since: Option<Instant>,
     /// Change of this entry's suspects up to which the open query reports, and up to which it has
     /// received reports.
     reporting: u64,
@@ -244,6 +250,7 @@
             known_controls: 0,
             polled: false,
             document: 0,
+            outdated_since: None,
             reporting: 0,
             reported: 0,
             listed_at: now,
@@ -264,7 +271,7 @@
     }
 
     /// Selects the control instances to poll, by peer address: those of this region while one of them
-    /// answers and reaches a majority of control instances; otherwise, or if `all`, every instance.
+    /// answers, reaches a majority of control instances and is up to date; otherwise, or if `all`, every instance.
     pub fn select_controls(&mut self, all: bool, now: Instant) -> BTreeSet<SocketAddr> {
         let all = all || !self.has_local_control(now);
         let addresses = self.controls.keys().copied();
@@ -290,13 +297,15 @@
         self.controls.keys().copied()
     }
 
-    /// Whether a control instance of this region answers and reaches a majority of control instances.
+    /// Whether a control instance of this region answers, reaches a majority of control instances and
+    /// has the newest document that they report, or will have it in a moment.
     fn has_local_control(&self, now: Instant) -> bool {
         self.controls.iter().any(|(address, control)| {
             let local = self.records.get(address);
             local.is_some_and(|record| record.region == self.own.region)
                 && control.answered_at.is_some_and(|at| now < at + LOCAL_CONTROL_TIMEOUT)
                 && control.known_controls * 2 > self.peak_controls
+                && control.outdated_since.is_none_or(|since| now < since + OUTDATED_TIMEOUT)
         })
     }
 
@@ -349,6 +358,13 @@
         }
     }
 
+    /// Whether more than half of the known control instances answered within the last `limit`.
+    pub fn hears_majority(&self, limit: Duration, now: Instant) -> bool {
+        let is_heard =
+            |control: &&ControlSource| control.answered_at.is_some_and(|at| now < at + limit);
+        self.controls.values().filter(is_heard).count() * 2 > self.controls.len()
+    }
+
     /// The newest known evacuated zones.
     pub fn evacuated(&self) -> &EvacuatedZones {
         &self.evacuated
@@ -372,6 +388,8 @@
         control.known_controls = update.controls_heard;
         self.peak_controls = self.peak_controls.max(update.controls_heard);
         control.document = update.document_number;
+        control.outdated_since = (update.reported_number > update.document_number)
+            .then(|| control.outdated_since.unwrap_or(now));
         control.reported = control.reporting;
         if control.cursor.process != update.cursor.process {
             // A new process has received this report only.
--- a/cicadastall/tests/gateway_registry.rs
+++ b/cicadastall/tests/gateway_registry.rs
@@ -428,6 +428,27 @@
     assert_eq!(select(&mut view, at(1_700)), near);
 }
 
+#[test]
+fn an_entry_asks_other_regions_while_control_of_its_own_lacks_the_newest_document() {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let report = |document_number, reported_number| FleetUpdate {
+        document_number,
+        reported_number,
+        ..control_update(1, 4, Vec::new())
+    };
+    let mut view = view(start);
+    let select = |view: &mut ViewMerger, now| view.select_controls(false, now).len();
+    view.apply_update(address(1), report(7, 7), at(0));
+    assert_eq!(select(&mut view, at(100)), 2, "the newest document is here");
+    view.apply_update(address(1), report(7, 8), at(200));
+    assert_eq!(select(&mut view, at(300)), 2, "it may be on its way");
+    view.apply_update(address(1), report(7, 9), at(600));
+    assert_eq!(select(&mut view, at(600)), 4);
+    view.apply_update(address(1), report(9, 9), at(700));
+    assert_eq!(select(&mut view, at(700)), 2);
+}
+
 #[test]
 fn deregistered_upstream_is_not_restored_by_stale_rows() {
     let now = Instant::now();
