Take no callers by an unconfirmed document while a majority of control is in reach

What callers saw: after all machines lost power, 404 for routes that had been acknowledged.

Cause: an entry took callers six seconds after its first document in any case, which is meant for a region that is cut off. Instances that are back know a document only as far as they know it committed.

Change: the six seconds count from the loss of a majority of control instances. A majority that is heard and confirms nothing has lost more disks than it bears; entries then wait for 20 s, and answer 503 meanwhile.

--- a/cicadastall/src/gateway/entry.rs
+++ b/cicadastall/src/gateway/entry.rs
@@ -70,9 +70,17 @@
 /// Longest wait of a fleet query to control in another region, in milliseconds.
 const OTHER_REGION_WAIT_MS: u32 = 1_000;
 
-/// Time after its first document at which an entry accepts callers although control has not confirmed
-/// a document, so that a region that is cut off from the others still serves callers.
-const UNCONFIRMED_DELAY: Duration = Duration::from_secs(6);
+/// Time after which an entry that has a document, but hears no majority of control, accepts callers
+/// without a confirmation, so that a region that is cut off from the others still serves them.
+const CUT_OFF_DELAY: Duration = Duration::from_secs(6);
+
+/// Time without an answer after which a control instance counts as not heard. A confirmation takes
+/// up to 0.9 s.
+const CONTROL_SILENCE: Duration = Duration::from_secs(3);
+
+/// Time after its first document at which an entry accepts callers in any case. A majority that is heard
+/// and confirms nothing for so long has lost more disks than it bears, and needs an operator.
+const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(20);
 
 /// Interval of the periodic upkeep: expired view entries, connections and grants.
 const UPKEEP_PERIOD: Duration = Duration::from_millis(250);
@@ -119,6 +127,8 @@
     context: Arc<EntryContext>,
     state: Mutex<ViewMerger>,
     first_document: Mutex<Option<Instant>>,
+    /// Time since which no majority of control instances has been heard.
+    cut_off_since: Mutex<Option<Instant>>,
     /// Whether the lease of the document was valid at the last upkeep.
     leased: AtomicBool,
 }
@@ -130,7 +140,7 @@
 
     /// Puts the document of `update` in force if it is newer than the current one. Returns whether it
     /// did.
-    fn apply_document(&self, update: &mut FleetUpdate) -> bool {
+    fn apply_document(&self, control: SocketAddr, update: &mut FleetUpdate) -> bool {
         // Held throughout, so that a document is never replaced by an older one.
         let mut first = self.first_document.lock().unwrap_or_else(PoisonError::into_inner);
         let current = self.context.routes.load().document().number;
@@ -140,7 +150,8 @@
         };
         log::info!(
             document = document.number, previous = current, routes = document.routes.len(),
-            workspaces = document.workspaces.len(), confirmed = update.confirmed;
+            workspaces = document.workspaces.len(), confirmed = update.confirmed,
+            control = control.to_string();
             "document in force"
         );
         self.context.metrics.set_document(document.number);
@@ -152,21 +163,35 @@
         true
     }
 
-    /// Starts to accept callers once the document is confirmed or [`UNCONFIRMED_DELAY`] has passed.
+    /// Starts to accept callers once the document is confirmed, or no confirmation can be expected.
     fn update_readiness(&self, confirmed: bool) {
         if self.context.is_usable() {
             return;
         }
-        let first = *self.first_document.lock().unwrap_or_else(PoisonError::into_inner);
-        let delay_passed = first.is_some_and(|at| at.elapsed() > UNCONFIRMED_DELAY);
-        if confirmed || delay_passed {
+        let cut_off = self.is_cut_off();
+        if confirmed || cut_off || self.has_waited(UNCONFIRMED_LIMIT) {
             self.context.set_usable();
             self.state().set_state(EntryState::Serving);
             self.publish(true);
-            log::info!(confirmed; "entry takes callers");
+            log::info!(confirmed, cut_off; "entry takes callers");
         }
     }
 
+    /// Whether the entry has had a document, and heard no majority of control, for [`CUT_OFF_DELAY`].
+    fn is_cut_off(&self) -> bool {
+        let now = Instant::now();
+        let hears = self.state().hears_majority(CONTROL_SILENCE, now);
+        let mut since = self.cut_off_since.lock().unwrap_or_else(PoisonError::into_inner);
+        *since = (!hears).then(|| since.unwrap_or(now));
+        since.is_some_and(|at| now > at + CUT_OFF_DELAY) && self.has_waited(CUT_OFF_DELAY)
+    }
+
+    /// Whether the first document came longer than `delay` ago.
+    fn has_waited(&self, delay: Duration) -> bool {
+        let first = *self.first_document.lock().unwrap_or_else(PoisonError::into_inner);
+        first.is_some_and(|at| at.elapsed() > delay)
+    }
+
     /// Publishes the load of the fleet, and its view if that changed, to the requests of this entry.
     fn publish(&self, view_changed: bool) {
         let mut state = self.state();
@@ -278,7 +303,7 @@
 
     fn accept_update(&self, address: SocketAddr, mut update: FleetUpdate, asked_at: BootInstant) {
         let (confirmed, newest) = (update.confirmed, update.document_number);
-        let replaced = self.apply_document(&mut update);
+        let replaced = self.apply_document(address, &mut update);
         self.context.note_newest_document(newest);
         if let Some(read) = &update.confirmed_read {
             self.context.renew_lease(read, asked_at);
@@ -341,6 +366,7 @@
             context: Arc::clone(&context),
             state: Mutex::new(ViewMerger::new(own, &node.seeds, Instant::now())),
             first_document: Mutex::new(None),
+            cut_off_since: Mutex::new(None),
             leased: AtomicBool::new(false),
         });
         let (close, closed) = watch::channel(false);
