--- a/cicadastall/tests/gateway_load.rs
+++ b/cicadastall/tests/gateway_load.rs
@@ -2,7 +2,7 @@
 
 mod load;
 
-use load::{CallKind, ChooserPolicy, LoadResult, RegionSize};
+use load::{AnswerEstimate, CallKind, ChooserPolicy, LoadResult, RegionSize};
 use std::time::Duration;
 
 /// Short prompts of the most urgent rank, as in conversations.
@@ -15,6 +15,7 @@
     contents: [40, 156],
     answer_tokens: 290,
     workspace: None,
+    estimate: AnswerEstimate::Exact,
 };
 
 /// Long prompts of a less urgent rank, most of whose tokens are shared.
@@ -27,6 +28,7 @@
     contents: [4, 82],
     answer_tokens: 52,
     workspace: None,
+    estimate: AnswerEstimate::Exact,
 };
 
 /// Required fraction of requests whose first token is on time, from the project's requirements.
--- a/cicadastall/tests/load/mod.rs
+++ b/cicadastall/tests/load/mod.rs
@@ -55,21 +55,30 @@
 /// Maximum number of prompt tokens that an engine prefills in one step.
 const PREFILL_CHUNK_TOKENS: u32 = 2_048;
 
-/// Prefill rate of an engine, in tokens per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 38.4;
-
-/// Duration of an engine step without prefill, in milliseconds.
-const STEP_MS: f64 = 5.0;
-
-/// Addition to [`STEP_MS`] for each running request of an engine with an [`EnginePace`], in milliseconds.
-const STEP_MS_PER_REQUEST: f64 = 0.13;
-
 /// Time from the first request within which the product must know the speeds of engines.
 pub const LEARNING_TIME: Duration = Duration::from_secs(3);
 
 /// Capacity of an engine.
 pub const ENGINE: EngineRule = EngineRule { slots: 16, kv_tokens: 171_000, event_tokens: 5 };
 
+/// Capacity and rates of an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineKind {
+    pub rule: EngineRule,
+    /// Prefill rate, in tokens per millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// Duration of a step without prefill, in milliseconds.
+    pub step_ms: f64,
+    /// Addition to it for each running request of an engine with an [`EnginePace`], in milliseconds.
+    pub step_ms_per_request: f64,
+}
+
+impl Default for EngineKind {
+    fn default() -> Self {
+        Self { rule: ENGINE, prefill_tokens_per_ms: 38.4, step_ms: 5.0, step_ms_per_request: 0.13 }
+    }
+}
+
 /// Requests of one kind.
 #[derive(Debug, Clone, Copy)]
 pub struct CallKind {
@@ -87,10 +96,33 @@
     pub contents: [u64; 2],
     /// Tokens of the answer.
     pub answer_tokens: u32,
+    /// What the caller says of them.
+    pub estimate: AnswerEstimate,
     /// Workspace of the requests.
     pub workspace: Option<&'static str>,
 }
 
+/// What callers say of the length of their answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerEstimate {
+    /// The length, and twice the length as the maximum.
+    Exact,
+    /// The same maximum for all, and from every second caller an estimate that is 0.5 to 2 times the
+    /// length.
+    Rough { max_tokens: u32 },
+}
+
+impl AnswerEstimate {
+    /// Maximum and estimate for an answer of `tokens`, in tokens; `number` is that of the request.
+    fn tell(self, tokens: u32, number: u64) -> (u32, Option<u32>) {
+        let Self::Rough { max_tokens } = self else { return (tokens * 2, Some(tokens)) };
+        let mut random = ChaCha8Rng::seed_from_u64(number);
+        let factor = 2.0_f64.powf(random.random_range(-1.0..1.0));
+        let estimate = (f64::from(tokens) * factor) as u32;
+        (max_tokens, random.random_bool(0.5).then_some(estimate))
+    }
+}
+
 /// Results of the requests of one kind.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct KindResult {
@@ -181,6 +213,7 @@
 
 #[derive(Debug, Default)]
 struct Engine {
+    kind: EngineKind,
     waiting: VecDeque<Running>,
     running: Vec<Running>,
     /// Cached shared parts, least recently used first.
@@ -216,13 +249,13 @@
 
     /// Starts waiting requests while there is room, most urgent first.
     fn admit(&mut self, requests: &[Request]) {
-        while self.running.len() < ENGINE.slots as usize {
+        while self.running.len() < self.kind.rule.slots as usize {
             let rank = |running: &Running| requests[running.request].call.rank();
             let first = (0..self.waiting.len()).min_by_key(|index| rank(&self.waiting[*index]));
             let Some(mut next) = first.and_then(|index| self.waiting.remove(index)) else { return };
             let running = self.running.iter().map(|running| u64::from(running.tokens));
             let used = running.sum::<u64>() + u64::from(next.tokens);
-            if used > ENGINE.kv_tokens {
+            if used > self.kind.rule.kv_tokens {
                 self.waiting.push_front(next);
                 return;
             }
@@ -241,7 +274,9 @@
                 }
             }
             self.running.push(next);
-            while self.used_tokens() > ENGINE.kv_tokens && self.cached.pop_front().is_some() {}
+            while self.used_tokens() > self.kind.rule.kv_tokens && self.cached.pop_front().is_some()
+            {
+            }
         }
     }
 
@@ -277,8 +312,9 @@
             .running
             .extract_if(.., |running| running.unread_tokens == 0 && running.remaining_tokens == 0);
         events.extend(ended.map(|running| EngineEvent::Ended(running.request)));
-        let took_ms = STEP_MS + f64::from(PREFILL_CHUNK_TOKENS - room) / PREFILL_TOKENS_PER_MS;
-        let running_ms = self.running.len() as f64 * STEP_MS_PER_REQUEST;
+        let read_tokens = f64::from(PREFILL_CHUNK_TOKENS - room);
+        let took_ms = self.kind.step_ms + read_tokens / self.kind.prefill_tokens_per_ms;
+        let running_ms = self.running.len() as f64 * self.kind.step_ms_per_request;
         let took_ms = speed.map_or(took_ms, |speed| (took_ms + running_ms) / speed);
         let took = Duration::from_secs_f64(took_ms / 1_000.0);
         self.busy_until = now + took;
@@ -291,7 +327,7 @@
     }
 }
 
-fn known(index: usize, now: Instant) -> Arc<KnownUpstream> {
+fn known(index: usize, slots: u32, now: Instant) -> Arc<KnownUpstream> {
     let upstream = RegisteredUpstream {
         name: UpstreamName::from(format!("engine-{index}").as_str()),
         started_ms: 1,
@@ -299,7 +335,7 @@
         pool: PoolName::from("pool"),
         address: SocketAddr::from(([10, 0, 0, 1], 9_000 + index as u16)),
         zone: ZoneName::from(["west-a", "west-b"][index % 2]),
-        slots: ENGINE.slots,
+        slots,
         phase: UpstreamPhase::Serving,
         cold_ms: 0,
         software: SoftwareVersion::from("v1"),
@@ -316,8 +352,8 @@
 }
 
 /// View of the simulated fleet.
-fn view(size: RegionSize, now: Instant) -> FleetView {
-    let mut upstreams: Vec<_> = (0..size.engines).map(|index| known(index, now)).collect();
+fn view(size: RegionSize, slots: u32, now: Instant) -> FleetView {
+    let mut upstreams: Vec<_> = (0..size.engines).map(|index| known(index, slots, now)).collect();
     upstreams.sort_by_key(|known| hash_pair(known.upstream.name.as_str(), 0));
     FleetView {
         pools: HashMap::from([(PoolName::from("pool"), upstreams)]),
@@ -374,10 +410,11 @@
         homes: SmallVec::new(),
         public: false,
     };
+    let (answer_tokens, estimated_tokens) = kind.estimate.tell(kind.answer_tokens, own);
     let head = CallHead {
         prompt_tokens: kind.tokens.iter().sum(),
-        answer_tokens: kind.answer_tokens * 2,
-        estimated_tokens: Some(kind.answer_tokens),
+        answer_tokens,
+        estimated_tokens,
         parts: parts.collect(),
         ..CallHead::default()
     };
@@ -450,6 +487,19 @@
     paces: &[EnginePace],
     duration: Duration,
     seed: u64,
+) -> LoadResult {
+    play_engines(size, EngineKind::default(), kinds, policy, paces, duration, seed)
+}
+
+/// Like [`play_uneven`], with engines of `engine`.
+pub fn play_engines(
+    size: RegionSize,
+    engine: EngineKind,
+    kinds: &[CallKind],
+    policy: ChooserPolicy,
+    paces: &[EnginePace],
+    duration: Duration,
+    seed: u64,
 ) -> LoadResult {
     let RegionSize { entries, engines, .. } = size;
     let base = Instant::now();
@@ -460,15 +510,15 @@
         paces,
         base,
         queue: size.queue,
-        view: view(size, base),
-        pool: pool_rule(),
+        view: view(size, engine.rule.slots, base),
+        pool: PoolRule { engine: Some(engine.rule), ..pool_rule() },
         choosers: (0..entries)
             .map(|index| {
                 let ordered = policy == ChooserPolicy::MeasuredLoad;
                 chooser(index).with_measured_load(!paces.is_empty()).with_fair_order(ordered)
             })
             .collect(),
-        engines: (0..engines).map(|_| Engine::default()).collect(),
+        engines: (0..engines).map(|_| Engine { kind: engine, ..Engine::default() }).collect(),
         loads: (0..entries).map(|_| LoadView::default()).collect(),
         requests: Vec::new(),
         due: BTreeMap::new(),
@@ -659,12 +709,13 @@
         }
         request.sent = Some((index, send));
         self.open[request.entry][index] += 1;
-        let head = &request.call.head;
+        let prompt_tokens = request.call.head.prompt_tokens;
+        let answer_tokens = self.kinds[request.kind].answer_tokens;
         self.engines[index].waiting.push_back(Running {
             request: number,
-            unread_tokens: head.prompt_tokens,
-            remaining_tokens: head.expected_tokens(),
-            tokens: head.prompt_tokens + head.expected_tokens(),
+            unread_tokens: prompt_tokens,
+            remaining_tokens: answer_tokens,
+            tokens: prompt_tokens + answer_tokens,
         });
     }
 
--- a/cicadastall/tests/uneven_upstreams.rs
+++ b/cicadastall/tests/uneven_upstreams.rs
@@ -6,12 +6,15 @@
     gateway::knowledge::upstream_speed::{SpanWork, SpeedEstimate},
     name::UpstreamName,
 };
-use load::{CallKind, ChooserPolicy, EnginePace, LEARNING_TIME, LoadResult, RegionSize};
+use load::{
+    AnswerEstimate, CallKind, ChooserPolicy, EnginePace, LEARNING_TIME, LoadResult, RegionSize,
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
 const SHORT: CallKind = CallKind {
     workspace: None,
+    estimate: AnswerEstimate::Exact,
     rank: 0,
     target_ms: 600,
     limit_ms: 12_000,
@@ -23,6 +26,7 @@
 
 const LONG: CallKind = CallKind {
     workspace: None,
+    estimate: AnswerEstimate::Exact,
     rank: 1,
     target_ms: 800,
     limit_ms: 5_000,
