A removed leader does not count itself for the durability of a change

Read, not seen: between the commit of its removal and its next tick a leader that is no voter counted its own disk in `durable_index`, where there are voters to spare, and could acknowledge a change that the group would not keep through the losses that it bears. Commit, leases and reads counted only voters already.

--- a/cicadastall/src/replica_leader.rs
+++ b/cicadastall/src/replica_leader.rs
@@ -498,7 +498,7 @@
         let staying = |peer: &&PeerProgress| !peer.is_leaving && configuration.is_voter(&peer.id);
         let mut held: Vec<_> =
             state.peers.iter().filter(staying).map(|peer| peer.match_index).collect();
-        if !self.leaving {
+        if !self.leaving && self.is_voter() {
             held.push(self.synced_index);
         }
         held.sort_by_key(|index| Reverse(*index));
